--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env node
+/**
+ * Command line of sorrelladder.
+ *
+ * @packageDocumentation
+ */
+import { Command } from 'commander';
+import { registerConfigCommands } from './config-commands.js';
+import { registerPolicyCommands } from './policy-commands.js';
+import { registerServeCommand } from './serve-command.js';
+import { registerStatusCommand } from './status-command.js';
+
+const program = new Command('sorrelladder')
+  .description('database proxy with session consistency')
+  .version('0.1.0')
+  .showHelpAfterError();
+
+registerServeCommand(program);
+registerPolicyCommands(program);
+registerConfigCommands(program);
+registerStatusCommand(program);
+
+await program.parseAsync();
--- /dev/null
+++ b/src/configuration/configuration.ts
@@ -0,0 +1,44 @@
+/**
+ * The configuration that operators publish: databases and policy, under one version.
+ *
+ * @packageDocumentation
+ */
+import { z } from 'zod';
+
+const memberSchema = z.strictObject({
+  id: z.string().min(1).max(100),
+  zone: z.string().min(1).max(100),
+  host: z.union([z.ipv4(), z.ipv6()]),
+  port: z.number().int().min(1).max(65535),
+});
+
+/** Schema of one database. */
+export const databaseSchema = z.strictObject({
+  name: z.string().min(1).max(63),
+  /** Connections that a member accepts. */
+  connectionLimit: z.number().int().min(4).max(10_000),
+  /** Statements that a member executes at once. */
+  slots: z.number().int().min(1).max(1000),
+  members: z.array(memberSchema).min(1).max(9),
+});
+
+/** Schema of what `config publish` takes. */
+export const databasesDocumentSchema = z.strictObject({
+  databases: z.array(databaseSchema).max(2000),
+});
+
+/** Schema of a stored configuration. */
+export const configurationSchema = z.strictObject({
+  version: z.number().int().min(1),
+  /** Identity of the publication, to recognise one's own after a lost answer. */
+  identity: z.string().min(1),
+  publishedBy: z.string(),
+  publishedAt: z.string(),
+  databases: z.array(databaseSchema),
+  policy: z.string(),
+});
+
+/** One database of the configuration. */
+export type DatabaseConfiguration = z.infer<typeof databaseSchema>;
+/** A published configuration. @public */
+export type Configuration = z.infer<typeof configurationSchema>;
--- /dev/null
+++ b/src/daemon/configuration-service.ts
@@ -0,0 +1,125 @@
+/**
+ * Keeps a daemon's configuration current: from the store, and from other daemons when the store is away.
+ *
+ * @packageDocumentation
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Configuration } from '../configuration/configuration.js';
+import { ConfigurationHolder } from '../configuration/configuration-holder.js';
+import type { ConfigurationStore } from '../configuration/configuration-store.js';
+import { StartupGate } from '../configuration/startup-gate.js';
+import type { Logger } from '../observability/logger.js';
+import { backoffDelayMs } from '../retry/backoff.js';
+
+/** What the service asks and tells its daemon. */
+export interface ConfigurationServicePorts {
+  /** Number of daemons on the machine list, this one included. */
+  daemonCount(): number;
+  /** Asks the other daemons for their configurations; answers come to {@link ConfigurationService.receiveFromPeer}. */
+  askPeers(): void;
+  /** Asks one daemon for its configuration. */
+  askPeer(daemonId: string): void;
+  /** True when this daemon is one of those that watch the store for the others of its zone. */
+  isWatcher(): boolean;
+  /** A newer configuration is in force. */
+  adopted(configuration: Configuration): void;
+}
+
+const STARTUP_RETRY_MS = 250;
+const WATCH_BACKOFF = { initialDelayMs: 200, maxDelayMs: 5000 };
+const WATCHER_CHECK_MS = 1000;
+
+/** Configuration of one daemon. */
+export class ConfigurationService {
+  readonly #holder = new ConfigurationHolder();
+  readonly #gate = new StartupGate();
+  readonly #abort = new AbortController();
+  #isStarted = false;
+
+  constructor(
+    private readonly store: ConfigurationStore,
+    private readonly ports: ConfigurationServicePorts,
+    private readonly log: Logger,
+  ) {}
+
+  /** The configuration in force, or `null` before the first. */
+  get current(): Configuration | null {
+    return this.#holder.current;
+  }
+
+  /** Finds the first configuration, then follows the store. */
+  start(): void {
+    void this.#findFirst().then(() => this.#follow());
+  }
+
+  /** Stops to follow. */
+  stop(): void {
+    this.#abort.abort();
+  }
+
+  /** Takes another daemon's answer. */
+  receiveFromPeer(daemonId: string, configuration: Configuration | null): void {
+    if (this.#isStarted) {
+      if (configuration !== null) this.#offer(configuration, `peer ${daemonId}`);
+      return;
+    }
+    this.#gate.recordPeer(daemonId, configuration);
+    this.#tryStart('peers');
+  }
+
+  /** Hears which version another daemon has in force. */
+  hearVersion(daemonId: string, version: number): void {
+    if (this.#isStarted && version > this.#holder.version) this.ports.askPeer(daemonId);
+  }
+
+  async #findFirst(): Promise<void> {
+    while (!this.#isStarted && !this.#abort.signal.aborted) {
+      this.ports.askPeers();
+      try {
+        this.#gate.recordStore(await this.store.read());
+        this.#tryStart('store');
+      } catch (error) {
+        this.log.warn({ error: (error as Error).message }, 'store_unavailable');
+      }
+      if (!this.#isStarted) await delay(STARTUP_RETRY_MS);
+    }
+  }
+
+  #tryStart(source: string): void {
+    const configuration = this.#gate.decide(this.ports.daemonCount());
+    if (configuration === null || this.#isStarted) return;
+    this.#isStarted = true;
+    this.#offer(configuration, source);
+  }
+
+  #offer(configuration: Configuration, source: string): void {
+    const { version, identity } = configuration;
+    const outcome = this.#holder.offer(configuration);
+    if (outcome === 'conflict') this.log.error({ version, identity, source }, 'configuration_conflict');
+    if (outcome !== 'adopted') return;
+    this.log.info({ version, identity, source }, 'configuration_adopted');
+    this.ports.adopted(configuration);
+  }
+
+  /** Watches the store while this daemon is a watcher; reads it once before each watch. */
+  async #follow(): Promise<void> {
+    const { signal } = this.#abort;
+    for (let attempt = 0; !signal.aborted; attempt += 1) {
+      if (!this.ports.isWatcher()) {
+        await delay(WATCHER_CHECK_MS, undefined, { signal }).catch(() => undefined);
+        continue;
+      }
+      try {
+        const configuration = await this.store.read();
+        if (configuration !== null) this.#offer(configuration, 'store');
+        attempt = 0;
+        await this.store.watch((changed) => this.#offer(changed, 'store'), signal);
+      } catch (error) {
+        if (!signal.aborted) this.log.warn({ error: (error as Error).message }, 'store_unavailable');
+      }
+      await delay(backoffDelayMs(WATCH_BACKOFF, attempt, Math.random()), undefined, { signal }).catch(
+        () => undefined,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,461 @@
+/**
+ * One daemon: puts its parts together.
+ *
+ * @packageDocumentation
+ */
+import type { Configuration, DatabaseConfiguration } from '../configuration/configuration.js';
+import { ConfigurationStore } from '../configuration/configuration-store.js';
+import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
+import { ClientServer } from '../entry/client-server.js';
+import { RequestRouter, type RequestTarget } from '../entry/request-router.js';
+import { MachineList } from '../machines/machine-list.js';
+import { Gossip } from '../membership/gossip.js';
+import { MembershipTable } from '../membership/membership-table.js';
+import type { PeerRecord } from '../membership/peer-record.js';
+import { EngineMetrics } from '../observability/engine-metrics.js';
+import type { Logger } from '../observability/logger.js';
+import { DatabaseController } from '../ownership/database-controller.js';
+import { rankCandidates } from '../ownership/candidate-ranking.js';
+import { PeerLinks } from '../peer/peer-links.js';
+import type { PeerMessage } from '../peer/peer-messages.js';
+import { PeerServer } from '../peer/peer-server.js';
+import { DEFAULT_DECISION, Policy } from '../policy/policy.js';
+import type { Settings } from '../settings/settings.js';
+import { StoreClient } from '../store/store-client.js';
+import { ConfigurationService } from './configuration-service.js';
+import { createControllerOptions } from './controller-options.js';
+import { LocalTarget, RemoteTarget } from './request-targets.js';
+
+/** Daemons of a zone that watch the store for the others. */
+const WATCHERS_PER_ZONE = 2;
+/** Daemons to ask for a database whose owner is not known. */
+const TARGETS_TO_TRY = 3;
+const FORGET_PEER_AFTER_MS = 60_000;
+const MAX_NEWS_PER_MESSAGE = 12;
+
+/** A running daemon. */
+export class Daemon {
+  readonly metrics = new EngineMetrics();
+  readonly #controllers = new Map<string, DatabaseController>();
+  readonly #table: MembershipTable;
+  readonly #links: PeerLinks;
+  readonly #gossip: Gossip;
+  readonly #machines: MachineList;
+  readonly #configuration: ConfigurationService;
+  readonly #peerServer: PeerServer;
+  readonly #clientServer: ClientServer;
+  #policy = Policy.empty;
+  #isStopping = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly log: Logger,
+    /** Random numbers in 0..1. */
+    private readonly random: () => number = Math.random,
+  ) {
+    const { timing } = settings;
+    this.#table = new MembershipTable(createOwnRecord(settings), {
+      suspicionTimeoutMs: timing.suspicionTimeoutMs,
+      forgetAfterMs: FORGET_PEER_AFTER_MS,
+      maxUpdatesPerMessage: MAX_NEWS_PER_MESSAGE,
+    });
+    this.#links = this.#createLinks();
+    this.#gossip = this.#createGossip();
+    this.#machines = this.#createMachineList();
+    this.#configuration = this.#createConfigurationService();
+    this.#peerServer = this.#createPeerServer();
+    this.#clientServer = this.#createClientServer();
+  }
+
+  /** Starts to listen and to take part. */
+  async start(): Promise<void> {
+    const { listen, daemon } = this.settings;
+    await this.#peerServer.listen(listen.peer.host, listen.peer.port);
+    await this.#machines.refresh();
+    this.#contactListedDaemons();
+    this.#machines.start();
+    this.#gossip.start();
+    this.#configuration.start();
+    await this.#clientServer.listen(listen.client.host, listen.client.port);
+    this.log.info({ daemon: daemon.id, zone: daemon.zone, port: listen.client.port }, 'daemon_started');
+  }
+
+  /** Drains and stops; returns how many requests and transactions were cut. */
+  async stop(): Promise<number> {
+    this.#isStopping = true;
+    const { drainTimeoutMs } = this.settings.timing;
+    this.log.info({ drainTimeoutMs }, 'drain_started');
+    this.#table.updateOwn({ state: 'leaving' });
+    this.#gossip.spreadNow();
+    const handedOver = Promise.all([...this.#controllers.values()].map((c) => c.stop(drainTimeoutMs)));
+    const cutClients = await this.#clientServer.drain(drainTimeoutMs);
+    const cut = (await handedOver).reduce((total, count) => total + count, cutClients);
+    this.metrics.cutRequests.inc(cut);
+    this.#configuration.stop();
+    this.#machines.stop();
+    this.#gossip.stop();
+    await new Promise((resolve) => setTimeout(resolve, LAST_MESSAGES_MS));
+    this.#links.close();
+    this.#peerServer.close();
+    this.log.info({ cut }, 'daemon_stopped');
+    return cut;
+  }
+
+  /** State for `sorrelladder status`. */
+  status(): DaemonStatus {
+    return {
+      daemon: this.settings.daemon,
+      isStopping: this.#isStopping,
+      configurationVersion: this.#configuration.current?.version ?? 0,
+      configurationIdentity: this.#configuration.current?.identity ?? null,
+      clientConnections: this.#clientServer.connectionCount,
+      peerLinks: this.#links.size,
+      controlTrafficBytes: this.#links.traffic + this.#peerServer.traffic,
+      peers: this.#table.all,
+      databases: [...this.#controllers.values()].map((controller) => this.#databaseStatus(controller)),
+    };
+  }
+
+  /** Why the daemon cannot serve, or `null`. */
+  unavailableReason(): string | null {
+    if (this.#isStopping) return 'the daemon is stopping';
+    return this.#configuration.current === null ? 'no configuration is in force yet' : null;
+  }
+
+  /** Brings the gauges up to date. */
+  collectGauges(): void {
+    const { metrics } = this;
+    metrics.clientConnections.set(this.#clientServer.connectionCount);
+    metrics.configurationVersion.set(this.#configuration.current?.version ?? 0);
+    metrics.ownedDatabases.set(this.#table.own.ownedDatabases.length);
+    metrics.peers.reset();
+    for (const { state } of this.#table.all) metrics.peers.inc({ state });
+    metrics.memberConnections.reset();
+    metrics.replicaStaleness.reset();
+    for (const { database, engine, monitor } of this.#controllers.values()) {
+      for (const [member, pool] of engine?.pools ?? []) {
+        metrics.memberConnections.set({ database: database.name, member }, pool.connectionCount);
+      }
+      for (const { address, stalenessMs } of monitor?.describe().members ?? []) {
+        const labels = { database: database.name, member: address.memberId };
+        if (Number.isFinite(stalenessMs)) metrics.replicaStaleness.set(labels, stalenessMs);
+      }
+    }
+  }
+
+  // --- construction
+
+  #createLinks(): PeerLinks {
+    const { timing, outboundAddress } = this.settings;
+    return new PeerLinks({
+      localAddress: outboundAddress,
+      silenceTimeoutMs: timing.linkSilenceTimeoutMs,
+      idleTimeoutMs: timing.linkIdleTimeoutMs,
+      hello: () => this.#table.own,
+      onMessage: (daemonId, message) => this.#handleAnswer(daemonId, message),
+      onLost: () => undefined,
+    });
+  }
+
+  #createGossip(): Gossip {
+    const { timing } = this.settings;
+    return new Gossip({
+      table: this.#table,
+      links: this.#links,
+      intervalMs: timing.gossipIntervalMs,
+      probeTimeoutMs: timing.probeTimeoutMs,
+      indirectProbes: 2,
+      syncIntervalMs: timing.syncIntervalMs,
+      random: this.random,
+      onChange: () => this.#hearVersions(),
+      onDead: ({ daemonId }) => this.log.warn({ peer: daemonId }, 'peer_dead'),
+    });
+  }
+
+  #createMachineList(): MachineList {
+    const { machineList, outboundAddress } = this.settings;
+    const http =
+      machineList === null
+        ? null
+        : { baseUrl: machineList.url, localAddress: outboundAddress, timeoutMs: machineList.timeoutMs };
+    return new MachineList(http, machineList?.intervalMs ?? 1000, () => this.#contactListedDaemons());
+  }
+
+  #createConfigurationService(): ConfigurationService {
+    const { store, outboundAddress } = this.settings;
+    const client = new StoreClient({
+      baseUrl: store.url,
+      localAddress: outboundAddress,
+      timeoutMs: store.timeoutMs,
+    });
+    return new ConfigurationService(
+      new ConfigurationStore(client, store.prefix),
+      {
+        daemonCount: () => Math.max(this.#machines.daemonCount, this.settings.seeds.length + 1, 2),
+        askPeers: () => this.#table.others.forEach(({ daemonId }) => this.#askConfiguration(daemonId)),
+        askPeer: (daemonId) => this.#askConfiguration(daemonId),
+        isWatcher: () => this.#isWatcher(),
+        adopted: (configuration) => this.#adopt(configuration),
+      },
+      this.log,
+    );
+  }
+
+  #createPeerServer(): PeerServer {
+    return new PeerServer({
+      execute: (request, sink) => this.#executeLocally(request, sink),
+      closeStream: (database, streamId) => this.#controllers.get(database)?.engine?.closeStream(streamId),
+      cancel: (database, streamId) => this.#controllers.get(database)?.engine?.cancel(streamId),
+      hello: (record) => this.#handleHello(record),
+      handle: (message, reply) => this.#handlePeerMessage(message, reply),
+    });
+  }
+
+  #createClientServer(): ClientServer {
+    const { settings } = this;
+    const router = new RequestRouter({
+      targets: (database) => this.#targets(database),
+      decide: (request) => this.#decide(request),
+      random: this.random,
+      log: this.log,
+    });
+    return new ClientServer({
+      daemonId: `${settings.daemon.id}/${Date.now().toString(36)}`,
+      zone: settings.daemon.zone,
+      router,
+      maxConnections: settings.limits.maxClientConnections,
+      maxRequestBytes: settings.limits.maxRequestBytes,
+      maxUnreadBytes: settings.limits.maxUnreadBytes,
+      startupTimeoutMs: settings.timing.startupTimeoutMs,
+      unavailable: () => this.unavailableReason(),
+      hasDatabase: (name) => this.#controllers.has(name),
+    });
+  }
+
+  // --- peers
+
+  #contactListedDaemons(): void {
+    const listed = this.#machines.machines.filter(({ kind }) => kind === 'daemon');
+    const seeds = [...listed, ...this.settings.seeds];
+    for (const { id, host, port } of seeds) {
+      if (id === this.settings.daemon.id || this.#table.find(id) !== null) continue;
+      this.#gossip.syncWith({ daemonId: id, host, port });
+    }
+  }
+
+  #handleHello(record: PeerRecord): void {
+    if (this.#table.merge(record, performance.now())) this.#hearVersions();
+  }
+
+  #handlePeerMessage(message: PeerMessage, reply: (message: PeerMessage) => void): void {
+    if (message.kind === 'configurationRequest') {
+      reply({ kind: 'configurationReply', configuration: this.#configuration.current });
+      return;
+    }
+    this.#gossip.handleIncoming(message, reply);
+  }
+
+  #handleAnswer(daemonId: string, message: PeerMessage): void {
+    if (message.kind === 'configurationReply') {
+      this.#configuration.receiveFromPeer(daemonId, message.configuration);
+      return;
+    }
+    this.#gossip.handleAnswer(message);
+  }
+
+  #askConfiguration(daemonId: string): void {
+    const record = this.#table.find(daemonId);
+    if (record !== null) this.#links.to(record).tell({ kind: 'configurationRequest' });
+  }
+
+  #hearVersions(): void {
+    const newest = this.#table.others.reduce<PeerRecord | null>(
+      (best, record) =>
+        best === null || record.configurationVersion > best.configurationVersion ? record : best,
+      null,
+    );
+    if (newest !== null) this.#configuration.hearVersion(newest.daemonId, newest.configurationVersion);
+  }
+
+  #isWatcher(): boolean {
+    const { id, zone } = this.settings.daemon;
+    const inZone = this.#table.all.filter((record) => record.zone === zone && record.state === 'alive');
+    const ranked = rankCandidates(
+      'store watchers',
+      inZone.map(({ daemonId }) => daemonId),
+    );
+    return ranked.slice(0, WATCHERS_PER_ZONE).includes(id);
+  }
+
+  // --- configuration
+
+  #adopt(configuration: Configuration): void {
+    Policy.compile(configuration.policy)
+      .ifLeft((problems) => this.log.error({ version: configuration.version, problems }, 'policy_unreadable'))
+      .ifRight((policy) => (this.#policy = policy));
+    this.#applyDatabases(configuration.databases);
+    this.#table.updateOwn({ configurationVersion: configuration.version });
+    this.#gossip.spreadNow();
+  }
+
+  #applyDatabases(databases: readonly DatabaseConfiguration[]): void {
+    const wanted = new Map(databases.map((database) => [database.name, database]));
+    for (const [name, controller] of this.#controllers) {
+      const database = wanted.get(name);
+      if (database !== undefined && JSON.stringify(database) === JSON.stringify(controller.database))
+        continue;
+      this.#controllers.delete(name);
+      void controller.stop(this.settings.timing.drainTimeoutMs);
+    }
+    for (const [name, database] of wanted) if (!this.#controllers.has(name)) this.#startController(database);
+  }
+
+  #startController(database: DatabaseConfiguration): void {
+    const options = createControllerOptions(database, {
+      settings: this.settings,
+      log: this.log,
+      metrics: this.metrics,
+      policy: () => this.#policy,
+      isListedAsLeaving: (memberId) => this.#machines.isMemberLeaving(memberId),
+      random: this.random,
+    });
+    const controller = new DatabaseController(options, {
+      rank: () => this.#rank(database.name),
+      isOwnedElsewhere: () => this.#isOwnedElsewhere(database.name),
+      ownershipChanged: () => this.#publishOwnership(),
+    });
+    this.#controllers.set(database.name, controller);
+    controller.start();
+  }
+
+  #rank(database: string): number | null {
+    if (this.#isStopping) return null;
+    const position = rankCandidates(database, this.#table.candidateIds).indexOf(this.settings.daemon.id);
+    return position < 0 ? null : position;
+  }
+
+  #isOwnedElsewhere(database: string): boolean {
+    const owner = this.#table.ownerOf(database);
+    return owner !== null && owner.daemonId !== this.settings.daemon.id && owner.state !== 'dead';
+  }
+
+  #publishOwnership(): void {
+    const owned = [...this.#controllers.values()].filter(({ engine }) => engine !== null);
+    this.#table.updateOwn({ ownedDatabases: owned.map(({ database }) => database.name) });
+    this.#gossip.spreadNow();
+  }
+
+  // --- requests
+
+  #decide(request: StatementRequest): typeof DEFAULT_DECISION {
+    return this.#policy.decide({
+      class: request.requestClass,
+      kind: request.kind === 'set' || request.kind === 'unsupported' ? 'write' : request.kind,
+      session: request.session,
+      database: request.database,
+      user: request.user,
+      zone: request.zone,
+      hour: new Date().getUTCHours(),
+      lagMs: 0,
+    });
+  }
+
+  #targets(database: string): readonly RequestTarget[] {
+    const owner = this.#table.ownerOf(database);
+    const ranked = rankCandidates(database, this.#table.candidateIds).slice(0, TARGETS_TO_TRY);
+    const ids = new Set([...(owner === null ? [] : [owner.daemonId]), ...ranked]);
+    return [...ids].flatMap((daemonId) => this.#target(daemonId) ?? []);
+  }
+
+  #target(daemonId: string): RequestTarget | null {
+    if (daemonId === this.settings.daemon.id) {
+      return new LocalTarget(daemonId, (database) => this.#controllers.get(database)?.engine ?? null);
+    }
+    const record = this.#table.find(daemonId);
+    return record === null || record.state === 'dead'
+      ? null
+      : new RemoteTarget(daemonId, this.#links.to(record));
+  }
+
+  #executeLocally(request: StatementRequest, sink: AnswerSink): void {
+    const engine = this.#controllers.get(request.database)?.engine ?? null;
+    if (engine === null) sink.notOwner();
+    else void engine.execute(request, sink);
+  }
+
+  #databaseStatus({ database, engine, monitor }: DatabaseController): DatabaseStatus {
+    const group = monitor?.describe();
+    return {
+      name: database.name,
+      owner: this.#table.ownerOf(database.name)?.daemonId ?? null,
+      term: group?.term ?? null,
+      members: (group?.members ?? []).map(({ address, status, isLocked, isLeaving, stalenessMs }) => ({
+        id: address.memberId,
+        zone: address.zone,
+        role: status?.role ?? null,
+        term: status?.term ?? null,
+        received: status?.received.index ?? null,
+        applied: status?.applied.index ?? null,
+        stalenessMs: Number.isFinite(stalenessMs) ? Math.round(stalenessMs) : null,
+        isLocked,
+        isLeaving,
+        connections: engine?.pools.get(address.memberId)?.connectionCount ?? 0,
+        waiting: engine?.pools.get(address.memberId)?.queueLength ?? 0,
+      })),
+    };
+  }
+}
+
+/** Time for the last messages to leave before links are closed, in milliseconds. */
+const LAST_MESSAGES_MS = 50;
+
+/** State of a database at a daemon. */
+export interface DatabaseStatus {
+  readonly name: string;
+  readonly owner: string | null;
+  readonly term: number | null;
+  readonly members: readonly MemberStatusLine[];
+}
+
+/** State of a member at the daemon that owns its database. */
+export interface MemberStatusLine {
+  readonly id: string;
+  readonly zone: string;
+  readonly role: string | null;
+  readonly term: number | null;
+  readonly received: number | null;
+  readonly applied: number | null;
+  readonly stalenessMs: number | null;
+  readonly isLocked: boolean;
+  readonly isLeaving: boolean;
+  readonly connections: number;
+  readonly waiting: number;
+}
+
+/** State of a daemon. */
+export interface DaemonStatus {
+  readonly daemon: { readonly id: string; readonly zone: string };
+  readonly isStopping: boolean;
+  readonly configurationVersion: number;
+  readonly configurationIdentity: string | null;
+  readonly clientConnections: number;
+  readonly peerLinks: number;
+  readonly controlTrafficBytes: number;
+  readonly peers: readonly PeerRecord[];
+  readonly databases: readonly DatabaseStatus[];
+}
+
+function createOwnRecord(settings: Settings): PeerRecord {
+  const { host, port } = settings.advertise?.peer ?? settings.listen.peer;
+  return {
+    daemonId: settings.daemon.id,
+    zone: settings.daemon.zone,
+    host,
+    port,
+    incarnation: Date.now(),
+    sequence: 1,
+    state: 'alive',
+    configurationVersion: 0,
+    ownedDatabases: [],
+  };
+}
--- /dev/null
+++ b/src/engine/batch-plan.ts
@@ -0,0 +1,113 @@
+/**
+ * Prepares a request's messages for one connection: adds the statements that it lacks and plans the replies.
+ *
+ * @packageDocumentation
+ */
+import type { MemberConnection } from '../member/member-connection.js';
+import { ReplyPlan, type ReplyStep } from '../member/reply-plan.js';
+import { buildObjectMessage, buildParse, readObjectReference, readParse } from '../wire/frontend-messages.js';
+import { FrameSplitter } from '../wire/frame-splitter.js';
+import { FrontendType } from '../wire/message-types.js';
+import type { StatementRequest } from './statement-request.js';
+
+/** Bytes to send and the replies to expect. */
+export interface BatchPlan {
+  readonly bytes: Buffer;
+  readonly plan: ReplyPlan;
+}
+
+const MAX_PREPARED_PER_CONNECTION = 256;
+const NO_LIMIT = Number.MAX_SAFE_INTEGER;
+
+/** Plans an extended-protocol request for a connection. */
+export function planBatch(request: StatementRequest, connection: MemberConnection): BatchPlan {
+  const builder = new BatchBuilder(connection);
+  builder.makeRoom(request.prepared.length);
+  for (const reference of request.prepared) {
+    if (connection.preparedNames.has(reference.name)) continue;
+    const typesPart = Buffer.from(reference.typesPart);
+    builder.add(
+      buildParse({ name: reference.name, text: reference.text, typesPart }),
+      'parse',
+      true,
+      reference.name,
+    );
+  }
+  const frames = new FrameSplitter(NO_LIMIT).push(Buffer.from(request.frames));
+  for (const frame of frames) builder.addFromClient(frame);
+  return builder.build();
+}
+
+class BatchBuilder {
+  readonly #frames: Buffer[] = [];
+  readonly #steps: ReplyStep[] = [];
+
+  constructor(private readonly connection: MemberConnection) {}
+
+  /** Closes the oldest statements of the connection when it holds too many. */
+  makeRoom(needed: number): void {
+    const { preparedNames } = this.connection;
+    for (const name of preparedNames) {
+      if (preparedNames.size + needed <= MAX_PREPARED_PER_CONNECTION) return;
+      this.#closeStatement(name);
+    }
+  }
+
+  add(frame: Buffer, kind: ReplyStep['kind'], isHidden: boolean, statementName = ''): void {
+    this.#frames.push(frame);
+    this.#steps.push({ kind, isHidden, statementName });
+  }
+
+  addFromClient(frame: Buffer): void {
+    switch (frame[0]) {
+      case FrontendType.parse:
+        this.#addParse(frame);
+        break;
+      case FrontendType.bind:
+        this.add(frame, 'bind', false);
+        break;
+      case FrontendType.execute:
+        this.add(frame, 'execute', false);
+        break;
+      case FrontendType.describe:
+        this.#addDescribe(frame);
+        break;
+      case FrontendType.close:
+        this.#addClose(frame);
+        break;
+      default:
+        this.#frames.push(frame);
+    }
+  }
+
+  build(): BatchPlan {
+    const { preparedNames } = this.connection;
+    const plan = new ReplyPlan(this.#steps, (name) => preparedNames.add(name));
+    return { bytes: Buffer.concat(this.#frames), plan };
+  }
+
+  /** A statement that the connection has already would be refused, so it is closed first. */
+  #addParse(frame: Buffer): void {
+    const { name } = readParse(frame);
+    if (this.connection.preparedNames.has(name)) this.#closeStatement(name);
+    this.add(frame, 'parse', false, name);
+  }
+
+  #addDescribe(frame: Buffer): void {
+    const { kind } = readObjectReference(frame);
+    if (kind === 'statement') this.add(frame, 'describeStatement', false);
+    if (kind === 'statement') this.#steps.push({ kind: 'describeRows', isHidden: false, statementName: '' });
+    else this.add(frame, 'describeRows', false);
+  }
+
+  #addClose(frame: Buffer): void {
+    const { kind, name } = readObjectReference(frame);
+    if (kind === 'statement') this.connection.preparedNames.delete(name);
+    this.add(frame, 'close', false);
+  }
+
+  #closeStatement(name: string): void {
+    this.connection.preparedNames.delete(name);
+    this.add(buildObjectMessage(FrontendType.close, { kind: 'statement', name }), 'close', true);
+  }
+}
--- /dev/null
+++ b/src/engine/stream.ts
@@ -0,0 +1,36 @@
+/**
+ * State of one client connection at the daemon that owns the database.
+ *
+ * @packageDocumentation
+ */
+import type { MemberConnection } from '../member/member-connection.js';
+import type { MemberPool } from '../pool/member-pool.js';
+import type { TransactionStatus } from '../wire/message-types.js';
+
+/** The member connection that a stream keeps for its transaction. */
+export interface PinnedConnection {
+  readonly connection: MemberConnection;
+  readonly pool: MemberPool;
+  readonly memberId: string;
+  /** Term of the group when the transaction began. */
+  readonly term: number;
+}
+
+/** One client connection as the owner sees it. */
+export class Stream {
+  pinned: PinnedConnection | null = null;
+  /** Status that the client was last told. */
+  status: TransactionStatus = 'I';
+  /** True once the open transaction may have changed something. */
+  hasWritten = false;
+  /** True when the connection carries settings or locks of this caller. */
+  isDirty = false;
+  /** True when a cancel request was sent for the connection: a late one must not hit the next caller. */
+  isTainted = false;
+  /** Gives up the wait of the request that runs now. */
+  abort = new AbortController();
+  isRunning = false;
+  isClosed = false;
+
+  constructor(readonly streamId: string) {}
+}
--- /dev/null
+++ b/src/entry/request-router.ts
@@ -0,0 +1,178 @@
+/**
+ * Brings a request to the daemon that owns its database: this one, or another over a link.
+ *
+ * @packageDocumentation
+ */
+import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
+import type { Logger } from '../observability/logger.js';
+import type { PolicyDecision } from '../policy/policy.js';
+import { backoffDelayMs } from '../retry/backoff.js';
+import { RetryBudget } from '../retry/retry-budget.js';
+import { judgeLoss } from '../verdict/judge-loss.js';
+import { RequestError, SqlState } from '../verdict/verdict.js';
+import type { TransactionStatus } from '../wire/message-types.js';
+
+/** Sends requests to one daemon. */
+export interface RequestTarget {
+  readonly daemonId: string;
+  forward(request: StatementRequest, sink: AnswerSink & { lost(): void }): void;
+  closeStream(database: string, streamId: string): void;
+  cancel(database: string, streamId: string): void;
+}
+
+/** What the router asks of its daemon. */
+export interface RequestRouterPorts {
+  /** Daemons to try for a database, most likely owner first. */
+  targets(database: string): readonly RequestTarget[];
+  decide(request: StatementRequest): PolicyDecision;
+  readonly random: () => number;
+  readonly log: Logger;
+}
+
+/** The daemon that holds the open transaction of a client connection. */
+export interface StreamBinding {
+  target: RequestTarget | null;
+}
+
+const SEARCH_BACKOFF = { initialDelayMs: 10, maxDelayMs: 100 };
+const RETRY_AFTER_SEARCH_MS = 500;
+
+interface Routing {
+  readonly request: StatementRequest;
+  readonly binding: StreamBinding;
+  readonly sink: AnswerSink;
+  readonly isInTransaction: boolean;
+  readonly decision: PolicyDecision;
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal;
+  attempts: number;
+}
+
+/** How an attempt at one target ended. */
+type RouteOutcome = 'settled' | 'notOwner' | 'mayRetry';
+
+/** Routes requests and searches for owners. */
+export class RequestRouter {
+  readonly #retryBudget = new RetryBudget({ retriesPerRequest: 0.1, maxSaved: 100 });
+
+  constructor(private readonly ports: RequestRouterPorts) {}
+
+  /**
+   * Routes a request; the sink hears exactly one end and never `notOwner`.
+   *
+   * @param status - transaction status of the client connection
+   */
+  async route(
+    request: StatementRequest,
+    status: TransactionStatus,
+    binding: StreamBinding,
+    signal: AbortSignal,
+    sink: AnswerSink,
+  ): Promise<void> {
+    const decision = this.ports.decide(request);
+    const routing: Routing = {
+      request,
+      binding,
+      sink,
+      isInTransaction: status !== 'I',
+      decision,
+      deadlineMs: performance.now() + decision.deadlineMs,
+      signal,
+      attempts: 0,
+    };
+    this.#retryBudget.recordRequest();
+    if (binding.target !== null) await this.#routeBound(routing, binding.target);
+    else await this.#search(routing);
+  }
+
+  async #routeBound(routing: Routing, target: RequestTarget): Promise<void> {
+    const outcome = await this.#attempt(routing, target);
+    if (outcome === 'settled') return;
+    routing.binding.target = null;
+    const error = new RequestError(
+      SqlState.connectionFailure,
+      'not_run',
+      'the transaction is rolled back',
+      0,
+    );
+    routing.sink.fail(error, 'E');
+  }
+
+  async #search(routing: Routing): Promise<void> {
+    while (performance.now() < routing.deadlineMs && !routing.signal.aborted) {
+      const targets = this.ports.targets(routing.request.database);
+      for (const target of targets) {
+        const outcome = await this.#attempt(routing, target);
+        if (outcome === 'settled') return;
+      }
+      const waitMs = backoffDelayMs(SEARCH_BACKOFF, routing.attempts++, this.ports.random());
+      await new Promise((resolve) => setTimeout(resolve, waitMs));
+    }
+    if (routing.signal.aborted) {
+      routing.sink.fail(
+        new RequestError(SqlState.queryCanceled, 'not_run', 'canceled before it was run'),
+        'I',
+      );
+      return;
+    }
+    const message = 'no daemon that owns the database could be reached in time';
+    routing.sink.fail(
+      new RequestError(SqlState.cannotConnectNow, 'not_run', message, RETRY_AFTER_SEARCH_MS),
+      'I',
+    );
+  }
+
+  #attempt(routing: Routing, target: RequestTarget): Promise<RouteOutcome> {
+    const { request, binding, sink } = routing;
+    let hasSentData = false;
+    return new Promise((resolve) => {
+      const remainingMs = Math.max(1, routing.deadlineMs - performance.now());
+      binding.target = target;
+      target.forward(
+        { ...request, remainingMs },
+        {
+          data: (frames) => {
+            hasSentData = true;
+            sink.data(frames);
+          },
+          end: (status) => {
+            if (status === 'I' && request.terminator !== 'flush') binding.target = null;
+            sink.end(status);
+            resolve('settled');
+          },
+          fail: (error, status) => {
+            if (status === 'I' || error.endsTransaction) binding.target = null;
+            sink.fail(error, status);
+            resolve('settled');
+          },
+          notOwner: () => {
+            binding.target = null;
+            resolve('notOwner');
+          },
+          lost: () => resolve(this.#handleLost(routing, hasSentData)),
+        },
+      );
+    });
+  }
+
+  #handleLost(routing: Routing, hasSentData: boolean): RouteOutcome {
+    const { request, binding, sink, decision } = routing;
+    binding.target = null;
+    const judgement = judgeLoss(
+      {
+        kind: request.kind,
+        isInTransaction: routing.isInTransaction,
+        controlsTransaction: request.controlsTransaction,
+        hasSentData,
+        hasOnceKey: request.onceKey !== null,
+        isRepeatable: decision.repeatable,
+        endsWithFlush: request.terminator === 'flush',
+      },
+      'the daemon that ran the request was lost',
+    );
+    if (judgement.kind === 'mayRetry' && this.#retryBudget.tryRetry()) return 'mayRetry';
+    const report = judgement.kind === 'report' ? judgement.report : judgement.otherwise;
+    sink.fail(report.error, report.status);
+    return 'settled';
+  }
+}
--- /dev/null
+++ b/src/membership/gossip.ts
@@ -0,0 +1,189 @@
+/**
+ * Probes other daemons and spreads news, after the SWIM paper.
+ *
+ * @packageDocumentation
+ */
+import type { PeerLinks } from '../peer/peer-links.js';
+import type { PeerMessage } from '../peer/peer-messages.js';
+import type { MembershipTable } from './membership-table.js';
+import { isReachableState, type PeerRecord } from './peer-record.js';
+
+/** Settings of the gossip; times in milliseconds. */
+export interface GossipOptions {
+  readonly table: MembershipTable;
+  readonly links: PeerLinks;
+  /** Time between probes; each round probes one daemon. */
+  readonly intervalMs: number;
+  /** Time in which a probe must be answered. */
+  readonly probeTimeoutMs: number;
+  /** Daemons asked to probe a silent one. */
+  readonly indirectProbes: number;
+  /** Time between exchanges of all records with one daemon. */
+  readonly syncIntervalMs: number;
+  readonly random: () => number;
+  /** Called after records have changed. */
+  readonly onChange: () => void;
+  readonly onDead: (record: PeerRecord) => void;
+}
+
+interface Probe {
+  readonly daemonId: string;
+  answered: boolean;
+}
+
+/** Daemons told at once of a change that should not wait for the next round. */
+const URGENT_FANOUT = 8;
+
+/** Runs the rounds of one daemon. */
+export class Gossip {
+  readonly #probes = new Map<number, Probe>();
+  readonly #relayed = new Map<
+    number,
+    { readonly pingId: number; readonly reply: (message: PeerMessage) => void }
+  >();
+  readonly #timers: NodeJS.Timeout[] = [];
+  #nextPingId = 1;
+  #order: string[] = [];
+
+  constructor(private readonly options: GossipOptions) {}
+
+  /** Starts the rounds, and fetches all records from the daemons known at the start. */
+  start(): void {
+    const { intervalMs, syncIntervalMs } = this.options;
+    this.#timers.push(setInterval(() => this.#round(), intervalMs));
+    this.#timers.push(setInterval(() => this.#syncWithOne(), syncIntervalMs));
+  }
+
+  /** Stops the rounds. */
+  stop(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+  }
+
+  /** Exchanges all records with a daemon. */
+  syncWith(target: Pick<PeerRecord, 'daemonId' | 'host' | 'port'>): void {
+    const { table, links } = this.options;
+    links.to(target).tell({ kind: 'sync', records: table.all, wantsReply: true });
+  }
+
+  /** Tells some daemons the news at once. */
+  spreadNow(): void {
+    const { table, links } = this.options;
+    const others = shuffle(table.others, this.options.random).slice(0, URGENT_FANOUT);
+    const news = table.takeNews();
+    for (const record of others) links.to(record).tell({ kind: 'ping', pingId: 0, news });
+  }
+
+  /** Handles a message that came over a link opened by another daemon. */
+  handleIncoming(message: PeerMessage, reply: (message: PeerMessage) => void): void {
+    const { table } = this.options;
+    switch (message.kind) {
+      case 'ping':
+        this.#merge(message.news);
+        reply({ kind: 'ack', pingId: message.pingId, news: table.takeNews() });
+        break;
+      case 'pingRequest':
+        this.#relayProbe(message.target, message.pingId, reply);
+        break;
+      case 'sync':
+        this.#merge(message.records);
+        if (message.wantsReply) reply({ kind: 'sync', records: table.all, wantsReply: false });
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** Handles an answer that came over a link opened by this daemon. */
+  handleAnswer(message: PeerMessage): void {
+    if (message.kind === 'sync') this.#merge(message.records);
+    if (message.kind !== 'ack') return;
+    this.#merge(message.news);
+    const probe = this.#probes.get(message.pingId);
+    if (probe !== undefined) probe.answered = true;
+    const relayed = this.#relayed.get(message.pingId);
+    this.#relayed.delete(message.pingId);
+    relayed?.reply({ kind: 'ack', pingId: relayed.pingId, news: [] });
+  }
+
+  #merge(records: readonly PeerRecord[]): void {
+    const nowMs = performance.now();
+    let isChanged = false;
+    for (const record of records) isChanged = this.options.table.merge(record, nowMs) || isChanged;
+    if (isChanged) this.options.onChange();
+  }
+
+  #round(): void {
+    const { table, links } = this.options;
+    for (const record of table.expire(performance.now())) this.options.onDead(record);
+    const target = this.#nextTarget();
+    if (target === null) return;
+    const pingId = this.#nextPingId++;
+    this.#probes.set(pingId, { daemonId: target.daemonId, answered: false });
+    links.to(target).tell({ kind: 'ping', pingId, news: table.takeNews() });
+    setTimeout(() => this.#checkDirect(pingId, target), this.options.probeTimeoutMs).unref();
+  }
+
+  /** Each daemon is probed once before any is probed again. */
+  #nextTarget(): PeerRecord | null {
+    const { table, random } = this.options;
+    for (;;) {
+      if (this.#order.length === 0) {
+        this.#order = shuffle(
+          table.others.map(({ daemonId }) => daemonId),
+          random,
+        );
+        if (this.#order.length === 0) return null;
+      }
+      const record = table.find(this.#order.pop() ?? '');
+      if (record !== null && isReachableState(record.state)) return record;
+    }
+  }
+
+  #checkDirect(pingId: number, target: PeerRecord): void {
+    const { table, links, indirectProbes, random, probeTimeoutMs } = this.options;
+    if (this.#probes.get(pingId)?.answered === true) {
+      this.#probes.delete(pingId);
+      return;
+    }
+    const helpers = table.others.filter(
+      ({ daemonId, state }) => daemonId !== target.daemonId && state === 'alive',
+    );
+    for (const helper of shuffle(helpers, random).slice(0, indirectProbes)) {
+      links.to(helper).tell({ kind: 'pingRequest', pingId, target: target.daemonId });
+    }
+    setTimeout(() => this.#checkIndirect(pingId, target), probeTimeoutMs).unref();
+  }
+
+  #checkIndirect(pingId: number, target: PeerRecord): void {
+    const answered = this.#probes.get(pingId)?.answered === true;
+    this.#probes.delete(pingId);
+    if (answered) return;
+    this.options.table.suspect(target.daemonId, performance.now());
+    this.options.onChange();
+  }
+
+  #relayProbe(target: string, pingId: number, reply: (message: PeerMessage) => void): void {
+    const record = this.options.table.find(target);
+    if (record === null) return;
+    const ownPingId = this.#nextPingId++;
+    this.#relayed.set(ownPingId, { pingId, reply });
+    this.options.links.to(record).tell({ kind: 'ping', pingId: ownPingId, news: [] });
+    setTimeout(() => this.#relayed.delete(ownPingId), this.options.probeTimeoutMs * 2).unref();
+  }
+
+  #syncWithOne(): void {
+    const [target] = shuffle(this.options.table.others, this.options.random);
+    if (target !== undefined) this.syncWith(target);
+  }
+}
+
+function shuffle<Item>(items: readonly Item[], random: () => number): Item[] {
+  const shuffled = [...items];
+  for (let i = shuffled.length - 1; i > 0; i -= 1) {
+    const j = Math.floor(random() * (i + 1));
+    const item = shuffled[i] as Item;
+    shuffled[i] = shuffled[j] as Item;
+    shuffled[j] = item;
+  }
+  return shuffled;
+}
--- /dev/null
+++ b/src/ownership/database-controller.ts
@@ -0,0 +1,147 @@
+/**
+ * Decides when this daemon takes a database's lease, and gives it up when it is lost or the daemon stops.
+ *
+ * @packageDocumentation
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { DatabaseConfiguration } from '../configuration/configuration.js';
+import { DatabaseEngine, type DatabaseEngineOptions } from '../engine/database-engine.js';
+import { GroupMonitor, type GroupMonitorOptions } from '../group/group-monitor.js';
+import type { Logger } from '../observability/logger.js';
+
+/** What a controller asks and tells its daemon. */
+export interface DatabaseControllerPorts {
+  /** Place of this daemon among the candidates, from 0; `null` when it may not own databases. */
+  rank(): number | null;
+  /** True when another daemon that is believed alive says it owns the database. */
+  isOwnedElsewhere(): boolean;
+  /** The lease was taken or given up. */
+  ownershipChanged(isOwner: boolean): void;
+}
+
+/** Settings of a controller; times in milliseconds. */
+export interface DatabaseControllerOptions {
+  readonly database: DatabaseConfiguration;
+  readonly monitor: GroupMonitorOptions;
+  readonly engine: Omit<DatabaseEngineOptions, 'monitor'>;
+  readonly log: Logger;
+  /** Time in which a majority of locks must be had. */
+  readonly acquireTimeoutMs: number;
+  /** Time that each place in the ranking waits for the places before it. */
+  readonly rankDelayMs: number;
+  readonly random: () => number;
+}
+
+/** Candidates beyond this place do not try. */
+const MAX_CANDIDATE_RANK = 3;
+const CHECK_INTERVAL_MS = 50;
+const LOCK_POLL_MS = 10;
+
+/** Controls one database at one daemon. */
+export class DatabaseController {
+  #engine: DatabaseEngine | null = null;
+  #monitor: GroupMonitor | null = null;
+  #isStopped = false;
+  #unownedSinceMs: number | null = null;
+  #notBeforeMs = 0;
+
+  constructor(
+    private readonly options: DatabaseControllerOptions,
+    private readonly ports: DatabaseControllerPorts,
+  ) {}
+
+  /** Configuration of the database. */
+  get database(): DatabaseConfiguration {
+    return this.options.database;
+  }
+
+  /** The engine, while this daemon owns the database. */
+  get engine(): DatabaseEngine | null {
+    return this.#engine;
+  }
+
+  /** The group as the owner sees it, or `null` when this daemon does not own the database. */
+  get monitor(): GroupMonitor | null {
+    return this.#engine === null ? null : this.#monitor;
+  }
+
+  /** Starts to look after the database. */
+  start(): void {
+    void this.#run();
+  }
+
+  /** Drains and gives the database up; returns how many requests and transactions were cut. */
+  async stop(drainTimeoutMs: number): Promise<number> {
+    this.#isStopped = true;
+    const cut = this.#engine === null ? 0 : await this.#engine.drain(drainTimeoutMs);
+    this.#release('stopped');
+    return cut;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#isStopped) {
+      if (this.#engine !== null) this.#checkLease();
+      else if (this.#shouldAcquire(performance.now())) await this.#acquire();
+      await delay(CHECK_INTERVAL_MS);
+    }
+  }
+
+  #checkLease(): void {
+    if (this.#monitor?.isLeaseHeld() === true) return;
+    this.#release('lease_lost');
+    this.#postpone();
+  }
+
+  #shouldAcquire(nowMs: number): boolean {
+    const rank = this.ports.rank();
+    if (rank === null || rank >= MAX_CANDIDATE_RANK || nowMs < this.#notBeforeMs) return false;
+    if (this.ports.isOwnedElsewhere()) {
+      this.#unownedSinceMs = null;
+      return false;
+    }
+    this.#unownedSinceMs ??= nowMs;
+    return nowMs - this.#unownedSinceMs >= rank * this.options.rankDelayMs;
+  }
+
+  async #acquire(): Promise<void> {
+    const monitor = new GroupMonitor(this.options.database, this.options.monitor);
+    this.#monitor = monitor;
+    monitor.start();
+    const deadlineMs = performance.now() + this.options.acquireTimeoutMs;
+    let floor = monitor.readFloor();
+    while (floor === null && performance.now() < deadlineMs && !this.#isStopped) {
+      await monitor.waitForChange(LOCK_POLL_MS);
+      floor = monitor.readFloor();
+    }
+    if (floor === null || this.#isStopped) {
+      this.#release('not_acquired');
+      this.#postpone();
+      return;
+    }
+    const engine = new DatabaseEngine(this.options.database.name, { ...this.options.engine, monitor });
+    engine.positions.raiseFloor(floor);
+    this.#engine = engine;
+    this.#unownedSinceMs = null;
+    this.options.log.info(
+      { database: this.options.database.name, floorTerm: floor.term, floorIndex: floor.index },
+      'lease_acquired',
+    );
+    this.ports.ownershipChanged(true);
+  }
+
+  #release(reason: 'stopped' | 'lease_lost' | 'not_acquired'): void {
+    const wasOwner = this.#engine !== null;
+    this.#engine?.stop();
+    this.#engine = null;
+    this.#monitor?.stop();
+    this.#monitor = null;
+    if (!wasOwner) return;
+    this.options.log.warn({ database: this.options.database.name, reason }, 'lease_released');
+    this.ports.ownershipChanged(false);
+  }
+
+  #postpone(): void {
+    const { rankDelayMs, random } = this.options;
+    this.#notBeforeMs = performance.now() + rankDelayMs * (0.5 + random());
+  }
+}
--- /dev/null
+++ b/src/peer/message-channel.ts
@@ -0,0 +1,137 @@
+/**
+ * Carries typed messages over one TCP connection: a four-byte length, then the message in MessagePack.
+ *
+ * @packageDocumentation
+ */
+import type { Socket } from 'node:net';
+import { Packr } from 'msgpackr';
+
+/** Receives what arrives on a channel. */
+export interface ChannelListener<Message> {
+  message(message: Message): void;
+  /** Called once, when the connection has ended for whatever reason. */
+  closed(): void;
+}
+
+const LENGTH_BYTES = 4;
+const packr = new Packr({ useRecords: false, int64AsType: 'number' });
+
+/**
+ * A connection that carries messages of one type.
+ *
+ * A frame above the limit, or one that cannot be decoded, ends the connection.
+ */
+export class MessageChannel<Message> {
+  /** Monotonic time of the last arrival, in milliseconds. */
+  lastReceivedMs = performance.now();
+  /** Bytes sent so far. */
+  bytesSent = 0;
+  /** Bytes received so far. */
+  bytesReceived = 0;
+  #pending: Buffer[] = [];
+  #pendingBytes = 0;
+  #outgoing: Buffer[] = [];
+  #isFlushScheduled = false;
+  #closed = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly maxMessageBytes: number,
+    private readonly listener: ChannelListener<Message>,
+  ) {
+    socket.setNoDelay(true);
+    socket.on('data', (chunk: Buffer) => this.#receive(chunk));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.#close());
+  }
+
+  /** Bytes waiting to be sent. */
+  get bufferedBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  /** True once the connection has ended. */
+  get isClosed(): boolean {
+    return this.#closed;
+  }
+
+  /** Sends a message; messages of one turn of the event loop leave in one write. */
+  send(message: Message): void {
+    if (this.#closed) return;
+    const body = packr.pack(message);
+    const length = Buffer.allocUnsafe(LENGTH_BYTES);
+    length.writeUInt32BE(body.length);
+    this.#outgoing.push(length, body);
+    if (this.#isFlushScheduled) return;
+    this.#isFlushScheduled = true;
+    setImmediate(() => this.#flush());
+  }
+
+  /** Ends the connection at once. */
+  destroy(): void {
+    this.socket.destroy();
+  }
+
+  /** Sends what is waiting, then ends the connection. */
+  end(): void {
+    this.#flush();
+    this.socket.end();
+  }
+
+  #flush(): void {
+    this.#isFlushScheduled = false;
+    const data = Buffer.concat(this.#outgoing);
+    this.#outgoing = [];
+    if (this.#closed || data.length === 0) return;
+    this.bytesSent += data.length;
+    this.socket.write(data);
+  }
+
+  #receive(chunk: Buffer): void {
+    this.lastReceivedMs = performance.now();
+    this.bytesReceived += chunk.length;
+    this.#pending.push(chunk);
+    this.#pendingBytes += chunk.length;
+    while (!this.#closed && this.#deliverOne());
+  }
+
+  /** Delivers the first message if it is whole; joins chunks only once it is. */
+  #deliverOne(): boolean {
+    if (this.#pendingBytes < LENGTH_BYTES) return false;
+    if ((this.#pending[0]?.length ?? 0) < LENGTH_BYTES) this.#join();
+    const length = this.#pending[0]?.readUInt32BE(0) ?? 0;
+    if (length > this.maxMessageBytes) {
+      this.socket.destroy();
+      return false;
+    }
+    if (this.#pendingBytes < LENGTH_BYTES + length) return false;
+    this.#join();
+    const data = this.#pending[0] ?? Buffer.alloc(0);
+    const end = LENGTH_BYTES + length;
+    this.#pending = end < data.length ? [data.subarray(end)] : [];
+    this.#pendingBytes -= end;
+    return this.#deliver(data.subarray(LENGTH_BYTES, end));
+  }
+
+  #join(): void {
+    if (this.#pending.length > 1) this.#pending = [Buffer.concat(this.#pending)];
+  }
+
+  #deliver(body: Buffer): boolean {
+    let message: Message;
+    try {
+      message = packr.unpack(body) as Message;
+    } catch {
+      this.socket.destroy();
+      return false;
+    }
+    this.listener.message(message);
+    return true;
+  }
+
+  #close(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.listener.closed();
+  }
+}
--- /dev/null
+++ b/src/peer/peer-messages.ts
@@ -0,0 +1,124 @@
+/**
+ * Messages between daemons.
+ *
+ * @packageDocumentation
+ */
+import type { Configuration } from '../configuration/configuration.js';
+import type { PeerRecord } from '../membership/peer-record.js';
+import type { StatementRequest } from '../engine/statement-request.js';
+import type { SqlStateCode, Verdict } from '../verdict/verdict.js';
+import type { TransactionStatus } from '../wire/message-types.js';
+
+/** First message on a connection, from the side that opened it. */
+export interface HelloMessage {
+  readonly kind: 'hello';
+  readonly record: PeerRecord;
+}
+
+/** Asks the owner of a database to run a request. */
+export interface ExecuteMessage {
+  readonly kind: 'execute';
+  readonly requestId: number;
+  readonly request: StatementRequest;
+}
+
+/** A part of an answer: whole protocol messages. */
+export interface AnswerDataMessage {
+  readonly kind: 'answerData';
+  readonly requestId: number;
+  readonly frames: Uint8Array;
+}
+
+/** The end of an answer. */
+export interface AnswerEndMessage {
+  readonly kind: 'answerEnd';
+  readonly requestId: number;
+  readonly status: TransactionStatus;
+}
+
+/** The end of a request that was refused or lost. */
+export interface AnswerErrorMessage {
+  readonly kind: 'answerError';
+  readonly requestId: number;
+  readonly sqlState: SqlStateCode;
+  readonly verdict: Verdict;
+  readonly message: string;
+  readonly retryAfterMs: number | null;
+  readonly status: TransactionStatus;
+}
+
+/** The receiver does not own the database. The request was not run. */
+export interface NotOwnerMessage {
+  readonly kind: 'notOwner';
+  readonly requestId: number;
+}
+
+/** The client's connection has ended: roll back what is open. */
+export interface CloseStreamMessage {
+  readonly kind: 'closeStream';
+  readonly database: string;
+  readonly streamId: string;
+}
+
+/** The client asked to cancel the request that runs on its connection. */
+export interface CancelMessage {
+  readonly kind: 'cancel';
+  readonly database: string;
+  readonly streamId: string;
+}
+
+/** Probe of a daemon, with news. */
+export interface PingMessage {
+  readonly kind: 'ping';
+  readonly pingId: number;
+  readonly news: readonly PeerRecord[];
+}
+
+/** Answer to a probe, with news. */
+export interface AckMessage {
+  readonly kind: 'ack';
+  readonly pingId: number;
+  readonly news: readonly PeerRecord[];
+}
+
+/** Asks a third daemon to probe a suspect. */
+export interface PingRequestMessage {
+  readonly kind: 'pingRequest';
+  readonly pingId: number;
+  readonly target: string;
+}
+
+/** All records of the sender, at first contact and now and then. */
+export interface SyncMessage {
+  readonly kind: 'sync';
+  readonly records: readonly PeerRecord[];
+  readonly wantsReply: boolean;
+}
+
+/** Asks for the configuration in force at the receiver. */
+export interface ConfigurationRequestMessage {
+  readonly kind: 'configurationRequest';
+}
+
+/** The configuration in force at the sender; `null` for none. */
+export interface ConfigurationReplyMessage {
+  readonly kind: 'configurationReply';
+  readonly configuration: Configuration | null;
+}
+
+/** Any message between daemons. */
+export type PeerMessage =
+  | HelloMessage
+  | ExecuteMessage
+  | AnswerDataMessage
+  | AnswerEndMessage
+  | AnswerErrorMessage
+  | NotOwnerMessage
+  | CloseStreamMessage
+  | CancelMessage
+  | PingMessage
+  | AckMessage
+  | PingRequestMessage
+  | SyncMessage
+  | ConfigurationRequestMessage
+  | ConfigurationReplyMessage;
--- /dev/null
+++ b/src/peer/peer-server.ts
@@ -0,0 +1,121 @@
+/**
+ * Accepts links from other daemons: runs their requests and answers their probes.
+ *
+ * @packageDocumentation
+ */
+import { createServer, type Server, type Socket } from 'node:net';
+import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
+import type { PeerRecord } from '../membership/peer-record.js';
+import { MessageChannel } from './message-channel.js';
+import { MAX_PEER_MESSAGE_BYTES } from './peer-link.js';
+import type { PeerMessage } from './peer-messages.js';
+
+/** What the server asks of its daemon. */
+export interface PeerServerPorts {
+  execute(request: StatementRequest, sink: AnswerSink): void;
+  closeStream(database: string, streamId: string): void;
+  cancel(database: string, streamId: string): void;
+  hello(record: PeerRecord): void;
+  /** Handles any other message; the answer goes back on the same connection. */
+  handle(message: PeerMessage, reply: (message: PeerMessage) => void): void;
+}
+
+/** Listens for other daemons. */
+export class PeerServer {
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #traffic = 0;
+
+  constructor(private readonly ports: PeerServerPorts) {
+    this.#server = createServer((socket) => this.#accept(socket));
+  }
+
+  /** Bytes sent and received so far on connections that have ended, and on open ones. */
+  get traffic(): number {
+    let traffic = this.#traffic;
+    for (const socket of this.#sockets) traffic += socket.bytesRead + socket.bytesWritten;
+    return traffic;
+  }
+
+  /** Starts to listen. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Stops at once. */
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #accept(socket: Socket): void {
+    const streams = new Map<string, string>();
+    this.#sockets.add(socket);
+    const channel: MessageChannel<PeerMessage> = new MessageChannel(socket, MAX_PEER_MESSAGE_BYTES, {
+      message: (message) => this.#handle(channel, streams, message),
+      closed: () => {
+        this.#sockets.delete(socket);
+        this.#traffic += socket.bytesRead + socket.bytesWritten;
+        for (const [streamId, database] of streams) this.ports.closeStream(database, streamId);
+      },
+    });
+  }
+
+  #handle(channel: MessageChannel<PeerMessage>, streams: Map<string, string>, message: PeerMessage): void {
+    switch (message.kind) {
+      case 'hello':
+        this.ports.hello(message.record);
+        break;
+      case 'execute':
+        streams.set(message.request.streamId, message.request.database);
+        this.ports.execute(
+          message.request,
+          new ChannelSink(channel, message.requestId, () => streams.delete(message.request.streamId)),
+        );
+        break;
+      case 'closeStream':
+        streams.delete(message.streamId);
+        this.ports.closeStream(message.database, message.streamId);
+        break;
+      case 'cancel':
+        this.ports.cancel(message.database, message.streamId);
+        break;
+      default:
+        this.ports.handle(message, (reply) => channel.send(reply));
+    }
+  }
+}
+
+/** Sends an answer back over the link. */
+class ChannelSink implements AnswerSink {
+  constructor(
+    private readonly channel: MessageChannel<PeerMessage>,
+    private readonly requestId: number,
+    /** Called when the client's connection is left without a transaction. */
+    private readonly onIdle: () => void,
+  ) {}
+
+  data(frames: Buffer): void {
+    this.channel.send({ kind: 'answerData', requestId: this.requestId, frames });
+  }
+
+  end(status: Parameters<AnswerSink['end']>[0]): void {
+    if (status === 'I') this.onIdle();
+    this.channel.send({ kind: 'answerEnd', requestId: this.requestId, status });
+  }
+
+  fail(error: Parameters<AnswerSink['fail']>[0], status: Parameters<AnswerSink['fail']>[1]): void {
+    const { sqlState, verdict, message, retryAfterMs } = error;
+    const { requestId } = this;
+    this.onIdle();
+    this.channel.send({ kind: 'answerError', requestId, sqlState, verdict, message, retryAfterMs, status });
+  }
+
+  notOwner(): void {
+    this.onIdle();
+    this.channel.send({ kind: 'notOwner', requestId: this.requestId });
+  }
+}
--- /dev/null
+++ b/src/policy/policy.ts
@@ -0,0 +1,186 @@
+/**
+ * Compiles a policy document and decides requests with it.
+ *
+ * @packageDocumentation
+ */
+import { Environment } from '@marcbachmann/cel-js';
+import { Either, Left, Right } from 'purify-ts';
+import { parse as parseYaml } from 'yaml';
+import { formatIssues } from '../settings/format-issues.js';
+import {
+  MAX_POLICY_BYTES,
+  policySchema,
+  type PolicyDocument,
+  type PolicyRule,
+  type PolicySubject,
+  type PolicyTest,
+} from './policy-document.js';
+
+/** What a policy says about a request. @public */
+export interface PolicyDecision {
+  /** Name of the rule that decided; empty for the default. */
+  readonly rule: string;
+  /** Whether a replica may serve it. */
+  readonly replica: boolean;
+  /** Largest staleness accepted from a replica, in milliseconds; `null` for no bound of its own. */
+  readonly maxStalenessMs: number | null;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  /** 0 (last) to 9 (first) where connections are short. */
+  readonly priority: number;
+  /** Time after which an answer is of no use, in milliseconds. */
+  readonly deadlineMs: number;
+  /** Reason to refuse the request, or `null`. */
+  readonly refuse: string | null;
+}
+
+/** What is not covered by a rule: the primary, not repeatable. */
+export const DEFAULT_DECISION: PolicyDecision = {
+  rule: '',
+  replica: false,
+  maxStalenessMs: null,
+  repeatable: false,
+  priority: 5,
+  deadlineMs: 10_000,
+  refuse: null,
+};
+
+interface CompiledRule {
+  readonly rule: PolicyRule;
+  readonly decision: PolicyDecision;
+  readonly matches: (subject: CelSubject) => unknown;
+}
+
+interface CelSubject {
+  readonly class: string;
+  readonly kind: string;
+  readonly session: string;
+  readonly database: string;
+  readonly user: string;
+  readonly zone: string;
+  readonly hour: bigint;
+  readonly lagMs: bigint;
+}
+
+/** A compiled policy. @public */
+export class Policy {
+  private constructor(
+    private readonly rules: readonly CompiledRule[],
+    private readonly tests: readonly PolicyTest[],
+  ) {}
+
+  /** The policy without rules. */
+  static readonly empty = new Policy([], []);
+
+  /** Compiles a text in YAML; the problems, one a line, when it has any. */
+  static compile(text: string): Either<readonly string[], Policy> {
+    return readDocument(text).chain((document) => {
+      const problems: string[] = [];
+      const environment = createEnvironment();
+      const rules = document.rules.map((rule, position) =>
+        compileRule(environment, rule, position, problems),
+      );
+      return problems.length > 0 ? Left(problems) : Right(new Policy(rules, document.tests));
+    });
+  }
+
+  /** Number of test cases. */
+  get testCount(): number {
+    return this.tests.length;
+  }
+
+  /** Decides with the first rule that matches; a rule whose condition fails to evaluate does not match. */
+  decide(subject: PolicySubject): PolicyDecision {
+    const celSubject = { ...subject, hour: BigInt(subject.hour), lagMs: BigInt(subject.lagMs) };
+    for (const { matches, decision } of this.rules) {
+      if (evaluates(matches, celSubject)) return decision;
+    }
+    return DEFAULT_DECISION;
+  }
+
+  /** Runs the policy's own test cases; returns the failures, one a line. */
+  runTests(): readonly string[] {
+    return this.tests.flatMap((test) => this.#runTest(test));
+  }
+
+  #runTest(test: PolicyTest): string[] {
+    const decision: Readonly<Record<string, unknown>> = { ...this.decide(test.given) };
+    return Object.entries(test.expect)
+      .filter(([field, expected]) => decision[field] !== expected)
+      .map(
+        ([field, expected]) =>
+          `test "${test.name}": expected ${field}=${show(expected)}, got ${show(decision[field])}`,
+      );
+  }
+}
+
+function show(value: unknown): string {
+  return JSON.stringify(value) ?? 'nothing';
+}
+
+function evaluates(matches: CompiledRule['matches'], subject: CelSubject): boolean {
+  try {
+    return matches(subject) === true;
+  } catch {
+    return false;
+  }
+}
+
+function readDocument(text: string): Either<readonly string[], PolicyDocument> {
+  if (Buffer.byteLength(text) > MAX_POLICY_BYTES)
+    return Left([`policy: larger than ${MAX_POLICY_BYTES} bytes`]);
+  let raw: unknown;
+  try {
+    raw = parseYaml(text, { maxAliasCount: 0 });
+  } catch (error) {
+    return Left([`policy: not valid YAML: ${(error as Error).message.split('\n')[0]}`]);
+  }
+  const result = policySchema.safeParse(raw);
+  return result.success ? Right(result.data) : Left(formatIssues('policy', result.error.issues));
+}
+
+function createEnvironment(): Environment {
+  const environment = new Environment({
+    limits: {
+      maxAstNodes: 1000,
+      maxDepth: 50,
+      maxListElements: 500,
+      maxMapEntries: 100,
+      maxCallArguments: 16,
+    },
+  });
+  for (const name of ['class', 'kind', 'session', 'database', 'user', 'zone']) {
+    environment.registerVariable(name, 'string');
+  }
+  for (const name of ['hour', 'lagMs']) environment.registerVariable(name, 'int');
+  return environment;
+}
+
+function compileRule(
+  environment: Environment,
+  rule: PolicyRule,
+  position: number,
+  problems: string[],
+): CompiledRule {
+  const decision = { ...DEFAULT_DECISION, ...decisionOf(rule) };
+  const path = `policy.rules[${position}].when`;
+  try {
+    const expression = environment.parse(rule.when);
+    const check = expression.check();
+    if (!check.valid)
+      problems.push(`${path}: ${String(check.error?.message ?? 'does not type-check').split('\n')[0]}`);
+    else if (check.type !== 'bool')
+      problems.push(`${path}: expected a condition, found ${String(check.type)}`);
+    return { rule, decision, matches: (subject) => expression(subject) };
+  } catch (error) {
+    problems.push(`${path}: ${(error as Error).message.split('\n')[0]}`);
+    return { rule, decision, matches: () => false };
+  }
+}
+
+function decisionOf(rule: PolicyRule): Partial<PolicyDecision> {
+  const { name, replica, maxStalenessMs, repeatable, priority, deadlineMs, refuse } = rule;
+  const given = { replica, maxStalenessMs, repeatable, priority, deadlineMs, refuse };
+  const entries = Object.entries(given).filter(([, value]) => value !== undefined);
+  return { rule: name, ...Object.fromEntries(entries) };
+}
--- /dev/null
+++ b/src/position/position.ts
@@ -0,0 +1,35 @@
+/**
+ * Log positions of a database group.
+ *
+ * @packageDocumentation
+ */
+
+/**
+ * A place in the replicated log of one database group.
+ *
+ * @public
+ */
+export interface Position {
+  /** Term of the primary that wrote the entry; at least 0. */
+  readonly term: number;
+  /** Index of the entry in the log; at least 0. */
+  readonly index: number;
+}
+
+/** The position before the first entry. */
+export const ZERO_POSITION: Position = { term: 0, index: 0 };
+
+/** Orders by term, then by index: negative when `left` is earlier, 0 when equal. */
+export function comparePositions(left: Position, right: Position): number {
+  return left.term !== right.term ? left.term - right.term : left.index - right.index;
+}
+
+/** The later of two positions. */
+export function laterPosition(left: Position, right: Position): Position {
+  return comparePositions(left, right) >= 0 ? left : right;
+}
+
+/** True when a member that has reached `reached` holds everything up to `required`. */
+export function hasReached(reached: Position, required: Position): boolean {
+  return comparePositions(reached, required) >= 0;
+}
--- /dev/null
+++ b/src/retry/backoff.ts
@@ -0,0 +1,22 @@
+/**
+ * Delays between attempts: exponential with full jitter. Pure: the random source is passed in.
+ *
+ * @packageDocumentation
+ */
+
+/** Settings of a backoff; times in milliseconds. */
+export interface BackoffOptions {
+  readonly initialDelayMs: number;
+  readonly maxDelayMs: number;
+}
+
+/**
+ * Delay before an attempt, in milliseconds.
+ *
+ * @param attempt - 0 for the first retry
+ * @param random - a number in 0..1
+ */
+export function backoffDelayMs(options: BackoffOptions, attempt: number, random: number): number {
+  const ceiling = Math.min(options.maxDelayMs, options.initialDelayMs * 2 ** Math.min(attempt, 20));
+  return ceiling * (0.5 + random / 2);
+}
--- /dev/null
+++ b/src/store/json-http.ts
@@ -0,0 +1,90 @@
+/**
+ * Small JSON requests over HTTP, from a given local address.
+ *
+ * @packageDocumentation
+ */
+import { request, type IncomingMessage } from 'node:http';
+
+/** Settings of a JSON client. */
+export interface JsonHttpOptions {
+  readonly baseUrl: string;
+  readonly localAddress: string | null;
+  readonly timeoutMs: number;
+}
+
+/** Thrown when no answer came, or not a good one; the request may have had its effect. */
+export class JsonHttpError extends Error {
+  /** @param status - HTTP status, or `null` when no answer came */
+  constructor(
+    message: string,
+    readonly status: number | null,
+  ) {
+    super(message);
+  }
+}
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/** Sends a request and reads the JSON answer. @throws JsonHttpError */
+export async function requestJson(
+  options: JsonHttpOptions,
+  method: 'GET' | 'POST',
+  path: string,
+  body?: unknown,
+): Promise<unknown> {
+  const response = await open(options, method, path, body);
+  const timer = setTimeout(() => response.destroy(), options.timeoutMs);
+  try {
+    const text = await readAll(response);
+    if (response.statusCode !== 200)
+      throw new JsonHttpError(`HTTP status ${response.statusCode}`, response.statusCode ?? null);
+    return JSON.parse(text) as unknown;
+  } catch (error) {
+    if (error instanceof JsonHttpError) throw error;
+    throw new JsonHttpError((error as Error).message, null);
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+/** Sends a request and returns the open answer, for streams. @throws JsonHttpError */
+export function open(
+  options: JsonHttpOptions,
+  method: 'GET' | 'POST',
+  path: string,
+  body?: unknown,
+): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const url = new URL(path, options.baseUrl);
+    const { localAddress, timeoutMs } = options;
+    const headers = { 'content-type': 'application/json' };
+    const outgoing = request(url, {
+      method,
+      headers,
+      agent: false,
+      ...(localAddress === null ? {} : { localAddress }),
+    });
+    const timer = setTimeout(() => outgoing.destroy(new Error('timed out')), timeoutMs);
+    outgoing.once('response', (response) => {
+      clearTimeout(timer);
+      response.on('error', () => undefined);
+      resolve(response);
+    });
+    outgoing.on('error', (error) => {
+      clearTimeout(timer);
+      reject(new JsonHttpError(error.message, null));
+    });
+    outgoing.end(body === undefined ? undefined : JSON.stringify(body));
+  });
+}
+
+async function readAll(response: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of response) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_BODY_BYTES) throw new Error('answer too large');
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
--- /dev/null
+++ b/standin/member/statement-executor.ts
@@ -0,0 +1,765 @@
+/**
+ * Executes statements for one session of the member stand-in.
+ *
+ * @packageDocumentation
+ */
+import type { ColumnDescription } from '../../src/wire/backend-messages.js';
+import type { Database } from './database.js';
+import { compareScalars, evaluate, type EvaluationContext, type Row } from './expression.js';
+import {
+  castValue,
+  formatValue,
+  SqlError,
+  typeOidByName,
+  TypeOid,
+  type SqlScalar,
+  type SqlValue,
+} from './sql-values.js';
+import { lastName, openNode, type ParsedStatement, type SyntaxBody, type SyntaxNode } from './syntax.js';
+import { rowKey, type TableDefinition } from './tables.js';
+import { Transaction } from './transaction.js';
+
+/** Result of one statement. */
+export interface StatementResult {
+  readonly columns: readonly ColumnDescription[] | null;
+  readonly rows: readonly (string | null)[][];
+  readonly tag: string;
+}
+
+const ROW_LOCK_TIMEOUT_MS = 1000;
+const MAX_SLEEP_MS = 60_000;
+
+interface SourceRows {
+  readonly rows: readonly Row[];
+  readonly columnTypes: Readonly<Record<string, number>>;
+}
+
+/** Executes statements and keeps the session's transaction. */
+export class StatementExecutor {
+  readonly settings = new Map<string, string>();
+  #transaction: Transaction | null = null;
+  #isExplicit = false;
+  #failed = false;
+  #readOnly = false;
+  #canceled = false;
+  #wakeSleeper: (() => void) | null = null;
+
+  constructor(
+    private readonly database: Database,
+    private readonly processId: number,
+  ) {}
+
+  /** Transaction status for ReadyForQuery. */
+  get status(): 'I' | 'T' | 'E' {
+    if (!this.#isExplicit) return 'I';
+    return this.#failed ? 'E' : 'T';
+  }
+
+  /** Interrupts the running statement. */
+  cancel(): void {
+    this.#canceled = true;
+    this.#wakeSleeper?.();
+  }
+
+  /** Forgets a cancel that came when nothing was running. */
+  clearCancel(): void {
+    this.#canceled = false;
+  }
+
+  /** Rolls back and releases everything, at the end of the session. */
+  close(): void {
+    this.#endTransaction();
+    this.database.locks.releaseAllAdvisory(this.processId);
+  }
+
+  /** Executes one statement inside the current or an implicit transaction. */
+  async execute(statement: ParsedStatement, parameters: readonly SqlValue[]): Promise<StatementResult> {
+    if (this.#failed && !isTransactionEnd(statement)) {
+      throw new SqlError(
+        '25P02',
+        'current transaction is aborted, commands ignored until end of transaction block',
+      );
+    }
+    return this.#dispatch(statement, parameters);
+  }
+
+  /** Marks a failure: an explicit transaction becomes failed, an implicit one is rolled back. */
+  fail(): void {
+    if (this.#isExplicit) this.#failed = true;
+    else this.#endTransaction();
+  }
+
+  /** Commits an implicit transaction, at Sync or at the end of a simple query. */
+  async commitImplicit(): Promise<void> {
+    if (!this.#isExplicit) await this.#commit();
+  }
+
+  /** Column types of a statement's result, without executing it; `null` when it returns no rows. */
+  describe(statement: ParsedStatement): readonly ColumnDescription[] | null {
+    const { kind, body } = statement;
+    if (kind === 'VariableShowStmt') return [{ name: body.name, typeOid: TypeOid.text }];
+    const targets: SyntaxNode[] | undefined =
+      kind === 'SelectStmt' ? body.targetList : (body.returningClause?.exprs ?? body.returningList);
+    if (targets === undefined) return null;
+    const table = kind === 'SelectStmt' ? body.fromClause?.[0] : { RangeVar: body.relation };
+    return this.#describeTargets(targets, table);
+  }
+
+  #describeTargets(
+    targets: readonly SyntaxNode[],
+    from: SyntaxNode | undefined,
+  ): readonly ColumnDescription[] {
+    const columnTypes = this.#sourceTypes(from);
+    const nullRow = Object.fromEntries(Object.keys(columnTypes).map((name) => [name, null]));
+    const context = this.#context([], nullRow, columnTypes, false);
+    return this.#columns(targets, context);
+  }
+
+  #sourceTypes(from: SyntaxNode | undefined): Readonly<Record<string, number>> {
+    if (from === undefined) return {};
+    const { kind, body } = openNode(from);
+    if (kind === 'RangeVar') return this.#definition(body.relname).columnTypes;
+    if (kind === 'RangeFunction') return functionColumns(functionName(body));
+    return {};
+  }
+
+  async #dispatch(statement: ParsedStatement, parameters: readonly SqlValue[]): Promise<StatementResult> {
+    const { kind, body } = statement;
+    switch (kind) {
+      case 'SelectStmt':
+        return this.#select(body, parameters);
+      case 'InsertStmt':
+        return this.#insert(body, parameters);
+      case 'UpdateStmt':
+        return this.#update(body, parameters);
+      case 'DeleteStmt':
+        return this.#delete(body, parameters);
+      case 'CreateStmt':
+        return this.#createTable(body);
+      case 'DropStmt':
+        return this.#dropTable(body);
+      case 'TransactionStmt':
+        return this.#transactionStatement(body);
+      case 'VariableSetStmt':
+        return this.#setVariable(body);
+      case 'VariableShowStmt':
+        return this.#showVariable(body);
+      case 'DiscardStmt':
+        this.settings.clear();
+        this.database.locks.releaseAllAdvisory(this.processId);
+        return command('DISCARD ALL');
+      default:
+        throw new SqlError('0A000', `the stand-in does not support ${kind}`);
+    }
+  }
+
+  // --- transactions
+
+  async #transactionStatement(body: SyntaxBody): Promise<StatementResult> {
+    switch (body.kind) {
+      case 'TRANS_STMT_BEGIN':
+      case 'TRANS_STMT_START':
+        this.#isExplicit = true;
+        this.#readOnly = JSON.stringify(body.options ?? '').includes('transaction_read_only');
+        return command('BEGIN');
+      case 'TRANS_STMT_COMMIT': {
+        const failed = this.#failed;
+        if (failed) this.#endTransaction();
+        else await this.#commit();
+        return command(failed ? 'ROLLBACK' : 'COMMIT');
+      }
+      case 'TRANS_STMT_ROLLBACK':
+        this.#endTransaction();
+        return command('ROLLBACK');
+      default:
+        throw new SqlError('0A000', `the stand-in does not support ${String(body.kind)}`);
+    }
+  }
+
+  async #commit(): Promise<void> {
+    const transaction = this.#transaction;
+    try {
+      if (transaction === null || transaction.changes.length === 0) return;
+      if (this.database.log.role !== 'primary') throw new SqlError('25006', 'this member is not the primary');
+      const entry = this.database.log.append(transaction.changes, this.processId);
+      if (this.database.settings.replication === 'asynchronous') return;
+      const replicated = await this.database.log.waitForMajority(entry.index);
+      if (!replicated)
+        throw new SqlError('40003', 'the primary was replaced while the commit was replicated');
+    } finally {
+      this.#endTransaction();
+    }
+  }
+
+  #endTransaction(): void {
+    if (this.#transaction !== null)
+      this.database.locks.releaseRows(this.processId, this.#transaction.lockedRows);
+    this.#transaction = null;
+    this.#isExplicit = false;
+    this.#failed = false;
+    this.#readOnly = false;
+  }
+
+  #current(): Transaction {
+    this.#transaction ??= new Transaction(this.database.tables);
+    return this.#transaction;
+  }
+
+  #writable(): Transaction {
+    const transaction = this.#current();
+    transaction.requireWritable(this.database.log.role === 'primary' && !this.#readOnly);
+    return transaction;
+  }
+
+  #definition(table: string): TableDefinition {
+    return this.#current().definition(table);
+  }
+
+  async #lockRow(transaction: Transaction, table: string, key: string): Promise<void> {
+    const name = `${table}\u0001${key}`;
+    const taken = await this.database.locks.takeRow(name, this.processId, ROW_LOCK_TIMEOUT_MS);
+    if (!taken) throw new SqlError('55P03', 'could not obtain lock on row');
+    transaction.lockedRows.add(name);
+  }
+
+  // --- definitions
+
+  #createTable(body: SyntaxBody): StatementResult {
+    const transaction = this.#writable();
+    const name: string = body.relation.relname;
+    if (transaction.has(name)) {
+      if (body.if_not_exists) return command('CREATE TABLE');
+      throw new SqlError('42P07', `relation "${name}" already exists`);
+    }
+    transaction.change({ kind: 'createTable', definition: readTableDefinition(name, body.tableElts) });
+    return command('CREATE TABLE');
+  }
+
+  #dropTable(body: SyntaxBody): StatementResult {
+    const transaction = this.#writable();
+    const table = lastName(body.objects[0]?.List?.items);
+    if (!transaction.has(table) && !body.missing_ok)
+      throw new SqlError('42P01', `table "${table}" does not exist`);
+    transaction.change({ kind: 'dropTable', table });
+    return command('DROP TABLE');
+  }
+
+  // --- reading
+
+  async #select(body: SyntaxBody, parameters: readonly SqlValue[]): Promise<StatementResult> {
+    await this.#sleepIfAsked(body, parameters);
+    const source = this.#source(body.fromClause?.[0], body.whereClause, parameters);
+    let rows = source.rows.filter((row) =>
+      this.#matches(body.whereClause, row, source.columnTypes, parameters),
+    );
+    if (body.sortClause !== undefined)
+      rows = this.#sort(rows, body.sortClause, source.columnTypes, parameters);
+    if (body.limitCount !== undefined) {
+      const limit = evaluate(body.limitCount, this.#context(parameters, null, {}, true)).value;
+      if (limit !== null) rows = rows.slice(0, Number(limit));
+    }
+    return this.#project(body.targetList ?? [], rows, source.columnTypes, parameters);
+  }
+
+  async #sleepIfAsked(body: SyntaxBody, parameters: readonly SqlValue[]): Promise<void> {
+    for (const target of (body.targetList ?? []) as SyntaxNode[]) {
+      const call = target['ResTarget']?.val?.FuncCall;
+      if (call === undefined || lastName(call.funcname) !== 'pg_sleep') continue;
+      const seconds = Number(evaluate(call.args[0], this.#context(parameters, null, {}, true)).value);
+      await this.#sleep(Math.min(seconds * 1000, MAX_SLEEP_MS));
+    }
+  }
+
+  async #sleep(durationMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, durationMs);
+      this.#wakeSleeper = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.#wakeSleeper = null;
+    if (!this.#canceled) return;
+    this.#canceled = false;
+    throw new SqlError('57014', 'canceling statement due to user request');
+  }
+
+  #source(
+    from: SyntaxNode | undefined,
+    where: SyntaxNode | undefined,
+    parameters: readonly SqlValue[],
+  ): SourceRows {
+    if (from === undefined) return { rows: [{}], columnTypes: {} };
+    const { kind, body } = openNode(from);
+    if (kind === 'RangeVar') return this.#tableRows(body.relname, where, parameters);
+    if (kind === 'RangeFunction') return this.#functionRows(body, parameters);
+    throw new SqlError('0A000', `the stand-in does not support ${kind} in FROM`);
+  }
+
+  #tableRows(table: string, where: SyntaxNode | undefined, parameters: readonly SqlValue[]): SourceRows {
+    if (table === 'pg_stat_activity') return this.#activityRows();
+    const definition = this.#definition(table);
+    const candidates = this.#candidateRows(this.#current(), definition, where, parameters);
+    return { rows: candidates.map(([, row]) => row), columnTypes: definition.columnTypes };
+  }
+
+  /** The one row that `primary key = value` can match, or all rows. */
+  #candidateRows(
+    transaction: Transaction,
+    definition: TableDefinition,
+    where: SyntaxNode | undefined,
+    parameters: readonly SqlValue[],
+  ): [string, Row][] {
+    const comparison = where?.['A_Expr'];
+    const column = lastName(comparison?.lexpr?.ColumnRef?.fields);
+    const isKeyLookup = comparison?.kind === 'AEXPR_OP' && column === definition.primaryKey;
+    if (!isKeyLookup || lastName(comparison.name) !== '=') return [...transaction.rows(definition.name)];
+    const value = evaluate(comparison.rexpr, this.#context(parameters, null, {}, true)).value;
+    const key = rowKey(castValue(value, definition.columnTypes[column] ?? TypeOid.text));
+    const row = transaction.row(definition.name, key);
+    return row === null ? [] : [[key, row]];
+  }
+
+  #activityRows(): SourceRows {
+    const rows = [...this.database.sessions.values()].map((session) => ({
+      pid: session.processId,
+      application_name: session.applicationName,
+    }));
+    return { rows, columnTypes: { pid: TypeOid.integer, application_name: TypeOid.text } };
+  }
+
+  #functionRows(body: SyntaxBody, parameters: readonly SqlValue[]): SourceRows {
+    const name = functionName(body);
+    const call = body.functions[0].List.items[0].FuncCall;
+    const args = ((call.args ?? []) as SyntaxNode[]).map(
+      (arg) => evaluate(arg, this.#context(parameters, null, {}, true)).value,
+    );
+    const columnTypes = functionColumns(name);
+    switch (name) {
+      case 'generate_series':
+        return { rows: generateSeries(Number(args[0]), Number(args[1])), columnTypes };
+      case 'sorrelladder_group_status':
+        return { rows: [this.#groupStatus()], columnTypes };
+      case 'standin_log':
+        return { rows: this.#logRows(), columnTypes };
+      case 'standin_counters':
+        return { rows: [{ counters: JSON.stringify(this.database.counters) }], columnTypes };
+      default:
+        throw new SqlError('42883', `function ${name} does not exist`);
+    }
+  }
+
+  #groupStatus(): Row {
+    const { log, settings, leavingSinceMs } = this.database;
+    return {
+      member: settings.memberId,
+      role: log.role,
+      term: log.term,
+      received_term: log.received.term,
+      received_index: log.received.index,
+      applied_term: log.applied.term,
+      applied_index: log.applied.index,
+      leaving: leavingSinceMs !== null,
+    };
+  }
+
+  #logRows(): Row[] {
+    return this.database.log.entries.map((entry) => ({
+      term: entry.term,
+      index: entry.index,
+      session: entry.session,
+      changes: JSON.stringify(entry.changes),
+    }));
+  }
+
+  #matches(
+    where: SyntaxNode | undefined,
+    row: Row,
+    columnTypes: Readonly<Record<string, number>>,
+    parameters: readonly SqlValue[],
+  ): boolean {
+    if (where === undefined) return true;
+    return evaluate(where, this.#context(parameters, row, columnTypes, true)).value === true;
+  }
+
+  #sort(
+    rows: readonly Row[],
+    sortClause: readonly SyntaxNode[],
+    columnTypes: Readonly<Record<string, number>>,
+    parameters: readonly SqlValue[],
+  ): Row[] {
+    const keys = sortClause.map((item) => item['SortBy']);
+    const valueOf = (row: Row, node: SyntaxNode): SqlScalar =>
+      evaluate(node, this.#context(parameters, row, columnTypes, true)).value;
+    return [...rows].sort((left, right) => {
+      for (const key of keys) {
+        const order = compareScalars(valueOf(left, key.node), valueOf(right, key.node));
+        if (order !== 0) return key.sortby_dir === 'SORTBY_DESC' ? -order : order;
+      }
+      return 0;
+    });
+  }
+
+  #project(
+    targets: readonly SyntaxNode[],
+    rows: readonly Row[],
+    columnTypes: Readonly<Record<string, number>>,
+    parameters: readonly SqlValue[],
+    tagPrefix = 'SELECT',
+  ): StatementResult {
+    const aggregate = targets.some((target) => isAggregate(target));
+    const typeContext = this.#context(parameters, nullRow(columnTypes), columnTypes, false);
+    const columns = this.#columns(targets, typeContext);
+    const output = aggregate
+      ? [this.#aggregate(targets, rows, columnTypes, parameters)]
+      : rows.map((row) => this.#projectRow(targets, row, columnTypes, parameters));
+    return { columns, rows: output, tag: `${tagPrefix} ${output.length}` };
+  }
+
+  #projectRow(
+    targets: readonly SyntaxNode[],
+    row: Row,
+    columnTypes: Readonly<Record<string, number>>,
+    parameters: readonly SqlValue[],
+  ): (string | null)[] {
+    const context = this.#context(parameters, row, columnTypes, true);
+    return targets.flatMap((target) => {
+      const node: SyntaxNode = target['ResTarget'].val;
+      if (isStar(node)) return Object.keys(columnTypes).map((name) => output(row[name] ?? null));
+      if (isVoidCall(node)) return [''];
+      return [output(evaluate(node, context).value)];
+    });
+  }
+
+  #aggregate(
+    targets: readonly SyntaxNode[],
+    rows: readonly Row[],
+    columnTypes: Readonly<Record<string, number>>,
+    parameters: readonly SqlValue[],
+  ): (string | null)[] {
+    return targets.map((target) => {
+      const call = target['ResTarget'].val.FuncCall;
+      if (call === undefined) throw new SqlError('42803', 'only aggregates may stand beside an aggregate');
+      if (call.agg_star) return String(rows.length);
+      const values = rows
+        .map((row) => evaluate(call.args[0], this.#context(parameters, row, columnTypes, true)).value)
+        .filter((value) => value !== null);
+      return aggregateValues(lastName(call.funcname), values);
+    });
+  }
+
+  #columns(targets: readonly SyntaxNode[], context: EvaluationContext): ColumnDescription[] {
+    return targets.flatMap((target) => {
+      const node: SyntaxNode = target['ResTarget'].val;
+      if (isStar(node))
+        return Object.entries(context.columnTypes).map(([name, typeOid]) => ({ name, typeOid }));
+      return [{ name: columnName(target), typeOid: columnType(node, context) }];
+    });
+  }
+
+  // --- writing
+
+  async #insert(body: SyntaxBody, parameters: readonly SqlValue[]): Promise<StatementResult> {
+    const transaction = this.#writable();
+    const definition = this.#definition(body.relation.relname);
+    const columns: string[] =
+      (body.cols as SyntaxNode[] | undefined)?.map((column) => column['ResTarget'].name) ??
+      Object.keys(definition.columnTypes);
+    const valueLists: SyntaxNode[] = body.selectStmt.SelectStmt.valuesLists ?? [];
+    const written: Row[] = [];
+    for (const list of valueLists) {
+      const values = (list['List'].items as SyntaxNode[]).map(
+        (item) => evaluate(item, this.#context(parameters, null, {}, true)).value,
+      );
+      const row = buildRow(definition, columns, values);
+      const stored = await this.#insertRow(transaction, definition, row, body.onConflictClause, parameters);
+      if (stored !== null) written.push(stored);
+    }
+    return this.#writeResult('INSERT 0', body, written, definition, parameters);
+  }
+
+  async #insertRow(
+    transaction: Transaction,
+    definition: TableDefinition,
+    row: Row,
+    conflict: SyntaxBody,
+    parameters: readonly SqlValue[],
+  ): Promise<Row | null> {
+    const key = rowKey(row[definition.primaryKey] ?? null);
+    await this.#lockRow(transaction, definition.name, key);
+    const existing = transaction.row(definition.name, key);
+    if (existing === null) {
+      transaction.change({ kind: 'put', table: definition.name, key, row });
+      return row;
+    }
+    if (conflict?.action === 'ONCONFLICT_NOTHING') return null;
+    if (conflict?.action !== 'ONCONFLICT_UPDATE') {
+      throw new SqlError('23505', `duplicate key value violates unique constraint "${definition.name}_pkey"`);
+    }
+    const updated = this.#assign(definition, existing, conflict.targetList, parameters, row);
+    transaction.change({ kind: 'put', table: definition.name, key, row: updated });
+    return updated;
+  }
+
+  async #update(body: SyntaxBody, parameters: readonly SqlValue[]): Promise<StatementResult> {
+    const transaction = this.#writable();
+    const definition = this.#definition(body.relation.relname);
+    const written: Row[] = [];
+    for (const key of this.#matchingKeys(transaction, definition, body.whereClause, parameters)) {
+      await this.#lockRow(transaction, definition.name, key);
+      const current = transaction.row(definition.name, key);
+      if (current === null || !this.#matches(body.whereClause, current, definition.columnTypes, parameters))
+        continue;
+      const row = this.#assign(definition, current, body.targetList, parameters, null);
+      transaction.change({ kind: 'put', table: definition.name, key, row });
+      written.push(row);
+    }
+    return this.#writeResult('UPDATE', body, written, definition, parameters);
+  }
+
+  async #delete(body: SyntaxBody, parameters: readonly SqlValue[]): Promise<StatementResult> {
+    const transaction = this.#writable();
+    const definition = this.#definition(body.relation.relname);
+    const removed: Row[] = [];
+    for (const key of this.#matchingKeys(transaction, definition, body.whereClause, parameters)) {
+      await this.#lockRow(transaction, definition.name, key);
+      const current = transaction.row(definition.name, key);
+      if (current === null) continue;
+      transaction.change({ kind: 'remove', table: definition.name, key });
+      removed.push(current);
+    }
+    return this.#writeResult('DELETE', body, removed, definition, parameters);
+  }
+
+  #matchingKeys(
+    transaction: Transaction,
+    definition: TableDefinition,
+    where: SyntaxNode | undefined,
+    parameters: readonly SqlValue[],
+  ): string[] {
+    const keys: string[] = [];
+    for (const [key, row] of this.#candidateRows(transaction, definition, where, parameters)) {
+      if (this.#matches(where, row, definition.columnTypes, parameters)) keys.push(key);
+    }
+    return keys;
+  }
+
+  #assign(
+    definition: TableDefinition,
+    current: Row,
+    targets: readonly SyntaxNode[],
+    parameters: readonly SqlValue[],
+    excluded: Row | null,
+  ): Row {
+    const context = { ...this.#context(parameters, current, definition.columnTypes, true), excluded };
+    const assigned: Record<string, SqlScalar> = { ...current };
+    for (const target of targets) {
+      const { name, val } = target['ResTarget'];
+      assigned[name] = castValue(evaluate(val, context).value, definition.columnTypes[name] ?? TypeOid.text);
+    }
+    return assigned;
+  }
+
+  #writeResult(
+    tag: string,
+    body: SyntaxBody,
+    rows: readonly Row[],
+    definition: TableDefinition,
+    parameters: readonly SqlValue[],
+  ): StatementResult {
+    const targets: SyntaxNode[] | undefined = body.returningClause?.exprs ?? body.returningList;
+    if (targets === undefined) return { columns: null, rows: [], tag: `${tag} ${rows.length}` };
+    return this.#project(targets, rows, definition.columnTypes, parameters, tag);
+  }
+
+  // --- settings and functions
+
+  #setVariable(body: SyntaxBody): StatementResult {
+    if (body.kind === 'VAR_SET_VALUE') {
+      const value = evaluate(body.args[0], this.#context([], null, {}, true)).value;
+      this.settings.set(body.name, value === null ? '' : formatValue(value));
+      return command('SET');
+    }
+    if (body.kind === 'VAR_RESET_ALL') this.settings.clear();
+    else this.settings.delete(body.name);
+    return command(body.kind === 'VAR_SET_DEFAULT' ? 'SET' : 'RESET');
+  }
+
+  #showVariable(body: SyntaxBody): StatementResult {
+    const value = this.settings.get(body.name) ?? (body.name === 'transaction_read_only' ? 'off' : '');
+    return { columns: [{ name: body.name, typeOid: TypeOid.text }], rows: [[value]], tag: 'SHOW' };
+  }
+
+  #context(
+    parameters: readonly SqlValue[],
+    row: Row | null,
+    columnTypes: Readonly<Record<string, number>>,
+    mayAct: boolean,
+  ): EvaluationContext {
+    return {
+      parameters,
+      row,
+      columnTypes,
+      excluded: null,
+      callFunction: (name, args) => this.#callSessionFunction(name, args, mayAct),
+    };
+  }
+
+  #callSessionFunction(name: string, args: readonly SqlScalar[], mayAct: boolean): SqlValue | null {
+    switch (name) {
+      case 'pg_try_advisory_lock': {
+        const taken = mayAct && this.database.locks.tryAdvisory(String(args[0]), this.processId);
+        return { value: taken, typeOid: TypeOid.boolean };
+      }
+      case 'pg_advisory_unlock': {
+        const released = mayAct && this.database.locks.releaseAdvisory(String(args[0]), this.processId);
+        return { value: released, typeOid: TypeOid.boolean };
+      }
+      case 'pg_backend_pid':
+        return { value: this.processId, typeOid: TypeOid.integer };
+      case 'pg_terminate_backend':
+        return { value: mayAct && this.#terminateBackend(Number(args[0])), typeOid: TypeOid.boolean };
+      case 'current_setting':
+        return { value: this.settings.get(String(args[0])) ?? '', typeOid: TypeOid.text };
+      case 'pg_sleep':
+        return { value: '', typeOid: TypeOid.void };
+      default:
+        return null;
+    }
+  }
+
+  #terminateBackend(processId: number): boolean {
+    const session = this.database.sessions.get(processId);
+    session?.terminate('terminating connection due to administrator command');
+    return session !== undefined;
+  }
+}
+
+function command(tag: string): StatementResult {
+  return { columns: null, rows: [], tag };
+}
+
+function output(value: SqlScalar): string | null {
+  return value === null ? null : formatValue(value);
+}
+
+function nullRow(columnTypes: Readonly<Record<string, number>>): Row {
+  return Object.fromEntries(Object.keys(columnTypes).map((name) => [name, null]));
+}
+
+function isTransactionEnd(statement: ParsedStatement): boolean {
+  return (
+    statement.kind === 'TransactionStmt' &&
+    ['TRANS_STMT_COMMIT', 'TRANS_STMT_ROLLBACK'].includes(statement.body.kind)
+  );
+}
+
+function isStar(node: SyntaxNode): boolean {
+  const fields: SyntaxNode[] | undefined = node['ColumnRef']?.fields;
+  return fields !== undefined && fields.some((field) => 'A_Star' in field);
+}
+
+function isVoidCall(node: SyntaxNode): boolean {
+  return lastName(node['FuncCall']?.funcname) === 'pg_sleep';
+}
+
+const AGGREGATES = new Set(['count', 'sum', 'min', 'max']);
+
+function isAggregate(target: SyntaxNode): boolean {
+  return AGGREGATES.has(lastName(target['ResTarget']?.val?.FuncCall?.funcname));
+}
+
+function aggregateValues(name: string, values: readonly SqlScalar[]): string | null {
+  if (name === 'count') return String(values.length);
+  if (values.length === 0) return null;
+  if (name === 'sum') return String(values.reduce((total: number, value) => total + Number(value), 0));
+  const sorted = [...values].sort(compareScalars);
+  return output((name === 'min' ? sorted[0] : sorted.at(-1)) ?? null);
+}
+
+function columnName(target: SyntaxNode): string {
+  const { name, val } = target['ResTarget'];
+  if (name !== undefined) return name;
+  const { kind, body } = openNode(val);
+  if (kind === 'ColumnRef') return lastName(body.fields);
+  if (kind === 'FuncCall') return lastName(body.funcname);
+  if (kind === 'TypeCast') return lastName(body.typeName.names);
+  return '?column?';
+}
+
+function columnType(node: SyntaxNode, context: EvaluationContext): number {
+  const call = node['FuncCall'];
+  if (call !== undefined && AGGREGATES.has(lastName(call.funcname))) return TypeOid.bigint;
+  if (isVoidCall(node)) return TypeOid.void;
+  if (node['A_Expr'] !== undefined) return operatorType(node, context);
+  return evaluate(node, context).typeOid;
+}
+
+function operatorType(node: SyntaxNode, context: EvaluationContext): number {
+  const operator = lastName(node['A_Expr'].name);
+  if (operator === '||') return TypeOid.text;
+  if (!['+', '-', '*', '/'].includes(operator)) return TypeOid.boolean;
+  const left = columnType(node['A_Expr'].lexpr, context);
+  return left === TypeOid.text ? columnType(node['A_Expr'].rexpr, context) : left;
+}
+
+function functionName(rangeFunction: SyntaxBody): string {
+  return lastName(rangeFunction.functions[0].List.items[0].FuncCall?.funcname);
+}
+
+function functionColumns(name: string): Readonly<Record<string, number>> {
+  switch (name) {
+    case 'generate_series':
+      return { generate_series: TypeOid.integer };
+    case 'sorrelladder_group_status':
+      return {
+        member: TypeOid.text,
+        role: TypeOid.text,
+        term: TypeOid.bigint,
+        received_term: TypeOid.bigint,
+        received_index: TypeOid.bigint,
+        applied_term: TypeOid.bigint,
+        applied_index: TypeOid.bigint,
+        leaving: TypeOid.boolean,
+      };
+    case 'standin_log':
+      return { term: TypeOid.bigint, index: TypeOid.bigint, session: TypeOid.bigint, changes: TypeOid.text };
+    default:
+      return { counters: TypeOid.text };
+  }
+}
+
+function generateSeries(first: number, last: number): Row[] {
+  const rows: Row[] = [];
+  for (let value = first; value <= last; value += 1) rows.push({ generate_series: value });
+  return rows;
+}
+
+function readTableDefinition(name: string, elements: readonly SyntaxNode[]): TableDefinition {
+  const columnTypes: Record<string, number> = {};
+  let primaryKey: string | null = null;
+  for (const element of elements) {
+    const column = element['ColumnDef'];
+    if (column === undefined) continue;
+    columnTypes[column.colname] = typeOidByName(lastName(column.typeName.names));
+    const isPrimary = JSON.stringify(column.constraints ?? '').includes('CONSTR_PRIMARY');
+    if (isPrimary) primaryKey = column.colname;
+  }
+  primaryKey ??= Object.keys(columnTypes)[0] ?? '';
+  return { name, primaryKey, columnTypes };
+}
+
+function buildRow(
+  definition: TableDefinition,
+  columns: readonly string[],
+  values: readonly SqlScalar[],
+): Row {
+  const row: Record<string, SqlScalar> = { ...nullRow(definition.columnTypes) };
+  columns.forEach((column, position) => {
+    const typeOid = definition.columnTypes[column];
+    if (typeOid === undefined) throw new SqlError('42703', `column "${column}" does not exist`);
+    row[column] = castValue(values[position] ?? null, typeOid);
+  });
+  if (row[definition.primaryKey] === null) throw new SqlError('23502', 'null value in primary key');
+  return row;
+}
--- /dev/null
+++ b/standin/rig/deployment.ts
@@ -0,0 +1,429 @@
+/**
+ * A whole deployment as real processes on loopback: store, machine list, database groups and daemons, each with
+ * an IP number of its own and a fault proxy before it.
+ *
+ * @packageDocumentation
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { stringify as toYaml } from 'yaml';
+import type { DatabaseConfiguration } from '../../src/configuration/configuration.js';
+import { ConfigurationStore, type ConfigurationChange } from '../../src/configuration/configuration-store.js';
+import type { DaemonStatus } from '../../src/daemon/daemon.js';
+import type { Machine } from '../../src/machines/machine-list.js';
+import { requestJson } from '../../src/store/json-http.js';
+import { StoreClient } from '../../src/store/store-client.js';
+import type { MemberServerOptions } from '../member/member-server.js';
+import type { StoreFaults } from '../store/store-server.js';
+import { Child } from './child.js';
+import { FaultProxy } from './fault-proxy.js';
+import { waitUntil } from './wait-until.js';
+
+/** What a deployment consists of. */
+export interface DeploymentOptions {
+  /** Second number of all its addresses, 1 to 250: deployments that run at once need different ones. */
+  readonly networkId: number;
+  readonly zones: readonly string[];
+  readonly databases: readonly string[];
+  readonly daemonsPerZone: number;
+  readonly connectionLimit: number;
+  readonly slots: number;
+  /** Members are spread over the zones in order. */
+  readonly membersPerDatabase: number;
+  readonly member: Partial<Pick<MemberServerOptions, MemberTuning>>;
+  readonly policy: string;
+  /** Settings of the daemons' `timing` and `limits` that differ from the defaults. */
+  readonly timing: Readonly<Record<string, number>>;
+  readonly limits: Readonly<Record<string, number>>;
+  readonly machineListLagMs: number;
+  /** One-way delay between zones, in milliseconds. */
+  readonly zoneLatencyMs: number;
+  /** False puts no proxies before the processes, for measurements of speed. */
+  readonly usesProxies: boolean;
+}
+
+type MemberTuning =
+  | 'openDelayMs'
+  | 'serviceTimeMs'
+  | 'replication'
+  | 'heartbeatIntervalMs'
+  | 'electionTimeoutMs'
+  | 'applyLagMs';
+
+/** Defaults: one database of three members in three zones, one daemon in each. */
+export const DEFAULT_DEPLOYMENT: DeploymentOptions = {
+  networkId: 1,
+  zones: ['zone-a', 'zone-b', 'zone-c'],
+  databases: ['quotes'],
+  daemonsPerZone: 1,
+  connectionLimit: 35,
+  slots: 5,
+  membersPerDatabase: 3,
+  member: {},
+  policy: 'rules: []\n',
+  timing: {},
+  limits: {},
+  machineListLagMs: 0,
+  zoneLatencyMs: 0,
+  usesProxies: true,
+};
+
+const MEMBER_DEFAULTS = {
+  openDelayMs: 10,
+  serviceTimeMs: 0,
+  replication: 'asynchronous',
+  heartbeatIntervalMs: 100,
+  electionTimeoutMs: 1000,
+  applyLagMs: 0,
+} as const;
+
+const STORE_PORT = 2379;
+const MACHINES_PORT = 2380;
+const MEMBER_PORT = 5432;
+const GROUP_PORT = 5433;
+const CLIENT_PORT = 6432;
+const PEER_PORT = 7432;
+const HTTP_PORT = 8432;
+
+/** Host number of the platform's machines: above all others. */
+const PLATFORM_HOST = 200;
+
+/** A process with its addresses. */
+export interface RigProcess {
+  readonly id: string;
+  readonly zone: string;
+  /** Address on which the process listens and from which it connects. */
+  readonly host: string;
+  /** Address under which the others reach it. */
+  readonly publicHost: string;
+}
+
+/** A running deployment. */
+export class Deployment {
+  readonly proxy = new FaultProxy();
+  readonly options: DeploymentOptions;
+  readonly members = new Map<string, RigProcess>();
+  readonly daemons = new Map<string, RigProcess>();
+  readonly children = new Map<string, Child>();
+  readonly #directory = mkdtempSync(join(tmpdir(), 'sorrelladder-rig-'));
+  #machines: Machine[] = [];
+
+  constructor(options: Partial<DeploymentOptions>) {
+    this.options = { ...DEFAULT_DEPLOYMENT, ...options };
+    this.proxy.setZoneLatency(this.options.zoneLatencyMs);
+  }
+
+  /** Starts a deployment and waits until every database has an owner. */
+  static async start(options: Partial<DeploymentOptions>): Promise<Deployment> {
+    const deployment = new Deployment(options);
+    try {
+      await deployment.#start();
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+    return deployment;
+  }
+
+  /** Zones of the deployment. */
+  get zones(): readonly string[] {
+    return this.options.zones;
+  }
+
+  /** The configuration in the store, past all faults. */
+  get configurationStore(): ConfigurationStore {
+    const client = new StoreClient({ baseUrl: this.#storeUrl, localAddress: null, timeoutMs: 2000 });
+    return new ConfigurationStore(client, '/sorrelladder');
+  }
+
+  /** Publishes a change directly. */
+  async publish(change: ConfigurationChange): Promise<number> {
+    const options = { publishedBy: 'rig', expectedVersion: null, readBackAttempts: 3 };
+    const result = await this.configurationStore.publish(change, options);
+    return result.unsafeCoerce().version;
+  }
+
+  /** Address of a daemon for clients. */
+  clientAddress(daemonId: string): { readonly host: string; readonly port: number } {
+    return { host: this.#daemon(daemonId).host, port: CLIENT_PORT };
+  }
+
+  /** Address of a member for direct connections. */
+  memberAddress(memberId: string): { readonly host: string; readonly port: number } {
+    const member = this.members.get(memberId);
+    if (member === undefined) throw new Error(`no member ${memberId}`);
+    return { host: member.host, port: MEMBER_PORT };
+  }
+
+  /** A daemon's own account of itself. */
+  async status(daemonId: string): Promise<DaemonStatus> {
+    const baseUrl = `http://${this.#daemon(daemonId).host}:${HTTP_PORT}`;
+    return (await requestJson(
+      { baseUrl, localAddress: null, timeoutMs: 2000 },
+      'GET',
+      '/status',
+    )) as DaemonStatus;
+  }
+
+  /** Address of a daemon's HTTP server. */
+  httpUrl(daemonId: string): string {
+    return `http://${this.#daemon(daemonId).host}:${HTTP_PORT}`;
+  }
+
+  /** The daemon that owns a database by its own account, or `null`. */
+  async findOwner(database: string): Promise<string | null> {
+    for (const daemonId of this.daemons.keys()) {
+      if (!this.child(daemonId).isRunning) continue;
+      const status = await this.status(daemonId).catch(() => null);
+      const own = status?.databases.find(({ name }) => name === database);
+      if (own !== undefined && own.members.length > 0) return daemonId;
+    }
+    return null;
+  }
+
+  /** Waits until a database has an owner. */
+  async waitForOwner(database: string, except: string | null = null): Promise<string> {
+    let owner: string | null = null;
+    await waitUntil(`an owner of ${database}`, async () => {
+      owner = await this.findOwner(database);
+      return owner !== null && owner !== except;
+    });
+    return owner ?? '';
+  }
+
+  /** Id of the member that leads, as the owner sees it; `null` during an election. */
+  async findPrimary(database: string): Promise<string | null> {
+    const owner = await this.findOwner(database);
+    if (owner === null) return null;
+    const status = await this.status(owner);
+    const members = status.databases.find(({ name }) => name === database)?.members ?? [];
+    const term = Math.max(...members.map((member) => member.term ?? 0));
+    return members.find((member) => member.role === 'primary' && member.term === term)?.id ?? null;
+  }
+
+  /** A process by id. */
+  child(id: string): Child {
+    const child = this.children.get(id);
+    if (child === undefined) throw new Error(`no process ${id}`);
+    return child;
+  }
+
+  /** Switches faults of the store. */
+  async setStoreFaults(faults: Partial<StoreFaults>): Promise<void> {
+    const http = {
+      baseUrl: `http://${this.#host(0, PLATFORM_HOST)}:${STORE_PORT}`,
+      localAddress: null,
+      timeoutMs: 2000,
+    };
+    await requestJson(http, 'POST', '/standin/faults', faults);
+  }
+
+  /** Marks a machine as leaving on the machine list. */
+  async markLeaving(id: string): Promise<void> {
+    this.#machines = this.#machines.map((machine) =>
+      machine.id === id ? { ...machine, state: 'leaving' } : machine,
+    );
+    await this.#publishMachines();
+  }
+
+  /** Starts a daemon that was ended, under the same id and address. */
+  startDaemon(daemonId: string): void {
+    const path = join(this.#directory, `${daemonId}.yaml`);
+    this.children.set(daemonId, new Child(daemonId, 'sorrelladder', ['serve', '--settings', path]));
+  }
+
+  /** Ends all processes. */
+  async stop(): Promise<void> {
+    await Promise.all([...this.children.values()].map((child) => child.kill()));
+    this.proxy.close();
+    rmSync(this.#directory, { recursive: true, force: true });
+  }
+
+  get #storeUrl(): string {
+    return `http://${this.#host(0, PLATFORM_HOST)}:${STORE_PORT}`;
+  }
+
+  async #start(): Promise<void> {
+    this.#layOut();
+    await this.#startPlatform();
+    await this.#startMembers();
+    await this.publish({ databases: this.#databases(), policy: this.options.policy });
+    await this.#startDaemons();
+    for (const database of this.options.databases) await this.waitForOwner(database);
+    await waitUntil('all daemons know all databases and owners', () => this.#isSettled());
+  }
+
+  async #isSettled(): Promise<boolean> {
+    for (const daemonId of this.daemons.keys()) {
+      const status = await this.status(daemonId).catch(() => null);
+      if (status === null || status.databases.length < this.options.databases.length) return false;
+      if (status.peers.length < this.daemons.size) return false;
+      if (status.databases.some(({ owner }) => owner === null)) return false;
+    }
+    for (const database of this.options.databases)
+      if ((await this.findPrimary(database)) === null) return false;
+    return true;
+  }
+
+  #host(zoneIndex: number, number: number): string {
+    return `127.${this.options.networkId}.${zoneIndex}.${number}`;
+  }
+
+  #layOut(): void {
+    const { zones, databases, daemonsPerZone, membersPerDatabase } = this.options;
+    const used = new Map<number, number>();
+    const place = (id: string, zoneIndex: number): RigProcess => {
+      const number = (used.get(zoneIndex) ?? 0) + 1;
+      used.set(zoneIndex, number);
+      const host = this.#host(zoneIndex * 2, number);
+      const publicHost = this.options.usesProxies ? this.#host(zoneIndex * 2 + 1, number) : host;
+      return { id, zone: zones[zoneIndex] ?? '', host, publicHost };
+    };
+    databases.forEach((database, databaseIndex) => {
+      for (let i = 0; i < membersPerDatabase; i += 1) {
+        const id = `${database}-${i + 1}`;
+        this.members.set(id, place(id, (databaseIndex + i) % zones.length));
+      }
+    });
+    zones.forEach((zone, zoneIndex) => {
+      for (let i = 0; i < daemonsPerZone; i += 1) {
+        const id = `${zone}-d${i + 1}`;
+        this.daemons.set(id, place(id, zoneIndex));
+      }
+    });
+    for (const { host, zone } of [...this.members.values(), ...this.daemons.values()])
+      this.proxy.registerSource(host, zone);
+  }
+
+  async #startPlatform(): Promise<void> {
+    const host = this.#host(0, PLATFORM_HOST);
+    this.#machines = [
+      ...[...this.daemons.values()].map((daemon) => this.#machine(daemon, 'daemon', PEER_PORT)),
+      ...[...this.members.values()].map((member) => this.#machine(member, 'member', MEMBER_PORT)),
+    ];
+    const lag = [
+      '--lag-ms',
+      String(this.options.machineListLagMs),
+      '--machines',
+      JSON.stringify(this.#machines),
+    ];
+    this.#spawnStandin('store', ['store', '--host', host, '--port', String(STORE_PORT)]);
+    this.#spawnStandin('machines', ['machines', '--host', host, '--port', String(MACHINES_PORT), ...lag]);
+    await this.#forward('platform', this.#host(1, PLATFORM_HOST), host, [STORE_PORT, MACHINES_PORT]);
+    await this.#waitReady(['store', 'machines']);
+  }
+
+  #machine({ id, zone, publicHost }: RigProcess, kind: Machine['kind'], port: number): Machine {
+    return { id, kind, zone, host: publicHost, port, state: 'live' };
+  }
+
+  async #startMembers(): Promise<void> {
+    for (const database of this.options.databases) {
+      const group = [...this.members.values()].filter(({ id }) => id.startsWith(`${database}-`));
+      for (const [rank, member] of group.entries()) {
+        await this.#forward(member.zone, member.publicHost, member.host, [MEMBER_PORT, GROUP_PORT]);
+        const options = JSON.stringify(this.#memberOptions(database, group, member, rank));
+        this.#spawnStandin(member.id, ['member', '--options', options]);
+      }
+    }
+    await this.#waitReady([...this.members.keys()]);
+  }
+
+  #memberOptions(
+    database: string,
+    group: readonly RigProcess[],
+    member: RigProcess,
+    rank: number,
+  ): MemberServerOptions {
+    const peers = group.filter(({ id }) => id !== member.id);
+    return {
+      ...MEMBER_DEFAULTS,
+      ...this.options.member,
+      memberId: member.id,
+      zone: member.zone,
+      database,
+      connectionLimit: this.options.connectionLimit,
+      slots: this.options.slots,
+      listenHost: member.host,
+      listenPort: MEMBER_PORT,
+      groupPort: GROUP_PORT,
+      peers: peers.map(({ id, publicHost }) => ({ memberId: id, host: publicHost, port: GROUP_PORT })),
+      electionRank: rank,
+      initialPrimary: rank === 0,
+    };
+  }
+
+  async #startDaemons(): Promise<void> {
+    for (const daemon of this.daemons.values()) {
+      await this.#forward(daemon.zone, daemon.publicHost, daemon.host, [PEER_PORT]);
+      writeFileSync(join(this.#directory, `${daemon.id}.yaml`), toYaml(this.#daemonSettings(daemon)));
+      this.startDaemon(daemon.id);
+    }
+  }
+
+  #daemonSettings(daemon: RigProcess): Readonly<Record<string, unknown>> {
+    const platformHost = this.#host(this.options.usesProxies ? 1 : 0, PLATFORM_HOST);
+    return {
+      daemon: { id: daemon.id, zone: daemon.zone },
+      listen: {
+        client: { host: daemon.host, port: CLIENT_PORT },
+        peer: { host: daemon.host, port: PEER_PORT },
+        http: { host: daemon.host, port: HTTP_PORT },
+      },
+      advertise: { peer: { host: daemon.publicHost, port: PEER_PORT } },
+      outboundAddress: daemon.host,
+      store: { url: `http://${platformHost}:${STORE_PORT}` },
+      machineList: { url: `http://${platformHost}:${MACHINES_PORT}`, intervalMs: 300 },
+      timing: this.options.timing,
+      limits: this.options.limits,
+    };
+  }
+
+  #databases(): DatabaseConfiguration[] {
+    const { connectionLimit, slots } = this.options;
+    return this.options.databases.map((name) => ({
+      name,
+      connectionLimit,
+      slots,
+      members: [...this.members.values()]
+        .filter(({ id }) => id.startsWith(`${name}-`))
+        .map(({ id, zone, publicHost }) => ({ id, zone, host: publicHost, port: MEMBER_PORT })),
+    }));
+  }
+
+  async #forward(
+    zone: string,
+    listenHost: string,
+    targetHost: string,
+    ports: readonly number[],
+  ): Promise<void> {
+    if (!this.options.usesProxies) return;
+    for (const port of ports) await this.proxy.forward({ zone, listenHost, port, targetHost });
+  }
+
+  #spawnStandin(id: string, args: readonly string[]): void {
+    this.children.set(id, new Child(id, 'standin', args));
+  }
+
+  async #waitReady(ids: readonly string[]): Promise<void> {
+    await waitUntil(`stand-ins ${ids.join(', ')}`, () =>
+      ids.every((id) => this.child(id).output.includes('ready')),
+    );
+  }
+
+  async #publishMachines(): Promise<void> {
+    const http = {
+      baseUrl: `http://${this.#host(0, PLATFORM_HOST)}:${MACHINES_PORT}`,
+      localAddress: null,
+      timeoutMs: 2000,
+    };
+    await requestJson(http, 'POST', '/standin/machines', this.#machines);
+  }
+
+  #daemon(daemonId: string): RigProcess {
+    const daemon = this.daemons.get(daemonId);
+    if (daemon === undefined) throw new Error(`no daemon ${daemonId}`);
+    return daemon;
+  }
+}
