--- /dev/null
+++ b/bench/load/random.ts
@@ -0,0 +1,8 @@
+/**
+ * Seeded random numbers for loads.
+ *
+ * @packageDocumentation
+ */
+export { uniformInt } from 'pure-rand/distribution/uniformInt';
+export { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+export type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
