A retried request is not 'not run' because its last attempt was not

Cause: the checker found once-only writes answered not_run that were in a log: an attempt was lost, the request was sent again, and then the deadline passed before the second attempt; the refusal spoke of the second only. Ruled out: the once-only key itself (one log entry per key), a late cancel. Change: after a lost attempt the sink turns not_run into may_have_run, in the engine and in the router. Conclusion: verdicts are about the request, not the attempt.

--- a/src/engine/database-engine.ts
+++ b/src/engine/database-engine.ts
@@ -18,6 +18,7 @@
 import { RequestError, SqlState, type SqlStateCode } from '../verdict/verdict.js';
 import { judgeLoss, type LossJudgement, type LostRequest } from '../verdict/judge-loss.js';
 import { discardSessionState, runAttempt, type AttemptOutcome } from './attempt.js';
+import { doubtfulSink } from './doubtful-sink.js';
 import { DUPLICATE_KEY_SQL_STATE } from './once-keys.js';
 import type { AnswerSink, StatementRequest } from './statement-request.js';
 import { Stream, type PinnedConnection } from './stream.js';
@@ -43,7 +44,7 @@
   readonly request: StatementRequest;
   readonly decision: PolicyDecision;
   readonly deadlineMs: number;
-  readonly sink: AnswerSink;
+  sink: AnswerSink;
   readonly excludedMemberIds: Set<string>;
   attempts: number;
 }
@@ -533,6 +534,7 @@
     const isOver = stream.abort.signal.aborted || this.#isStopped;
     if (judgement.kind === 'mayRetry' && !isOver && this.#retryBudget.tryRetry()) {
       this.options.metrics.retries.inc({ database: this.database });
+      execution.sink = doubtfulSink(execution.sink);
       if (memberId !== undefined && request.kind === 'read') execution.excludedMemberIds.add(memberId);
       return 'again';
     }
--- a/src/entry/request-router.ts
+++ b/src/entry/request-router.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { doubtfulSink } from '../engine/doubtful-sink.js';
 import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
 import type { Logger } from '../observability/logger.js';
 import type { PolicyDecision } from '../policy/policy.js';
@@ -40,7 +41,7 @@
 interface Routing {
   readonly request: StatementRequest;
   readonly binding: StreamBinding;
-  readonly sink: AnswerSink;
+  sink: AnswerSink;
   readonly isInTransaction: boolean;
   readonly decision: PolicyDecision;
   readonly deadlineMs: number;
@@ -170,7 +171,10 @@
       },
       'the daemon that ran the request was lost',
     );
-    if (judgement.kind === 'mayRetry' && this.#retryBudget.tryRetry()) return 'mayRetry';
+    if (judgement.kind === 'mayRetry' && this.#retryBudget.tryRetry()) {
+      routing.sink = doubtfulSink(sink);
+      return 'mayRetry';
+    }
     const report = judgement.kind === 'report' ? judgement.report : judgement.otherwise;
     sink.fail(report.error, report.status);
     return 'settled';
