Daemons on two sides of a healed cut find each other again at once

Ruled out: the machine list (it contacts only daemons that are not known), the load's own time-outs. Change: each gossip round tells one daemon that is believed dead so; it refutes with a higher sequence. Conclusion: a full exchange with the dead would do too, but costs all records; one record is enough.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -115,6 +115,7 @@
   #round(): void {
     const { table, links } = this.options;
     for (const record of table.expire(performance.now())) this.options.onDead(record);
+    this.#probeOneDead();
     const target = this.#nextTarget();
     if (target === null) return;
     const pingId = this.#nextPingId++;
@@ -123,6 +124,17 @@
     setTimeout(() => this.#checkDirect(pingId, target), this.options.probeTimeoutMs).unref();
   }
 
+  /**
+   * Tells one daemon that is believed dead so, lest a healed cut leave two sides that never speak again: a
+   * daemon that hears of its own death refutes it.
+   */
+  #probeOneDead(): void {
+    const { table, links, random } = this.options;
+    const dead = table.all.filter(({ state }) => state === 'dead');
+    const record = dead[Math.floor(random() * dead.length)];
+    if (record !== undefined) links.to(record).tell({ kind: 'ping', pingId: 0, news: [record] });
+  }
+
   /** Each daemon is probed once before any is probed again. */
   #nextTarget(): PeerRecord | null {
     const { table, random } = this.options;
