An owner that cannot reach the primary leaves the database to another daemon

Cause: with 3 s between two zones the owner held the locks of a majority without the primary, so its lease held and every write waited for a primary that only others could see. Ruled out: electing for the primary's zone only (a primary may move at any time; ownership would follow it). Change: 2.5 s without a primary in reach end the lease; the daemon then stays away for 5 s on average. Conclusion: holding a majority is needed for a lease, reaching the primary is needed to be of use.

--- a/src/daemon/controller-options.ts
+++ b/src/daemon/controller-options.ts
@@ -77,6 +77,7 @@
     log,
     acquireTimeoutMs: timing.acquireTimeoutMs,
     rankDelayMs: timing.rankDelayMs,
+    yieldAfterMs: timing.yieldAfterMs,
     random,
   };
 }
--- a/src/ownership/database-controller.ts
+++ b/src/ownership/database-controller.ts
@@ -29,11 +29,15 @@
   readonly acquireTimeoutMs: number;
   /** Time that each place in the ranking waits for the places before it. */
   readonly rankDelayMs: number;
+  /** Time without a primary in reach after which an owner leaves the database to another daemon. */
+  readonly yieldAfterMs: number;
   readonly random: () => number;
 }
 
 /** Candidates beyond this place do not try. */
 const MAX_CANDIDATE_RANK = 3;
+/** An owner that gave up for want of a primary stays away this many times as long as it waited. */
+const YIELD_PAUSE_FACTOR = 2;
 const CHECK_INTERVAL_MS = 50;
 const LOCK_POLL_MS = 10;
 
@@ -44,6 +48,7 @@
   #isStopped = false;
   #unownedSinceMs: number | null = null;
   #notBeforeMs = 0;
+  #primarySeenMs = 0;
 
   constructor(
     private readonly options: DatabaseControllerOptions,
@@ -87,9 +92,21 @@
   }
 
   #checkLease(): void {
-    if (this.#monitor?.isLeaseHeld() === true) return;
-    this.#release('lease_lost');
-    this.#postpone();
+    if (this.#monitor?.isLeaseHeld() !== true) {
+      this.#release('lease_lost');
+      this.#postpone(this.options.rankDelayMs);
+      return;
+    }
+    if (this.#primarySeenMs + this.options.yieldAfterMs > this.#lookForPrimary()) return;
+    this.#release('primary_unreachable');
+    this.#postpone(this.options.yieldAfterMs * YIELD_PAUSE_FACTOR);
+  }
+
+  /** Notes when a primary that can be used was last seen; returns the time now. */
+  #lookForPrimary(): number {
+    const nowMs = performance.now();
+    if (this.#monitor?.describe().primary?.isLocked === true) this.#primarySeenMs = nowMs;
+    return nowMs;
   }
 
   #shouldAcquire(nowMs: number): boolean {
@@ -115,12 +132,13 @@
     }
     if (floor === null || this.#isStopped) {
       this.#release('not_acquired');
-      this.#postpone();
+      this.#postpone(this.options.rankDelayMs);
       return;
     }
     const engine = new DatabaseEngine(this.options.database.name, { ...this.options.engine, monitor });
     engine.positions.raiseFloor(floor);
     this.#engine = engine;
+    this.#primarySeenMs = performance.now();
     this.#unownedSinceMs = null;
     this.options.log.info(
       { database: this.options.database.name, floorTerm: floor.term, floorIndex: floor.index },
@@ -129,7 +147,7 @@
     this.ports.ownershipChanged(true);
   }
 
-  #release(reason: 'stopped' | 'lease_lost' | 'not_acquired'): void {
+  #release(reason: 'stopped' | 'lease_lost' | 'primary_unreachable' | 'not_acquired'): void {
     const wasOwner = this.#engine !== null;
     this.#engine?.stop();
     this.#engine = null;
@@ -140,8 +158,8 @@
     this.ports.ownershipChanged(false);
   }
 
-  #postpone(): void {
-    const { rankDelayMs, random } = this.options;
-    this.#notBeforeMs = performance.now() + rankDelayMs * (0.5 + random());
+  /** Leaves the database to other daemons for a while. */
+  #postpone(durationMs: number): void {
+    this.#notBeforeMs = performance.now() + durationMs * (0.5 + this.options.random());
   }
 }
