A resumed daemon does not run requests that waited in its sockets

Cause: a session saw version 7 after version 16 was acknowledged: its write of 7 waited in a paused daemon's socket, the client gave up and wrote on elsewhere, and on resuming the daemon ran the old write. Ruled out: a stale replica (the row itself had gone back, 10 reads of it), the floor of the new owner. Change: a gap of 1 s between ticks counts as a pause; what is read within 250 ms after it is refused, not run. Conclusion: age counts from the client's sending, which a pause hides; refusing is the only safe answer.

--- a/src/entry/client-connection.ts
+++ b/src/entry/client-connection.ts
@@ -31,6 +31,8 @@
   readonly maxRequestBytes: number;
   /** Most bytes of answers that wait for a client that does not read. */
   readonly maxUnreadBytes: number;
+  /** True while what is read may have waited for a pause of the whole process. */
+  readonly mayReadBeOld: () => boolean;
   readonly onClosed: () => void;
 }
 
@@ -96,6 +98,10 @@
   }
 
   #receive(chunk: Buffer): void {
+    if (this.options.mayReadBeOld()) {
+      this.#refuseOldRequest();
+      return;
+    }
     try {
       for (const frame of this.#splitter.push(chunk)) this.#accept(frame);
     } catch (error) {
@@ -122,6 +128,14 @@
     this.#batchBytes = 0;
   }
 
+  /** The client may have given the request up long ago; an open transaction is rolled back. */
+  #refuseOldRequest(): void {
+    const message = 'the daemon was paused and cannot tell how old the request is';
+    const fatal = new RequestError(SqlState.adminShutdown, 'not_run', message, 0);
+    this.socket.end(errorResponseFor(fatal, 'FATAL'));
+    this.#handleClosed();
+  }
+
   #abandon(error: unknown): void {
     const isKnown = error instanceof FrameError || error instanceof TooManyStatementsError;
     const message = isKnown ? error.message || 'too many prepared statements' : 'malformed message';
--- a/src/entry/client-server.ts
+++ b/src/entry/client-server.ts
@@ -22,6 +22,7 @@
   SSL_REQUEST_CODE,
 } from '../wire/message-types.js';
 import { ClientConnection } from './client-connection.js';
+import { PauseDetector } from './pause-detector.js';
 import type { RequestRouter } from './request-router.js';
 
 /** Settings of the server. */
@@ -44,6 +45,9 @@
   readonly connection: ClientConnection;
 }
 
+const PAUSE_THRESHOLD_MS = 1000;
+const PAUSE_WINDOW_MS = 250;
+const PAUSE_TICK_MS = 100;
 const MAX_STARTUP_BYTES = 10_000;
 const RETRY_AFTER_UNAVAILABLE_MS = 1000;
 const RETRY_AFTER_LIMIT_MS = 5000;
@@ -53,6 +57,11 @@
   readonly #server: Server;
   readonly #connections = new Set<ClientConnection>();
   readonly #cancelTargets = new Map<number, CancelTarget>();
+  readonly #pauses = new PauseDetector(
+    { thresholdMs: PAUSE_THRESHOLD_MS, windowMs: PAUSE_WINDOW_MS },
+    performance.now(),
+  );
+  #pauseTimer: NodeJS.Timeout | null = null;
   #nextProcessId = 1;
   #isClosing = false;
 
@@ -67,6 +76,8 @@
 
   /** Starts to listen. */
   listen(host: string, port: number): Promise<void> {
+    this.#pauseTimer = setInterval(() => this.#pauses.tick(performance.now()), PAUSE_TICK_MS);
+    this.#pauseTimer.unref();
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
       this.#server.listen(port, host, () => resolve());
@@ -176,6 +187,7 @@
       router,
       maxRequestBytes,
       maxUnreadBytes,
+      mayReadBeOld: () => this.#pauses.tick(performance.now()),
       onClosed: () => {
         this.#connections.delete(connection);
         this.#cancelTargets.delete(processId);
