--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,18 +1,27 @@
 import tseslint from 'typescript-eslint';
 import tsdoc from 'eslint-plugin-tsdoc';
 
-export default tseslint.config({ ignores: ['dist/**', 'node_modules/**'] }, ...tseslint.configs.recommended, {
-  files: ['**/*.ts'],
-  plugins: { tsdoc },
-  languageOptions: { parserOptions: { projectService: true } },
-  rules: {
-    'tsdoc/syntax': 'error',
-    '@typescript-eslint/no-floating-promises': [
-      'error',
-      {
-        allowForKnownSafeCalls: [{ from: 'package', name: ['test', 'describe', 'it'], package: 'node:test' }],
-      },
-    ],
-    '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
+export default tseslint.config(
+  { ignores: ['dist/**', 'dist-mutated/**', 'node_modules/**'] },
+  ...tseslint.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    plugins: { tsdoc },
+    languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      'tsdoc/syntax': 'error',
+      '@typescript-eslint/no-floating-promises': [
+        'error',
+        {
+          allowForKnownSafeCalls: [
+            { from: 'package', name: ['test', 'describe', 'it'], package: 'node:test' },
+          ],
+        },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+    },
   },
-});
+);
--- a/src/configuration/startup-gate.ts
+++ b/src/configuration/startup-gate.ts
@@ -1,9 +1,10 @@
 /**
  * Decides when a daemon that has just started may put a configuration in force. Pure.
  *
- * The store's answer is enough. Without it, a majority of the other daemons on the machine list must have
- * answered: an accepted configuration is known to a majority of the daemons, so at least one of any majority
- * has it. A lone stale peer is never enough; until then the daemon serves nothing.
+ * A majority of the daemons on the machine list is enough: an accepted configuration is known to a majority
+ * within seconds, so one of any majority has it. The store's answer is enough too, but since it may come from an
+ * old snapshot, the other daemons are given a moment to know better. A lone stale peer is never enough; until
+ * then the daemon serves nothing.
  *
  * @packageDocumentation
  */
@@ -16,6 +17,15 @@
   #newest: Configuration | null = null;
   #storeAnswered = false;
 
+  /**
+   * @param startedAtMs - monotonic time of the start, in milliseconds
+   * @param peerGraceMs - time given to the other daemons before the store alone is trusted, in milliseconds
+   */
+  constructor(
+    private readonly startedAtMs: number,
+    private readonly peerGraceMs: number,
+  ) {}
+
   /** Records that the store answered, with what it holds. */
   recordStore(configuration: Configuration | null): void {
     this.#storeAnswered = true;
@@ -33,9 +43,10 @@
    *
    * @param daemonCount - daemons on the machine list, this one included
    */
-  decide(daemonCount: number): Configuration | null {
-    const isTrusted = this.#storeAnswered || this.#answered.size >= majorityOf(daemonCount);
-    return isTrusted ? this.#newest : null;
+  decide(daemonCount: number, nowMs: number): Configuration | null {
+    const hasMajority = this.#answered.size >= majorityOf(daemonCount);
+    const hasGivenGrace = nowMs - this.startedAtMs >= this.peerGraceMs;
+    return hasMajority || (this.#storeAnswered && hasGivenGrace) ? this.#newest : null;
   }
 
   #keepNewest(configuration: Configuration | null): void {
--- a/src/daemon/configuration-service.ts
+++ b/src/daemon/configuration-service.ts
@@ -25,6 +25,8 @@
   adopted(configuration: Configuration): void;
 }
 
+/** Time given to other daemons before the store's answer alone is trusted, in milliseconds. */
+const PEER_GRACE_MS = 1000;
 const STARTUP_RETRY_MS = 250;
 const WATCH_BACKOFF = { initialDelayMs: 200, maxDelayMs: 5000 };
 const WATCHER_CHECK_MS = 1000;
@@ -32,7 +34,7 @@
 /** Configuration of one daemon. */
 export class ConfigurationService {
   readonly #holder = new ConfigurationHolder();
-  readonly #gate = new StartupGate();
+  readonly #gate = new StartupGate(performance.now(), PEER_GRACE_MS);
   readonly #abort = new AbortController();
   #isStarted = false;
 
@@ -86,7 +88,7 @@
   }
 
   #tryStart(source: string): void {
-    const configuration = this.#gate.decide(this.ports.daemonCount());
+    const configuration = this.#gate.decide(this.ports.daemonCount(), performance.now());
     if (configuration === null || this.#isStarted) return;
     this.#isStarted = true;
     this.#offer(configuration, source);
--- a/standin/member/database.ts
+++ b/standin/member/database.ts
@@ -38,8 +38,8 @@
   highestConnections: number;
   refusedConnections: number;
   openedConnections: number;
+  /** Statements of callers; what daemons ask for themselves does not count. */
   statements: number;
-  statementsWhileLeaving: number;
 }
 
 /** Shared state of one member. */
@@ -51,7 +51,6 @@
     refusedConnections: 0,
     openedConnections: 0,
     statements: 0,
-    statementsWhileLeaving: 0,
   };
   leavingSinceMs: number | null = null;
   #busySlots = 0;
--- a/standin/member/session.ts
+++ b/standin/member/session.ts
@@ -199,10 +199,9 @@
   }
 
   async #run(statement: ParsedStatement, values: readonly SqlValue[]): Promise<StatementResult> {
-    this.database.counters.statements += 1;
     if (statement.kind === 'DiscardStmt') this.#prepared.clear();
-    if (this.database.leavingSinceMs !== null) this.database.counters.statementsWhileLeaving += 1;
     if (isControlStatement(statement)) return this.#executor.execute(statement, values);
+    this.database.counters.statements += 1;
     return this.database.withSlot(async () => {
       if (this.database.settings.serviceTimeMs > 0) await delay(this.database.settings.serviceTimeMs);
       return this.#executor.execute(statement, values);
--- a/standin/rig/deployment.ts
+++ b/standin/rig/deployment.ts
@@ -219,11 +219,9 @@
     await requestJson(http, 'POST', '/standin/faults', faults);
   }
 
-  /** Marks a machine as leaving on the machine list. */
-  async markLeaving(id: string): Promise<void> {
-    this.#machines = this.#machines.map((machine) =>
-      machine.id === id ? { ...machine, state: 'leaving' } : machine,
-    );
+  /** Changes a machine's state on the machine list. */
+  async setMachineState(id: string, state: Machine['state']): Promise<void> {
+    this.#machines = this.#machines.map((machine) => (machine.id === id ? { ...machine, state } : machine));
     await this.#publishMachines();
   }
 
@@ -233,6 +231,15 @@
     this.children.set(daemonId, new Child(daemonId, 'sorrelladder', ['serve', '--settings', path]));
   }
 
+  /** Starts a daemon that was ended and waits until it serves. */
+  async restartDaemon(daemonId: string): Promise<void> {
+    this.startDaemon(daemonId);
+    await waitUntil(`${daemonId} to serve`, async () => {
+      const status = await this.status(daemonId).catch(() => null);
+      return (status?.configurationVersion ?? 0) > 0 && (status?.peers.length ?? 0) > 1;
+    });
+  }
+
   /** Ends all processes. */
   async stop(): Promise<void> {
     await Promise.all([...this.children.values()].map((child) => child.kill()));
--- /dev/null
+++ b/test/mutation/mutations.ts
@@ -0,0 +1,123 @@
+/**
+ * The mechanisms taken out one by one: each proof must fail without the mechanism that it is about.
+ *
+ * @packageDocumentation
+ */
+
+/** One mechanism taken out of the built program. */
+export interface Mutation {
+  readonly property: string;
+  /** File of the build, from its root. */
+  readonly file: string;
+  /** Text to replace; it must be there. */
+  readonly search: string;
+  readonly replacement: string;
+  /** Test file and the pattern of the test names that must fail. */
+  readonly testFile: string;
+  readonly testName: string;
+}
+
+const FAULTS = 'test/integration/faults-under-load.test.js';
+const ISOLATION = 'test/integration/isolation.test.js';
+const LEAVING = 'test/integration/leaving.test.js';
+const CONFIGURATION = 'test/integration/configuration.test.js';
+
+/** All mutations. */
+export const MUTATIONS: readonly Mutation[] = [
+  {
+    property: 'read your writes: session positions',
+    file: 'src/session/session-positions.js',
+    search: 'return laterPosition(this.#floor, this.#positions.get(session) ?? ZERO_POSITION);',
+    replacement: 'return ZERO_POSITION;',
+    testFile: FAULTS,
+    testName: 'replicas behind',
+  },
+  {
+    property: 'read your writes: floor of a new owner',
+    file: 'src/ownership/database-controller.js',
+    search: 'engine.positions.raiseFloor(floor);',
+    replacement: '',
+    testFile: FAULTS,
+    testName: 'the owner of the database is killed',
+  },
+  {
+    property: 'no acknowledgement from a replaced primary: evidence',
+    file: 'src/group/commit-evidence.js',
+    search: 'const majority = majorityOf(this.memberCount);',
+    replacement: "return 'confirmed';",
+    testFile: FAULTS,
+    testName: 'the zone of the primary is cut off|the primary hears nothing',
+  },
+  {
+    property: 'transactions stay together: pinning',
+    file: 'src/engine/database-engine.js',
+    search: "if (outcome.status === 'I')\n            this.#unpin(stream, 'release');",
+    replacement: "if (true)\n            this.#unpin(stream, 'release');",
+    testFile: FAULTS,
+    testName: 'replicas behind',
+  },
+  {
+    property: 'whole answer to its own request: connections of overdue requests are ended',
+    file: 'src/engine/database-engine.js',
+    search: "const { stream, sink } = execution;\n        this.#unpin(stream, 'destroy');",
+    replacement: "const { stream, sink } = execution;\n        this.#unpin(stream, 'release');",
+    testFile: ISOLATION,
+    testName: 'late answer',
+  },
+  {
+    property: 'not run is true: doubt after a lost attempt',
+    file: 'src/engine/doubtful-sink.js',
+    search: "error.verdict === 'not_run' ? doubt(error) : error",
+    replacement: 'error',
+    testFile: FAULTS,
+    testName: 'paused until another|zone of the primary is cut off',
+  },
+  {
+    property: 'once only: the key in the transaction of the write',
+    file: 'src/engine/once-keys.js',
+    search: 'return `INSERT INTO',
+    replacement: "return 'SELECT 1'; `INSERT INTO",
+    testFile: ISOLATION,
+    testName: 'one once-only key',
+  },
+  {
+    property: 'a leaving member gets no new work',
+    file: 'src/group/group-monitor.js',
+    search: 'isLeaving: (status?.leaving ?? false) || this.options.isListedAsLeaving(address.memberId),',
+    replacement: 'isLeaving: false,',
+    testFile: LEAVING,
+    testName: 'machine list says',
+  },
+  {
+    property: 'a planned stop cuts nothing: drain',
+    file: 'src/daemon/daemon.js',
+    search: 'const { drainTimeoutMs } = this.settings.timing;',
+    replacement: 'const drainTimeoutMs = 1;',
+    testFile: LEAVING,
+    testName: 'a stop of the owner',
+  },
+  {
+    property: 'configuration never reverts: start-up gate',
+    file: 'src/configuration/startup-gate.js',
+    search: 'return hasMajority ||',
+    replacement: 'return true ||',
+    testFile: CONFIGURATION,
+    testName: 'serves nothing',
+  },
+  {
+    property: 'connection limit: fencing of the earlier owner',
+    file: 'src/member/member-monitor.js',
+    search: 'await this.#ask(connection, FENCE_STATEMENT);',
+    replacement: '',
+    testFile: FAULTS,
+    testName: 'paused until another',
+  },
+  {
+    property: 'a resumed daemon runs no old requests',
+    file: 'src/entry/client-connection.js',
+    search: 'if (this.options.mayReadBeOld()) {',
+    replacement: 'if (false) {',
+    testFile: FAULTS,
+    testName: 'paused until another',
+  },
+];
--- /dev/null
+++ b/test/mutation/run-mutations.ts
@@ -0,0 +1,36 @@
+/**
+ * Runs each proof against a build without the mechanism that it is about, and expects it to fail.
+ *
+ * `node dist/test/mutation/run-mutations.js [part of a property's name]`; not part of the tests, since a proof
+ * that fails takes long.
+ *
+ * @packageDocumentation
+ */
+import { spawnSync } from 'node:child_process';
+import { cpSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { MUTATIONS, type Mutation } from './mutations.js';
+
+const MUTATED_BUILD = 'dist-mutated';
+const TIMEOUT_MS = 240_000;
+
+/** True when the proof failed, as it must. */
+function runMutation(mutation: Mutation): boolean {
+  rmSync(MUTATED_BUILD, { recursive: true, force: true });
+  cpSync('dist', MUTATED_BUILD, { recursive: true });
+  const path = join(MUTATED_BUILD, mutation.file);
+  const source = readFileSync(path, 'utf8');
+  if (!source.includes(mutation.search)) throw new Error(`${mutation.file} has no "${mutation.search}"`);
+  writeFileSync(path, source.replace(mutation.search, mutation.replacement));
+  const args = ['--test', `--test-name-pattern=${mutation.testName}`, join(MUTATED_BUILD, mutation.testFile)];
+  const result = spawnSync(process.execPath, args, { encoding: 'utf8', timeout: TIMEOUT_MS });
+  const violations = /(\d+ violations in \d+ operations)/.exec(result.stdout)?.[1];
+  const hasFailed = result.status !== 0;
+  process.stdout.write(`${hasFailed ? 'red' : 'GREEN'}\t${mutation.property}\t${violations ?? ''}\n`);
+  return hasFailed;
+}
+
+const filter = process.argv[2] ?? '';
+const outcomes = MUTATIONS.filter(({ property }) => property.includes(filter)).map(runMutation);
+rmSync(MUTATED_BUILD, { recursive: true, force: true });
+process.exitCode = outcomes.every(Boolean) ? 0 : 1;
