A lost transaction is never continued outside a transaction; light start-up; bounded waits

Cause: read as a reviewer, the owner ran a statement whose transaction it no longer knew (lease lost and taken again while the client idled) on a connection of its own, outside any transaction. Measured beside it: 40 daemons sent one another 10 MB of configurations at the start (every daemon asked all others for the document four times a second), and whole tables learnt at first contact were passed on record by record, 5.3 kB/s for each daemon over 15 s. Ruled out: the router's binding (it was right: the link had never ended). Change: a request says whether it continues a transaction or a batch, and is refused where that is gone; versions are asked for first and one document fetched; bulk records are not news; requests that wait for a member are bounded and woken only by changes of the primary.

--- a/src/configuration/startup-gate.ts
+++ b/src/configuration/startup-gate.ts
@@ -11,9 +11,16 @@
 import { majorityOf } from '../group/group-description.js';
 import type { Configuration } from './configuration.js';
 
+/** What to do next. */
+export type GateDecision =
+  | { readonly kind: 'wait' }
+  /** A daemon has a newer configuration than any at hand: ask it for the document. */
+  | { readonly kind: 'fetch'; readonly daemonId: string }
+  | { readonly kind: 'adopt'; readonly configuration: Configuration };
+
 /** Collects answers until one may be trusted. */
 export class StartupGate {
-  readonly #answered = new Set<string>();
+  readonly #versions = new Map<string, number>();
   #newest: Configuration | null = null;
   #storeAnswered = false;
 
@@ -26,27 +33,46 @@
     private readonly peerGraceMs: number,
   ) {}
 
+  /** True once the store has answered, so that a few other daemons are enough to ask. */
+  get hasStoreAnswered(): boolean {
+    return this.#storeAnswered;
+  }
+
+  /** Version of the newest document at hand; 0 for none. */
+  get newestVersion(): number {
+    return this.#newest?.version ?? 0;
+  }
+
   /** Records that the store answered, with what it holds. */
   recordStore(configuration: Configuration | null): void {
     this.#storeAnswered = true;
     this.#keepNewest(configuration);
   }
 
-  /** Records a peer's answer. */
-  recordPeer(daemonId: string, configuration: Configuration | null): void {
-    this.#answered.add(daemonId);
+  /** Records a peer's answer: the version it has in force, and the document if it was asked for. */
+  recordPeer(daemonId: string, version: number, configuration: Configuration | null): void {
+    this.#versions.set(daemonId, version);
     this.#keepNewest(configuration);
   }
 
+  /** True when a daemon has not answered yet. */
+  isMissing(daemonId: string): boolean {
+    return !this.#versions.has(daemonId);
+  }
+
   /**
-   * The configuration to put in force, or `null` while nothing may be trusted.
+   * What to do next.
    *
    * @param daemonCount - daemons on the machine list, this one included
    */
-  decide(daemonCount: number, nowMs: number): Configuration | null {
-    const hasMajority = this.#answered.size >= majorityOf(daemonCount);
+  decide(daemonCount: number, nowMs: number): GateDecision {
+    const hasMajority = this.#versions.size >= majorityOf(daemonCount);
     const hasGivenGrace = nowMs - this.startedAtMs >= this.peerGraceMs;
-    return hasMajority || (this.#storeAnswered && hasGivenGrace) ? this.#newest : null;
+    if (!hasMajority && !(this.#storeAnswered && hasGivenGrace)) return { kind: 'wait' };
+    for (const [daemonId, version] of this.#versions) {
+      if (version > this.newestVersion) return { kind: 'fetch', daemonId };
+    }
+    return this.#newest === null ? { kind: 'wait' } : { kind: 'adopt', configuration: this.#newest };
   }
 
   #keepNewest(configuration: Configuration | null): void {
--- a/src/daemon/configuration-service.ts
+++ b/src/daemon/configuration-service.ts
@@ -15,10 +15,13 @@
 export interface ConfigurationServicePorts {
   /** Number of daemons on the machine list, this one included. */
   daemonCount(): number;
-  /** Asks the other daemons for their configurations; answers come to {@link ConfigurationService.receiveFromPeer}. */
-  askPeers(): void;
-  /** Asks one daemon for its configuration. */
-  askPeer(daemonId: string): void;
+  /** Ids of the other daemons that are believed alive, in random order. */
+  peerIds(): readonly string[];
+  /**
+   * Asks one daemon for its version, and for the document if that is newer than the given one; the answer comes to
+   * {@link ConfigurationService.receiveFromPeer}.
+   */
+  askPeer(daemonId: string, documentIfNewerThan: number | null): void;
   /** True when this daemon is one of those that watch the store for the others of its zone. */
   isWatcher(): boolean;
   /** A newer configuration is in force. */
@@ -27,6 +30,10 @@
 
 /** Time given to other daemons before the store's answer alone is trusted, in milliseconds. */
 const PEER_GRACE_MS = 1000;
+/** Daemons asked whether they know better than the store. */
+const PEERS_BESIDE_STORE = 8;
+/** Time given to a daemon to send its configuration before another is asked, in milliseconds. */
+const ASK_AGAIN_MS = 500;
 const STARTUP_RETRY_MS = 250;
 const WATCH_BACKOFF = { initialDelayMs: 200, maxDelayMs: 5000 };
 const WATCHER_CHECK_MS = 1000;
@@ -37,6 +44,7 @@
   readonly #gate = new StartupGate(performance.now(), PEER_GRACE_MS);
   readonly #abort = new AbortController();
   #isStarted = false;
+  #askAgainAtMs = 0;
 
   constructor(
     private readonly store: ConfigurationStore,
@@ -60,23 +68,26 @@
   }
 
   /** Takes another daemon's answer. */
-  receiveFromPeer(daemonId: string, configuration: Configuration | null): void {
+  receiveFromPeer(daemonId: string, version: number, configuration: Configuration | null): void {
     if (this.#isStarted) {
       if (configuration !== null) this.#offer(configuration, `peer ${daemonId}`);
       return;
     }
-    this.#gate.recordPeer(daemonId, configuration);
+    this.#gate.recordPeer(daemonId, version, configuration);
     this.#tryStart('peers');
   }
 
   /** Hears which version another daemon has in force. */
   hearVersion(daemonId: string, version: number): void {
-    if (this.#isStarted && version > this.#holder.version) this.ports.askPeer(daemonId);
+    const nowMs = performance.now();
+    if (!this.#isStarted || version <= this.#holder.version || nowMs < this.#askAgainAtMs) return;
+    this.#askAgainAtMs = nowMs + ASK_AGAIN_MS;
+    this.ports.askPeer(daemonId, this.#holder.version);
   }
 
   async #findFirst(): Promise<void> {
     while (!this.#isStarted && !this.#abort.signal.aborted) {
-      this.ports.askPeers();
+      this.#askPeers();
       try {
         this.#gate.recordStore(await this.store.read());
         this.#tryStart('store');
@@ -87,11 +98,20 @@
     }
   }
 
+  /** A few daemons are enough beside the store; without it a majority has to answer. */
+  #askPeers(): void {
+    const missing = this.ports.peerIds().filter((daemonId) => this.#gate.isMissing(daemonId));
+    const asked = this.#gate.hasStoreAnswered ? missing.slice(0, PEERS_BESIDE_STORE) : missing;
+    for (const daemonId of asked) this.ports.askPeer(daemonId, null);
+  }
+
   #tryStart(source: string): void {
-    const configuration = this.#gate.decide(this.ports.daemonCount(), performance.now());
-    if (configuration === null || this.#isStarted) return;
+    if (this.#isStarted) return;
+    const decision = this.#gate.decide(this.ports.daemonCount(), performance.now());
+    if (decision.kind === 'fetch') this.ports.askPeer(decision.daemonId, this.#gate.newestVersion);
+    if (decision.kind !== 'adopt') return;
     this.#isStarted = true;
-    this.#offer(configuration, source);
+    this.#offer(decision.configuration, source);
   }
 
   #offer(configuration: Configuration, source: string): void {
--- a/src/daemon/controller-options.ts
+++ b/src/daemon/controller-options.ts
@@ -72,6 +72,7 @@
       metrics,
       evidenceTimeoutMs: timing.evidenceTimeoutMs,
       maxSessions: limits.maxSessions,
+      maxWaiting: limits.maxQueueLength * database.members.length,
       random,
     },
     log,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,6 +9,7 @@
 import { ClientServer } from '../entry/client-server.js';
 import { RequestRouter, type RequestTarget } from '../entry/request-router.js';
 import { MachineList } from '../machines/machine-list.js';
+import { shuffle } from '../common/shuffle.js';
 import { Gossip } from '../membership/gossip.js';
 import { MembershipTable } from '../membership/membership-table.js';
 import type { PeerRecord } from '../membership/peer-record.js';
@@ -207,8 +208,8 @@
       new ConfigurationStore(client, store.prefix),
       {
         daemonCount: () => Math.max(this.#machines.daemonCount, this.settings.seeds.length + 1, 2),
-        askPeers: () => this.#table.others.forEach(({ daemonId }) => this.#askConfiguration(daemonId)),
-        askPeer: (daemonId) => this.#askConfiguration(daemonId),
+        peerIds: () => shuffle(this.#table.others, this.random).map(({ daemonId }) => daemonId),
+        askPeer: (daemonId, documentIfNewerThan) => this.#askConfiguration(daemonId, documentIfNewerThan),
         isWatcher: () => this.#isWatcher(),
         adopted: (configuration) => this.#adopt(configuration),
       },
@@ -266,7 +267,11 @@
 
   #handlePeerMessage(message: PeerMessage, reply: (message: PeerMessage) => void): void {
     if (message.kind === 'configurationRequest') {
-      reply({ kind: 'configurationReply', configuration: this.#configuration.current });
+      const { current } = this.#configuration;
+      const version = current?.version ?? 0;
+      const { documentIfNewerThan } = message;
+      const isWanted = documentIfNewerThan !== null && version > documentIfNewerThan;
+      reply({ kind: 'configurationReply', version, configuration: isWanted ? current : null });
       return;
     }
     this.#gossip.handleIncoming(message, reply);
@@ -274,15 +279,15 @@
 
   #handleAnswer(daemonId: string, message: PeerMessage): void {
     if (message.kind === 'configurationReply') {
-      this.#configuration.receiveFromPeer(daemonId, message.configuration);
+      this.#configuration.receiveFromPeer(daemonId, message.version, message.configuration);
       return;
     }
     this.#gossip.handleAnswer(daemonId, message);
   }
 
-  #askConfiguration(daemonId: string): void {
+  #askConfiguration(daemonId: string, documentIfNewerThan: number | null): void {
     const record = this.#table.find(daemonId);
-    if (record !== null) this.#links.to(record).tell({ kind: 'configurationRequest' });
+    if (record !== null) this.#links.to(record).tell({ kind: 'configurationRequest', documentIfNewerThan });
   }
 
   #handleMembershipChange(): void {
@@ -291,12 +296,12 @@
   }
 
   #hearVersions(): void {
-    const newest = this.#table.others.reduce<PeerRecord | null>(
-      (best, record) =>
-        best === null || record.configurationVersion > best.configurationVersion ? record : best,
-      null,
-    );
-    if (newest !== null) this.#configuration.hearVersion(newest.daemonId, newest.configurationVersion);
+    const { others } = this.#table;
+    const newestVersion = others.reduce((newest, record) => Math.max(newest, record.configurationVersion), 0);
+    if (newestVersion <= (this.#configuration.current?.version ?? 0)) return;
+    const holders = others.filter(({ configurationVersion }) => configurationVersion === newestVersion);
+    const holder = holders[Math.floor(this.random() * holders.length)];
+    if (holder !== undefined) this.#configuration.hearVersion(holder.daemonId, newestVersion);
   }
 
   #isWatcher(): boolean {
--- a/src/engine/database-engine.ts
+++ b/src/engine/database-engine.ts
@@ -35,6 +35,8 @@
   /** Longest wait for the evidence that a commit may be acknowledged. */
   readonly evidenceTimeoutMs: number;
   readonly maxSessions: number;
+  /** Most requests that wait for a member that can serve them, for instance during an election. */
+  readonly maxWaiting: number;
   /** Random numbers in 0..1, for jitter. */
   readonly random: () => number;
 }
@@ -60,6 +62,8 @@
 const RETRY_BACKOFF = { initialDelayMs: 5, maxDelayMs: 200 };
 const FORGET_INTERVAL_MS = 250;
 const DRAIN_POLL_MS = 10;
+/** Longest wait for a change of the group before a request chooses again, in milliseconds. */
+const MAX_WAIT_SLICE_MS = 100;
 
 /** Engine of one owned database. */
 export class DatabaseEngine {
@@ -68,6 +72,8 @@
   readonly #streams = new Map<string, Stream>();
   readonly #retryBudget = new RetryBudget({ retriesPerRequest: 0.1, maxSaved: 50 });
   readonly #forgetTimer: NodeJS.Timeout;
+  /** Requests that wait for a member that can serve them. */
+  #waitingForMember = 0;
   #isDraining = false;
   #isStopped = false;
 
@@ -102,6 +108,11 @@
       this.#streams.delete(stream.streamId);
       return;
     }
+    if (request.continues !== 'nothing' && stream.pinned === null) {
+      this.#streams.delete(stream.streamId);
+      sink.fail(transactionLost('its connection is gone'), request.continues === 'transaction' ? 'E' : 'I');
+      return;
+    }
     if (request.onceKey !== null && !canRunOnce(stream, request)) {
       const message = 'a once-only key goes with a single write outside a transaction';
       this.#refuse(sink, stream, SqlState.featureNotSupported, message, null);
@@ -277,6 +288,8 @@
     };
     const selection = selectMember(group, demand, this.#loads());
     if (selection.kind === 'wait') {
+      if (this.#waitingForMember >= this.options.maxWaiting)
+        return this.#handleRefusal(execution, '', 'queue_full', 500);
       await this.#waitForMember(execution, selection.reason);
       return null;
     }
@@ -316,10 +329,12 @@
 
   async #waitForMember(execution: Execution, reason: WaitReason): Promise<void> {
     this.options.metrics.waits.inc({ database: this.database, reason });
-    const remainingMs = execution.deadlineMs - performance.now();
+    const waitMs = Math.min(MAX_WAIT_SLICE_MS, execution.deadlineMs - performance.now());
     const { cancelSignal } = execution.stream;
     const canceled = new Promise<void>((resolve) => cancelSignal.setListener(resolve));
-    await Promise.race([this.options.monitor.waitForChange(remainingMs), canceled]);
+    this.#waitingForMember += 1;
+    await Promise.race([this.options.monitor.waitForChange(waitMs), canceled]);
+    this.#waitingForMember -= 1;
     cancelSignal.setListener(null);
     execution.excludedMemberIds.clear();
   }
--- a/src/engine/statement-request.ts
+++ b/src/engine/statement-request.ts
@@ -38,6 +38,11 @@
   /** Whole protocol messages, the last of them Query, Sync or Flush. */
   readonly frames: Uint8Array;
   readonly terminator: 'query' | 'sync' | 'flush';
+  /**
+   * What the client takes to be open: a transaction, the batch that its last Flush left open, or nothing. Where it
+   * is not open any more, the request must not run on its own.
+   */
+  readonly continues: 'transaction' | 'batch' | 'nothing';
   /** Time left before an answer is of no use, in milliseconds; `null` to use the policy's. */
   readonly remainingMs: number | null;
 }
--- a/src/entry/client-connection.ts
+++ b/src/entry/client-connection.ts
@@ -57,6 +57,8 @@
   #settings: string[] = [];
   #status: TransactionStatus = 'I';
   #isTransactionLost = false;
+  /** True between a Flush and the Sync that ends its batch. */
+  #isBatchOpen = false;
   #skipsToSync = false;
   #isRunning = false;
   #isClosing = false;
@@ -237,12 +239,14 @@
       prepared: request.prepared,
       frames: request.frames,
       terminator: request.terminator,
+      continues: this.#status !== 'I' ? 'transaction' : this.#isBatchOpen ? 'batch' : 'nothing',
       remainingMs: null,
     };
   }
 
   #answerEnd(status: TransactionStatus, request: ClientRequest): void {
-    if (request.terminator === 'flush') return;
+    this.#isBatchOpen = request.terminator === 'flush';
+    if (this.#isBatchOpen) return;
     if (request.facts.kind === 'set' && this.#status === 'I') this.#rememberSettings(request.texts);
     this.#status = status;
     this.#write(readyForQuery(status));
@@ -255,6 +259,7 @@
 
   #answerError(error: RequestError, status: TransactionStatus, request: ClientRequest): void {
     this.#status = status;
+    this.#isBatchOpen = false;
     if (request.terminator === 'flush') {
       this.#skipsToSync = true;
       this.#write(errorResponseFor(error));
--- a/src/entry/request-router.test.ts
+++ b/src/entry/request-router.test.ts
@@ -28,6 +28,7 @@
   prepared: [],
   frames: new Uint8Array(),
   terminator: 'query',
+  continues: 'nothing',
   remainingMs: null,
 };
 
--- a/src/group/group-monitor.ts
+++ b/src/group/group-monitor.ts
@@ -56,6 +56,8 @@
   #floorAskedAfterMs: number | null = null;
   #description: GroupDescription | null = null;
   #describedAtMs = 0;
+  /** What requests wait for: the primary and whether it can be used. */
+  #signature = '';
 
   constructor(
     readonly database: DatabaseConfiguration,
@@ -121,7 +123,7 @@
     return this.#description;
   }
 
-  /** Resolves at the next change, or after `timeoutMs`. */
+  /** Resolves when the primary or its state changes, or after `timeoutMs`. */
   waitForChange(timeoutMs: number): Promise<void> {
     return new Promise((resolve) => {
       const finish = (): void => {
@@ -214,6 +216,11 @@
 
   #notifyChange(): void {
     this.#description = null;
+    if (this.#changeWaiters.size === 0) return;
+    const primary = this.describe().primary;
+    const signature = `${this.describe().term} ${primary?.address.memberId} ${primary?.isLocked} ${primary?.isLeaving}`;
+    if (signature === this.#signature) return;
+    this.#signature = signature;
     for (const wake of [...this.#changeWaiters]) wake();
   }
 
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { shuffle } from '../common/shuffle.js';
 import type { PeerLinks } from '../peer/peer-links.js';
 import type { PeerMessage, SyncMessage } from '../peer/peer-messages.js';
 import type { MembershipTable } from './membership-table.js';
@@ -87,7 +88,7 @@
         this.#relayProbe(message.target, message.pingId, reply);
         break;
       case 'sync':
-        this.#merge(message.records);
+        this.#merge(message.records, true);
         if (message.wantsReply) reply({ kind: 'sync', records: table.all, wantsReply: false });
         break;
       case 'digest':
@@ -110,10 +111,11 @@
     relayed?.reply({ kind: 'ack', pingId: relayed.pingId, news: [] });
   }
 
-  #merge(records: readonly PeerRecord[]): void {
+  /** @param isBulk - true for a whole table, which need not be passed on record by record */
+  #merge(records: readonly PeerRecord[], isBulk = false): void {
     const nowMs = performance.now();
     let isChanged = false;
-    for (const record of records) isChanged = this.options.table.merge(record, nowMs) || isChanged;
+    for (const record of records) isChanged = this.options.table.merge(record, nowMs, !isBulk) || isChanged;
     if (isChanged) this.options.onChange();
   }
 
@@ -189,7 +191,7 @@
   }
 
   #handleSyncAnswer(message: SyncMessage, daemonId: string): void {
-    this.#merge(message.records);
+    this.#merge(message.records, true);
     const { table, links } = this.options;
     const record = table.find(daemonId);
     if (message.wantsReply && record !== null)
@@ -211,14 +213,3 @@
     if (target !== undefined) links.to(target).tell({ kind: 'digest', digest: table.digest() });
   }
 }
-
-function shuffle<Item>(items: readonly Item[], random: () => number): Item[] {
-  const shuffled = [...items];
-  for (let i = shuffled.length - 1; i > 0; i -= 1) {
-    const j = Math.floor(random() * (i + 1));
-    const item = shuffled[i] as Item;
-    shuffled[i] = shuffled[j] as Item;
-    shuffled[j] = item;
-  }
-  return shuffled;
-}
--- a/src/membership/membership-table.ts
+++ b/src/membership/membership-table.ts
@@ -103,15 +103,15 @@
     this.#queueNews(this.#own.daemonId);
   }
 
-  /** Merges a record; true when it was news. */
-  merge(record: PeerRecord, nowMs: number): boolean {
+  /** Merges a record; true when it was news, which is then passed on if `isPassedOn`. */
+  merge(record: PeerRecord, nowMs: number, isPassedOn = true): boolean {
     if (record.daemonId === this.#own.daemonId) return this.#refute(record);
     const entry = this.#entries.get(record.daemonId);
     if (entry !== undefined && !supersedes(record, entry.record)) return false;
     this.#withdrawClaims(entry?.record);
     this.#entries.set(record.daemonId, { record, changedAtMs: nowMs });
     this.#recordClaims(record);
-    this.#queueNews(record.daemonId);
+    if (isPassedOn) this.#queueNews(record.daemonId);
     return true;
   }
 
--- a/src/peer/peer-messages.ts
+++ b/src/peer/peer-messages.ts
@@ -101,14 +101,17 @@
   readonly wantsReply: boolean;
 }
 
-/** Asks for the configuration in force at the receiver. */
+/** Asks for the version of the configuration in force at the receiver, and for the document if it is newer. */
 export interface ConfigurationRequestMessage {
   readonly kind: 'configurationRequest';
+  /** Version that the asker has; `null` when it wants no document. */
+  readonly documentIfNewerThan: number | null;
 }
 
-/** The configuration in force at the sender; `null` for none. */
+/** The version in force at the sender, 0 for none, and the document if it was asked for. */
 export interface ConfigurationReplyMessage {
   readonly kind: 'configurationReply';
+  readonly version: number;
   readonly configuration: Configuration | null;
 }
 
--- a/test/integration/paused-daemon.test.ts
+++ b/test/integration/paused-daemon.test.ts
@@ -9,8 +9,9 @@
 import type pg from 'pg';
 import { serialize } from 'pg-protocol';
 import type { Deployment } from '../../standin/rig/deployment.js';
+import { waitUntil } from '../../standin/rig/wait-until.js';
 import { connectTo, startDeployment } from '../support/experiment.js';
-import { readCounters } from '../support/member-counters.js';
+import { askMember, readCounters } from '../support/member-counters.js';
 import { errorField, RawClient } from '../support/raw-client.js';
 
 const CONNECTION_LIMIT = 9;
@@ -73,3 +74,35 @@
   assert.equal(result.rows[0]?.version, 3);
   await other.end();
 });
+
+test('a transaction that its paused owner has lost is not continued outside a transaction', async () => {
+  const alone = await startDeployment({ networkId: 19, zones: ['only'] });
+  try {
+    const client = await connectTo(alone, 'only-d1');
+    await client.query('BEGIN');
+    await client.query("INSERT INTO record VALUES ('first half', 1)");
+    alone.child('only-d1').signal('SIGSTOP');
+    await waitUntil(
+      'the member to end the silent owner',
+      async () => !(await hasControlSession(alone, 'quotes-1')),
+    );
+    alone.child('only-d1').signal('SIGCONT');
+    await waitUntil('the daemon to own the database again', async () => {
+      return alone.child('only-d1').log.split('event=lease_acquired').length === 3;
+    });
+    const lost = { code: '08006', detail: 'verdict=not_run' };
+    await assert.rejects(client.query("INSERT INTO record VALUES ('second half', 1)"), lost);
+    await client.query('ROLLBACK');
+    const result = await client.query('SELECT key FROM record');
+    assert.deepEqual(result.rows, []);
+    await client.end();
+  } finally {
+    await alone.stop();
+  }
+});
+
+/** True while an owner watches the member. */
+async function hasControlSession(where: Deployment, memberId: string): Promise<boolean> {
+  const text = "SELECT pid FROM pg_stat_activity WHERE application_name = 'sorrelladder-control'";
+  return (await askMember(where, memberId, text)).rows.length > 0;
+}
