--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { Command } from 'commander';
-import type { DaemonStatus, DatabaseStatus } from '../daemon/daemon.js';
+import type { DaemonStatus, DatabaseStatus } from '../daemon/daemon-status.js';
 import { requestJson } from '../store/json-http.js';
 import { ExitCode, printProblems } from './exit-codes.js';
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -26,6 +26,7 @@
 import { StoreClient } from '../store/store-client.js';
 import { ConfigurationService } from './configuration-service.js';
 import { createControllerOptions } from './controller-options.js';
+import { describeDatabase, type DaemonStatus, type PeerStatus } from './daemon-status.js';
 import { LocalTarget, RemoteTarget } from './request-targets.js';
 
 /** Daemons of a zone that watch the store for the others. */
@@ -127,7 +128,9 @@
       ),
       platformTrafficBytes: this.#machines.traffic,
       peers: this.#table.all.map((record) => this.#peerStatus(record)),
-      databases: [...this.#controllers.values()].map((controller) => this.#databaseStatus(controller)),
+      databases: [...this.#controllers.values()].map((controller) =>
+        describeDatabase(controller, this.#table.ownerOf(controller.database.name)?.daemonId ?? null),
+      ),
     };
   }
 
@@ -420,80 +423,11 @@
     const own = this.#configuration.current?.version ?? 0;
     return { ...record, configurationVersion: isOwn ? own : (this.#versions.get(record.daemonId) ?? 0) };
   }
-
-  #databaseStatus({ database, engine, monitor }: DatabaseController): DatabaseStatus {
-    const group = monitor?.describe();
-    return {
-      name: database.name,
-      owner: this.#table.ownerOf(database.name)?.daemonId ?? null,
-      term: group?.term ?? null,
-      members: (group?.members ?? []).map(({ address, status, isLocked, isLeaving, stalenessMs }) => ({
-        id: address.memberId,
-        zone: address.zone,
-        role: status?.role ?? null,
-        term: status?.term ?? null,
-        received: status?.received.index ?? null,
-        applied: status?.applied.index ?? null,
-        stalenessMs: Number.isFinite(stalenessMs) ? Math.round(stalenessMs) : null,
-        isLocked,
-        isLeaving,
-        connections: engine?.pools.get(address.memberId)?.connectionCount ?? 0,
-        waiting: engine?.pools.get(address.memberId)?.queueLength ?? 0,
-      })),
-    };
-  }
 }
 
 /** Time for the last messages to leave before links are closed, in milliseconds. */
 const LAST_MESSAGES_MS = 50;
 
-/** State of a database at a daemon. */
-export interface DatabaseStatus {
-  readonly name: string;
-  readonly owner: string | null;
-  readonly term: number | null;
-  readonly members: readonly MemberStatusLine[];
-}
-
-/** State of a member at the daemon that owns its database. */
-export interface MemberStatusLine {
-  readonly id: string;
-  readonly zone: string;
-  readonly role: string | null;
-  readonly term: number | null;
-  readonly received: number | null;
-  readonly applied: number | null;
-  readonly stalenessMs: number | null;
-  readonly isLocked: boolean;
-  readonly isLeaving: boolean;
-  readonly connections: number;
-  readonly waiting: number;
-}
-
-/** Another daemon, or this one, as this one knows it. */
-export interface PeerStatus extends PeerRecord {
-  /** Version of the configuration in force there when it was last heard; 0 for none. */
-  readonly configurationVersion: number;
-}
-
-/** State of a daemon. */
-export interface DaemonStatus {
-  readonly daemon: { readonly id: string; readonly zone: string };
-  readonly isStopping: boolean;
-  readonly configurationVersion: number;
-  readonly configurationIdentity: string | null;
-  readonly clientConnections: number;
-  readonly peerLinks: number;
-  /** Bytes sent to and received from other daemons, forwarded requests included. */
-  readonly peerTrafficBytes: number;
-  /** Bytes sent to and received from members for watching them. */
-  readonly memberControlBytes: number;
-  /** Bytes sent to and received from the machine list. */
-  readonly platformTrafficBytes: number;
-  readonly peers: readonly PeerStatus[];
-  readonly databases: readonly DatabaseStatus[];
-}
-
 function createOwnRecord(settings: Settings): PeerRecord {
   const { host, port } = settings.advertise?.peer ?? settings.listen.peer;
   return {
--- a/src/wire/backend-messages.ts
+++ b/src/wire/backend-messages.ts
@@ -3,21 +3,10 @@
  *
  * @packageDocumentation
  */
+import { buildMessage as message, cstring } from './message-builder.js';
 import { BackendType, type TransactionStatus } from './message-types.js';
 import type { RequestError } from '../verdict/verdict.js';
 
-function message(type: number, ...parts: Buffer[]): Buffer {
-  const body = Buffer.concat(parts);
-  const header = Buffer.allocUnsafe(5);
-  header[0] = type;
-  header.writeUInt32BE(body.length + 4, 1);
-  return Buffer.concat([header, body]);
-}
-
-function cstring(text: string): Buffer {
-  return Buffer.from(text.replaceAll('\0', '') + '\0', 'utf8');
-}
-
 function int32(value: number): Buffer {
   const buffer = Buffer.allocUnsafe(4);
   buffer.writeInt32BE(value);
--- a/src/wire/frontend-messages.ts
+++ b/src/wire/frontend-messages.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { buildMessage, cstring } from './message-builder.js';
 import { FrontendType } from './message-types.js';
 
 /** A StartupMessage: protocol version and parameters. */
@@ -28,18 +29,6 @@
   return { value: frame.toString('utf8', offset, end), end: end + 1 };
 }
 
-function buildMessage(type: number, ...parts: Buffer[]): Buffer {
-  const body = Buffer.concat(parts);
-  const header = Buffer.allocUnsafe(5);
-  header[0] = type;
-  header.writeUInt32BE(body.length + 4, 1);
-  return Buffer.concat([header, body]);
-}
-
-function cstring(text: string): Buffer {
-  return Buffer.from(text + '\0', 'utf8');
-}
-
 /** Reads the body of a StartupMessage (after the length field). */
 export function readStartup(body: Buffer): StartupMessage {
   const parameters = new Map<string, string>();
--- a/standin/member/session.ts
+++ b/standin/member/session.ts
@@ -11,7 +11,8 @@
 import { BackendType, FrontendType } from '../../src/wire/message-types.js';
 import type { Database, SessionHandle } from './database.js';
 import { SqlError, TypeOid, type SqlValue } from './sql-values.js';
-import { StatementExecutor, type StatementResult } from './statement-executor.js';
+import type { StatementResult } from './result-shape.js';
+import { StatementExecutor } from './statement-executor.js';
 import { parseStatements, typeOfParameters, type ParsedStatement } from './syntax.js';
 
 const MAX_FRAME_BYTES = 64 * 1024 * 1024;
--- a/standin/member/statement-executor.ts
+++ b/standin/member/statement-executor.ts
@@ -6,26 +6,28 @@
 import type { ColumnDescription } from '../../src/wire/backend-messages.js';
 import type { Database } from './database.js';
 import { compareScalars, evaluate, type EvaluationContext, type Row } from './expression.js';
-import {
-  castValue,
-  formatValue,
-  SqlError,
-  typeOidByName,
-  TypeOid,
-  type SqlScalar,
-  type SqlValue,
-} from './sql-values.js';
+import { castValue, formatValue, SqlError, TypeOid, type SqlScalar, type SqlValue } from './sql-values.js';
 import { lastName, openNode, type ParsedStatement, type SyntaxBody, type SyntaxNode } from './syntax.js';
+import {
+  aggregateValues,
+  buildRow,
+  columnName,
+  columnType,
+  command,
+  functionColumns,
+  functionName,
+  generateSeries,
+  isAggregate,
+  isStar,
+  isVoidCall,
+  nullRow,
+  output,
+  readTableDefinition,
+  type StatementResult,
+} from './result-shape.js';
 import { rowKey, type TableDefinition } from './tables.js';
 import { Transaction } from './transaction.js';
 
-/** Result of one statement. */
-export interface StatementResult {
-  readonly columns: readonly ColumnDescription[] | null;
-  readonly rows: readonly (string | null)[][];
-  readonly tag: string;
-}
-
 const ROW_LOCK_TIMEOUT_MS = 1000;
 const MAX_SLEEP_MS = 60_000;
 
@@ -635,131 +637,9 @@
   }
 }
 
-function command(tag: string): StatementResult {
-  return { columns: null, rows: [], tag };
-}
-
-function output(value: SqlScalar): string | null {
-  return value === null ? null : formatValue(value);
-}
-
-function nullRow(columnTypes: Readonly<Record<string, number>>): Row {
-  return Object.fromEntries(Object.keys(columnTypes).map((name) => [name, null]));
-}
-
 function isTransactionEnd(statement: ParsedStatement): boolean {
   return (
     statement.kind === 'TransactionStmt' &&
     ['TRANS_STMT_COMMIT', 'TRANS_STMT_ROLLBACK'].includes(statement.body.kind)
   );
 }
-
-function isStar(node: SyntaxNode): boolean {
-  const fields: SyntaxNode[] | undefined = node['ColumnRef']?.fields;
-  return fields !== undefined && fields.some((field) => 'A_Star' in field);
-}
-
-function isVoidCall(node: SyntaxNode): boolean {
-  return lastName(node['FuncCall']?.funcname) === 'pg_sleep';
-}
-
-const AGGREGATES = new Set(['count', 'sum', 'min', 'max']);
-
-function isAggregate(target: SyntaxNode): boolean {
-  return AGGREGATES.has(lastName(target['ResTarget']?.val?.FuncCall?.funcname));
-}
-
-function aggregateValues(name: string, values: readonly SqlScalar[]): string | null {
-  if (name === 'count') return String(values.length);
-  if (values.length === 0) return null;
-  if (name === 'sum') return String(values.reduce((total: number, value) => total + Number(value), 0));
-  const sorted = [...values].sort(compareScalars);
-  return output((name === 'min' ? sorted[0] : sorted.at(-1)) ?? null);
-}
-
-function columnName(target: SyntaxNode): string {
-  const { name, val } = target['ResTarget'];
-  if (name !== undefined) return name;
-  const { kind, body } = openNode(val);
-  if (kind === 'ColumnRef') return lastName(body.fields);
-  if (kind === 'FuncCall') return lastName(body.funcname);
-  if (kind === 'TypeCast') return lastName(body.typeName.names);
-  return '?column?';
-}
-
-function columnType(node: SyntaxNode, context: EvaluationContext): number {
-  const call = node['FuncCall'];
-  if (call !== undefined && AGGREGATES.has(lastName(call.funcname))) return TypeOid.bigint;
-  if (isVoidCall(node)) return TypeOid.void;
-  if (node['A_Expr'] !== undefined) return operatorType(node, context);
-  return evaluate(node, context).typeOid;
-}
-
-function operatorType(node: SyntaxNode, context: EvaluationContext): number {
-  const operator = lastName(node['A_Expr'].name);
-  if (operator === '||') return TypeOid.text;
-  if (!['+', '-', '*', '/'].includes(operator)) return TypeOid.boolean;
-  const left = columnType(node['A_Expr'].lexpr, context);
-  return left === TypeOid.text ? columnType(node['A_Expr'].rexpr, context) : left;
-}
-
-function functionName(rangeFunction: SyntaxBody): string {
-  return lastName(rangeFunction.functions[0].List.items[0].FuncCall?.funcname);
-}
-
-function functionColumns(name: string): Readonly<Record<string, number>> {
-  switch (name) {
-    case 'generate_series':
-      return { generate_series: TypeOid.integer };
-    case 'sorrelladder_group_status':
-      return {
-        member: TypeOid.text,
-        role: TypeOid.text,
-        term: TypeOid.bigint,
-        received_term: TypeOid.bigint,
-        received_index: TypeOid.bigint,
-        applied_term: TypeOid.bigint,
-        applied_index: TypeOid.bigint,
-        leaving: TypeOid.boolean,
-      };
-    case 'standin_log':
-      return { term: TypeOid.bigint, index: TypeOid.bigint, session: TypeOid.bigint, changes: TypeOid.text };
-    default:
-      return { counters: TypeOid.text };
-  }
-}
-
-function generateSeries(first: number, last: number): Row[] {
-  const rows: Row[] = [];
-  for (let value = first; value <= last; value += 1) rows.push({ generate_series: value });
-  return rows;
-}
-
-function readTableDefinition(name: string, elements: readonly SyntaxNode[]): TableDefinition {
-  const columnTypes: Record<string, number> = {};
-  let primaryKey: string | null = null;
-  for (const element of elements) {
-    const column = element['ColumnDef'];
-    if (column === undefined) continue;
-    columnTypes[column.colname] = typeOidByName(lastName(column.typeName.names));
-    const isPrimary = JSON.stringify(column.constraints ?? '').includes('CONSTR_PRIMARY');
-    if (isPrimary) primaryKey = column.colname;
-  }
-  primaryKey ??= Object.keys(columnTypes)[0] ?? '';
-  return { name, primaryKey, columnTypes };
-}
-
-function buildRow(
-  definition: TableDefinition,
-  columns: readonly string[],
-  values: readonly SqlScalar[],
-): Row {
-  const row: Record<string, SqlScalar> = { ...nullRow(definition.columnTypes) };
-  columns.forEach((column, position) => {
-    const typeOid = definition.columnTypes[column];
-    if (typeOid === undefined) throw new SqlError('42703', `column "${column}" does not exist`);
-    row[column] = castValue(values[position] ?? null, typeOid);
-  });
-  if (row[definition.primaryKey] === null) throw new SqlError('23502', 'null value in primary key');
-  return row;
-}
--- a/standin/rig/deployment.ts
+++ b/standin/rig/deployment.ts
@@ -10,7 +10,7 @@
 import { stringify as toYaml } from 'yaml';
 import type { DatabaseConfiguration } from '../../src/configuration/configuration.js';
 import { ConfigurationStore, type ConfigurationChange } from '../../src/configuration/configuration-store.js';
-import type { DaemonStatus } from '../../src/daemon/daemon.js';
+import type { DaemonStatus } from '../../src/daemon/daemon-status.js';
 import type { Machine } from '../../src/machines/machine-list.js';
 import { requestJson } from '../../src/store/json-http.js';
 import { StoreClient } from '../../src/store/store-client.js';
