Failover measured by probes; owners wait longer for an election; the scale run waits until news has been passed on

Cause: the zone-cut run gave a gap of 7,020 ms, the length of its window: the load's sessions were all waiting at the cut daemons, so nobody was left to write; an election of 2,496 ms met the 2,500 ms after which an owner gives up, so the gap was 3,151 ms; and 15 s after a common start 120 daemons still passed on news of it (5.1 kB/s). Ruled out: a slow take-over as the cause of the 7 s (the same mechanism gives 2,670 ms after an owner's death). Change: a probe at each daemon outside the cut writes all the time; yieldAfterMs is 3,500; costs are measured once no record is being passed on any more. Before: figures above. Conclusion: a load that roams measures its own patience, not the system.

--- a/bench/experiment/scenarios.ts
+++ b/bench/experiment/scenarios.ts
@@ -7,8 +7,12 @@
 
 /** A fault brought about in the middle of a run. */
 export interface ScenarioFault {
-  /** Brings the fault about; returns the database whose writes it stops, or `null`. */
-  begin(deployment: Deployment): Promise<string | null>;
+  /** Database whose writes it stops, or `null`. */
+  readonly database: string | null;
+  /** Zone that it cuts off, or `null`. */
+  cutZone(deployment: Deployment): Promise<string | null>;
+  /** Brings the fault about. */
+  begin(deployment: Deployment): Promise<void>;
   /** Ends the fault. */
   end(deployment: Deployment): Promise<void>;
 }
@@ -27,48 +31,55 @@
   return (await deployment.findPrimary(DATABASE)) ?? '';
 }
 
+const NO_CUT = async (): Promise<null> => null;
+
 const killPrimary: ScenarioFault = {
+  database: DATABASE,
+  cutZone: NO_CUT,
   begin: async (deployment) => {
     deployment.child(await primaryOf(deployment)).signal('SIGKILL');
-    return DATABASE;
   },
   end: async () => undefined,
 };
 
 const cutPrimary: ScenarioFault = {
+  database: DATABASE,
+  cutZone: async (deployment) => deployment.members.get(await primaryOf(deployment))?.zone ?? null,
   begin: async (deployment) => {
     const zone = deployment.members.get(await primaryOf(deployment))?.zone ?? '';
     deployment.proxy.isolate(zone, deployment.zones);
-    return DATABASE;
   },
   end: async (deployment) => deployment.proxy.heal(),
 };
 
 const killOwner: ScenarioFault = {
+  database: DATABASE,
+  cutZone: NO_CUT,
   begin: async (deployment) => {
     const owner = await deployment.waitForOwner(DATABASE);
     deployment.child(owner).signal('SIGKILL');
-    return DATABASE;
   },
   end: async () => undefined,
 };
 
 const storeOut: ScenarioFault = {
+  database: null,
+  cutZone: NO_CUT,
   begin: async (deployment) => {
     await deployment.setStoreFaults({ down: true });
-    return null;
   },
   end: (deployment) => deployment.setStoreFaults({ down: false }),
 };
 
 const rollingRestart: ScenarioFault = {
+  database: null,
+  cutZone: NO_CUT,
   begin: async (deployment) => {
     for (const daemonId of deployment.daemons.keys()) {
       deployment.child(daemonId).signal('SIGTERM');
       await deployment.child(daemonId).waitForExit();
       await deployment.restartDaemon(daemonId);
     }
-    return null;
   },
   end: async () => undefined,
 };
--- a/bench/scale/hollow-process.ts
+++ b/bench/scale/hollow-process.ts
@@ -42,6 +42,7 @@
   readonly lowestVersion: number;
   readonly lowestPeerCount: number;
   readonly ownedDatabases: number;
+  readonly pendingNews: number;
   /** Daemons that still take the given daemon for alive, by daemon id. */
   readonly aliveViews: Readonly<Record<string, number>>;
 }
@@ -83,6 +84,7 @@
     ownedDatabases: statuses.reduce((sum, { peers, daemon }) => {
       return sum + (peers.find(({ daemonId }) => daemonId === daemon.id)?.ownedDatabases.length ?? 0);
     }, 0),
+    pendingNews: statuses.reduce((sum, { pendingNews }) => sum + pendingNews, 0),
     aliveViews,
   };
 }
--- a/src/daemon/daemon-status.ts
+++ b/src/daemon/daemon-status.ts
@@ -43,6 +43,8 @@
   readonly configurationIdentity: string | null;
   readonly clientConnections: number;
   readonly peerLinks: number;
+  /** Records of daemons that are still being passed on. */
+  readonly pendingNews: number;
   /** Bytes sent to and received from other daemons, forwarded requests included. */
   readonly peerTrafficBytes: number;
   /** Bytes sent to and received from members for watching them. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -121,6 +121,7 @@
       configurationIdentity: this.#configuration.current?.identity ?? null,
       clientConnections: this.#clientServer.connectionCount,
       peerLinks: this.#links.size,
+      pendingNews: this.#table.pendingNews,
       peerTrafficBytes: this.#links.traffic + this.#peerServer.traffic,
       memberControlBytes: [...this.#controllers.values()].reduce(
         (sum, { controlTraffic }) => sum + controlTraffic,
--- a/src/membership/membership-table.ts
+++ b/src/membership/membership-table.ts
@@ -49,6 +49,11 @@
     this.#queueNews(own.daemonId);
   }
 
+  /** Number of records that are still being passed on. */
+  get pendingNews(): number {
+    return this.#news.size;
+  }
+
   /** This daemon's own record. */
   get own(): PeerRecord {
     return this.#own;
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -76,7 +76,7 @@
       evidenceTimeoutMs: durationMs.default(2000),
       acquireTimeoutMs: durationMs.default(1500),
       rankDelayMs: durationMs.default(500),
-      yieldAfterMs: durationMs.default(2500),
+      yieldAfterMs: durationMs.default(3500),
       gossipIntervalMs: durationMs.default(500),
       probeTimeoutMs: durationMs.default(400),
       suspicionTimeoutMs: durationMs.default(1200),
