Databases that a daemon has are not sent to it again

Ruled out: compression (the same bytes would be packed 900 times a change), a document for each database (the version and its history are one). Change: the asker names the digest of its databases; they are left out where they are the same, and a document whose databases are not the ones at hand is not put together. Conclusion: a change of databases still costs the whole document.

--- a/bench/experiment/throughput.ts
+++ b/bench/experiment/throughput.ts
@@ -29,6 +29,14 @@
   /** Daemon's processor time for each read, in microseconds. */
   readonly microsecondsPerRead: number;
   readonly microsecondsPerWrite: number;
+  /** Bytes of questions to members and their answers, for each write. */
+  readonly controlBytesPerWrite: number;
+  /** Reads that arrive at a daemon which does not own the database: processor time there and at the owner. */
+  readonly forwarded: {
+    readonly result: ClosedLoopResult;
+    readonly entryMicroseconds: number;
+    readonly ownerMicroseconds: number;
+  };
   /** Resident memory of the daemon without clients, and added by each idle client, in bytes. */
   readonly idleBytes: number;
   readonly bytesPerIdleClient: number;
@@ -40,6 +48,7 @@
     networkId: 103,
     zones: ['only'],
     databases: [DATABASE],
+    daemonsPerZone: 2,
     policy: EXPERIMENT_POLICY,
     slots: 16,
     usesProxies: false,
@@ -52,7 +61,8 @@
 }
 
 async function measure(deployment: Deployment, durationMs: number): Promise<ThroughputResult> {
-  const [daemonId = ''] = deployment.daemons.keys();
+  const daemonId = await deployment.waitForOwner(DATABASE);
+  const otherId = [...deployment.daemons.keys()].find((id) => id !== daemonId) ?? '';
   const daemonAddress = deployment.clientAddress(daemonId);
   const { pid } = deployment.child(daemonId);
   const setup = new pg.Client({ ...daemonAddress, database: DATABASE, user: 'bench' });
@@ -73,9 +83,16 @@
   const insertText = (client: number, round: number): string =>
     `INSERT INTO record VALUES ('d${client}', ${round}, 'w') ON CONFLICT (key) DO UPDATE SET version = excluded.version`;
   const directWrites = await runClosedLoop({ ...common, address: memberAddress, textOf: insertText });
+  const bytesBefore = (await deployment.status(daemonId)).memberControlBytes;
   const beforeWritesMs = processorMs(pid);
   const daemonWrites = await runClosedLoop({ ...common, address: daemonAddress, textOf: insertText });
   const writeCostMs = processorMs(pid) - beforeWritesMs;
+  const controlBytes = (await deployment.status(daemonId)).memberControlBytes - bytesBefore;
+  const entryPid = deployment.child(otherId).pid;
+  const [entryBeforeMs, ownerBeforeMs] = [processorMs(entryPid), processorMs(pid)];
+  const otherAddress = deployment.clientAddress(otherId);
+  const forwardedReads = await runClosedLoop({ ...common, address: otherAddress, textOf: readText });
+  const perRead = (costMs: number): number => (costMs * 1000) / forwardedReads.latency.count;
   return {
     reads: { direct: directReads, daemon: daemonReads, ratio: daemonReads.perSecond / directReads.perSecond },
     writes: {
@@ -84,6 +101,12 @@
       ratio: daemonWrites.perSecond / directWrites.perSecond,
     },
     microsecondsPerRead: (readCostMs * 1000) / daemonReads.latency.count,
+    controlBytesPerWrite: controlBytes / daemonWrites.latency.count,
+    forwarded: {
+      result: forwardedReads,
+      entryMicroseconds: perRead(processorMs(entryPid) - entryBeforeMs),
+      ownerMicroseconds: perRead(processorMs(pid) - ownerBeforeMs),
+    },
     microsecondsPerWrite: (writeCostMs * 1000) / daemonWrites.latency.count,
     idleBytes,
     bytesPerIdleClient,
--- a/bench/load/collect-members.ts
+++ b/bench/load/collect-members.ts
@@ -48,7 +48,9 @@
 }
 
 function toLoggedTransaction({ term, index, changes }: LogRow): LoggedTransaction {
-  const parsed = JSON.parse(changes) as { row?: { operation?: string } }[];
-  const operationIds = parsed.flatMap(({ row }) => (row?.operation === undefined ? [] : [row.operation]));
+  const parsed = JSON.parse(changes) as { row?: { operation?: string | null } }[];
+  const operationIds = parsed.flatMap(({ row }) =>
+    typeof row?.operation === 'string' ? [row.operation] : [],
+  );
   return { term: Number(term), index: Number(index), operationIds };
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { digestDatabases, fromDocument, toDocument } from '../configuration/configuration-document.js';
 import type { Configuration, DatabaseConfiguration } from '../configuration/configuration.js';
 import { ConfigurationStore } from '../configuration/configuration-store.js';
 import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
@@ -284,7 +285,8 @@
       const version = current?.version ?? 0;
       const { documentIfNewerThan } = message;
       const isWanted = documentIfNewerThan !== null && version > documentIfNewerThan;
-      reply({ kind: 'configurationReply', version, configuration: isWanted ? current : null });
+      const document = isWanted && current !== null ? toDocument(current, message.databasesDigest) : null;
+      reply({ kind: 'configurationReply', version, document });
       return;
     }
     this.#gossip.handleIncoming(message, reply);
@@ -292,7 +294,9 @@
 
   #handleAnswer(daemonId: string, message: PeerMessage): void {
     if (message.kind === 'configurationReply') {
-      this.#configuration.receiveFromPeer(daemonId, message.version, message.configuration);
+      const { version, document } = message;
+      const configuration = document === null ? null : fromDocument(document, this.#configuration.current);
+      this.#configuration.receiveFromPeer(daemonId, version, configuration);
       return;
     }
     this.#gossip.handleAnswer(daemonId, message);
@@ -300,7 +304,10 @@
 
   #askConfiguration(daemonId: string, documentIfNewerThan: number | null): void {
     const record = this.#table.find(daemonId);
-    if (record !== null) this.#links.to(record).tell({ kind: 'configurationRequest', documentIfNewerThan });
+    if (record !== null) {
+      const databasesDigest = digestDatabases(this.#configuration.current);
+      this.#links.to(record).tell({ kind: 'configurationRequest', documentIfNewerThan, databasesDigest });
+    }
   }
 
   #hearVersion(daemonId: string, version: number): void {
--- a/src/peer/peer-messages.ts
+++ b/src/peer/peer-messages.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { Configuration } from '../configuration/configuration.js';
+import type { ConfigurationDocument } from '../configuration/configuration-document.js';
 import type { PeerRecord } from '../membership/peer-record.js';
 import type { StatementRequest } from '../engine/statement-request.js';
 import type { SqlStateCode, Verdict } from '../verdict/verdict.js';
@@ -121,13 +121,15 @@
   readonly kind: 'configurationRequest';
   /** Version that the asker has; `null` when it wants no document. */
   readonly documentIfNewerThan: number | null;
+  /** Digest of the databases that the asker has, which need not be sent again; empty for none. */
+  readonly databasesDigest: string;
 }
 
 /** The version in force at the sender, 0 for none, and the document if it was asked for. */
 export interface ConfigurationReplyMessage {
   readonly kind: 'configurationReply';
   readonly version: number;
-  readonly configuration: Configuration | null;
+  readonly document: ConfigurationDocument | null;
 }
 
 /** Any message between daemons. */
--- a/src/units.test.ts
+++ b/src/units.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { digestDatabases, fromDocument, toDocument } from './configuration/configuration-document.js';
 import { OwnerReachability } from './entry/owner-reachability.js';
 import { PauseDetector } from './entry/pause-detector.js';
 import { ReplyPlan, type ReplyStep } from './member/reply-plan.js';
@@ -213,3 +214,29 @@
   reachability.recordSuccess('quotes');
   assert.equal(reachability.mayTry('quotes', 3252), true);
 });
+
+test('configuration documents: databases that the receiver has are not sent, and never mixed up', () => {
+  const database = { name: 'quotes', connectionLimit: 35, slots: 5, members: [] };
+  const base = {
+    version: 1,
+    identity: 'a',
+    publishedBy: 'o',
+    publishedAt: '',
+    databases: [database],
+    policy: 'rules: []',
+  };
+  const next = {
+    ...base,
+    version: 2,
+    identity: 'b',
+    databases: [{ ...database }],
+    policy: 'rules: [] # new',
+  };
+  const document = toDocument(next, digestDatabases(base));
+  assert.equal(document.omitsDatabases, true);
+  assert.deepEqual(fromDocument(document, base), next);
+  const other = { ...base, databases: [{ ...database, slots: 6 }] };
+  assert.equal(fromDocument(document, other), null);
+  assert.equal(fromDocument(document, null), null);
+  assert.deepEqual(fromDocument(toDocument(next, digestDatabases(other)), null), next);
+});
