A silent member's connections are ended with its lock

Cause: in the zone cut no write landed for the whole 7 s window: each probe's write was in flight on the cut primary, whose connections fall silent without an end, and waited for its deadline of 8 s, although the owner had a new primary with locks after 3 s. The connections also outlived the lock that allows them. Ruled out: the take-over of the lease (3 s in the trace), the membership (dead at 3 s), the election (term 5 at 3 s). Change: when a member's control connection is lost its pool is emptied, so that what runs there is lost now; links are given up after 1.2 s of silence and suspects after 0.8 s; the policy's subject is made in one place; what is not a configuration in the store is not published over. Conclusion: silence has to be noticed where the request waits.

--- a/src/configuration/configuration-store.ts
+++ b/src/configuration/configuration-store.ts
@@ -88,6 +88,11 @@
       return Left({ kind: 'unavailable', message: (error as Error).message });
     }
     const current = stored === null ? null : parseConfiguration(stored.value);
+    if (stored !== null && current === null) {
+      const problem =
+        'the store holds something that is not a configuration; look at it before you publish over it';
+      return Left({ kind: 'invalid', problems: [problem] });
+    }
     if (options.expectedVersion !== null && options.expectedVersion !== (current?.version ?? 0)) {
       return Left({ kind: 'conflict', currentVersion: current?.version ?? 0 });
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,6 +7,7 @@
 import type { Configuration, DatabaseConfiguration } from '../configuration/configuration.js';
 import { ConfigurationStore } from '../configuration/configuration-store.js';
 import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
+import { policySubject } from '../engine/policy-subject.js';
 import { ClientServer } from '../entry/client-server.js';
 import { RequestRouter, type RequestTarget } from '../entry/request-router.js';
 import { MachineList } from '../machines/machine-list.js';
@@ -22,7 +23,7 @@
 import { PeerLinks } from '../peer/peer-links.js';
 import type { PeerMessage } from '../peer/peer-messages.js';
 import { PeerServer } from '../peer/peer-server.js';
-import { DEFAULT_DECISION, Policy } from '../policy/policy.js';
+import { Policy, type PolicyDecision } from '../policy/policy.js';
 import type { Settings } from '../settings/settings.js';
 import { StoreClient } from '../store/store-client.js';
 import { ConfigurationService } from './configuration-service.js';
@@ -392,17 +393,9 @@
 
   // --- requests
 
-  #decide(request: StatementRequest): typeof DEFAULT_DECISION {
-    return this.#policy.decide({
-      class: request.requestClass,
-      kind: request.kind === 'set' || request.kind === 'unsupported' ? 'write' : request.kind,
-      session: request.session,
-      database: request.database,
-      user: request.user,
-      zone: request.zone,
-      hour: new Date().getUTCHours(),
-      lagMs: 0,
-    });
+  /** The lag is known to the owner only, which decides again; here the deadline and repeatability are of use. */
+  #decide(request: StatementRequest): PolicyDecision {
+    return this.#policy.decide(policySubject(request, new Date().getUTCHours(), 0));
   }
 
   #targets(database: string): readonly RequestTarget[] {
--- a/src/engine/database-engine.ts
+++ b/src/engine/database-engine.ts
@@ -7,7 +7,6 @@
 import type { GroupMonitor } from '../group/group-monitor.js';
 import type { EngineMetrics } from '../observability/engine-metrics.js';
 import type { Policy } from '../policy/policy.js';
-import type { PolicySubject } from '../policy/policy-document.js';
 import type { MemberPool } from '../pool/member-pool.js';
 import { RetryBudget } from '../retry/retry-budget.js';
 import { SessionPositions } from '../session/session-positions.js';
@@ -21,6 +20,7 @@
   type Refusal,
 } from './execution.js';
 import { MemberAccess } from './member-access.js';
+import { policySubject } from './policy-subject.js';
 import { RequestRunner } from './request-runner.js';
 import type { AnswerSink, StatementRequest } from './statement-request.js';
 import { Stream, type PinnedConnection } from './stream.js';
@@ -78,6 +78,7 @@
         options.createPool(id, () => options.monitor.isMemberLocked(id)),
       );
     }
+    options.monitor.onMemberLost = (memberId) => this.#pools.get(memberId)?.reset();
     this.#forgetTimer = setInterval(
       () => this.positions.forgetApplied(options.monitor.appliedEverywhere()),
       FORGET_INTERVAL_MS,
@@ -112,7 +113,9 @@
       });
       return;
     }
-    const decision = this.options.policy().decide(this.#subject(request));
+    const decision = this.options
+      .policy()
+      .decide(policySubject(request, new Date().getUTCHours(), this.#lowestLagMs()));
     if (decision.refuse !== null) {
       const message = `refused by policy: ${decision.refuse}`;
       const sqlState = SqlState.configurationLimitExceeded;
@@ -215,25 +218,6 @@
     sink.fail(transactionLost('the daemon lost its lease on the database'), 'E');
   }
 
-  #subject(request: StatementRequest): PolicySubject {
-    const { kind } = request;
-    const policyKind = request.isReadOnlyTransaction
-      ? 'read'
-      : kind === 'set' || kind === 'unsupported'
-        ? 'write'
-        : kind;
-    return {
-      class: request.requestClass,
-      kind: policyKind,
-      session: request.session,
-      database: request.database,
-      user: request.user,
-      zone: request.zone,
-      hour: new Date().getUTCHours(),
-      lagMs: this.#lowestLagMs(),
-    };
-  }
-
   #lowestLagMs(): number {
     const { members, primary } = this.options.monitor.describe();
     const lags = members.filter((member) => member !== primary).map(({ stalenessMs }) => stalenessMs);
--- a/src/group/group-monitor.ts
+++ b/src/group/group-monitor.ts
@@ -52,6 +52,8 @@
 
 /** Watches a group on behalf of the daemon that owns it, or tries to. */
 export class GroupMonitor {
+  /** Called when a member stopped answering, and with it the lock on it is gone. */
+  onMemberLost: (memberId: string) => void = () => undefined;
   readonly #members = new Map<string, MemberState>();
   readonly #lease: QuorumLease;
   readonly #staleness = new StalenessEstimator();
@@ -218,6 +220,7 @@
     this.#lease.drop(memberId);
     const state = this.#members.get(memberId);
     if (state !== undefined) state.status = null;
+    this.onMemberLost(memberId);
     this.#notifyChange();
   }
 
--- a/src/pool/member-pool.ts
+++ b/src/pool/member-pool.ts
@@ -129,6 +129,15 @@
     this.#pump();
   }
 
+  /**
+   * Ends all connections, since the member does not answer or its lock is gone: what runs on them is lost now
+   * instead of at its deadline, and they do not stand in the way of another owner's.
+   */
+  reset(): void {
+    for (const connection of [...this.#open]) this.#discard(connection);
+    this.#idle.length = 0;
+  }
+
   /** Ends all connections and refuses all that wait. */
   close(): void {
     this.#closed = true;
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -79,10 +79,10 @@
       yieldAfterMs: durationMs.default(3500),
       gossipIntervalMs: durationMs.default(500),
       probeTimeoutMs: durationMs.default(400),
-      suspicionTimeoutMs: durationMs.default(1200),
+      suspicionTimeoutMs: durationMs.default(800),
       syncIntervalMs: durationMs.default(30_000),
       linkIdleTimeoutMs: durationMs.default(30_000),
-      linkSilenceTimeoutMs: durationMs.default(2000),
+      linkSilenceTimeoutMs: durationMs.default(1200),
       drainTimeoutMs: durationMs.default(20_000),
       startupTimeoutMs: durationMs.default(10_000),
     })
--- a/test/integration/command-line.test.ts
+++ b/test/integration/command-line.test.ts
@@ -85,6 +85,16 @@
   store.setFaults({ down: false });
 });
 
+test('what is not a configuration in the store is not published over', async () => {
+  const toBase64 = (text: string): string => Buffer.from(text).toString('base64');
+  const key = toBase64('/rubbish/configuration/current');
+  store.state.put([{ key, value: toBase64('rubbish') }]);
+  const result = await run('policy', 'publish', file('r.yaml', GOOD), ...STORE, '--prefix', '/rubbish');
+  assert.equal(result.code, 2);
+  assert.match(result.err, /not a configuration/);
+  assert.equal(store.state.range(key, undefined)[0]?.value, toBase64('rubbish'));
+});
+
 test('databases are checked', async () => {
   const bad = file('databases.yaml', 'databases: [{ name: a, connectionLimit: 1, slots: 1, members: [] }]');
   const result = await run('config', 'check', bad);
--- a/test/integration/isolation.test.ts
+++ b/test/integration/isolation.test.ts
@@ -206,6 +206,21 @@
   await Promise.all([client.end(), again.end()]);
 });
 
+test('a statement on a member that is cut off is given up when the member falls silent, not at its deadline', async () => {
+  const primary = (await deployment.findPrimary('quotes')) ?? '';
+  const primaryZone = deployment.members.get(primary)?.zone ?? '';
+  const entry = [...deployment.daemons.values()].find(({ zone }) => zone !== primaryZone)?.id ?? '';
+  const client = await connectTo(deployment, entry);
+  await client.query('BEGIN');
+  const slow = client.query('SELECT pg_sleep(60)');
+  const failure = assert.rejects(slow, { code: '08006', message: /was lost/ });
+  deployment.proxy.isolate(primaryZone, deployment.zones);
+  await failure;
+  await client.query('ROLLBACK');
+  deployment.proxy.heal();
+  await client.end();
+});
+
 test('bad input ends only the connection that sent it', async () => {
   const { other } = await rolesOfDaemons();
   const address = deployment.clientAddress(other);
