Requests queued for a silent member choose again; dead code out

Cause: read once more as a newcomer: emptying a silent member's pool ended what ran there, but what waited in its queue stayed until its deadline; a pause switch, a byte gauge, a counter and a logger were used by nobody. Change: a reset gives queued requests back to be routed again, and closing a pool is a reset for good; unused members are removed. Conclusion: silence has to be noticed in the queue as well as on the connection.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -245,7 +245,6 @@
       targets: (database) => this.#targets(database),
       decide: (request) => this.#decide(request),
       random: this.random,
-      log: this.log,
     });
     return new ClientServer({
       daemonId: `${settings.daemon.id}/${Date.now().toString(36)}`,
--- a/src/entry/request-router.test.ts
+++ b/src/entry/request-router.test.ts
@@ -7,7 +7,6 @@
 import { test } from 'node:test';
 import { CancelSignal } from '../common/cancel-signal.js';
 import type { StatementRequest } from '../engine/statement-request.js';
-import { createLogger } from '../observability/logger.js';
 import { DEFAULT_DECISION } from '../policy/policy.js';
 import type { RequestError } from '../verdict/verdict.js';
 import { RequestRouter, type RequestTarget } from './request-router.js';
@@ -50,7 +49,6 @@
     targets: () => [target('d1', attempts++ === 0 ? first : others)],
     decide: () => ({ ...DEFAULT_DECISION, deadlineMs: 30 }),
     random: () => 0.5,
-    log: createLogger('silent', {}),
   });
   return new Promise((resolve, reject) => {
     const sink = {
@@ -85,7 +83,6 @@
     targets: () => [],
     decide: () => DEFAULT_DECISION,
     random: () => 0.5,
-    log: createLogger('silent', {}),
   });
   const failure = await new Promise<{ readonly error: RequestError; readonly status: string }>((resolve) => {
     const sink = {
--- a/src/entry/request-router.ts
+++ b/src/entry/request-router.ts
@@ -6,7 +6,6 @@
 import type { CancelSignal } from '../common/cancel-signal.js';
 import { doubtfulSink } from '../engine/doubtful-sink.js';
 import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
-import type { Logger } from '../observability/logger.js';
 import type { PolicyDecision } from '../policy/policy.js';
 import { OwnerReachability } from './owner-reachability.js';
 import { backoffDelayMs } from '../retry/backoff.js';
@@ -29,7 +28,6 @@
   targets(database: string): readonly RequestTarget[];
   decide(request: StatementRequest): PolicyDecision;
   readonly random: () => number;
-  readonly log: Logger;
 }
 
 /** The daemon that holds the open transaction of a client connection. */
--- a/src/member/member-connection.ts
+++ b/src/member/member-connection.ts
@@ -105,11 +105,6 @@
     return this.socket.bytesRead + this.socket.bytesWritten;
   }
 
-  /** True while an answer is awaited. */
-  get isBusy(): boolean {
-    return this.#exchanges.length > 0;
-  }
-
   /** Sends an exchange; on a closed connection it is lost at once. */
   submit(exchange: Exchange): void {
     if (this.#closed) {
@@ -137,12 +132,6 @@
     });
   }
 
-  /** Stops or resumes reading, when the receiver of an answer is slow. */
-  setPaused(isPaused: boolean): void {
-    if (isPaused) this.socket.pause();
-    else this.socket.resume();
-  }
-
   /** Asks the member to cancel what runs on this connection. */
   cancel(): void {
     const { host, port, localAddress } = this.options;
--- a/src/peer/message-channel.ts
+++ b/src/peer/message-channel.ts
@@ -45,11 +45,6 @@
     socket.on('close', () => this.#close());
   }
 
-  /** Bytes waiting to be sent. */
-  get bufferedBytes(): number {
-    return this.socket.writableLength;
-  }
-
   /** True once the connection has ended. */
   get isClosed(): boolean {
     return this.#closed;
--- a/src/pool/member-pool.ts
+++ b/src/pool/member-pool.ts
@@ -60,7 +60,6 @@
   #opening = 0;
   #executing = 0;
   #meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
-  #openedTotal = 0;
   #closed = false;
   readonly #expiryTimer: NodeJS.Timeout;
 
@@ -80,11 +79,6 @@
     return this.#open.size + this.#opening;
   }
 
-  /** Connections opened since the start. */
-  get openedTotal(): number {
-    return this.#openedTotal;
-  }
-
   /** Requests waiting. */
   get queueLength(): number {
     return this.#queue.size;
@@ -131,9 +125,12 @@
 
   /**
    * Ends all connections, since the member does not answer or its lock is gone: what runs on them is lost now
-   * instead of at its deadline, and they do not stand in the way of another owner's.
+   * instead of at its deadline, what waits chooses again, and they do not stand in the way of another owner's.
    */
   reset(): void {
+    for (let waiter = this.#queue.take(); waiter !== null; waiter = this.#queue.take()) {
+      waiter.finish(this.#refusal('closed'));
+    }
     for (const connection of [...this.#open]) this.#discard(connection);
     this.#idle.length = 0;
   }
@@ -142,10 +139,7 @@
   close(): void {
     this.#closed = true;
     clearInterval(this.#expiryTimer);
-    for (let waiter = this.#queue.take(); waiter !== null; waiter = this.#queue.take()) {
-      waiter.finish(this.#refusal('closed'));
-    }
-    for (const connection of [...this.#open]) this.#discard(connection);
+    this.reset();
   }
 
   #enqueue(request: AcquireRequest, resolve: (outcome: AcquireOutcome) => void): void {
@@ -205,7 +199,6 @@
     try {
       const connection = await MemberConnection.open(this.options.connection);
       this.#opening -= 1;
-      this.#openedTotal += 1;
       this.#adopt(connection);
     } catch (error) {
       this.#opening -= 1;
