--- /dev/null
+++ b/src/cluster/peer-mesh.ts
@@ -0,0 +1,235 @@
+/**
+ * Connections between daemons: the holder of the promotion duty dials every other daemon and asks it to let go
+ * of a leader, or tells it of a new one; the others tell the holder whom they suspect.
+ *
+ * @packageDocumentation
+ */
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import type { DaemonRecord } from '../coordination/duty.js';
+import { MessageChannel } from '../peer/message-channel.js';
+import type { Position } from '../position/position.js';
+
+/** What the holder asks of the others. */
+export type HolderOrder =
+  /** Evidence for terms up to this one is to be dropped: a promotion begins. */
+  | { readonly kind: 'revoke'; readonly groupName: string; readonly term: number }
+  /** The promotion was given up. */
+  | { readonly kind: 'allow'; readonly groupName: string }
+  /** A member leads. */
+  | {
+      readonly kind: 'leader';
+      readonly groupName: string;
+      readonly memberId: string;
+      readonly term: number;
+    };
+
+/** What a daemon answers to an order. */
+export interface OrderAnswer {
+  /** Latest position of a commit that it has acknowledged to a client. */
+  readonly acknowledged: Position;
+}
+
+/** A daemon's doubt about a member that leads. */
+export interface Suspicion {
+  readonly groupName: string;
+  readonly memberId: string;
+  readonly reason: string;
+}
+
+/**
+ * How an order went at one daemon. `gone`: its process does not run; `silent`: unknown, it may still act on old
+ * evidence.
+ */
+export type OrderOutcome =
+  | { readonly kind: 'answered'; readonly answer: OrderAnswer }
+  | { readonly kind: 'gone' }
+  | { readonly kind: 'silent' };
+
+type MeshMessage =
+  | { readonly type: 'order'; readonly id: number; readonly order: HolderOrder }
+  | { readonly type: 'answer'; readonly id: number; readonly answer: OrderAnswer }
+  | { readonly type: 'suspicion'; readonly suspicion: Suspicion };
+
+/** What the mesh calls. */
+export interface MeshListener {
+  order(order: HolderOrder): OrderAnswer;
+  suspicion(suspicion: Suspicion): void;
+}
+
+const MAX_MESSAGE_BYTES = 64 * 1024;
+const DIAL_MS = 250;
+
+/** A connection that the holder has opened. */
+class HolderLink {
+  #channel: MessageChannel<MeshMessage> | null = null;
+  #dialing: Promise<'open' | 'refused' | 'silent'> | null = null;
+  readonly #waiting = new Map<number, (outcome: OrderOutcome) => void>();
+
+  constructor(
+    private readonly record: DaemonRecord,
+    private readonly listener: MeshListener,
+  ) {}
+
+  async send(id: number, order: HolderOrder, timeoutMs: number): Promise<OrderOutcome> {
+    const state = await this.open();
+    if (state === 'refused') return { kind: 'gone' };
+    const channel = this.#channel;
+    if (state === 'silent' || channel === null) return { kind: 'silent' };
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.#waiting.delete(id);
+        channel.destroy();
+        resolve({ kind: 'silent' });
+      }, timeoutMs);
+      this.#waiting.set(id, (outcome) => {
+        clearTimeout(timer);
+        resolve(outcome);
+      });
+      channel.send({ type: 'order', id, order });
+    });
+  }
+
+  open(): Promise<'open' | 'refused' | 'silent'> {
+    if (this.#channel !== null && !this.#channel.isClosed) return Promise.resolve('open');
+    this.#dialing ??= this.#dial().finally(() => (this.#dialing = null));
+    return this.#dialing;
+  }
+
+  close(): void {
+    this.#channel?.destroy();
+  }
+
+  #dial(): Promise<'open' | 'refused' | 'silent'> {
+    return new Promise((resolve) => {
+      const socket = connect(this.record.port, this.record.host);
+      const timer = setTimeout(() => {
+        resolve('silent');
+        socket.destroy();
+      }, DIAL_MS);
+      socket.once('error', (error: NodeJS.ErrnoException) => {
+        clearTimeout(timer);
+        resolve(error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET' ? 'refused' : 'silent');
+      });
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        this.#adopt(socket);
+        resolve('open');
+      });
+    });
+  }
+
+  #adopt(socket: Socket): void {
+    const channel = new MessageChannel<MeshMessage>(socket, MAX_MESSAGE_BYTES, {
+      message: (message) => this.#receive(message),
+      closed: () => {
+        if (this.#channel === channel) this.#channel = null;
+        for (const settle of this.#waiting.values()) settle({ kind: 'silent' });
+        this.#waiting.clear();
+      },
+    });
+    this.#channel = channel;
+  }
+
+  #receive(message: MeshMessage): void {
+    if (message.type === 'suspicion') this.listener.suspicion(message.suspicion);
+    if (message.type !== 'answer') return;
+    this.#waiting.get(message.id)?.({ kind: 'answered', answer: message.answer });
+    this.#waiting.delete(message.id);
+  }
+}
+
+/** One daemon's part of the mesh. */
+export class PeerMesh {
+  readonly #server: Server;
+  readonly #inbound = new Set<MessageChannel<MeshMessage>>();
+  readonly #links = new Map<string, HolderLink>();
+  #nextId = 1;
+
+  constructor(
+    private readonly selfName: string,
+    private readonly listener: MeshListener,
+  ) {
+    this.#server = createServer((socket) => this.#accept(socket));
+  }
+
+  /** Starts to listen. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Opens connections to all daemons, so that they can tell what they suspect. */
+  connectAll(records: readonly DaemonRecord[]): void {
+    for (const record of this.#others(records)) void this.#link(record).open();
+    const names = new Set(records.map(linkKey));
+    for (const [key, link] of this.#links) {
+      if (names.has(key)) continue;
+      link.close();
+      this.#links.delete(key);
+    }
+  }
+
+  /** Ends the connections of a holder that is one no more. */
+  disconnectAll(): void {
+    for (const link of this.#links.values()) link.close();
+    this.#links.clear();
+  }
+
+  /** Gives an order to all other daemons and collects how it went. */
+  async order(
+    records: readonly DaemonRecord[],
+    order: HolderOrder,
+    timeoutMs: number,
+  ): Promise<ReadonlyMap<string, OrderOutcome>> {
+    const outcomes = new Map<string, OrderOutcome>();
+    const sends = this.#others(records).map(async (record) => {
+      this.#nextId += 1;
+      outcomes.set(record.name, await this.#link(record).send(this.#nextId, order, timeoutMs));
+    });
+    await Promise.all(sends);
+    return outcomes;
+  }
+
+  /** Tells the holder of a doubt. */
+  suspect(suspicion: Suspicion): void {
+    for (const channel of this.#inbound) channel.send({ type: 'suspicion', suspicion });
+  }
+
+  /** Ends everything. */
+  close(): void {
+    this.disconnectAll();
+    for (const channel of this.#inbound) channel.destroy();
+    this.#server.close();
+  }
+
+  #others(records: readonly DaemonRecord[]): readonly DaemonRecord[] {
+    return records.filter((record) => record.name !== this.selfName);
+  }
+
+  #link(record: DaemonRecord): HolderLink {
+    const key = linkKey(record);
+    let link = this.#links.get(key);
+    if (link === undefined) {
+      link = new HolderLink(record, this.listener);
+      this.#links.set(key, link);
+    }
+    return link;
+  }
+
+  #accept(socket: Socket): void {
+    const channel: MessageChannel<MeshMessage> = new MessageChannel<MeshMessage>(socket, MAX_MESSAGE_BYTES, {
+      message: (message) => {
+        if (message.type !== 'order') return;
+        channel.send({ type: 'answer', id: message.id, answer: this.listener.order(message.order) });
+      },
+      closed: () => this.#inbound.delete(channel),
+    });
+    this.#inbound.add(channel);
+  }
+}
+
+function linkKey(record: DaemonRecord): string {
+  return `${record.name} ${record.life}`;
+}
--- /dev/null
+++ b/src/coordination/coordination-store.ts
@@ -0,0 +1,72 @@
+/**
+ * The port to the key-value store that daemons coordinate through: compare-and-swap, leases, watches.
+ *
+ * @packageDocumentation
+ */
+
+/** A key with its value and revision. */
+export interface StoredItem {
+  readonly key: string;
+  readonly value: Buffer;
+  /** Revision of its last change. */
+  readonly revision: number;
+}
+
+/** A change that a watch tells. */
+export interface StoreEvent {
+  readonly key: string;
+  readonly revision: number;
+  /** The new value, or `null` when the key is gone. */
+  readonly value: Buffer | null;
+}
+
+/** What a watch answers: changes, or that the store no longer remembers them. */
+export type WatchAnswer =
+  | { readonly kind: 'events'; readonly events: readonly StoreEvent[]; readonly revision: number }
+  | { readonly kind: 'compacted' };
+
+/** A change under conditions. */
+export interface StoreTransaction {
+  /** Keys with the revision that each must have; 0: absent. */
+  readonly conditions: readonly { readonly key: string; readonly revision: number }[];
+  readonly puts: readonly { readonly key: string; readonly value: Buffer; readonly leaseId: number }[];
+  readonly removes: readonly string[];
+}
+
+/** How a transaction ended. */
+export type TransactionAnswer =
+  | { readonly kind: 'done'; readonly revision: number }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'no_lease' };
+
+/** A lease as granted. */
+export interface GrantedLease {
+  readonly leaseId: number;
+  readonly ttlMs: number;
+}
+
+/** The store did not answer as it should. */
+export class StoreError extends Error {
+  override readonly name = 'StoreError';
+
+  /** @param mayHaveRun - whether a change may have been made, or may still be made later */
+  constructor(
+    message: string,
+    readonly mayHaveRun: boolean,
+  ) {
+    super(message);
+  }
+}
+
+/** The store. Every method rejects with {@link StoreError} when it cannot answer. */
+export interface CoordinationStore {
+  /** All items under a prefix, read linearizably, and the revision to watch from. */
+  list(prefix: string): Promise<{ readonly items: readonly StoredItem[]; readonly revision: number }>;
+  /** Changes under a prefix after a revision; waits for one for at most `waitMs` milliseconds. */
+  watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchAnswer>;
+  transact(transaction: StoreTransaction): Promise<TransactionAnswer>;
+  grantLease(ttlMs: number): Promise<GrantedLease>;
+  /** False when the lease is over. */
+  keepLease(leaseId: number): Promise<boolean>;
+  endLease(leaseId: number): Promise<void>;
+}
--- /dev/null
+++ b/src/leadership/choose-successor.ts
@@ -0,0 +1,45 @@
+/**
+ * Chooses the member to promote. Pure.
+ *
+ * @packageDocumentation
+ */
+import { comparePositions, hasReached, type Position } from '../position/position.js';
+
+/** A member that was paused for the promotion, or demoted, with what it then said. */
+export interface SuccessorCandidate {
+  readonly memberId: string;
+  readonly received: Position;
+  readonly isLeaving: boolean;
+}
+
+/** What is known at the time of the choice. */
+export interface SuccessorQuestion {
+  readonly candidates: readonly SuccessorCandidate[];
+  /** Members that could hold more but did not answer: replicas that could not be paused. */
+  readonly missing: number;
+  /** The latest commit acknowledged by any daemon, or `null` when not all of them were heard. */
+  readonly acknowledged: Position | null;
+}
+
+/**
+ * The member that holds every acknowledged commit, or `null` when that cannot be shown.
+ *
+ * With all replicas paused, the one that has received the most holds all: each acknowledged commit was received
+ * by one of them, and logs are prefixes of each other. With some missing, the position acknowledged by the
+ * daemons has to be covered.
+ */
+export function chooseSuccessor(question: SuccessorQuestion): SuccessorCandidate | null {
+  let best: SuccessorCandidate | null = null;
+  for (const candidate of question.candidates) {
+    if (best === null || isBetter(candidate, best)) best = candidate;
+  }
+  if (best === null || question.missing === 0) return best;
+  if (question.acknowledged === null) return null;
+  return hasReached(best.received, question.acknowledged) ? best : null;
+}
+
+function isBetter(candidate: SuccessorCandidate, best: SuccessorCandidate): boolean {
+  const order = comparePositions(candidate.received, best.received);
+  if (order !== 0) return order > 0;
+  return best.isLeaving && !candidate.isLeaving;
+}
--- /dev/null
+++ b/src/leadership/group-supervisor.ts
@@ -0,0 +1,310 @@
+/**
+ * The duty of one group: sees that it has a leader, and promotes another member when it has not, or when its
+ * leader leaves.
+ *
+ * A promotion first makes every daemon let go of the old leader, then pauses all replicas, so that nothing more
+ * can be acknowledged; waits until the evidence of daemons that did not answer has lapsed; promotes the member
+ * that has received the most; and lets the others follow it.
+ *
+ * @packageDocumentation
+ */
+import { ChangeSignal, delay } from '../common/signal.js';
+import type { HolderOrder, OrderOutcome } from '../cluster/peer-mesh.js';
+import { laterPosition, type Position } from '../position/position.js';
+import type { MemberStatus } from '../relay/member-link.js';
+import type { Member, MemberGroup } from '../topology/member-group.js';
+import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
+import { EVIDENCE_MS } from './leadership-evidence.js';
+import type { MemberControl } from './member-control.js';
+
+/** Asks the platform to make a member lead. Rejects when it may or may not have been heard. */
+export interface PromotionPort {
+  /**
+   * @param fence - rises with each holder of the duty
+   * @param timeoutMs - after it, nothing of the call may arrive any more
+   * @returns false when the platform says that the member does not run
+   */
+  promote(groupName: string, memberId: string, fence: number, timeoutMs: number): Promise<boolean>;
+}
+
+/** What a supervisor needs. */
+export interface GroupSupervisorOptions {
+  readonly control: MemberControl;
+  readonly promotion: PromotionPort;
+  /** The fence while the duty is held for so many milliseconds more, or `null`. */
+  heldFence(reserveMs: number): number | null;
+  /** Gives an order to all other daemons. */
+  order(order: HolderOrder, timeoutMs: number): Promise<ReadonlyMap<string, OrderOutcome>>;
+  log(event: string, details: Readonly<Record<string, unknown>>): void;
+  now(): number;
+}
+
+/** Time between looks at a group that seems well, in milliseconds. */
+const LOOK_MS = 1000;
+/** Longest wait for a member's status, in milliseconds. */
+const STATUS_MS = 200;
+/** Longest wait for a pause, in milliseconds. */
+const PAUSE_MS = 300;
+/** Longest wait for the other daemons, in milliseconds. */
+const ORDER_MS = 200;
+/** How long requests under way at a leader that leaves may take to end, in milliseconds. */
+const HANDOVER_REST_MS = 60;
+/** Longest wait for the platform's answer, in milliseconds. */
+const PROMOTE_CALL_MS = 700;
+/** Longest wait for the new leader, in milliseconds. */
+const TAKEOVER_MS = 1500;
+/** Time between questions to a member that is to lead, in milliseconds. */
+const TAKEOVER_LOOK_MS = 25;
+/** How long the platform takes at least, in milliseconds: no question before. */
+const TAKEOVER_LEAST_MS = 270;
+/** A promotion is begun only when the duty is held this much longer, in milliseconds. */
+const DUTY_RESERVE_MS = 400;
+
+const LEADS_NO_LONGER = 'leader leads no longer';
+
+/** A paused replica. */
+interface Paused {
+  readonly member: Member;
+  readonly status: MemberStatus;
+}
+
+/** Supervises one group while this daemon holds the duty. */
+export class GroupSupervisor {
+  readonly #wake = new ChangeSignal();
+  #isStopped = false;
+  #suspected = false;
+
+  constructor(
+    private readonly group: MemberGroup,
+    private readonly options: GroupSupervisorOptions,
+  ) {}
+
+  /** Supervises until {@link GroupSupervisor.stop}. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      if (this.options.heldFence(DUTY_RESERVE_MS) !== null) await this.#look();
+      if (!this.#suspected) await this.#wake.wait(LOOK_MS);
+      this.#suspected = false;
+    }
+  }
+
+  /** Somebody doubts the leader, or the directory has changed: look now. */
+  suspect(): void {
+    this.#suspected = true;
+    this.#wake.notify();
+  }
+
+  /** Stops after what is under way. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#wake.notify();
+  }
+
+  async #look(): Promise<void> {
+    const leader = await this.#findLeader();
+    if (this.#isStopped) return;
+    if (leader === null) return;
+    if (leader.isLeaving) {
+      await this.#promote(leader, 'leader leaves');
+      return;
+    }
+    const trouble = await this.#trouble(leader);
+    if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
+    else if (trouble !== null) await this.#promote(leader, trouble);
+    else await this.#repair(leader);
+  }
+
+  /** The leader denies its lead: finds the member that leads instead, or promotes any of them. */
+  async #replaceLost(): Promise<void> {
+    this.group.evidence.loseLeader();
+    const members = [...this.group.members.values()];
+    const statuses = await Promise.all(members.map((member) => this.#status(member)));
+    let isLed = false;
+    members.forEach((member, index) => {
+      const answer = statuses[index];
+      if (answer?.kind !== 'answered' || !answer.status.isPrimary) return;
+      isLed = true;
+      this.group.evidence.believe({ memberId: member.entry.memberId, term: answer.status.term });
+    });
+    this.group.changed.notify();
+    if (!isLed && members.length > 0) await this.#promote(null, 'no member leads');
+  }
+
+  /** The member that leads or led last; asks all members when nothing is known. */
+  async #findLeader(): Promise<Member | null> {
+    const believed = this.group.evidence.leader;
+    if (believed !== null) return this.group.members.get(believed.memberId) ?? null;
+    const members = [...this.group.members.values()];
+    const statuses = await Promise.all(members.map((member) => this.#status(member)));
+    let leader: Member | null = null;
+    members.forEach((member, index) => {
+      const answer = statuses[index];
+      if (answer?.kind !== 'answered' || !answer.status.isPrimary) return;
+      this.group.evidence.believe({ memberId: member.entry.memberId, term: answer.status.term });
+      leader = this.group.members.get(this.group.evidence.leader?.memberId ?? '') ?? null;
+    });
+    if (leader !== null) return leader;
+    const claimant = members.find((member) => member.entry.saysPrimary);
+    return claimant ?? members[0] ?? null;
+  }
+
+  /** Why the leader has to be replaced, or `null`. */
+  async #trouble(leader: Member): Promise<string | null> {
+    const first = await this.#status(leader);
+    if (first.kind === 'answered') return first.status.isPrimary ? null : LEADS_NO_LONGER;
+    if (first.kind === 'busy') return null;
+    const second = await this.#status(leader);
+    if (second.kind === 'answered') return second.status.isPrimary ? null : LEADS_NO_LONGER;
+    if (second.kind === 'busy') return null;
+    return `leader is ${second.kind}`;
+  }
+
+  /** Lets replicas go on that a promotion given up, or its holder, left paused. */
+  async #repair(leader: Member): Promise<void> {
+    const now = this.options.now();
+    if (this.group.evidence.current(now)?.memberId === leader.entry.memberId) return;
+    for (const member of this.#others(leader)) {
+      const answer = await this.#status(member);
+      if (answer.kind !== 'answered' || answer.status.pausedForTerm === 0) continue;
+      this.options.log('replica_resumed', { group: this.group.name, member: member.entry.memberId });
+      await this.options.control.ask(member, { kind: 'resume' }, STATUS_MS);
+    }
+  }
+
+  /** @param leader - the member to be replaced; `null` when every member may succeed */
+  async #promote(leader: Member | null, reason: string): Promise<void> {
+    const { options, group } = this;
+    const others = this.#others(leader);
+    if (others.length === 0) return;
+    const startedAtMs = options.now();
+    const term = group.evidence.leader?.term ?? group.evidence.minimumTerm;
+    options.log('promotion_begins', { group: group.name, leader: leader?.entry.memberId, term, reason });
+    group.evidence.revoke(term, startedAtMs);
+    const isPlanned = leader?.isLeaving === true;
+    const revoking = options.order({ kind: 'revoke', groupName: group.name, term }, ORDER_MS);
+    if (isPlanned) {
+      await revoking;
+      await delay(HANDOVER_REST_MS);
+    }
+    const paused = await this.#pauseAll(others, term);
+    const pausedAtMs = options.now();
+    const outcomes = await revoking;
+    if (hasSilent(outcomes)) await delay(pausedAtMs + EVIDENCE_MS - options.now());
+    const candidates = paused.map(toCandidate);
+    if (isPlanned && leader !== null) await this.#demote(leader, term + 1);
+    const successor = chooseSuccessor({
+      candidates,
+      missing: others.length - paused.length,
+      acknowledged: latestAcknowledged(group.acknowledged, outcomes),
+    });
+    const isDone = successor !== null && (await this.#appoint(successor, term, reason));
+    if (!isDone) {
+      options.log('promotion_given_up', {
+        group: group.name,
+        reason: successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it',
+        paused: paused.length,
+        missing: others.length - paused.length,
+      });
+      await this.#resumeAll(paused.map(({ member }) => member));
+      group.evidence.allowAgain();
+      void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
+      await delay(100);
+      return;
+    }
+    options.log('promotion_ends', {
+      group: group.name,
+      leader: successor.memberId,
+      ms: Math.round(options.now() - startedAtMs),
+    });
+    await this.#resumeAll(
+      paused.map(({ member }) => member).filter((member) => member.entry.memberId !== successor.memberId),
+    );
+    if (!isPlanned && leader !== null) await this.#demote(leader, term + 1);
+  }
+
+  /** Asks the platform for the promotion and waits until the member leads. */
+  async #appoint(successor: SuccessorCandidate, oldTerm: number, reason: string): Promise<boolean> {
+    const { options, group } = this;
+    const fence = options.heldFence(DUTY_RESERVE_MS);
+    const member = group.members.get(successor.memberId);
+    if (fence === null || member === undefined) return false;
+    const calledAtMs = options.now();
+    options.log('promotion_call', { group: group.name, member: successor.memberId, fence, reason });
+    const call = options.promotion
+      .promote(group.name, successor.memberId, fence, PROMOTE_CALL_MS)
+      .catch(() => null);
+    const isRefused = call.then((accepted) => accepted === false);
+    await Promise.race([isRefused, delay(TAKEOVER_LEAST_MS)]);
+    while (options.now() - calledAtMs < TAKEOVER_MS) {
+      const answer = await this.#status(member);
+      if (answer.kind === 'answered' && answer.status.isPrimary && answer.status.term > oldTerm) {
+        this.#announce(successor.memberId, answer.status.term);
+        return true;
+      }
+      if ((await Promise.race([isRefused, delay(TAKEOVER_LOOK_MS)])) === true) return false;
+    }
+    return false;
+  }
+
+  #announce(memberId: string, term: number): void {
+    this.group.evidence.believe({ memberId, term });
+    this.group.changed.notify();
+    const order: HolderOrder = { kind: 'leader', groupName: this.group.name, memberId, term };
+    void this.options.order(order, ORDER_MS);
+  }
+
+  /** Pauses all members but the leader; gives those that confirmed it. */
+  async #pauseAll(members: readonly Member[], term: number): Promise<readonly Paused[]> {
+    const paused = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
+    return paused.filter((entry) => entry !== null);
+  }
+
+  async #pause(member: Member, term: number): Promise<Paused | null> {
+    const { control } = this.options;
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      const answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
+      if (answer.kind === 'answered') {
+        const isPaused = answer.status.pausedForTerm >= term || answer.status.term >= term;
+        return isPaused ? { member, status: answer.status } : null;
+      }
+      if (answer.kind === 'refused') return null;
+    }
+    return null;
+  }
+
+  async #resumeAll(members: readonly Member[]): Promise<void> {
+    await Promise.all(
+      members.map((member) => this.options.control.ask(member, { kind: 'resume' }, STATUS_MS)),
+    );
+  }
+
+  async #demote(leader: Member, term: number): Promise<void> {
+    await this.options.control.ask(leader, { kind: 'demote', term }, STATUS_MS);
+  }
+
+  #status(member: Member): ReturnType<MemberControl['ask']> {
+    return this.options.control.ask(member, { kind: 'status' }, STATUS_MS);
+  }
+
+  #others(leader: Member | null): readonly Member[] {
+    return [...this.group.members.values()].filter((member) => member !== leader);
+  }
+}
+
+function toCandidate({ member, status }: Paused): SuccessorCandidate {
+  return { memberId: member.entry.memberId, received: status.received, isLeaving: member.isLeaving };
+}
+
+function hasSilent(outcomes: ReadonlyMap<string, OrderOutcome>): boolean {
+  return [...outcomes.values()].some((outcome) => outcome.kind === 'silent');
+}
+
+/** The latest acknowledged commit, or `null` when a daemon that may know a later one was not heard. */
+function latestAcknowledged(own: Position, outcomes: ReadonlyMap<string, OrderOutcome>): Position | null {
+  let latest = own;
+  for (const outcome of outcomes.values()) {
+    if (outcome.kind !== 'answered') return null;
+    latest = laterPosition(latest, outcome.answer.acknowledged);
+  }
+  return latest;
+}
--- /dev/null
+++ b/src/leadership/leadership-evidence.ts
@@ -0,0 +1,103 @@
+/**
+ * Evidence that a member leads its group. Pure: the caller passes monotonic times.
+ *
+ * A promotion pauses every replica of the group before it makes one of them lead. A replica that says, asked at
+ * time *s*, that it follows term *t* and is not paused therefore proves that nobody had been promoted over the
+ * leader of *t* at *s*. Such an answer counts until *s* + {@link EVIDENCE_MS}; who promotes waits that long
+ * after its pauses for every daemon that has not confirmed that it let go.
+ *
+ * @packageDocumentation
+ */
+
+/** How long an answer of a witness counts, from the time at which it was asked, in milliseconds. */
+export const EVIDENCE_MS = 1600;
+
+/** Age of evidence at which it is renewed, in milliseconds. */
+export const EVIDENCE_RENEWAL_MS = 900;
+
+/** How long a revocation keeps a daemon from gathering evidence of the same term, in milliseconds. */
+export const REVOCATION_MS = 1500;
+
+/** A member that leads a term. */
+export interface Leader {
+  readonly memberId: string;
+  readonly term: number;
+}
+
+/** What one daemon believes of the leadership of one group. */
+export class LeadershipEvidence {
+  #leader: Leader | null = null;
+  #validUntilMs = Number.NEGATIVE_INFINITY;
+  #revokedUpToTerm = -1;
+  #revokedUntilMs = Number.NEGATIVE_INFINITY;
+  /** No term below this one leads any more: a later one was announced or seen. */
+  #minimumTerm = 0;
+
+  /** The member that is believed to lead, with or without evidence that is still valid. */
+  get leader(): Leader | null {
+    return this.#leader;
+  }
+
+  /** Lowest term that may still lead. */
+  get minimumTerm(): number {
+    return this.#minimumTerm;
+  }
+
+  /** When the present evidence lapses. */
+  get validUntilMs(): number {
+    return this.#validUntilMs;
+  }
+
+  /** The leader, if there is evidence at `nowMs`. */
+  current(nowMs: number): Leader | null {
+    return nowMs < this.#validUntilMs ? this.#leader : null;
+  }
+
+  /** A member has said that it leads a term. True when that is news. */
+  believe(leader: Leader): boolean {
+    if (leader.term < this.#minimumTerm) return false;
+    if (this.#leader !== null && leader.term < this.#leader.term) return false;
+    if (this.#leader?.memberId === leader.memberId && this.#leader.term === leader.term) return false;
+    this.#leader = leader;
+    this.#minimumTerm = leader.term;
+    this.#validUntilMs = Number.NEGATIVE_INFINITY;
+    return true;
+  }
+
+  /**
+   * A witness, asked at `askedAtMs`, follows `term` and is paused for `pausedForTerm` (0: not paused).
+   *
+   * @returns true when that is evidence for the leader
+   */
+  witness(term: number, pausedForTerm: number, askedAtMs: number): boolean {
+    const leader = this.#leader;
+    if (term > this.#minimumTerm) this.#minimumTerm = term;
+    if (leader === null || leader.term !== term) {
+      if (leader !== null && leader.term < term) this.loseLeader();
+      return false;
+    }
+    if (pausedForTerm > term) return false;
+    if (term <= this.#revokedUpToTerm && askedAtMs < this.#revokedUntilMs) return false;
+    this.#validUntilMs = Math.max(this.#validUntilMs, askedAtMs + EVIDENCE_MS);
+    return true;
+  }
+
+  /** A promotion over `term` is about to begin: evidence is dropped, and not gathered again for a while. */
+  revoke(term: number, nowMs: number): void {
+    if (this.#leader !== null && this.#leader.term > term) return;
+    this.#validUntilMs = Number.NEGATIVE_INFINITY;
+    this.#revokedUpToTerm = Math.max(this.#revokedUpToTerm, term);
+    this.#revokedUntilMs = nowMs + REVOCATION_MS;
+  }
+
+  /** The promotion was given up, and its pauses are lifted: evidence may be gathered again. */
+  allowAgain(): void {
+    this.#revokedUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** The leader has said, or another member has shown, that it leads no longer. */
+  loseLeader(): void {
+    this.#leader = null;
+    this.#validUntilMs = Number.NEGATIVE_INFINITY;
+  }
+}
--- /dev/null
+++ b/src/leadership/position-history.ts
@@ -0,0 +1,48 @@
+/**
+ * Positions that a proven leader gave, by the time at which it was asked. Pure: times are passed in.
+ *
+ * Every commit acknowledged before the leader was asked is at or before the position that it gave.
+ *
+ * @packageDocumentation
+ */
+import { comparePositions, type Position } from '../position/position.js';
+
+interface Sample {
+  readonly askedAtMs: number;
+  readonly position: Position;
+}
+
+/** Least time between two samples that are kept, in milliseconds. */
+const SAMPLE_SPACING_MS = 20;
+
+/** How long samples are kept, in milliseconds; no staleness bound above this is used in full. */
+const KEEP_MS = 5000;
+
+/** The positions of one group's leader over the last seconds. */
+export class PositionHistory {
+  #samples: Sample[] = [];
+
+  /** Takes a position that the leader gave when it was asked at `askedAtMs` under valid evidence. */
+  record(askedAtMs: number, position: Position): void {
+    const last = this.#samples.at(-1);
+    if (last !== undefined && askedAtMs - last.askedAtMs < SAMPLE_SPACING_MS) return;
+    this.#samples.push({ askedAtMs, position });
+    const oldest = askedAtMs - KEEP_MS;
+    const keepFrom = this.#samples.findIndex((sample) => sample.askedAtMs >= oldest);
+    if (keepFrom > 64) this.#samples = this.#samples.slice(keepFrom);
+  }
+
+  /**
+   * The lowest known position that holds every commit acknowledged before `sinceMs`, or `null` when the leader
+   * was not asked since.
+   */
+  floorSince(sinceMs: number): Position | null {
+    let floor: Position | null = null;
+    for (let index = this.#samples.length - 1; index >= 0; index -= 1) {
+      const sample = this.#samples[index];
+      if (sample === undefined || sample.askedAtMs < sinceMs) break;
+      if (floor === null || comparePositions(sample.position, floor) < 0) floor = sample.position;
+    }
+    return floor;
+  }
+}
--- /dev/null
+++ b/src/relay/link-pool.ts
@@ -0,0 +1,198 @@
+/**
+ * The connections of one daemon to one member, within a budget.
+ *
+ * @packageDocumentation
+ */
+import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
+import { PooledLink, type SessionValues } from './pooled-link.js';
+
+/** No connection came free in time: nothing was sent. */
+export class PoolTimeoutError extends Error {
+  override readonly name = 'PoolTimeoutError';
+}
+
+interface Waiter {
+  readonly priority: number;
+  readonly values: SessionValues;
+  grant(link: PooledLink): void;
+  fail(error: Error): void;
+}
+
+/** What a pool is told about its surroundings. */
+export interface LinkPoolOptions {
+  readonly dialer: MemberDialer;
+  readonly address: MemberAddress;
+  /** Most connections that may be open now. */
+  budget(): number;
+  /** Longest time to open a connection, in milliseconds. */
+  readonly dialTimeoutMs: number;
+  /** How long the pool keeps to what it has after the member had too many connections, in milliseconds. */
+  readonly limitBackoffMs: number;
+  /** Told when a connection could not be opened or ended by itself. */
+  onTrouble(reason: string): void;
+  /** Monotonic time, in milliseconds. */
+  now(): number;
+}
+
+/** Opens connections on demand, hands them out by priority, takes them back when they are clean. */
+export class LinkPool {
+  readonly #idle: PooledLink[] = [];
+  readonly #waiters: Waiter[] = [];
+  readonly #links = new Set<PooledLink>();
+  #dialing = 0;
+  #limitedUntilMs = Number.NEGATIVE_INFINITY;
+  #isClosed = false;
+
+  constructor(private readonly options: LinkPoolOptions) {}
+
+  /** Connections that are open or being opened. */
+  get size(): number {
+    return this.#links.size + this.#dialing;
+  }
+
+  /** Connections handed out, and requests that wait for one. */
+  get load(): number {
+    return this.#links.size - this.#idle.length + this.#dialing + this.#waiters.length;
+  }
+
+  /** True when a request would have to wait for another to finish. */
+  get isExhausted(): boolean {
+    return this.#idle.length === 0 && !this.#mayDial();
+  }
+
+  /**
+   * A connection for exclusive use; give it back with {@link LinkPool.release}.
+   *
+   * @throws {@link PoolTimeoutError}, {@link DialError}: nothing was sent
+   */
+  acquire(values: SessionValues, priority: number, waitMs: number): Promise<PooledLink> {
+    if (this.#isClosed) return Promise.reject(new PoolTimeoutError('the member has left'));
+    const idle = this.#takeIdle(values);
+    if (idle !== null) return Promise.resolve(idle);
+    if (waitMs <= 0) return Promise.reject(new PoolTimeoutError('no time to wait for a connection'));
+    return new Promise((resolve, reject) => {
+      const waiter: Waiter = {
+        priority,
+        values,
+        grant: (link) => {
+          clearTimeout(timer);
+          resolve(link);
+        },
+        fail: (error) => {
+          clearTimeout(timer);
+          reject(error);
+        },
+      };
+      const timer = setTimeout(() => {
+        this.#removeWaiter(waiter);
+        reject(new PoolTimeoutError('no connection came free'));
+      }, waitMs);
+      this.#enqueue(waiter);
+      if (this.#mayDial() && this.#dialing < this.#waiters.length) this.#dial();
+    });
+  }
+
+  /** An idle connection for a question of the daemon's own, or `null`. */
+  takeIdle(): PooledLink | null {
+    return this.#takeIdle(new Map());
+  }
+
+  /** Takes a connection back; one that is not clean is ended. */
+  release(link: PooledLink): void {
+    if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
+      link.close();
+      return;
+    }
+    const waiter = this.#waiters.shift();
+    if (waiter === undefined) this.#idle.push(link);
+    else waiter.grant(link);
+  }
+
+  /** Ends idle connections above the budget. */
+  trim(): void {
+    while (this.size > this.options.budget() && this.#idle.length > 0) this.#idle.shift()?.close();
+  }
+
+  /** For how long requests have waited with no byte from the member, in milliseconds; 0 when none waits. */
+  silenceMs(nowMs: number): number {
+    let waitingSince = nowMs;
+    let lastReceived = Number.NEGATIVE_INFINITY;
+    for (const link of this.#links) {
+      if (link.waitingSinceMs !== null) waitingSince = Math.min(waitingSince, link.waitingSinceMs);
+      lastReceived = Math.max(lastReceived, link.lastReceivedMs);
+    }
+    return nowMs - Math.max(waitingSince, lastReceived);
+  }
+
+  /** Ends all connections: the member does not answer. */
+  dropAll(): void {
+    for (const link of [...this.#links]) link.close();
+  }
+
+  /** Ends idle connections now, the others as they are given back. */
+  close(): void {
+    this.#isClosed = true;
+    for (const link of this.#idle.splice(0)) link.close();
+    for (const waiter of this.#waiters.splice(0)) waiter.fail(new PoolTimeoutError('the member has left'));
+  }
+
+  #mayDial(): boolean {
+    return this.size < this.options.budget() && this.options.now() >= this.#limitedUntilMs;
+  }
+
+  #takeIdle(values: SessionValues): PooledLink | null {
+    let index = this.#idle.findIndex((link) => link.isOpen && link.hasValues(values));
+    if (index < 0) index = this.#idle.findIndex((link) => link.isOpen);
+    return index < 0 ? null : (this.#idle.splice(index, 1)[0] ?? null);
+  }
+
+  #enqueue(waiter: Waiter): void {
+    const index = this.#waiters.findIndex((other) => other.priority > waiter.priority);
+    if (index < 0) this.#waiters.push(waiter);
+    else this.#waiters.splice(index, 0, waiter);
+  }
+
+  #removeWaiter(waiter: Waiter): void {
+    const index = this.#waiters.indexOf(waiter);
+    if (index >= 0) this.#waiters.splice(index, 1);
+  }
+
+  #dial(): void {
+    this.#dialing += 1;
+    this.options.dialer.dial(this.options.address, this.options.dialTimeoutMs).then(
+      (memberLink) => {
+        this.#dialing -= 1;
+        this.#add(new PooledLink(memberLink));
+      },
+      (error: unknown) => {
+        this.#dialing -= 1;
+        this.#dialFailed(error instanceof DialError ? error : new DialError('lost', String(error)));
+      },
+    );
+  }
+
+  #add(link: PooledLink): void {
+    this.#links.add(link);
+    link.onClosed((isByPeer) => this.#lost(link, isByPeer));
+    if (link.isOpen) this.release(link);
+    else this.#lost(link, true);
+  }
+
+  #lost(link: PooledLink, isByPeer: boolean): void {
+    if (!this.#links.delete(link)) return;
+    if (isByPeer) this.options.onTrouble('lost');
+    const index = this.#idle.indexOf(link);
+    if (index >= 0) this.#idle.splice(index, 1);
+    if (this.#waiters.length > this.#dialing && this.#mayDial()) this.#dial();
+  }
+
+  #dialFailed(error: DialError): void {
+    if (error.reason === 'too_many_connections') {
+      this.#limitedUntilMs = this.options.now() + this.options.limitBackoffMs;
+      if (this.#links.size > 0) return;
+    } else {
+      this.options.onTrouble(error.reason);
+    }
+    this.#waiters.shift()?.fail(error);
+  }
+}
--- /dev/null
+++ b/src/relay/relay-context.ts
@@ -0,0 +1,46 @@
+/**
+ * What the parts of the relay share.
+ *
+ * @packageDocumentation
+ */
+import type { Catalog } from '../topology/catalog.js';
+import type { Member, MemberGroup } from '../topology/member-group.js';
+
+/** One decision that touches a request. */
+export interface Decision {
+  readonly requestId: string;
+  readonly decision: string;
+  readonly [input: string]: string | number | boolean | null | undefined;
+}
+
+/** Where decisions are told and counted. */
+export interface RelayObserver {
+  /** A decision about a request that goes well: may be left out of the log under load. */
+  routine(decision: Decision): void;
+  /** A decision about a request that is in trouble. */
+  notable(decision: Decision): void;
+  /** The time of an answer of a member, in milliseconds. */
+  memberAnswered(kind: string, isLeader: boolean, ms: number): void;
+}
+
+/** What the parts of the relay share. */
+export interface RelayContext {
+  readonly catalog: Catalog;
+  readonly zone: string;
+  readonly observer: RelayObserver;
+  /** The group of a name; groups come and go with the configuration. */
+  group(name: string): MemberGroup | null;
+  /** Monotonic time, in milliseconds. */
+  now(): number;
+  /** A member went silent, refused connections or denied its lead. */
+  suspect(group: MemberGroup, member: Member, reason: string): void;
+}
+
+/** Pause before members that refused are asked again, in milliseconds. */
+export const RETRY_PAUSE_MS = 15;
+
+/** How long the answer to a request that its client no longer waits for may occupy a connection, in milliseconds. */
+export const LATE_ANSWER_MS = 300;
+
+/** Advice to a client whose request was not run, in milliseconds. */
+export const RETRY_AFTER_MS = 50;
--- /dev/null
+++ b/src/relay/relay-daemon.ts
@@ -0,0 +1,434 @@
+/**
+ * Puts the parts of a relay daemon together: sessions, groups of members, evidence of leaders, the duty.
+ *
+ * @packageDocumentation
+ */
+import { delay } from '../common/signal.js';
+import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
+import type { CoordinationStore } from '../coordination/coordination-store.js';
+import { COORDINATION_PREFIX, DAEMON_PREFIX, Duty, type DaemonRecord } from '../coordination/duty.js';
+import { WatchedPrefix } from '../coordination/watched-prefix.js';
+import { GroupSupervisor, type PromotionPort } from '../leadership/group-supervisor.js';
+import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
+import { MemberControl } from '../leadership/member-control.js';
+import { Catalog, type CatalogDocument } from '../topology/catalog.js';
+import { Member, MemberGroup, type MemberEntry } from '../topology/member-group.js';
+import { LinkPool } from './link-pool.js';
+import type { MemberDialer, StatusReader } from './member-link.js';
+import type { RelayContext, RelayObserver } from './relay-context.js';
+import { Session } from './session.js';
+
+/** What a relay daemon is given. */
+export interface RelayDaemonOptions {
+  readonly self: DaemonRecord;
+  readonly zone: string;
+  readonly store: CoordinationStore;
+  readonly dialer: MemberDialer;
+  readonly readStatus: StatusReader;
+  readonly promotion: PromotionPort;
+  readonly observer: RelayObserver;
+  /** How long a member that leaves may still be given work, in milliseconds. */
+  readonly leaveMs: number;
+  /** Time between two signs of life of a member in the directory, in milliseconds. */
+  readonly heartbeatMs: number;
+  log(event: string, details: Readonly<Record<string, unknown>>): void;
+  now(): number;
+  random(): number;
+}
+
+/** Connections of a member that no daemon plans with. */
+const RESERVED_CONNECTIONS = 3;
+/** Daemons planned with before the others are known. */
+const ASSUMED_DAEMONS = 8;
+/** Time between looks at silence and departures, in milliseconds. */
+const TICK_MS = 100;
+/** Silence after which a member is avoided, in milliseconds. */
+const SILENCE_MS = 350;
+/** Silence after which its connections are ended, in milliseconds. */
+const DEAD_MS = 1200;
+const DIAL_MS = 400;
+const LIMIT_BACKOFF_MS = 500;
+/** Part of the time to leave after which a leaving member is given no work at all. */
+const LEAVE_SHARE = 0.75;
+/** Time after the store is back in which vanished entries mean nothing, in heartbeats. */
+const TRUST_HEARTBEATS = 4;
+/** Time for which an entry is gone before its member counts as leaving, in heartbeats. */
+const GONE_HEARTBEATS = 1.2;
+
+interface WatchedGroup {
+  readonly group: MemberGroup;
+  readonly watcher: LeadershipWatcher;
+  supervisor: GroupSupervisor | null;
+}
+
+/** A relay daemon without its sockets towards clients. */
+export class RelayDaemon {
+  readonly catalog = new Catalog();
+  readonly #groups = new Map<string, WatchedGroup>();
+  readonly #entries = new Map<string, MemberEntry>();
+  /** Members that left and must not be used, though their entries may still stand. */
+  readonly #retired = new Set<string>();
+  readonly #control: MemberControl;
+  readonly #mesh: PeerMesh;
+  readonly #keys: WatchedPrefix;
+  readonly #duty: Duty;
+  readonly #context: RelayContext;
+  #daemons: readonly DaemonRecord[] = [];
+  #isDirectoryLoaded = false;
+  #isDirectoryAvailable = false;
+  #directoryTrustedFromMs = Number.POSITIVE_INFINITY;
+  #isReady = false;
+  #tickTimer: NodeJS.Timeout | null = null;
+
+  constructor(private readonly options: RelayDaemonOptions) {
+    const { self, store, dialer, readStatus, now, random } = options;
+    this.#control = new MemberControl({ dialer, readStatus, now });
+    this.#mesh = new PeerMesh(self.name, {
+      order: (order) => this.#obey(order),
+      suspicion: (suspicion) => this.#heed(suspicion),
+    });
+    this.#keys = new WatchedPrefix(
+      store,
+      COORDINATION_PREFIX,
+      {
+        changed: () => this.#keysChanged(),
+        removed: () => this.#keysChanged(),
+        loaded: () => this.#keysChanged(),
+        availability: (isAvailable, reason) =>
+          options.log(isAvailable ? 'store_regained' : 'store_lost', { watch: 'coordination', reason }),
+      },
+      random,
+    );
+    const listener = {
+      taken: (fence: number) => this.#dutyTaken(fence),
+      lost: (reason: string) => this.#dutyLost(reason),
+    };
+    this.#duty = new Duty(store, self, () => this.#keys.items, listener, now, random);
+    this.#context = {
+      catalog: this.catalog,
+      zone: options.zone,
+      observer: options.observer,
+      group: (name) => this.#groups.get(name)?.group ?? null,
+      now,
+      suspect: (group, member, reason) => this.#suspect(group, member, reason),
+    };
+  }
+
+  /** True once requests can be served; stays so. */
+  get isReady(): boolean {
+    if (!this.#isReady) this.#isReady = this.#canServe();
+    return this.#isReady;
+  }
+
+  /** The groups, for status and metrics. */
+  get groups(): readonly MemberGroup[] {
+    return [...this.#groups.values()].map(({ group }) => group);
+  }
+
+  /** The fence of the duty while it is held, or `null`. */
+  get heldFence(): number | null {
+    return this.#duty.heldFence(0);
+  }
+
+  /** Starts to listen for other daemons and to follow the store. */
+  async start(): Promise<void> {
+    await this.#mesh.listen(this.options.self.host, this.options.self.port);
+    this.#runForever(this.#keys.run());
+    this.#runForever(this.#duty.run());
+    this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  /** Gives up the duty; sessions go on. */
+  async retire(): Promise<void> {
+    await Promise.race([this.#duty.stop(), delay(500)]);
+  }
+
+  /** Ends everything. */
+  stop(): void {
+    if (this.#tickTimer !== null) clearInterval(this.#tickTimer);
+    this.#keys.stop();
+    this.#mesh.close();
+    for (const watched of this.#groups.values()) this.#forgetGroup(watched);
+  }
+
+  /** Opens a session on a database. */
+  openSession(database: string): Session {
+    return new Session(this.#context, database);
+  }
+
+  /** Takes a configuration if it is newer. */
+  offerCatalog(document: CatalogDocument): boolean {
+    if (!this.catalog.offer(document)) return false;
+    this.#syncGroups(document);
+    return true;
+  }
+
+  /** The directory describes a member. */
+  memberListed(entry: MemberEntry): void {
+    this.#entries.set(entry.memberId, entry);
+    const watched = this.#groups.get(entry.groupName);
+    if (watched !== undefined) this.#place(watched, entry);
+  }
+
+  /** The directory lists a member no longer. */
+  memberUnlisted(memberId: string): void {
+    const entry = this.#entries.get(memberId);
+    if (entry === undefined) return;
+    this.#entries.delete(memberId);
+    this.#retired.delete(memberId);
+    const member = this.#groups.get(entry.groupName)?.group.members.get(memberId);
+    if (member !== undefined) member.missingSinceMs = this.options.now();
+  }
+
+  /** The directory has been read whole. */
+  directoryLoaded(): void {
+    this.#isDirectoryLoaded = true;
+    this.directoryAvailability(true);
+  }
+
+  /** The directory answers, or has stopped to. */
+  directoryAvailability(isAvailable: boolean): void {
+    if (isAvailable === this.#isDirectoryAvailable) return;
+    this.#isDirectoryAvailable = isAvailable;
+    const trustMs = TRUST_HEARTBEATS * this.options.heartbeatMs;
+    this.#directoryTrustedFromMs = isAvailable ? this.options.now() + trustMs : Number.POSITIVE_INFINITY;
+  }
+
+  #canServe(): boolean {
+    const { document } = this.catalog;
+    if (document === null || !this.#isDirectoryLoaded) return false;
+    const now = this.options.now();
+    return this.groups.every((group) => group.leader(now) !== null);
+  }
+
+  /** Groups follow the routes: one is watched while a route leads to it. */
+  #syncGroups(document: CatalogDocument): void {
+    const wanted = new Set([...document.routes.values()].map((route) => route.groupName));
+    for (const name of wanted) if (!this.#groups.has(name)) this.#addGroup(name);
+    for (const [name, watched] of this.#groups) {
+      if (wanted.has(name)) continue;
+      this.#groups.delete(name);
+      this.#forgetGroup(watched);
+    }
+  }
+
+  #addGroup(name: string): void {
+    const { options } = this;
+    const group = new MemberGroup(name);
+    const listener = {
+      evidenceChanged: (_group: MemberGroup, memberId: string | null, reason: string) =>
+        options.log(memberId === null ? 'evidence_lapsed' : 'evidence_gained', {
+          group: name,
+          leader: memberId ?? group.evidence.leader?.memberId,
+          term: group.evidence.leader?.term,
+          reason,
+        }),
+    };
+    const watcher = new LeadershipWatcher(group, options.zone, this.#control, listener, options.now);
+    const watched: WatchedGroup = { group, watcher, supervisor: null };
+    this.#groups.set(name, watched);
+    for (const entry of this.#entries.values()) if (entry.groupName === name) this.#place(watched, entry);
+    this.#runForever(watcher.run());
+    if (this.heldFence !== null) this.#supervise(watched);
+  }
+
+  #forgetGroup(watched: WatchedGroup): void {
+    watched.watcher.stop();
+    watched.supervisor?.stop();
+    for (const member of watched.group.members.values()) member.pool.close();
+  }
+
+  #place(watched: WatchedGroup, entry: MemberEntry): void {
+    const { group } = watched;
+    const known = group.members.get(entry.memberId);
+    if (known === undefined) {
+      if (this.#retired.has(entry.memberId)) return;
+      this.#addMember(watched, entry);
+    } else {
+      known.missingSinceMs = null;
+      if (known.entry.saysPrimary !== entry.saysPrimary) this.#roleChanged(watched, entry);
+      known.entry = entry;
+      if (!entry.isDraining) known.leavingSinceMs = null;
+    }
+    if (entry.isDraining) this.#leaves(watched, group.members.get(entry.memberId), 'draining');
+    group.changed.notify();
+    watched.watcher.wake();
+  }
+
+  #addMember(watched: WatchedGroup, entry: MemberEntry): void {
+    const { options } = this;
+    const pool: LinkPool = new LinkPool({
+      dialer: options.dialer,
+      address: entry,
+      budget: () => this.#budget(entry.groupName),
+      dialTimeoutMs: DIAL_MS,
+      limitBackoffMs: LIMIT_BACKOFF_MS,
+      onTrouble: (reason) => this.#suspect(watched.group, member, reason),
+      now: options.now,
+    });
+    const member = new Member(entry, pool);
+    watched.group.members.set(entry.memberId, member);
+    options.log('member_in', {
+      group: entry.groupName,
+      member: entry.memberId,
+      zone: entry.zone,
+      primary: entry.saysPrimary,
+    });
+  }
+
+  #roleChanged(watched: WatchedGroup, entry: MemberEntry): void {
+    const { group } = watched;
+    const isLeader = group.evidence.leader?.memberId === entry.memberId;
+    this.options.log('member_role', {
+      group: group.name,
+      member: entry.memberId,
+      primary: entry.saysPrimary,
+    });
+    if (isLeader === entry.saysPrimary) return;
+    group.evidence.loseLeader();
+    watched.supervisor?.suspect();
+  }
+
+  #leaves(watched: WatchedGroup, member: Member | undefined, reason: string): void {
+    if (member === undefined || member.isLeaving) return;
+    member.leavingSinceMs = this.options.now();
+    this.options.log('member_leaves', { group: watched.group.name, member: member.entry.memberId, reason });
+    watched.supervisor?.suspect();
+  }
+
+  #budget(groupName: string): number {
+    const settings = this.catalog.document?.groups.get(groupName);
+    if (settings === undefined) return 1;
+    const daemons = this.#daemons.length === 0 ? ASSUMED_DAEMONS : this.#daemons.length;
+    return Math.max(1, Math.floor((settings.maxConnections - RESERVED_CONNECTIONS) / daemons));
+  }
+
+  #tick(): void {
+    const now = this.options.now();
+    for (const watched of this.#groups.values()) {
+      for (const member of [...watched.group.members.values()]) {
+        this.#checkSilence(watched.group, member, now);
+        this.#checkDeparture(watched, member, now);
+        member.pool.trim();
+      }
+    }
+  }
+
+  #checkSilence(group: MemberGroup, member: Member, now: number): void {
+    const silence = member.pool.silenceMs(now);
+    if (silence < SILENCE_MS) return;
+    this.#suspect(group, member, 'silent');
+    if (silence >= DEAD_MS) member.pool.dropAll();
+  }
+
+  #checkDeparture(watched: WatchedGroup, member: Member, now: number): void {
+    const isGone =
+      member.missingSinceMs !== null &&
+      now >= this.#directoryTrustedFromMs &&
+      now - member.missingSinceMs > GONE_HEARTBEATS * this.options.heartbeatMs;
+    if (isGone) this.#leaves(watched, member, 'unlisted');
+    if (member.leavingSinceMs === null) return;
+    if (now - member.leavingSinceMs < this.options.leaveMs * LEAVE_SHARE) return;
+    const { memberId } = member.entry;
+    watched.group.members.delete(memberId);
+    if (this.#entries.has(memberId)) this.#retired.add(memberId);
+    member.pool.close();
+    this.#control.forget(memberId);
+    if (watched.group.evidence.leader?.memberId === memberId) watched.group.evidence.loseLeader();
+    this.options.log('member_out', { group: watched.group.name, member: memberId });
+  }
+
+  #suspect(group: MemberGroup, member: Member, reason: string): void {
+    const now = this.options.now();
+    const watched = this.#groups.get(group.name);
+    const isLeader = group.evidence.leader?.memberId === member.entry.memberId;
+    if (reason === 'read_only') {
+      if (isLeader) group.evidence.loseLeader();
+    } else {
+      if (!member.isAvoided(now))
+        this.options.log('member_suspected', { group: group.name, member: member.entry.memberId, reason });
+      member.avoid(now);
+    }
+    if (watched === undefined || (!isLeader && reason !== 'read_only')) return;
+    watched.watcher.wake();
+    if (this.heldFence !== null) watched.supervisor?.suspect();
+    else this.#mesh.suspect({ groupName: group.name, memberId: member.entry.memberId, reason });
+  }
+
+  /** An order of the holder of the duty. */
+  #obey(order: HolderOrder): OrderAnswer {
+    const watched = this.#groups.get(order.groupName);
+    if (watched === undefined) return { acknowledged: { term: 0, index: 0 } };
+    const { group, watcher } = watched;
+    this.options.log('order', { ...order });
+    switch (order.kind) {
+      case 'revoke':
+        group.evidence.revoke(order.term, this.options.now());
+        break;
+      case 'allow':
+        group.evidence.allowAgain();
+        break;
+      case 'leader':
+        group.evidence.believe({ memberId: order.memberId, term: order.term });
+        break;
+    }
+    group.changed.notify();
+    watcher.wake();
+    return { acknowledged: group.acknowledged };
+  }
+
+  /** Another daemon doubts a leader. */
+  #heed(suspicion: Suspicion): void {
+    const watched = this.#groups.get(suspicion.groupName);
+    if (watched === undefined) return;
+    watched.supervisor?.suspect();
+  }
+
+  #keysChanged(): void {
+    const daemons: DaemonRecord[] = [];
+    for (const [key, item] of this.#keys.items)
+      if (key.startsWith(DAEMON_PREFIX)) daemons.push(JSON.parse(item.value.toString()) as DaemonRecord);
+    this.#daemons = daemons;
+    if (this.heldFence !== null) this.#mesh.connectAll(daemons);
+    this.#runForever(this.#duty.keysChanged());
+  }
+
+  #dutyTaken(fence: number): void {
+    this.options.log('duty_taken', { fence });
+    this.#mesh.connectAll(this.#daemons);
+    for (const watched of this.#groups.values()) this.#supervise(watched);
+  }
+
+  #dutyLost(reason: string): void {
+    this.options.log('duty_lost', { reason });
+    this.#mesh.disconnectAll();
+    for (const watched of this.#groups.values()) {
+      watched.supervisor?.stop();
+      watched.supervisor = null;
+    }
+  }
+
+  #supervise(watched: WatchedGroup): void {
+    const { options } = this;
+    watched.supervisor?.stop();
+    const supervisor = new GroupSupervisor(watched.group, {
+      control: this.#control,
+      promotion: options.promotion,
+      heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
+      order: (order, timeoutMs) => this.#mesh.order(this.#daemons, order, timeoutMs),
+      log: options.log,
+      now: options.now,
+    });
+    watched.supervisor = supervisor;
+    this.#runForever(supervisor.run());
+  }
+
+  /** A loop of the daemon ended with an error that nothing expects: the process must not go on without it. */
+  #runForever(loop: Promise<void>): void {
+    loop.catch((error: unknown) => {
+      const details = { error: error instanceof Error ? (error.stack ?? error.message) : String(error) };
+      this.options.log('loop_failed', details);
+      throw error;
+    });
+  }
+}
--- /dev/null
+++ b/src/relay/session.ts
@@ -0,0 +1,309 @@
+/**
+ * One client session: its values, its prepared names, its transaction. Requests are handled one at a time.
+ *
+ * @packageDocumentation
+ */
+import type { Position } from '../position/position.js';
+import { laterPosition } from '../position/position.js';
+import type { Route } from '../topology/catalog.js';
+import type { MemberGroup } from '../topology/member-group.js';
+import type { MemberErrorCode, MemberReply } from './member-link.js';
+import { ReadRunner } from './read-runner.js';
+import { Refusal, type RefusalCode } from './refusal.js';
+import { RETRY_AFTER_MS, type RelayContext } from './relay-context.js';
+import type { SessionStatement } from './send-statement.js';
+import type { ClientRequest, PreparedShape, Statement, TransactionState } from './statement.js';
+import { Transaction, type TransactionStep } from './transaction.js';
+import { WriteRunner } from './write-runner.js';
+
+/** What the client is answered. */
+export type SessionResult =
+  /** `signature` is the member's, or `null` where the daemon answered by itself. */
+  | { readonly isComplete: true; readonly rows: readonly string[]; readonly signature: string | null }
+  | { readonly isComplete: false; readonly refusal: Refusal };
+
+/** An answer, and the transaction state after it. */
+export interface SessionReply {
+  readonly result: SessionResult;
+  readonly state: TransactionState;
+}
+
+/** Prepared names and values that a session may hold, each. */
+const MAX_NAMES = 1000;
+
+const DONE: SessionResult = { isComplete: true, rows: [], signature: null };
+
+/** A session's own position, and the group whose log it is in. */
+interface OwnPosition {
+  readonly groupName: string;
+  readonly position: Position;
+}
+
+/** One client session. */
+export class Session {
+  readonly #values = new Map<string, string>();
+  readonly #prepared = new Map<string, PreparedShape>();
+  #state: TransactionState = 'idle';
+  #transaction: Transaction | null = null;
+  #beginRequest: { isReadOnly: boolean; receivedAtMs: number; route: Route; group: MemberGroup } | null =
+    null;
+  #ownPosition: OwnPosition | null = null;
+  #restTimer: NodeJS.Timeout | null = null;
+  #isHandling = false;
+
+  constructor(
+    private readonly context: RelayContext,
+    private readonly database: string,
+  ) {}
+
+  /** Transaction state as the client knows it. */
+  get state(): TransactionState {
+    return this.#state;
+  }
+
+  /** True while a request is being handled. */
+  get isHandling(): boolean {
+    return this.#isHandling;
+  }
+
+  /** Handles one request; never rejects. */
+  async handle(request: ClientRequest): Promise<SessionReply> {
+    this.#isHandling = true;
+    this.#stopRestTimer();
+    try {
+      const result = await this.#dispatch(request);
+      return { result, state: this.#state };
+    } catch (error) {
+      return this.#refused(request, error);
+    } finally {
+      this.#isHandling = false;
+      this.#startRestTimer();
+    }
+  }
+
+  /** A request was not understood: an open transaction has failed. */
+  fail(): void {
+    if (this.#state === 'idle') return;
+    this.#endTransaction();
+    this.#state = 'failed';
+  }
+
+  /** The client has gone: what is open is rolled back. */
+  close(): void {
+    this.#stopRestTimer();
+    this.#endTransaction();
+  }
+
+  #refused(request: ClientRequest, error: unknown): SessionReply {
+    const refusal =
+      error instanceof Refusal ? error : new Refusal('timed_out', 'may_have_run', String(error));
+    this.#endTransaction();
+    const isEnd = request.statement.kind === 'commit' || request.statement.kind === 'rollback';
+    this.#state = this.#state === 'idle' || isEnd ? 'idle' : 'failed';
+    this.context.observer.notable({
+      requestId: request.requestId,
+      decision: 'refused',
+      statement: request.statement.kind,
+      code: refusal.code,
+      verdict: refusal.verdict,
+      reason: refusal.message,
+      heldMs: Math.round(this.context.now() - request.receivedAtMs),
+    });
+    return { result: { isComplete: false, refusal }, state: this.#state };
+  }
+
+  async #dispatch(request: ClientRequest): Promise<SessionResult> {
+    const { statement } = request;
+    if (this.#state === 'failed') return this.#inFailed(statement);
+    switch (statement.kind) {
+      case 'begin':
+        return this.#begin(statement.isReadOnly, request.receivedAtMs);
+      case 'rollback':
+        if (this.#state === 'idle') throw malformed('no transaction is open');
+        this.#endTransaction();
+        this.#state = 'idle';
+        return DONE;
+      case 'commit':
+        if (this.#state === 'idle') throw malformed('no transaction is open');
+        return this.#commit(request, statement.payload);
+      case 'set':
+        requireRoom(this.#values, statement.name);
+        this.#values.set(statement.name, statement.value);
+        return DONE;
+      case 'prepare':
+        requireRoom(this.#prepared, statement.name);
+        this.#prepared.set(statement.name, statement.prepared);
+        return DONE;
+      case 'deallocate':
+        this.#prepared.delete(statement.name);
+        return DONE;
+      case 'read':
+        return this.#run(request, { kind: 'plain', payload: statement.payload }, false);
+      case 'write':
+        return this.#run(request, { kind: 'plain', payload: statement.payload }, true);
+      case 'execute':
+        return this.#execute(request, statement.name, statement.operands);
+    }
+  }
+
+  #inFailed(statement: Statement): SessionResult {
+    if (statement.kind === 'rollback') {
+      this.#state = 'idle';
+      return DONE;
+    }
+    if (statement.kind === 'commit') throw new Refusal('aborted', 'not_run', 'the transaction has failed');
+    throw malformed('the transaction has failed');
+  }
+
+  #begin(isReadOnly: boolean, receivedAtMs: number): SessionResult {
+    if (this.#state !== 'idle') throw malformed('a transaction is open');
+    const { route, group } = this.#route();
+    this.#beginRequest = { isReadOnly, receivedAtMs, route, group };
+    this.#state = 'open';
+    return DONE;
+  }
+
+  #execute(request: ClientRequest, name: string, operands: string): Promise<SessionResult> {
+    const prepared = this.#prepared.get(name);
+    if (prepared === undefined)
+      throw new Refusal('unknown_name', 'not_run', `no such prepared name: ${name}`);
+    return this.#run(request, { kind: 'prepared', prepared, operands }, prepared.isWrite);
+  }
+
+  #run(request: ClientRequest, statement: SessionStatement, isWrite: boolean): Promise<SessionResult> {
+    if (this.#state === 'open') return this.#inTransaction(request, statement, isWrite ? 'write' : 'read');
+    return isWrite ? this.#singleWrite(request, statement) : this.#singleRead(request, statement);
+  }
+
+  async #singleRead(request: ClientRequest, statement: SessionStatement): Promise<SessionResult> {
+    const { route, group } = this.#route();
+    const { requestId, receivedAtMs } = request;
+    const job = {
+      requestId,
+      statement,
+      route,
+      group,
+      values: this.#values,
+      sessionFloor: this.#floorIn(group),
+      receivedAtMs,
+      deadlineMs: receivedAtMs + route.timeoutMs,
+    };
+    return toResult(await new ReadRunner(this.context, job).run(), false);
+  }
+
+  async #singleWrite(request: ClientRequest, statement: SessionStatement): Promise<SessionResult> {
+    const { route, group } = this.#route();
+    const { requestId, receivedAtMs } = request;
+    const deadlineMs = receivedAtMs + route.timeoutMs;
+    const job = { requestId, statement, route, group, values: this.#values, deadlineMs };
+    const reply = await new WriteRunner(this.context, job).run();
+    if (reply.result.isComplete) this.#recordOwn(group, reply.position);
+    return toResult(reply, false);
+  }
+
+  async #inTransaction(
+    request: ClientRequest,
+    statement: SessionStatement,
+    kind: TransactionStep['kind'],
+  ): Promise<SessionResult> {
+    const transaction = this.#openTransaction();
+    const { requestId, receivedAtMs } = request;
+    const deadlineMs = receivedAtMs + transaction.options.route.timeoutMs;
+    const reply = await transaction.run({ requestId, statement, kind, values: this.#values, deadlineMs });
+    const result = toResult(reply, kind !== 'commit' || !transaction.hasWritten);
+    if (kind === 'commit' && reply.result.isComplete && transaction.hasWritten)
+      this.#recordOwn(transaction.options.group, reply.position);
+    return result;
+  }
+
+  async #commit(request: ClientRequest, payload: string): Promise<SessionResult> {
+    const result = await this.#inTransaction(request, { kind: 'plain', payload }, 'commit');
+    this.#endTransaction();
+    this.#state = 'idle';
+    return result;
+  }
+
+  #openTransaction(): Transaction {
+    if (this.#transaction !== null) return this.#transaction;
+    const begin = this.#beginRequest;
+    if (begin === null) throw new Refusal('aborted', 'not_run', 'the transaction was ended', RETRY_AFTER_MS);
+    this.#transaction = new Transaction(this.context, { ...begin, sessionFloor: this.#floorIn(begin.group) });
+    return this.#transaction;
+  }
+
+  #endTransaction(): void {
+    this.#transaction?.end();
+    this.#transaction = null;
+    this.#beginRequest = null;
+  }
+
+  #route(): { route: Route; group: MemberGroup } {
+    const route = this.context.catalog.route(this.database);
+    if (route === null)
+      throw new Refusal('unknown_database', 'not_run', `no such database: ${this.database}`);
+    const group = this.context.group(route.groupName);
+    if (group === null) throw new Refusal('busy', 'not_run', 'the group is not known yet', RETRY_AFTER_MS);
+    return { route, group };
+  }
+
+  #floorIn(group: MemberGroup): Position | null {
+    return this.#ownPosition?.groupName === group.name ? this.#ownPosition.position : null;
+  }
+
+  #recordOwn(group: MemberGroup, position: Position | null): void {
+    if (position === null) return;
+    const before = this.#floorIn(group);
+    this.#ownPosition = {
+      groupName: group.name,
+      position: before === null ? position : laterPosition(before, position),
+    };
+  }
+
+  /** A transaction that rests too long gives its connection back; its client learns of it with the next request. */
+  #startRestTimer(): void {
+    const document = this.context.catalog.document;
+    if (this.#transaction === null || document === null) return;
+    this.#restTimer = setTimeout(() => this.#endTransaction(), document.transactionIdleMs);
+  }
+
+  #stopRestTimer(): void {
+    if (this.#restTimer !== null) clearTimeout(this.#restTimer);
+    this.#restTimer = null;
+  }
+}
+
+function malformed(reason: string): Refusal {
+  return new Refusal('malformed', 'not_run', reason);
+}
+
+function requireRoom(names: ReadonlyMap<string, unknown>, name: string): void {
+  if (names.size >= MAX_NAMES && !names.has(name))
+    throw new Refusal('too_large', 'not_run', 'too many names in this session');
+}
+
+/** @param isUndone - whether an error leaves nothing of the transaction behind */
+function toResult(reply: MemberReply, isUndone: boolean): SessionResult {
+  const { result } = reply;
+  if (result.isComplete) return { isComplete: true, rows: reply.rows, signature: result.signature };
+  throw refusalOf(result.code, result.text, isUndone);
+}
+
+const CODES: Readonly<Record<MemberErrorCode, RefusalCode>> = {
+  busy: 'busy',
+  behind: 'busy',
+  read_only: 'busy',
+  unknown_name: 'busy',
+  wrong_member: 'busy',
+  too_many_connections: 'busy',
+  failed: 'failed',
+  timed_out: 'timed_out',
+  other: 'failed',
+};
+
+function refusalOf(code: MemberErrorCode, text: string, isUndone: boolean): Refusal {
+  const mapped = CODES[code];
+  if (mapped === 'busy' && isUndone)
+    return new Refusal('aborted', 'not_run', `${code} ${text}`, RETRY_AFTER_MS);
+  if (mapped === 'busy') return new Refusal('busy', 'not_run', `${code} ${text}`, RETRY_AFTER_MS);
+  return new Refusal(mapped, 'ran', `${code} ${text}`);
+}
--- /dev/null
+++ b/src/relay/statement.ts
@@ -0,0 +1,35 @@
+/**
+ * Statements of a session, typed by what they do. Payloads are opaque: only an adapter reads or writes them.
+ *
+ * @packageDocumentation
+ */
+
+/** One statement of a session. */
+export type Statement =
+  | { readonly kind: 'begin'; readonly isReadOnly: boolean }
+  | { readonly kind: 'commit'; readonly payload: string }
+  | { readonly kind: 'rollback' }
+  | { readonly kind: 'read'; readonly payload: string }
+  | { readonly kind: 'write'; readonly payload: string }
+  | { readonly kind: 'set'; readonly name: string; readonly value: string }
+  | { readonly kind: 'prepare'; readonly name: string; readonly prepared: PreparedShape }
+  | { readonly kind: 'execute'; readonly name: string; readonly operands: string }
+  | { readonly kind: 'deallocate'; readonly name: string };
+
+/** What a prepared name stands for. */
+export interface PreparedShape {
+  readonly isWrite: boolean;
+  /** The shape, opaque. */
+  readonly shape: string;
+}
+
+/** A statement with the identifier that its client gave it. */
+export interface ClientRequest {
+  readonly requestId: string;
+  readonly statement: Statement;
+  /** Monotonic time at which its last byte was read, in milliseconds. */
+  readonly receivedAtMs: number;
+}
+
+/** `idle` outside a transaction, `open` inside one, `failed` inside one that can only be rolled back. */
+export type TransactionState = 'idle' | 'open' | 'failed';
--- /dev/null
+++ b/src/relay/transaction.ts
@@ -0,0 +1,285 @@
+/**
+ * A transaction of a session. It begins at a member with its first statement and stays on that connection.
+ *
+ * @packageDocumentation
+ */
+import { selectReadMember } from '../topology/select-member.js';
+import type { Position } from '../position/position.js';
+import type { Route } from '../topology/catalog.js';
+import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { MemberReply } from './member-link.js';
+import type { PooledLink, SessionValues } from './pooled-link.js';
+import { readCandidates, readFloor } from './read-runner.js';
+import { Refusal } from './refusal.js';
+import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
+import { sendStatement, type SessionStatement } from './send-statement.js';
+import { awaitLeader, LEADER_RESERVE_MS } from './write-runner.js';
+
+/** What a transaction begins with. */
+export interface TransactionOptions {
+  readonly route: Route;
+  readonly group: MemberGroup;
+  readonly isReadOnly: boolean;
+  readonly receivedAtMs: number;
+  readonly sessionFloor: Position | null;
+}
+
+/** A statement inside a transaction. */
+export interface TransactionStep {
+  readonly requestId: string;
+  readonly statement: SessionStatement;
+  readonly kind: 'read' | 'write' | 'commit';
+  readonly values: SessionValues;
+  readonly deadlineMs: number;
+}
+
+interface Pinned {
+  readonly member: Member;
+  readonly link: PooledLink;
+  readonly isLeader: boolean;
+}
+
+/** One transaction. */
+export class Transaction {
+  readonly #excluded = new Set<string>();
+  #pinned: Pinned | null = null;
+  #hasWritten = false;
+  #isOver = false;
+  #lastReason = 'no member can serve';
+
+  constructor(
+    private readonly context: RelayContext,
+    readonly options: TransactionOptions,
+  ) {}
+
+  /** True once a member holds it open. */
+  get isPinned(): boolean {
+    return this.#pinned !== null;
+  }
+
+  /** True once a write has been sent in it. */
+  get hasWritten(): boolean {
+    return this.#hasWritten;
+  }
+
+  /**
+   * Runs one statement.
+   *
+   * @throws {@link Refusal}; the transaction is then over at the member
+   */
+  async run(step: TransactionStep): Promise<MemberReply> {
+    const reply = this.#pinned === null ? await this.#first(step) : await this.#next(this.#pinned, step);
+    if (step.kind === 'commit' || reply.state !== 'open') this.end();
+    return reply;
+  }
+
+  /** Ends it at the member without keeping anything, unless it has ended already. */
+  end(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    const pinned = this.#pinned;
+    this.#pinned = null;
+    if (pinned !== null) this.#release(pinned);
+  }
+
+  async #first(step: TransactionStep): Promise<MemberReply> {
+    for (;;) {
+      const { context } = this;
+      const member = await this.#choose(step);
+      if (this.#isOver) throw new Refusal('aborted', 'not_run', 'the transaction was ended');
+      if (member === null || context.now() >= step.deadlineMs)
+        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
+      const reply = await this.#firstAt(member, step);
+      if (reply !== null) return reply;
+      this.#excluded.add(member.entry.memberId);
+      context.observer.notable({
+        requestId: step.requestId,
+        decision: 'begin_elsewhere',
+        member: member.entry.memberId,
+        reason: this.#lastReason,
+      });
+    }
+  }
+
+  /** The member to begin at, or `null` when none can be had in time. */
+  async #choose(step: TransactionStep): Promise<Member | null> {
+    const { context, options } = this;
+    const until = step.deadlineMs - LEADER_RESERVE_MS;
+    for (;;) {
+      const member = this.#chooseNow();
+      if (member !== null) return member;
+      const now = context.now();
+      if (now >= until) return null;
+      if (this.#excluded.size > 0) {
+        this.#excluded.clear();
+        await options.group.changed.wait(RETRY_PAUSE_MS);
+        continue;
+      }
+      if (!this.#mayUseReplica()) return awaitLeader(context, options.group, until);
+      await options.group.changed.wait(Math.min(RETRY_PAUSE_MS, until - now));
+    }
+  }
+
+  #chooseNow(): Member | null {
+    const { context, options } = this;
+    const { group, route, sessionFloor, receivedAtMs } = options;
+    if (!this.#mayUseReplica()) {
+      const leader = group.leader(context.now());
+      return leader !== null && this.#excluded.has(leader.entry.memberId) ? null : leader;
+    }
+    const floor = readFloor(group, route, sessionFloor, receivedAtMs);
+    const demand = { floor, excluded: this.#excluded };
+    const choice = selectReadMember(readCandidates(context, group), demand);
+    return choice === null ? null : (group.members.get(choice.memberId) ?? null);
+  }
+
+  #mayUseReplica(): boolean {
+    return this.options.isReadOnly && this.options.route.consistency !== 'primary';
+  }
+
+  /** Begins at a member and runs the first statement; `null` when nothing is kept and another may be tried. */
+  async #firstAt(member: Member, step: TransactionStep): Promise<MemberReply | null> {
+    const { context, options } = this;
+    const { group, route } = options;
+    let link: PooledLink;
+    try {
+      link = await member.pool.acquire(step.values, route.priority, step.deadlineMs - context.now());
+    } catch (error) {
+      this.#lastReason = `no connection: ${String(error)}`;
+      return null;
+    }
+    const isLeader = group.evidence.leader?.memberId === member.entry.memberId;
+    const pinned: Pinned = { member, link, isLeader };
+    const overdue = setTimeout(() => link.close(), step.deadlineMs - context.now());
+    try {
+      const obstacle = await this.#begin(pinned, step);
+      if (obstacle !== null) {
+        this.#lastReason = obstacle;
+        this.#release(pinned);
+        return null;
+      }
+      const reply = await this.#send(pinned, step);
+      if (this.#isOver) {
+        this.#release(pinned);
+        throw new Refusal('aborted', 'not_run', 'the transaction was ended');
+      }
+      if (!reply.result.isComplete && isNotRun(reply)) {
+        this.#lastReason = reply.result.code;
+        this.#release(pinned);
+        return null;
+      }
+      this.#pinned = pinned;
+      return reply;
+    } catch (error) {
+      link.close();
+      member.pool.release(link);
+      if (error instanceof Refusal) throw error;
+      return this.#judgeLoss(step, error);
+    } finally {
+      clearTimeout(overdue);
+    }
+  }
+
+  /** Begins at the member; a reason when it could not. */
+  async #begin(pinned: Pinned, step: TransactionStep): Promise<string | null> {
+    const { context, options } = this;
+    const { group, route, isReadOnly } = options;
+    const { member, link, isLeader } = pinned;
+    await link.adoptValues(step.values);
+    if (isLeader && group.leader(context.now()) !== member) return 'no evidence of the leader';
+    const after = isLeader ? null : readFloor(group, route, options.sessionFloor, options.receivedAtMs);
+    if (!isLeader && after === null) return 'no position of the leader';
+    context.observer.routine({
+      requestId: step.requestId,
+      decision: 'begin_at',
+      member: member.entry.memberId,
+      leader: isLeader,
+      floor: after === null ? null : `${after.term}.${after.index}`,
+    });
+    const reply = await link.send({ kind: 'begin', isReadOnly, after });
+    if (reply.result.isComplete) return reply.state === 'open' ? null : 'did not begin';
+    if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
+    return reply.result.code;
+  }
+
+  async #next(pinned: Pinned, step: TransactionStep): Promise<MemberReply> {
+    const overdue = setTimeout(() => pinned.link.close(), step.deadlineMs - this.context.now());
+    try {
+      for (;;) {
+        const reply = await this.#send(pinned, step);
+        const isBusy = !reply.result.isComplete && reply.result.code === 'busy' && reply.state === 'open';
+        if (!isBusy) return reply;
+        await this.options.group.changed.wait(RETRY_PAUSE_MS);
+        if (this.#isOver) throw new Refusal('aborted', 'not_run', 'the transaction was ended');
+      }
+    } catch (error) {
+      this.end();
+      if (error instanceof Refusal) throw error;
+      this.#judgeLoss(step, error);
+      throw new Refusal('aborted', 'not_run', `connection lost: ${String(error)}`, RETRY_AFTER_MS);
+    } finally {
+      clearTimeout(overdue);
+    }
+  }
+
+  async #send(pinned: Pinned, step: TransactionStep): Promise<MemberReply> {
+    const { context, options } = this;
+    const { group } = options;
+    const { link, isLeader, member } = pinned;
+    const sent = await sendStatement(link, step.statement, step.requestId, step.values, null, () => {
+      if (step.kind === 'write') this.#hasWritten = true;
+      return null;
+    });
+    if (typeof sent === 'string') throw new Refusal('aborted', 'not_run', sent, RETRY_AFTER_MS);
+    const { reply, sentAtMs } = sent;
+    member.trust();
+    context.observer.memberAnswered(step.kind, isLeader, context.now() - sentAtMs);
+    if (isLeader && reply.position !== null && group.leader(sentAtMs) === member)
+      group.positions.record(sentAtMs, reply.position);
+    if (step.kind === 'commit' && this.#hasWritten && reply.result.isComplete && reply.position !== null)
+      group.recordAcknowledged(reply.position);
+    if (!reply.result.isComplete && reply.result.code === 'read_only' && isLeader)
+      context.suspect(group, member, 'read_only');
+    return reply;
+  }
+
+  /** A commit of writes whose answer is lost is in doubt; anything else is rolled back by the member. */
+  #judgeLoss(step: TransactionStep, error: unknown): null {
+    this.#lastReason = `connection lost: ${String(error)}`;
+    if (step.kind === 'commit' && this.#hasWritten)
+      throw new Refusal('in_doubt', 'may_have_run', `answer to the commit lost: ${String(error)}`);
+    return null;
+  }
+
+  /** Gives the connection back once the member has rolled back what is open. */
+  #release(pinned: Pinned): void {
+    const { link, member } = pinned;
+    if (!link.isOpen || link.isClean) {
+      member.pool.release(link);
+      return;
+    }
+    if (link.state === 'idle') {
+      link.close();
+      member.pool.release(link);
+      return;
+    }
+    const overdue = setTimeout(() => link.close(), ROLLBACK_MS);
+    link
+      .send({ kind: 'rollback' })
+      .catch(() => link.close())
+      .finally(() => {
+        clearTimeout(overdue);
+        member.pool.release(link);
+      });
+  }
+}
+
+/** Longest time of a rollback before the connection is ended instead, in milliseconds. */
+const ROLLBACK_MS = 1000;
+
+/** True when the member refused the statement without running it. */
+function isNotRun(reply: MemberReply): boolean {
+  if (reply.result.isComplete) return false;
+  const { code } = reply.result;
+  return code === 'busy' || code === 'behind' || code === 'read_only' || code === 'unknown_name';
+}
--- /dev/null
+++ b/src/relay/write-runner.ts
@@ -0,0 +1,138 @@
+/**
+ * Runs a single write at the leader: waits for one, and says what is known when the answer is lost.
+ *
+ * @packageDocumentation
+ */
+import type { Route } from '../topology/catalog.js';
+import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { MemberReply } from './member-link.js';
+import type { SessionValues } from './pooled-link.js';
+import { Refusal } from './refusal.js';
+import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
+import { sendStatement, type SessionStatement } from './send-statement.js';
+
+/** A write to be run. */
+export interface WriteJob {
+  readonly requestId: string;
+  readonly statement: SessionStatement;
+  readonly route: Route;
+  readonly group: MemberGroup;
+  readonly values: SessionValues;
+  readonly deadlineMs: number;
+}
+
+/** Time that a request needs at a new leader; nobody waits for one longer than this before the deadline. */
+export const LEADER_RESERVE_MS = 60;
+
+/** The leader under valid evidence; waits for one until `untilMs`, then gives `null`. */
+export async function awaitLeader(
+  context: RelayContext,
+  group: MemberGroup,
+  untilMs: number,
+): Promise<Member | null> {
+  for (;;) {
+    const now = context.now();
+    const leader = group.leader(now);
+    if (leader !== null) return leader;
+    if (now >= untilMs) return null;
+    await group.changed.wait(untilMs - now);
+  }
+}
+
+/** Runs one write. */
+export class WriteRunner {
+  #lastReason = 'no leader';
+
+  constructor(
+    private readonly context: RelayContext,
+    private readonly job: WriteJob,
+  ) {}
+
+  /**
+   * The leader's answer.
+   *
+   * @throws {@link Refusal}
+   */
+  async run(): Promise<MemberReply> {
+    const { context, job } = this;
+    for (;;) {
+      const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS);
+      if (leader === null || context.now() >= job.deadlineMs)
+        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
+      const reply = await this.#attempt(leader);
+      if (reply !== null) return reply;
+      context.observer.notable({
+        requestId: job.requestId,
+        decision: 'write_again',
+        member: leader.entry.memberId,
+        reason: this.#lastReason,
+      });
+      await job.group.changed.wait(RETRY_PAUSE_MS);
+    }
+  }
+
+  /** One attempt: the answer, or `null` when it was not run. */
+  async #attempt(leader: Member): Promise<MemberReply | null> {
+    const { context, job } = this;
+    let link;
+    try {
+      link = await leader.pool.acquire(job.values, job.route.priority, job.deadlineMs - context.now());
+    } catch (error) {
+      this.#lastReason = `no connection: ${String(error)}`;
+      return null;
+    }
+    let isSent = false;
+    const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now());
+    try {
+      const sent = await sendStatement(link, job.statement, job.requestId, job.values, null, () => {
+        if (job.group.leader(context.now()) !== leader) return 'no evidence of the leader';
+        isSent = true;
+        return null;
+      });
+      if (typeof sent === 'string') {
+        this.#lastReason = sent;
+        return null;
+      }
+      return this.#judge(leader, sent.reply, sent.sentAtMs);
+    } catch (error) {
+      if (!isSent) {
+        this.#lastReason = `connection lost: ${String(error)}`;
+        return null;
+      }
+      throw new Refusal('in_doubt', 'may_have_run', `answer lost: ${String(error)}`);
+    } finally {
+      clearTimeout(overdue);
+      leader.pool.release(link);
+    }
+  }
+
+  #judge(leader: Member, reply: MemberReply, sentAtMs: number): MemberReply | null {
+    const { context, job } = this;
+    leader.trust();
+    if (reply.result.isComplete) {
+      context.observer.memberAnswered('write', true, context.now() - sentAtMs);
+      if (reply.position !== null) {
+        job.group.positions.record(sentAtMs, reply.position);
+        job.group.recordAcknowledged(reply.position);
+      }
+      return reply;
+    }
+    const { code } = reply.result;
+    this.#lastReason = code;
+    switch (code) {
+      case 'busy':
+      case 'unknown_name':
+        return null;
+      case 'read_only':
+        context.suspect(job.group, leader, 'read_only');
+        return null;
+      case 'behind':
+      case 'wrong_member':
+      case 'too_many_connections':
+      case 'failed':
+      case 'timed_out':
+      case 'other':
+        return reply;
+    }
+  }
+}
--- /dev/null
+++ b/src/topology/member-group.ts
@@ -0,0 +1,109 @@
+/**
+ * What a daemon knows of one group of members: who they are, who leads, how far the log has come.
+ *
+ * @packageDocumentation
+ */
+import { ChangeSignal } from '../common/signal.js';
+import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
+import { PositionHistory } from '../leadership/position-history.js';
+import { ZERO_POSITION, laterPosition, type Position } from '../position/position.js';
+import type { LinkPool } from '../relay/link-pool.js';
+import type { MemberAddress } from '../relay/member-link.js';
+
+/** A member as the directory describes it. */
+export interface MemberEntry {
+  readonly memberId: string;
+  readonly groupName: string;
+  readonly host: string;
+  readonly port: number;
+  readonly zone: string;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** What it says of itself. */
+  readonly saysPrimary: boolean;
+}
+
+/** How long a member that went silent or refused connections is avoided, in milliseconds. */
+const AVOID_MS = 400;
+
+/** One member, with this daemon's connections to it. */
+export class Member {
+  /** Since when the directory has not listed it, in monotonic milliseconds; `null` while it does. */
+  missingSinceMs: number | null = null;
+  /** Since when it has been known to leave, in monotonic milliseconds; `null` while it stays. */
+  leavingSinceMs: number | null = null;
+  #avoidUntilMs = Number.NEGATIVE_INFINITY;
+  /** Smoothed time of its answers, in milliseconds. */
+  #latencyMs = 0;
+
+  constructor(
+    public entry: MemberEntry,
+    readonly pool: LinkPool,
+  ) {}
+
+  /** Where it is reached. */
+  get address(): MemberAddress {
+    const { memberId, groupName, host, port } = this.entry;
+    return { memberId, groupName, host, port };
+  }
+
+  /** Smoothed time of its answers, in milliseconds; 0 before the first. */
+  get latencyMs(): number {
+    return this.#latencyMs;
+  }
+
+  /** Takes the time of an answer. */
+  recordLatency(ms: number): void {
+    this.#latencyMs = this.#latencyMs === 0 ? ms : this.#latencyMs * 0.9 + ms * 0.1;
+  }
+
+  /** Keeps new requests away for a while. */
+  avoid(nowMs: number): void {
+    this.#avoidUntilMs = nowMs + AVOID_MS;
+  }
+
+  /** It has answered: nothing speaks against it. */
+  trust(): void {
+    this.#avoidUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** True while it went silent or refused connections a short time ago. */
+  isAvoided(nowMs: number): boolean {
+    return nowMs < this.#avoidUntilMs;
+  }
+
+  /** True when it is leaving or has left. */
+  get isLeaving(): boolean {
+    return this.leavingSinceMs !== null;
+  }
+}
+
+/** One group. */
+export class MemberGroup {
+  readonly members = new Map<string, Member>();
+  readonly evidence = new LeadershipEvidence();
+  readonly positions = new PositionHistory();
+  /** Wakes whoever waits for a leader or a member. */
+  readonly changed = new ChangeSignal();
+  /** The latest position of a commit that this daemon has acknowledged. */
+  #acknowledged: Position = ZERO_POSITION;
+
+  constructor(readonly name: string) {}
+
+  /** The latest position of a commit that this daemon has acknowledged. */
+  get acknowledged(): Position {
+    return this.#acknowledged;
+  }
+
+  /** Notes an acknowledged commit. */
+  recordAcknowledged(position: Position): void {
+    this.#acknowledged = laterPosition(this.#acknowledged, position);
+  }
+
+  /** The member that leads by evidence valid at `nowMs`, or `null`. */
+  leader(nowMs: number): Member | null {
+    const leader = this.evidence.current(nowMs);
+    return leader === null ? null : (this.members.get(leader.memberId) ?? null);
+  }
+}
--- /dev/null
+++ b/src/topology/select-member.ts
@@ -0,0 +1,70 @@
+/**
+ * Chooses the member for a read. Pure.
+ *
+ * @packageDocumentation
+ */
+import type { Position } from '../position/position.js';
+
+/** A member as far as the choice needs it. */
+export interface ReadCandidate {
+  readonly memberId: string;
+  readonly isLeader: boolean;
+  readonly isInZone: boolean;
+  /** Requests of this daemon at the member or waiting for it. */
+  readonly load: number;
+  readonly slots: number;
+  /** Smoothed time of its answers, in milliseconds. */
+  readonly latencyMs: number;
+  readonly isLeaving: boolean;
+  readonly isAvoided: boolean;
+}
+
+/** What a read asks for. */
+export interface ReadDemand {
+  /** What a replica has to hold; `null` when only the leader will do. */
+  readonly floor: Position | null;
+  /** Members that have refused this read. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** Cost of another zone, as milliseconds of waiting. */
+const OTHER_ZONE_COST_MS = 6;
+
+/** Cost of the leader, which has the writes to do, as milliseconds of waiting. */
+const LEADER_COST_MS = 6;
+
+/** Time of one request where nothing has been measured, in milliseconds. */
+const DEFAULT_LATENCY_MS = 15;
+
+/** The best candidate, or `null` when none can serve. */
+export function selectReadMember(
+  candidates: readonly ReadCandidate[],
+  demand: ReadDemand,
+): ReadCandidate | null {
+  let best: ReadCandidate | null = null;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const candidate of candidates) {
+    if (!canServe(candidate, demand)) continue;
+    const cost = expectedCostMs(candidate);
+    if (cost >= bestCost) continue;
+    best = candidate;
+    bestCost = cost;
+  }
+  return best;
+}
+
+function canServe(candidate: ReadCandidate, demand: ReadDemand): boolean {
+  if (demand.excluded.has(candidate.memberId)) return false;
+  if (candidate.isLeaving && !candidate.isLeader) return false;
+  return candidate.isLeader || demand.floor !== null;
+}
+
+function expectedCostMs(candidate: ReadCandidate): number {
+  const latency = candidate.latencyMs === 0 ? DEFAULT_LATENCY_MS : candidate.latencyMs;
+  const queue = (candidate.load + 1) / Math.max(1, candidate.slots);
+  let cost = latency * (1 + queue);
+  if (!candidate.isInZone) cost += OTHER_ZONE_COST_MS;
+  if (candidate.isLeader) cost += LEADER_COST_MS;
+  if (candidate.isAvoided) cost += 10_000;
+  return cost;
+}
