Replicas known to be behind are not asked

Ruled out as the cause of late annotation saves there: they are as many as before. Change: a member's own position, when not older than 150 ms, keeps reads with a later floor away. Conclusion: kept for the slots and waits it saves; late saves have another cause.

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -61,7 +61,11 @@
 }
 
 /** The members of a group as candidates for a read; the leader only under valid evidence. */
-export function readCandidates(context: RelayContext, group: MemberGroup): ReadCandidate[] {
+export function readCandidates(
+  context: RelayContext,
+  group: MemberGroup,
+  floor: Position | null,
+): ReadCandidate[] {
   const now = context.now();
   const leader = group.leader(now);
   const believed = group.evidence.leader?.memberId;
@@ -77,6 +81,7 @@
       latencyMs: member.latencyMs,
       isLeaving: member.isLeaving,
       isAvoided: member.isAvoided(now),
+      isBehind: floor !== null && member.isKnownBehind(floor, now),
     });
   }
   return candidates;
@@ -144,7 +149,7 @@
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
     for (const member of this.#pending.values()) excluded.add(member.entry.memberId);
-    const choice = selectReadMember(readCandidates(this.context, group), { floor, excluded });
+    const choice = selectReadMember(readCandidates(this.context, group, floor), { floor, excluded });
     const member = choice === null ? undefined : group.members.get(choice.memberId);
     if (choice === null || member === undefined) return;
     if (this.#pending.size > 0 && (choice.isAvoided || member.pool.isExhausted)) return;
@@ -193,6 +198,7 @@
     const { group } = this.job;
     const answerMs = this.context.now() - sentAtMs;
     member.trust();
+    member.recordPosition(reply.position, this.context.now());
     if (asLeader && reply.position !== null) group.positions.record(sentAtMs, reply.position);
     if (reply.result.isComplete) {
       member.recordLatency(answerMs);
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -129,7 +129,7 @@
     }
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const demand = { floor, excluded: this.#excluded };
-    const choice = selectReadMember(readCandidates(context, group), demand);
+    const choice = selectReadMember(readCandidates(context, group, floor), demand);
     return choice === null ? null : (group.members.get(choice.memberId) ?? null);
   }
 
@@ -197,6 +197,7 @@
       floor: after === null ? null : `${after.term}.${after.index}`,
     });
     const reply = await link.send({ kind: 'begin', isReadOnly, after });
+    member.recordPosition(reply.position, context.now());
     if (reply.result.isComplete) return reply.state === 'open' ? null : 'did not begin';
     if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
     return reply.result.code;
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -6,7 +6,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
 import { PositionHistory } from '../leadership/position-history.js';
-import { ZERO_POSITION, laterPosition, type Position } from '../position/position.js';
+import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import type { MemberAddress } from '../relay/member-link.js';
 
@@ -27,6 +27,9 @@
 /** How long a member that went silent or refused connections is avoided, in milliseconds. */
 const AVOID_MS = 400;
 
+/** For how long a member that was behind is taken to be as far as it said, in milliseconds. */
+const POSITION_KNOWN_MS = 150;
+
 /** One member, with this daemon's connections to it. */
 export class Member {
   /** Since when the directory has not listed it, in monotonic milliseconds; `null` while it does. */
@@ -36,6 +39,8 @@
   #avoidUntilMs = Number.NEGATIVE_INFINITY;
   /** Smoothed time of its answers, in milliseconds. */
   #latencyMs = 0;
+  #position: Position = ZERO_POSITION;
+  #positionAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     public entry: MemberEntry,
@@ -58,6 +63,18 @@
     this.#latencyMs = this.#latencyMs === 0 ? ms : this.#latencyMs * 0.9 + ms * 0.1;
   }
 
+  /** Takes how far it is in the log. */
+  recordPosition(position: Position | null, nowMs: number): void {
+    if (position === null) return;
+    this.#position = position;
+    this.#positionAtMs = nowMs;
+  }
+
+  /** True when it said a short time ago that it does not hold a position yet. */
+  isKnownBehind(position: Position, nowMs: number): boolean {
+    return nowMs - this.#positionAtMs < POSITION_KNOWN_MS && !hasReached(this.#position, position);
+  }
+
   /** Keeps new requests away for a while. */
   avoid(nowMs: number): void {
     this.#avoidUntilMs = nowMs + AVOID_MS;
--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -17,6 +17,8 @@
   readonly latencyMs: number;
   readonly isLeaving: boolean;
   readonly isAvoided: boolean;
+  /** It said a short time ago that it does not hold the floor of this read yet. */
+  readonly isBehind: boolean;
 }
 
 /** What a read asks for. */
@@ -56,7 +58,7 @@
 function canServe(candidate: ReadCandidate, demand: ReadDemand): boolean {
   if (demand.excluded.has(candidate.memberId)) return false;
   if (candidate.isLeaving && !candidate.isLeader) return false;
-  return candidate.isLeader || demand.floor !== null;
+  return candidate.isLeader || (demand.floor !== null && !candidate.isBehind);
 }
 
 function expectedCostMs(candidate: ReadCandidate): number {
