--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -30,7 +30,7 @@
 }
 
 /** Cost of another zone, as milliseconds of waiting. */
-const OTHER_ZONE_COST_MS = 6;
+const OTHER_ZONE_COST_MS = 30;
 
 /** Cost of the leader, which has the writes to do, as milliseconds of waiting. */
 const LEADER_COST_MS = 6;
