--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -45,7 +45,18 @@
   | { readonly kind: 'gone' }
   | { readonly kind: 'silent' };
 
+/** Evidence that the holder has, with its age when the answer was made. */
+export interface SharedEvidence {
+  readonly groupName: string;
+  readonly memberId: string;
+  readonly term: number;
+  /** Time since the witness was asked, in milliseconds. */
+  readonly ageMs: number;
+}
+
 type MeshMessage =
+  | { readonly type: 'ask_evidence'; readonly id: number }
+  | { readonly type: 'evidence'; readonly id: number; readonly entries: readonly SharedEvidence[] }
   | { readonly type: 'order'; readonly id: number; readonly order: HolderOrder }
   | { readonly type: 'answer'; readonly id: number; readonly answer: OrderAnswer }
   | { readonly type: 'suspicion'; readonly suspicion: Suspicion };
@@ -54,6 +65,8 @@
 export interface MeshListener {
   order(order: HolderOrder): OrderAnswer;
   suspicion(suspicion: Suspicion): void;
+  /** The evidence that this daemon has gathered itself. */
+  ownEvidence(): readonly SharedEvidence[];
 }
 
 const MAX_MESSAGE_BYTES = 64 * 1024;
@@ -132,6 +145,8 @@
 
   #receive(message: MeshMessage): void {
     if (message.type === 'suspicion') this.listener.suspicion(message.suspicion);
+    if (message.type === 'ask_evidence')
+      this.#channel?.send({ type: 'evidence', id: message.id, entries: this.listener.ownEvidence() });
     if (message.type !== 'answer') return;
     this.#waiting.get(message.id)?.({ kind: 'answered', answer: message.answer });
     this.#waiting.delete(message.id);
@@ -143,6 +158,7 @@
   readonly #server: Server;
   readonly #inbound = new Set<MessageChannel<MeshMessage>>();
   readonly #links = new Map<string, HolderLink>();
+  readonly #questions = new Map<number, (entries: readonly SharedEvidence[] | null) => void>();
   #nextId = 1;
 
   constructor(
@@ -197,6 +213,25 @@
     for (const channel of this.#inbound) channel.send({ type: 'suspicion', suspicion });
   }
 
+  /**
+   * The evidence of the holder that connected last, or `null` when there is none or it does not answer in time.
+   * Its ages are right or too high for a question that was asked before the call.
+   */
+  askEvidence(timeoutMs: number): Promise<readonly SharedEvidence[] | null> {
+    const channel = [...this.#inbound].at(-1);
+    if (channel === undefined) return Promise.resolve(null);
+    this.#nextId += 1;
+    const id = this.#nextId;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.#settleQuestion(id, null), timeoutMs);
+      this.#questions.set(id, (entries) => {
+        clearTimeout(timer);
+        resolve(entries);
+      });
+      channel.send({ type: 'ask_evidence', id });
+    });
+  }
+
   /** Ends everything. */
   close(): void {
     this.disconnectAll();
@@ -204,6 +239,12 @@
     this.#server.close();
   }
 
+  #settleQuestion(id: number, entries: readonly SharedEvidence[] | null): void {
+    const settle = this.#questions.get(id);
+    this.#questions.delete(id);
+    settle?.(entries);
+  }
+
   #others(records: readonly DaemonRecord[]): readonly DaemonRecord[] {
     return records.filter((record) => record.name !== this.selfName);
   }
@@ -221,6 +262,7 @@
   #accept(socket: Socket): void {
     const channel: MessageChannel<MeshMessage> = new MessageChannel<MeshMessage>(socket, MAX_MESSAGE_BYTES, {
       message: (message) => {
+        if (message.type === 'evidence') this.#settleQuestion(message.id, message.entries);
         if (message.type !== 'order') return;
         channel.send({ type: 'answer', id: message.id, answer: this.listener.order(message.order) });
       },
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -5,7 +5,7 @@
  */
 import { ChangeSignal } from '../common/signal.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { EVIDENCE_MS, EVIDENCE_RENEWAL_MS } from './leadership-evidence.js';
+import { EVIDENCE_MS, HOLDER_RENEWAL_MS, OWN_RENEWAL_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
 
 /** Longest wait for a status, in milliseconds. */
@@ -33,6 +33,7 @@
     private readonly zone: string,
     private readonly control: MemberControl,
     private readonly listener: LeadershipListener,
+    private readonly isHolder: () => boolean,
     private readonly now: () => number,
   ) {}
 
@@ -62,7 +63,8 @@
 
   /** Time for which the evidence needs no renewal, in milliseconds. */
   #restMs(): number {
-    return this.group.evidence.validUntilMs - (EVIDENCE_MS - EVIDENCE_RENEWAL_MS) - this.now();
+    const renewalMs = this.isHolder() ? HOLDER_RENEWAL_MS : OWN_RENEWAL_MS;
+    return this.group.evidence.validUntilMs - (EVIDENCE_MS - renewalMs) - this.now();
   }
 
   #pauseMs(): number {
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -4,11 +4,18 @@
  * @packageDocumentation
  */
 import { delay } from '../common/signal.js';
-import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
+import {
+  PeerMesh,
+  type HolderOrder,
+  type OrderAnswer,
+  type SharedEvidence,
+  type Suspicion,
+} from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import { COORDINATION_PREFIX, DAEMON_PREFIX, Duty, type DaemonRecord } from '../coordination/duty.js';
 import { WatchedPrefix } from '../coordination/watched-prefix.js';
 import { GroupSupervisor, type PromotionPort } from '../leadership/group-supervisor.js';
+import { EVIDENCE_MS, SHARING_MS } from '../leadership/leadership-evidence.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { MemberControl } from '../leadership/member-control.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
@@ -47,6 +54,8 @@
 /** Silence after which its connections are ended, in milliseconds. */
 const DEAD_MS = 1200;
 const DIAL_MS = 400;
+/** Longest wait for the holder's evidence, in milliseconds. */
+const SHARING_TIMEOUT_MS = 200;
 const LIMIT_BACKOFF_MS = 100;
 /** Time after which a connection that is not needed is ended, in milliseconds. */
 const IDLE_MS = 1500;
@@ -81,6 +90,7 @@
   #directoryTrustedFromMs = Number.POSITIVE_INFINITY;
   #isReady = false;
   #tickTimer: NodeJS.Timeout | null = null;
+  #isStopped = false;
 
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
@@ -88,6 +98,7 @@
     this.#mesh = new PeerMesh(self.name, {
       order: (order) => this.#obey(order),
       suspicion: (suspicion) => this.#heed(suspicion),
+      ownEvidence: () => this.#ownEvidence(),
     });
     this.#keys = new WatchedPrefix(
       store,
@@ -137,6 +148,7 @@
     await this.#mesh.listen(this.options.self.host, this.options.self.port);
     this.#runForever(this.#keys.run());
     this.#runForever(this.#duty.run());
+    this.#runForever(this.#takeEvidence());
     this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -147,6 +159,7 @@
 
   /** Ends everything. */
   stop(): void {
+    this.#isStopped = true;
     if (this.#tickTimer !== null) clearInterval(this.#tickTimer);
     this.#keys.stop();
     this.#mesh.close();
@@ -226,7 +239,14 @@
           reason,
         }),
     };
-    const watcher = new LeadershipWatcher(group, options.zone, this.#control, listener, options.now);
+    const watcher = new LeadershipWatcher(
+      group,
+      options.zone,
+      this.#control,
+      listener,
+      () => this.heldFence !== null,
+      options.now,
+    );
     const watched: WatchedGroup = { group, watcher, supervisor: null };
     this.#groups.set(name, watched);
     for (const entry of this.#entries.values()) if (entry.groupName === name) this.#place(watched, entry);
@@ -306,6 +326,43 @@
     return Math.max(1, Math.floor((settings.maxConnections - RESERVED_CONNECTIONS) / daemons));
   }
 
+  /** What this daemon can prove to others. */
+  #ownEvidence(): readonly SharedEvidence[] {
+    const now = this.options.now();
+    const entries: SharedEvidence[] = [];
+    for (const { evidence, name } of this.groups) {
+      const leader = evidence.current(now);
+      if (leader === null) continue;
+      const ageMs = Math.ceil(now - (evidence.validUntilMs - EVIDENCE_MS));
+      entries.push({ groupName: name, memberId: leader.memberId, term: leader.term, ageMs });
+    }
+    return entries;
+  }
+
+  /** Takes the evidence of the holder of the duty, so that witnesses are asked by one daemon, not by all. */
+  async #takeEvidence(): Promise<void> {
+    while (!this.#isStopped) {
+      await delay(SHARING_MS);
+      if (this.heldFence !== null) continue;
+      const askedAtMs = this.options.now();
+      const entries = await this.#mesh.askEvidence(SHARING_TIMEOUT_MS);
+      for (const entry of entries ?? []) this.#adoptEvidence(entry, askedAtMs);
+    }
+  }
+
+  #adoptEvidence({ groupName, memberId, term, ageMs }: SharedEvidence, askedAtMs: number): void {
+    const watched = this.#groups.get(groupName);
+    if (watched === undefined) return;
+    const { evidence, changed } = watched.group;
+    const hadEvidence = evidence.current(this.options.now()) !== null;
+    evidence.believe({ memberId, term });
+    if (evidence.leader?.memberId !== memberId) return;
+    const isEvidence = evidence.witness(term, 0, askedAtMs - ageMs);
+    if (!isEvidence || hadEvidence) return;
+    changed.notify();
+    watched.watcher.wake();
+  }
+
   #tick(): void {
     const now = this.options.now();
     for (const watched of this.#groups.values()) {
