Fewer probes: the holder renews at 700 ms and leaves a leader alone that answers

Change: a leader with evidence that answered within the last second is not asked; renewal at 700 ms, the others' own at 1200 ms.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -82,9 +82,10 @@
   /** Supervises until {@link GroupSupervisor.stop}. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      if (this.options.heldFence(DUTY_RESERVE_MS) !== null) await this.#look();
-      if (!this.#suspected) await this.#wake.wait(LOOK_MS);
+      const isSuspected = this.#suspected;
       this.#suspected = false;
+      if (this.options.heldFence(DUTY_RESERVE_MS) !== null) await this.#look(isSuspected);
+      if (!this.#suspected) await this.#wake.wait(LOOK_MS);
     }
   }
 
@@ -100,7 +101,7 @@
     this.#wake.notify();
   }
 
-  async #look(): Promise<void> {
+  async #look(isSuspected: boolean): Promise<void> {
     const leader = await this.#findLeader();
     if (this.#isStopped) return;
     if (leader === null) return;
@@ -108,12 +109,20 @@
       await this.#promote(leader, 'leader leaves');
       return;
     }
+    if (!isSuspected && this.#isWell(leader)) return;
     const trouble = await this.#trouble(leader);
     if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
     else if (trouble !== null) await this.#promote(leader, trouble);
     else await this.#repair(leader);
   }
 
+  /** True while the leader answers ordinary requests and there is evidence of its lead. */
+  #isWell(leader: Member): boolean {
+    const now = this.options.now();
+    const isLed = this.group.evidence.current(now)?.memberId === leader.entry.memberId;
+    return isLed && now - leader.answeredAtMs < LOOK_MS;
+  }
+
   /** The leader denies its lead: finds the member that leads instead, or promotes any of them. */
   async #replaceLost(): Promise<void> {
     this.group.evidence.loseLeader();
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -16,13 +16,13 @@
  * Age of evidence at which the holder of the promotion duty, which shares it, asks a witness again, in
  * milliseconds.
  */
-export const HOLDER_RENEWAL_MS = 500;
+export const HOLDER_RENEWAL_MS = 700;
 
 /** Time between two questions to the holder for its evidence, in milliseconds. */
 export const SHARING_MS = 400;
 
 /** Age of evidence at which a daemon that was given none in time asks a witness itself, in milliseconds. */
-export const OWN_RENEWAL_MS = 1100;
+export const OWN_RENEWAL_MS = 1200;
 
 /** How long a revocation keeps a daemon from gathering evidence of the same term, in milliseconds. */
 export const REVOCATION_MS = 1500;
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -45,14 +45,14 @@
     if (pooled !== null) {
       const answer = await this.#send(pooled, request, timeoutMs);
       member.pool.release(pooled);
-      if (answer.kind === 'answered') member.trust();
+      if (answer.kind === 'answered') member.trust(this.options.now());
       return answer;
     }
     const link = await this.#ownLink(member, timeoutMs);
     if ('kind' in link) return link;
     const answer = await this.#send(link, request, deadlineMs - this.options.now());
     if (!link.isOpen) this.#ownLinks.delete(member.entry.memberId);
-    if (answer.kind === 'answered') member.trust();
+    if (answer.kind === 'answered') member.trust(this.options.now());
     return answer;
   }
 
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -197,7 +197,7 @@
   #judge(member: Member, asLeader: boolean, reply: MemberReply, sentAtMs: number): Attempt {
     const { group } = this.job;
     const answerMs = this.context.now() - sentAtMs;
-    member.trust();
+    member.trust(this.context.now());
     member.recordPosition(reply.position, this.context.now());
     if (asLeader && reply.position !== null) group.positions.record(sentAtMs, reply.position);
     if (reply.result.isComplete) {
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -233,7 +233,7 @@
     });
     if (typeof sent === 'string') throw new Refusal('aborted', 'not_run', sent, RETRY_AFTER_MS);
     const { reply, sentAtMs } = sent;
-    member.trust();
+    member.trust(this.context.now());
     context.observer.memberAnswered(step.kind, isLeader, context.now() - sentAtMs);
     if (isLeader && reply.position !== null && group.leader(sentAtMs) === member)
       group.positions.record(sentAtMs, reply.position);
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -108,7 +108,7 @@
 
   #judge(leader: Member, reply: MemberReply, sentAtMs: number): MemberReply | null {
     const { context, job } = this;
-    leader.trust();
+    leader.trust(context.now());
     if (reply.result.isComplete) {
       context.observer.memberAnswered('write', true, context.now() - sentAtMs);
       if (reply.position !== null) {
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -41,6 +41,7 @@
   #latencyMs = 0;
   #position: Position = ZERO_POSITION;
   #positionAtMs = Number.NEGATIVE_INFINITY;
+  #answeredAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     public entry: MemberEntry,
@@ -80,9 +81,15 @@
     this.#avoidUntilMs = nowMs + AVOID_MS;
   }
 
-  /** It has answered: nothing speaks against it. */
-  trust(): void {
+  /** It has answered at `nowMs`: nothing speaks against it. */
+  trust(nowMs: number): void {
     this.#avoidUntilMs = Number.NEGATIVE_INFINITY;
+    this.#answeredAtMs = nowMs;
+  }
+
+  /** When it last answered a request, in monotonic milliseconds. */
+  get answeredAtMs(): number {
+    return this.#answeredAtMs;
   }
 
   /** True while it went silent or refused connections a short time ago. */
