--- a/src/coordination/watched-prefix.ts
+++ b/src/coordination/watched-store.ts
@@ -1,10 +1,11 @@
 /**
- * Keeps a copy of all keys under a prefix: reads them once, then follows their changes.
+ * Keeps a copy of the store's keys: reads them once, then follows their changes, by one watch for all who want
+ * to know.
  *
  * @packageDocumentation
  */
 import { delay } from '../common/signal.js';
-import type { CoordinationStore, StoredItem } from './coordination-store.js';
+import type { CoordinationStore, StoredItem, StoreEvent } from './coordination-store.js';
 
 /** Who is told. */
 export interface WatchedPrefixListener {
@@ -14,20 +15,27 @@
   removed(key: string): void;
   /** All changes of one answer of the store have been told: the copy is as of one revision. */
   settled(): void;
-  /** The store has stopped answering this watch, or answers again. */
-  availability(isAvailable: boolean, reason: string): void;
+  /** The store has stopped answering the watch, or answers again. */
+  availability(isAvailable: boolean): void;
 }
 
 /** Longest wait of one watch, in milliseconds: bounds how long a cut connection goes unnoticed. */
 const WATCH_MS = 2500;
 
+/** Wait of the first watch after a failure, in milliseconds: shows soon that the store answers again. */
+const FIRST_WATCH_MS = 1;
+
 /** Pause after a failure, in milliseconds: doubled from the first to the second with each failure in a row. */
 const FIRST_PAUSE_MS = 40;
 const LAST_PAUSE_MS = 400;
 
-/** A copy of the keys under a prefix. */
-export class WatchedPrefix {
+/** Where changes are followed from. */
+const WHOLE_STORE = '';
+
+/** A copy of the store, followed by one watch for all who listen. */
+export class WatchedStore {
   readonly #items = new Map<string, StoredItem>();
+  readonly #listeners: { readonly prefix: string; readonly listener: WatchedPrefixListener }[] = [];
   #revision: number | null = null;
   #isStopped = false;
   #isAvailable = true;
@@ -35,11 +43,15 @@
 
   constructor(
     private readonly store: CoordinationStore,
-    private readonly prefix: string,
-    private readonly listener: WatchedPrefixListener,
+    private readonly log: (event: string, details: Readonly<Record<string, unknown>>) => void,
     private readonly random: () => number,
   ) {}
 
+  /** Tells a listener of the keys under a prefix; to be called before {@link WatchedStore.run}. */
+  subscribe(prefix: string, listener: WatchedPrefixListener): void {
+    this.#listeners.push({ prefix, listener });
+  }
+
   /** True once all keys have been read. */
   get isLoaded(): boolean {
     return this.#revision !== null;
@@ -55,7 +67,7 @@
     return this.#items;
   }
 
-  /** Follows the keys until {@link WatchedPrefix.stop}. */
+  /** Follows the keys until {@link WatchedStore.stop}. */
   async run(): Promise<void> {
     let mustLoad = true;
     while (!this.#isStopped) {
@@ -75,50 +87,63 @@
   }
 
   async #load(): Promise<void> {
-    const { items, revision } = await this.store.list(this.prefix);
+    const { items, revision } = await this.store.list(WHOLE_STORE);
     const present = new Set(items.map((item) => item.key));
     for (const key of [...this.#items.keys()]) if (!present.has(key)) this.#remove(key);
     for (const item of items) this.#put(item);
     this.#revision = revision;
-    this.listener.settled();
+    for (const { listener } of this.#listeners) listener.settled();
   }
 
   /** One watch; false when everything has to be read again. */
   async #follow(): Promise<boolean> {
-    const answer = await this.store.watch(this.prefix, this.#revision ?? 0, WATCH_MS);
+    const waitMs = this.#failures > 0 ? FIRST_WATCH_MS : WATCH_MS;
+    const answer = await this.store.watch(WHOLE_STORE, this.#revision ?? 0, waitMs);
     if (answer.kind === 'compacted') return false;
     for (const event of answer.events) {
       if (event.value === null) this.#remove(event.key);
       else this.#put({ key: event.key, value: event.value, revision: event.revision });
     }
     this.#revision = Math.max(this.#revision ?? 0, answer.revision);
-    if (answer.events.length > 0) this.listener.settled();
+    this.#settle(answer.events);
     return true;
   }
 
+  #settle(events: readonly StoreEvent[]): void {
+    for (const { prefix, listener } of this.#listeners)
+      if (events.some(({ key }) => key.startsWith(prefix))) listener.settled();
+  }
+
   #put(item: StoredItem): void {
     const known = this.#items.get(item.key);
     if (known !== undefined && known.revision >= item.revision) return;
     this.#items.set(item.key, item);
-    this.listener.changed(item);
+    for (const { prefix, listener } of this.#listeners)
+      if (item.key.startsWith(prefix)) listener.changed(item);
   }
 
   #remove(key: string): void {
-    if (this.#items.delete(key)) this.listener.removed(key);
+    if (!this.#items.delete(key)) return;
+    for (const { prefix, listener } of this.#listeners) if (key.startsWith(prefix)) listener.removed(key);
   }
 
   #succeeded(): void {
     this.#failures = 0;
     if (this.#isAvailable) return;
     this.#isAvailable = true;
-    this.listener.availability(true, 'answers again');
+    this.#tellAvailability('answers again');
+  }
+
+  #tellAvailability(reason: string): void {
+    this.log(this.#isAvailable ? 'store_regained' : 'store_lost', { reason });
+    for (const { listener } of this.#listeners) listener.availability(this.#isAvailable);
   }
 
   async #failed(reason: string): Promise<void> {
     this.#failures += 1;
     if (this.#isAvailable) {
       this.#isAvailable = false;
-      this.listener.availability(false, reason);
+      this.#tellAvailability(reason);
     }
     const ceiling = Math.min(LAST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures, 10));
     await delay(ceiling * (0.5 + this.random() / 2));
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -13,7 +13,7 @@
 } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import { COORDINATION_PREFIX, DAEMON_PREFIX, Duty, type DaemonRecord } from '../coordination/duty.js';
-import { WatchedPrefix } from '../coordination/watched-prefix.js';
+import type { WatchedStore } from '../coordination/watched-store.js';
 import { GroupSupervisor, type PromotionPort } from '../leadership/group-supervisor.js';
 import { EVIDENCE_MS, SHARING_MS } from '../leadership/leadership-evidence.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
@@ -30,6 +30,8 @@
   readonly self: DaemonRecord;
   readonly zone: string;
   readonly store: CoordinationStore;
+  /** The copy of the store; whoever makes the daemon runs it. */
+  readonly watched: WatchedStore;
   readonly dialer: MemberDialer;
   readonly readStatus: StatusReader;
   readonly promotion: PromotionPort;
@@ -81,7 +83,6 @@
   readonly #retired = new Set<string>();
   readonly #control: MemberControl;
   readonly #mesh: PeerMesh;
-  readonly #keys: WatchedPrefix;
   readonly #duty: Duty;
   readonly #context: RelayContext;
   #daemons: readonly DaemonRecord[] = [];
@@ -100,23 +101,17 @@
       suspicion: (suspicion) => this.#heed(suspicion),
       ownEvidence: () => this.#ownEvidence(),
     });
-    this.#keys = new WatchedPrefix(
-      store,
-      COORDINATION_PREFIX,
-      {
-        changed: () => undefined,
-        removed: () => undefined,
-        settled: () => this.#keysChanged(),
-        availability: (isAvailable, reason) =>
-          options.log(isAvailable ? 'store_regained' : 'store_lost', { watch: 'coordination', reason }),
-      },
-      random,
-    );
+    options.watched.subscribe(COORDINATION_PREFIX, {
+      changed: () => undefined,
+      removed: () => undefined,
+      settled: () => this.#keysChanged(),
+      availability: () => undefined,
+    });
     const listener = {
       taken: (fence: number) => this.#dutyTaken(fence),
       lost: (reason: string) => this.#dutyLost(reason),
     };
-    this.#duty = new Duty(store, self, () => this.#keys.items, listener, now, random);
+    this.#duty = new Duty(store, self, () => options.watched.items, listener, now, random);
     this.#context = {
       catalog: this.catalog,
       zone: options.zone,
@@ -146,7 +141,6 @@
   /** Starts to listen for other daemons and to follow the store. */
   async start(): Promise<void> {
     await this.#mesh.listen(this.options.self.host, this.options.self.port);
-    this.#runForever(this.#keys.run());
     this.#runForever(this.#duty.run());
     this.#runForever(this.#takeEvidence());
     this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
@@ -161,7 +155,6 @@
   stop(): void {
     this.#isStopped = true;
     if (this.#tickTimer !== null) clearInterval(this.#tickTimer);
-    this.#keys.stop();
     this.#mesh.close();
     for (const watched of this.#groups.values()) this.#forgetGroup(watched);
   }
@@ -446,7 +439,7 @@
 
   #keysChanged(): void {
     const daemons: DaemonRecord[] = [];
-    for (const [key, item] of this.#keys.items)
+    for (const [key, item] of this.options.watched.items)
       if (key.startsWith(DAEMON_PREFIX)) daemons.push(JSON.parse(item.value.toString()) as DaemonRecord);
     this.#daemons = daemons;
     if (this.heldFence !== null) this.#mesh.connectAll(daemons);
