A daemon that has just started takes half of its connections

Cause: after a loss of power the members count the old connections for 3 s; the daemons that started first took what was left, the last ones met CONNLIMIT at every member until then. Change: for 3.5 s after its start a daemon plans with half of its share; idle connections end after 0.8 s.

--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -47,6 +47,12 @@
 
 /** Connections of a member that no daemon plans with. */
 const RESERVED_CONNECTIONS = 3;
+/**
+ * For how long a daemon that has just started keeps to a part of its connections: members may still count those
+ * of daemons that lost power, in milliseconds.
+ */
+const YOUNG_MS = 3500;
+const YOUNG_SHARE = 0.5;
 /** Daemons planned with before the others are known. */
 const ASSUMED_DAEMONS = 8;
 /** Time between looks at silence and departures, in milliseconds. */
@@ -60,7 +66,7 @@
 const SHARING_TIMEOUT_MS = 200;
 const LIMIT_BACKOFF_MS = 100;
 /** Time after which a connection that is not needed is ended, in milliseconds. */
-const IDLE_MS = 1500;
+const IDLE_MS = 800;
 /** Part of the time to leave after which a leaving member is given no work at all. */
 const LEAVE_SHARE = 0.75;
 /** Time after the store is back in which vanished entries mean nothing, in heartbeats. */
@@ -92,6 +98,7 @@
   #isReady = false;
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
+  #startedAtMs = 0;
 
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
@@ -140,6 +147,7 @@
 
   /** Starts to listen for other daemons and to follow the store. */
   async start(): Promise<void> {
+    this.#startedAtMs = this.options.now();
     await this.#mesh.listen(this.options.self.host, this.options.self.port);
     this.#runForever(this.#duty.run());
     this.#runForever(this.#takeEvidence());
@@ -316,7 +324,9 @@
     const settings = this.catalog.document?.groups.get(groupName);
     if (settings === undefined) return 1;
     const daemons = this.#daemons.length === 0 ? ASSUMED_DAEMONS : this.#daemons.length;
-    return Math.max(1, Math.floor((settings.maxConnections - RESERVED_CONNECTIONS) / daemons));
+    const share = (settings.maxConnections - RESERVED_CONNECTIONS) / daemons;
+    const isYoung = this.options.now() - this.#startedAtMs < YOUNG_MS;
+    return Math.max(1, Math.floor(isYoung ? share * YOUNG_SHARE : share));
   }
 
   /** What this daemon can prove to others. */
