The holder of the duty vouches for leaders that it has confirmed

Ruled out: trusting the new leader's own word (a leader replaced while cut off says the same). Change: nobody else can promote while the duty is held, so its holder's evidence for a leader that it promoted, or confirmed by a witness 1.5 s after taking the duty, runs on with the duty, in steps of at most 1.6 s; a witness is asked every 5 s to make sure. Session values and prepared names travel in one flight.

--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -54,6 +54,7 @@
   #leaseUntilMs = Number.NEGATIVE_INFINITY;
   #isRegistered = false;
   #fence: number | null = null;
+  #takenAtMs = 0;
   #isStopped = false;
   #isAcquiring = false;
 
@@ -71,6 +72,12 @@
     return this.#fence !== null && this.now() + reserveMs < this.#leaseUntilMs ? this.#fence : null;
   }
 
+  /** Since when and until when the duty is held, or `null` while it is not; monotonic milliseconds. */
+  get held(): { readonly takenAtMs: number; readonly untilMs: number } | null {
+    if (this.heldFence(0) === null) return null;
+    return { takenAtMs: this.#takenAtMs, untilMs: this.#leaseUntilMs };
+  }
+
   /** Keeps the lease until {@link Duty.stop}. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
@@ -176,6 +183,7 @@
   #take(fence: number): void {
     if (this.#fence === fence || this.#isStopped || this.now() >= this.#leaseUntilMs) return;
     this.#fence = fence;
+    this.#takenAtMs = this.now();
     this.listener.taken(fence);
   }
 
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -35,6 +35,8 @@
   heldFence(reserveMs: number): number | null;
   /** Gives an order to all other daemons. */
   order(order: HolderOrder, timeoutMs: number): Promise<ReadonlyMap<string, OrderOutcome>>;
+  /** A member leads by this daemon's own promotion. */
+  confirmLeader(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
   now(): number;
 }
@@ -257,7 +259,7 @@
 
   #announce(memberId: string, term: number): void {
     this.group.evidence.believe({ memberId, term });
-    this.group.changed.notify();
+    this.options.confirmLeader();
     const order: HolderOrder = { kind: 'leader', groupName: this.group.name, memberId, term };
     void this.options.order(order, ORDER_MS);
   }
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -6,17 +6,23 @@
  * leader of *t* at *s*. Such an answer counts until *s* + {@link EVIDENCE_MS}; who promotes waits that long
  * after its pauses for every daemon that has not confirmed that it let go.
  *
+ * The holder of the promotion duty needs no witness for a leader that it has confirmed, by a witness or by its own
+ * promotion, since it holds the duty: nobody else can promote while its lease runs.
+ *
  * @packageDocumentation
  */
 
 /** How long an answer of a witness counts, from the time at which it was asked, in milliseconds. */
 export const EVIDENCE_MS = 1600;
 
+/** Age of evidence at which the holder of the promotion duty, which shares it, renews it, in milliseconds. */
+export const HOLDER_RENEWAL_MS = 500;
+
 /**
- * Age of evidence at which the holder of the promotion duty, which shares it, asks a witness again, in
- * milliseconds.
+ * Time after the duty was taken from which a witness confirms a leader for as long as the duty is held, in
+ * milliseconds: a call of the former holder may still take effect before.
  */
-export const HOLDER_RENEWAL_MS = 700;
+export const DUTY_SETTLE_MS = 1500;
 
 /** Time between two questions to the holder for its evidence, in milliseconds. */
 export const SHARING_MS = 400;
@@ -41,6 +47,7 @@
   #revokedUntilMs = Number.NEGATIVE_INFINITY;
   /** No term below this one leads any more: a later one was announced or seen. */
   #minimumTerm = 0;
+  #isConfirmed = false;
 
   /** The member that is believed to lead, with or without evidence that is still valid. */
   get leader(): Leader | null {
@@ -57,6 +64,27 @@
     return this.#validUntilMs;
   }
 
+  /** True when the leader was confirmed under the present duty of this daemon. */
+  get isConfirmed(): boolean {
+    return this.#isConfirmed;
+  }
+
+  /** The holder of the duty has seen, or has itself brought about, that the leader leads. */
+  confirm(): void {
+    this.#isConfirmed = this.#leader !== null;
+  }
+
+  /** The duty has changed hands: what was confirmed under it counts no more. */
+  unconfirm(): void {
+    this.#isConfirmed = false;
+  }
+
+  /** Renews the evidence of a confirmed leader: nobody can promote another before `untilMs`. */
+  vouch(untilMs: number, nowMs: number): void {
+    if (!this.#isConfirmed) return;
+    this.#validUntilMs = Math.max(this.#validUntilMs, Math.min(untilMs, nowMs + EVIDENCE_MS));
+  }
+
   /** The leader, if there is evidence at `nowMs`. */
   current(nowMs: number): Leader | null {
     return nowMs < this.#validUntilMs ? this.#leader : null;
@@ -69,6 +97,7 @@
     if (this.#leader?.memberId === leader.memberId && this.#leader.term === leader.term) return false;
     this.#leader = leader;
     this.#minimumTerm = leader.term;
+    this.#isConfirmed = false;
     this.#validUntilMs = Number.NEGATIVE_INFINITY;
     return true;
   }
@@ -94,6 +123,7 @@
   /** A promotion over `term` is about to begin: evidence is dropped, and not gathered again for a while. */
   revoke(term: number, nowMs: number): void {
     if (this.#leader !== null && this.#leader.term > term) return;
+    this.#isConfirmed = false;
     this.#validUntilMs = Number.NEGATIVE_INFINITY;
     this.#revokedUpToTerm = Math.max(this.#revokedUpToTerm, term);
     this.#revokedUntilMs = nowMs + REVOCATION_MS;
@@ -107,6 +137,7 @@
   /** The leader has said, or another member has shown, that it leads no longer. */
   loseLeader(): void {
     this.#leader = null;
+    this.#isConfirmed = false;
     this.#validUntilMs = Number.NEGATIVE_INFINITY;
   }
 }
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -5,7 +5,7 @@
  */
 import { ChangeSignal } from '../common/signal.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { EVIDENCE_MS, HOLDER_RENEWAL_MS, OWN_RENEWAL_MS } from './leadership-evidence.js';
+import { DUTY_SETTLE_MS, EVIDENCE_MS, HOLDER_RENEWAL_MS, OWN_RENEWAL_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
 
 /** Longest wait for a status, in milliseconds. */
@@ -14,6 +14,15 @@
 const FIRST_PAUSE_MS = 30;
 const LAST_PAUSE_MS = 300;
 
+/** Time between two looks at a witness of a confirmed leader, in milliseconds. */
+const RECHECK_MS = 5000;
+
+/** The promotion duty while this daemon holds it; monotonic times in milliseconds. */
+export interface HeldDuty {
+  readonly takenAtMs: number;
+  readonly untilMs: number;
+}
+
 /** What the watcher tells. */
 export interface LeadershipListener {
   /** Evidence of a leader was gained after there was none, or lapsed. */
@@ -27,13 +36,14 @@
   #failures = 0;
   #hadEvidence = false;
   #witnessTurn = 0;
+  #confirmedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly group: MemberGroup,
     private readonly zone: string,
     private readonly control: MemberControl,
     private readonly listener: LeadershipListener,
-    private readonly isHolder: () => boolean,
+    private readonly heldDuty: () => HeldDuty | null,
     private readonly now: () => number,
   ) {}
 
@@ -55,6 +65,12 @@
     this.#wake.notify();
   }
 
+  /** The holder of the duty knows that the leader leads: it vouches for it while it holds the duty. */
+  confirm(): void {
+    this.#confirmedAtMs = this.now();
+    this.group.evidence.confirm();
+  }
+
   /** Stops. */
   stop(): void {
     this.#isStopped = true;
@@ -63,7 +79,7 @@
 
   /** Time for which the evidence needs no renewal, in milliseconds. */
   #restMs(): number {
-    const renewalMs = this.isHolder() ? HOLDER_RENEWAL_MS : OWN_RENEWAL_MS;
+    const renewalMs = this.heldDuty() !== null ? HOLDER_RENEWAL_MS : OWN_RENEWAL_MS;
     return this.group.evidence.validUntilMs - (EVIDENCE_MS - renewalMs) - this.now();
   }
 
@@ -73,6 +89,7 @@
   }
 
   async #round(): Promise<boolean> {
+    if (this.#vouch()) return true;
     if (this.group.evidence.leader === null && !(await this.#learn())) return false;
     for (const witness of this.#witnesses()) {
       if (await this.#askWitness(witness)) return true;
@@ -81,6 +98,18 @@
     return false;
   }
 
+  /** Renews the evidence on the strength of the duty alone; false when that cannot be done. */
+  #vouch(): boolean {
+    const duty = this.heldDuty();
+    const { evidence } = this.group;
+    const now = this.now();
+    if (duty === null || !evidence.isConfirmed || now - this.#confirmedAtMs > RECHECK_MS) return false;
+    evidence.vouch(duty.untilMs, now);
+    if (this.#restMs() <= 0) return false;
+    this.group.changed.notify();
+    return true;
+  }
+
   /** Asks the members that may lead; those that say so in the directory first. */
   async #learn(): Promise<boolean> {
     const members = [...this.group.members.values()];
@@ -118,8 +147,11 @@
       return false;
     }
     const isEvidence = evidence.witness(status.term, status.pausedForTerm, askedAtMs);
-    if (isEvidence) this.group.changed.notify();
-    return isEvidence;
+    if (!isEvidence) return false;
+    const duty = this.heldDuty();
+    if (duty !== null && askedAtMs > duty.takenAtMs + DUTY_SETTLE_MS) this.confirm();
+    this.group.changed.notify();
+    return true;
   }
 
   #tell(reason: string): void {
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -245,7 +245,7 @@
       options.zone,
       this.#control,
       listener,
-      () => this.heldFence !== null,
+      () => this.#duty.held,
       options.now,
     );
     const watched: WatchedGroup = { group, watcher, supervisor: null };
@@ -459,7 +459,10 @@
   #dutyTaken(fence: number): void {
     this.options.log('duty_taken', { fence });
     this.#mesh.connectAll(this.#daemons);
-    for (const watched of this.#groups.values()) this.#supervise(watched);
+    for (const watched of this.#groups.values()) {
+      watched.group.evidence.unconfirm();
+      this.#supervise(watched);
+    }
   }
 
   #dutyLost(reason: string): void {
@@ -468,6 +471,7 @@
     for (const watched of this.#groups.values()) {
       watched.supervisor?.stop();
       watched.supervisor = null;
+      watched.group.evidence.unconfirm();
     }
   }
 
@@ -479,6 +483,10 @@
       promotion: options.promotion,
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
       order: (order, timeoutMs) => this.#mesh.order(this.#daemons, order, timeoutMs),
+      confirmLeader: () => {
+        watched.watcher.confirm();
+        watched.watcher.wake();
+      },
       log: options.log,
       now: options.now,
     });
--- a/src/relay/send-statement.ts
+++ b/src/relay/send-statement.ts
@@ -35,8 +35,10 @@
   after: Position | null,
   mayStillSend: () => string | null,
 ): Promise<TimedReply | string> {
-  await link.adoptValues(values);
-  const request = await toMemberRequest(link, statement, requestId, after);
+  const [, request] = await Promise.all([
+    link.adoptValues(values),
+    toMemberRequest(link, statement, requestId, after),
+  ]);
   const obstacle = mayStillSend();
   if (obstacle !== null) return obstacle;
   const sentAtMs = performance.now();
