A leader that falls silent is looked at after 200 ms

Change: 200 ms of silence at the leader is told to the holder, which asks twice for 130 ms; any answer of the leader meanwhile ends the doubt.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -45,6 +45,9 @@
 const LOOK_MS = 1000;
 /** Longest wait for a member's status, in milliseconds. */
 const STATUS_MS = 200;
+/** Longest wait for a sign of life of a leader that is doubted, in milliseconds, and how often it is asked. */
+const LIFE_SIGN_MS = 130;
+const LIFE_SIGNS = 2;
 /** Longest wait for a pause, in milliseconds. */
 const PAUSE_MS = 300;
 /** Longest wait for the other daemons, in milliseconds. */
@@ -161,13 +164,15 @@
 
   /** Why the leader has to be replaced, or `null`. */
   async #trouble(leader: Member): Promise<string | null> {
-    const first = await this.#status(leader);
-    if (first.kind === 'answered') return first.status.isPrimary ? null : LEADS_NO_LONGER;
-    if (first.kind === 'busy') return null;
-    const second = await this.#status(leader);
-    if (second.kind === 'answered') return second.status.isPrimary ? null : LEADS_NO_LONGER;
-    if (second.kind === 'busy') return null;
-    return `leader is ${second.kind}`;
+    const askedAtMs = this.options.now();
+    let kind = 'silent';
+    for (let attempt = 0; attempt < LIFE_SIGNS; attempt += 1) {
+      const answer = await this.options.control.ask(leader, { kind: 'status' }, LIFE_SIGN_MS);
+      if (answer.kind === 'answered') return answer.status.isPrimary ? null : LEADS_NO_LONGER;
+      if (answer.kind === 'busy' || leader.answeredAtMs > askedAtMs) return null;
+      kind = answer.kind;
+    }
+    return `leader is ${kind}`;
   }
 
   /** Lets replicas go on that a promotion given up, or its holder, left paused. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -56,7 +56,9 @@
 /** Daemons planned with before the others are known. */
 const ASSUMED_DAEMONS = 8;
 /** Time between looks at silence and departures, in milliseconds. */
-const TICK_MS = 100;
+const TICK_MS = 50;
+/** Silence after which the holder of the duty is told to look at a leader, in milliseconds. */
+const LEADER_SILENCE_MS = 200;
 /** Silence after which a member is avoided, in milliseconds. */
 const SILENCE_MS = 350;
 /** Silence after which its connections are ended, in milliseconds. */
@@ -379,6 +381,8 @@
 
   #checkSilence(group: MemberGroup, member: Member, now: number): void {
     const silence = member.pool.silenceMs(now);
+    if (silence >= LEADER_SILENCE_MS && silence < LEADER_SILENCE_MS + TICK_MS)
+      this.#doubt(group, member, 'silent for a moment');
     if (silence < SILENCE_MS) return;
     this.#suspect(group, member, 'silent');
     if (silence >= DEAD_MS) member.pool.dropAll();
@@ -414,7 +418,16 @@
     }
     if (watched === undefined || (!isLeader && reason !== 'read_only')) return;
     watched.watcher.wake();
-    if (this.heldFence !== null) watched.supervisor?.suspect();
+    this.#tellHolder(group, member, reason);
+  }
+
+  /** A leader may be in trouble: the holder of the duty is to look at it. */
+  #doubt(group: MemberGroup, member: Member, reason: string): void {
+    if (group.evidence.leader?.memberId === member.entry.memberId) this.#tellHolder(group, member, reason);
+  }
+
+  #tellHolder(group: MemberGroup, member: Member, reason: string): void {
+    if (this.heldFence !== null) this.#groups.get(group.name)?.supervisor?.suspect();
     else this.#mesh.suspect({ groupName: group.name, memberId: member.entry.memberId, reason });
   }
 
