Leaders that part of the daemons cannot reach, or whose commits stall, are replaced

Cause: a primary cut from its replicas answers its holder and acknowledges nothing; one cut from some daemons is of no use to them for as long as the cut lasts (test 'a primary cut from its replicas is not left in the lead for ever' ran into its time limit). Ruled out: promoting on one daemon's word (a daemon may be the one that is cut off).

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -29,11 +29,19 @@
   readonly acknowledged: Position;
 }
 
+/**
+ * Why a leader is doubted. `silent`: it does not answer this daemon; `refused`: it refuses or ends connections;
+ * `denied`: it says that it does not lead; `stalled`: it answers, but commits are not acknowledged.
+ */
+export type SuspicionReason = 'silent' | 'refused' | 'denied' | 'stalled';
+
 /** A daemon's doubt about a member that leads. */
 export interface Suspicion {
   readonly groupName: string;
   readonly memberId: string;
-  readonly reason: string;
+  readonly reason: SuspicionReason;
+  /** The daemon that doubts. */
+  readonly reporter: string;
 }
 
 /**
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -9,11 +9,18 @@
  * @packageDocumentation
  */
 import { ChangeSignal, delay } from '../common/signal.js';
-import type { HolderOrder, OrderOutcome } from '../cluster/peer-mesh.js';
-import { laterPosition, type Position } from '../position/position.js';
+import type { HolderOrder, OrderOutcome, Suspicion } from '../cluster/peer-mesh.js';
+import {
+  comparePositions,
+  hasReached,
+  laterPosition,
+  ZERO_POSITION,
+  type Position,
+} from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
+import { Doubts } from './doubts.js';
 import { EVIDENCE_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
 
@@ -35,6 +42,8 @@
   heldFence(reserveMs: number): number | null;
   /** Gives an order to all other daemons. */
   order(order: HolderOrder, timeoutMs: number): Promise<ReadonlyMap<string, OrderOutcome>>;
+  /** Daemons that run, this one included. */
+  daemonCount(): number;
   /** A member leads by this daemon's own promotion. */
   confirmLeader(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -52,6 +61,12 @@
 const PAUSE_MS = 300;
 /** Longest wait for the other daemons, in milliseconds. */
 const ORDER_MS = 200;
+/** Time after a handover in which no other is begun for the same kinds of reason, in milliseconds. */
+const HANDOVER_PAUSE_MS = 5000;
+/** Time that replicas have to receive what the leader has, in milliseconds. */
+const STALL_LOOK_MS = 120;
+/** A leader that answered within this time is asked to step down first, in milliseconds. */
+const ALIVE_MS = 100;
 /** How long requests under way at a leader that leaves may take to end, in milliseconds. */
 const HANDOVER_REST_MS = 60;
 /** Longest wait for the platform's answer, in milliseconds. */
@@ -77,7 +92,9 @@
 export class GroupSupervisor {
   readonly #wake = new ChangeSignal();
   #isStopped = false;
+  readonly #doubts = new Doubts();
   #suspected = false;
+  #lastHandoverMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly group: MemberGroup,
@@ -95,7 +112,8 @@
   }
 
   /** Somebody doubts the leader, or the directory has changed: look now. */
-  suspect(): void {
+  suspect(suspicion?: Suspicion): void {
+    if (suspicion !== undefined) this.#doubts.add(suspicion, this.options.now());
     this.#suspected = true;
     this.#wake.notify();
   }
@@ -118,7 +136,37 @@
     const trouble = await this.#trouble(leader);
     if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
     else if (trouble !== null) await this.#promote(leader, trouble);
-    else await this.#repair(leader);
+    else await this.#lookCloser(leader);
+  }
+
+  /** The leader answers this daemon: it may still be of no use to others, or to itself. */
+  async #lookCloser(leader: Member): Promise<void> {
+    const now = this.options.now();
+    const { memberId } = leader.entry;
+    if (now - this.#lastHandoverMs > HANDOVER_PAUSE_MS) {
+      const without = this.#doubts.withoutLeader(memberId, this.options.daemonCount(), now);
+      const isStalled = this.#doubts.has('stalled', memberId, now) && (await this.#isStalled(leader));
+      if (isStalled) return this.#handOver(leader, 'commits stall');
+      if (without > 0) return this.#handOver(leader, `leader out of reach of ${without} daemons`);
+    }
+    await this.#repair(leader);
+  }
+
+  async #handOver(leader: Member, reason: string): Promise<void> {
+    this.#lastHandoverMs = this.options.now();
+    await this.#promote(leader, reason);
+  }
+
+  /** True when no replica receives what the leader has. */
+  async #isStalled(leader: Member): Promise<boolean> {
+    const first = await this.#status(leader);
+    if (first.kind !== 'answered') return false;
+    await delay(STALL_LOOK_MS);
+    const answers = await Promise.all(this.#others(leader).map((member) => this.#status(member)));
+    let furthest: Position = ZERO_POSITION;
+    for (const answer of answers)
+      if (answer.kind === 'answered') furthest = laterPosition(furthest, answer.status.received);
+    return comparePositions(furthest, ZERO_POSITION) > 0 && !hasReached(furthest, first.status.received);
   }
 
   /** True while the leader answers ordinary requests and there is evidence of its lead. */
@@ -196,9 +244,11 @@
     const term = group.evidence.leader?.term ?? group.evidence.minimumTerm;
     options.log('promotion_begins', { group: group.name, leader: leader?.entry.memberId, term, reason });
     group.evidence.revoke(term, startedAtMs);
-    const isPlanned = leader?.isLeaving === true;
+    this.#doubts.clear();
+    const isAlive =
+      leader !== null && (leader.isLeaving || this.options.now() - leader.answeredAtMs < ALIVE_MS);
     const revoking = options.order({ kind: 'revoke', groupName: group.name, term }, ORDER_MS);
-    if (isPlanned) {
+    if (leader?.isLeaving === true) {
       await revoking;
       await delay(HANDOVER_REST_MS);
     }
@@ -207,7 +257,7 @@
     const outcomes = await revoking;
     if (hasSilent(outcomes)) await delay(pausedAtMs + EVIDENCE_MS - options.now());
     const candidates = paused.map(toCandidate);
-    if (isPlanned && leader !== null) await this.#demote(leader, term + 1);
+    if (isAlive) await this.#demote(leader, term + 1);
     const successor = chooseSuccessor({
       candidates,
       missing: others.length - paused.length,
@@ -235,7 +285,7 @@
     await this.#resumeAll(
       paused.map(({ member }) => member).filter((member) => member.entry.memberId !== successor.memberId),
     );
-    if (!isPlanned && leader !== null) await this.#demote(leader, term + 1);
+    if (!isAlive && leader !== null) await this.#demote(leader, term + 1);
   }
 
   /** Asks the platform for the promotion and waits until the member leads. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -10,6 +10,7 @@
   type OrderAnswer,
   type SharedEvidence,
   type Suspicion,
+  type SuspicionReason,
 } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import { COORDINATION_PREFIX, DAEMON_PREFIX, Duty, type DaemonRecord } from '../coordination/duty.js';
@@ -57,6 +58,10 @@
 const ASSUMED_DAEMONS = 8;
 /** Time between looks at silence and departures, in milliseconds. */
 const TICK_MS = 50;
+/** Time for which a commit may go without an answer before the holder of the duty is told, in milliseconds. */
+const STALL_MS = 350;
+/** Least time between two of the same doubts about a group, in milliseconds. */
+const TELL_MS = 80;
 /** Silence after which the holder of the duty is told to look at a leader, in milliseconds. */
 const LEADER_SILENCE_MS = 200;
 /** Silence after which a member is avoided, in milliseconds. */
@@ -100,6 +105,7 @@
   #isReady = false;
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
+  readonly #toldAtMs = new Map<string, number>();
   #startedAtMs = 0;
 
   constructor(private readonly options: RelayDaemonOptions) {
@@ -371,6 +377,7 @@
   #tick(): void {
     const now = this.options.now();
     for (const watched of this.#groups.values()) {
+      this.#checkStall(watched.group, now);
       for (const member of [...watched.group.members.values()]) {
         this.#checkSilence(watched.group, member, now);
         this.#checkDeparture(watched, member, now);
@@ -379,10 +386,16 @@
     }
   }
 
+  /** Commits at a leader that answers but cannot reach its replicas. */
+  #checkStall(group: MemberGroup, now: number): void {
+    if (group.commitWaitMs(now) < STALL_MS) return;
+    const leader = group.leader(now);
+    if (leader !== null) this.#tellHolder(group, leader, 'stalled');
+  }
+
   #checkSilence(group: MemberGroup, member: Member, now: number): void {
     const silence = member.pool.silenceMs(now);
-    if (silence >= LEADER_SILENCE_MS && silence < LEADER_SILENCE_MS + TICK_MS)
-      this.#doubt(group, member, 'silent for a moment');
+    if (silence >= LEADER_SILENCE_MS && silence < LEADER_SILENCE_MS + TICK_MS) this.#doubt(group, member);
     if (silence < SILENCE_MS) return;
     this.#suspect(group, member, 'silent');
     if (silence >= DEAD_MS) member.pool.dropAll();
@@ -418,17 +431,23 @@
     }
     if (watched === undefined || (!isLeader && reason !== 'read_only')) return;
     watched.watcher.wake();
-    this.#tellHolder(group, member, reason);
+    this.#tellHolder(group, member, suspicionReason(reason));
   }
 
   /** A leader may be in trouble: the holder of the duty is to look at it. */
-  #doubt(group: MemberGroup, member: Member, reason: string): void {
-    if (group.evidence.leader?.memberId === member.entry.memberId) this.#tellHolder(group, member, reason);
+  #doubt(group: MemberGroup, member: Member): void {
+    if (group.evidence.leader?.memberId === member.entry.memberId) this.#tellHolder(group, member, 'silent');
   }
 
-  #tellHolder(group: MemberGroup, member: Member, reason: string): void {
-    if (this.heldFence !== null) this.#groups.get(group.name)?.supervisor?.suspect();
-    else this.#mesh.suspect({ groupName: group.name, memberId: member.entry.memberId, reason });
+  #tellHolder(group: MemberGroup, member: Member, reason: SuspicionReason): void {
+    const now = this.options.now();
+    const key = `${group.name} ${reason}`;
+    if (now - (this.#toldAtMs.get(key) ?? Number.NEGATIVE_INFINITY) < TELL_MS) return;
+    this.#toldAtMs.set(key, now);
+    const { memberId } = member.entry;
+    const suspicion = { groupName: group.name, memberId, reason, reporter: this.options.self.name };
+    if (this.heldFence !== null) this.#groups.get(group.name)?.supervisor?.suspect(suspicion);
+    else this.#mesh.suspect(suspicion);
   }
 
   /** An order of the holder of the duty. */
@@ -457,7 +476,7 @@
   #heed(suspicion: Suspicion): void {
     const watched = this.#groups.get(suspicion.groupName);
     if (watched === undefined) return;
-    watched.supervisor?.suspect();
+    watched.supervisor?.suspect(suspicion);
   }
 
   #keysChanged(): void {
@@ -496,6 +515,7 @@
       promotion: options.promotion,
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
       order: (order, timeoutMs) => this.#mesh.order(this.#daemons, order, timeoutMs),
+      daemonCount: () => this.#daemons.length,
       confirmLeader: () => {
         watched.watcher.confirm();
         watched.watcher.wake();
@@ -516,3 +536,8 @@
     });
   }
 }
+
+function suspicionReason(reason: string): SuspicionReason {
+  if (reason === 'silent') return 'silent';
+  return reason === 'read_only' ? 'denied' : 'refused';
+}
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -227,10 +227,13 @@
     const { context, options } = this;
     const { group } = options;
     const { link, isLeader, member } = pinned;
-    const sent = await sendStatement(link, step.statement, step.requestId, step.values, null, () => {
+    const isKept = step.kind === 'commit' && this.#hasWritten;
+    const answered = isKept ? group.commitSent(context.now()) : null;
+    const sending = sendStatement(link, step.statement, step.requestId, step.values, null, () => {
       if (step.kind === 'write') this.#hasWritten = true;
       return null;
     });
+    const sent = await sending.finally(() => answered?.());
     if (typeof sent === 'string') throw new Refusal('aborted', 'not_run', sent, RETRY_AFTER_MS);
     const { reply, sentAtMs } = sent;
     member.trust(this.context.now());
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -83,6 +83,7 @@
     }
     let isSent = false;
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now());
+    const answered = job.group.commitSent(context.now());
     try {
       const sent = await sendStatement(link, job.statement, job.requestId, job.values, null, () => {
         if (job.group.leader(context.now()) !== leader) return 'no evidence of the leader';
@@ -101,6 +102,7 @@
       }
       throw new Refusal('in_doubt', 'may_have_run', `answer lost: ${String(error)}`);
     } finally {
+      answered();
       clearTimeout(overdue);
       leader.pool.release(link);
     }
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -113,8 +113,23 @@
   /** The latest position of a commit that this daemon has acknowledged. */
   #acknowledged: Position = ZERO_POSITION;
 
+  readonly #commitsSinceMs = new Map<object, number>();
+
   constructor(readonly name: string) {}
 
+  /** A commit was sent; call what is returned when its answer is here. */
+  commitSent(nowMs: number): () => void {
+    const key = {};
+    this.#commitsSinceMs.set(key, nowMs);
+    return () => this.#commitsSinceMs.delete(key);
+  }
+
+  /** For how long the oldest commit under way has waited, in milliseconds. */
+  commitWaitMs(nowMs: number): number {
+    const oldest = this.#commitsSinceMs.values().next();
+    return oldest.done === true ? 0 : nowMs - oldest.value;
+  }
+
   /** The latest position of a commit that this daemon has acknowledged. */
   get acknowledged(): Position {
     return this.#acknowledged;
