A transaction whose first statement may have run goes on nowhere else

Ruled out: values and names on reused connections (tracked by every acknowledged step, order kept in one flight); hedged reads (single statements only). Change: after the first statement has left, a lost connection aborts the transaction; nothing of it is kept.

--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -44,6 +44,8 @@
   readonly #excluded = new Set<string>();
   #pinned: Pinned | null = null;
   #hasWritten = false;
+  /** A statement has been sent, and was not refused as not run. */
+  #wasSent = false;
   #isOver = false;
   #lastReason = 'no member can serve';
 
@@ -165,6 +167,8 @@
       }
       if (!reply.result.isComplete && isNotRun(reply)) {
         this.#lastReason = reply.result.code;
+        this.#wasSent = false;
+        this.#hasWritten = false;
         this.#release(pinned);
         return null;
       }
@@ -174,7 +178,9 @@
       link.close();
       member.pool.release(link);
       if (error instanceof Refusal) throw error;
-      return this.#judgeLoss(step, error);
+      if (this.#wasSent) this.#throwLoss(step, error);
+      this.#lastReason = `connection lost: ${String(error)}`;
+      return null;
     } finally {
       clearTimeout(overdue);
     }
@@ -216,8 +222,7 @@
     } catch (error) {
       this.end();
       if (error instanceof Refusal) throw error;
-      this.#judgeLoss(step, error);
-      throw new Refusal('aborted', 'not_run', `connection lost: ${String(error)}`, RETRY_AFTER_MS);
+      return this.#throwLoss(step, error);
     } finally {
       clearTimeout(overdue);
     }
@@ -231,6 +236,7 @@
     const answered = isKept ? group.commitSent(context.now()) : null;
     const sending = sendStatement(link, step.statement, step.requestId, step.values, null, () => {
       if (step.kind === 'write') this.#hasWritten = true;
+      this.#wasSent = true;
       return null;
     });
     const sent = await sending.finally(() => answered?.());
@@ -247,12 +253,14 @@
     return reply;
   }
 
-  /** A commit of writes whose answer is lost is in doubt; anything else is rolled back by the member. */
-  #judgeLoss(step: TransactionStep, error: unknown): null {
-    this.#lastReason = `connection lost: ${String(error)}`;
+  /**
+   * A commit of writes whose answer is lost is in doubt. Anything else is rolled back by the member; it may have
+   * run on that connection, so the transaction goes on on no other.
+   */
+  #throwLoss(step: TransactionStep, error: unknown): never {
     if (step.kind === 'commit' && this.#hasWritten)
       throw new Refusal('in_doubt', 'may_have_run', `answer to the commit lost: ${String(error)}`);
-    return null;
+    throw new Refusal('aborted', 'not_run', `connection lost: ${String(error)}`, RETRY_AFTER_MS);
   }
 
   /** Gives the connection back once the member has rolled back what is open. */
