--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tsdoc from 'eslint-plugin-tsdoc';
 
 export default tseslint.config(
-  { ignores: ['dist*/**', 'node_modules/**'] },
+  { ignores: ['dist*/**', 'target/**', 'node_modules/**'] },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/src/coordination/coordination.test.ts
@@ -0,0 +1,190 @@
+/**
+ * The duty, and the copy of the store, against a store in memory whose answers can be lost.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import {
+  StoreError,
+  type CoordinationStore,
+  type StoredItem,
+  type StoreTransaction,
+  type TransactionAnswer,
+  type WatchAnswer,
+} from './coordination-store.js';
+import { Duty } from './duty.js';
+import { WatchedStore } from './watched-store.js';
+
+/** A store in memory; a lease ends when the test says so. */
+class MemoryStore implements CoordinationStore {
+  readonly items = new Map<string, StoredItem & { leaseId: number }>();
+  readonly leases = new Set<number>();
+  revision = 1;
+  isDown = false;
+  watchAnswers: WatchAnswer[] = [];
+  lists = 0;
+
+  list(): Promise<{ items: readonly StoredItem[]; revision: number }> {
+    this.lists += 1;
+    return Promise.resolve({ items: [...this.items.values()], revision: this.revision });
+  }
+
+  async watch(): Promise<WatchAnswer> {
+    const next = this.watchAnswers.shift();
+    if (next !== undefined) return next;
+    await new Promise((resolve) => setTimeout(resolve, 1));
+    return { kind: 'events', events: [], revision: this.revision };
+  }
+
+  transact({ conditions, puts }: StoreTransaction): Promise<TransactionAnswer> {
+    if (this.isDown) return Promise.reject(new StoreError('down', true));
+    const isMet = conditions.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision);
+    if (!isMet) return Promise.resolve({ kind: 'conflict' });
+    if (puts.some(({ leaseId }) => leaseId !== 0 && !this.leases.has(leaseId)))
+      return Promise.resolve({ kind: 'no_lease' });
+    this.revision += 1;
+    for (const { key, value, leaseId } of puts)
+      this.items.set(key, { key, value, revision: this.revision, leaseId });
+    return Promise.resolve({ kind: 'done', revision: this.revision });
+  }
+
+  grantLease(ttlMs: number): Promise<{ leaseId: number; ttlMs: number }> {
+    if (this.isDown) return Promise.reject(new StoreError('down', true));
+    const leaseId = 100 + this.leases.size;
+    this.leases.add(leaseId);
+    return Promise.resolve({ leaseId, ttlMs });
+  }
+
+  keepLease(leaseId: number): Promise<boolean> {
+    if (this.isDown) return Promise.reject(new StoreError('down', true));
+    return Promise.resolve(this.leases.has(leaseId));
+  }
+
+  endLease(leaseId: number): Promise<void> {
+    this.leases.delete(leaseId);
+    for (const item of [...this.items.values()]) if (item.leaseId === leaseId) this.items.delete(item.key);
+    return Promise.resolve();
+  }
+}
+
+interface Holder {
+  readonly duty: Duty;
+  readonly events: string[];
+}
+
+function holder(store: MemoryStore, name: string, clock: { now: number }): Holder {
+  const events: string[] = [];
+  const duty = new Duty(
+    store,
+    { name, life: `${name}-life`, host: 'h', port: 1 },
+    () => store.items,
+    { taken: (fence) => events.push(`taken ${fence}`), lost: () => events.push('lost') },
+    () => clock.now,
+    () => 0.5,
+  );
+  return { duty, events };
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+}
+
+describe('the duty', () => {
+  test('is held by one, and the fence rises with each holder', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const first = holder(store, 'd1', clock);
+    const second = holder(store, 'd2', clock);
+    void first.duty.run();
+    await settle();
+    void second.duty.run();
+    await settle();
+    assert.equal(first.duty.heldFence(0), 1);
+    assert.equal(second.duty.heldFence(0), null);
+    await first.duty.stop();
+    await second.duty.keysChanged();
+    assert.equal(second.duty.heldFence(0), 2);
+    assert.deepEqual(first.events, ['taken 1', 'lost']);
+    await second.duty.stop();
+  });
+
+  test('is trusted no longer than the lease by the holder’s own clock', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const { duty } = holder(store, 'd1', clock);
+    void duty.run();
+    await settle();
+    clock.now = 2700;
+    assert.equal(duty.heldFence(0), 1);
+    assert.equal(duty.heldFence(400), null, 'not enough left for a call');
+    clock.now = 2760;
+    assert.equal(duty.heldFence(0), null, 'a frozen holder finds its lease lapsed');
+    assert.equal(duty.held, null);
+    await duty.stop();
+  });
+
+  test('a record of an earlier lease of the same daemon gives it nothing', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const { duty, events } = holder(store, 'd1', clock);
+    void duty.run();
+    await settle();
+    const record = store.items.get('sorrelladder/duty');
+    assert.ok(record !== undefined);
+    const older = JSON.parse(record.value.toString()) as { leaseId: number; fence: number };
+    const stale = { ...older, leaseId: older.leaseId - 1, fence: older.fence };
+    store.items.set('sorrelladder/duty', { ...record, value: Buffer.from(JSON.stringify(stale)) });
+    await duty.keysChanged();
+    assert.equal(duty.heldFence(0), null);
+    assert.deepEqual(events, ['taken 1', 'lost']);
+    await duty.stop();
+  });
+});
+
+describe('the copy of the store', () => {
+  function follow(store: MemoryStore): { watched: WatchedStore; told: string[] } {
+    const told: string[] = [];
+    const watched = new WatchedStore(
+      store,
+      () => undefined,
+      () => 0.5,
+    );
+    watched.subscribe('a/', {
+      changed: ({ key, revision }) => told.push(`${key}@${revision}`),
+      removed: (key) => told.push(`-${key}`),
+      settled: () => told.push('settled'),
+      availability: (isAvailable) => told.push(isAvailable ? 'up' : 'down'),
+    });
+    void watched.run();
+    return { watched, told };
+  }
+  const value = Buffer.from('x');
+
+  test('tells what is there, then what changes, never an older revision', async () => {
+    const store = new MemoryStore();
+    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
+    store.items.set('b/1', { key: 'b/1', value, revision: 5, leaseId: 0 });
+    store.watchAnswers = [
+      { kind: 'events', events: [{ key: 'a/1', value, revision: 4 }], revision: 6 },
+      { kind: 'events', events: [{ key: 'a/1', value: null, revision: 7 }], revision: 7 },
+    ];
+    const { watched, told } = follow(store);
+    await settle();
+    watched.stop();
+    assert.deepEqual(told, ['a/1@5', 'settled', 'settled', '-a/1', 'settled']);
+  });
+
+  test('reads everything again when the store has forgotten its history', async () => {
+    const store = new MemoryStore();
+    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
+    store.watchAnswers = [{ kind: 'compacted' }];
+    const { watched, told } = follow(store);
+    store.items.delete('a/1');
+    store.items.set('a/2', { key: 'a/2', value, revision: 9, leaseId: 0 });
+    await settle();
+    watched.stop();
+    assert.ok(store.lists >= 2);
+    assert.ok(told.includes('a/2@9'));
+  });
+});
--- /dev/null
+++ b/src/leadership/leadership.test.ts
@@ -0,0 +1,203 @@
+/**
+ * Evidence of leaders, positions, doubts, the choice of a successor.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import fc from 'fast-check';
+import { comparePositions, type Position } from '../position/position.js';
+import { chooseSuccessor } from './choose-successor.js';
+import { Doubts } from './doubts.js';
+import { EVIDENCE_MS, LeadershipEvidence, REVOCATION_MS } from './leadership-evidence.js';
+import { PositionHistory } from './position-history.js';
+
+function ledBy(memberId: string, term: number): LeadershipEvidence {
+  const evidence = new LeadershipEvidence();
+  evidence.believe({ memberId, term });
+  return evidence;
+}
+
+describe('evidence', () => {
+  test('lapses after its time, counted from the question', () => {
+    const evidence = ledBy('a', 3);
+    assert.equal(evidence.current(1000), null);
+    assert.ok(evidence.witness(3, 0, 1000));
+    assert.equal(evidence.current(1000 + EVIDENCE_MS - 1)?.memberId, 'a');
+    assert.equal(evidence.current(1000 + EVIDENCE_MS), null);
+  });
+
+  test('is not given by a paused witness, nor by one of another term', () => {
+    const evidence = ledBy('a', 3);
+    assert.ok(!evidence.witness(3, 4, 1000));
+    assert.ok(!evidence.witness(2, 0, 1000));
+    assert.equal(evidence.current(1001), null);
+    assert.ok(!evidence.witness(4, 0, 1000));
+    assert.equal(evidence.leader, null, 'a later term shows that the leader is replaced');
+    assert.ok(!evidence.believe({ memberId: 'a', term: 3 }));
+    assert.ok(evidence.believe({ memberId: 'b', term: 4 }));
+  });
+
+  test('is not gathered of a revoked term for a while, also from an answer to an older question', () => {
+    const evidence = ledBy('a', 3);
+    evidence.witness(3, 0, 1000);
+    evidence.revoke(3, 1100);
+    assert.equal(evidence.current(1101), null);
+    assert.ok(!evidence.witness(3, 0, 1099));
+    assert.ok(!evidence.witness(3, 0, 1100 + REVOCATION_MS - 1));
+    assert.ok(evidence.witness(3, 0, 1100 + REVOCATION_MS));
+    evidence.revoke(3, 3000);
+    evidence.allowAgain();
+    assert.ok(evidence.witness(3, 0, 3001));
+  });
+
+  test('a later leader is not touched by the revocation of an earlier term', () => {
+    const evidence = ledBy('b', 4);
+    evidence.witness(4, 0, 1000);
+    evidence.revoke(3, 1001);
+    assert.equal(evidence.current(1002)?.memberId, 'b');
+  });
+
+  test('the duty vouches only for what was confirmed, and only as long as it is held', () => {
+    const evidence = ledBy('a', 3);
+    evidence.vouch(9000, 1000);
+    assert.equal(evidence.current(1001), null);
+    evidence.confirm();
+    evidence.vouch(1500, 1000);
+    assert.equal(evidence.current(1499)?.memberId, 'a');
+    assert.equal(evidence.current(1500), null);
+    evidence.vouch(90_000, 2000);
+    assert.equal(evidence.current(2000 + EVIDENCE_MS), null);
+    evidence.unconfirm();
+    evidence.vouch(90_000, 8000);
+    assert.equal(evidence.current(8001), null);
+  });
+
+  test('what was confirmed ends with a revocation, a loss, or another leader', () => {
+    const ends: ((evidence: LeadershipEvidence) => void)[] = [
+      (evidence) => evidence.revoke(3, 1000),
+      (evidence) => evidence.loseLeader(),
+      (evidence) => void evidence.believe({ memberId: 'b', term: 4 }),
+      (evidence) => void evidence.witness(5, 0, 1000),
+    ];
+    for (const end of ends) {
+      const evidence = ledBy('a', 3);
+      evidence.confirm();
+      end(evidence);
+      evidence.vouch(9000, 1001);
+      assert.equal(evidence.current(1002), null);
+    }
+  });
+});
+
+describe('positions', () => {
+  test('the floor is the lowest position asked for since, and none when the leader was not asked', () => {
+    const history = new PositionHistory();
+    history.record(1000, { term: 1, index: 10 });
+    history.record(1100, { term: 1, index: 20 });
+    history.record(1200, { term: 1, index: 30 });
+    assert.deepEqual(history.floorSince(1050), { term: 1, index: 20 });
+    assert.deepEqual(history.floorSince(900), { term: 1, index: 10 });
+    assert.equal(history.floorSince(1201), null);
+  });
+
+  test('a floor is never below a commit acknowledged before the time it stands for', () => {
+    const steps = fc.array(fc.integer({ min: 1, max: 200 }), { minLength: 1, maxLength: 200 });
+    fc.assert(
+      fc.property(steps, fc.integer({ min: 0, max: 3000 }), (gaps, back) => {
+        const history = new PositionHistory();
+        const asked: { at: number; index: number }[] = [];
+        let now = 0;
+        gaps.forEach((gap, index) => {
+          now += gap;
+          asked.push({ at: now, index });
+          history.record(now, { term: 1, index });
+        });
+        const since = now - back;
+        const floor = history.floorSince(since);
+        const before = asked.filter(({ at }) => at < since).at(-1);
+        assert.ok(floor === null || before === undefined || floor.index >= before.index);
+      }),
+      { seed: 20261202, numRuns: 300 },
+    );
+  });
+});
+
+describe('the choice of a successor', () => {
+  const at = (index: number, term = 1): Position => ({ term, index });
+
+  test('is the one that has received the most; of equals, one that stays', () => {
+    const candidates = [
+      { memberId: 'a', received: at(5), isLeaving: true },
+      { memberId: 'b', received: at(5), isLeaving: false },
+      { memberId: 'c', received: at(9, 0), isLeaving: false },
+    ];
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: null })?.memberId, 'b');
+    const more = [...candidates, { memberId: 'd', received: at(6), isLeaving: true }];
+    assert.equal(chooseSuccessor({ candidates: more, missing: 0, acknowledged: null })?.memberId, 'd');
+  });
+
+  test('with replicas missing, every acknowledged commit has to be covered', () => {
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: at(5) })?.memberId, 'a');
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: at(6) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: null }), null);
+    assert.equal(chooseSuccessor({ candidates: [], missing: 0, acknowledged: null }), null);
+  });
+
+  test('holds every acknowledged commit, whatever was received where', () => {
+    const received = fc.array(fc.integer({ min: 0, max: 6 }), { minLength: 2, maxLength: 4 });
+    fc.assert(
+      fc.property(received, fc.nat(), (indexes, pick) => {
+        const acknowledged = at(Math.max(...indexes));
+        const dark = pick % (indexes.length + 1);
+        const reachable = indexes.filter((_, index) => index !== dark);
+        const candidates = reachable.map((index, number) => ({
+          memberId: `m${number}`,
+          received: at(index),
+          isLeaving: false,
+        }));
+        const missing = indexes.length - reachable.length;
+        const chosen = chooseSuccessor({ candidates, missing, acknowledged });
+        assert.ok(chosen === null || comparePositions(chosen.received, acknowledged) >= 0);
+      }),
+      { seed: 20261202, numRuns: 300 },
+    );
+  });
+});
+
+describe('doubts', () => {
+  const doubt = (reporter: string, reason: 'silent' | 'stalled' = 'silent') => ({
+    groupName: 'g',
+    memberId: 'a',
+    reason,
+    reporter,
+  });
+
+  test('one daemon, or a short time, is not enough to replace a leader that answers', () => {
+    const doubts = new Doubts();
+    for (let now = 0; now <= 900; now += 100) doubts.add(doubt('d1'), now);
+    assert.equal(doubts.withoutLeader('a', 6, 900), 0);
+    for (let now = 900; now <= 1300; now += 100) doubts.add(doubt('d2'), now);
+    assert.equal(doubts.withoutLeader('a', 6, 1300), 0);
+  });
+
+  test('a lasting doubt of enough daemons is', () => {
+    const doubts = new Doubts();
+    for (let now = 0; now <= 600; now += 100)
+      for (const reporter of ['d1', 'd2']) doubts.add(doubt(reporter), now);
+    assert.equal(doubts.withoutLeader('a', 6, 600), 2);
+    assert.equal(doubts.withoutLeader('a', 10, 600), 0, 'two of ten are too few');
+    assert.equal(doubts.withoutLeader('b', 6, 600), 0, 'another member is not meant');
+    assert.equal(doubts.withoutLeader('a', 6, 1200), 0, 'doubts pass');
+  });
+
+  test('a doubt is for its reason', () => {
+    const doubts = new Doubts();
+    doubts.add(doubt('d1', 'stalled'), 100);
+    assert.ok(doubts.has('stalled', 'a', 200));
+    assert.ok(!doubts.has('silent', 'a', 200));
+    doubts.clear();
+    assert.ok(!doubts.has('stalled', 'a', 200));
+  });
+});
--- /dev/null
+++ b/src/relay/link-pool.test.ts
@@ -0,0 +1,154 @@
+/**
+ * Pooled connections: budget, order, session state, members that refuse.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { LinkPool } from './link-pool.js';
+import {
+  DialError,
+  LinkLostError,
+  type MemberLink,
+  type MemberReply,
+  type MemberRequest,
+} from './member-link.js';
+
+class FakeLink implements MemberLink {
+  isOpen = true;
+  lastReceivedMs = 0;
+  readonly sent: MemberRequest[] = [];
+  refuseNext = false;
+  #onClosed: ((isByPeer: boolean) => void) | null = null;
+
+  send(request: MemberRequest): Promise<MemberReply> {
+    if (!this.isOpen) return Promise.reject(new LinkLostError('closed'));
+    this.sent.push(request);
+    const result = this.refuseNext
+      ? ({ isComplete: false, code: 'failed', text: 'no' } as const)
+      : ({ isComplete: true, signature: '-' } as const);
+    return Promise.resolve({ rows: [], result, state: 'idle', position: null });
+  }
+
+  close(): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.#onClosed?.(false);
+  }
+
+  onClosed(listener: (isByPeer: boolean) => void): void {
+    this.#onClosed = listener;
+  }
+}
+
+const ADDRESS = { memberId: 'm', groupName: 'g', host: 'h', port: 1 };
+const NO_VALUES = new Map<string, string>();
+
+function poolOf(budget: number, dial: () => Promise<MemberLink>, clock = { now: 0 }): LinkPool {
+  return new LinkPool({
+    dialer: { dial },
+    address: ADDRESS,
+    budget: () => budget,
+    dialTimeoutMs: 100,
+    limitBackoffMs: 10,
+    idleMs: 1000,
+    onTrouble: () => undefined,
+    now: () => clock.now,
+  });
+}
+
+test('the budget is kept, and those who wait are served by priority', async () => {
+  let dialed = 0;
+  const pool = poolOf(2, () => {
+    dialed += 1;
+    return Promise.resolve(new FakeLink());
+  });
+  const first = await pool.acquire(NO_VALUES, 1, 1000);
+  await pool.acquire(NO_VALUES, 1, 1000);
+  const served: string[] = [];
+  const low = pool.acquire(NO_VALUES, 2, 1000).then((link) => (served.push('low'), link));
+  const high = pool.acquire(NO_VALUES, 0, 1000).then((link) => (served.push('high'), link));
+  assert.equal(dialed, 2);
+  pool.release(first);
+  pool.release(await high);
+  await low;
+  assert.deepEqual(served, ['high', 'low']);
+  assert.equal(dialed, 2);
+});
+
+test('a connection with something under way or open is not used again', async () => {
+  const links: FakeLink[] = [];
+  const pool = poolOf(2, () => {
+    const link = new FakeLink();
+    links.push(link);
+    return Promise.resolve(link);
+  });
+  const link = await pool.acquire(NO_VALUES, 1, 1000);
+  void link.send({ kind: 'status' });
+  pool.release(link);
+  assert.equal(links[0]?.isOpen, false);
+  assert.equal(pool.size, 0);
+});
+
+test('session values are those of the session that uses it, and nothing of an earlier one is left', async () => {
+  const fake = new FakeLink();
+  const pool = poolOf(1, () => Promise.resolve(fake));
+  const link = await pool.acquire(NO_VALUES, 1, 1000);
+  await link.adoptValues(
+    new Map([
+      ['lang', 'ur'],
+      ['mode', 'x'],
+    ]),
+  );
+  await link.prepare({ isWrite: false, shape: 'q1' });
+  fake.sent.length = 0;
+  await Promise.all([
+    link.adoptValues(new Map([['lang', 'en']])),
+    link.prepare({ isWrite: false, shape: 'q1' }),
+  ]);
+  assert.deepEqual(
+    fake.sent.map(({ kind }) => kind),
+    ['reset', 'set', 'prepare'],
+    'a reset drops prepared names too, so they are prepared again after it',
+  );
+});
+
+test('a connection that refuses a value is ended: its state is unknown', async () => {
+  const fake = new FakeLink();
+  const pool = poolOf(1, () => Promise.resolve(fake));
+  const link = await pool.acquire(NO_VALUES, 1, 1000);
+  fake.refuseNext = true;
+  await assert.rejects(link.adoptValues(new Map([['lang', 'ur']])), LinkLostError);
+  assert.equal(link.isOpen, false);
+});
+
+test('a member with too many connections is dialed again for those who wait', async () => {
+  const clock = { now: 0 };
+  let attempts = 0;
+  const dial = (): Promise<MemberLink> => {
+    attempts += 1;
+    return attempts === 2
+      ? Promise.reject(new DialError('too_many_connections', 'full'))
+      : Promise.resolve(new FakeLink());
+  };
+  const pool = poolOf(3, dial, clock);
+  await pool.acquire(NO_VALUES, 1, 1000);
+  const waiting = pool.acquire(NO_VALUES, 1, 1000);
+  await new Promise((resolve) => setImmediate(resolve));
+  clock.now = 20;
+  await waiting;
+  assert.equal(attempts, 3);
+});
+
+test('idle connections end after a while, but for one', async () => {
+  const clock = { now: 0 };
+  const pool = poolOf(3, () => Promise.resolve(new FakeLink()), clock);
+  const links = [];
+  for (let index = 0; index < 3; index += 1) links.push(await pool.acquire(NO_VALUES, 1, 1000));
+  for (const link of links) pool.release(link);
+  pool.trim();
+  assert.equal(pool.size, 3);
+  clock.now = 1001;
+  pool.trim();
+  assert.equal(pool.size, 1);
+});
--- /dev/null
+++ b/src/topology/topology.test.ts
@@ -0,0 +1,71 @@
+/**
+ * The order of configurations, and the choice of a member for a read.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Catalog, type CatalogDocument } from './catalog.js';
+import { selectReadMember, type ReadCandidate } from './select-member.js';
+
+function version(number: number): CatalogDocument {
+  return {
+    version: number,
+    routes: new Map(),
+    groups: new Map(),
+    transactionIdleMs: 3000,
+    maxMessageBytes: 1000,
+  };
+}
+
+test('an older configuration never replaces a newer one', () => {
+  const catalog = new Catalog();
+  assert.ok(catalog.offer(version(5)));
+  assert.ok(!catalog.offer(version(5)));
+  assert.ok(!catalog.offer(version(4)));
+  assert.equal(catalog.document?.version, 5);
+  assert.ok(catalog.offer(version(60)));
+});
+
+const REPLICA: ReadCandidate = {
+  memberId: 'r1',
+  isLeader: false,
+  isInZone: true,
+  load: 0,
+  slots: 2,
+  latencyMs: 20,
+  isLeaving: false,
+  isAvoided: false,
+  isBehind: false,
+};
+const LEADER: ReadCandidate = { ...REPLICA, memberId: 'l', isLeader: true };
+const FLOOR = { term: 1, index: 1 };
+const NONE: ReadonlySet<string> = new Set();
+
+function choose(
+  candidates: readonly ReadCandidate[],
+  floor: typeof FLOOR | null,
+  excluded = NONE,
+): string | null {
+  return selectReadMember(candidates, { floor, excluded })?.memberId ?? null;
+}
+
+test('without a floor only the leader serves', () => {
+  assert.equal(choose([REPLICA, LEADER], null), 'l');
+  assert.equal(choose([REPLICA], null), null);
+});
+
+test('a replica is preferred to the leader, its own zone to another, until its queue costs more', () => {
+  assert.equal(choose([LEADER, REPLICA], FLOOR), 'r1');
+  const far = { ...REPLICA, memberId: 'r2', isInZone: false };
+  assert.equal(choose([far, REPLICA], FLOOR), 'r1');
+  assert.equal(choose([far, { ...REPLICA, load: 8 }], FLOOR), 'r2');
+});
+
+test('replicas that are behind, leave, or refused get no read; one to be avoided only when nothing else is left', () => {
+  assert.equal(choose([{ ...REPLICA, isBehind: true }, LEADER], FLOOR), 'l');
+  assert.equal(choose([{ ...REPLICA, isLeaving: true }], FLOOR), null);
+  assert.equal(choose([REPLICA, LEADER], FLOOR, new Set(['r1'])), 'l');
+  assert.equal(choose([{ ...REPLICA, isAvoided: true }, LEADER], FLOOR), 'l');
+  assert.equal(choose([{ ...REPLICA, isAvoided: true }], FLOOR), 'r1');
+});
