--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -88,6 +88,7 @@
 
   constructor(
     private readonly record: DaemonRecord,
+    private readonly localAddress: string,
     private readonly listener: MeshListener,
   ) {}
 
@@ -122,7 +123,8 @@
 
   #dial(): Promise<'open' | 'refused' | 'silent'> {
     return new Promise((resolve) => {
-      const socket = connect(this.record.port, this.record.host);
+      const { host, port } = this.record;
+      const socket = connect({ host, port, localAddress: this.localAddress });
       const timer = setTimeout(() => {
         resolve('silent');
         socket.destroy();
@@ -170,7 +172,7 @@
   #nextId = 1;
 
   constructor(
-    private readonly selfName: string,
+    private readonly self: DaemonRecord,
     private readonly listener: MeshListener,
   ) {
     this.#server = createServer((socket) => this.#accept(socket));
@@ -254,14 +256,14 @@
   }
 
   #others(records: readonly DaemonRecord[]): readonly DaemonRecord[] {
-    return records.filter((record) => record.name !== this.selfName);
+    return records.filter((record) => record.name !== this.self.name);
   }
 
   #link(record: DaemonRecord): HolderLink {
     const key = linkKey(record);
     let link = this.#links.get(key);
     if (link === undefined) {
-      link = new HolderLink(record, this.listener);
+      link = new HolderLink(record, this.self.host, this.listener);
       this.#links.set(key, link);
     }
     return link;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -111,7 +111,7 @@
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
     this.#control = new MemberControl({ dialer, readStatus, now });
-    this.#mesh = new PeerMesh(self.name, {
+    this.#mesh = new PeerMesh(self, {
       order: (order) => this.#obey(order),
       suspicion: (suspicion) => this.#heed(suspicion),
       ownEvidence: () => this.#ownEvidence(),
