--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -21,6 +21,8 @@
   notable(decision: Decision): void;
   /** The time of an answer of a member, in milliseconds. */
   memberAnswered(kind: string, isLeader: boolean, ms: number): void;
+  /** A request has ended; `outcome` is `served` or the code of its refusal. */
+  requestEnded(statement: string, outcome: string, ms: number): void;
 }
 
 /** What the parts of the relay share. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -19,6 +19,7 @@
 import { EVIDENCE_MS, SHARING_MS } from '../leadership/leadership-evidence.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { MemberControl } from '../leadership/member-control.js';
+import type { RelayState } from '../observability/relay-metrics.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
 import { Member, MemberGroup, type MemberEntry } from '../topology/member-group.js';
 import { LinkPool } from './link-pool.js';
@@ -153,6 +154,17 @@
     return this.#duty.heldFence(0);
   }
 
+  /** What the metrics show of the groups. */
+  describeGroups(): RelayState['groups'] {
+    const now = this.options.now();
+    return this.groups.map((group) => ({
+      name: group.name,
+      memberConnections: [...group.members.values()].reduce((sum, { pool }) => sum + pool.size, 0),
+      hasEvidence: group.leader(now) !== null,
+      term: group.evidence.leader?.term ?? 0,
+    }));
+  }
+
   /** Starts to listen for other daemons and to follow the store. */
   async start(): Promise<void> {
     this.#startedAtMs = this.options.now();
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -72,6 +72,7 @@
     this.#stopRestTimer();
     try {
       const result = await this.#dispatch(request);
+      this.#ended(request, 'served');
       return { result, state: this.#state };
     } catch (error) {
       return this.#refused(request, error);
@@ -94,9 +95,15 @@
     this.#endTransaction();
   }
 
+  #ended(request: ClientRequest, outcome: string): void {
+    const { observer, now } = this.context;
+    observer.requestEnded(request.statement.kind, outcome, now() - request.receivedAtMs);
+  }
+
   #refused(request: ClientRequest, error: unknown): SessionReply {
     const refusal =
       error instanceof Refusal ? error : new Refusal('timed_out', 'may_have_run', String(error));
+    this.#ended(request, refusal.code);
     this.#endTransaction();
     const isEnd = request.statement.kind === 'commit' || request.statement.kind === 'rollback';
     this.#state = this.#state === 'idle' || isEnd ? 'idle' : 'failed';
