A leader that no replica can follow keeps its lead; refusals tell what decided them

And the line of a write in doubt did not name its member. Ruled out: a false alarm of the first promotion (the primary was dark). Change: stalled commits count against a leader only when two replicas answer and neither receives what it has; a leader is demoted only once a successor is found.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -10,13 +10,7 @@
  */
 import { ChangeSignal, delay } from '../common/signal.js';
 import type { HolderOrder, OrderOutcome, Suspicion } from '../cluster/peer-mesh.js';
-import {
-  comparePositions,
-  hasReached,
-  laterPosition,
-  ZERO_POSITION,
-  type Position,
-} from '../position/position.js';
+import { hasReached, laterPosition, ZERO_POSITION, type Position } from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
@@ -63,6 +57,8 @@
 const ORDER_MS = 200;
 /** Time after a handover in which no other is begun for the same kinds of reason, in milliseconds. */
 const HANDOVER_PAUSE_MS = 5000;
+/** Replicas that have to agree that they receive nothing. */
+const STALL_WITNESSES = 2;
 /** Time that replicas have to receive what the leader has, in milliseconds. */
 const STALL_LOOK_MS = 120;
 /** A leader that answered within this time is asked to step down first, in milliseconds. */
@@ -157,16 +153,22 @@
     await this.#promote(leader, reason);
   }
 
-  /** True when no replica receives what the leader has. */
+  /**
+   * True when no replica receives what the leader has, and all of them answer. With one out of reach, the trouble
+   * may be the other's alone, and another leader could not have its commits acknowledged either.
+   */
   async #isStalled(leader: Member): Promise<boolean> {
     const first = await this.#status(leader);
-    if (first.kind !== 'answered') return false;
+    const others = this.#others(leader);
+    if (first.kind !== 'answered' || others.length < STALL_WITNESSES) return false;
     await delay(STALL_LOOK_MS);
-    const answers = await Promise.all(this.#others(leader).map((member) => this.#status(member)));
+    const answers = await Promise.all(others.map((member) => this.#status(member)));
     let furthest: Position = ZERO_POSITION;
-    for (const answer of answers)
-      if (answer.kind === 'answered') furthest = laterPosition(furthest, answer.status.received);
-    return comparePositions(furthest, ZERO_POSITION) > 0 && !hasReached(furthest, first.status.received);
+    for (const answer of answers) {
+      if (answer.kind !== 'answered') return false;
+      furthest = laterPosition(furthest, answer.status.received);
+    }
+    return !hasReached(furthest, first.status.received);
   }
 
   /** True while the leader answers ordinary requests and there is evidence of its lead. */
@@ -257,12 +259,12 @@
     const outcomes = await revoking;
     if (hasSilent(outcomes)) await delay(pausedAtMs + EVIDENCE_MS - options.now());
     const candidates = paused.map(toCandidate);
-    if (isAlive) await this.#demote(leader, term + 1);
     const successor = chooseSuccessor({
       candidates,
       missing: others.length - paused.length,
       acknowledged: latestAcknowledged(group.acknowledged, outcomes),
     });
+    if (isAlive && successor !== null) await this.#demote(leader, term + 1);
     const isDone = successor !== null && (await this.#appoint(successor, term, reason));
     if (!isDone) {
       options.log('promotion_given_up', {
--- a/src/relay/refusal.ts
+++ b/src/relay/refusal.ts
@@ -22,6 +22,9 @@
   | 'malformed'
   | 'too_large';
 
+/** What decided a refusal, for the log: members, terms, ages. */
+export type RefusalInputs = Readonly<Record<string, string | number | boolean | null>>;
+
 /** The final outcome of a request that was refused, given up on or lost. */
 export class Refusal extends Error {
   override readonly name = 'Refusal';
@@ -29,12 +32,14 @@
   /**
    * @param verdict - whether the request may have had an effect
    * @param retryAfterMs - when to come back, in milliseconds; `null` when coming back is of no use
+   * @param inputs - what decided it
    */
   constructor(
     readonly code: RefusalCode,
     readonly verdict: Verdict,
     reason: string,
     readonly retryAfterMs: number | null = null,
+    readonly inputs: RefusalInputs = {},
   ) {
     super(reason);
   }
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -115,6 +115,9 @@
       verdict: refusal.verdict,
       reason: refusal.message,
       heldMs: Math.round(this.context.now() - request.receivedAtMs),
+      database: this.database,
+      configuration: this.context.catalog.document?.version,
+      ...refusal.inputs,
     });
     return { result: { isComplete: false, refusal }, state: this.#state };
   }
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -10,7 +10,7 @@
 import type { MemberReply } from './member-link.js';
 import type { PooledLink, SessionValues } from './pooled-link.js';
 import { readCandidates, readFloor } from './read-runner.js';
-import { Refusal } from './refusal.js';
+import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 import { awaitLeader, LEADER_RESERVE_MS } from './write-runner.js';
@@ -43,6 +43,8 @@
 export class Transaction {
   readonly #excluded = new Set<string>();
   #pinned: Pinned | null = null;
+  /** The member at which it was begun last. */
+  #member: Member | null = null;
   #hasWritten = false;
   /** A statement has been sent, and was not refused as not run. */
   #wasSent = false;
@@ -90,7 +92,7 @@
       const member = await this.#choose(step);
       if (this.#isOver) throw new Refusal('aborted', 'not_run', 'the transaction was ended');
       if (member === null || context.now() >= step.deadlineMs)
-        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
+        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#inputs());
       const reply = await this.#firstAt(member, step);
       if (reply !== null) return reply;
       this.#excluded.add(member.entry.memberId);
@@ -152,6 +154,7 @@
     }
     const isLeader = group.evidence.leader?.memberId === member.entry.memberId;
     const pinned: Pinned = { member, link, isLeader };
+    this.#member = member;
     const overdue = setTimeout(() => link.close(), step.deadlineMs - context.now());
     try {
       const obstacle = await this.#begin(pinned, step);
@@ -259,8 +262,29 @@
    */
   #throwLoss(step: TransactionStep, error: unknown): never {
     if (step.kind === 'commit' && this.#hasWritten)
-      throw new Refusal('in_doubt', 'may_have_run', `answer to the commit lost: ${String(error)}`);
-    throw new Refusal('aborted', 'not_run', `connection lost: ${String(error)}`, RETRY_AFTER_MS);
+      throw new Refusal(
+        'in_doubt',
+        'may_have_run',
+        `answer to the commit lost: ${String(error)}`,
+        null,
+        this.#inputs(),
+      );
+    throw new Refusal(
+      'aborted',
+      'not_run',
+      `connection lost: ${String(error)}`,
+      RETRY_AFTER_MS,
+      this.#inputs(),
+    );
+  }
+
+  #inputs(): RefusalInputs {
+    const { group } = this.options;
+    return {
+      group: group.name,
+      member: this.#member?.entry.memberId ?? null,
+      ...group.describeLeadership(this.context.now()),
+    };
   }
 
   /** Gives the connection back once the member has rolled back what is open. */
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -7,7 +7,7 @@
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import type { MemberReply } from './member-link.js';
 import type { SessionValues } from './pooled-link.js';
-import { Refusal } from './refusal.js';
+import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 
@@ -58,7 +58,7 @@
     for (;;) {
       const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS);
       if (leader === null || context.now() >= job.deadlineMs)
-        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
+        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#inputs());
       const reply = await this.#attempt(leader);
       if (reply !== null) return reply;
       context.observer.notable({
@@ -82,12 +82,14 @@
       return null;
     }
     let isSent = false;
+    let sentAtMs = 0;
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now());
     const answered = job.group.commitSent(context.now());
     try {
       const sent = await sendStatement(link, job.statement, job.requestId, job.values, null, () => {
         if (job.group.leader(context.now()) !== leader) return 'no evidence of the leader';
         isSent = true;
+        sentAtMs = context.now();
         return null;
       });
       if (typeof sent === 'string') {
@@ -100,7 +102,11 @@
         this.#lastReason = `connection lost: ${String(error)}`;
         return null;
       }
-      throw new Refusal('in_doubt', 'may_have_run', `answer lost: ${String(error)}`);
+      throw new Refusal('in_doubt', 'may_have_run', `answer lost: ${String(error)}`, null, {
+        member: leader.entry.memberId,
+        sentAgoMs: Math.round(context.now() - sentAtMs),
+        ...this.#inputs(),
+      });
     } finally {
       answered();
       clearTimeout(overdue);
@@ -108,6 +114,10 @@
     }
   }
 
+  #inputs(): RefusalInputs {
+    return { group: this.job.group.name, ...this.job.group.describeLeadership(this.context.now()) };
+  }
+
   #judge(leader: Member, reply: MemberReply, sentAtMs: number): MemberReply | null {
     const { context, job } = this;
     leader.trust(context.now());
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -140,6 +140,17 @@
     this.#acknowledged = laterPosition(this.#acknowledged, position);
   }
 
+  /** What is believed of the leader at `nowMs`, for the log. */
+  describeLeadership(nowMs: number): {
+    readonly leader: string | null;
+    readonly term: number;
+    readonly evidenceLeftMs: number;
+  } {
+    const { leader, minimumTerm, validUntilMs } = this.evidence;
+    const left = Number.isFinite(validUntilMs) ? Math.round(validUntilMs - nowMs) : 0;
+    return { leader: leader?.memberId ?? null, term: leader?.term ?? minimumTerm, evidenceLeftMs: left };
+  }
+
   /** The member that leads by evidence valid at `nowMs`, or `null`. */
   leader(nowMs: number): Member | null {
     const leader = this.evidence.current(nowMs);
