A statement is not sent in a transaction that has been ended meanwhile

Change: whether the transaction is over is asked right before a statement leaves. Measured: the new test lets the client leave after each answer; before: 'after 3 answers: statement inside, execute outside'; now none of seven.

--- /dev/null
+++ b/src/relay/transaction.test.ts
@@ -0,0 +1,157 @@
+/**
+ * A transaction whose client leaves at every point of a statement: nothing of it runs outside of it.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Catalog, type Route } from '../topology/catalog.js';
+import { Member, MemberGroup } from '../topology/member-group.js';
+import { LinkPool } from './link-pool.js';
+import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
+import type { RelayContext } from './relay-context.js';
+import { Transaction } from './transaction.js';
+
+/** A member that answers when the test says so, in order, and knows its transaction state. */
+class SlowLink implements MemberLink {
+  isOpen = true;
+  lastReceivedMs = 0;
+  readonly ran: string[] = [];
+  readonly #waiting: {
+    request: MemberRequest;
+    resolve(reply: MemberReply): void;
+    reject(error: Error): void;
+  }[] = [];
+  #isInTransaction = false;
+
+  send(request: MemberRequest): Promise<MemberReply> {
+    if (!this.isOpen) return Promise.reject(new LinkLostError('closed'));
+    return new Promise((resolve, reject) => this.#waiting.push({ request, resolve, reject }));
+  }
+
+  /** Answers the oldest request; false when there is none. */
+  answer(): boolean {
+    const next = this.#waiting.shift();
+    if (next === undefined) return false;
+    this.#run(next.request);
+    const state = this.#isInTransaction ? 'open' : 'idle';
+    next.resolve({ rows: [], result: { isComplete: true, signature: 's' }, state, position: null });
+    return true;
+  }
+
+  /** What was sent may have arrived before the end of the connection: it runs. */
+  close(): void {
+    this.isOpen = false;
+    for (const { request, reject } of this.#waiting.splice(0)) {
+      this.#run(request);
+      reject(new LinkLostError('closed'));
+    }
+  }
+
+  #run({ kind }: MemberRequest): void {
+    if (kind === 'begin') this.#isInTransaction = true;
+    if (kind === 'rollback') this.#isInTransaction = false;
+    if (kind === 'statement' || kind === 'execute')
+      this.ran.push(`${kind} ${this.#isInTransaction ? 'inside' : 'outside'}`);
+  }
+
+  onClosed(): void {
+    // Nobody is told: the test looks at the link itself.
+  }
+}
+
+const ROUTE: Route = {
+  database: 'pay',
+  groupName: 'g',
+  consistency: 'primary',
+  timeoutMs: 60_000,
+  targetLatencyMs: 100,
+  priority: 1,
+  maxStalenessMs: 0,
+};
+
+function scene(): { link: SlowLink; transaction: Transaction } {
+  const link = new SlowLink();
+  const group = new MemberGroup('g');
+  const pool = new LinkPool({
+    dialer: { dial: () => Promise.resolve(link) },
+    address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
+    budget: () => 1,
+    dialTimeoutMs: 100,
+    limitBackoffMs: 10,
+    idleMs: 1000,
+    onTrouble: () => undefined,
+    now: () => 0,
+  });
+  const entry = {
+    memberId: 'm',
+    groupName: 'g',
+    host: 'h',
+    port: 1,
+    zone: 'a',
+    slots: 2,
+    isDraining: false,
+    saysPrimary: true,
+  };
+  group.members.set('m', new Member(entry, pool));
+  group.evidence.believe({ memberId: 'm', term: 1 });
+  group.evidence.confirm();
+  group.evidence.vouch(1e9, 0);
+  const context: RelayContext = {
+    catalog: new Catalog(),
+    zone: 'a',
+    observer: {
+      routine: () => undefined,
+      notable: () => undefined,
+      memberAnswered: () => undefined,
+      requestEnded: () => undefined,
+    },
+    group: () => group,
+    now: () => 0,
+    suspect: () => undefined,
+  };
+  const options = { route: ROUTE, group, isReadOnly: false, receivedAtMs: 0, sessionFloor: null };
+  return { link, transaction: new Transaction(context, options) };
+}
+
+async function turns(): Promise<void> {
+  for (let turn = 0; turn < 10; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+}
+
+const STEP = {
+  requestId: 'x',
+  statement: { kind: 'prepared', prepared: { isWrite: true, shape: 'q' }, operands: 't d' },
+  kind: 'write',
+  values: new Map([['lang', 'ur']]),
+  deadlineMs: 60_000,
+} as const;
+
+/** Lets the client leave after so many answers of the member, then answers the rest. */
+async function leaveAfter(answers: number): Promise<readonly string[]> {
+  const { link, transaction } = scene();
+  const first = { ...STEP, statement: { kind: 'plain', payload: 'READ t' }, kind: 'read' } as const;
+  const work = transaction
+    .run(first)
+    .then(() => transaction.run(STEP))
+    .catch(() => undefined);
+  await turns();
+  for (let count = 0; count < answers; count += 1) {
+    link.answer();
+    await turns();
+  }
+  transaction.end();
+  await turns();
+  while (link.answer()) await turns();
+  await work;
+  return link.ran;
+}
+
+test('a client that leaves at any point leaves no statement that runs outside its transaction', async () => {
+  for (let answers = 0; answers <= 6; answers += 1) {
+    const ran = await leaveAfter(answers);
+    assert.ok(
+      !ran.some((statement) => statement.endsWith('outside')),
+      `after ${answers} answers: ${ran.join()}`,
+    );
+  }
+});
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -238,6 +238,7 @@
     const isKept = step.kind === 'commit' && this.#hasWritten;
     const answered = isKept ? group.commitSent(context.now()) : null;
     const sending = sendStatement(link, step.statement, step.requestId, step.values, null, () => {
+      if (this.#isOver) return 'the transaction was ended';
       if (step.kind === 'write') this.#hasWritten = true;
       this.#wasSent = true;
       return null;
