Members that left the list are asked before a promotion, and acknowledged commits must be covered

Change: members that get no more work stay known as former ones until their entry has been gone for 30 s or their address is another's; they are paused, may succeed, and then hand over without serving. A successor must hold what the daemons have acknowledged wherever that is known, not only with replicas missing. A member found leading is demoted and paused.

--- a/src/leadership/choose-successor.ts
+++ b/src/leadership/choose-successor.ts
@@ -25,16 +25,17 @@
  * The member that holds every acknowledged commit, or `null` when that cannot be shown.
  *
  * With all replicas paused, the one that has received the most holds all: each acknowledged commit was received
- * by one of them, and logs are prefixes of each other. With some missing, the position acknowledged by the
- * daemons has to be covered.
+ * by one of them, and logs are prefixes of each other. What the daemons have acknowledged has to be covered all
+ * the same where it is known: a member that nobody lists any more may have received a commit. With some missing,
+ * it has to be known.
  */
 export function chooseSuccessor(question: SuccessorQuestion): SuccessorCandidate | null {
   let best: SuccessorCandidate | null = null;
   for (const candidate of question.candidates) {
     if (best === null || isBetter(candidate, best)) best = candidate;
   }
-  if (best === null || question.missing === 0) return best;
-  if (question.acknowledged === null) return null;
+  if (best === null) return null;
+  if (question.acknowledged === null) return question.missing === 0 ? best : null;
   return hasReached(best.received, question.acknowledged) ? best : null;
 }
 
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -84,6 +84,12 @@
   readonly status: MemberStatus;
 }
 
+/** How the pauses went. `missing`: members that may hold more than the paused ones. */
+interface Pauses {
+  readonly paused: readonly Paused[];
+  readonly missing: number;
+}
+
 /** Supervises one group while this daemon holds the duty. */
 export class GroupSupervisor {
   readonly #wake = new ChangeSignal();
@@ -197,7 +203,7 @@
   /** The member that leads or led last; asks all members when nothing is known. */
   async #findLeader(): Promise<Member | null> {
     const believed = this.group.evidence.leader;
-    if (believed !== null) return this.group.members.get(believed.memberId) ?? null;
+    if (believed !== null) return this.#memberOf(believed.memberId);
     const members = [...this.group.members.values()];
     const statuses = await Promise.all(members.map((member) => this.#status(member)));
     let leader: Member | null = null;
@@ -205,7 +211,7 @@
       const answer = statuses[index];
       if (answer?.kind !== 'answered' || !answer.status.isPrimary) return;
       this.group.evidence.believe({ memberId: member.entry.memberId, term: answer.status.term });
-      leader = this.group.members.get(this.group.evidence.leader?.memberId ?? '') ?? null;
+      leader = this.#memberOf(this.group.evidence.leader?.memberId ?? '');
     });
     if (leader !== null) return leader;
     const claimant = members.find((member) => member.entry.saysPrimary);
@@ -254,14 +260,14 @@
       await revoking;
       await delay(HANDOVER_REST_MS);
     }
-    const paused = await this.#pauseAll(others, term);
+    const { paused, missing } = await this.#pauseAll(others, term);
     const pausedAtMs = options.now();
     const outcomes = await revoking;
     if (hasSilent(outcomes)) await delay(pausedAtMs + EVIDENCE_MS - options.now());
     const candidates = paused.map(toCandidate);
     const successor = chooseSuccessor({
       candidates,
-      missing: others.length - paused.length,
+      missing,
       acknowledged: latestAcknowledged(group.acknowledged, outcomes),
     });
     if (isAlive && successor !== null) await this.#demote(leader, term + 1);
@@ -271,7 +277,7 @@
         group: group.name,
         reason: successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it',
         paused: paused.length,
-        missing: others.length - paused.length,
+        missing,
       });
       await this.#resumeAll(paused.map(({ member }) => member));
       group.evidence.allowAgain();
@@ -287,6 +293,8 @@
     await this.#resumeAll(
       paused.map(({ member }) => member).filter((member) => member.entry.memberId !== successor.memberId),
     );
+    // A former member leads only until another has its log: no daemon gives it work.
+    if (group.former.has(successor.memberId)) this.#suspected = true;
     if (!isAlive && leader !== null) await this.#demote(leader, term + 1);
   }
 
@@ -294,8 +302,8 @@
   async #appoint(successor: SuccessorCandidate, oldTerm: number, reason: string): Promise<boolean> {
     const { options, group } = this;
     const fence = options.heldFence(DUTY_RESERVE_MS);
-    const member = group.members.get(successor.memberId);
-    if (fence === null || member === undefined) return false;
+    const member = this.#memberOf(successor.memberId);
+    if (fence === null || member === null) return false;
     const calledAtMs = options.now();
     options.log('promotion_call', { group: group.name, member: successor.memberId, fence, reason });
     const call = options.promotion
@@ -321,23 +329,27 @@
     void this.options.order(order, ORDER_MS);
   }
 
-  /** Pauses all members but the leader; gives those that confirmed it. */
-  async #pauseAll(members: readonly Member[], term: number): Promise<readonly Paused[]> {
-    const paused = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
-    return paused.filter((entry) => entry !== null);
+  /** Pauses all members but the leader. */
+  async #pauseAll(members: readonly Member[], term: number): Promise<Pauses> {
+    const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
+    const paused = results.filter((result) => typeof result !== 'string');
+    const missing = results.filter((result) => result === 'missing').length;
+    return { paused, missing };
   }
 
-  async #pause(member: Member, term: number): Promise<Paused | null> {
+  /** Pauses one member; one that still leads is demoted. A former member that does not run is gone for good. */
+  async #pause(member: Member, term: number): Promise<Paused | 'missing' | 'gone'> {
     const { control } = this.options;
     for (let attempt = 0; attempt < 2; attempt += 1) {
-      const answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
-      if (answer.kind === 'answered') {
-        const isPaused = answer.status.pausedForTerm >= term || answer.status.term >= term;
-        return isPaused ? { member, status: answer.status } : null;
+      let answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
+      if (answer.kind === 'answered' && answer.status.isPrimary) {
+        await control.ask(member, { kind: 'demote', term }, PAUSE_MS);
+        answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       }
-      if (answer.kind === 'refused') return null;
+      if (answer.kind === 'answered') return toPaused(member, answer.status, term);
+      if (answer.kind === 'refused') return this.group.former.has(member.entry.memberId) ? 'gone' : 'missing';
     }
-    return null;
+    return 'missing';
   }
 
   async #resumeAll(members: readonly Member[]): Promise<void> {
@@ -354,11 +366,21 @@
     return this.options.control.ask(member, { kind: 'status' }, STATUS_MS);
   }
 
+  #memberOf(memberId: string): Member | null {
+    return this.group.members.get(memberId) ?? this.group.former.get(memberId) ?? null;
+  }
+
   #others(leader: Member | null): readonly Member[] {
-    return [...this.group.members.values()].filter((member) => member !== leader);
+    const { members, former } = this.group;
+    return [...members.values(), ...former.values()].filter((member) => member !== leader);
   }
 }
 
+function toPaused(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
+  const isStopped = !status.isPrimary && (status.pausedForTerm >= term || status.term >= term);
+  return isStopped ? { member, status } : 'missing';
+}
+
 function toCandidate({ member, status }: Paused): SuccessorCandidate {
   return { memberId: member.entry.memberId, received: status.received, isLeaving: member.isLeaving };
 }
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -145,6 +145,12 @@
     assert.equal(chooseSuccessor({ candidates: [], missing: 0, acknowledged: null }), null);
   });
 
+  test('what is known to be acknowledged has to be covered though no listed replica is missing', () => {
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: at(6) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: null })?.memberId, 'a');
+  });
+
   test('holds every acknowledged commit, whatever was received where', () => {
     const received = fc.array(fc.integer({ min: 0, max: 6 }), { minLength: 2, maxLength: 4 });
     fc.assert(
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -14,7 +14,7 @@
 import type { Member } from '../topology/member-group.js';
 
 /**
- * How a question went. `refused`: no process listens there; `silent`: no answer in time, or the connection
+ * How a question went. `refused`: the member does not run there, or another has its address; `silent`: no answer in time, or the connection
  * broke; `busy`: the member refused for want of slots or connections.
  */
 export type ControlAnswer =
@@ -72,7 +72,7 @@
       return link;
     } catch (error) {
       if (!(error instanceof DialError)) throw error;
-      if (error.reason === 'refused') return { kind: 'refused' };
+      if (error.reason === 'refused' || error.reason === 'wrong_member') return { kind: 'refused' };
       return error.reason === 'silent' || error.reason === 'lost' ? SILENT : { kind: 'busy' };
     }
   }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -77,6 +77,8 @@
 const IDLE_MS = 800;
 /** Part of the time to leave after which a leaving member is given no work at all. */
 const LEAVE_SHARE = 0.75;
+/** For how long a member whose entry is gone may still run, in milliseconds. */
+const FORMER_MS = 30_000;
 /** Time after the store is back in which vanished entries mean nothing, in heartbeats. */
 const TRUST_HEARTBEATS = 4;
 /** Time for which an entry is gone before its member counts as leaving, in heartbeats. */
@@ -214,6 +216,8 @@
     this.#retired.delete(memberId);
     const member = this.#groups.get(entry.groupName)?.group.members.get(memberId);
     if (member !== undefined) member.missingSinceMs = this.options.now();
+    const former = this.#groups.get(entry.groupName)?.group.former.get(memberId);
+    if (former !== undefined) former.missingSinceMs = this.options.now();
   }
 
   /** The directory has been read whole. */
@@ -287,6 +291,7 @@
     if (known === undefined) {
       if (this.#retired.has(entry.memberId)) return;
       this.#addMember(watched, entry);
+      group.former.delete(entry.memberId);
     } else {
       known.missingSinceMs = null;
       if (known.entry.saysPrimary !== entry.saysPrimary) this.#roleChanged(watched, entry);
@@ -395,6 +400,16 @@
         this.#checkDeparture(watched, member, now);
         member.pool.trim();
       }
+      this.#forgetFormer(watched.group, now);
+    }
+  }
+
+  /** A former member whose entry has been gone for long has ended. */
+  #forgetFormer(group: MemberGroup, now: number): void {
+    for (const [memberId, member] of group.former) {
+      if (member.missingSinceMs === null || now - member.missingSinceMs < FORMER_MS) continue;
+      group.former.delete(memberId);
+      this.#control.forget(memberId);
     }
   }
 
@@ -423,9 +438,9 @@
     if (now - member.leavingSinceMs < this.options.leaveMs * LEAVE_SHARE) return;
     const { memberId } = member.entry;
     watched.group.members.delete(memberId);
+    watched.group.former.set(memberId, member);
     if (this.#entries.has(memberId)) this.#retired.add(memberId);
     member.pool.close();
-    this.#control.forget(memberId);
     if (watched.group.evidence.leader?.memberId === memberId) watched.group.evidence.loseLeader();
     this.options.log('member_out', { group: watched.group.name, member: memberId });
   }
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -106,6 +106,11 @@
 /** One group. */
 export class MemberGroup {
   readonly members = new Map<string, Member>();
+  /**
+   * Members that get no more work, but may still run: until they are gone they receive the log, and a commit may
+   * have been acknowledged on their word alone.
+   */
+  readonly former = new Map<string, Member>();
   readonly evidence = new LeadershipEvidence();
   readonly positions = new PositionHistory();
   /** Wakes whoever waits for a leader or a member. */
