A forwarded request is not begun once its sender may have given up on it

The owner knew no bound but the deadline, counted anew on arrival.

Ruled out: an owner's floor taken too early and positions recorded after the answer (recorded before it, floor asked after the locks); a stale replica (the later reads of the session see the old version as well: it is in the log).

Change: every request and every sign of life carries until when the sender surely waits, by the receiver's clock (LinkPatience, never more than the truth); the engine asks right before it sends to a member.

The new test orders the events itself and goes red with the check taken out (mutation 'sender gave up').

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -231,7 +231,7 @@
 
   #createPeerServer(): PeerServer {
     return new PeerServer({
-      execute: (request, sink) => this.#executeLocally(request, sink),
+      execute: (request, sink, isAwaited) => this.#executeLocally(request, sink, isAwaited),
       closeStream: (database, streamId) => this.#controllers.get(database)?.engine?.closeStream(streamId),
       cancel: (database, streamId) => this.#controllers.get(database)?.engine?.cancel(streamId),
       hello: (record) => this.#handleHello(record),
@@ -277,10 +277,6 @@
   }
 
   #handlePeerMessage(message: PeerMessage, reply: (message: PeerMessage) => void): void {
-    if (message.kind === 'keepAlive') {
-      reply(message);
-      return;
-    }
     if (message.kind === 'configurationRequest') {
       const { current } = this.#configuration;
       const version = current?.version ?? 0;
@@ -413,10 +409,10 @@
       : new RemoteTarget(daemonId, this.#links.to(record));
   }
 
-  #executeLocally(request: StatementRequest, sink: AnswerSink): void {
+  #executeLocally(request: StatementRequest, sink: AnswerSink, isAwaited: () => boolean): void {
     const engine = this.#controllers.get(request.database)?.engine ?? null;
     if (engine === null) sink.notOwner();
-    else void engine.execute(request, sink);
+    else void engine.execute(request, sink, isAwaited);
   }
 
   #peerStatus(record: PeerRecord): PeerStatus {
--- a/src/daemon/request-targets.ts
+++ b/src/daemon/request-targets.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { DatabaseEngine } from '../engine/database-engine.js';
+import { ALWAYS_AWAITED } from '../engine/execution.js';
 import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
 import type { RequestTarget } from '../entry/request-router.js';
 import type { PeerLink } from '../peer/peer-link.js';
@@ -18,7 +19,7 @@
   forward(request: StatementRequest, sink: AnswerSink & { lost(): void }): void {
     const engine = this.findEngine(request.database);
     if (engine === null) sink.notOwner();
-    else void engine.execute(request, sink);
+    else void engine.execute(request, sink, ALWAYS_AWAITED);
   }
 
   closeStream(database: string, streamId: string): void {
@@ -42,10 +43,10 @@
   }
 
   closeStream(database: string, streamId: string): void {
-    this.link.tell({ kind: 'closeStream', database, streamId });
+    this.link.tellOfRequest({ kind: 'closeStream', database, streamId });
   }
 
   cancel(database: string, streamId: string): void {
-    this.link.tell({ kind: 'cancel', database, streamId });
+    this.link.tellOfRequest({ kind: 'cancel', database, streamId });
   }
 }
--- a/src/engine/database-engine.ts
+++ b/src/engine/database-engine.ts
@@ -41,6 +41,12 @@
   readonly random: () => number;
 }
 
+const GIVEN_UP_BY_SENDER: Refusal = {
+  sqlState: SqlState.cannotConnectNow,
+  message: 'the daemon that sent the request may have given up on it',
+  retryAfterMs: 0,
+};
+
 const FORGET_INTERVAL_MS = 250;
 const DRAIN_POLL_MS = 10;
 /** When to come back after no member could serve in time, in milliseconds. */
@@ -91,8 +97,12 @@
     return this.#pools;
   }
 
-  /** Runs a request; the sink hears exactly one end. */
-  async execute(request: StatementRequest, sink: AnswerSink): Promise<void> {
+  /**
+   * Runs a request; the sink hears exactly one end.
+   *
+   * @param isAwaited - asked right before the request is sent to a member
+   */
+  async execute(request: StatementRequest, sink: AnswerSink, isAwaited: () => boolean): Promise<void> {
     const stream = this.#stream(request);
     if (!this.#mayServe(stream)) {
       this.#rejectUnowned(stream, sink);
@@ -129,6 +139,7 @@
       decision,
       deadlineMs: performance.now() + limitMs,
       sink,
+      isAwaited,
       excludedMemberIds: new Set(),
       attempts: 0,
     };
@@ -235,6 +246,11 @@
       const pinned = await this.#access.obtain(execution);
       if (pinned === 'refused') return;
       if (pinned === null) continue;
+      if (!execution.isAwaited()) {
+        pinned.pool.release(pinned.connection);
+        refuse(this.#context, execution.sink, execution.stream, GIVEN_UP_BY_SENDER);
+        return;
+      }
       if ((await this.#runner.attempt(execution, pinned)) === 'settled') return;
     }
   }
@@ -260,6 +276,13 @@
   }
 
   async #runPinned(execution: Execution, pinned: PinnedConnection): Promise<void> {
+    const { stream, sink } = execution;
+    if (!execution.isAwaited()) {
+      stream.unpin('destroy');
+      stream.status = 'I';
+      sink.fail(transactionLost(GIVEN_UP_BY_SENDER.message), 'E');
+      return;
+    }
     pinned.pool.beginExecution(pinned.connection);
     await this.#runner.attempt(execution, pinned);
   }
--- a/src/engine/execution.ts
+++ b/src/engine/execution.ts
@@ -20,6 +20,8 @@
   /** Monotonic time after which an answer is of no use, in milliseconds. */
   readonly deadlineMs: number;
   sink: AnswerSink;
+  /** False once whoever sent the request may have given up on it: it must not be begun any more. */
+  readonly isAwaited: () => boolean;
   /** Members on which an attempt has just failed. */
   readonly excludedMemberIds: Set<string>;
   attempts: number;
@@ -41,6 +43,9 @@
   readonly isStopped: () => boolean;
 }
 
+/** For requests of clients of this daemon: they are told of everything that happens to them. */
+export const ALWAYS_AWAITED = (): boolean => true;
+
 /** Backoff between attempts at members. */
 export const ATTEMPT_BACKOFF = { initialDelayMs: 5, maxDelayMs: 200 };
 
--- a/src/peer/peer-link.ts
+++ b/src/peer/peer-link.ts
@@ -9,7 +9,8 @@
 import { RequestError } from '../verdict/verdict.js';
 import { asBuffer } from '../wire/as-buffer.js';
 import { MessageChannel } from './message-channel.js';
-import type { PeerMessage } from './peer-messages.js';
+import { LinkPatience } from './link-patience.js';
+import type { CancelMessage, CloseStreamMessage, PeerMessage } from './peer-messages.js';
 
 /** Where to connect, and how. */
 export interface PeerLinkOptions {
@@ -21,7 +22,7 @@
   readonly hello: () => PeerRecord;
 }
 
-/** A sink that also hears when the link is lost before the answer was complete; `notOwner` if it never stood. */
+/** A sink that also hears when the link is lost before the answer was complete; `notOwner` if nothing was sent. */
 export interface ForwardSink extends AnswerSink {
   lost(): void;
 }
@@ -44,8 +45,10 @@
   readonly #channel: MessageChannel<PeerMessage>;
   readonly #requests = new Map<number, ForwardSink>();
   readonly #timer: NodeJS.Timeout;
+  readonly #patience: LinkPatience;
+  /** What waits for the other side's clock. */
+  #unsent: (() => void)[] = [];
   #nextRequestId = 1;
-  #isConnected = false;
   /** Monotonic time since which an answer is owed, or `null`. */
   #owedSinceMs: number | null = null;
 
@@ -53,14 +56,14 @@
     private readonly options: PeerLinkOptions,
     private readonly listener: PeerLinkListener,
   ) {
-    const { host, port, localAddress } = options;
+    const { host, port, localAddress, silenceTimeoutMs } = options;
+    this.#patience = new LinkPatience(silenceTimeoutMs);
     const socket = connect({ host, port, ...(localAddress === null ? {} : { localAddress }) });
-    socket.once('connect', () => (this.#isConnected = true));
     this.#channel = new MessageChannel<PeerMessage>(socket, MAX_PEER_MESSAGE_BYTES, {
       message: (message) => this.#receive(message),
       closed: () => this.#handleClosed(),
     });
-    this.#timer = setInterval(() => this.#checkSilence(), options.silenceTimeoutMs / CHECKS_PER_TIMEOUT);
+    this.#timer = setInterval(() => this.#checkSilence(), silenceTimeoutMs / CHECKS_PER_TIMEOUT);
     this.#timer.unref();
     this.#channel.send({ kind: 'hello', record: options.hello() });
   }
@@ -100,7 +103,15 @@
     }
     const requestId = this.#nextRequestId++;
     this.#requests.set(requestId, sink);
-    this.ask({ kind: 'execute', requestId, request });
+    this.#owedSinceMs ??= performance.now();
+    this.#whenClockIsKnown(() =>
+      this.tell({ kind: 'execute', requestId, request, waitsUntilMs: this.#waitsUntilMs() }),
+    );
+  }
+
+  /** Tells something of a request that was forwarded, never before the request itself. */
+  tellOfRequest(message: CloseStreamMessage | CancelMessage): void {
+    this.#whenClockIsKnown(() => this.tell(message));
   }
 
   /** Ends the link; open requests are lost. */
@@ -108,6 +119,24 @@
     this.#channel.destroy();
   }
 
+  /** Requests carry a time of the other side's clock, which it tells first of all. */
+  #whenClockIsKnown(send: () => void): void {
+    if (this.#patience.isClockKnown) send();
+    else this.#unsent.push(send);
+  }
+
+  #waitsUntilMs(): number {
+    const nowMs = performance.now();
+    return this.#patience.waitsUntilMs(this.#owedSinceMs ?? nowMs);
+  }
+
+  #hearClock(theirNowMs: number): void {
+    this.#patience.hearClock(theirNowMs, performance.now());
+    const unsent = this.#unsent;
+    this.#unsent = [];
+    for (const send of unsent) send();
+  }
+
   #receive(message: PeerMessage): void {
     this.#owedSinceMs = this.#requests.size > 0 ? performance.now() : null;
     switch (message.kind) {
@@ -128,6 +157,9 @@
       case 'notOwner':
         this.#take(message.requestId)?.notOwner();
         break;
+      case 'clock':
+        this.#hearClock(message.nowMs);
+        break;
       default:
         this.listener.message(message);
     }
@@ -145,7 +177,8 @@
     if (this.#owedSinceMs === null) return;
     const silentMs = performance.now() - this.#owedSinceMs;
     if (silentMs >= this.options.silenceTimeoutMs) this.close();
-    else if (this.#requests.size > 0) this.#channel.send({ kind: 'keepAlive' });
+    else if (this.#requests.size > 0 && this.#patience.isClockKnown)
+      this.#channel.send({ kind: 'keepAlive', waitsUntilMs: this.#waitsUntilMs() });
   }
 
   #handleClosed(): void {
@@ -153,7 +186,7 @@
     const open = [...this.#requests.values()];
     this.#requests.clear();
     for (const sink of open) {
-      if (this.#isConnected) sink.lost();
+      if (this.#patience.isClockKnown) sink.lost();
       else sink.notOwner();
     }
     this.listener.closed();
--- a/src/peer/peer-messages.ts
+++ b/src/peer/peer-messages.ts
@@ -20,6 +20,8 @@
   readonly kind: 'execute';
   readonly requestId: number;
   readonly request: StatementRequest;
+  /** Time by the receiver's clock until which the sender surely waits, in milliseconds: not to be begun later. */
+  readonly waitsUntilMs: number;
 }
 
 /** A part of an answer: whole protocol messages. */
@@ -91,9 +93,17 @@
   readonly news: readonly PeerRecord[];
 }
 
-/** Asks for a sign of life on a link where an answer is owed; answered with the same. */
+/** Asks for a sign of life on a link where an answer is owed; answered with the receiver's clock. */
 export interface KeepAliveMessage {
   readonly kind: 'keepAlive';
+  /** As in {@link ExecuteMessage}, for all requests that are open. */
+  readonly waitsUntilMs: number;
+}
+
+/** The monotonic clock of the side that accepted the link, first of all and in answer to each sign of life. */
+export interface ClockMessage {
+  readonly kind: 'clock';
+  readonly nowMs: number;
 }
 
 /** Asks a third daemon to probe a suspect. */
@@ -144,6 +154,7 @@
   | CancelMessage
   | PingMessage
   | KeepAliveMessage
+  | ClockMessage
   | AckMessage
   | PingRequestMessage
   | SyncMessage
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -12,7 +12,8 @@
 
 /** What the server asks of its daemon. */
 export interface PeerServerPorts {
-  execute(request: StatementRequest, sink: AnswerSink): void;
+  /** @param isAwaited - false once the sender may have given up: the request must not be begun then */
+  execute(request: StatementRequest, sink: AnswerSink, isAwaited: () => boolean): void;
   closeStream(database: string, streamId: string): void;
   cancel(database: string, streamId: string): void;
   hello(record: PeerRecord): void;
@@ -20,6 +21,14 @@
   handle(message: PeerMessage, reply: (message: PeerMessage) => void): void;
 }
 
+/** The daemon at the other end of a connection. */
+interface Sender {
+  /** Database of each client connection for which it has sent requests. */
+  readonly streams: Map<string, string>;
+  /** Own time until which it surely waits for answers, in milliseconds. */
+  waitsUntilMs: number;
+}
+
 /** Listens for other daemons. */
 export class PeerServer {
   readonly #server: Server;
@@ -52,30 +61,38 @@
   }
 
   #accept(socket: Socket): void {
-    const streams = new Map<string, string>();
+    const sender: Sender = { streams: new Map(), waitsUntilMs: Number.NEGATIVE_INFINITY };
     this.#sockets.add(socket);
     const channel: MessageChannel<PeerMessage> = new MessageChannel(socket, MAX_PEER_MESSAGE_BYTES, {
-      message: (message) => this.#handle(channel, streams, message),
+      message: (message) => this.#handle(channel, sender, message),
       closed: () => {
         this.#sockets.delete(socket);
         this.#traffic += socket.bytesRead + socket.bytesWritten;
-        for (const [streamId, database] of streams) this.ports.closeStream(database, streamId);
+        for (const [streamId, database] of sender.streams) this.ports.closeStream(database, streamId);
       },
     });
+    channel.send({ kind: 'clock', nowMs: performance.now() });
   }
 
-  #handle(channel: MessageChannel<PeerMessage>, streams: Map<string, string>, message: PeerMessage): void {
+  #handle(channel: MessageChannel<PeerMessage>, sender: Sender, message: PeerMessage): void {
+    const { streams } = sender;
     switch (message.kind) {
       case 'hello':
         this.ports.hello(message.record);
         break;
       case 'execute':
+        sender.waitsUntilMs = message.waitsUntilMs;
         streams.set(message.request.streamId, message.request.database);
         this.ports.execute(
           message.request,
           new ChannelSink(channel, message.requestId, () => streams.delete(message.request.streamId)),
+          () => performance.now() < sender.waitsUntilMs,
         );
         break;
+      case 'keepAlive':
+        sender.waitsUntilMs = message.waitsUntilMs;
+        channel.send({ kind: 'clock', nowMs: performance.now() });
+        break;
       case 'closeStream':
         streams.delete(message.streamId);
         this.ports.closeStream(message.database, message.streamId);
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -25,6 +25,14 @@
 
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    property: 'read your writes: a request that arrives after its sender gave up is not begun',
+    file: 'src/peer/peer-server.js',
+    search: '() => performance.now() < sender.waitsUntilMs',
+    replacement: '() => true',
+    testFile: 'src/peer/peer-link.test.js',
+    testName: 'is not to be begun',
+  },
   {
     property: 'read your writes: session positions',
     file: 'src/session/session-positions.js',
