Gateways: daemons without a connection of their own borrow one; records of daemons outlive their leases

Ruled out: opening connections for each request (12 to 32 ms and a slot each time); routing reads by zone alone (the leader is needed by all zones).

Change: where a member's connections divided by the daemons are under one, daemons of the member's zone, chosen by weighted rendezvous hashing, hold them all and lend them to the others, a statement or a transaction at a time (src/gateway). Same code path for small and large fleets, chosen by size. In large fleets two daemons a zone ask witnesses; the others take the evidence of the holder or of those. Also found while reading: a daemon cut off from the store lost its record with its lease, so a promotion did not ask it to let go and did not wait for its evidence. Records now stay until the process starts anew; the lease stands under a key of its own.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import type { DaemonRecord } from '../coordination/duty.js';
+import type { DaemonRecord } from './daemon-record.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { Position } from '../position/position.js';
 
--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -77,7 +77,7 @@
   const events: string[] = [];
   const duty = new Duty(
     store,
-    { name, life: `${name}-life`, host: 'h', port: 1 },
+    { name, life: `${name}-life`, host: 'h', port: 1, gatewayPort: 2, zone: 'a', capacity: 1 },
     () => store.items,
     { taken: (fence) => events.push(`taken ${fence}`), lost: () => events.push('lost') },
     () => clock.now,
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -2,17 +2,20 @@
  * The record of this daemon in the store, and the duty of promoting: one holder at a time, with a fence that
  * rises with each holder.
  *
- * Both stand under one lease. The holder trusts its lease only for its length after the last renewal was sent,
+ * The record stays until the daemon stops or starts anew, so that whoever promotes knows all who may hold evidence,
+ * also those that the store has not heard of for long. That the daemon lives, and the duty, stand under a lease. The holder trusts its lease only for its length after the last renewal was sent,
  * by its own monotonic clock: one that was frozen, or cut off, knows that it may have been followed.
  *
  * @packageDocumentation
  */
 import { delay } from '../common/signal.js';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { type CoordinationStore, StoreError, type StoredItem } from './coordination-store.js';
 
 /** Keys in the store. */
 export const COORDINATION_PREFIX = 'sorrelladder/';
 export const DAEMON_PREFIX = `${COORDINATION_PREFIX}daemons/`;
+const LIVE_PREFIX = `${COORDINATION_PREFIX}live/`;
 const DUTY_KEY = `${COORDINATION_PREFIX}duty`;
 const FENCE_KEY = `${COORDINATION_PREFIX}fence`;
 
@@ -25,15 +28,6 @@
 /** Time between attempts while the store does not answer, in milliseconds. */
 const RETRY_MS = 200;
 
-/** Where another daemon is reached. */
-export interface DaemonRecord {
-  readonly name: string;
-  /** New with each start of the process. */
-  readonly life: string;
-  readonly host: string;
-  readonly port: number;
-}
-
 interface DutyRecord {
   readonly holder: string;
   readonly life: string;
@@ -42,6 +36,26 @@
   readonly leaseId: number;
 }
 
+/** The daemons as the store has them. */
+export interface RegisteredDaemons {
+  readonly registered: ReadonlyMap<string, DaemonRecord>;
+  /** Names of those whose lease runs. */
+  readonly leased: ReadonlySet<string>;
+}
+
+/** Reads the daemons out of the store's items. */
+export function readDaemons(items: ReadonlyMap<string, StoredItem>): RegisteredDaemons {
+  const registered = new Map<string, DaemonRecord>();
+  const leased = new Set<string>();
+  for (const [key, item] of items) {
+    if (key.startsWith(LIVE_PREFIX)) leased.add(key.slice(LIVE_PREFIX.length));
+    if (!key.startsWith(DAEMON_PREFIX)) continue;
+    const record = JSON.parse(item.value.toString()) as DaemonRecord;
+    registered.set(record.name, record);
+  }
+  return { registered, leased };
+}
+
 /** Who is told about the duty. */
 export interface DutyListener {
   taken(fence: number): void;
@@ -127,9 +141,11 @@
   }
 
   async #register(): Promise<boolean> {
-    const { name, life, host, port } = this.self;
-    const value = Buffer.from(JSON.stringify({ name, life, host, port }));
-    const puts = [{ key: DAEMON_PREFIX + name, value, leaseId: this.#leaseId }];
+    const { name, life } = this.self;
+    const puts = [
+      { key: DAEMON_PREFIX + name, value: Buffer.from(JSON.stringify(this.self)), leaseId: 0 },
+      { key: LIVE_PREFIX + name, value: Buffer.from(life), leaseId: this.#leaseId },
+    ];
     const answer = await this.store.transact({ conditions: [], puts, removes: [] });
     this.#isRegistered = answer.kind === 'done';
     return this.#isRegistered;
--- /dev/null
+++ b/src/gateway/assign-gateways.ts
@@ -0,0 +1,60 @@
+/**
+ * Decides which daemons hold connections to a member. Pure; the same everywhere for the same daemons.
+ *
+ * Members accept few connections. While each daemon's share is one or more, all of them connect. Below that, some
+ * daemons, the gateways of the member, hold them all and lend them to the others; they stand in the member's zone,
+ * so that nothing crosses zones that would not have to anyway, and are chosen in proportion to their capacity.
+ *
+ * @packageDocumentation
+ */
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { weightedRendezvousScore } from '../common/rendezvous.js';
+
+/** What is known of a member. */
+export interface AssignmentQuestion {
+  readonly memberId: string;
+  readonly zone: string;
+  /** Connections that the daemons may have together. */
+  readonly connections: number;
+}
+
+/** Who connects, and with how many connections each. */
+export interface Assignment {
+  /** The gateways, or `null` when every daemon connects itself. */
+  readonly gateways: readonly DaemonRecord[] | null;
+  /** Most connections of each that connects. */
+  readonly budget: number;
+}
+
+/** Connections that a gateway should have: fewer are shared badly between statements and resting transactions. */
+const CONNECTIONS_PER_GATEWAY = 4;
+/** Fewest gateways in the member's zone; with fewer daemons there, others take part. */
+const FEWEST_IN_ZONE = 2;
+
+/** Assigns the connections to a member. */
+export function assignGateways(
+  daemons: readonly DaemonRecord[],
+  { memberId, zone, connections }: AssignmentQuestion,
+): Assignment {
+  const share = Math.floor(connections / Math.max(1, daemons.length));
+  if (share >= 1) return { gateways: null, budget: share };
+  const inZone = daemons.filter((daemon) => daemon.zone === zone);
+  const candidates = inZone.length >= FEWEST_IN_ZONE ? inZone : daemons;
+  const wanted = Math.max(1, Math.floor(connections / CONNECTIONS_PER_GATEWAY));
+  const gateways = rankByCapacity(memberId, candidates).slice(0, wanted);
+  return { gateways, budget: Math.max(1, Math.floor(connections / gateways.length)) };
+}
+
+/** Daemons in order of preference for a key. */
+export function rankByCapacity(key: string, daemons: readonly DaemonRecord[]): readonly DaemonRecord[] {
+  const scores = new Map(
+    daemons.map((daemon) => [
+      daemon,
+      weightedRendezvousScore(key, daemon.name, Math.max(0.01, daemon.capacity)),
+    ]),
+  );
+  return [...daemons].sort(
+    (left, right) =>
+      (scores.get(right) ?? 0) - (scores.get(left) ?? 0) || left.name.localeCompare(right.name, 'en'),
+  );
+}
--- /dev/null
+++ b/src/gateway/gateway-client.ts
@@ -0,0 +1,243 @@
+/**
+ * Connections to gateways, over which this daemon borrows member connections and asks for evidence.
+ *
+ * @packageDocumentation
+ */
+import { connect } from 'node:net';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import { MessageChannel } from '../peer/message-channel.js';
+import { BorrowedLink } from './borrowed-link.js';
+import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage } from './gateway-messages.js';
+import { notSent } from './gateway-server.js';
+
+/** Longest time to open a connection, in milliseconds. */
+const DIAL_MS = 400;
+/** Silence, while an answer is owed, after which a sign of life is asked for, in milliseconds. */
+const PING_MS = 150;
+/** Silence after which no new loans are asked for, and after which the connection is given up, in milliseconds. */
+const AVOID_AFTER_MS = 400;
+const DEAD_MS = 1200;
+/** How long a gateway that was silent or refused is avoided, in milliseconds. */
+const AVOID_MS = 600;
+
+/** What is borrowed. */
+export interface LoanTerms {
+  readonly groupName: string;
+  readonly memberId: string;
+  readonly priority: number;
+  /** Longest wait for a connection, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** The connection to one gateway. */
+class GatewayConnection {
+  isLeaving = false;
+  readonly loans = new Map<number, BorrowedLink>();
+  readonly questions = new Map<number, (entries: readonly SharedEvidence[] | null) => void>();
+  readonly #channel: MessageChannel<GatewayMessage>;
+  readonly #openedAtMs: number;
+  #isConnected = false;
+  /** Since when an answer has been owed with nothing heard, in monotonic milliseconds; `null` when none is. */
+  #owedSinceMs: number | null = null;
+  #pingedAtMs = Number.NEGATIVE_INFINITY;
+  #nextLoan = 1;
+
+  constructor(
+    record: DaemonRecord,
+    localAddress: string,
+    private readonly now: () => number,
+    private readonly onClosed: () => void,
+  ) {
+    this.#openedAtMs = now();
+    const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
+    socket.once('connect', () => (this.#isConnected = true));
+    this.#channel = new MessageChannel<GatewayMessage>(socket, MAX_GATEWAY_MESSAGE_BYTES, {
+      message: (message) => this.#receive(message),
+      closed: () => this.#closed(),
+    });
+  }
+
+  /** Silence while an answer is owed, in milliseconds. */
+  get silenceMs(): number {
+    return this.#owedSinceMs === null ? 0 : this.now() - this.#owedSinceMs;
+  }
+
+  borrow(terms: LoanTerms): BorrowedLink {
+    this.#nextLoan += 1;
+    const loan = this.#nextLoan;
+    const link = new BorrowedLink(
+      { type: 'borrow', loan, ...terms },
+      (message) => this.#transmit(message),
+      () => this.#ended(loan),
+    );
+    this.loans.set(loan, link);
+    return link;
+  }
+
+  ask(id: number, settle: (entries: readonly SharedEvidence[] | null) => void): void {
+    this.questions.set(id, settle);
+    this.#transmit({ type: 'ask_evidence', id });
+  }
+
+  /** Asks for a sign of life where one is due; ends what is dead. */
+  check(): void {
+    const nowMs = this.now();
+    if (!this.#isConnected && nowMs - this.#openedAtMs > DIAL_MS) this.#channel.destroy();
+    if (this.silenceMs > DEAD_MS) this.#channel.destroy();
+    if (this.silenceMs < PING_MS || nowMs - this.#pingedAtMs < PING_MS) return;
+    this.#pingedAtMs = nowMs;
+    this.#channel.send({ type: 'ping' });
+  }
+
+  close(): void {
+    this.#channel.destroy();
+  }
+
+  #transmit(message: GatewayMessage): void {
+    if (message.type === 'request' || message.type === 'ask_evidence') this.#owedSinceMs ??= this.now();
+    this.#channel.send(message);
+  }
+
+  #receive(message: GatewayMessage): void {
+    switch (message.type) {
+      case 'reply':
+        this.loans.get(message.loan)?.receive(message.reply);
+        break;
+      case 'lost':
+        this.loans.get(message.loan)?.lose(message.reason);
+        break;
+      case 'evidence':
+        this.questions.get(message.id)?.(message.entries);
+        this.questions.delete(message.id);
+        break;
+      case 'leaving':
+        this.isLeaving = true;
+        break;
+      default:
+        break;
+    }
+    this.#owedSinceMs = this.#isOwed() ? this.now() : null;
+  }
+
+  #isOwed(): boolean {
+    if (this.questions.size > 0) return true;
+    for (const link of this.loans.values()) if (link.isWaiting) return true;
+    return false;
+  }
+
+  #ended(loan: number): void {
+    this.loans.delete(loan);
+    if (!this.#isOwed()) this.#owedSinceMs = null;
+  }
+
+  #closed(): void {
+    this.onClosed();
+    for (const settle of this.questions.values()) settle(null);
+    this.questions.clear();
+    for (const link of [...this.loans.values()]) {
+      if (this.#isConnected) link.lose('the connection to the gateway was lost');
+      else link.refuse(notSent('the gateway was not reached'));
+    }
+  }
+}
+
+/** All connections of this daemon to gateways. */
+export class GatewayClient {
+  readonly #connections = new Map<string, GatewayConnection>();
+  readonly #avoidUntilMs = new Map<string, number>();
+  #nextQuestion = 1;
+
+  /** @param localAddress - the daemon's own address, from which it calls */
+  constructor(
+    private readonly localAddress: string,
+    private readonly now: () => number,
+    private readonly random: () => number,
+  ) {}
+
+  /** The gateway to borrow from now: the one with the fewest loans of this daemon; `null` when none can be used. */
+  choose(gateways: readonly DaemonRecord[]): DaemonRecord | null {
+    let best: DaemonRecord | null = null;
+    let fewest = Number.POSITIVE_INFINITY;
+    const start = Math.floor(this.random() * gateways.length);
+    for (let i = 0; i < gateways.length; i += 1) {
+      const record = gateways[(start + i) % gateways.length];
+      if (record === undefined || !this.#isUsable(record)) continue;
+      const loans = this.#connections.get(keyOf(record))?.loans.size ?? 0;
+      if (loans >= fewest) continue;
+      best = record;
+      fewest = loans;
+    }
+    return best;
+  }
+
+  /** Borrows a connection; the gateway is told with the first request. */
+  borrow(gateway: DaemonRecord, terms: LoanTerms): BorrowedLink {
+    return this.#connection(gateway).borrow(terms);
+  }
+
+  /** What a daemon can prove; `null` when it does not answer in time. */
+  askEvidence(record: DaemonRecord, timeoutMs: number): Promise<readonly SharedEvidence[] | null> {
+    const connection = this.#connection(record);
+    this.#nextQuestion += 1;
+    const id = this.#nextQuestion;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        connection.questions.delete(id);
+        resolve(null);
+      }, timeoutMs);
+      connection.ask(id, (entries) => {
+        clearTimeout(timer);
+        resolve(entries);
+      });
+    });
+  }
+
+  /** Keeps a gateway from being chosen for a while: it has refused. */
+  avoid(gateway: DaemonRecord): void {
+    this.#avoidUntilMs.set(keyOf(gateway), this.now() + AVOID_MS);
+  }
+
+  /** Looks after silent connections; to be called every some ten milliseconds. */
+  check(): void {
+    for (const [key, connection] of [...this.#connections]) {
+      if (connection.silenceMs > AVOID_AFTER_MS) this.#avoidUntilMs.set(key, this.now() + AVOID_MS);
+      connection.check();
+    }
+  }
+
+  /** Forgets connections to daemons that are no more, unless they are in use. */
+  retain(records: readonly DaemonRecord[]): void {
+    const keys = new Set(records.map(keyOf));
+    for (const [key, connection] of [...this.#connections])
+      if (!keys.has(key) && connection.loans.size === 0) connection.close();
+    for (const key of [...this.#avoidUntilMs.keys()]) if (!keys.has(key)) this.#avoidUntilMs.delete(key);
+  }
+
+  /** Ends everything. */
+  close(): void {
+    for (const connection of [...this.#connections.values()]) connection.close();
+  }
+
+  #isUsable(record: DaemonRecord): boolean {
+    const key = keyOf(record);
+    if (this.now() < (this.#avoidUntilMs.get(key) ?? Number.NEGATIVE_INFINITY)) return false;
+    return this.#connections.get(key)?.isLeaving !== true;
+  }
+
+  #connection(record: DaemonRecord): GatewayConnection {
+    const key = keyOf(record);
+    const known = this.#connections.get(key);
+    if (known !== undefined) return known;
+    const connection: GatewayConnection = new GatewayConnection(record, this.localAddress, this.now, () => {
+      this.#connections.delete(key);
+      this.#avoidUntilMs.set(key, this.now() + AVOID_MS);
+    });
+    this.#connections.set(key, connection);
+    return connection;
+  }
+}
+
+function keyOf(record: DaemonRecord): string {
+  return `${record.name} ${record.life}`;
+}
--- /dev/null
+++ b/src/gateway/gateway-messages.ts
@@ -0,0 +1,98 @@
+/**
+ * Messages between a daemon and a gateway that lends it connections to members.
+ *
+ * A loan is one use of a member connection: a single statement, or a transaction. The gateway takes a connection
+ * when the first request of a loan arrives, and takes it back when the loan is returned, or when a statement outside
+ * a transaction has been answered.
+ *
+ * @packageDocumentation
+ */
+import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import type { MemberReply, MemberRequest } from '../relay/member-link.js';
+import type { PreparedShape } from '../relay/statement.js';
+
+/** Begins a loan; nothing is sent to the member yet. */
+export interface BorrowMessage {
+  readonly type: 'borrow';
+  readonly loan: number;
+  readonly groupName: string;
+  readonly memberId: string;
+  readonly priority: number;
+  /** Longest wait for a connection, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** The session values that the following requests of the loan are to meet. */
+export interface ValuesMessage {
+  readonly type: 'values';
+  readonly loan: number;
+  readonly values: readonly (readonly [string, string])[];
+}
+
+/** A request to the member, answered in order. */
+export interface LoanRequestMessage {
+  readonly type: 'request';
+  readonly loan: number;
+  readonly request: MemberRequest;
+  /** What has to be prepared before an `execute`. */
+  readonly prepared: PreparedShape | null;
+}
+
+/** Ends a loan; what is open is rolled back. */
+export interface ReturnMessage {
+  readonly type: 'return';
+  readonly loan: number;
+}
+
+/** The member's answer, or the gateway's word that nothing was sent (`busy`). */
+export interface LoanReplyMessage {
+  readonly type: 'reply';
+  readonly loan: number;
+  readonly reply: MemberReply;
+}
+
+/** The member's connection was lost with a request under way: it may have run. */
+export interface LoanLostMessage {
+  readonly type: 'lost';
+  readonly loan: number;
+  readonly reason: string;
+}
+
+/** Asks for a sign of life, or gives one. */
+export interface GatewaySignMessage {
+  readonly type: 'ping' | 'pong';
+}
+
+/** The gateway is about to stop: no new loans. */
+export interface GatewayLeavesMessage {
+  readonly type: 'leaving';
+}
+
+/** Asks for evidence of leaders, and gives it. */
+export interface EvidenceQuestionMessage {
+  readonly type: 'ask_evidence';
+  readonly id: number;
+}
+
+/** What the gateway can prove. */
+export interface EvidenceAnswerMessage {
+  readonly type: 'evidence';
+  readonly id: number;
+  readonly entries: readonly SharedEvidence[];
+}
+
+/** Any message on a connection to a gateway. */
+export type GatewayMessage =
+  | BorrowMessage
+  | ValuesMessage
+  | LoanRequestMessage
+  | ReturnMessage
+  | LoanReplyMessage
+  | LoanLostMessage
+  | GatewaySignMessage
+  | GatewayLeavesMessage
+  | EvidenceQuestionMessage
+  | EvidenceAnswerMessage;
+
+/** Largest message, in bytes. */
+export const MAX_GATEWAY_MESSAGE_BYTES = 2 * 1024 * 1024 + 64 * 1024;
--- /dev/null
+++ b/src/gateway/member-connections.ts
@@ -0,0 +1,80 @@
+/**
+ * All ways to one member: connections of this daemon's own, or loans from gateways.
+ *
+ * @packageDocumentation
+ */
+import { PoolTimeoutError, type LinkPool } from '../relay/link-pool.js';
+import { PooledLink } from '../relay/pooled-link.js';
+import type { SessionLink, SessionValues } from '../relay/session-link.js';
+import type { Assignment } from './assign-gateways.js';
+import type { GatewayClient } from './gateway-client.js';
+
+/** What the connections need. */
+export interface MemberConnectionsOptions {
+  readonly groupName: string;
+  readonly memberId: string;
+  /** Connections of this daemon's own. */
+  readonly pool: LinkPool;
+  readonly gateways: GatewayClient;
+  /** Who connects to the member now. */
+  assignment(): Assignment;
+  /** This daemon's name. */
+  readonly ownName: string;
+}
+
+/** True when a daemon connects to the member itself. */
+export function connectsItself(assignment: Assignment, daemonName: string): boolean {
+  return assignment.gateways === null || assignment.gateways.some(({ name }) => name === daemonName);
+}
+
+/** Hands out connections to one member. */
+export class MemberConnections {
+  readonly #borrowed = new Set<SessionLink>();
+
+  constructor(private readonly options: MemberConnectionsOptions) {}
+
+  /** Connections of this daemon's own. */
+  get own(): LinkPool {
+    return this.options.pool;
+  }
+
+  /** Connections in use, and requests that wait for one. */
+  get load(): number {
+    return this.options.pool.load + this.#borrowed.size;
+  }
+
+  /** True when a request would have to wait for another to finish. */
+  get isExhausted(): boolean {
+    return this.#isDirect() && this.options.pool.isExhausted;
+  }
+
+  /**
+   * A connection for exclusive use; give it back with {@link MemberConnections.release}.
+   *
+   * @throws PoolTimeoutError, DialError: nothing was sent
+   */
+  async acquire(values: SessionValues, priority: number, waitMs: number): Promise<SessionLink> {
+    const { pool, gateways, groupName, memberId } = this.options;
+    const assignment = this.options.assignment();
+    if (assignment.gateways === null || this.#isDirect()) return pool.acquire(values, priority, waitMs);
+    const gateway = gateways.choose(assignment.gateways);
+    if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
+    const link = gateways.borrow(gateway, { groupName, memberId, priority, waitMs: Math.round(waitMs) });
+    this.#borrowed.add(link);
+    return link;
+  }
+
+  /** Takes a connection back. */
+  release(link: SessionLink): void {
+    if (link instanceof PooledLink) {
+      this.options.pool.release(link);
+      return;
+    }
+    this.#borrowed.delete(link);
+    link.close();
+  }
+
+  #isDirect(): boolean {
+    return connectsItself(this.options.assignment(), this.options.ownName);
+  }
+}
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -36,8 +36,8 @@
   heldFence(reserveMs: number): number | null;
   /** Gives an order to all other daemons. */
   order(order: HolderOrder, timeoutMs: number): Promise<ReadonlyMap<string, OrderOutcome>>;
-  /** Daemons that run, this one included. */
-  daemonCount(): number;
+  /** Daemons that connect to a member themselves. */
+  callerCount(memberId: string): number;
   /** A member leads by this daemon's own promotion. */
   confirmLeader(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -146,7 +146,7 @@
     const now = this.options.now();
     const { memberId } = leader.entry;
     if (now - this.#lastHandoverMs > HANDOVER_PAUSE_MS) {
-      const without = this.#doubts.withoutLeader(memberId, this.options.daemonCount(), now);
+      const without = this.#doubts.withoutLeader(memberId, this.options.callerCount(memberId), now);
       const isStalled = this.#doubts.has('stalled', memberId, now) && (await this.#isStalled(leader));
       if (isStalled) return this.#handOver(leader, 'commits stall');
       if (without > 0) return this.#handOver(leader, `leader out of reach of ${without} daemons`);
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -14,6 +14,9 @@
 const FIRST_PAUSE_MS = 30;
 const LAST_PAUSE_MS = 300;
 
+/** Time between looks at whether others have asked, in milliseconds. */
+const OTHERS_ASK_MS = 100;
+
 /** Time between two looks at a witness of a confirmed leader, in milliseconds. */
 const RECHECK_MS = 5000;
 
@@ -44,6 +47,8 @@
     private readonly control: MemberControl,
     private readonly listener: LeadershipListener,
     private readonly heldDuty: () => HeldDuty | null,
+    /** False while other daemons ask the members on behalf of this one. */
+    private readonly mayAsk: () => boolean,
     private readonly now: () => number,
   ) {}
 
@@ -52,6 +57,7 @@
     while (!this.#isStopped) {
       const restMs = this.#restMs();
       if (restMs > 0) await this.#wake.wait(restMs);
+      else if (!this.mayAsk()) await this.#wake.wait(OTHERS_ASK_MS);
       else if (await this.#round()) this.#failures = 0;
       else await this.#wake.wait(this.#pauseMs());
       this.#tell('renewal');
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -30,21 +30,25 @@
   now(): number;
 }
 
+/** Time after which an own connection that is not used is ended, in milliseconds. */
+const OWN_LINK_IDLE_MS = 3000;
+
 const SILENT: ControlAnswer = { kind: 'silent' };
 
 /** Asks members over idle pooled connections, or over one of its own where none is idle. */
 export class MemberControl {
   readonly #ownLinks = new Map<string, MemberLink>();
+  readonly #usedAtMs = new Map<string, number>();
 
   constructor(private readonly options: MemberControlOptions) {}
 
   /** Asks one member; never rejects. */
   async ask(member: Member, request: MemberRequest, timeoutMs: number): Promise<ControlAnswer> {
     const deadlineMs = this.options.now() + timeoutMs;
-    const pooled = member.pool.takeIdle();
+    const pooled = member.pool.own.takeIdle();
     if (pooled !== null) {
       const answer = await this.#send(pooled, request, timeoutMs);
-      member.pool.release(pooled);
+      member.pool.own.release(pooled);
       if (answer.kind === 'answered') member.trust(this.options.now());
       return answer;
     }
@@ -60,10 +64,18 @@
   forget(memberId: string): void {
     this.#ownLinks.get(memberId)?.close();
     this.#ownLinks.delete(memberId);
+    this.#usedAtMs.delete(memberId);
+  }
+
+  /** Ends own connections that were not used for a while: they count against the members' limits. */
+  trim(): void {
+    const unusedSinceMs = this.options.now() - OWN_LINK_IDLE_MS;
+    for (const [memberId, usedAtMs] of this.#usedAtMs) if (usedAtMs < unusedSinceMs) this.forget(memberId);
   }
 
   async #ownLink(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
     const { memberId } = member.entry;
+    this.#usedAtMs.set(memberId, this.options.now());
     const known = this.#ownLinks.get(memberId);
     if (known !== undefined && known.isOpen) return known;
     try {
--- a/src/observability/relay-metrics.ts
+++ b/src/observability/relay-metrics.ts
@@ -13,6 +13,10 @@
   readonly clientConnections: number;
   readonly configurationVersion: number;
   readonly holdsDuty: boolean;
+  /** Daemons that take part in the work, this one included. */
+  readonly liveDaemons: number;
+  /** Connections lent to other daemons now. */
+  readonly openLoans: number;
   /** Connections to members, and whether there is evidence of a leader, by group. */
   readonly groups: readonly {
     readonly name: string;
@@ -39,6 +43,8 @@
   readonly #clients = this.#gauge('client_connections', 'Open client connections', []);
   readonly #version = this.#gauge('configuration_version', 'Version of the configuration in force', []);
   readonly #duty = this.#gauge('promotion_duty_held', '1 while this daemon holds the promotion duty', []);
+  readonly #daemons = this.#gauge('live_daemons', 'Daemons that take part in the work', []);
+  readonly #loans = this.#gauge('open_loans', 'Member connections lent to other daemons', []);
   readonly #links = this.#gauge('member_connections', 'Open connections to members', ['group']);
   readonly #evidence = this.#gauge('leader_evidence', '1 while there is evidence of a leader', ['group']);
   readonly #term = this.#gauge('leader_term', 'Term of the leader', ['group']);
@@ -69,6 +75,8 @@
     this.#clients.set(state.clientConnections);
     this.#version.set(state.configurationVersion);
     this.#duty.set(state.holdsDuty ? 1 : 0);
+    this.#daemons.set(state.liveDaemons);
+    this.#loans.set(state.openLoans);
     for (const { name, memberConnections, hasEvidence, term } of state.groups) {
       this.#links.set({ group: name }, memberConnections);
       this.#evidence.set({ group: name }, hasEvidence ? 1 : 0);
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
-import { PooledLink, type SessionValues } from './pooled-link.js';
+import { PooledLink } from './pooled-link.js';
+import type { SessionValues } from './session-link.js';
 
 /** No connection came free in time: nothing was sent. */
 export class PoolTimeoutError extends Error {
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -4,11 +4,9 @@
  * @packageDocumentation
  */
 import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
+import type { SessionLink, SessionValues } from './session-link.js';
 import type { PreparedShape, TransactionState } from './statement.js';
 
-/** Session values by name. */
-export type SessionValues = ReadonlyMap<string, string>;
-
 /** Prepared names that one connection may hold before it is reset. */
 const MAX_PREPARED_NAMES = 500;
 
@@ -18,7 +16,7 @@
 }
 
 /** A member connection that takes on the state of the session that uses it. */
-export class PooledLink {
+export class PooledLink implements SessionLink {
   #values = new Map<string, string>();
   #prepared = new Set<string>();
   #state: TransactionState = 'idle';
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -13,7 +13,7 @@
 import { firstWithin } from './race.js';
 import { Refusal } from './refusal.js';
 import { LATE_ANSWER_MS, RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
-import type { SessionValues } from './pooled-link.js';
+import type { SessionValues } from './session-link.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 
 /** A read to be run, or a transaction that only reads. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -4,19 +4,24 @@
  * @packageDocumentation
  */
 import { delay } from '../common/signal.js';
+import { DaemonDirectory } from '../cluster/daemon-directory.js';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
 import {
   PeerMesh,
   type HolderOrder,
   type OrderAnswer,
-  type SharedEvidence,
   type Suspicion,
   type SuspicionReason,
 } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
-import { COORDINATION_PREFIX, DAEMON_PREFIX, Duty, type DaemonRecord } from '../coordination/duty.js';
+import { COORDINATION_PREFIX, Duty, readDaemons } from '../coordination/duty.js';
 import type { WatchedStore } from '../coordination/watched-store.js';
+import { assignGateways, type Assignment } from '../gateway/assign-gateways.js';
+import { GatewayClient } from '../gateway/gateway-client.js';
+import { GatewayServer } from '../gateway/gateway-server.js';
+import { connectsItself, MemberConnections } from '../gateway/member-connections.js';
 import { GroupSupervisor, type PromotionPort } from '../leadership/group-supervisor.js';
-import { EVIDENCE_MS, SHARING_MS } from '../leadership/leadership-evidence.js';
+import { EvidenceSharing } from '../leadership/evidence-sharing.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { MemberControl } from '../leadership/member-control.js';
 import type { RelayState } from '../observability/relay-metrics.js';
@@ -70,8 +75,6 @@
 /** Silence after which its connections are ended, in milliseconds. */
 const DEAD_MS = 1200;
 const DIAL_MS = 400;
-/** Longest wait for the holder's evidence, in milliseconds. */
-const SHARING_TIMEOUT_MS = 200;
 const LIMIT_BACKOFF_MS = 100;
 /** Time after which a connection that is not needed is ended, in milliseconds. */
 const IDLE_MS = 800;
@@ -101,7 +104,12 @@
   readonly #mesh: PeerMesh;
   readonly #duty: Duty;
   readonly #context: RelayContext;
-  #daemons: readonly DaemonRecord[] = [];
+  readonly #daemons = new DaemonDirectory();
+  readonly #gatewayClient: GatewayClient;
+  readonly #gatewayServer: GatewayServer;
+  readonly #sharing: EvidenceSharing;
+  /** Who connects to each member, until something changes that it depends on. */
+  readonly #assignments = new Map<string, Assignment>();
   #isDirectoryLoaded = false;
   #isDirectoryAvailable = false;
   #directoryTrustedFromMs = Number.POSITIVE_INFINITY;
@@ -117,13 +125,33 @@
     this.#mesh = new PeerMesh(self, {
       order: (order) => this.#obey(order),
       suspicion: (suspicion) => this.#heed(suspicion),
-      ownEvidence: () => this.#ownEvidence(),
+      ownEvidence: () => this.#sharing.ownEvidence(),
     });
     options.watched.subscribe(COORDINATION_PREFIX, {
       changed: () => undefined,
       removed: () => undefined,
       settled: () => this.#keysChanged(),
-      availability: () => undefined,
+      availability: (isAvailable) => this.#daemons.availability(isAvailable, now()),
+    });
+    this.#gatewayClient = new GatewayClient(self.host, now, random);
+    this.#gatewayServer = new GatewayServer({
+      pool: (groupName, memberId) => this.#lendablePool(groupName, memberId),
+      ownEvidence: () => this.#sharing.ownEvidence(),
+    });
+    this.#sharing = new EvidenceSharing({
+      ownName: self.name,
+      zone: options.zone,
+      groups: () => this.groups,
+      daemons: () => this.#daemons.live,
+      holdsDuty: () => this.heldFence !== null,
+      askHolder: (timeoutMs) => this.#mesh.askEvidence(timeoutMs),
+      askDaemon: (record, timeoutMs) => this.#gatewayClient.askEvidence(record, timeoutMs),
+      gained: (group) => {
+        group.changed.notify();
+        this.#groups.get(group.name)?.watcher.wake();
+      },
+      now,
+      random,
     });
     const listener = {
       taken: (fence: number) => this.#dutyTaken(fence),
@@ -161,7 +189,7 @@
     const now = this.options.now();
     return this.groups.map((group) => ({
       name: group.name,
-      memberConnections: [...group.members.values()].reduce((sum, { pool }) => sum + pool.size, 0),
+      memberConnections: [...group.members.values()].reduce((sum, { pool }) => sum + pool.own.size, 0),
       hasEvidence: group.leader(now) !== null,
       term: group.evidence.leader?.term ?? 0,
     }));
@@ -170,14 +198,27 @@
   /** Starts to listen for other daemons and to follow the store. */
   async start(): Promise<void> {
     this.#startedAtMs = this.options.now();
-    await this.#mesh.listen(this.options.self.host, this.options.self.port);
+    const { host, port, gatewayPort } = this.options.self;
+    await this.#mesh.listen(host, port);
+    await this.#gatewayServer.listen(host, gatewayPort);
     this.#runForever(this.#duty.run());
-    this.#runForever(this.#takeEvidence());
+    this.#runForever(this.#sharing.run());
     this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
   }
 
-  /** Gives up the duty; sessions go on. */
+  /** Daemons that take part in the work, this one included. */
+  get liveDaemons(): number {
+    return this.#daemons.live.length;
+  }
+
+  /** Loans of other daemons that are not returned yet. */
+  get openLoans(): number {
+    return this.#gatewayServer.openLoans;
+  }
+
+  /** Gives up the duty and lends no more; sessions and open loans go on. */
   async retire(): Promise<void> {
+    this.#gatewayServer.leave();
     await Promise.race([this.#duty.stop(), delay(500)]);
   }
 
@@ -185,7 +226,10 @@
   stop(): void {
     this.#isStopped = true;
     if (this.#tickTimer !== null) clearInterval(this.#tickTimer);
+    this.#sharing.stop();
     this.#mesh.close();
+    this.#gatewayServer.close();
+    this.#gatewayClient.close();
     for (const watched of this.#groups.values()) this.#forgetGroup(watched);
   }
 
@@ -197,6 +241,7 @@
   /** Takes a configuration if it is newer. */
   offerCatalog(document: CatalogDocument): boolean {
     if (!this.catalog.offer(document)) return false;
+    this.#assignments.clear();
     this.#syncGroups(document);
     return true;
   }
@@ -270,6 +315,7 @@
       this.#control,
       listener,
       () => this.#duty.held,
+      () => this.#sharing.asksWitnesses(group),
       options.now,
     );
     const watched: WatchedGroup = { group, watcher, supervisor: null };
@@ -282,7 +328,7 @@
   #forgetGroup(watched: WatchedGroup): void {
     watched.watcher.stop();
     watched.supervisor?.stop();
-    for (const member of watched.group.members.values()) member.pool.close();
+    for (const member of watched.group.members.values()) member.pool.own.close();
   }
 
   #place(watched: WatchedGroup, entry: MemberEntry): void {
@@ -308,14 +354,22 @@
     const pool: LinkPool = new LinkPool({
       dialer: options.dialer,
       address: entry,
-      budget: () => this.#budget(entry.groupName),
+      budget: () => this.#budget(member),
       dialTimeoutMs: DIAL_MS,
       limitBackoffMs: LIMIT_BACKOFF_MS,
       idleMs: IDLE_MS,
       onTrouble: (reason) => this.#suspect(watched.group, member, reason),
       now: options.now,
     });
-    const member = new Member(entry, pool);
+    const connections = new MemberConnections({
+      groupName: entry.groupName,
+      memberId: entry.memberId,
+      pool,
+      gateways: this.#gatewayClient,
+      assignment: () => this.#assignment(member),
+      ownName: options.self.name,
+    });
+    const member: Member = new Member(entry, connections);
     watched.group.members.set(entry.memberId, member);
     options.log('member_in', {
       group: entry.groupName,
@@ -345,50 +399,34 @@
     watched.supervisor?.suspect();
   }
 
-  #budget(groupName: string): number {
-    const settings = this.catalog.document?.groups.get(groupName);
-    if (settings === undefined) return 1;
-    const daemons = this.#daemons.length === 0 ? ASSUMED_DAEMONS : this.#daemons.length;
-    const share = (settings.maxConnections - RESERVED_CONNECTIONS) / daemons;
+  /** Connections that this daemon may have to a member. */
+  #budget(member: Member): number {
+    const assignment = this.#assignment(member);
+    if (!connectsItself(assignment, this.options.self.name)) return 0;
     const isYoung = this.options.now() - this.#startedAtMs < YOUNG_MS;
-    return Math.max(1, Math.floor(isYoung ? share * YOUNG_SHARE : share));
+    return Math.max(1, Math.floor(isYoung ? assignment.budget * YOUNG_SHARE : assignment.budget));
   }
 
-  /** What this daemon can prove to others. */
-  #ownEvidence(): readonly SharedEvidence[] {
-    const now = this.options.now();
-    const entries: SharedEvidence[] = [];
-    for (const { evidence, name } of this.groups) {
-      const leader = evidence.current(now);
-      if (leader === null) continue;
-      const ageMs = Math.ceil(now - (evidence.validUntilMs - EVIDENCE_MS));
-      entries.push({ groupName: name, memberId: leader.memberId, term: leader.term, ageMs });
-    }
-    return entries;
+  #assignment(member: Member): Assignment {
+    const { memberId, groupName, zone } = member.entry;
+    const known = this.#assignments.get(memberId);
+    if (known !== undefined) return known;
+    const limit = this.catalog.document?.groups.get(groupName)?.maxConnections ?? 0;
+    const connections = Math.max(1, limit - RESERVED_CONNECTIONS);
+    const daemons = this.#daemons.live;
+    const assignment =
+      daemons.length === 0
+        ? { gateways: null, budget: Math.floor(connections / ASSUMED_DAEMONS) }
+        : assignGateways(daemons, { memberId, zone, connections });
+    this.#assignments.set(memberId, assignment);
+    return assignment;
   }
 
-  /** Takes the evidence of the holder of the duty, so that witnesses are asked by one daemon, not by all. */
-  async #takeEvidence(): Promise<void> {
-    while (!this.#isStopped) {
-      await delay(SHARING_MS);
-      if (this.heldFence !== null) continue;
-      const askedAtMs = this.options.now();
-      const entries = await this.#mesh.askEvidence(SHARING_TIMEOUT_MS);
-      for (const entry of entries ?? []) this.#adoptEvidence(entry, askedAtMs);
-    }
-  }
-
-  #adoptEvidence({ groupName, memberId, term, ageMs }: SharedEvidence, askedAtMs: number): void {
-    const watched = this.#groups.get(groupName);
-    if (watched === undefined) return;
-    const { evidence, changed } = watched.group;
-    const hadEvidence = evidence.current(this.options.now()) !== null;
-    evidence.believe({ memberId, term });
-    if (evidence.leader?.memberId !== memberId) return;
-    const isEvidence = evidence.witness(term, 0, askedAtMs - ageMs);
-    if (!isEvidence || hadEvidence) return;
-    changed.notify();
-    watched.watcher.wake();
+  /** The pool of a member from which other daemons may borrow, or `null`. */
+  #lendablePool(groupName: string, memberId: string): LinkPool | null {
+    const member = this.#groups.get(groupName)?.group.members.get(memberId);
+    if (member === undefined) return null;
+    return connectsItself(this.#assignment(member), this.options.self.name) ? member.pool.own : null;
   }
 
   #tick(): void {
@@ -398,10 +436,13 @@
       for (const member of [...watched.group.members.values()]) {
         this.#checkSilence(watched.group, member, now);
         this.#checkDeparture(watched, member, now);
-        member.pool.trim();
+        member.pool.own.trim();
       }
       this.#forgetFormer(watched.group, now);
     }
+    this.#control.trim();
+    this.#gatewayClient.check();
+    if (this.#daemons.refresh(now)) this.#daemonsChanged();
   }
 
   /** A former member whose entry has been gone for long has ended. */
@@ -421,11 +462,11 @@
   }
 
   #checkSilence(group: MemberGroup, member: Member, now: number): void {
-    const silence = member.pool.silenceMs(now);
+    const silence = member.pool.own.silenceMs(now);
     if (silence >= LEADER_SILENCE_MS && silence < LEADER_SILENCE_MS + TICK_MS) this.#doubt(group, member);
     if (silence < SILENCE_MS) return;
     this.#suspect(group, member, 'silent');
-    if (silence >= DEAD_MS) member.pool.dropAll();
+    if (silence >= DEAD_MS) member.pool.own.dropAll();
   }
 
   #checkDeparture(watched: WatchedGroup, member: Member, now: number): void {
@@ -440,7 +481,8 @@
     watched.group.members.delete(memberId);
     watched.group.former.set(memberId, member);
     if (this.#entries.has(memberId)) this.#retired.add(memberId);
-    member.pool.close();
+    member.pool.own.close();
+    this.#assignments.delete(memberId);
     if (watched.group.evidence.leader?.memberId === memberId) watched.group.evidence.loseLeader();
     this.options.log('member_out', { group: watched.group.name, member: memberId });
   }
@@ -507,17 +549,21 @@
   }
 
   #keysChanged(): void {
-    const daemons: DaemonRecord[] = [];
-    for (const [key, item] of this.options.watched.items)
-      if (key.startsWith(DAEMON_PREFIX)) daemons.push(JSON.parse(item.value.toString()) as DaemonRecord);
-    this.#daemons = daemons;
-    if (this.heldFence !== null) this.#mesh.connectAll(daemons);
+    const { registered, leased } = readDaemons(this.options.watched.items);
+    this.#daemons.update(registered, leased, this.options.now());
+    this.#daemonsChanged();
     this.#runForever(this.#duty.keysChanged());
   }
 
+  #daemonsChanged(): void {
+    this.#assignments.clear();
+    this.#gatewayClient.retain(this.#daemons.live);
+    if (this.heldFence !== null) this.#mesh.connectAll(this.#daemons.live);
+  }
+
   #dutyTaken(fence: number): void {
     this.options.log('duty_taken', { fence });
-    this.#mesh.connectAll(this.#daemons);
+    this.#mesh.connectAll(this.#daemons.live);
     for (const watched of this.#groups.values()) {
       watched.group.evidence.unconfirm();
       this.#supervise(watched);
@@ -534,6 +580,13 @@
     }
   }
 
+  /** Daemons that connect to a member themselves, and so can tell that it is out of reach. */
+  #callerCount(group: MemberGroup, memberId: string): number {
+    const member = group.members.get(memberId);
+    const gateways = member === undefined ? null : this.#assignment(member).gateways;
+    return gateways?.length ?? this.#daemons.live.length;
+  }
+
   #supervise(watched: WatchedGroup): void {
     const { options } = this;
     watched.supervisor?.stop();
@@ -541,8 +594,8 @@
       control: this.#control,
       promotion: options.promotion,
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
-      order: (order, timeoutMs) => this.#mesh.order(this.#daemons, order, timeoutMs),
-      daemonCount: () => this.#daemons.length,
+      order: (order, timeoutMs) => this.#mesh.order(this.#daemons.known(options.now()), order, timeoutMs),
+      callerCount: (memberId) => this.#callerCount(watched.group, memberId),
       confirmLeader: () => {
         watched.watcher.confirm();
         watched.watcher.wake();
--- a/src/relay/send-statement.ts
+++ b/src/relay/send-statement.ts
@@ -5,7 +5,7 @@
  */
 import type { Position } from '../position/position.js';
 import type { MemberReply, MemberRequest } from './member-link.js';
-import type { PooledLink, SessionValues } from './pooled-link.js';
+import type { SessionLink, SessionValues } from './session-link.js';
 import type { PreparedShape } from './statement.js';
 
 /** A statement that a member runs, with its prepared shape already looked up. */
@@ -28,7 +28,7 @@
  * @throws LinkLostError
  */
 export async function sendStatement(
-  link: PooledLink,
+  link: SessionLink,
   statement: SessionStatement,
   requestId: string,
   values: SessionValues,
@@ -48,7 +48,7 @@
 }
 
 async function toMemberRequest(
-  link: PooledLink,
+  link: SessionLink,
   statement: SessionStatement,
   requestId: string,
   after: Position | null,
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -7,6 +7,8 @@
 import { test } from 'node:test';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { Member, MemberGroup } from '../topology/member-group.js';
+import { GatewayClient } from '../gateway/gateway-client.js';
+import { MemberConnections } from '../gateway/member-connections.js';
 import { LinkPool } from './link-pool.js';
 import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
 import type { RelayContext } from './relay-context.js';
@@ -93,7 +95,19 @@
     isDraining: false,
     saysPrimary: true,
   };
-  group.members.set('m', new Member(entry, pool));
+  const connections = new MemberConnections({
+    groupName: 'g',
+    memberId: 'm',
+    pool,
+    gateways: new GatewayClient(
+      '127.0.0.1',
+      () => 0,
+      () => 0,
+    ),
+    assignment: () => ({ gateways: null, budget: 1 }),
+    ownName: 'd',
+  });
+  group.members.set('m', new Member(entry, connections));
   group.evidence.believe({ memberId: 'm', term: 1 });
   group.evidence.confirm();
   group.evidence.vouch(1e9, 0);
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -8,7 +8,7 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import type { MemberReply } from './member-link.js';
-import type { PooledLink, SessionValues } from './pooled-link.js';
+import type { SessionLink, SessionValues } from './session-link.js';
 import { readCandidates, readFloor } from './read-runner.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
@@ -35,7 +35,7 @@
 
 interface Pinned {
   readonly member: Member;
-  readonly link: PooledLink;
+  readonly link: SessionLink;
   readonly isLeader: boolean;
 }
 
@@ -145,7 +145,7 @@
   async #firstAt(member: Member, step: TransactionStep): Promise<MemberReply | null> {
     const { context, options } = this;
     const { group, route } = options;
-    let link: PooledLink;
+    let link: SessionLink;
     try {
       link = await member.pool.acquire(step.values, route.priority, step.deadlineMs - context.now());
     } catch (error) {
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -6,7 +6,7 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import type { MemberReply } from './member-link.js';
-import type { SessionValues } from './pooled-link.js';
+import type { SessionValues } from './session-link.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -7,7 +7,7 @@
 import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
 import { PositionHistory } from '../leadership/position-history.js';
 import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
-import type { LinkPool } from '../relay/link-pool.js';
+import type { MemberConnections } from '../gateway/member-connections.js';
 import type { MemberAddress } from '../relay/member-link.js';
 
 /** A member as the directory describes it. */
@@ -45,7 +45,7 @@
 
   constructor(
     public entry: MemberEntry,
-    readonly pool: LinkPool,
+    readonly pool: MemberConnections,
   ) {}
 
   /** Where it is reached. */
