--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -143,12 +143,17 @@
 });
 
 describe('the copy of the store', () => {
-  function follow(store: MemoryStore): { watched: WatchedStore; told: string[] } {
+  function follow(store: MemoryStore): { watched: WatchedStore; told: string[]; rests: number[] } {
     const told: string[] = [];
+    const rests: number[] = [];
     const watched = new WatchedStore(
       store,
       () => undefined,
       () => 0.5,
+      (ms) => {
+        rests.push(ms);
+        return Promise.resolve();
+      },
     );
     watched.subscribe('a/', {
       changed: ({ key, revision }) => told.push(`${key}@${revision}`),
@@ -157,7 +162,7 @@
       availability: (isAvailable) => told.push(isAvailable ? 'up' : 'down'),
     });
     void watched.run();
-    return { watched, told };
+    return { watched, told, rests };
   }
   const value = Buffer.from('x');
 
@@ -175,6 +180,19 @@
     assert.deepEqual(told, ['a/1@5', 'settled', 'settled', '-a/1', 'settled']);
   });
 
+  test('rests after changes, so that those that follow come in one answer, and not without', async () => {
+    const store = new MemoryStore();
+    store.watchAnswers = [
+      { kind: 'events', events: [{ key: 'a/1', value, revision: 4 }], revision: 4 },
+      { kind: 'events', events: [], revision: 5 },
+      { kind: 'events', events: [{ key: 'b/1', value, revision: 6 }], revision: 6 },
+    ];
+    const { watched, rests } = follow(store);
+    await settle();
+    watched.stop();
+    assert.deepEqual(rests, [50, 50]);
+  });
+
   test('reads everything again when the store has forgotten its history', async () => {
     const store = new MemoryStore();
     store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -29,6 +29,12 @@
 const FIRST_PAUSE_MS = 40;
 const LAST_PAUSE_MS = 400;
 
+/**
+ * Rest after an answer with changes, in milliseconds: a change seldom comes alone, and those that follow it are told
+ * by one answer. The store prices every call.
+ */
+const REST_MS = 50;
+
 /** Where changes are followed from. */
 const WHOLE_STORE = '';
 
@@ -45,6 +51,7 @@
     private readonly store: CoordinationStore,
     private readonly log: (event: string, details: Readonly<Record<string, unknown>>) => void,
     private readonly random: () => number,
+    private readonly rest: (ms: number) => Promise<void> = delay,
   ) {}
 
   /** Tells a listener of the keys under a prefix; to be called before {@link WatchedStore.run}. */
@@ -106,6 +113,7 @@
     }
     this.#revision = Math.max(this.#revision ?? 0, answer.revision);
     this.#settle(answer.events);
+    if (answer.events.length > 0) await this.rest(REST_MS);
     return true;
   }
 
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -31,7 +31,7 @@
 }
 
 /** Time after which an own connection that is not used is ended, in milliseconds. */
-const OWN_LINK_IDLE_MS = 3000;
+const OWN_LINK_IDLE_MS = 500;
 
 const SILENT: ControlAnswer = { kind: 'silent' };
 
