The promotion duty is not acted on while an earlier holder may still trust it

Cause, found by reading: the holder trusts its lease by its own clock, but a record that vanished was taken by the next daemon at once.

Ruled out: waiting a lease time at every change of holder (a planned stop hands the duty over; a crashed holder's record ends with its lease, so nobody waits for it again).

Change: the holder writes its record anew with each renewal, so others know when it last did; whoever takes a duty whose record vanished waits out three seconds from there; a holder that stops says that it lets go. A holder that sees that its record is gone stops at once. A copy of the store older than the daemon's own last change says nothing of the duty.

Test: coordination.test 'both act' orders it by hand; before, the second acted at once (its heldFence was the new fence).

--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
-import { describe, test } from 'node:test';
+import { after, describe, test } from 'node:test';
 import {
   StoreError,
   type CoordinationStore,
@@ -78,14 +78,21 @@
   const duty = new Duty(
     store,
     { name, life: `${name}-life`, host: 'h', port: 1, gatewayPort: 2, zone: 'a', capacity: 1 },
-    () => store.items,
+    () => store,
     { taken: (fence) => events.push(`taken ${fence}`), lost: () => events.push('lost') },
     () => clock.now,
     () => 0.5,
   );
+  started.push(duty);
   return { duty, events };
 }
 
+/** Ended after the tests: a loop that goes on would keep the process from ending. */
+const started: Duty[] = [];
+after(async () => {
+  for (const duty of started) await duty.stop();
+});
+
 async function settle(): Promise<void> {
   for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve));
 }
@@ -142,6 +149,102 @@
   });
 });
 
+describe('a duty whose record is gone', () => {
+  const DUTY_KEY = 'sorrelladder/duty';
+
+  test('without a word is not acted on before the last holder has stopped by its own clock', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const first = holder(store, 'd1', clock);
+    void first.duty.run();
+    await settle();
+    const second = holder(store, 'd2', clock);
+    await second.duty.keysChanged();
+    clock.now = 1000;
+    void second.duty.run();
+    await settle();
+    // The store takes the key away; the holder is cut off from it and hears nothing.
+    store.items.delete(DUTY_KEY);
+    await second.duty.keysChanged();
+    assert.equal(second.duty.isHolder, true);
+    for (clock.now = 1000; clock.now < 3000; clock.now += 50) {
+      const both = [first.duty.heldFence(0), second.duty.heldFence(0)].filter((fence) => fence !== null);
+      assert.ok(both.length <= 1, `both act at ${clock.now}`);
+    }
+    assert.equal(first.duty.heldFence(0), null);
+    clock.now = 3000;
+    assert.equal(second.duty.heldFence(0), 2);
+    await first.duty.stop();
+    await second.duty.stop();
+  });
+
+  test('is lost by its holder as soon as that hears of it', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const { duty, events } = holder(store, 'd1', clock);
+    void duty.run();
+    await settle();
+    store.items.delete(DUTY_KEY);
+    store.revision += 1;
+    await duty.keysChanged();
+    assert.deepEqual(events, ['taken 1', 'lost', 'taken 2'], 'it takes it again, with a higher fence');
+    await duty.stop();
+  });
+
+  test('is not lost to a copy of the store from before it was taken', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const events: string[] = [];
+    const old = { items: new Map<string, StoredItem>(), revision: 0 };
+    const duty = new Duty(
+      store,
+      { name: 'd1', life: 'l', host: 'h', port: 1, gatewayPort: 2, zone: 'a', capacity: 1 },
+      () => old,
+      { taken: (fence) => events.push(`taken ${fence}`), lost: (reason) => events.push(reason) },
+      () => clock.now,
+      () => 0.5,
+    );
+    void duty.run();
+    await settle();
+    await duty.keysChanged();
+    assert.deepEqual(events, ['taken 1']);
+    await duty.stop();
+  });
+
+  test('is acted on at once when the last holder said that it let go', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const first = holder(store, 'd1', clock);
+    void first.duty.run();
+    await settle();
+    const second = holder(store, 'd2', clock);
+    void second.duty.run();
+    await settle();
+    await second.duty.keysChanged();
+    await first.duty.stop();
+    await second.duty.keysChanged();
+    assert.equal(second.duty.heldFence(0), 2);
+    await second.duty.stop();
+  });
+
+  test('and that was held by somebody of whom a daemon has never heard, is waited for', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const first = holder(store, 'd1', clock);
+    void first.duty.run();
+    await settle();
+    store.items.delete(DUTY_KEY);
+    const second = holder(store, 'd2', clock);
+    await second.duty.keysChanged();
+    void second.duty.run();
+    await settle();
+    assert.equal(second.duty.isHolder, true);
+    assert.equal(second.duty.heldFence(0), null);
+    await first.duty.stop();
+    await second.duty.stop();
+  });
+});
+
 describe('the copy of the store', () => {
   function follow(store: MemoryStore): { watched: WatchedStore; told: string[]; rests: number[] } {
     const told: string[] = [];
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -10,6 +10,7 @@
  */
 import { delay } from '../common/signal.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { DutyHistory, formatDutyRecord, LEASE_MS, parseDutyRecord, type DutyRecord } from './duty-record.js';
 import { type CoordinationStore, StoreError, type StoredItem } from './coordination-store.js';
 
 /** Keys in the store. */
@@ -19,8 +20,6 @@
 const DUTY_KEY = `${COORDINATION_PREFIX}duty`;
 const FENCE_KEY = `${COORDINATION_PREFIX}fence`;
 
-/** Length of the lease, in milliseconds. */
-const LEASE_MS = 3000;
 /** Time between renewals, in milliseconds. */
 const RENEWAL_MS = 900;
 /** The holder stops this long before the store may end its lease, in milliseconds. */
@@ -28,14 +27,6 @@
 /** Time between attempts while the store does not answer, in milliseconds. */
 const RETRY_MS = 200;
 
-interface DutyRecord {
-  readonly holder: string;
-  readonly life: string;
-  readonly fence: number;
-  /** Lease under which the record stands: one of an earlier lease of the same daemon gives it nothing. */
-  readonly leaseId: number;
-}
-
 /** The daemons as the store has them. */
 export interface RegisteredDaemons {
   readonly registered: ReadonlyMap<string, DaemonRecord>;
@@ -56,6 +47,13 @@
   return { registered, leased };
 }
 
+/** A copy of the store, which may be behind. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, StoredItem>;
+  /** Revision as of which the copy is. */
+  readonly revision: number;
+}
+
 /** Who is told about the duty. */
 export interface DutyListener {
   taken(fence: number): void;
@@ -68,28 +66,48 @@
   #leaseUntilMs = Number.NEGATIVE_INFINITY;
   #isRegistered = false;
   #fence: number | null = null;
-  #takenAtMs = 0;
+  /** Time from which this holder may act: no earlier one does any more. */
+  #actsFromMs = 0;
+  /** Until when the record as last written counts, by this daemon's clock. */
+  #dutyUntilMs = Number.NEGATIVE_INFINITY;
+  #dutyRevision = 0;
+  #renewal = 0;
+  /** Revision of this daemon's last change: an older copy of the store says nothing of what it has. */
+  #ownRevision = 0;
+  /** From when no earlier holder acts any more, as known when the duty was asked for. */
+  #freeFromMs = Number.NEGATIVE_INFINITY;
+  /** When the duty was last asked for. */
+  #askedAtMs = Number.NEGATIVE_INFINITY;
+  readonly #history = new DutyHistory();
   #isStopped = false;
   #isAcquiring = false;
 
   constructor(
     private readonly store: CoordinationStore,
     private readonly self: DaemonRecord,
-    private readonly items: () => ReadonlyMap<string, StoredItem>,
+    private readonly copy: () => StoreCopy,
     private readonly listener: DutyListener,
     private readonly now: () => number,
     private readonly random: () => number,
   ) {}
 
-  /** The fence while this daemon holds the duty for at least `reserveMs` milliseconds more, or `null`. */
+  /**
+   * The fence while this daemon holds the duty for at least `reserveMs` milliseconds more and may act on it, or `null`.
+   */
   heldFence(reserveMs: number): number | null {
-    return this.#fence !== null && this.now() + reserveMs < this.#leaseUntilMs ? this.#fence : null;
+    const now = this.now();
+    return now >= this.#actsFromMs && now + reserveMs < this.#untilMs ? this.#fence : null;
+  }
+
+  /** True while this daemon has the duty, though it may have to wait before it acts. */
+  get isHolder(): boolean {
+    return this.#fence !== null && this.now() < this.#untilMs;
   }
 
   /** Since when and until when the duty is held, or `null` while it is not; monotonic milliseconds. */
   get held(): { readonly takenAtMs: number; readonly untilMs: number } | null {
     if (this.heldFence(0) === null) return null;
-    return { takenAtMs: this.#takenAtMs, untilMs: this.#leaseUntilMs };
+    return { takenAtMs: this.#actsFromMs, untilMs: this.#untilMs };
   }
 
   /** Keeps the lease until {@link Duty.stop}. */
@@ -104,21 +122,27 @@
 
   /** The coordination keys have changed. */
   async keysChanged(): Promise<void> {
+    const { items, revision } = this.copy();
     const duty = this.#dutyRecord();
-    if (duty !== null && this.#isOurs(duty.record)) this.#take(duty.record.fence);
-    else if (duty !== null && this.#fence !== null) this.#lose(`held by ${duty.record.holder}`);
-    else if (duty === null && this.#isRegistered) await this.#acquire();
+    this.#history.observe(duty?.record ?? null, duty?.revision ?? 0, items.has(FENCE_KEY), this.now());
+    if (revision < this.#ownRevision) return;
+    if (duty !== null && this.#isOurs(duty.record)) this.#take(duty.record.fence, duty.revision);
+    else this.#lose(duty?.record.state === 'held' ? `held by ${duty.record.holder}` : 'the record is gone');
+    if (duty?.record.state !== 'held' && this.#isRegistered) await this.#acquire();
+    if (!items.has(LIVE_PREFIX + this.self.name)) this.#isRegistered = false;
   }
 
   /** Gives up the duty and the record. */
   async stop(): Promise<void> {
     this.#isStopped = true;
+    const fence = this.#fence;
     this.#lose('stopping');
+    if (fence !== null) await this.#release(fence).catch(() => undefined);
     if (this.#leaseId !== 0) await this.store.endLease(this.#leaseId).catch(() => undefined);
   }
 
   #checkLapse(): void {
-    if (this.#fence !== null && this.now() >= this.#leaseUntilMs) this.#lose('the lease may have lapsed');
+    if (this.#fence !== null && this.now() >= this.#untilMs) this.#lose('the lease may have lapsed');
   }
 
   async #keep(): Promise<boolean> {
@@ -126,6 +150,7 @@
     try {
       if (this.#leaseId !== 0 && (await this.store.keepLease(this.#leaseId))) {
         this.#leaseUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
+        if (this.#fence !== null) await this.#renew(this.#fence);
         return this.#isRegistered || (await this.#register());
       }
       if (this.#leaseId !== 0) this.#lose('the lease is over');
@@ -148,6 +173,7 @@
     ];
     const answer = await this.store.transact({ conditions: [], puts, removes: [] });
     this.#isRegistered = answer.kind === 'done';
+    if (answer.kind === 'done') this.#ownRevision = Math.max(this.#ownRevision, answer.revision);
     return this.#isRegistered;
   }
 
@@ -155,7 +181,9 @@
   async #acquire(): Promise<void> {
     if (this.#isAcquiring || this.#isStopped || this.#fence !== null || this.#leaseId === 0) return;
     const duty = this.#dutyRecord();
-    if (duty !== null && duty.record.holder !== this.self.name) return;
+    if (duty?.record.state === 'held' && duty.record.holder !== this.self.name) return;
+    const endedLife = duty?.record.state === 'held' ? duty.record.life : this.self.life;
+    this.#freeFromMs = this.#history.freeFromMs(endedLife);
     this.#isAcquiring = true;
     try {
       await this.#tryAcquire(duty?.revision ?? 0);
@@ -168,44 +196,94 @@
 
   async #tryAcquire(dutyRevision: number): Promise<void> {
     const leaseId = this.#leaseId;
-    const fenceItem = this.items().get(FENCE_KEY);
+    const sentAtMs = this.now();
+    this.#askedAtMs = sentAtMs;
+    const fenceItem = this.copy().items.get(FENCE_KEY);
     const fence = (fenceItem === undefined ? 0 : Number(fenceItem.value.toString())) + 1;
-    const record: DutyRecord = { holder: this.self.name, life: this.self.life, fence, leaseId };
     const answer = await this.store.transact({
       conditions: [
         { key: DUTY_KEY, revision: dutyRevision },
         { key: FENCE_KEY, revision: fenceItem?.revision ?? 0 },
       ],
       puts: [
-        { key: DUTY_KEY, value: Buffer.from(JSON.stringify(record)), leaseId },
+        { key: DUTY_KEY, value: formatDutyRecord(this.#heldRecord(fence)), leaseId },
         { key: FENCE_KEY, value: Buffer.from(String(fence)), leaseId: 0 },
       ],
       removes: [],
     });
-    if (answer.kind === 'done' && leaseId === this.#leaseId) this.#take(fence);
     if (answer.kind === 'no_lease') this.#leaseId = 0;
+    if (answer.kind !== 'done' || leaseId !== this.#leaseId) return;
+    this.#take(fence, answer.revision);
+  }
+
+  /** Writes the record anew, so that the others see that the holder goes on. */
+  async #renew(fence: number): Promise<void> {
+    const sentAtMs = this.now();
+    const answer = await this.store.transact({
+      conditions: [{ key: DUTY_KEY, revision: this.#dutyRevision }],
+      puts: [{ key: DUTY_KEY, value: formatDutyRecord(this.#heldRecord(fence)), leaseId: this.#leaseId }],
+      removes: [],
+    });
+    if (answer.kind !== 'done' || this.#fence !== fence) return;
+    this.#dutyRevision = Math.max(this.#dutyRevision, answer.revision);
+    this.#ownRevision = Math.max(this.#ownRevision, answer.revision);
+    this.#dutyUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
+  }
+
+  /** Says that the duty is free: the next holder need not wait. */
+  async #release(fence: number): Promise<void> {
+    await this.store.transact({
+      conditions: [{ key: DUTY_KEY, revision: this.#dutyRevision }],
+      puts: [{ key: DUTY_KEY, value: formatDutyRecord({ state: 'released', fence }), leaseId: 0 }],
+      removes: [],
+    });
+  }
+
+  #heldRecord(fence: number): DutyRecord {
+    const { name, life } = this.self;
+    this.#renewal += 1;
+    const actsFromMs = this.#fence === fence ? this.#actsFromMs : this.#freeFromMs;
+    const actsInMs = Math.max(0, Math.ceil(actsFromMs - this.now()));
+    return {
+      state: 'held',
+      holder: name,
+      life,
+      fence,
+      leaseId: this.#leaseId,
+      renewal: this.#renewal,
+      actsInMs,
+    };
+  }
+
+  get #untilMs(): number {
+    return Math.min(this.#leaseUntilMs, this.#dutyUntilMs);
   }
 
   #dutyRecord(): { record: DutyRecord; revision: number } | null {
-    const item = this.items().get(DUTY_KEY);
+    const item = this.copy().items.get(DUTY_KEY);
     if (item === undefined) return null;
-    return { record: JSON.parse(item.value.toString()) as DutyRecord, revision: item.revision };
+    return { record: parseDutyRecord(item.value), revision: item.revision };
   }
 
   #isOurs(record: DutyRecord): boolean {
-    return record.life === this.self.life && record.leaseId === this.#leaseId;
+    return record.state === 'held' && record.life === this.self.life && record.leaseId === this.#leaseId;
   }
 
-  #take(fence: number): void {
-    if (this.#fence === fence || this.#isStopped || this.now() >= this.#leaseUntilMs) return;
+  #take(fence: number, revision: number): void {
+    this.#dutyRevision = Math.max(this.#dutyRevision, revision);
+    this.#ownRevision = Math.max(this.#ownRevision, revision);
+    if (this.#fence === fence || this.#isStopped) return;
+    this.#dutyUntilMs = this.#askedAtMs + LEASE_MS - SAFETY_MS;
+    if (this.now() >= this.#untilMs) return;
     this.#fence = fence;
-    this.#takenAtMs = this.now();
+    this.#actsFromMs = Math.max(this.#actsFromMs, this.now(), this.#freeFromMs);
     this.listener.taken(fence);
   }
 
   #lose(reason: string): void {
     if (this.#fence === null) return;
     this.#fence = null;
+    this.#dutyUntilMs = Number.NEGATIVE_INFINITY;
     this.listener.lost(reason);
   }
 }
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -59,14 +59,9 @@
     this.#listeners.push({ prefix, listener });
   }
 
-  /** True once all keys have been read. */
-  get isLoaded(): boolean {
-    return this.#revision !== null;
-  }
-
-  /** True while the store answers this watch. */
-  get isAvailable(): boolean {
-    return this.#isAvailable;
+  /** Revision as of which the copy is; 0 before it is loaded. */
+  get revision(): number {
+    return this.#revision ?? 0;
   }
 
   /** The copy. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -143,7 +143,7 @@
       zone: options.zone,
       groups: () => this.groups,
       daemons: () => this.#daemons.live,
-      holdsDuty: () => this.heldFence !== null,
+      holdsDuty: () => this.#duty.heldFence(0) !== null,
       askHolder: (timeoutMs) => this.#mesh.askEvidence(timeoutMs),
       askDaemon: (record, timeoutMs) => this.#gatewayClient.askEvidence(record, timeoutMs),
       gained: (group) => {
@@ -157,7 +157,7 @@
       taken: (fence: number) => this.#dutyTaken(fence),
       lost: (reason: string) => this.#dutyLost(reason),
     };
-    this.#duty = new Duty(store, self, () => options.watched.items, listener, now, random);
+    this.#duty = new Duty(store, self, () => options.watched, listener, now, random);
     this.#context = {
       catalog: this.catalog,
       zone: options.zone,
@@ -179,9 +179,9 @@
     return [...this.#groups.values()].map(({ group }) => group);
   }
 
-  /** The fence of the duty while it is held, or `null`. */
-  get heldFence(): number | null {
-    return this.#duty.heldFence(0);
+  /** True while this daemon has the promotion duty. */
+  get isDutyHolder(): boolean {
+    return this.#duty.isHolder;
   }
 
   /** What the metrics show of the groups. */
@@ -322,7 +322,7 @@
     this.#groups.set(name, watched);
     for (const entry of this.#entries.values()) if (entry.groupName === name) this.#place(watched, entry);
     this.#runForever(watcher.run());
-    if (this.heldFence !== null) this.#supervise(watched);
+    if (this.isDutyHolder) this.#supervise(watched);
   }
 
   #forgetGroup(watched: WatchedGroup): void {
@@ -515,7 +515,7 @@
     this.#toldAtMs.set(key, now);
     const { memberId } = member.entry;
     const suspicion = { groupName: group.name, memberId, reason, reporter: this.options.self.name };
-    if (this.heldFence !== null) this.#groups.get(group.name)?.supervisor?.suspect(suspicion);
+    if (this.isDutyHolder) this.#groups.get(group.name)?.supervisor?.suspect(suspicion);
     else this.#mesh.suspect(suspicion);
   }
 
@@ -558,7 +558,7 @@
   #daemonsChanged(): void {
     this.#assignments.clear();
     this.#gatewayClient.retain(this.#daemons.live);
-    if (this.heldFence !== null) this.#mesh.connectAll(this.#daemons.live);
+    if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
   }
 
   #dutyTaken(fence: number): void {
