Fewer connections a slot, opened in advance by gateways; a member that keeps new connections waiting is not silent

The question for a sign of life needed a new connection too and came too late.

Change: no more than 12 connections a slot are planned with, so large fleets use gateways there as well; a gateway holds two open in advance, opened one at a time; a session that is not accepted in time on a connection that stands is 'slow', not 'silent'; with nine callers or more, a second one has to find the leader silent.

--- /dev/null
+++ b/src/gateway/assign-gateways.test.ts
@@ -0,0 +1,121 @@
+/**
+ * Who connects to a member, and who asks witnesses for all.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { DaemonDirectory } from '../cluster/daemon-directory.js';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { witnessAskers } from '../leadership/evidence-sharing.js';
+import { assignGateways } from './assign-gateways.js';
+
+function daemon(name: string, zone: string, capacity = 1): DaemonRecord {
+  return { name, life: `${name}-1`, host: 'h', port: 1, gatewayPort: 2, zone, capacity };
+}
+
+function fleet(size: number, zones: readonly string[]): DaemonRecord[] {
+  return Array.from({ length: size }, (_, i) => daemon(`d${i}`, zones[i % zones.length] ?? ''));
+}
+
+function assign(daemons: readonly DaemonRecord[], connections: number): ReturnType<typeof assignGateways> {
+  return assignGateways(daemons, { memberId: 'm', zone: 'a', connections });
+}
+
+describe('the connections of a member', () => {
+  test('are shared by all daemons while each gets one', () => {
+    assert.deepEqual(assign(fleet(6, ['a', 'b', 'c']), 31), { gateways: null, budget: 5 });
+    assert.deepEqual(assign(fleet(31, ['a', 'b', 'c']), 31), { gateways: null, budget: 1 });
+  });
+
+  test('are held by a few daemons of the member’s zone beyond that, never more than there are', () => {
+    for (const size of [32, 67, 300, 900]) {
+      const { gateways, budget } = assign(fleet(size, ['a', 'b', 'c']), 31);
+      assert.ok(gateways !== null && gateways.length >= 2);
+      assert.ok(gateways.every(({ zone }) => zone === 'a'));
+      assert.ok(gateways.length * budget <= 31);
+      assert.ok(budget >= 4);
+    }
+  });
+
+  test('are held elsewhere when the zone has no daemons', () => {
+    const { gateways } = assign(fleet(60, ['b', 'c']), 31);
+    assert.ok(gateways !== null && gateways.length > 0);
+  });
+
+  test('stay where they are when another daemon leaves, and move to few others when a gateway does', () => {
+    const daemons = fleet(66, ['a', 'b', 'c']);
+    const before = assign(daemons, 31).gateways ?? [];
+    const other = daemons.find(({ zone, name }) => zone === 'a' && !before.some((one) => one.name === name));
+    assert.deepEqual(
+      assign(
+        daemons.filter((one) => one !== other),
+        31,
+      ).gateways,
+      before,
+    );
+    const after =
+      assign(
+        daemons.filter((one) => one !== before[0]),
+        31,
+      ).gateways ?? [];
+    assert.equal(after.filter((one) => before.includes(one)).length, before.length - 1);
+  });
+
+  test('go to daemons in proportion to their capacity', () => {
+    const daemons = [...fleet(20, ['a']), ...['big1', 'big2'].map((name) => daemon(name, 'a', 10))];
+    let big = 0;
+    for (let member = 0; member < 200; member += 1) {
+      const { gateways } = assignGateways(daemons, { memberId: `m${member}`, zone: 'a', connections: 8 });
+      big += gateways?.filter(({ name }) => name.startsWith('big')).length ?? 0;
+    }
+    assert.ok(big > 150, `big daemons were chosen ${big} of 400 times, a tenth of them by chance`);
+  });
+});
+
+describe('the daemons that ask witnesses', () => {
+  test('are all in a small fleet, and two a zone in a large one', () => {
+    assert.equal(witnessAskers(fleet(12, ['a', 'b'])), null);
+    const askers = witnessAskers(fleet(60, ['a', 'b', 'c'])) ?? [];
+    assert.deepEqual(askers.map(({ zone }) => zone).sort(), ['a', 'a', 'b', 'b', 'c', 'c']);
+  });
+});
+
+describe('the directory of daemons', () => {
+  const records = new Map(fleet(3, ['a']).map((record) => [record.name, record]));
+  const all = new Set(records.keys());
+
+  test('a lease that ran out while the store was in order means that the daemon does not take part', () => {
+    const directory = new DaemonDirectory();
+    directory.update(records, all, 0);
+    directory.update(records, new Set(['d0', 'd1']), 100);
+    assert.deepEqual(
+      directory.live.map(({ name }) => name),
+      ['d0', 'd1'],
+    );
+  });
+
+  test('but it may still hold evidence: it is known until it is replaced or long gone', () => {
+    const directory = new DaemonDirectory();
+    directory.update(records, all, 0);
+    directory.update(records, new Set(), 100);
+    assert.equal(directory.known(60_000).length, 3);
+    assert.equal(directory.known(700_000).length, 0);
+  });
+
+  test('leases that ran out during an outage count only once their holders could register again', () => {
+    const directory = new DaemonDirectory();
+    directory.update(records, all, 0);
+    directory.availability(false, 100);
+    directory.update(records, new Set(), 4000);
+    directory.availability(true, 4010);
+    assert.equal(directory.live.length, 3);
+    directory.update(records, new Set(['d0']), 5000);
+    assert.equal(directory.refresh(6000), false);
+    assert.equal(directory.refresh(7010), true);
+    assert.deepEqual(
+      directory.live.map(({ name }) => name),
+      ['d0'],
+    );
+  });
+});
--- a/src/leadership/doubts.ts
+++ b/src/leadership/doubts.ts
@@ -41,6 +41,11 @@
     return this.#recent(reason, memberId, nowMs).length > 0;
   }
 
+  /** How many daemons doubt the leader for this reason. */
+  count(reason: SuspicionReason, memberId: string, nowMs: number): number {
+    return this.#recent(reason, memberId, nowMs).length;
+  }
+
   /** How many daemons have been without the leader for a while, if they are enough to replace it; else 0. */
   withoutLeader(memberId: string, daemons: number, nowMs: number): number {
     const lasting = this.#recent('silent', memberId, nowMs).filter(
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -51,6 +51,9 @@
 /** Longest wait for a sign of life of a leader that is doubted, in milliseconds, and how often it is asked. */
 const LIFE_SIGN_MS = 130;
 const LIFE_SIGNS = 2;
+/** Callers of a leader from which on several of them have to find it silent, and how many. */
+const MANY_CALLERS = 9;
+const CORROBORATING_CALLERS = 2;
 /** Longest wait for a pause, in milliseconds. */
 const PAUSE_MS = 300;
 /** Longest wait for the other daemons, in milliseconds. */
@@ -228,9 +231,20 @@
       if (answer.kind === 'busy' || leader.answeredAtMs > askedAtMs) return null;
       kind = answer.kind;
     }
+    if (kind === 'silent' && this.#isAloneInDoubt(leader)) return null;
     return `leader is ${kind}`;
   }
 
+  /**
+   * True when a leader with many callers is silent to this daemon alone: it may be that it only keeps new
+   * connections waiting.
+   */
+  #isAloneInDoubt(leader: Member): boolean {
+    const { memberId } = leader.entry;
+    if (this.options.callerCount(memberId) < MANY_CALLERS) return false;
+    return this.#doubts.count('silent', memberId, this.options.now()) < CORROBORATING_CALLERS;
+  }
+
   /** Lets replicas go on that a promotion given up, or its holder, left paused. */
   async #repair(leader: Member): Promise<void> {
     const now = this.options.now();
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -15,7 +15,7 @@
 
 /**
  * How a question went. `refused`: the member does not run there, or another has its address; `silent`: no answer in time, or the connection
- * broke; `busy`: the member refused for want of slots or connections.
+ * broke; `busy`: the member refused, or did not accept the connection in time, for want of slots or connections.
  */
 export type ControlAnswer =
   | { readonly kind: 'answered'; readonly status: MemberStatus; readonly askedAtMs: number }
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -152,3 +152,24 @@
   pool.trim();
   assert.equal(pool.size, 1);
 });
+
+test('connections are opened in advance one after the other, and kept though idle', async () => {
+  const clock = { now: 0 };
+  let dialed = 0;
+  const dial = (): Promise<MemberLink> => {
+    dialed += 1;
+    return Promise.resolve(new FakeLink());
+  };
+  const pool = poolOf(3, dial, clock);
+  pool.warm(2);
+  pool.warm(2);
+  assert.equal(dialed, 1, 'not two at once: each takes a slot of the member');
+  await new Promise((resolve) => setImmediate(resolve));
+  clock.now = 1000;
+  pool.warm(2);
+  await new Promise((resolve) => setImmediate(resolve));
+  clock.now = 5000;
+  pool.warm(2);
+  pool.trim();
+  assert.equal(pool.size, 2);
+});
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -14,6 +14,8 @@
 
 /** Connections that are kept though they are idle. */
 const KEPT_IDLE = 1;
+/** Time between two connections that are opened in advance, in milliseconds: each takes a slot of the member. */
+const WARMING_MS = 200;
 
 interface Waiter {
   readonly priority: number;
@@ -48,6 +50,8 @@
   readonly #links = new Set<PooledLink>();
   #dialing = 0;
   #limitedUntilMs = Number.NEGATIVE_INFINITY;
+  #warmedAtMs = Number.NEGATIVE_INFINITY;
+  #keptIdle = KEPT_IDLE;
   #isClosed = false;
 
   constructor(private readonly options: LinkPoolOptions) {}
@@ -124,12 +128,22 @@
     for (;;) {
       const oldest = this.#idle[0];
       if (oldest === undefined) return;
-      const isUnneeded = oldest.sinceMs < unneededSinceMs && this.#links.size > KEPT_IDLE;
+      const isUnneeded = oldest.sinceMs < unneededSinceMs && this.#links.size > this.#keptIdle;
       if (!isUnneeded && this.size <= this.options.budget()) return;
       oldest.link.close();
     }
   }
 
+  /** Opens connections in advance, one after the other, for requests of many daemons to come. */
+  warm(count: number): void {
+    this.#keptIdle = count;
+    const now = this.options.now();
+    if (this.#isClosed || this.size >= count || now - this.#warmedAtMs < WARMING_MS || !this.#mayDial())
+      return;
+    this.#warmedAtMs = now;
+    this.#dial();
+  }
+
   /** Opens connections for requests that wait since the member had too many. */
   #redial(): void {
     while (this.#dialing < this.#waiters.length && this.#mayDial()) this.#dial();
@@ -213,7 +227,7 @@
       this.#limitedUntilMs = this.options.now() + this.options.limitBackoffMs;
       setTimeout(() => this.#redial(), this.options.limitBackoffMs + 1);
       if (this.#links.size > 0) return;
-    } else {
+    } else if (error.reason !== 'slow') {
       this.options.onTrouble(error.reason);
     }
     this.#waiters.shift()?.fail(error);
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -82,9 +82,13 @@
 export class DialError extends Error {
   override readonly name = 'DialError';
 
-  /** @param reason - `refused`: the host answered that nothing listens; `silent`: no answer in time */
+  /**
+   * @param reason - `refused`: the host answered that nothing listens; `silent`: no answer in time; `slow`: the host
+   * took the connection, but the member did not accept the session in time
+   */
   constructor(
-    readonly reason: 'refused' | 'silent' | 'lost' | 'wrong_member' | 'too_many_connections' | 'busy',
+    readonly reason:
+      'refused' | 'silent' | 'slow' | 'lost' | 'wrong_member' | 'too_many_connections' | 'busy',
     message: string,
   ) {
     super(message);
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -54,6 +54,10 @@
 
 /** Connections of a member that no daemon plans with. */
 const RESERVED_CONNECTIONS = 3;
+/** Most connections of a member that are planned with, for each of its slots: opening one takes a slot for a while. */
+const CONNECTIONS_PER_SLOT = 12;
+/** Connections that a gateway holds open in advance. */
+const WARM_CONNECTIONS = 2;
 /**
  * For how long a daemon that has just started keeps to a part of its connections: members may still count those
  * of daemons that lost power, in milliseconds.
@@ -407,12 +411,18 @@
     return Math.max(1, Math.floor(isYoung ? assignment.budget * YOUNG_SHARE : assignment.budget));
   }
 
+  /** True when other daemons borrow connections to a member from this one. */
+  #isGateway(member: Member): boolean {
+    const { gateways } = this.#assignment(member);
+    return gateways !== null && gateways.some(({ name }) => name === this.options.self.name);
+  }
+
   #assignment(member: Member): Assignment {
-    const { memberId, groupName, zone } = member.entry;
+    const { memberId, groupName, zone, slots } = member.entry;
     const known = this.#assignments.get(memberId);
     if (known !== undefined) return known;
     const limit = this.catalog.document?.groups.get(groupName)?.maxConnections ?? 0;
-    const connections = Math.max(1, limit - RESERVED_CONNECTIONS);
+    const connections = Math.max(1, Math.min(limit - RESERVED_CONNECTIONS, slots * CONNECTIONS_PER_SLOT));
     const daemons = this.#daemons.live;
     const assignment =
       daemons.length === 0
@@ -437,6 +447,7 @@
         this.#checkSilence(watched.group, member, now);
         this.#checkDeparture(watched, member, now);
         member.pool.own.trim();
+        if (this.#isGateway(member)) member.pool.own.warm(WARM_CONNECTIONS);
       }
       this.#forgetFormer(watched.group, now);
     }
