Reads that a member runs and fails are asked of another; failing members are asked less

Ruled out: asking more members for every read at once (slots are scarce).

Change: a read, which has no effect, is asked up to three times, elsewhere first; the smoothed share of failures, which fades with a half life of a second, adds to a member's cost.

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -32,6 +32,7 @@
 
 type Attempt =
   | { readonly kind: 'reply'; readonly reply: MemberReply; readonly member: Member }
+  | { readonly kind: 'failed'; readonly reason: string; readonly reply: MemberReply; readonly member: Member }
   | { readonly kind: 'not_run'; readonly reason: string; readonly member: Member }
   | { readonly kind: 'lost'; readonly reason: string; readonly member: Member };
 
@@ -46,6 +47,12 @@
 
 const NOT_RUN_CODES: ReadonlySet<MemberErrorCode> = new Set(['busy', 'behind', 'read_only']);
 
+/** Times that a read is run and fails before its client is told. */
+const MAX_FAILURES = 3;
+
+/** Run, to no effect: a read may be asked of another member. */
+const FAILED_CODES: ReadonlySet<MemberErrorCode> = new Set(['failed', 'timed_out', 'other']);
+
 /** What a replica has to hold for a read, or `null` when only the leader will do. */
 export function readFloor(
   group: MemberGroup,
@@ -79,6 +86,7 @@
       load: member.pool.load,
       slots: member.entry.slots,
       latencyMs: member.latencyMs,
+      failureShare: member.failureShare(now),
       isLeaving: member.isLeaving,
       isAvoided: member.isAvoided(now),
       isBehind: floor !== null && member.isKnownBehind(floor, now),
@@ -94,6 +102,9 @@
   #isSettled = false;
   #wasSent = false;
   #lastReason = 'no member can serve';
+  /** The answer of a member that ran the read and failed: the last word if no other has a better one. */
+  #failure: MemberReply | null = null;
+  #failures = 0;
 
   constructor(
     private readonly context: RelayContext,
@@ -116,9 +127,10 @@
   async #run(): Promise<MemberReply> {
     for (;;) {
       const remaining = this.job.deadlineMs - this.context.now();
-      if (remaining <= 0) throw this.#giveUp();
+      if (remaining <= 0) return this.#giveUp();
       this.#launch();
       if (this.#pending.size === 0) {
+        if (this.#failure !== null && this.#failures >= MAX_FAILURES) return this.#failure;
         this.#excluded.clear();
         await this.job.group.changed.wait(Math.min(RETRY_PAUSE_MS, remaining));
         continue;
@@ -126,6 +138,11 @@
       const attempt = await firstWithin(this.#pending.keys(), Math.min(this.#hedgeMs(), remaining));
       if (attempt === null) continue;
       if (attempt.kind === 'reply') return attempt.reply;
+      if (attempt.kind === 'failed') {
+        this.#failure = attempt.reply;
+        this.#failures += 1;
+        if (this.#failures >= MAX_FAILURES) return attempt.reply;
+      }
       this.#lastReason = attempt.reason;
       this.#excluded.add(attempt.member.entry.memberId);
       this.context.observer.notable({
@@ -200,6 +217,7 @@
     member.trust(this.context.now());
     member.recordPosition(reply.position, this.context.now());
     if (asLeader && reply.position !== null) group.positions.record(sentAtMs, reply.position);
+    member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
       member.recordLatency(answerMs);
       this.context.observer.memberAnswered('read', asLeader, answerMs);
@@ -208,12 +226,14 @@
     const { code } = reply.result;
     if (NOT_RUN_CODES.has(code)) return { kind: 'not_run', reason: code, member };
     if (code === 'unknown_name') return { kind: 'not_run', reason: code, member };
+    if (FAILED_CODES.has(code)) return { kind: 'failed', reason: code, reply, member };
     return { kind: 'reply', reply, member };
   }
 
-  #giveUp(): Refusal {
+  #giveUp(): MemberReply {
+    if (this.#failure !== null) return this.#failure;
     if (this.#wasSent)
-      return new Refusal('timed_out', 'may_have_run', `no answer in time: ${this.#lastReason}`);
-    return new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
+      throw new Refusal('timed_out', 'may_have_run', `no answer in time: ${this.#lastReason}`);
+    throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
   }
 }
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -121,6 +121,7 @@
   #judge(leader: Member, reply: MemberReply, sentAtMs: number): MemberReply | null {
     const { context, job } = this;
     leader.trust(context.now());
+    leader.recordOutcome(!reply.result.isComplete && reply.result.code === 'failed', context.now());
     if (reply.result.isComplete) {
       context.observer.memberAnswered('write', true, context.now() - sentAtMs);
       if (reply.position !== null) {
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -30,6 +30,11 @@
 /** For how long a member that was behind is taken to be as far as it said, in milliseconds. */
 const POSITION_KNOWN_MS = 150;
 
+/** Weight of what is known against the newest outcome. */
+const FAILURE_MEMORY = 0.85;
+/** Time in which an outcome that no other follows loses half of its weight, in milliseconds. */
+const FAILURE_HALF_LIFE_MS = 1000;
+
 /** One member, with this daemon's connections to it. */
 export class Member {
   /** Since when the directory has not listed it, in monotonic milliseconds; `null` while it does. */
@@ -39,6 +44,8 @@
   #avoidUntilMs = Number.NEGATIVE_INFINITY;
   /** Smoothed time of its answers, in milliseconds. */
   #latencyMs = 0;
+  #failureShare = 0;
+  #failureAtMs = 0;
   #position: Position = ZERO_POSITION;
   #positionAtMs = Number.NEGATIVE_INFINITY;
   #answeredAtMs = Number.NEGATIVE_INFINITY;
@@ -64,6 +71,19 @@
     this.#latencyMs = this.#latencyMs === 0 ? ms : this.#latencyMs * 0.9 + ms * 0.1;
   }
 
+  /** Takes how an answer went. */
+  recordOutcome(hasFailed: boolean, nowMs: number): void {
+    const known = this.failureShare(nowMs);
+    this.#failureShare = known * FAILURE_MEMORY + (hasFailed ? 1 - FAILURE_MEMORY : 0);
+    this.#failureAtMs = nowMs;
+  }
+
+  /** Smoothed share of requests that it ran and failed, 0 to 1; fades, so that it is tried again. */
+  failureShare(nowMs: number): number {
+    if (this.#failureShare === 0) return 0;
+    return this.#failureShare * 0.5 ** ((nowMs - this.#failureAtMs) / FAILURE_HALF_LIFE_MS);
+  }
+
   /** Takes how far it is in the log. */
   recordPosition(position: Position | null, nowMs: number): void {
     if (position === null) return;
--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -15,6 +15,8 @@
   readonly slots: number;
   /** Smoothed time of its answers, in milliseconds. */
   readonly latencyMs: number;
+  /** Smoothed share of requests that it ran and failed, 0 to 1. */
+  readonly failureShare: number;
   readonly isLeaving: boolean;
   readonly isAvoided: boolean;
   /** It said a short time ago that it does not hold the floor of this read yet. */
@@ -35,6 +37,9 @@
 /** Cost of the leader, which has the writes to do, as milliseconds of waiting. */
 const LEADER_COST_MS = 6;
 
+/** Cost of a request that fails and has to be asked elsewhere, as milliseconds of waiting. */
+const FAILURE_COST_MS = 400;
+
 /** Time of one request where nothing has been measured, in milliseconds. */
 const DEFAULT_LATENCY_MS = 15;
 
@@ -67,6 +72,7 @@
   let cost = latency * (1 + queue);
   if (!candidate.isInZone) cost += OTHER_ZONE_COST_MS;
   if (candidate.isLeader) cost += LEADER_COST_MS;
+  cost += candidate.failureShare * FAILURE_COST_MS;
   if (candidate.isAvoided) cost += 10_000;
   return cost;
 }
--- a/src/topology/topology.test.ts
+++ b/src/topology/topology.test.ts
@@ -34,6 +34,7 @@
   load: 0,
   slots: 2,
   latencyMs: 20,
+  failureShare: 0,
   isLeaving: false,
   isAvoided: false,
   isBehind: false,
@@ -69,3 +70,10 @@
   assert.equal(choose([{ ...REPLICA, isAvoided: true }, LEADER], FLOOR), 'l');
   assert.equal(choose([{ ...REPLICA, isAvoided: true }], FLOOR), 'r1');
 });
+
+test('a replica that fails its requests is asked less, also from its own zone, and tried again later', () => {
+  const failing: ReadCandidate = { ...REPLICA, failureShare: 0.4 };
+  const other: ReadCandidate = { ...REPLICA, memberId: 'r2', isInZone: false };
+  assert.equal(choose([failing, other], FLOOR), 'r2');
+  assert.equal(choose([{ ...failing, failureShare: 0.02 }, other], FLOOR), 'r1');
+});
