Leaders that fail requests hand over; a leader that accepts no session is slow, and replaced after a longer look

Ruled out: the doubts themselves (they were told). Change: slow counts as no sign of life; with nine callers or more the leader is asked four times instead of twice.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -31,9 +31,10 @@
 
 /**
  * Why a leader is doubted. `silent`: it does not answer this daemon; `refused`: it refuses or ends connections;
- * `denied`: it says that it does not lead; `stalled`: it answers, but commits are not acknowledged.
+ * `denied`: it says that it does not lead; `stalled`: it answers, but commits are not acknowledged; `failing`: it fails
+ * many of the requests that it runs.
  */
-export type SuspicionReason = 'silent' | 'refused' | 'denied' | 'stalled';
+export type SuspicionReason = 'silent' | 'refused' | 'denied' | 'stalled' | 'failing';
 
 /** A daemon's doubt about a member that leads. */
 export interface Suspicion {
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -51,6 +51,8 @@
 /** Longest wait for a sign of life of a leader that is doubted, in milliseconds, and how often it is asked. */
 const LIFE_SIGN_MS = 130;
 const LIFE_SIGNS = 2;
+/** How often a leader is asked that has many callers and keeps new connections waiting. */
+const SLOW_SIGNS = 4;
 /** Callers of a leader from which on several of them have to find it silent, and how many. */
 const MANY_CALLERS = 9;
 const CORROBORATING_CALLERS = 2;
@@ -152,6 +154,8 @@
       const without = this.#doubts.withoutLeader(memberId, this.options.callerCount(memberId), now);
       const isStalled = this.#doubts.has('stalled', memberId, now) && (await this.#isStalled(leader));
       if (isStalled) return this.#handOver(leader, 'commits stall');
+      if (this.#doubts.count('failing', memberId, now) >= this.#corroboration(leader))
+        return this.#handOver(leader, 'leader fails requests');
       if (without > 0) return this.#handOver(leader, `leader out of reach of ${without} daemons`);
     }
     await this.#repair(leader);
@@ -225,13 +229,18 @@
   async #trouble(leader: Member): Promise<string | null> {
     const askedAtMs = this.options.now();
     let kind = 'silent';
-    for (let attempt = 0; attempt < LIFE_SIGNS; attempt += 1) {
+    const isManyCallers = this.#corroboration(leader) > 1;
+    for (
+      let attempt = 0;
+      attempt < (kind === 'slow' && isManyCallers ? SLOW_SIGNS : LIFE_SIGNS);
+      attempt += 1
+    ) {
       const answer = await this.options.control.ask(leader, { kind: 'status' }, LIFE_SIGN_MS);
       if (answer.kind === 'answered') return answer.status.isPrimary ? null : LEADS_NO_LONGER;
       if (answer.kind === 'busy' || leader.answeredAtMs > askedAtMs) return null;
       kind = answer.kind;
     }
-    if (kind === 'silent' && this.#isAloneInDoubt(leader)) return null;
+    if (kind !== 'refused' && this.#isAloneInDoubt(leader)) return null;
     return `leader is ${kind}`;
   }
 
@@ -240,9 +249,15 @@
    * connections waiting.
    */
   #isAloneInDoubt(leader: Member): boolean {
-    const { memberId } = leader.entry;
-    if (this.options.callerCount(memberId) < MANY_CALLERS) return false;
-    return this.#doubts.count('silent', memberId, this.options.now()) < CORROBORATING_CALLERS;
+    const corroboration = this.#corroboration(leader);
+    if (corroboration === 1) return false;
+    return this.#doubts.count('silent', leader.entry.memberId, this.options.now()) < corroboration;
+  }
+
+  /** Daemons that have to agree on a doubt. */
+  #corroboration(leader: Member): number {
+    const isManyCallers = this.options.callerCount(leader.entry.memberId) >= MANY_CALLERS;
+    return isManyCallers ? CORROBORATING_CALLERS : 1;
   }
 
   /** Lets replicas go on that a promotion given up, or its holder, left paused. */
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -15,12 +15,14 @@
 
 /**
  * How a question went. `refused`: the member does not run there, or another has its address; `silent`: no answer in time, or the connection
- * broke; `busy`: the member refused, or did not accept the connection in time, for want of slots or connections.
+ * broke; `slow`: the host took the connection, but the member did not accept it in time: it may have no slot free, or
+ * hang; `busy`: the member refused for want of slots or connections.
  */
 export type ControlAnswer =
   | { readonly kind: 'answered'; readonly status: MemberStatus; readonly askedAtMs: number }
   | { readonly kind: 'refused' }
   | { readonly kind: 'silent' }
+  | { readonly kind: 'slow' }
   | { readonly kind: 'busy' };
 
 /** What the control part needs. */
@@ -85,6 +87,7 @@
     } catch (error) {
       if (!(error instanceof DialError)) throw error;
       if (error.reason === 'refused' || error.reason === 'wrong_member') return { kind: 'refused' };
+      if (error.reason === 'slow') return { kind: 'slow' };
       return error.reason === 'silent' || error.reason === 'lost' ? SILENT : { kind: 'busy' };
     }
   }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -74,6 +74,8 @@
 const TELL_MS = 80;
 /** Silence after which the holder of the duty is told to look at a leader, in milliseconds. */
 const LEADER_SILENCE_MS = 200;
+/** Share of failed requests from which on the holder of the duty is told of a leader. */
+const FAILING_SHARE = 0.25;
 /** Silence after which a member is avoided, in milliseconds. */
 const SILENCE_MS = 350;
 /** Silence after which its connections are ended, in milliseconds. */
@@ -443,6 +445,7 @@
     const now = this.options.now();
     for (const watched of this.#groups.values()) {
       this.#checkStall(watched.group, now);
+      this.#checkFailures(watched.group, now);
       for (const member of [...watched.group.members.values()]) {
         this.#checkSilence(watched.group, member, now);
         this.#checkDeparture(watched, member, now);
@@ -472,6 +475,13 @@
     if (leader !== null) this.#tellHolder(group, leader, 'stalled');
   }
 
+  /** A leader that fails requests though it seems well: another can take its place. */
+  #checkFailures(group: MemberGroup, now: number): void {
+    const leader = group.leader(now);
+    if (leader !== null && leader.failureShare(now) > FAILING_SHARE)
+      this.#tellHolder(group, leader, 'failing');
+  }
+
   #checkSilence(group: MemberGroup, member: Member, now: number): void {
     const silence = member.pool.own.silenceMs(now);
     if (silence >= LEADER_SILENCE_MS && silence < LEADER_SILENCE_MS + TICK_MS) this.#doubt(group, member);
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -31,7 +31,7 @@
 const POSITION_KNOWN_MS = 150;
 
 /** Weight of what is known against the newest outcome. */
-const FAILURE_MEMORY = 0.85;
+const FAILURE_MEMORY = 0.9;
 /** Time in which an outcome that no other follows loses half of its weight, in milliseconds. */
 const FAILURE_HALF_LIFE_MS = 1000;
 
