The holder of the duty looks at its record instead of rewriting it; a taker waits from when the record vanished

Ruled out: a second watch for the record alone (each watch is priced, too). Change: with each renewal the holder reads its record, one call of one daemon, and trusts it for no longer than the lease from there; a taker waits a lease time from when it saw the record vanish, unless the last holder let go or its process has ended (its host refuses, or another life is registered).

--- a/src/cluster/daemon-directory.ts
+++ b/src/cluster/daemon-directory.ts
@@ -57,6 +57,11 @@
     return [...this.#live.values()];
   }
 
+  /** The record of a daemon by its name, or `null`. */
+  find(name: string): DaemonRecord | null {
+    return this.#registered.get(name) ?? null;
+  }
+
   /** Daemons that may run, and may hold evidence of a leader. */
   known(nowMs: number): readonly DaemonRecord[] {
     return [...this.#registered.values()].filter(({ name }) => {
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -204,6 +204,14 @@
     this.#links.clear();
   }
 
+  /** True when the host of a daemon answers that its process does not run. */
+  async isGone(record: DaemonRecord): Promise<boolean> {
+    const link = new HolderLink(record, this.self.host, this.listener);
+    const state = await link.open();
+    link.close();
+    return state === 'refused';
+  }
+
   /** Gives an order to all other daemons and collects how it went. */
   async order(
     records: readonly DaemonRecord[],
--- a/src/coordination/duty-record.ts
+++ b/src/coordination/duty-record.ts
@@ -1,10 +1,10 @@
 /**
  * The record of the promotion duty in the store, and how long a former holder may still trust it. Pure.
  *
- * The holder writes its record anew with each renewal, so that the others see when it last did. A record that is gone
- * proves little: a store may take keys away while the holder is cut off from it. So whoever takes the duty waits
- * until the last holder, counting from its last renewal that was heard of, has stopped by its own clock; unless the
- * holder has said that it lets go.
+ * The holder looks at its record with each renewal of its lease and trusts it for no longer than the lease from there.
+ * A record that is gone proves little: a store may take keys away while the holder is cut off from it. So whoever takes
+ * the duty waits for a lease time from when it saw the record vanish; unless the holder has said that it lets go, or its
+ * process has ended.
  *
  * @packageDocumentation
  */
@@ -21,8 +21,6 @@
       readonly fence: number;
       /** Lease under which the record stands: one of an earlier lease of the same daemon gives it nothing. */
       readonly leaseId: number;
-      /** Rises with each renewal. */
-      readonly renewal: number;
       /** Time from the writing until the holder may act, in milliseconds: an earlier one may still do so. */
       readonly actsInMs: number;
     }
@@ -38,13 +36,29 @@
   return Buffer.from(JSON.stringify(record));
 }
 
-/** What one daemon has heard of holders of the duty. Monotonic times, in milliseconds. */
+/** A holder of the duty. */
+export interface DutyHolder {
+  readonly name: string;
+  readonly life: string;
+}
+
+/** What one daemon has seen of holders of the duty. Monotonic times, in milliseconds. */
 export class DutyHistory {
   #hasLooked = false;
   #revision = 0;
-  #life: string | null = null;
-  #actsFromMs = Number.NEGATIVE_INFINITY;
-  #freeFromMs = Number.NEGATIVE_INFINITY;
+  #holder: DutyHolder | null = null;
+  #holderActsFromMs = Number.NEGATIVE_INFINITY;
+  #vanishedAtMs = Number.NEGATIVE_INFINITY;
+
+  /** The last holder that was seen and has not let go, or `null`. */
+  get holder(): DutyHolder | null {
+    return this.#holder;
+  }
+
+  /** Time from which the last holder acted, which it may owe to an earlier one. */
+  get holderActsFromMs(): number {
+    return this.#holderActsFromMs;
+  }
 
   /**
    * Takes what the store has now.
@@ -57,15 +71,17 @@
     const isFirstLook = !this.#hasLooked;
     this.#hasLooked = true;
     if (record === null) {
-      // Gone without a word: somebody of whom this daemon has not heard may still act.
-      if (hasBeenHeld && isFirstLook) this.#freeFromMs = nowMs + LEASE_MS;
+      // Gone without a word: a holder, seen or not, may still act.
+      const hasVanished = this.#revision !== 0 || (isFirstLook && hasBeenHeld);
+      if (hasVanished) this.#vanishedAtMs = nowMs;
+      this.#revision = 0;
       return;
     }
     if (revision === this.#revision) return;
     this.#revision = revision;
-    this.#life = record.state === 'held' ? record.life : null;
-    this.#actsFromMs = record.state === 'held' ? nowMs + record.actsInMs : Number.NEGATIVE_INFINITY;
-    this.#freeFromMs = record.state === 'held' ? nowMs + LEASE_MS : Number.NEGATIVE_INFINITY;
+    this.#vanishedAtMs = Number.NEGATIVE_INFINITY;
+    this.#holder = record.state === 'held' ? { name: record.holder, life: record.life } : null;
+    this.#holderActsFromMs = record.state === 'held' ? nowMs + record.actsInMs : Number.NEGATIVE_INFINITY;
   }
 
   /**
@@ -74,6 +90,7 @@
    * @param endedLife - life of a holder that is known to act no more: an earlier process of the new holder, or itself
    */
   freeFromMs(endedLife: string | null): number {
-    return this.#life !== null && this.#life === endedLife ? this.#actsFromMs : this.#freeFromMs;
+    if (this.#holder !== null && this.#holder.life === endedLife) return this.#holderActsFromMs;
+    return this.#vanishedAtMs + LEASE_MS;
   }
 }
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -10,7 +10,14 @@
  */
 import { delay } from '../common/signal.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import { DutyHistory, formatDutyRecord, LEASE_MS, parseDutyRecord, type DutyRecord } from './duty-record.js';
+import {
+  DutyHistory,
+  type DutyHolder,
+  formatDutyRecord,
+  LEASE_MS,
+  parseDutyRecord,
+  type DutyRecord,
+} from './duty-record.js';
 import { type CoordinationStore, StoreError, type StoredItem } from './coordination-store.js';
 
 /** Keys in the store. */
@@ -71,7 +78,6 @@
   /** Until when the record as last written counts, by this daemon's clock. */
   #dutyUntilMs = Number.NEGATIVE_INFINITY;
   #dutyRevision = 0;
-  #renewal = 0;
   /** Revision of this daemon's last change: an older copy of the store says nothing of what it has. */
   #ownRevision = 0;
   /** From when no earlier holder acts any more, as known when the duty was asked for. */
@@ -87,6 +93,8 @@
     private readonly self: DaemonRecord,
     private readonly copy: () => StoreCopy,
     private readonly listener: DutyListener,
+    /** Whether the process of a former holder has certainly ended. */
+    private readonly isEnded: (holder: DutyHolder) => Promise<boolean>,
     private readonly now: () => number,
     private readonly random: () => number,
   ) {}
@@ -150,7 +158,7 @@
     try {
       if (this.#leaseId !== 0 && (await this.store.keepLease(this.#leaseId))) {
         this.#leaseUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
-        if (this.#fence !== null) await this.#renew(this.#fence);
+        if (this.#fence !== null) await this.#confirm();
         return this.#isRegistered || (await this.#register());
       }
       if (this.#leaseId !== 0) this.#lose('the lease is over');
@@ -216,18 +224,21 @@
     this.#take(fence, answer.revision);
   }
 
-  /** Writes the record anew, so that the others see that the holder goes on. */
-  async #renew(fence: number): Promise<void> {
+  /** Looks whether the record still stands: the lease alone does not show that it was taken away. */
+  async #confirm(): Promise<void> {
     const sentAtMs = this.now();
-    const answer = await this.store.transact({
-      conditions: [{ key: DUTY_KEY, revision: this.#dutyRevision }],
-      puts: [{ key: DUTY_KEY, value: formatDutyRecord(this.#heldRecord(fence)), leaseId: this.#leaseId }],
-      removes: [],
-    });
-    if (answer.kind !== 'done' || this.#fence !== fence) return;
-    this.#dutyRevision = Math.max(this.#dutyRevision, answer.revision);
-    this.#ownRevision = Math.max(this.#ownRevision, answer.revision);
-    this.#dutyUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
+    const item = await this.store.read(DUTY_KEY);
+    if (item !== null && this.#isOurs(parseDutyRecord(item.value)))
+      this.#dutyUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
+    else this.#lose('the record is gone');
+  }
+
+  /** Need not wait for an earlier holder whose process has ended. */
+  async #hasten(fence: number): Promise<void> {
+    const { holder, holderActsFromMs } = this.#history;
+    if (holder === null || this.now() >= this.#actsFromMs) return;
+    if (!(await this.isEnded(holder)) || this.#fence !== fence) return;
+    this.#actsFromMs = Math.max(this.now(), holderActsFromMs);
   }
 
   /** Says that the duty is free: the next holder need not wait. */
@@ -241,7 +252,6 @@
 
   #heldRecord(fence: number): DutyRecord {
     const { name, life } = this.self;
-    this.#renewal += 1;
     const actsFromMs = this.#fence === fence ? this.#actsFromMs : this.#freeFromMs;
     const actsInMs = Math.max(0, Math.ceil(actsFromMs - this.now()));
     return {
@@ -250,7 +260,6 @@
       life,
       fence,
       leaseId: this.#leaseId,
-      renewal: this.#renewal,
       actsInMs,
     };
   }
@@ -278,6 +287,7 @@
     this.#fence = fence;
     this.#actsFromMs = Math.max(this.#actsFromMs, this.now(), this.#freeFromMs);
     this.listener.taken(fence);
+    void this.#hasten(fence);
   }
 
   #lose(reason: string): void {
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -14,6 +14,7 @@
   type SuspicionReason,
 } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
+import type { DutyHolder } from '../coordination/duty-record.js';
 import { COORDINATION_PREFIX, Duty, readDaemons } from '../coordination/duty.js';
 import type { WatchedStore } from '../coordination/watched-store.js';
 import { assignGateways, type Assignment } from '../gateway/assign-gateways.js';
@@ -163,7 +164,15 @@
       taken: (fence: number) => this.#dutyTaken(fence),
       lost: (reason: string) => this.#dutyLost(reason),
     };
-    this.#duty = new Duty(store, self, () => options.watched, listener, now, random);
+    this.#duty = new Duty(
+      store,
+      self,
+      () => options.watched,
+      listener,
+      (holder) => this.#isEnded(holder),
+      now,
+      random,
+    );
     this.#context = {
       catalog: this.catalog,
       zone: options.zone,
@@ -582,6 +591,13 @@
     if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
   }
 
+  /** True when the process of a former holder of the duty has certainly ended. */
+  async #isEnded({ name, life }: DutyHolder): Promise<boolean> {
+    const record = this.#daemons.find(name);
+    if (record === null) return false;
+    return record.life !== life || this.#mesh.isGone(record);
+  }
+
   #dutyTaken(fence: number): void {
     this.options.log('duty_taken', { fence });
     this.#mesh.connectAll(this.#daemons.live);
