--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -326,6 +326,22 @@
     assert.deepEqual(rests, [50, 50]);
   });
 
+  test('rests longer the more daemons follow the store, up to a limit', async () => {
+    const store = new MemoryStore();
+    store.watchAnswers = [67, 900].map((revision) => ({
+      kind: 'events',
+      events: [{ key: 'a/1', value, revision }],
+      revision,
+    }));
+    const { watched, rests } = follow(store);
+    watched.watchers = 30;
+    await settle();
+    watched.stop();
+    assert.deepEqual(rests.slice(0, 1), [108]);
+    watched.watchers = 900;
+    assert.ok(rests.every((ms) => ms <= 180));
+  });
+
   test('reads everything again when the store has forgotten its history', async () => {
     const store = new MemoryStore();
     store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -31,15 +31,20 @@
 
 /**
  * Rest after an answer with changes, in milliseconds: a change seldom comes alone, and those that follow it are told
- * by one answer. The store prices every call.
+ * by one answer. The store prices every call, and each change is told to every daemon: so the rest grows with their
+ * number, up to a limit: daemons are not to differ for long in what configuration they follow.
  */
-const REST_MS = 50;
+const LEAST_REST_MS = 50;
+const REST_MS_PER_WATCHER = 2;
+const LONGEST_REST_MS = 180;
 
 /** Where changes are followed from. */
 const WHOLE_STORE = '';
 
 /** A copy of the store, followed by one watch for all who listen. */
 export class WatchedStore {
+  /** How many follow the store, this one included. */
+  watchers = 1;
   readonly #items = new Map<string, StoredItem>();
   readonly #listeners: { readonly prefix: string; readonly listener: WatchedPrefixListener }[] = [];
   #revision: number | null = null;
@@ -108,10 +113,14 @@
     }
     this.#revision = Math.max(this.#revision ?? 0, answer.revision);
     this.#settle(answer.events);
-    if (answer.events.length > 0) await this.rest(REST_MS);
+    if (answer.events.length > 0) await this.rest(this.#restMs());
     return true;
   }
 
+  #restMs(): number {
+    return Math.min(LONGEST_REST_MS, LEAST_REST_MS + REST_MS_PER_WATCHER * (this.watchers - 1));
+  }
+
   #settle(events: readonly StoreEvent[]): void {
     for (const { prefix, listener } of this.#listeners)
       if (events.some(({ key }) => key.startsWith(prefix))) listener.settled();
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -586,6 +586,7 @@
   }
 
   #daemonsChanged(): void {
+    this.options.watched.watchers = Math.max(1, this.#daemons.live.length);
     this.#assignments.clear();
     this.#gatewayClient.retain(this.#daemons.live);
     if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
