--- a/standin/member/statement-executor.ts
+++ b/standin/member/statement-executor.ts
@@ -5,40 +5,30 @@
  */
 import type { ColumnDescription } from '../../src/wire/backend-messages.js';
 import type { Database } from './database.js';
-import { compareScalars, evaluate, type EvaluationContext, type Row } from './expression.js';
+import { evaluate, type EvaluationContext, type Row } from './expression.js';
 import { castValue, formatValue, SqlError, TypeOid, type SqlScalar, type SqlValue } from './sql-values.js';
 import { lastName, openNode, type ParsedStatement, type SyntaxBody, type SyntaxNode } from './syntax.js';
 import {
-  aggregateValues,
   buildRow,
-  columnName,
-  columnType,
   command,
   functionColumns,
   functionName,
   generateSeries,
-  isAggregate,
-  isStar,
-  isVoidCall,
-  nullRow,
-  output,
   readTableDefinition,
   type StatementResult,
 } from './result-shape.js';
+import { Projection } from './projection.js';
+import { activityRows, groupStatus, logRows, type SourceRows } from './system-rows.js';
 import { rowKey, type TableDefinition } from './tables.js';
 import { Transaction } from './transaction.js';
 
 const ROW_LOCK_TIMEOUT_MS = 1000;
 const MAX_SLEEP_MS = 60_000;
 
-interface SourceRows {
-  readonly rows: readonly Row[];
-  readonly columnTypes: Readonly<Record<string, number>>;
-}
-
 /** Executes statements and keeps the session's transaction. */
 export class StatementExecutor {
   readonly settings = new Map<string, string>();
+  readonly #projection = new Projection((...question) => this.#context(...question));
   #transaction: Transaction | null = null;
   #isExplicit = false;
   #failed = false;
@@ -114,7 +104,7 @@
     const columnTypes = this.#sourceTypes(from);
     const nullRow = Object.fromEntries(Object.keys(columnTypes).map((name) => [name, null]));
     const context = this.#context([], nullRow, columnTypes, false);
-    return this.#columns(targets, context);
+    return this.#projection.columns(targets, context);
   }
 
   #sourceTypes(from: SyntaxNode | undefined): Readonly<Record<string, number>> {
@@ -252,15 +242,15 @@
     await this.#sleepIfAsked(body, parameters);
     const source = this.#source(body.fromClause?.[0], body.whereClause, parameters);
     let rows = source.rows.filter((row) =>
-      this.#matches(body.whereClause, row, source.columnTypes, parameters),
+      this.#projection.matches(body.whereClause, row, source.columnTypes, parameters),
     );
     if (body.sortClause !== undefined)
-      rows = this.#sort(rows, body.sortClause, source.columnTypes, parameters);
+      rows = this.#projection.sort(rows, body.sortClause, source.columnTypes, parameters);
     if (body.limitCount !== undefined) {
       const limit = evaluate(body.limitCount, this.#context(parameters, null, {}, true)).value;
       if (limit !== null) rows = rows.slice(0, Number(limit));
     }
-    return this.#project(body.targetList ?? [], rows, source.columnTypes, parameters);
+    return this.#projection.project(body.targetList ?? [], rows, source.columnTypes, parameters);
   }
 
   async #sleepIfAsked(body: SyntaxBody, parameters: readonly SqlValue[]): Promise<void> {
@@ -299,7 +289,7 @@
   }
 
   #tableRows(table: string, where: SyntaxNode | undefined, parameters: readonly SqlValue[]): SourceRows {
-    if (table === 'pg_stat_activity') return this.#activityRows();
+    if (table === 'pg_stat_activity') return activityRows(this.database);
     const definition = this.#definition(table);
     const candidates = this.#candidateRows(this.#current(), definition, where, parameters);
     return { rows: candidates.map(([, row]) => row), columnTypes: definition.columnTypes };
@@ -322,14 +312,6 @@
     return row === null ? [] : [[key, row]];
   }
 
-  #activityRows(): SourceRows {
-    const rows = [...this.database.sessions.values()].map((session) => ({
-      pid: session.processId,
-      application_name: session.applicationName,
-    }));
-    return { rows, columnTypes: { pid: TypeOid.integer, application_name: TypeOid.text } };
-  }
-
   #functionRows(body: SyntaxBody, parameters: readonly SqlValue[]): SourceRows {
     const name = functionName(body);
     const call = body.functions[0].List.items[0].FuncCall;
@@ -341,9 +323,9 @@
       case 'generate_series':
         return { rows: generateSeries(Number(args[0]), Number(args[1])), columnTypes };
       case 'sorrelladder_group_status':
-        return { rows: [this.#groupStatus()], columnTypes };
+        return { rows: [groupStatus(this.database)], columnTypes };
       case 'standin_log':
-        return { rows: this.#logRows(), columnTypes };
+        return { rows: logRows(this.database), columnTypes };
       case 'standin_counters':
         return { rows: [{ counters: JSON.stringify(this.database.counters) }], columnTypes };
       default:
@@ -351,114 +333,6 @@
     }
   }
 
-  #groupStatus(): Row {
-    const { log, settings, leavingSinceMs } = this.database;
-    return {
-      member: settings.memberId,
-      role: log.role,
-      term: log.term,
-      received_term: log.received.term,
-      received_index: log.received.index,
-      applied_term: log.applied.term,
-      applied_index: log.applied.index,
-      leaving: leavingSinceMs !== null,
-    };
-  }
-
-  #logRows(): Row[] {
-    return this.database.log.entries.map((entry) => ({
-      term: entry.term,
-      index: entry.index,
-      session: entry.session,
-      changes: JSON.stringify(entry.changes),
-    }));
-  }
-
-  #matches(
-    where: SyntaxNode | undefined,
-    row: Row,
-    columnTypes: Readonly<Record<string, number>>,
-    parameters: readonly SqlValue[],
-  ): boolean {
-    if (where === undefined) return true;
-    return evaluate(where, this.#context(parameters, row, columnTypes, true)).value === true;
-  }
-
-  #sort(
-    rows: readonly Row[],
-    sortClause: readonly SyntaxNode[],
-    columnTypes: Readonly<Record<string, number>>,
-    parameters: readonly SqlValue[],
-  ): Row[] {
-    const keys = sortClause.map((item) => item['SortBy']);
-    const valueOf = (row: Row, node: SyntaxNode): SqlScalar =>
-      evaluate(node, this.#context(parameters, row, columnTypes, true)).value;
-    return [...rows].sort((left, right) => {
-      for (const key of keys) {
-        const order = compareScalars(valueOf(left, key.node), valueOf(right, key.node));
-        if (order !== 0) return key.sortby_dir === 'SORTBY_DESC' ? -order : order;
-      }
-      return 0;
-    });
-  }
-
-  #project(
-    targets: readonly SyntaxNode[],
-    rows: readonly Row[],
-    columnTypes: Readonly<Record<string, number>>,
-    parameters: readonly SqlValue[],
-    tagPrefix = 'SELECT',
-  ): StatementResult {
-    const aggregate = targets.some((target) => isAggregate(target));
-    const typeContext = this.#context(parameters, nullRow(columnTypes), columnTypes, false);
-    const columns = this.#columns(targets, typeContext);
-    const output = aggregate
-      ? [this.#aggregate(targets, rows, columnTypes, parameters)]
-      : rows.map((row) => this.#projectRow(targets, row, columnTypes, parameters));
-    return { columns, rows: output, tag: `${tagPrefix} ${output.length}` };
-  }
-
-  #projectRow(
-    targets: readonly SyntaxNode[],
-    row: Row,
-    columnTypes: Readonly<Record<string, number>>,
-    parameters: readonly SqlValue[],
-  ): (string | null)[] {
-    const context = this.#context(parameters, row, columnTypes, true);
-    return targets.flatMap((target) => {
-      const node: SyntaxNode = target['ResTarget'].val;
-      if (isStar(node)) return Object.keys(columnTypes).map((name) => output(row[name] ?? null));
-      if (isVoidCall(node)) return [''];
-      return [output(evaluate(node, context).value)];
-    });
-  }
-
-  #aggregate(
-    targets: readonly SyntaxNode[],
-    rows: readonly Row[],
-    columnTypes: Readonly<Record<string, number>>,
-    parameters: readonly SqlValue[],
-  ): (string | null)[] {
-    return targets.map((target) => {
-      const call = target['ResTarget'].val.FuncCall;
-      if (call === undefined) throw new SqlError('42803', 'only aggregates may stand beside an aggregate');
-      if (call.agg_star) return String(rows.length);
-      const values = rows
-        .map((row) => evaluate(call.args[0], this.#context(parameters, row, columnTypes, true)).value)
-        .filter((value) => value !== null);
-      return aggregateValues(lastName(call.funcname), values);
-    });
-  }
-
-  #columns(targets: readonly SyntaxNode[], context: EvaluationContext): ColumnDescription[] {
-    return targets.flatMap((target) => {
-      const node: SyntaxNode = target['ResTarget'].val;
-      if (isStar(node))
-        return Object.entries(context.columnTypes).map(([name, typeOid]) => ({ name, typeOid }));
-      return [{ name: columnName(target), typeOid: columnType(node, context) }];
-    });
-  }
-
   // --- writing
 
   async #insert(body: SyntaxBody, parameters: readonly SqlValue[]): Promise<StatementResult> {
@@ -510,7 +384,10 @@
     for (const key of this.#matchingKeys(transaction, definition, body.whereClause, parameters)) {
       await this.#lockRow(transaction, definition.name, key);
       const current = transaction.row(definition.name, key);
-      if (current === null || !this.#matches(body.whereClause, current, definition.columnTypes, parameters))
+      if (
+        current === null ||
+        !this.#projection.matches(body.whereClause, current, definition.columnTypes, parameters)
+      )
         continue;
       const row = this.#assign(definition, current, body.targetList, parameters, null);
       transaction.change({ kind: 'put', table: definition.name, key, row });
@@ -541,7 +418,7 @@
   ): string[] {
     const keys: string[] = [];
     for (const [key, row] of this.#candidateRows(transaction, definition, where, parameters)) {
-      if (this.#matches(where, row, definition.columnTypes, parameters)) keys.push(key);
+      if (this.#projection.matches(where, row, definition.columnTypes, parameters)) keys.push(key);
     }
     return keys;
   }
@@ -571,7 +448,7 @@
   ): StatementResult {
     const targets: SyntaxNode[] | undefined = body.returningClause?.exprs ?? body.returningList;
     if (targets === undefined) return { columns: null, rows: [], tag: `${tag} ${rows.length}` };
-    return this.#project(targets, rows, definition.columnTypes, parameters, tag);
+    return this.#projection.project(targets, rows, definition.columnTypes, parameters, tag);
   }
 
   // --- settings and functions
