--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -95,6 +95,13 @@
   return { duty, events };
 }
 
+/** Starts a daemon and lets it register and ask for the duty. */
+async function running(started: Holder): Promise<Holder> {
+  void started.duty.run();
+  await settle();
+  return started;
+}
+
 /** Ended after the tests: a loop that goes on would keep the process from ending. */
 const started: Duty[] = [];
 after(async () => {
@@ -127,9 +134,7 @@
   test('is trusted no longer than the lease by the holder’s own clock', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const { duty } = holder(store, 'd1', clock);
-    void duty.run();
-    await settle();
+    const { duty } = await running(holder(store, 'd1', clock));
     clock.now = 2700;
     assert.equal(duty.heldFence(0), 1);
     assert.equal(duty.heldFence(400), null, 'not enough left for a call');
@@ -142,9 +147,7 @@
   test('a record of an earlier lease of the same daemon gives it nothing', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const { duty, events } = holder(store, 'd1', clock);
-    void duty.run();
-    await settle();
+    const { duty, events } = await running(holder(store, 'd1', clock));
     const record = store.items.get('sorrelladder/duty');
     assert.ok(record !== undefined);
     const older = JSON.parse(record.value.toString()) as { leaseId: number; fence: number };
@@ -163,9 +166,7 @@
   test('without a word is not acted on before the last holder has stopped by its own clock', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const first = holder(store, 'd1', clock);
-    void first.duty.run();
-    await settle();
+    const first = await running(holder(store, 'd1', clock));
     const second = holder(store, 'd2', clock);
     await second.duty.keysChanged();
     clock.now = 1000;
@@ -194,9 +195,7 @@
   test('is acted on at once when the process of the last holder has ended', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const first = holder(store, 'd1', clock);
-    void first.duty.run();
-    await settle();
+    const first = await running(holder(store, 'd1', clock));
     const second = holder(store, 'd2', clock, true);
     await second.duty.keysChanged();
     void second.duty.run();
@@ -210,9 +209,7 @@
   test('is lost by its holder as soon as that hears of it', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const { duty, events } = holder(store, 'd1', clock);
-    void duty.run();
-    await settle();
+    const { duty, events } = await running(holder(store, 'd1', clock));
     store.items.delete(DUTY_KEY);
     store.revision += 1;
     await duty.keysChanged();
@@ -244,12 +241,8 @@
   test('is acted on at once when the last holder said that it let go', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const first = holder(store, 'd1', clock);
-    void first.duty.run();
-    await settle();
-    const second = holder(store, 'd2', clock);
-    void second.duty.run();
-    await settle();
+    const first = await running(holder(store, 'd1', clock));
+    const second = await running(holder(store, 'd2', clock));
     await second.duty.keysChanged();
     await first.duty.stop();
     await second.duty.keysChanged();
@@ -260,9 +253,7 @@
   test('and that was held by somebody of whom a daemon has never heard, is waited for', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const first = holder(store, 'd1', clock);
-    void first.duty.run();
-    await settle();
+    const first = await running(holder(store, 'd1', clock));
     store.items.delete(DUTY_KEY);
     const second = holder(store, 'd2', clock);
     await second.duty.keysChanged();
