--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -195,7 +195,7 @@
   test('is acted on at once when the process of the last holder has ended', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
-    const first = await running(holder(store, 'd1', clock));
+    await running(holder(store, 'd1', clock));
     const second = holder(store, 'd2', clock, true);
     await second.duty.keysChanged();
     void second.duty.run();
