A promotion asks daemons that its holder's copy of the store does not have yet

Cause: found by reading. The holder of the duty asked those daemons to let go that its copy of the store had. A daemon that had registered within the copy's lag (rest of up to 180 ms, longer for a cut watch) could hold evidence of the old leader for 1.6 s and was not asked: STALE was possible after an added daemon. A record that the store took away was forgotten at once, with the same effect.

Ruled out: waiting 1.6 s in every promotion (the gap to the first write would triple); trusting the lease alone (the lease says nothing of the age of the copy).

Change: a promotion reads the register from the store while it pauses the replicas; an unread register counts as a silent daemon (wait of 1.6 s). A daemon counts evidence only from 1 s after its registration, or at once where an earlier process had its address; pauses that took longer than that are waited out. Records are never forgotten before ten minutes without a lease.

--- a/src/cluster/daemon-directory.ts
+++ b/src/cluster/daemon-directory.ts
@@ -33,11 +33,12 @@
    * @param leased - names of the daemons whose lease runs
    */
   update(registered: Records, leased: ReadonlySet<string>, nowMs: number): void {
-    this.#registered = registered;
+    // A record that is gone was taken away: its daemon may run on, and hold evidence.
+    this.#registered = new Map([...this.#registered, ...registered]);
     this.#leased = leased;
     for (const [name, record] of registered) if (leased.has(name)) this.#live.set(name, record);
     for (const name of leased) this.#unleasedSinceMs.delete(name);
-    for (const name of registered.keys())
+    for (const name of this.#registered.keys())
       if (!leased.has(name) && !this.#unleasedSinceMs.has(name)) this.#unleasedSinceMs.set(name, nowMs);
     this.#dropUnleased(nowMs);
   }
--- /dev/null
+++ b/src/cluster/order-delivery.test.ts
@@ -0,0 +1,103 @@
+/**
+ * Who is asked to let go before a promotion, and from when on a new daemon may hold evidence.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import {
+  EVIDENCE_MS,
+  LeadershipEvidence,
+  REGISTRATION_SETTLE_MS,
+} from '../leadership/leadership-evidence.js';
+import type { DaemonRecord } from './daemon-record.js';
+import { deliverOrder, type OrderPorts } from './order-delivery.js';
+import type { HolderOrder, OrderOutcome } from './peer-mesh.js';
+import { Registration } from './registration.js';
+
+function daemon(name: string, host = name): DaemonRecord {
+  return { name, life: `${name}-1`, host, port: 1, gatewayPort: 2, zone: 'a', capacity: 1 };
+}
+
+const REVOKE: HolderOrder = { kind: 'revoke', groupName: 'g', term: 3 };
+const ANSWERED: OrderOutcome = { kind: 'answered', answer: { acknowledged: { term: 0, index: 0 } } };
+
+function ports(register: () => Promise<readonly DaemonRecord[]>): { ports: OrderPorts; sent: string[] } {
+  const sent: string[] = [];
+  return {
+    sent,
+    ports: {
+      known: () => [daemon('d1'), daemon('d2')],
+      readRegister: register,
+      send: (records) => {
+        sent.push(...records.map(({ host }) => host));
+        return Promise.resolve(new Map(records.map(({ name }) => [name, ANSWERED])));
+      },
+    },
+  };
+}
+
+describe('an order', () => {
+  test('to let go reaches daemons that the copy of the store does not have yet', async () => {
+    const { ports: given, sent } = ports(() => Promise.resolve([daemon('d1'), daemon('new')]));
+    const outcomes = await deliverOrder(given, REVOKE, 200);
+    assert.deepEqual(sent, ['d1', 'd2', 'new']);
+    assert.deepEqual([...outcomes.keys()], ['d1', 'd2', 'new']);
+  });
+
+  test('reaches a daemon that runs at another address than it did', async () => {
+    const { ports: given, sent } = ports(() => Promise.resolve([daemon('d1', 'elsewhere')]));
+    await deliverOrder(given, REVOKE, 200);
+    assert.deepEqual(sent, ['d1', 'd2', 'elsewhere']);
+  });
+
+  test('counts as unheard by somebody when the register cannot be read', async () => {
+    const { ports: given } = ports(() => Promise.reject(new Error('down')));
+    const outcomes = await deliverOrder(given, REVOKE, 200);
+    assert.ok([...outcomes.values()].some(({ kind }) => kind === 'silent'));
+  });
+
+  test('of another kind reads no register', async () => {
+    const { ports: given, sent } = ports(() => Promise.reject(new Error('not to be called')));
+    const outcomes = await deliverOrder(given, { kind: 'allow', groupName: 'g' }, 200);
+    assert.deepEqual(sent, ['d1', 'd2']);
+    assert.ok([...outcomes.values()].every(({ kind }) => kind === 'answered'));
+  });
+});
+
+describe('a daemon that registers', () => {
+  test('counts evidence only once whoever promotes has certainly heard of it', () => {
+    const registration = new Registration(daemon('d1'));
+    registration.firstLook(new Map());
+    assert.equal(registration.countsFromMs, Number.POSITIVE_INFINITY);
+    registration.registered(5000);
+    assert.equal(registration.countsFromMs, 5000 + REGISTRATION_SETTLE_MS);
+    registration.registered(9000);
+    assert.equal(registration.countsFromMs, 5000 + REGISTRATION_SETTLE_MS);
+  });
+
+  test('at the address of an earlier process is known already, at another one it is not', () => {
+    const same = new Registration(daemon('d1'));
+    same.firstLook(new Map([['d1', daemon('d1')]]));
+    same.registered(5000);
+    assert.equal(same.countsFromMs, 5000);
+    const moved = new Registration(daemon('d1', 'elsewhere'));
+    moved.firstLook(new Map([['d1', daemon('d1')]]));
+    moved.registered(5000);
+    assert.equal(moved.countsFromMs, 5000 + REGISTRATION_SETTLE_MS);
+  });
+
+  test('right after the register was read holds no evidence from before pauses that were in time', () => {
+    const readAtMs = 1000;
+    const registration = new Registration(daemon('new'));
+    registration.firstLook(new Map());
+    registration.registered(readAtMs + 1);
+    const evidence = new LeadershipEvidence(() => registration.countsFromMs);
+    evidence.believe({ memberId: 'a', term: 3 });
+    const lastPauseMs = readAtMs + REGISTRATION_SETTLE_MS;
+    for (let askedAtMs = readAtMs; askedAtMs <= lastPauseMs; askedAtMs += 10)
+      evidence.witness(3, 0, askedAtMs);
+    assert.equal(evidence.current(lastPauseMs), null);
+    assert.ok(evidence.validUntilMs < lastPauseMs + EVIDENCE_MS);
+  });
+});
--- /dev/null
+++ b/src/cluster/registration.ts
@@ -0,0 +1,37 @@
+/**
+ * From when on this daemon may count answers of witnesses: not before everybody who promotes knows it. Pure.
+ *
+ * @packageDocumentation
+ */
+import type { DaemonRecord } from './daemon-record.js';
+import { REGISTRATION_SETTLE_MS } from '../leadership/leadership-evidence.js';
+
+/** What one daemon knows of its own record in the store. */
+export class Registration {
+  #isListed = false;
+  #countsFromMs = Number.POSITIVE_INFINITY;
+
+  constructor(private readonly self: DaemonRecord) {}
+
+  /** Monotonic time from which answers of witnesses count, in milliseconds. */
+  get countsFromMs(): number {
+    return this.#countsFromMs;
+  }
+
+  /** Takes the records that the store had before this process registered. */
+  firstLook(registered: ReadonlyMap<string, DaemonRecord>): void {
+    const earlier = registered.get(this.self.name);
+    this.#isListed = earlier !== undefined && hasSameAddress(earlier, this.self);
+  }
+
+  /** The store has taken the record. An earlier process at the same address was known already. */
+  registered(nowMs: number): void {
+    if (Number.isFinite(this.#countsFromMs)) return;
+    this.#countsFromMs = this.#isListed ? nowMs : nowMs + REGISTRATION_SETTLE_MS;
+  }
+}
+
+/** True when orders to one daemon reach the process of the other. */
+export function hasSameAddress(left: DaemonRecord, right: DaemonRecord): boolean {
+  return left.host === right.host && left.port === right.port;
+}
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -54,6 +54,19 @@
   return { registered, leased };
 }
 
+/**
+ * Reads the daemons whose lease runs from the store itself.
+ *
+ * @throws StoreError
+ */
+export async function listLeasedDaemons(
+  store: Pick<CoordinationStore, 'list'>,
+): Promise<readonly DaemonRecord[]> {
+  const { items } = await store.list(COORDINATION_PREFIX);
+  const { registered, leased } = readDaemons(new Map(items.map((item) => [item.key, item])));
+  return [...registered.values()].filter(({ name }) => leased.has(name));
+}
+
 /** A copy of the store, which may be behind. */
 export interface StoreCopy {
   readonly items: ReadonlyMap<string, StoredItem>;
@@ -63,6 +76,8 @@
 
 /** Who is told about the duty. */
 export interface DutyListener {
+  /** The store has this daemon's record. */
+  registered(): void;
   taken(fence: number): void;
   lost(reason: string): void;
 }
@@ -181,7 +196,10 @@
     ];
     const answer = await this.store.transact({ conditions: [], puts, removes: [] });
     this.#isRegistered = answer.kind === 'done';
-    if (answer.kind === 'done') this.#ownRevision = Math.max(this.#ownRevision, answer.revision);
+    if (answer.kind === 'done') {
+      this.#ownRevision = Math.max(this.#ownRevision, answer.revision);
+      this.listener.registered();
+    }
     return this.#isRegistered;
   }
 
--- a/src/gateway/assign-gateways.test.ts
+++ b/src/gateway/assign-gateways.test.ts
@@ -103,6 +103,14 @@
     assert.equal(directory.known(700_000).length, 0);
   });
 
+  test('also when its record was taken away', () => {
+    const directory = new DaemonDirectory();
+    directory.update(records, all, 0);
+    directory.update(new Map(), new Set(), 100);
+    assert.equal(directory.live.length, 0);
+    assert.equal(directory.known(60_000).length, 3);
+  });
+
   test('leases that ran out during an outage count only once their holders could register again', () => {
     const directory = new DaemonDirectory();
     directory.update(records, all, 0);
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -15,7 +15,7 @@
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
-import { EVIDENCE_MS } from './leadership-evidence.js';
+import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
 
 /** Asks the platform to make a member lead. Rejects when it may or may not have been heard. */
@@ -58,6 +58,11 @@
 const CORROBORATING_CALLERS = 2;
 /** Longest wait for a pause, in milliseconds. */
 const PAUSE_MS = 300;
+/**
+ * Pauses that took this much less than daemons wait before they count evidence came late: one that registered meanwhile
+ * may hold some, in milliseconds.
+ */
+const REGISTER_MARGIN_MS = 100;
 /** Longest wait for the other daemons, in milliseconds. */
 const ORDER_MS = 200;
 /** Time after a handover in which no other is begun for the same kinds of reason, in milliseconds. */
@@ -292,7 +297,8 @@
     const { paused, missing } = await this.#pauseAll(others, term);
     const pausedAtMs = options.now();
     const outcomes = await revoking;
-    if (hasSilent(outcomes)) await delay(pausedAtMs + EVIDENCE_MS - options.now());
+    const areLate = pausedAtMs - startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
+    if (hasSilent(outcomes) || areLate) await delay(pausedAtMs + EVIDENCE_MS - options.now());
     const candidates = paused.map(toCandidate);
     const successor = chooseSuccessor({
       candidates,
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -30,6 +30,12 @@
 /** Age of evidence at which a daemon that was given none in time asks a witness itself, in milliseconds. */
 export const OWN_RENEWAL_MS = 1200;
 
+/**
+ * Time after a daemon has been registered from which an answer of a witness counts for it, in milliseconds. Who promotes
+ * reads the register when it begins, and pauses the witnesses within less than this: so it knows all who hold evidence.
+ */
+export const REGISTRATION_SETTLE_MS = 1000;
+
 /** How long a revocation keeps a daemon from gathering evidence of the same term, in milliseconds. */
 export const REVOCATION_MS = 1500;
 
@@ -49,6 +55,9 @@
   #minimumTerm = 0;
   #isConfirmed = false;
 
+  /** @param countsFromMs - from when on answers of witnesses count: before, nobody who promotes may know this daemon */
+  constructor(private readonly countsFromMs: () => number = () => Number.NEGATIVE_INFINITY) {}
+
   /** The member that is believed to lead, with or without evidence that is still valid. */
   get leader(): Leader | null {
     return this.#leader;
@@ -114,7 +123,7 @@
       if (leader !== null && leader.term < term) this.loseLeader();
       return false;
     }
-    if (pausedForTerm > term) return false;
+    if (pausedForTerm > term || askedAtMs < this.countsFromMs()) return false;
     if (term <= this.#revokedUpToTerm && askedAtMs < this.#revokedUntilMs) return false;
     this.#validUntilMs = Math.max(this.#validUntilMs, askedAtMs + EVIDENCE_MS);
     return true;
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -38,6 +38,16 @@
     assert.ok(evidence.believe({ memberId: 'b', term: 4 }));
   });
 
+  test('does not count before those who promote know of this daemon', () => {
+    let countsFromMs = Number.POSITIVE_INFINITY;
+    const evidence = new LeadershipEvidence(() => countsFromMs);
+    evidence.believe({ memberId: 'a', term: 3 });
+    assert.ok(!evidence.witness(3, 0, 1000));
+    countsFromMs = 1500;
+    assert.ok(!evidence.witness(3, 0, 1499));
+    assert.ok(evidence.witness(3, 0, 1500));
+  });
+
   test('is not gathered of a revoked term for a while, also from an answer to an older question', () => {
     const evidence = ledBy('a', 3);
     evidence.witness(3, 0, 1000);
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -6,6 +6,8 @@
 import { delay } from '../common/signal.js';
 import { DaemonDirectory } from '../cluster/daemon-directory.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { deliverOrder, type OrderOutcomes } from '../cluster/order-delivery.js';
+import { Registration } from '../cluster/registration.js';
 import {
   PeerMesh,
   type HolderOrder,
@@ -15,7 +17,7 @@
 } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import type { DutyHolder } from '../coordination/duty-record.js';
-import { COORDINATION_PREFIX, Duty, readDaemons } from '../coordination/duty.js';
+import { COORDINATION_PREFIX, Duty, listLeasedDaemons, readDaemons } from '../coordination/duty.js';
 import type { WatchedStore } from '../coordination/watched-store.js';
 import { assignGateways, type Assignment } from '../gateway/assign-gateways.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
@@ -112,6 +114,8 @@
   readonly #duty: Duty;
   readonly #context: RelayContext;
   readonly #daemons = new DaemonDirectory();
+  readonly #registration: Registration;
+  #isDutyStarted = false;
   readonly #gatewayClient: GatewayClient;
   readonly #gatewayServer: GatewayServer;
   readonly #sharing: EvidenceSharing;
@@ -128,6 +132,7 @@
 
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
+    this.#registration = new Registration(self);
     this.#control = new MemberControl({ dialer, readStatus, now });
     this.#mesh = new PeerMesh(self, {
       order: (order) => this.#obey(order),
@@ -161,6 +166,7 @@
       random,
     });
     const listener = {
+      registered: () => this.#registration.registered(now()),
       taken: (fence: number) => this.#dutyTaken(fence),
       lost: (reason: string) => this.#dutyLost(reason),
     };
@@ -216,7 +222,6 @@
     const { host, port, gatewayPort } = this.options.self;
     await this.#mesh.listen(host, port);
     await this.#gatewayServer.listen(host, gatewayPort);
-    this.#runForever(this.#duty.run());
     this.#runForever(this.#sharing.run());
     this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
   }
@@ -314,7 +319,7 @@
 
   #addGroup(name: string): void {
     const { options } = this;
-    const group = new MemberGroup(name);
+    const group = new MemberGroup(name, () => this.#registration.countsFromMs);
     const listener = {
       evidenceChanged: (_group: MemberGroup, memberId: string | null, reason: string) =>
         options.log(memberId === null ? 'evidence_lapsed' : 'evidence_gained', {
@@ -330,7 +335,7 @@
       this.#control,
       listener,
       () => this.#duty.held,
-      () => this.#sharing.asksWitnesses(group),
+      () => options.now() >= this.#registration.countsFromMs && this.#sharing.asksWitnesses(group),
       options.now,
     );
     const watched: WatchedGroup = { group, watcher, supervisor: null };
@@ -582,9 +587,17 @@
     const { registered, leased } = readDaemons(this.options.watched.items);
     this.#daemons.update(registered, leased, this.options.now());
     this.#daemonsChanged();
+    if (!this.#isDutyStarted) this.#startDuty(registered);
     this.#runForever(this.#duty.keysChanged());
   }
 
+  /** Registers once it is known what the store has of this daemon from before. */
+  #startDuty(registered: ReadonlyMap<string, DaemonRecord>): void {
+    this.#isDutyStarted = true;
+    this.#registration.firstLook(registered);
+    this.#runForever(this.#duty.run());
+  }
+
   #daemonsChanged(): void {
     this.options.watched.watchers = Math.max(1, this.#daemons.live.length);
     this.#assignments.clear();
@@ -625,6 +638,16 @@
     return gateways?.length ?? this.#daemons.live.length;
   }
 
+  /** Gives an order to all other daemons. */
+  #order(order: HolderOrder, timeoutMs: number): Promise<OrderOutcomes> {
+    const ports = {
+      known: () => this.#daemons.known(this.options.now()),
+      readRegister: () => listLeasedDaemons(this.options.store),
+      send: this.#mesh.order.bind(this.#mesh),
+    };
+    return deliverOrder(ports, order, timeoutMs);
+  }
+
   #supervise(watched: WatchedGroup): void {
     const { options } = this;
     watched.supervisor?.stop();
@@ -632,7 +655,7 @@
       control: this.#control,
       promotion: options.promotion,
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
-      order: (order, timeoutMs) => this.#mesh.order(this.#daemons.known(options.now()), order, timeoutMs),
+      order: (order, timeoutMs) => this.#order(order, timeoutMs),
       callerCount: (memberId) => this.#callerCount(watched.group, memberId),
       confirmLeader: () => {
         watched.watcher.confirm();
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -131,7 +131,7 @@
    * have been acknowledged on their word alone.
    */
   readonly former = new Map<string, Member>();
-  readonly evidence = new LeadershipEvidence();
+  readonly evidence: LeadershipEvidence;
   readonly positions = new PositionHistory();
   /** Wakes whoever waits for a leader or a member. */
   readonly changed = new ChangeSignal();
@@ -140,7 +140,13 @@
 
   readonly #commitsSinceMs = new Map<object, number>();
 
-  constructor(readonly name: string) {}
+  /** @param countsFromMs - from when on answers of witnesses count as evidence, in monotonic milliseconds */
+  constructor(
+    readonly name: string,
+    countsFromMs?: () => number,
+  ) {
+    this.evidence = new LeadershipEvidence(countsFromMs);
+  }
 
   /** A commit was sent; call what is returned when its answer is here. */
   commitSent(nowMs: number): () => void {
