Large fleets: a few daemons of each zone follow the store, the others follow through them

Ruled out: longer rests (a change would reach daemons later, and a rest of 180 ms is in force already); stale reads (a tenth of the price, but seconds old); narrower watches (members change most, and everybody needs them).

Change: in fleets of more than 12 daemons two daemons of each zone, by rendezvous, watch the store and pass changes on, with the age of the store's last word. Who follows leaves one that is silent for a second, or has not heard of the store for 1.5 s, for another or for the store. Values above 32 KiB are read from the store. The holder of the promotion duty always watches the store. Leaving members are given work for 2.5 s less where changes may come late.

--- /dev/null
+++ b/src/coordination/change-feed.test.ts
@@ -0,0 +1,218 @@
+/**
+ * Following the store through another daemon: what is passed on, and when it is not relied on.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import fc from 'fast-check';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { DelegatedFeed } from './change-feed.js';
+import { ChangeLog, MAX_PASSED_BYTES } from './change-log.js';
+import { ChangeRelay, STALE_MS, type PassedChanges } from './change-relay.js';
+import {
+  StoreError,
+  type CoordinationStore,
+  type StoreEvent,
+  type WatchAnswer,
+} from './coordination-store.js';
+
+const VALUE = Buffer.from('x');
+
+function put(key: string, revision: number, value: Buffer = VALUE): StoreEvent {
+  return { key, revision, value };
+}
+
+function daemon(name: string, zone = 'a'): DaemonRecord {
+  return { name, life: `${name}-1`, host: name, port: 1, gatewayPort: 2, zone, capacity: 1 };
+}
+
+function revisionsOf(changes: ReturnType<ChangeLog['since']>): number[] | null {
+  return changes === null ? null : changes.map(({ revision }) => revision);
+}
+
+describe('the log of changes', () => {
+  test('holds what came after the store was read, and says so when it does not', () => {
+    const log = new ChangeLog();
+    assert.equal(log.since(0), null);
+    log.restart(10, 0);
+    log.append(10, [put('a', 11), put('b', 12)], 12, 0);
+    assert.deepEqual(revisionsOf(log.since(10)), [11, 12]);
+    assert.deepEqual(revisionsOf(log.since(11)), [12]);
+    assert.deepEqual(revisionsOf(log.since(99)), []);
+    assert.equal(log.since(9), null);
+  });
+
+  test('begins anew after it was suspended: what was missed meanwhile is not passed over', () => {
+    const log = new ChangeLog();
+    log.restart(10, 0);
+    log.append(10, [put('a', 11)], 11, 0);
+    log.suspend();
+    assert.equal(log.since(11), null);
+    log.append(20, [put('a', 21)], 21, 0);
+    assert.equal(log.since(11), null);
+    assert.deepEqual(revisionsOf(log.since(20)), [21]);
+  });
+
+  test('is bounded in number and bytes, and never has a hole that it does not know of', () => {
+    const sizes = fc.array(fc.integer({ min: 0, max: MAX_PASSED_BYTES }), { minLength: 1, maxLength: 120 });
+    fc.assert(
+      fc.property(sizes, fc.nat(200), (bytes, after) => {
+        const log = new ChangeLog();
+        log.restart(0, 0);
+        bytes.forEach((size, index) =>
+          log.append(index, [put('k', index + 1, Buffer.alloc(size))], index + 1, 0),
+        );
+        const since = log.since(after);
+        const wanted = bytes.map((_size, index) => index + 1).filter((revision) => revision > after);
+        assert.ok(since === null || revisionsOf(since)?.join() === wanted.join());
+      }),
+      { seed: 20261202, numRuns: 200 },
+    );
+  });
+
+  test('passes a large value on by its key alone', () => {
+    const log = new ChangeLog();
+    log.restart(0, 0);
+    log.append(
+      0,
+      [put('k', 1, Buffer.alloc(MAX_PASSED_BYTES + 1)), { key: 'g', revision: 2, value: null }],
+      2,
+      0,
+    );
+    assert.deepEqual(
+      log.since(0)?.map(({ content }) => content.kind),
+      ['large', 'gone'],
+    );
+  });
+});
+
+describe('a daemon that passes changes on', () => {
+  test('answers at once with what it has, and otherwise as soon as there is something', async () => {
+    const log = new ChangeLog();
+    const relay = new ChangeRelay(log, () => 0);
+    log.restart(5, 0);
+    const waiting = relay.ask(5, 1000);
+    log.append(5, [put('a', 6)], 6, 0);
+    const answer = await waiting;
+    assert.ok(answer.kind === 'changes' && answer.changes.length === 1);
+    assert.deepEqual(await relay.ask(5, 1000), answer);
+  });
+
+  test('says that it has not heard of the store, also to those who wait', async () => {
+    const log = new ChangeLog();
+    let now = 0;
+    const relay = new ChangeRelay(log, () => now);
+    assert.equal((await relay.ask(0, 1000)).kind, 'unavailable');
+    log.restart(5, 0);
+    const waiting = relay.ask(5, 60_000);
+    log.suspend();
+    assert.equal((await waiting).kind, 'unavailable');
+    log.restart(5, 0);
+    now = STALE_MS + 1;
+    assert.equal((await relay.ask(5, 1000)).kind, 'unavailable');
+  });
+});
+
+interface Rig {
+  readonly feed: DelegatedFeed;
+  readonly asked: string[];
+  state: { now: number; isDirect: boolean; delegates: readonly DaemonRecord[] | null };
+  answers: Map<string, PassedChanges | null>;
+}
+
+function rig(read: CoordinationStore['read'] = () => Promise.resolve(null)): Rig {
+  const asked: string[] = [];
+  const state = { now: 0, isDirect: false, delegates: [daemon('d1'), daemon('d2'), daemon('far', 'b')] };
+  const answers = new Map<string, PassedChanges | null>();
+  const store = {
+    read,
+    watch: (_prefix: string, _after: number, waitMs: number): Promise<WatchAnswer> => {
+      asked.push(`store ${waitMs}`);
+      return Promise.resolve({ kind: 'events', events: [], revision: 1 });
+    },
+  } as unknown as CoordinationStore;
+  const feed = new DelegatedFeed({
+    store,
+    ownName: 'me',
+    zone: 'a',
+    delegates: () => state.delegates,
+    mustBeDirect: () => state.isDirect,
+    ask: ({ name }) => {
+      asked.push(name);
+      return Promise.resolve(answers.get(name) ?? null);
+    },
+    log: () => undefined,
+    now: () => state.now,
+    random: () => 0,
+  });
+  return { feed, asked, state, answers };
+}
+
+function changes(ageMs: number, list: readonly StoreEvent[] = []): PassedChanges {
+  const log = new ChangeLog();
+  log.restart(0, 0);
+  log.append(0, list, 9, 0);
+  return { kind: 'changes', changes: log.since(0) ?? [], revision: 9, ageMs };
+}
+
+describe('a daemon that follows through another', () => {
+  test('asks one in its zone, and stays with it', async () => {
+    const { feed, asked, answers } = rig();
+    answers.set('d1', changes(10, [put('a', 3)]));
+    const answer = await feed.watch(0, 2500);
+    assert.ok(answer.kind === 'events' && answer.isPassedOn && answer.events[0]?.key === 'a');
+    await feed.watch(9, 2500);
+    assert.deepEqual(asked, ['d1', 'd1']);
+  });
+
+  test('asks the store when that one does not answer, then another; the first again after a while', async () => {
+    const { feed, asked, answers, state } = rig();
+    answers.set('d2', changes(10));
+    assert.equal((await feed.watch(0, 2500)).isPassedOn, false);
+    assert.equal((await feed.watch(0, 2500)).isPassedOn, true);
+    answers.set('d2', { kind: 'unavailable' });
+    await feed.watch(0, 2500);
+    await feed.watch(0, 2500);
+    state.now += 60_000;
+    answers.set('d1', changes(10));
+    await feed.watch(0, 2500);
+    assert.deepEqual(asked, ['d1', 'store 2500', 'd2', 'd2', 'store 2500', 'store 2500', 'd1']);
+  });
+
+  test('does not rely on one that has not heard of the store for long', async () => {
+    const { feed, answers } = rig();
+    answers.set('d1', changes(STALE_MS + 1, [put('a', 3)]));
+    assert.equal((await feed.watch(0, 2500)).isPassedOn, false);
+  });
+
+  test('reads everything again when the other does not keep what it needs', async () => {
+    const { feed, answers } = rig();
+    answers.set('d1', { kind: 'forgotten' });
+    assert.deepEqual(await feed.watch(0, 2500), { kind: 'compacted', isPassedOn: true });
+  });
+
+  test('reads large values from the store itself', async () => {
+    const large = Buffer.alloc(MAX_PASSED_BYTES + 1, 7);
+    const { feed, answers } = rig((key) => Promise.resolve({ key, value: large, revision: 4 }));
+    answers.set('d1', changes(10, [put('big', 3, large)]));
+    const answer = await feed.watch(0, 2500);
+    assert.ok(answer.kind === 'events');
+    assert.deepEqual(answer.events, [{ key: 'big', value: large, revision: 4 }]);
+    const broken = rig(() => Promise.reject(new StoreError('down', false)));
+    broken.answers.set('d1', changes(10, [put('big', 3, large)]));
+    await assert.rejects(broken.feed.watch(0, 2500), StoreError);
+  });
+
+  test('is direct where it works for the others, holds the duty, or the fleet is small', async () => {
+    const { feed, asked, state } = rig();
+    state.isDirect = true;
+    await feed.watch(0, 2500);
+    state.isDirect = false;
+    state.delegates = [daemon('me'), daemon('d1')];
+    await feed.watch(0, 2500);
+    state.delegates = null;
+    await feed.watch(0, 2500);
+    assert.deepEqual(asked, ['store 2500', 'store 1000', 'store 2500']);
+  });
+});
--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -278,15 +278,19 @@
   function follow(store: MemoryStore): { watched: WatchedStore; told: string[]; rests: number[] } {
     const told: string[] = [];
     const rests: number[] = [];
-    const watched = new WatchedStore(
-      store,
-      () => undefined,
-      () => 0.5,
-      (ms) => {
+    const watched = new WatchedStore({
+      feed: {
+        list: () => store.list(),
+        watch: async () => ({ ...(await store.watch()), isPassedOn: false }),
+      },
+      log: () => undefined,
+      now: () => 0,
+      random: () => 0.5,
+      rest: (ms) => {
         rests.push(ms);
         return Promise.resolve();
       },
-    );
+    });
     watched.subscribe('a/', {
       changed: ({ key, revision }) => told.push(`${key}@${revision}`),
       removed: (key) => told.push(`-${key}`),
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -5,7 +5,9 @@
  * @packageDocumentation
  */
 import { delay } from '../common/signal.js';
-import type { CoordinationStore, StoredItem, StoreEvent } from './coordination-store.js';
+import type { ChangeFeed } from './change-feed.js';
+import { ChangeLog } from './change-log.js';
+import type { StoredItem, StoreEvent } from './coordination-store.js';
 
 /** Who is told. */
 export interface WatchedPrefixListener {
@@ -32,7 +34,8 @@
 /**
  * Rest after an answer with changes, in milliseconds: a change seldom comes alone, and those that follow it are told
  * by one answer. The store prices every call, and each change is told to every daemon: so the rest grows with their
- * number, up to a limit: daemons are not to differ for long in what configuration they follow.
+ * number, up to a limit: daemons are not to differ for long in what configuration they follow. What another daemon passes
+ * on has rested there.
  */
 const LEAST_REST_MS = 50;
 const REST_MS_PER_WATCHER = 2;
@@ -41,8 +44,20 @@
 /** Where changes are followed from. */
 const WHOLE_STORE = '';
 
+/** What a copy needs. */
+export interface WatchedStoreOptions {
+  readonly feed: ChangeFeed;
+  log(event: string, details: Readonly<Record<string, unknown>>): void;
+  now(): number;
+  random(): number;
+  /** Waits, in milliseconds. */
+  rest?(ms: number): Promise<void>;
+}
+
 /** A copy of the store, followed by one watch for all who listen. */
 export class WatchedStore {
+  /** What the store has told of late, for daemons that follow it through this one. */
+  readonly changes = new ChangeLog();
   /** How many follow the store, this one included. */
   watchers = 1;
   readonly #items = new Map<string, StoredItem>();
@@ -52,12 +67,7 @@
   #isAvailable = true;
   #failures = 0;
 
-  constructor(
-    private readonly store: CoordinationStore,
-    private readonly log: (event: string, details: Readonly<Record<string, unknown>>) => void,
-    private readonly random: () => number,
-    private readonly rest: (ms: number) => Promise<void> = delay,
-  ) {}
+  constructor(private readonly options: WatchedStoreOptions) {}
 
   /** Tells a listener of the keys under a prefix; to be called before {@link WatchedStore.run}. */
   subscribe(prefix: string, listener: WatchedPrefixListener): void {
@@ -94,26 +104,31 @@
   }
 
   async #load(): Promise<void> {
-    const { items, revision } = await this.store.list(WHOLE_STORE);
+    const { items, revision } = await this.options.feed.list(WHOLE_STORE);
     const present = new Set(items.map((item) => item.key));
-    for (const key of [...this.#items.keys()]) if (!present.has(key)) this.#remove(key);
+    for (const key of [...this.#items.keys()]) if (!present.has(key)) this.#remove(key, revision);
     for (const item of items) this.#put(item);
     this.#revision = revision;
+    this.changes.restart(revision, this.options.now());
     for (const { listener } of this.#listeners) listener.settled();
   }
 
   /** One watch; false when everything has to be read again. */
   async #follow(): Promise<boolean> {
     const waitMs = this.#failures > 0 ? FIRST_WATCH_MS : WATCH_MS;
-    const answer = await this.store.watch(WHOLE_STORE, this.#revision ?? 0, waitMs);
+    const afterRevision = this.#revision ?? 0;
+    const answer = await this.options.feed.watch(afterRevision, waitMs);
     if (answer.kind === 'compacted') return false;
     for (const event of answer.events) {
-      if (event.value === null) this.#remove(event.key);
+      if (event.value === null) this.#remove(event.key, event.revision);
       else this.#put({ key: event.key, value: event.value, revision: event.revision });
     }
-    this.#revision = Math.max(this.#revision ?? 0, answer.revision);
+    this.#revision = Math.max(afterRevision, answer.revision);
+    if (answer.isPassedOn) this.changes.suspend();
+    else this.changes.append(afterRevision, answer.events, answer.revision, this.options.now());
     this.#settle(answer.events);
-    if (answer.events.length > 0) await this.rest(this.#restMs());
+    const { rest = delay } = this.options;
+    if (answer.events.length > 0 && !answer.isPassedOn) await rest(this.#restMs());
     return true;
   }
 
@@ -134,8 +149,10 @@
       if (item.key.startsWith(prefix)) listener.changed(item);
   }
 
-  #remove(key: string): void {
-    if (!this.#items.delete(key)) return;
+  #remove(key: string, revision: number): void {
+    const known = this.#items.get(key);
+    if (known === undefined || known.revision > revision) return;
+    this.#items.delete(key);
     for (const { prefix, listener } of this.#listeners) if (key.startsWith(prefix)) listener.removed(key);
   }
 
@@ -147,17 +164,18 @@
   }
 
   #tellAvailability(reason: string): void {
-    this.log(this.#isAvailable ? 'store_regained' : 'store_lost', { reason });
+    this.options.log(this.#isAvailable ? 'store_regained' : 'store_lost', { reason });
     for (const { listener } of this.#listeners) listener.availability(this.#isAvailable);
   }
 
   async #failed(reason: string): Promise<void> {
     this.#failures += 1;
+    this.changes.suspend();
     if (this.#isAvailable) {
       this.#isAvailable = false;
       this.#tellAvailability(reason);
     }
     const ceiling = Math.min(LAST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures, 10));
-    await delay(ceiling * (0.5 + this.random() / 2));
+    await delay(ceiling * (0.5 + this.options.random() / 2));
   }
 }
--- a/src/gateway/assign-gateways.test.ts
+++ b/src/gateway/assign-gateways.test.ts
@@ -6,8 +6,8 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { DaemonDirectory } from '../cluster/daemon-directory.js';
+import { chooseDelegates } from '../cluster/delegates.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import { witnessAskers } from '../leadership/evidence-sharing.js';
 import { assignGateways } from './assign-gateways.js';
 
 function daemon(name: string, zone: string, capacity = 1): DaemonRecord {
@@ -73,10 +73,10 @@
   });
 });
 
-describe('the daemons that ask witnesses', () => {
+describe('the daemons that work on behalf of all', () => {
   test('are all in a small fleet, and two a zone in a large one', () => {
-    assert.equal(witnessAskers(fleet(12, ['a', 'b'])), null);
-    const askers = witnessAskers(fleet(60, ['a', 'b', 'c'])) ?? [];
+    assert.equal(chooseDelegates('witnesses', fleet(12, ['a', 'b'])), null);
+    const askers = chooseDelegates('witnesses', fleet(60, ['a', 'b', 'c'])) ?? [];
     assert.deepEqual(askers.map(({ zone }) => zone).sort(), ['a', 'a', 'b', 'b', 'c', 'c']);
   });
 });
--- a/src/gateway/assign-gateways.ts
+++ b/src/gateway/assign-gateways.ts
@@ -8,7 +8,7 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import { weightedRendezvousScore } from '../common/rendezvous.js';
+import { rankByCapacity } from '../cluster/rank-by-capacity.js';
 
 /** What is known of a member. */
 export interface AssignmentQuestion {
@@ -44,17 +44,3 @@
   const gateways = rankByCapacity(memberId, candidates).slice(0, wanted);
   return { gateways, budget: Math.max(1, Math.floor(connections / gateways.length)) };
 }
-
-/** Daemons in order of preference for a key. */
-export function rankByCapacity(key: string, daemons: readonly DaemonRecord[]): readonly DaemonRecord[] {
-  const scores = new Map(
-    daemons.map((daemon) => [
-      daemon,
-      weightedRendezvousScore(key, daemon.name, Math.max(0.01, daemon.capacity)),
-    ]),
-  );
-  return [...daemons].sort(
-    (left, right) =>
-      (scores.get(right) ?? 0) - (scores.get(left) ?? 0) || left.name.localeCompare(right.name, 'en'),
-  );
-}
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -6,6 +6,7 @@
 import { connect } from 'node:net';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import type { PassedChanges } from '../coordination/change-relay.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import { BorrowedLink } from './borrowed-link.js';
 import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage } from './gateway-messages.js';
@@ -30,11 +31,29 @@
   readonly waitMs: number;
 }
 
+/** A question to another daemon that is no loan. */
+type Question =
+  | { readonly type: 'ask_evidence' }
+  | { readonly type: 'ask_changes'; readonly afterRevision: number; readonly waitMs: number };
+
+/** Its answer; `null` when none came in time. */
+type Answer =
+  | { readonly type: 'evidence'; readonly entries: readonly SharedEvidence[] }
+  | { readonly type: 'changes'; readonly answer: PassedChanges }
+  | null;
+
+/** A question under way. */
+interface OpenQuestion {
+  /** True when it is answered at once: silence then says that the daemon is in trouble. */
+  readonly isPrompt: boolean;
+  settle(answer: Answer): void;
+}
+
 /** The connection to one gateway. */
 class GatewayConnection {
   isLeaving = false;
   readonly loans = new Map<number, BorrowedLink>();
-  readonly questions = new Map<number, (entries: readonly SharedEvidence[] | null) => void>();
+  readonly questions = new Map<number, OpenQuestion>();
   readonly #channel: MessageChannel<GatewayMessage>;
   readonly #openedAtMs: number;
   #isConnected = false;
@@ -75,9 +94,14 @@
     return link;
   }
 
-  ask(id: number, settle: (entries: readonly SharedEvidence[] | null) => void): void {
-    this.questions.set(id, settle);
-    this.#transmit({ type: 'ask_evidence', id });
+  ask(id: number, question: Question, settle: (answer: Answer) => void): void {
+    this.questions.set(id, { isPrompt: question.type === 'ask_evidence', settle });
+    this.#transmit({ ...question, id });
+  }
+
+  /** An answer has not come in time: a sign of life is due. */
+  overdue(): void {
+    this.#owedSinceMs ??= this.now();
   }
 
   /** Asks for a sign of life where one is due; ends what is dead. */
@@ -108,7 +132,8 @@
         this.loans.get(message.loan)?.lose(message.reason);
         break;
       case 'evidence':
-        this.questions.get(message.id)?.(message.entries);
+      case 'changes':
+        this.questions.get(message.id)?.settle(message);
         this.questions.delete(message.id);
         break;
       case 'leaving':
@@ -121,7 +146,7 @@
   }
 
   #isOwed(): boolean {
-    if (this.questions.size > 0) return true;
+    for (const { isPrompt } of this.questions.values()) if (isPrompt) return true;
     for (const link of this.loans.values()) if (link.isWaiting) return true;
     return false;
   }
@@ -133,7 +158,7 @@
 
   #closed(): void {
     this.onClosed();
-    for (const settle of this.questions.values()) settle(null);
+    for (const { settle } of this.questions.values()) settle(null);
     this.questions.clear();
     for (const link of [...this.loans.values()]) {
       if (this.#isConnected) link.lose('the connection to the gateway was lost');
@@ -177,18 +202,35 @@
   }
 
   /** What a daemon can prove; `null` when it does not answer in time. */
-  askEvidence(record: DaemonRecord, timeoutMs: number): Promise<readonly SharedEvidence[] | null> {
+  async askEvidence(record: DaemonRecord, timeoutMs: number): Promise<readonly SharedEvidence[] | null> {
+    const answer = await this.#ask(record, { type: 'ask_evidence' }, timeoutMs);
+    return answer?.type === 'evidence' ? answer.entries : null;
+  }
+
+  /** What a daemon has heard of the store; `null` when it does not answer in time. */
+  async askChanges(
+    record: DaemonRecord,
+    afterRevision: number,
+    waitMs: number,
+    timeoutMs: number,
+  ): Promise<PassedChanges | null> {
+    const answer = await this.#ask(record, { type: 'ask_changes', afterRevision, waitMs }, timeoutMs);
+    return answer?.type === 'changes' ? answer.answer : null;
+  }
+
+  #ask(record: DaemonRecord, question: Question, timeoutMs: number): Promise<Answer> {
     const connection = this.#connection(record);
     this.#nextQuestion += 1;
     const id = this.#nextQuestion;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         connection.questions.delete(id);
+        connection.overdue();
         resolve(null);
       }, timeoutMs);
-      connection.ask(id, (entries) => {
+      connection.ask(id, question, (answer) => {
         clearTimeout(timer);
-        resolve(entries);
+        resolve(answer);
       });
     });
   }
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -8,6 +8,7 @@
  * @packageDocumentation
  */
 import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import type { PassedChanges } from '../coordination/change-relay.js';
 import type { MemberReply, MemberRequest } from '../relay/member-link.js';
 import type { PreparedShape } from '../relay/statement.js';
 
@@ -81,6 +82,22 @@
   readonly entries: readonly SharedEvidence[];
 }
 
+/** Asks for changes of the store after a revision. */
+export interface ChangesQuestionMessage {
+  readonly type: 'ask_changes';
+  readonly id: number;
+  readonly afterRevision: number;
+  /** Longest wait for a change, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** What the daemon has heard of the store. */
+export interface ChangesAnswerMessage {
+  readonly type: 'changes';
+  readonly id: number;
+  readonly answer: PassedChanges;
+}
+
 /** Any message on a connection to a gateway. */
 export type GatewayMessage =
   | BorrowMessage
@@ -92,7 +109,9 @@
   | GatewaySignMessage
   | GatewayLeavesMessage
   | EvidenceQuestionMessage
-  | EvidenceAnswerMessage;
+  | EvidenceAnswerMessage
+  | ChangesQuestionMessage
+  | ChangesAnswerMessage;
 
 /** Largest message, in bytes. */
 export const MAX_GATEWAY_MESSAGE_BYTES = 2 * 1024 * 1024 + 64 * 1024;
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import type { PassedChanges } from '../coordination/change-relay.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import type { MemberReply } from '../relay/member-link.js';
@@ -23,6 +24,8 @@
   /** The pool of a member to which this daemon may connect, or `null`. */
   pool(groupName: string, memberId: string): LinkPool | null;
   ownEvidence(): readonly SharedEvidence[];
+  /** Changes of the store as this daemon has heard of them. */
+  changes(afterRevision: number, waitMs: number): Promise<PassedChanges>;
 }
 
 /** An answer that says that nothing was sent to the member. */
@@ -209,11 +212,17 @@
       case 'ask_evidence':
         channel.send({ type: 'evidence', id: message.id, entries: this.ports.ownEvidence() });
         break;
+      case 'ask_changes':
+        void this.ports
+          .changes(message.afterRevision, message.waitMs)
+          .then((answer) => channel.send({ type: 'changes', id: message.id, answer }));
+        break;
       case 'reply':
       case 'lost':
       case 'pong':
       case 'leaving':
       case 'evidence':
+      case 'changes':
         channel.destroy();
     }
   }
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -7,9 +7,9 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { chooseDelegates } from '../cluster/delegates.js';
 import type { SharedEvidence } from '../cluster/peer-mesh.js';
 import { delay } from '../common/signal.js';
-import { rankByCapacity } from '../gateway/assign-gateways.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import { EVIDENCE_MS, SHARING_MS } from './leadership-evidence.js';
 
@@ -17,10 +17,6 @@
 const SHARING_TIMEOUT_MS = 200;
 /** Time between questions while a group has no evidence, in milliseconds. */
 const MISSING_MS = 80;
-/** Number of daemons up to which every one asks witnesses itself. */
-const SMALL_FLEET = 12;
-/** Daemons of each zone that ask witnesses in a larger one. */
-const ASKERS_PER_ZONE = 2;
 /** Time without evidence after which a daemon asks the members itself, whoever else does, in milliseconds. */
 const PATIENCE_MS = 1200;
 
@@ -41,16 +37,6 @@
   random(): number;
 }
 
-/** The daemons that ask witnesses on behalf of all; `null` when everybody does. */
-export function witnessAskers(daemons: readonly DaemonRecord[]): readonly DaemonRecord[] | null {
-  if (daemons.length <= SMALL_FLEET) return null;
-  const zones = new Set(daemons.map(({ zone }) => zone));
-  return [...zones].flatMap((zone) => {
-    const inZone = daemons.filter((daemon) => daemon.zone === zone);
-    return rankByCapacity('witnesses', inZone).slice(0, ASKERS_PER_ZONE);
-  });
-}
-
 /** One daemon's part in sharing evidence. */
 export class EvidenceSharing {
   #isStopped = false;
@@ -73,7 +59,7 @@
 
   /** True when this daemon questions members on behalf of others. */
   isAsker(): boolean {
-    const askers = witnessAskers(this.options.daemons());
+    const askers = chooseDelegates('witnesses', this.options.daemons());
     return askers === null || askers.some(({ name }) => name === this.options.ownName);
   }
 
@@ -114,7 +100,9 @@
   async #ask(): Promise<readonly SharedEvidence[] | null> {
     const ofHolder = await this.options.askHolder(SHARING_TIMEOUT_MS);
     if (ofHolder !== null) return ofHolder;
-    const askers = witnessAskers(this.options.daemons())?.filter(({ name }) => name !== this.options.ownName);
+    const askers = chooseDelegates('witnesses', this.options.daemons())?.filter(
+      ({ name }) => name !== this.options.ownName,
+    );
     if (askers === undefined || askers.length === 0) return null;
     const inZone = askers.filter(({ zone }) => zone === this.options.zone);
     const isNear = inZone.length > 0 && this.options.random() < 0.8;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -6,6 +6,7 @@
 import { delay } from '../common/signal.js';
 import { DaemonDirectory } from '../cluster/daemon-directory.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { chooseDelegates } from '../cluster/delegates.js';
 import { deliverOrder, type OrderOutcomes } from '../cluster/order-delivery.js';
 import { Registration } from '../cluster/registration.js';
 import {
@@ -18,7 +19,9 @@
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import type { DutyHolder } from '../coordination/duty-record.js';
 import { COORDINATION_PREFIX, Duty, listLeasedDaemons, readDaemons } from '../coordination/duty.js';
-import type { WatchedStore } from '../coordination/watched-store.js';
+import { DelegatedFeed, WORST_LAG_MS } from '../coordination/change-feed.js';
+import { ChangeRelay } from '../coordination/change-relay.js';
+import { WatchedStore } from '../coordination/watched-store.js';
 import { assignGateways, type Assignment } from '../gateway/assign-gateways.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { GatewayServer } from '../gateway/gateway-server.js';
@@ -40,8 +43,6 @@
   readonly self: DaemonRecord;
   readonly zone: string;
   readonly store: CoordinationStore;
-  /** The copy of the store; whoever makes the daemon runs it. */
-  readonly watched: WatchedStore;
   readonly dialer: MemberDialer;
   readonly readStatus: StatusReader;
   readonly promotion: PromotionPort;
@@ -89,6 +90,8 @@
 const IDLE_MS = 800;
 /** Part of the time to leave after which a leaving member is given no work at all. */
 const LEAVE_SHARE = 0.75;
+/** Least part of that time that is kept for requests under way, in milliseconds. */
+const LEAVE_MARGIN_MS = 500;
 /** For how long a member whose entry is gone may still run, in milliseconds. */
 const FORMER_MS = 30_000;
 /** Time after the store is back in which vanished entries mean nothing, in heartbeats. */
@@ -105,6 +108,8 @@
 /** A relay daemon without its sockets towards clients. */
 export class RelayDaemon {
   readonly catalog = new Catalog();
+  /** The copy of the store; whoever makes the daemon runs it. */
+  readonly watched: WatchedStore;
   readonly #groups = new Map<string, WatchedGroup>();
   readonly #entries = new Map<string, MemberEntry>();
   /** Members that left and must not be used, though their entries may still stand. */
@@ -116,6 +121,8 @@
   readonly #daemons = new DaemonDirectory();
   readonly #registration: Registration;
   #isDutyStarted = false;
+  /** Who follows the store for all, until the daemons change. */
+  #followers: readonly DaemonRecord[] | null | undefined = undefined;
   readonly #gatewayClient: GatewayClient;
   readonly #gatewayServer: GatewayServer;
   readonly #sharing: EvidenceSharing;
@@ -139,16 +146,30 @@
       suspicion: (suspicion) => this.#heed(suspicion),
       ownEvidence: () => this.#sharing.ownEvidence(),
     });
-    options.watched.subscribe(COORDINATION_PREFIX, {
+    this.#gatewayClient = new GatewayClient(self.host, now, random);
+    const feed = new DelegatedFeed({
+      store,
+      ownName: self.name,
+      zone: options.zone,
+      delegates: () => this.#storeFollowers(),
+      mustBeDirect: () => this.isDutyHolder,
+      ask: this.#gatewayClient.askChanges.bind(this.#gatewayClient),
+      log: options.log,
+      now,
+      random,
+    });
+    this.watched = new WatchedStore({ feed, log: options.log, now, random });
+    const changeRelay = new ChangeRelay(this.watched.changes, now);
+    this.watched.subscribe(COORDINATION_PREFIX, {
       changed: () => undefined,
       removed: () => undefined,
       settled: () => this.#keysChanged(),
       availability: (isAvailable) => this.#daemons.availability(isAvailable, now()),
     });
-    this.#gatewayClient = new GatewayClient(self.host, now, random);
     this.#gatewayServer = new GatewayServer({
       pool: (groupName, memberId) => this.#lendablePool(groupName, memberId),
       ownEvidence: () => this.#sharing.ownEvidence(),
+      changes: (afterRevision, waitMs) => changeRelay.ask(afterRevision, waitMs),
     });
     this.#sharing = new EvidenceSharing({
       ownName: self.name,
@@ -173,7 +194,7 @@
     this.#duty = new Duty(
       store,
       self,
-      () => options.watched,
+      () => this.watched,
       listener,
       (holder) => this.#isEnded(holder),
       now,
@@ -511,7 +532,7 @@
       now - member.missingSinceMs > GONE_HEARTBEATS * this.options.heartbeatMs;
     if (isGone) this.#leaves(watched, member, 'unlisted');
     if (member.leavingSinceMs === null) return;
-    if (now - member.leavingSinceMs < this.options.leaveMs * LEAVE_SHARE) return;
+    if (now - member.leavingSinceMs < this.#serveLeavingMs()) return;
     const { memberId } = member.entry;
     watched.group.members.delete(memberId);
     watched.group.former.set(memberId, member);
@@ -522,6 +543,13 @@
     this.options.log('member_out', { group: watched.group.name, member: memberId });
   }
 
+  /** For how long a leaving member is given work since this daemon heard of it, in milliseconds. */
+  #serveLeavingMs(): number {
+    const { leaveMs } = this.options;
+    const lagMs = this.#storeFollowers() === null ? 0 : WORST_LAG_MS;
+    return Math.min(leaveMs * LEAVE_SHARE, leaveMs - LEAVE_MARGIN_MS - lagMs);
+  }
+
   #suspect(group: MemberGroup, member: Member, reason: string): void {
     const now = this.options.now();
     const watched = this.#groups.get(group.name);
@@ -584,7 +612,7 @@
   }
 
   #keysChanged(): void {
-    const { registered, leased } = readDaemons(this.options.watched.items);
+    const { registered, leased } = readDaemons(this.watched.items);
     this.#daemons.update(registered, leased, this.options.now());
     this.#daemonsChanged();
     if (!this.#isDutyStarted) this.#startDuty(registered);
@@ -599,12 +627,19 @@
   }
 
   #daemonsChanged(): void {
-    this.options.watched.watchers = Math.max(1, this.#daemons.live.length);
+    this.watched.watchers = Math.max(1, this.#daemons.live.length);
     this.#assignments.clear();
+    this.#followers = undefined;
     this.#gatewayClient.retain(this.#daemons.live);
     if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
   }
 
+  /** The daemons that follow the store on behalf of all; `null` when everybody does. */
+  #storeFollowers(): readonly DaemonRecord[] | null {
+    if (this.#followers === undefined) this.#followers = chooseDelegates('store', this.#daemons.live);
+    return this.#followers;
+  }
+
   /** True when the process of a former holder of the duty has certainly ended. */
   async #isEnded({ name, life }: DutyHolder): Promise<boolean> {
     const record = this.#daemons.find(name);
