--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -102,6 +102,8 @@
   readonly #history = new DutyHistory();
   #isStopped = false;
   #isAcquiring = false;
+  /** The lease asked for before the store was read, while nobody has used it. */
+  #granting: Promise<void> | null = null;
 
   constructor(
     private readonly store: CoordinationStore,
@@ -133,6 +135,11 @@
     return { takenAtMs: this.#actsFromMs, untilMs: this.#untilMs };
   }
 
+  /** Asks for a lease, so that it is there when {@link Duty.run} registers. */
+  prepare(): void {
+    this.#granting = this.#grant().catch(() => undefined);
+  }
+
   /** Keeps the lease until {@link Duty.stop}. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
@@ -169,8 +176,13 @@
   }
 
   async #keep(): Promise<boolean> {
-    const sentAtMs = this.now();
     try {
+      if (this.#granting !== null) {
+        await this.#granting;
+        this.#granting = null;
+        if (this.#leaseId !== 0) return await this.#register();
+      }
+      const sentAtMs = this.now();
       if (this.#leaseId !== 0 && (await this.store.keepLease(this.#leaseId))) {
         this.#leaseUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
         if (this.#fence !== null) await this.#confirm();
@@ -178,9 +190,7 @@
       }
       if (this.#leaseId !== 0) this.#lose('the lease is over');
       this.#isRegistered = false;
-      const lease = await this.store.grantLease(LEASE_MS);
-      this.#leaseId = lease.leaseId;
-      this.#leaseUntilMs = sentAtMs + lease.ttlMs - SAFETY_MS;
+      await this.#grant();
       return await this.#register();
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
@@ -188,6 +198,13 @@
     }
   }
 
+  async #grant(): Promise<void> {
+    const sentAtMs = this.now();
+    const lease = await this.store.grantLease(LEASE_MS);
+    this.#leaseId = lease.leaseId;
+    this.#leaseUntilMs = sentAtMs + lease.ttlMs - SAFETY_MS;
+  }
+
   async #register(): Promise<boolean> {
     const { name, life } = this.self;
     const puts = [
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -6,7 +6,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { DUTY_SETTLE_MS, EVIDENCE_MS, HOLDER_RENEWAL_MS, OWN_RENEWAL_MS } from './leadership-evidence.js';
-import type { MemberControl } from './member-control.js';
+import type { ControlAnswer, MemberControl } from './member-control.js';
 
 /** Longest wait for a status, in milliseconds. */
 const STATUS_MS = 250;
@@ -96,7 +96,10 @@
 
   async #round(): Promise<boolean> {
     if (this.#vouch()) return true;
-    if (this.group.evidence.leader === null && !(await this.#learn())) return false;
+    if (this.group.evidence.leader === null) {
+      if (await this.#learn()) return true;
+      if (this.group.evidence.leader === null) return false;
+    }
     for (const witness of this.#witnesses()) {
       if (await this.#askWitness(witness)) return true;
       if (this.#isStopped || this.group.evidence.leader === null) return false;
@@ -116,18 +119,25 @@
     return true;
   }
 
-  /** Asks the members that may lead; those that say so in the directory first. */
+  /**
+   * Asks the members that may lead, those that say so in the directory first, and a witness at the same time: its answer
+   * counts once the leader is known. True when there is evidence.
+   */
   async #learn(): Promise<boolean> {
     const members = [...this.group.members.values()];
     const claimants = members.filter((member) => member.entry.saysPrimary);
-    const asked = claimants.length > 0 && this.#failures % 4 !== 3 ? claimants : members;
-    await Promise.all(asked.map((member) => this.#askLeader(member)));
-    return this.group.evidence.leader !== null;
+    const isClaimed = claimants.length > 0 && this.#failures % 4 !== 3;
+    const [witness] = this.#witnesses().filter((member) => !claimants.includes(member));
+    const asked = isClaimed ? [...claimants, ...(witness === undefined ? [] : [witness])] : members;
+    const answers = await Promise.all(
+      asked.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_MS)),
+    );
+    asked.forEach((member, index) => this.#believe(member, answers[index]));
+    return answers.some((answer) => this.#takeWitness(answer));
   }
 
-  async #askLeader(member: Member): Promise<void> {
-    const answer = await this.control.ask(member, { kind: 'status' }, STATUS_MS);
-    if (answer.kind !== 'answered' || !answer.status.isPrimary) return;
+  #believe(member: Member, answer: ControlAnswer | undefined): void {
+    if (answer?.kind !== 'answered' || !answer.status.isPrimary) return;
     const { memberId } = member.entry;
     if (this.group.evidence.believe({ memberId, term: answer.status.term })) this.group.changed.notify();
   }
@@ -145,13 +155,15 @@
 
   async #askWitness(witness: Member): Promise<boolean> {
     const answer = await this.control.ask(witness, { kind: 'status' }, STATUS_MS);
-    if (answer.kind !== 'answered') return false;
+    this.#believe(witness, answer);
+    return this.#takeWitness(answer);
+  }
+
+  /** True when the answer is evidence for the leader. */
+  #takeWitness(answer: ControlAnswer): boolean {
+    if (answer.kind !== 'answered' || answer.status.isPrimary) return false;
     const { status, askedAtMs } = answer;
     const { evidence } = this.group;
-    if (status.isPrimary) {
-      evidence.believe({ memberId: witness.entry.memberId, term: status.term });
-      return false;
-    }
     const isEvidence = evidence.witness(status.term, status.pausedForTerm, askedAtMs);
     if (!isEvidence) return false;
     const duty = this.heldDuty();
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -187,7 +187,10 @@
       random,
     });
     const listener = {
-      registered: () => this.#registration.registered(now()),
+      registered: () => {
+        this.#registration.registered(now());
+        for (const { watcher } of this.#groups.values()) watcher.wake();
+      },
       taken: (fence: number) => this.#dutyTaken(fence),
       lost: (reason: string) => this.#dutyLost(reason),
     };
@@ -243,6 +246,7 @@
     const { host, port, gatewayPort } = this.options.self;
     await this.#mesh.listen(host, port);
     await this.#gatewayServer.listen(host, gatewayPort);
+    this.#duty.prepare();
     this.#runForever(this.#sharing.run());
     this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
   }
