Requests that this daemon alone cannot serve are refused soon, as not run

Ruled out: refusing sooner whenever no leader is proven (a change of leader takes less than a second and is worth waiting for); ending reads that a silent member may still be running (priced, and the member may be at work).

Requests that wait for a connection to a silent member are told so at once.

--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -177,6 +177,7 @@
     const hasEvidence = leader !== null;
     if (hasEvidence === this.#hadEvidence) return;
     this.#hadEvidence = hasEvidence;
+    this.group.leaderlessSinceMs = hasEvidence ? null : this.now();
     this.listener.evidenceChanged(this.group, leader?.memberId ?? null, reason);
   }
 }
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -160,6 +160,11 @@
     return nowMs - Math.max(waitingSince, lastReceived);
   }
 
+  /** Tells all who wait that none will come soon: the member does not answer. Nothing was sent. */
+  failWaiters(reason: string): void {
+    for (const waiter of this.#waiters.splice(0)) waiter.fail(new PoolTimeoutError(reason));
+  }
+
   /** Ends all connections: the member does not answer. */
   dropAll(): void {
     for (const link of [...this.#links]) link.close();
@@ -169,7 +174,7 @@
   close(): void {
     this.#isClosed = true;
     for (const { link } of [...this.#idle]) link.close();
-    for (const waiter of this.#waiters.splice(0)) waiter.fail(new PoolTimeoutError('the member has left'));
+    this.failWaiters('the member has left');
   }
 
   #mayDial(): boolean {
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -9,7 +9,8 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { selectReadMember, type ReadCandidate } from '../topology/select-member.js';
-import type { MemberErrorCode, MemberReply } from './member-link.js';
+import { DialError, type MemberErrorCode, type MemberReply } from './member-link.js';
+import { shouldAskElsewhere } from './patience.js';
 import { firstWithin } from './race.js';
 import { Refusal } from './refusal.js';
 import { LATE_ANSWER_MS, RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
@@ -98,6 +99,8 @@
 /** Runs one read. */
 export class ReadRunner {
   readonly #excluded = new Set<string>();
+  /** Members to which no connection could be opened in this round. */
+  readonly #unreachable = new Set<string>();
   readonly #pending = new Map<Promise<Attempt>, Member>();
   #isSettled = false;
   #wasSent = false;
@@ -131,7 +134,9 @@
       this.#launch();
       if (this.#pending.size === 0) {
         if (this.#failure !== null && this.#failures >= MAX_FAILURES) return this.#failure;
+        if (this.#shouldAskElsewhere()) return this.#giveUp();
         this.#excluded.clear();
+        this.#unreachable.clear();
         await this.job.group.changed.wait(Math.min(RETRY_PAUSE_MS, remaining));
         continue;
       }
@@ -155,6 +160,24 @@
     }
   }
 
+  /** True when no member can serve now, and another daemon may know one that can. */
+  #shouldAskElsewhere(): boolean {
+    const { context, job } = this;
+    const now = context.now();
+    const isLeaderOnly = job.route.consistency === 'primary';
+    const candidates = readCandidates(context, job.group, null).filter(
+      ({ isLeader }) => isLeader || !isLeaderOnly,
+    );
+    return shouldAskElsewhere({
+      heldMs: now - job.receivedAtMs,
+      timeoutMs: job.route.timeoutMs,
+      leaderlessMs: job.group.leaderlessMs(now),
+      isUnreachable:
+        candidates.length > 0 &&
+        candidates.every(({ isAvoided, memberId }) => isAvoided || this.#unreachable.has(memberId)),
+    });
+  }
+
   #hedgeMs(): number {
     const isMore = this.#pending.size < MAX_PARALLEL;
     return isMore ? this.job.route.targetLatencyMs * HEDGE_SHARE : Number.MAX_SAFE_INTEGER / 1e9;
@@ -189,6 +212,7 @@
     try {
       link = await member.pool.acquire(job.values, job.route.priority, job.deadlineMs - context.now());
     } catch (error) {
+      if (error instanceof DialError) this.#unreachable.add(member.entry.memberId);
       return { kind: 'not_run', reason: `no connection: ${String(error)}`, member };
     }
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now() + LATE_ANSWER_MS);
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -526,6 +526,7 @@
     if (silence >= LEADER_SILENCE_MS && silence < LEADER_SILENCE_MS + TICK_MS) this.#doubt(group, member);
     if (silence < SILENCE_MS) return;
     this.#suspect(group, member, 'silent');
+    member.pool.own.failWaiters('the member is silent');
     if (silence >= DEAD_MS) member.pool.own.dropAll();
   }
 
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -7,13 +7,13 @@
 import type { Position } from '../position/position.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import type { MemberReply } from './member-link.js';
+import { DialError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { readCandidates, readFloor } from './read-runner.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
-import { awaitLeader, LEADER_RESERVE_MS } from './write-runner.js';
+import { awaitLeader, isWaitOver, LEADER_RESERVE_MS, type LeaderWait } from './write-runner.js';
 
 /** What a transaction begins with. */
 export interface TransactionOptions {
@@ -50,6 +50,8 @@
   #wasSent = false;
   #isOver = false;
   #lastReason = 'no member can serve';
+  /** No connection could be opened at the last attempt. */
+  #isUnreachable = false;
 
   constructor(
     private readonly context: RelayContext,
@@ -87,14 +89,17 @@
   }
 
   async #first(step: TransactionStep): Promise<MemberReply> {
+    const { context, options } = this;
+    const wait = { sinceMs: context.now(), timeoutMs: options.route.timeoutMs };
     for (;;) {
-      const { context } = this;
-      const member = await this.#choose(step);
+      const member = await this.#choose(step, wait);
       if (this.#isOver) throw new Refusal('aborted', 'not_run', 'the transaction was ended');
-      if (member === null || context.now() >= step.deadlineMs)
-        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#inputs());
+      if (member === null || context.now() >= step.deadlineMs) throw this.#notRun();
       const reply = await this.#firstAt(member, step);
       if (reply !== null) return reply;
+      const isUnreachable = this.#isUnreachable || member.isAvoided(context.now());
+      if (!this.#mayUseReplica() && isWaitOver(context, options.group, isUnreachable, wait))
+        throw this.#notRun();
       this.#excluded.add(member.entry.memberId);
       context.observer.notable({
         requestId: step.requestId,
@@ -106,7 +111,7 @@
   }
 
   /** The member to begin at, or `null` when none can be had in time. */
-  async #choose(step: TransactionStep): Promise<Member | null> {
+  async #choose(step: TransactionStep, wait: LeaderWait): Promise<Member | null> {
     const { context, options } = this;
     const until = step.deadlineMs - LEADER_RESERVE_MS;
     for (;;) {
@@ -119,7 +124,8 @@
         await options.group.changed.wait(RETRY_PAUSE_MS);
         continue;
       }
-      if (!this.#mayUseReplica()) return awaitLeader(context, options.group, until);
+      if (!this.#mayUseReplica()) return awaitLeader(context, options.group, until, wait);
+      if (isWaitOver(context, options.group, false, wait)) return null;
       await options.group.changed.wait(Math.min(RETRY_PAUSE_MS, until - now));
     }
   }
@@ -145,10 +151,12 @@
   async #firstAt(member: Member, step: TransactionStep): Promise<MemberReply | null> {
     const { context, options } = this;
     const { group, route } = options;
+    this.#isUnreachable = false;
     let link: SessionLink;
     try {
       link = await member.pool.acquire(step.values, route.priority, step.deadlineMs - context.now());
     } catch (error) {
+      this.#isUnreachable = error instanceof DialError;
       this.#lastReason = `no connection: ${String(error)}`;
       return null;
     }
@@ -279,6 +287,10 @@
     );
   }
 
+  #notRun(): Refusal {
+    return new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#inputs());
+  }
+
   #inputs(): RefusalInputs {
     const { group } = this.options;
     return {
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -5,9 +5,10 @@
  */
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import type { MemberReply } from './member-link.js';
+import { DialError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
+import { shouldAskElsewhere } from './patience.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 
@@ -24,24 +25,56 @@
 /** Time that a request needs at a new leader; nobody waits for one longer than this before the deadline. */
 export const LEADER_RESERVE_MS = 60;
 
-/** The leader under valid evidence; waits for one until `untilMs`, then gives `null`. */
+/** Since when a request waits, and how long it may take, in milliseconds. */
+export interface LeaderWait {
+  readonly sinceMs: number;
+  readonly timeoutMs: number;
+}
+
+/** Longest time between two looks at whether a wait is of use, in milliseconds. */
+const WAIT_LOOK_MS = 100;
+
+/** The leader under valid evidence; waits for one until `untilMs`, or while that is of use, then gives `null`. */
 export async function awaitLeader(
   context: RelayContext,
   group: MemberGroup,
   untilMs: number,
+  wait: LeaderWait,
 ): Promise<Member | null> {
   for (;;) {
     const now = context.now();
     const leader = group.leader(now);
     if (leader !== null) return leader;
-    if (now >= untilMs) return null;
-    await group.changed.wait(untilMs - now);
+    if (now >= untilMs || isWaitOver(context, group, false, wait)) return null;
+    await group.changed.wait(Math.min(WAIT_LOOK_MS, untilMs - now));
   }
 }
 
+/**
+ * True when a request that needs the leader should be left to another daemon.
+ *
+ * @param isUnreachable - the leader was silent, or could not be connected to
+ */
+export function isWaitOver(
+  context: RelayContext,
+  group: MemberGroup,
+  isUnreachable: boolean,
+  { sinceMs, timeoutMs }: LeaderWait,
+): boolean {
+  const now = context.now();
+  return shouldAskElsewhere({
+    heldMs: now - sinceMs,
+    timeoutMs,
+    leaderlessMs: group.leaderlessMs(now),
+    isUnreachable,
+  });
+}
+
 /** Runs one write. */
 export class WriteRunner {
   #lastReason = 'no leader';
+  /** No connection could be opened at the last attempt. */
+  #isUnreachable = false;
 
   constructor(
     private readonly context: RelayContext,
@@ -55,12 +88,14 @@
    */
   async run(): Promise<MemberReply> {
     const { context, job } = this;
+    const wait = { sinceMs: context.now(), timeoutMs: job.route.timeoutMs };
     for (;;) {
-      const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS);
-      if (leader === null || context.now() >= job.deadlineMs)
-        throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#inputs());
+      const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS, wait);
+      if (leader === null || context.now() >= job.deadlineMs) throw this.#notRun();
       const reply = await this.#attempt(leader);
       if (reply !== null) return reply;
+      const isUnreachable = this.#isUnreachable || leader.isAvoided(context.now());
+      if (isWaitOver(context, job.group, isUnreachable, wait)) throw this.#notRun();
       context.observer.notable({
         requestId: job.requestId,
         decision: 'write_again',
@@ -74,10 +109,12 @@
   /** One attempt: the answer, or `null` when it was not run. */
   async #attempt(leader: Member): Promise<MemberReply | null> {
     const { context, job } = this;
+    this.#isUnreachable = false;
     let link;
     try {
       link = await leader.pool.acquire(job.values, job.route.priority, job.deadlineMs - context.now());
     } catch (error) {
+      this.#isUnreachable = error instanceof DialError;
       this.#lastReason = `no connection: ${String(error)}`;
       return null;
     }
@@ -114,6 +151,10 @@
     }
   }
 
+  #notRun(): Refusal {
+    return new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#inputs());
+  }
+
   #inputs(): RefusalInputs {
     return { group: this.job.group.name, ...this.job.group.describeLeadership(this.context.now()) };
   }
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -133,6 +133,8 @@
   readonly former = new Map<string, Member>();
   readonly evidence: LeadershipEvidence;
   readonly positions = new PositionHistory();
+  /** Since when no leader has been proven, in monotonic milliseconds; `null` while one is. */
+  leaderlessSinceMs: number | null = null;
   /** Wakes whoever waits for a leader or a member. */
   readonly changed = new ChangeSignal();
   /** The latest position of a commit that this daemon has acknowledged. */
@@ -171,6 +173,12 @@
     this.#acknowledged = laterPosition(this.#acknowledged, position);
   }
 
+  /** For how long no leader has been proven, in milliseconds; 0 while one is. */
+  leaderlessMs(nowMs: number): number {
+    if (this.leaderlessSinceMs === null || this.evidence.current(nowMs) !== null) return 0;
+    return nowMs - this.leaderlessSinceMs;
+  }
+
   /** What is believed of the leader at `nowMs`, for the log. */
   describeLeadership(nowMs: number): {
     readonly leader: string | null;
