The promotion duty stands under a lease of its own, half as long

Cause: when the holder of the duty is cut off, nobody is promoted for 3 s (its lease) and 3 s more (the record may have been taken away, and the holder may still trust it).

Change: the duty has a lease of 1.5 s, renewed each 0.6 s with its record looked at; a taker waits 1.7 s from when a record vanished. The lease of daemons stays at 3 s.

--- a/src/coordination/coordination-store.ts
+++ b/src/coordination/coordination-store.ts
@@ -62,8 +62,8 @@
 export interface CoordinationStore {
   /** All items under a prefix, read linearizably, and the revision to watch from. */
   list(prefix: string): Promise<{ readonly items: readonly StoredItem[]; readonly revision: number }>;
-  /** One item, read linearizably, or `null`. */
-  read(key: string): Promise<StoredItem | null>;
+  /** One item, read linearizably, or `null`; waits for the answer for at most `timeoutMs` milliseconds, where given. */
+  read(key: string, timeoutMs?: number): Promise<StoredItem | null>;
   /** Changes under a prefix after a revision; waits for one for at most `waitMs` milliseconds. */
   watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchAnswer>;
   transact(transaction: StoreTransaction): Promise<TransactionAnswer>;
--- a/src/coordination/duty-record.ts
+++ b/src/coordination/duty-record.ts
@@ -9,8 +9,16 @@
  * @packageDocumentation
  */
 
-/** Length of the lease, in milliseconds. */
-export const LEASE_MS = 3000;
+import type { LeaseTimes } from './store-lease.js';
+
+/** Times of the lease under which the duty is held. */
+export const DUTY_LEASE: LeaseTimes = { lengthMs: 1500, safetyMs: 200, renewalMs: 600 };
+
+/**
+ * Time after a record has vanished without a word from which a new holder may act, in milliseconds: the last one relies on
+ * its record for less than the lease, and what it has sent arrives a little later.
+ */
+export const TAKEOVER_WAIT_MS = 1700;
 
 /** What the record says. */
 export type DutyRecord =
@@ -91,6 +99,6 @@
    */
   freeFromMs(endedLife: string | null): number {
     if (this.#holder !== null && this.#holder.life === endedLife) return this.#holderActsFromMs;
-    return this.#vanishedAtMs + LEASE_MS;
+    return this.#vanishedAtMs + TAKEOVER_WAIT_MS;
   }
 }
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -3,8 +3,10 @@
  * rises with each holder.
  *
  * The record stays until the daemon stops or starts anew, so that whoever promotes knows all who may hold evidence,
- * also those that the store has not heard of for long. That the daemon lives, and the duty, stand under a lease. The holder trusts its lease only for its length after the last renewal was sent,
- * by its own monotonic clock: one that was frozen, or cut off, knows that it may have been followed.
+ * also those that the store has not heard of for long. That the daemon lives stands under a lease; the duty stands under a
+ * shorter one, since nobody is promoted while its holder is gone and its lease runs. The holder trusts its lease only for
+ * its length after the last renewal was sent, by its own monotonic clock: one that was frozen, or cut off, knows that it
+ * may have been followed.
  *
  * @packageDocumentation
  */
@@ -14,11 +16,12 @@
   DutyHistory,
   type DutyHolder,
   formatDutyRecord,
-  LEASE_MS,
+  DUTY_LEASE,
   parseDutyRecord,
   type DutyRecord,
 } from './duty-record.js';
 import { type CoordinationStore, StoreError, type StoredItem } from './coordination-store.js';
+import { StoreLease, type LeaseTimes } from './store-lease.js';
 
 /** Keys in the store. */
 export const COORDINATION_PREFIX = 'sorrelladder/';
@@ -27,12 +30,14 @@
 const DUTY_KEY = `${COORDINATION_PREFIX}duty`;
 const FENCE_KEY = `${COORDINATION_PREFIX}fence`;
 
-/** Time between renewals, in milliseconds. */
-const RENEWAL_MS = 900;
-/** The holder stops this long before the store may end its lease, in milliseconds. */
-const SAFETY_MS = 250;
+/** Times of the lease under which a daemon is said to live. */
+const LIFE_LEASE: LeaseTimes = { lengthMs: 3000, safetyMs: 250, renewalMs: 900 };
 /** Time between attempts while the store does not answer, in milliseconds. */
 const RETRY_MS = 200;
+/** Longest wait for the sight of the duty's record, in milliseconds: an answer that is lost must not use up the lease. */
+const CONFIRM_MS = 400;
+/** Time between attempts of the holder of the duty, in milliseconds. */
+const HOLDER_RETRY_MS = 60;
 
 /** The daemons as the store has them. */
 export interface RegisteredDaemons {
@@ -84,8 +89,8 @@
 
 /** Keeps this daemon's lease, its record and, where it is free, the duty. */
 export class Duty {
-  #leaseId = 0;
-  #leaseUntilMs = Number.NEGATIVE_INFINITY;
+  readonly #life: StoreLease;
+  readonly #lease: StoreLease;
   #isRegistered = false;
   #fence: number | null = null;
   /** Time from which this holder may act: no earlier one does any more. */
@@ -114,7 +119,10 @@
     private readonly isEnded: (holder: DutyHolder) => Promise<boolean>,
     private readonly now: () => number,
     private readonly random: () => number,
-  ) {}
+  ) {
+    this.#life = new StoreLease(store, LIFE_LEASE, now);
+    this.#lease = new StoreLease(store, DUTY_LEASE, now);
+  }
 
   /**
    * The fence while this daemon holds the duty for at least `reserveMs` milliseconds more and may act on it, or `null`.
@@ -137,7 +145,7 @@
 
   /** Asks for a lease, so that it is there when {@link Duty.run} registers. */
   prepare(): void {
-    this.#granting = this.#grant().catch(() => undefined);
+    this.#granting = this.#life.grant().catch(() => undefined);
   }
 
   /** Keeps the lease until {@link Duty.stop}. */
@@ -145,8 +153,7 @@
     while (!this.#isStopped) {
       const isKept = await this.#keep();
       if (isKept && !this.#isStopped) await this.#acquire();
-      await delay(isKept ? RENEWAL_MS * (0.9 + this.random() * 0.2) : RETRY_MS);
-      this.#checkLapse();
+      await delay(isKept ? this.#life.times.renewalMs * (0.9 + this.random() * 0.2) : RETRY_MS);
     }
   }
 
@@ -168,11 +175,30 @@
     const fence = this.#fence;
     this.#lose('stopping');
     if (fence !== null) await this.#release(fence).catch(() => undefined);
-    if (this.#leaseId !== 0) await this.store.endLease(this.#leaseId).catch(() => undefined);
+    await Promise.all([this.#lease, this.#life].map((lease) => lease.end().catch(() => undefined)));
+  }
+
+  /** Keeps the lease of the duty, and looks at its record, while it is held with a fence. */
+  async #hold(fence: number): Promise<void> {
+    let isKept = true;
+    for (;;) {
+      await delay(isKept ? DUTY_LEASE.renewalMs : HOLDER_RETRY_MS);
+      if (this.#fence !== fence || this.#isStopped) return;
+      if (this.now() >= this.#untilMs) return this.#lose('the lease may have lapsed');
+      isKept = await this.#renew();
+    }
   }
 
-  #checkLapse(): void {
-    if (this.#fence !== null && this.now() >= this.#untilMs) this.#lose('the lease may have lapsed');
+  /** False when the store did not answer. */
+  async #renew(): Promise<boolean> {
+    try {
+      if (await this.#lease.keep()) await this.#confirm();
+      else this.#lose('the lease is over');
+      return true;
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      return false;
+    }
   }
 
   async #keep(): Promise<boolean> {
@@ -180,17 +206,11 @@
       if (this.#granting !== null) {
         await this.#granting;
         this.#granting = null;
-        if (this.#leaseId !== 0) return await this.#register();
+        if (this.#life.id !== 0) return await this.#register();
       }
-      const sentAtMs = this.now();
-      if (this.#leaseId !== 0 && (await this.store.keepLease(this.#leaseId))) {
-        this.#leaseUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
-        if (this.#fence !== null) await this.#confirm();
-        return this.#isRegistered || (await this.#register());
-      }
-      if (this.#leaseId !== 0) this.#lose('the lease is over');
+      if (await this.#life.keep()) return this.#isRegistered || (await this.#register());
       this.#isRegistered = false;
-      await this.#grant();
+      await this.#life.grant();
       return await this.#register();
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
@@ -198,18 +218,11 @@
     }
   }
 
-  async #grant(): Promise<void> {
-    const sentAtMs = this.now();
-    const lease = await this.store.grantLease(LEASE_MS);
-    this.#leaseId = lease.leaseId;
-    this.#leaseUntilMs = sentAtMs + lease.ttlMs - SAFETY_MS;
-  }
-
   async #register(): Promise<boolean> {
     const { name, life } = this.self;
     const puts = [
       { key: DAEMON_PREFIX + name, value: Buffer.from(JSON.stringify(this.self)), leaseId: 0 },
-      { key: LIVE_PREFIX + name, value: Buffer.from(life), leaseId: this.#leaseId },
+      { key: LIVE_PREFIX + name, value: Buffer.from(life), leaseId: this.#life.id },
     ];
     const answer = await this.store.transact({ conditions: [], puts, removes: [] });
     this.#isRegistered = answer.kind === 'done';
@@ -222,7 +235,7 @@
 
   /** Takes the duty if nobody holds it, or if an earlier life of this very daemon did. */
   async #acquire(): Promise<void> {
-    if (this.#isAcquiring || this.#isStopped || this.#fence !== null || this.#leaseId === 0) return;
+    if (this.#isAcquiring || this.#isStopped || this.#fence !== null || !this.#isRegistered) return;
     const duty = this.#dutyRecord();
     if (duty?.record.state === 'held' && duty.record.holder !== this.self.name) return;
     const endedLife = duty?.record.state === 'held' ? duty.record.life : this.self.life;
@@ -238,9 +251,9 @@
   }
 
   async #tryAcquire(dutyRevision: number): Promise<void> {
-    const leaseId = this.#leaseId;
-    const sentAtMs = this.now();
-    this.#askedAtMs = sentAtMs;
+    await this.#lease.grant();
+    const leaseId = this.#lease.id;
+    this.#askedAtMs = this.now();
     const fenceItem = this.copy().items.get(FENCE_KEY);
     const fence = (fenceItem === undefined ? 0 : Number(fenceItem.value.toString())) + 1;
     const answer = await this.store.transact({
@@ -254,17 +267,17 @@
       ],
       removes: [],
     });
-    if (answer.kind === 'no_lease') this.#leaseId = 0;
-    if (answer.kind !== 'done' || leaseId !== this.#leaseId) return;
+    if (answer.kind !== 'done') this.#lease.drop();
+    if (answer.kind !== 'done' || leaseId !== this.#lease.id) return;
     this.#take(fence, answer.revision);
   }
 
   /** Looks whether the record still stands: the lease alone does not show that it was taken away. */
   async #confirm(): Promise<void> {
     const sentAtMs = this.now();
-    const item = await this.store.read(DUTY_KEY);
+    const item = await this.store.read(DUTY_KEY, CONFIRM_MS);
     if (item !== null && this.#isOurs(parseDutyRecord(item.value)))
-      this.#dutyUntilMs = sentAtMs + LEASE_MS - SAFETY_MS;
+      this.#dutyUntilMs = this.#lease.trustedUntilMs(sentAtMs);
     else this.#lose('the record is gone');
   }
 
@@ -294,13 +307,13 @@
       holder: name,
       life,
       fence,
-      leaseId: this.#leaseId,
+      leaseId: this.#lease.id,
       actsInMs,
     };
   }
 
   get #untilMs(): number {
-    return Math.min(this.#leaseUntilMs, this.#dutyUntilMs);
+    return Math.min(this.#lease.untilMs, this.#dutyUntilMs);
   }
 
   #dutyRecord(): { record: DutyRecord; revision: number } | null {
@@ -310,19 +323,20 @@
   }
 
   #isOurs(record: DutyRecord): boolean {
-    return record.state === 'held' && record.life === this.self.life && record.leaseId === this.#leaseId;
+    return record.state === 'held' && record.life === this.self.life && record.leaseId === this.#lease.id;
   }
 
   #take(fence: number, revision: number): void {
     this.#dutyRevision = Math.max(this.#dutyRevision, revision);
     this.#ownRevision = Math.max(this.#ownRevision, revision);
     if (this.#fence === fence || this.#isStopped) return;
-    this.#dutyUntilMs = this.#askedAtMs + LEASE_MS - SAFETY_MS;
+    this.#dutyUntilMs = this.#lease.trustedUntilMs(this.#askedAtMs);
     if (this.now() >= this.#untilMs) return;
     this.#fence = fence;
     this.#actsFromMs = Math.max(this.#actsFromMs, this.now(), this.#freeFromMs);
     this.listener.taken(fence);
     void this.#hasten(fence);
+    void this.#hold(fence);
   }
 
   #lose(reason: string): void {
