Relay daemon: doubts, assignments and the member directory in modules of their own

Cause: relay-daemon.ts had 724 lines and three jobs beside wiring: what is found wrong with members, who connects to them, and who leaves. Change: leader-doubts.ts, assignments.ts, member-directory.ts; relay-daemon.ts has 518 lines. Behaviour as before.

--- /dev/null
+++ b/src/gateway/assignments.ts
@@ -0,0 +1,82 @@
+/**
+ * Who connects to each member as this daemon computes it, and with how many connections.
+ *
+ * @packageDocumentation
+ */
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { MemberEntry } from '../topology/member-group.js';
+import { assignGateways, type Assignment } from './assign-gateways.js';
+import { connectsItself } from './member-connections.js';
+
+/** Connections of a member that no daemon plans with. */
+const RESERVED_CONNECTIONS = 3;
+/** Most connections of a member that are planned with, for each of its slots: opening one takes a slot for a while. */
+const CONNECTIONS_PER_SLOT = 12;
+/**
+ * For how long a daemon that has just started keeps to a part of its connections: members may still count those
+ * of daemons that lost power, in milliseconds.
+ */
+const YOUNG_MS = 3500;
+const YOUNG_SHARE = 0.5;
+/** Daemons planned with before the others are known. */
+const ASSUMED_DAEMONS = 8;
+
+/** What the assignments depend on. */
+export interface AssignmentsOptions {
+  readonly ownName: string;
+  /** Daemons that take part in the work. */
+  daemons(): readonly DaemonRecord[];
+  /** Connections that each member of a group accepts. */
+  connectionLimit(groupName: string): number;
+  /** Since when this daemon runs, in monotonic milliseconds. */
+  startedAtMs(): number;
+  now(): number;
+}
+
+/** The assignments of all members, until something changes that they depend on. */
+export class Assignments {
+  readonly #known = new Map<string, Assignment>();
+
+  constructor(private readonly options: AssignmentsOptions) {}
+
+  /** Computes all anew: the daemons or the limits have changed. */
+  clear(): void {
+    this.#known.clear();
+  }
+
+  /** Who connects to a member. */
+  of(entry: MemberEntry): Assignment {
+    let assignment = this.#known.get(entry.memberId);
+    if (assignment === undefined) {
+      assignment = this.#assign(entry);
+      this.#known.set(entry.memberId, assignment);
+    }
+    return assignment;
+  }
+
+  /** Connections that this daemon may have to a member now. */
+  budget(entry: MemberEntry): number {
+    const assignment = this.of(entry);
+    if (!connectsItself(assignment, this.options.ownName)) return 0;
+    const isYoung = this.options.now() - this.options.startedAtMs() < YOUNG_MS;
+    return Math.max(1, Math.floor(isYoung ? assignment.budget * YOUNG_SHARE : assignment.budget));
+  }
+
+  /** True when this daemon connects to a member itself. */
+  connects(entry: MemberEntry): boolean {
+    return connectsItself(this.of(entry), this.options.ownName);
+  }
+
+  /** True when other daemons borrow connections to a member from this one. */
+  isGateway(entry: MemberEntry): boolean {
+    return this.of(entry).gateways !== null && this.connects(entry);
+  }
+
+  #assign({ memberId, groupName, zone, slots }: MemberEntry): Assignment {
+    const limit = this.options.connectionLimit(groupName);
+    const connections = Math.max(1, Math.min(limit - RESERVED_CONNECTIONS, slots * CONNECTIONS_PER_SLOT));
+    const daemons = this.options.daemons();
+    if (daemons.length === 0) return { gateways: null, budget: Math.floor(connections / ASSUMED_DAEMONS) };
+    return assignGateways(daemons, { memberId, zone, connections });
+  }
+}
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -9,30 +9,26 @@
 import { chooseDelegates } from '../cluster/delegates.js';
 import { deliverOrder, type OrderOutcomes } from '../cluster/order-delivery.js';
 import { Registration } from '../cluster/registration.js';
-import {
-  PeerMesh,
-  type HolderOrder,
-  type OrderAnswer,
-  type Suspicion,
-  type SuspicionReason,
-} from '../cluster/peer-mesh.js';
+import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import type { DutyHolder } from '../coordination/duty-record.js';
 import { COORDINATION_PREFIX, Duty, listLeasedDaemons, readDaemons } from '../coordination/duty.js';
 import { DelegatedFeed, WORST_LAG_MS } from '../coordination/change-feed.js';
 import { ChangeRelay } from '../coordination/change-relay.js';
 import { WatchedStore } from '../coordination/watched-store.js';
-import { assignGateways, type Assignment } from '../gateway/assign-gateways.js';
+import { Assignments } from '../gateway/assignments.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { GatewayServer } from '../gateway/gateway-server.js';
-import { connectsItself, MemberConnections } from '../gateway/member-connections.js';
+import { MemberConnections } from '../gateway/member-connections.js';
 import { GroupSupervisor, type PromotionPort } from '../leadership/group-supervisor.js';
 import { EvidenceSharing } from '../leadership/evidence-sharing.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { MemberControl } from '../leadership/member-control.js';
 import type { RelayState } from '../observability/relay-metrics.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
+import { MemberDirectory } from '../topology/member-directory.js';
 import { Member, MemberGroup, type MemberEntry } from '../topology/member-group.js';
+import { LeaderDoubts } from './leader-doubts.js';
 import { LinkPool } from './link-pool.js';
 import type { MemberDialer, StatusReader } from './member-link.js';
 import type { RelayContext, RelayObserver } from './relay-context.js';
@@ -56,49 +52,14 @@
   random(): number;
 }
 
-/** Connections of a member that no daemon plans with. */
-const RESERVED_CONNECTIONS = 3;
-/** Most connections of a member that are planned with, for each of its slots: opening one takes a slot for a while. */
-const CONNECTIONS_PER_SLOT = 12;
 /** Connections that a gateway holds open in advance. */
 const WARM_CONNECTIONS = 2;
-/**
- * For how long a daemon that has just started keeps to a part of its connections: members may still count those
- * of daemons that lost power, in milliseconds.
- */
-const YOUNG_MS = 3500;
-const YOUNG_SHARE = 0.5;
-/** Daemons planned with before the others are known. */
-const ASSUMED_DAEMONS = 8;
 /** Time between looks at silence and departures, in milliseconds. */
 const TICK_MS = 50;
-/** Time for which a commit may go without an answer before the holder of the duty is told, in milliseconds. */
-const STALL_MS = 350;
-/** Least time between two of the same doubts about a group, in milliseconds. */
-const TELL_MS = 80;
-/** Silence after which the holder of the duty is told to look at a leader, in milliseconds. */
-const LEADER_SILENCE_MS = 200;
-/** Share of failed requests from which on the holder of the duty is told of a leader. */
-const FAILING_SHARE = 0.25;
-/** Silence after which a member is avoided, in milliseconds. */
-const SILENCE_MS = 350;
-/** Silence after which its connections are ended, in milliseconds. */
-const DEAD_MS = 1200;
 const DIAL_MS = 400;
 const LIMIT_BACKOFF_MS = 100;
 /** Time after which a connection that is not needed is ended, in milliseconds. */
 const IDLE_MS = 800;
-/** Part of the time to leave after which a leaving member is given no work at all. */
-const LEAVE_SHARE = 0.75;
-/** Least part of that time that is kept for requests under way, in milliseconds. */
-const LEAVE_MARGIN_MS = 500;
-/** For how long a member whose entry is gone may still run, in milliseconds. */
-const FORMER_MS = 30_000;
-/** Time after the store is back in which vanished entries mean nothing, in heartbeats. */
-const TRUST_HEARTBEATS = 4;
-/** Time for which an entry is gone before its member counts as leaving, in heartbeats. */
-const GONE_HEARTBEATS = 1.2;
-
 interface WatchedGroup {
   readonly group: MemberGroup;
   readonly watcher: LeadershipWatcher;
@@ -111,9 +72,9 @@
   /** The copy of the store; whoever makes the daemon runs it. */
   readonly watched: WatchedStore;
   readonly #groups = new Map<string, WatchedGroup>();
-  readonly #entries = new Map<string, MemberEntry>();
-  /** Members that left and must not be used, though their entries may still stand. */
-  readonly #retired = new Set<string>();
+  /** The members as the platform lists them. */
+  readonly directory: MemberDirectory;
+  readonly #doubts: LeaderDoubts;
   readonly #control: MemberControl;
   readonly #mesh: PeerMesh;
   readonly #duty: Duty;
@@ -126,20 +87,45 @@
   readonly #gatewayClient: GatewayClient;
   readonly #gatewayServer: GatewayServer;
   readonly #sharing: EvidenceSharing;
-  /** Who connects to each member, until something changes that it depends on. */
-  readonly #assignments = new Map<string, Assignment>();
-  #isDirectoryLoaded = false;
-  #isDirectoryAvailable = false;
-  #directoryTrustedFromMs = Number.POSITIVE_INFINITY;
+  readonly #assignments: Assignments;
   #isReady = false;
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
-  readonly #toldAtMs = new Map<string, number>();
   #startedAtMs = 0;
 
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
     this.#registration = new Registration(self);
+    this.#assignments = new Assignments({
+      ownName: self.name,
+      daemons: () => this.#daemons.live,
+      connectionLimit: (groupName) => this.catalog.document?.groups.get(groupName)?.maxConnections ?? 0,
+      startedAtMs: () => this.#startedAtMs,
+      now,
+    });
+    this.#doubts = new LeaderDoubts({
+      ownName: self.name,
+      tickMs: TICK_MS,
+      tell: (suspicion) => this.#tellHolder(suspicion),
+      wake: (groupName) => this.#groups.get(groupName)?.watcher.wake(),
+      log: options.log,
+      now,
+    });
+    this.directory = new MemberDirectory({
+      leaveMs: options.leaveMs,
+      heartbeatMs: options.heartbeatMs,
+      lagMs: () => (this.#storeFollowers() === null ? 0 : WORST_LAG_MS),
+      group: (name) => this.#groups.get(name)?.group ?? null,
+      create: (entry) => this.#createMember(entry),
+      changed: (group) => {
+        group.changed.notify();
+        this.#groups.get(group.name)?.watcher.wake();
+      },
+      leaderInDoubt: (group) => this.#groups.get(group.name)?.supervisor?.suspect(),
+      forgotten: (memberId) => this.#control.forget(memberId),
+      log: options.log,
+      now,
+    });
     this.#control = new MemberControl({ dialer, readStatus, now });
     this.#mesh = new PeerMesh(self, {
       order: (order) => this.#obey(order),
@@ -209,7 +195,7 @@
       observer: options.observer,
       group: (name) => this.#groups.get(name)?.group ?? null,
       now,
-      suspect: (group, member, reason) => this.#suspect(group, member, reason),
+      suspect: (group, member, reason) => this.#doubts.suspect(group, member, reason),
     };
   }
 
@@ -291,42 +277,9 @@
     return true;
   }
 
-  /** The directory describes a member. */
-  memberListed(entry: MemberEntry): void {
-    this.#entries.set(entry.memberId, entry);
-    const watched = this.#groups.get(entry.groupName);
-    if (watched !== undefined) this.#place(watched, entry);
-  }
-
-  /** The directory lists a member no longer. */
-  memberUnlisted(memberId: string): void {
-    const entry = this.#entries.get(memberId);
-    if (entry === undefined) return;
-    this.#entries.delete(memberId);
-    this.#retired.delete(memberId);
-    const member = this.#groups.get(entry.groupName)?.group.members.get(memberId);
-    if (member !== undefined) member.missingSinceMs = this.options.now();
-    const former = this.#groups.get(entry.groupName)?.group.former.get(memberId);
-    if (former !== undefined) former.missingSinceMs = this.options.now();
-  }
-
-  /** The directory has been read whole. */
-  directoryLoaded(): void {
-    this.#isDirectoryLoaded = true;
-    this.directoryAvailability(true);
-  }
-
-  /** The directory answers, or has stopped to. */
-  directoryAvailability(isAvailable: boolean): void {
-    if (isAvailable === this.#isDirectoryAvailable) return;
-    this.#isDirectoryAvailable = isAvailable;
-    const trustMs = TRUST_HEARTBEATS * this.options.heartbeatMs;
-    this.#directoryTrustedFromMs = isAvailable ? this.options.now() + trustMs : Number.POSITIVE_INFINITY;
-  }
-
   #canServe(): boolean {
     const { document } = this.catalog;
-    if (document === null || !this.#isDirectoryLoaded) return false;
+    if (document === null || !this.directory.isLoaded) return false;
     const now = this.options.now();
     return this.groups.every((group) => group.leader(now) !== null);
   }
@@ -365,7 +318,7 @@
     );
     const watched: WatchedGroup = { group, watcher, supervisor: null };
     this.#groups.set(name, watched);
-    for (const entry of this.#entries.values()) if (entry.groupName === name) this.#place(watched, entry);
+    this.directory.fill(group);
     this.#runForever(watcher.run());
     if (this.isDutyHolder) this.#supervise(watched);
   }
@@ -376,34 +329,16 @@
     for (const member of watched.group.members.values()) member.pool.own.close();
   }
 
-  #place(watched: WatchedGroup, entry: MemberEntry): void {
-    const { group } = watched;
-    const known = group.members.get(entry.memberId);
-    if (known === undefined) {
-      if (this.#retired.has(entry.memberId)) return;
-      this.#addMember(watched, entry);
-      group.former.delete(entry.memberId);
-    } else {
-      known.missingSinceMs = null;
-      if (known.entry.saysPrimary !== entry.saysPrimary) this.#roleChanged(watched, entry);
-      known.entry = entry;
-      if (!entry.isDraining) known.leavingSinceMs = null;
-    }
-    if (entry.isDraining) this.#leaves(watched, group.members.get(entry.memberId), 'draining');
-    group.changed.notify();
-    watched.watcher.wake();
-  }
-
-  #addMember(watched: WatchedGroup, entry: MemberEntry): void {
+  #createMember(entry: MemberEntry): Member {
     const { options } = this;
     const pool: LinkPool = new LinkPool({
       dialer: options.dialer,
       address: entry,
-      budget: () => this.#budget(member),
+      budget: () => this.#assignments.budget(member.entry),
       dialTimeoutMs: DIAL_MS,
       limitBackoffMs: LIMIT_BACKOFF_MS,
       idleMs: IDLE_MS,
-      onTrouble: (reason) => this.#suspect(watched.group, member, reason),
+      onTrouble: (reason) => this.#suspect(entry.groupName, member, reason),
       now: options.now,
     });
     const connections = new MemberConnections({
@@ -411,179 +346,43 @@
       memberId: entry.memberId,
       pool,
       gateways: this.#gatewayClient,
-      assignment: () => this.#assignment(member),
+      assignment: () => this.#assignments.of(member.entry),
       ownName: options.self.name,
     });
     const member: Member = new Member(entry, connections);
-    watched.group.members.set(entry.memberId, member);
-    options.log('member_in', {
-      group: entry.groupName,
-      member: entry.memberId,
-      zone: entry.zone,
-      primary: entry.saysPrimary,
-    });
-  }
-
-  #roleChanged(watched: WatchedGroup, entry: MemberEntry): void {
-    const { group } = watched;
-    const isLeader = group.evidence.leader?.memberId === entry.memberId;
-    this.options.log('member_role', {
-      group: group.name,
-      member: entry.memberId,
-      primary: entry.saysPrimary,
-    });
-    if (isLeader === entry.saysPrimary) return;
-    group.evidence.loseLeader();
-    watched.supervisor?.suspect();
-  }
-
-  #leaves(watched: WatchedGroup, member: Member | undefined, reason: string): void {
-    if (member === undefined || member.isLeaving) return;
-    member.leavingSinceMs = this.options.now();
-    this.options.log('member_leaves', { group: watched.group.name, member: member.entry.memberId, reason });
-    watched.supervisor?.suspect();
-  }
-
-  /** Connections that this daemon may have to a member. */
-  #budget(member: Member): number {
-    const assignment = this.#assignment(member);
-    if (!connectsItself(assignment, this.options.self.name)) return 0;
-    const isYoung = this.options.now() - this.#startedAtMs < YOUNG_MS;
-    return Math.max(1, Math.floor(isYoung ? assignment.budget * YOUNG_SHARE : assignment.budget));
-  }
-
-  /** True when other daemons borrow connections to a member from this one. */
-  #isGateway(member: Member): boolean {
-    const { gateways } = this.#assignment(member);
-    return gateways !== null && gateways.some(({ name }) => name === this.options.self.name);
-  }
-
-  #assignment(member: Member): Assignment {
-    const { memberId, groupName, zone, slots } = member.entry;
-    const known = this.#assignments.get(memberId);
-    if (known !== undefined) return known;
-    const limit = this.catalog.document?.groups.get(groupName)?.maxConnections ?? 0;
-    const connections = Math.max(1, Math.min(limit - RESERVED_CONNECTIONS, slots * CONNECTIONS_PER_SLOT));
-    const daemons = this.#daemons.live;
-    const assignment =
-      daemons.length === 0
-        ? { gateways: null, budget: Math.floor(connections / ASSUMED_DAEMONS) }
-        : assignGateways(daemons, { memberId, zone, connections });
-    this.#assignments.set(memberId, assignment);
-    return assignment;
+    return member;
   }
 
   /** The pool of a member from which other daemons may borrow, or `null`. */
   #lendablePool(groupName: string, memberId: string): LinkPool | null {
     const member = this.#groups.get(groupName)?.group.members.get(memberId);
     if (member === undefined) return null;
-    return connectsItself(this.#assignment(member), this.options.self.name) ? member.pool.own : null;
+    return this.#assignments.connects(member.entry) ? member.pool.own : null;
   }
 
   #tick(): void {
-    const now = this.options.now();
-    for (const watched of this.#groups.values()) {
-      this.#checkStall(watched.group, now);
-      this.#checkFailures(watched.group, now);
-      for (const member of [...watched.group.members.values()]) {
-        this.#checkSilence(watched.group, member, now);
-        this.#checkDeparture(watched, member, now);
+    for (const { group } of this.#groups.values()) {
+      this.#doubts.check(group);
+      this.directory.check(group);
+      for (const member of group.members.values()) {
         member.pool.own.trim();
-        if (this.#isGateway(member)) member.pool.own.warm(WARM_CONNECTIONS);
+        if (this.#assignments.isGateway(member.entry)) member.pool.own.warm(WARM_CONNECTIONS);
       }
-      this.#forgetFormer(watched.group, now);
     }
     this.#control.trim();
     this.#gatewayClient.check();
-    if (this.#daemons.refresh(now)) this.#daemonsChanged();
-  }
-
-  /** A former member whose entry has been gone for long has ended. */
-  #forgetFormer(group: MemberGroup, now: number): void {
-    for (const [memberId, member] of group.former) {
-      if (member.missingSinceMs === null || now - member.missingSinceMs < FORMER_MS) continue;
-      group.former.delete(memberId);
-      this.#control.forget(memberId);
-    }
-  }
-
-  /** Commits at a leader that answers but cannot reach its replicas. */
-  #checkStall(group: MemberGroup, now: number): void {
-    if (group.commitWaitMs(now) < STALL_MS) return;
-    const leader = group.leader(now);
-    if (leader !== null) this.#tellHolder(group, leader, 'stalled');
-  }
-
-  /** A leader that fails requests though it seems well: another can take its place. */
-  #checkFailures(group: MemberGroup, now: number): void {
-    const leader = group.leader(now);
-    if (leader !== null && leader.failureShare(now) > FAILING_SHARE)
-      this.#tellHolder(group, leader, 'failing');
-  }
-
-  #checkSilence(group: MemberGroup, member: Member, now: number): void {
-    const silence = member.pool.own.silenceMs(now);
-    if (silence >= LEADER_SILENCE_MS && silence < LEADER_SILENCE_MS + TICK_MS) this.#doubt(group, member);
-    if (silence < SILENCE_MS) return;
-    this.#suspect(group, member, 'silent');
-    member.pool.own.failWaiters('the member is silent');
-    if (silence >= DEAD_MS) member.pool.own.dropAll();
-  }
-
-  #checkDeparture(watched: WatchedGroup, member: Member, now: number): void {
-    const isGone =
-      member.missingSinceMs !== null &&
-      now >= this.#directoryTrustedFromMs &&
-      now - member.missingSinceMs > GONE_HEARTBEATS * this.options.heartbeatMs;
-    if (isGone) this.#leaves(watched, member, 'unlisted');
-    if (member.leavingSinceMs === null) return;
-    if (now - member.leavingSinceMs < this.#serveLeavingMs()) return;
-    const { memberId } = member.entry;
-    watched.group.members.delete(memberId);
-    watched.group.former.set(memberId, member);
-    if (this.#entries.has(memberId)) this.#retired.add(memberId);
-    member.pool.own.close();
-    this.#assignments.delete(memberId);
-    if (watched.group.evidence.leader?.memberId === memberId) watched.group.evidence.loseLeader();
-    this.options.log('member_out', { group: watched.group.name, member: memberId });
-  }
-
-  /** For how long a leaving member is given work since this daemon heard of it, in milliseconds. */
-  #serveLeavingMs(): number {
-    const { leaveMs } = this.options;
-    const lagMs = this.#storeFollowers() === null ? 0 : WORST_LAG_MS;
-    return Math.min(leaveMs * LEAVE_SHARE, leaveMs - LEAVE_MARGIN_MS - lagMs);
-  }
-
-  #suspect(group: MemberGroup, member: Member, reason: string): void {
-    const now = this.options.now();
-    const watched = this.#groups.get(group.name);
-    const isLeader = group.evidence.leader?.memberId === member.entry.memberId;
-    if (reason === 'read_only') {
-      if (isLeader) group.evidence.loseLeader();
-    } else {
-      if (!member.isAvoided(now))
-        this.options.log('member_suspected', { group: group.name, member: member.entry.memberId, reason });
-      member.avoid(now);
-    }
-    if (watched === undefined || (!isLeader && reason !== 'read_only')) return;
-    watched.watcher.wake();
-    this.#tellHolder(group, member, suspicionReason(reason));
+    if (this.#daemons.refresh(this.options.now())) this.#daemonsChanged();
   }
 
-  /** A leader may be in trouble: the holder of the duty is to look at it. */
-  #doubt(group: MemberGroup, member: Member): void {
-    if (group.evidence.leader?.memberId === member.entry.memberId) this.#tellHolder(group, member, 'silent');
+  #suspect(groupName: string, member: Member, reason: string): void {
+    const group = this.#groups.get(groupName)?.group;
+    if (group === undefined) member.avoid(this.options.now());
+    else this.#doubts.suspect(group, member, reason);
   }
 
-  #tellHolder(group: MemberGroup, member: Member, reason: SuspicionReason): void {
-    const now = this.options.now();
-    const key = `${group.name} ${reason}`;
-    if (now - (this.#toldAtMs.get(key) ?? Number.NEGATIVE_INFINITY) < TELL_MS) return;
-    this.#toldAtMs.set(key, now);
-    const { memberId } = member.entry;
-    const suspicion = { groupName: group.name, memberId, reason, reporter: this.options.self.name };
-    if (this.isDutyHolder) this.#groups.get(group.name)?.supervisor?.suspect(suspicion);
+  /** Tells the holder of the duty of a doubt. */
+  #tellHolder(suspicion: Suspicion): void {
+    if (this.isDutyHolder) this.#heed(suspicion);
     else this.#mesh.suspect(suspicion);
   }
 
@@ -674,7 +473,7 @@
   /** Daemons that connect to a member themselves, and so can tell that it is out of reach. */
   #callerCount(group: MemberGroup, memberId: string): number {
     const member = group.members.get(memberId);
-    const gateways = member === undefined ? null : this.#assignment(member).gateways;
+    const gateways = member === undefined ? null : this.#assignments.of(member.entry).gateways;
     return gateways?.length ?? this.#daemons.live.length;
   }
 
@@ -717,8 +516,3 @@
     });
   }
 }
-
-function suspicionReason(reason: string): SuspicionReason {
-  if (reason === 'silent') return 'silent';
-  return reason === 'read_only' ? 'denied' : 'refused';
-}
