Command line: explain, from a request's id to what decided it

Cause: who looks for a failed request had to search the logs of all daemons by hand (docs/OPERATIONS.md).

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
  */
 import { Command } from 'commander';
 import { registerConfigCommands } from './config-commands.js';
+import { registerExplainCommand } from './explain-command.js';
 import { registerPolicyCommands } from './policy-commands.js';
 import { registerServeCommand } from './serve-command.js';
 import { registerStatusCommand } from './status-command.js';
@@ -19,5 +20,6 @@
 registerPolicyCommands(program);
 registerConfigCommands(program);
 registerStatusCommand(program);
+registerExplainCommand(program);
 
 await program.parseAsync();
