Writes are not sent to a leader whose commits stall

Cause: a primary cut from its replicas answers reads and keeps commits unanswered.

Change: while a commit of this daemon has gone without an answer for 350 ms, further writes wait, and are refused as not run with the patience of unreachable leaders; requests that wait for a connection to that leader are told at once.

--- a/src/relay/leader-doubts.ts
+++ b/src/relay/leader-doubts.ts
@@ -7,8 +7,6 @@
 import type { Suspicion, SuspicionReason } from '../cluster/peer-mesh.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 
-/** Time for which a commit may go without an answer before the holder of the duty is told, in milliseconds. */
-const STALL_MS = 350;
 /** Least time between two of the same doubts about a group, in milliseconds. */
 const TELL_MS = 80;
 /** Silence after which the holder of the duty is told to look at a leader, in milliseconds. */
@@ -70,9 +68,11 @@
 
   /** Commits at a leader that answers but cannot reach its replicas. */
   #checkStall(group: MemberGroup, now: number): void {
-    if (group.commitWaitMs(now) < STALL_MS) return;
+    if (!group.isStalled(now)) return;
     const leader = group.leader(now);
-    if (leader !== null) this.#tell(group, leader, 'stalled');
+    if (leader === null) return;
+    this.#tell(group, leader, 'stalled');
+    leader.pool.own.failWaiters('commits stall');
   }
 
   /** A leader that fails requests though it seems well: another can take its place. */
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -97,7 +97,8 @@
       if (member === null || context.now() >= step.deadlineMs) throw this.#notRun();
       const reply = await this.#firstAt(member, step);
       if (reply !== null) return reply;
-      const isUnreachable = this.#isUnreachable || member.isAvoided(context.now());
+      const now = context.now();
+      const isUnreachable = this.#isUnreachable || member.isAvoided(now) || options.group.isStalled(now);
       if (!this.#mayUseReplica() && isWaitOver(context, options.group, isUnreachable, wait))
         throw this.#notRun();
       this.#excluded.add(member.entry.memberId);
--- /dev/null
+++ b/src/relay/write-runner.test.ts
@@ -0,0 +1,74 @@
+/**
+ * A write while commits at the leader go without an answer.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Catalog, type Route } from '../topology/catalog.js';
+import { MemberGroup, type Member } from '../topology/member-group.js';
+import { Refusal } from './refusal.js';
+import type { RelayContext } from './relay-context.js';
+import { WriteRunner } from './write-runner.js';
+
+const ROUTE: Route = {
+  database: 'pay',
+  groupName: 'g',
+  consistency: 'primary',
+  timeoutMs: 800,
+  targetLatencyMs: 100,
+  priority: 1,
+  maxStalenessMs: 0,
+};
+/** Time that passes with each look at the clock, in milliseconds. */
+const STEP_MS = 20;
+
+test('is not sent to a leader whose commits stall, and is refused soon as not run', async () => {
+  let now = 10_000;
+  let acquired = 0;
+  const group = new MemberGroup('g');
+  const leader = {
+    entry: { memberId: 'm' },
+    isAvoided: () => false,
+    pool: { acquire: () => Promise.reject(new Error(`not to be asked: ${(acquired += 1)}`)) },
+  };
+  group.members.set('m', leader as unknown as Member);
+  group.evidence.believe({ memberId: 'm', term: 1 });
+  group.evidence.witness(1, 0, now);
+  const context: RelayContext = {
+    catalog: new Catalog(),
+    zone: 'a',
+    observer: {
+      routine: () => undefined,
+      notable: () => undefined,
+      memberAnswered: () => undefined,
+      requestEnded: () => undefined,
+    },
+    group: () => group,
+    now: () => (now += STEP_MS),
+    suspect: () => undefined,
+  };
+  const answered = group.commitSent(now - 400);
+  const job = {
+    requestId: 'x',
+    statement: { kind: 'plain', payload: 'WRITE k v' },
+    route: ROUTE,
+    group,
+    values: new Map(),
+    deadlineMs: now + ROUTE.timeoutMs,
+  } as const;
+  const sentAtMs = now;
+  await assert.rejects(new WriteRunner(context, job).run(), (error: unknown) => {
+    assert.ok(error instanceof Refusal);
+    assert.equal(error.code, 'busy');
+    assert.equal(error.verdict, 'not_run');
+    assert.ok(error.retryAfterMs !== null);
+    return true;
+  });
+  assert.equal(acquired, 0);
+  assert.ok(now - sentAtMs < ROUTE.timeoutMs / 2);
+  answered();
+  const later = new WriteRunner(context, { ...job, deadlineMs: now + 100 }).run();
+  await assert.rejects(later, Refusal);
+  assert.ok(acquired > 0, 'sent again once commits are answered');
+});
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -92,6 +92,13 @@
     for (;;) {
       const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS, wait);
       if (leader === null || context.now() >= job.deadlineMs) throw this.#notRun();
+      if (job.group.isStalled(context.now())) {
+        // What is sent now would be in doubt, and keep a connection from the reads.
+        this.#lastReason = 'commits stall';
+        if (isWaitOver(context, job.group, true, wait)) throw this.#notRun();
+        await job.group.changed.wait(WAIT_LOOK_MS);
+        continue;
+      }
       const reply = await this.#attempt(leader);
       if (reply !== null) return reply;
       const isUnreachable = this.#isUnreachable || leader.isAvoided(context.now());
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -123,6 +123,9 @@
   }
 }
 
+/** Time for which a commit may go without an answer before the group counts as stalled, in milliseconds. */
+const STALL_MS = 350;
+
 /** One group. */
 export class MemberGroup {
   readonly members = new Map<string, Member>();
@@ -157,10 +160,10 @@
     return () => this.#commitsSinceMs.delete(key);
   }
 
-  /** For how long the oldest commit under way has waited, in milliseconds. */
-  commitWaitMs(nowMs: number): number {
+  /** True while a commit of this daemon goes without an answer: the leader may not reach its replicas. */
+  isStalled(nowMs: number): boolean {
     const oldest = this.#commitsSinceMs.values().next();
-    return oldest.done === true ? 0 : nowMs - oldest.value;
+    return oldest.done !== true && nowMs - oldest.value >= STALL_MS;
   }
 
   /** The latest position of a commit that this daemon has acknowledged. */
