A promotion that waited looks whether its pauses still stand

A replica that restarts loses its pause. While a promotion waits 1.6 s for a silent daemon, the replica can then receive commits of the old leader, which a daemon that was not asked to let go acknowledges on that replica's own evidence: LOST and STALE were possible.

Ruled out: pausing again (it hides that evidence was given meanwhile); waiting again (the same can happen again).

Change: after the wait all paused replicas are asked; one that answers and is not paused ends the promotion, which is tried again from the start. Without a wait nothing is asked: all daemons have let go.

What is left: a replica that restarts within the some 0.3 s of the platform's promotion.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -298,19 +298,18 @@
     const pausedAtMs = options.now();
     const outcomes = await revoking;
     const areLate = pausedAtMs - startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
-    if (hasSilent(outcomes) || areLate) await delay(pausedAtMs + EVIDENCE_MS - options.now());
+    const mustWait = hasSilent(outcomes) || areLate;
+    if (mustWait) await delay(pausedAtMs + EVIDENCE_MS - options.now());
+    const hold = !mustWait || (await this.#holdPauses(paused, term + 1));
     const candidates = paused.map(toCandidate);
-    const successor = chooseSuccessor({
-      candidates,
-      missing,
-      acknowledged: latestAcknowledged(group.acknowledged, outcomes),
-    });
+    const acknowledged = latestAcknowledged(group.acknowledged, outcomes);
+    const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
     if (isAlive && successor !== null) await this.#demote(leader, term + 1);
     const isDone = successor !== null && (await this.#appoint(successor, term, reason));
     if (!isDone) {
       options.log('promotion_given_up', {
         group: group.name,
-        reason: successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it',
+        reason: givenUpReason(hold, successor),
         paused: paused.length,
         missing,
       });
@@ -387,6 +386,18 @@
     return 'missing';
   }
 
+  /**
+   * False when a replica has lost its pause, by a restart: it may have received commits since, and have given evidence to
+   * a daemon that was not asked to let go.
+   */
+  async #holdPauses(paused: readonly Paused[], term: number): Promise<boolean> {
+    const answers = await Promise.all(paused.map(({ member }) => this.#status(member)));
+    return paused.every(({ member }, index) => {
+      const answer = answers[index];
+      return answer?.kind !== 'answered' || toPaused(member, answer.status, term) !== 'missing';
+    });
+  }
+
   async #resumeAll(members: readonly Member[]): Promise<void> {
     await Promise.all(
       members.map((member) => this.options.control.ask(member, { kind: 'resume' }, STATUS_MS)),
@@ -416,6 +427,11 @@
   return isStopped ? { member, status } : 'missing';
 }
 
+function givenUpReason(hold: boolean, successor: SuccessorCandidate | null): string {
+  if (!hold) return 'a replica has lost its pause';
+  return successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it';
+}
+
 function toCandidate({ member, status }: Paused): SuccessorCandidate {
   return { memberId: member.entry.memberId, received: status.received, isLeaving: member.isLeaving };
 }
