--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { Member, MemberGroup } from '../topology/member-group.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
@@ -114,12 +115,7 @@
   const context: RelayContext = {
     catalog: new Catalog(),
     zone: 'a',
-    observer: {
-      routine: () => undefined,
-      notable: () => undefined,
-      memberAnswered: () => undefined,
-      requestEnded: () => undefined,
-    },
+    observer: QUIET_OBSERVER,
     group: () => group,
     now: () => 0,
     suspect: () => undefined,
--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
 import { Refusal } from './refusal.js';
@@ -38,12 +39,7 @@
   const context: RelayContext = {
     catalog: new Catalog(),
     zone: 'a',
-    observer: {
-      routine: () => undefined,
-      notable: () => undefined,
-      memberAnswered: () => undefined,
-      requestEnded: () => undefined,
-    },
+    observer: QUIET_OBSERVER,
     group: () => group,
     now: () => (now += STEP_MS),
     suspect: () => undefined,
