What a resumed daemon reads in its first passes is refused, however long they take

What a daemon reads after a pause was refused for 250 ms from the moment at which the pause was noticed; a first pass of the event loop that is slower than that, on a busy machine, read a request given up during the pause as a fresh one. A request that waited inside the daemon was routed on after a pause, too. Ruled out by reading: an acknowledgement by the old owner after its successor's floor was read (its lease is checked by the clock before anything is begun, and its monitor stops first); a floor that misses a commit (majorities intersect); a primary of an older term (its status needs a majority of locks); a wait past the client's own 15 s (deadlines are 1.5 s there). Change: the passes of the event loop are counted as well as the time; the router, and the engine right before it sends, refuse as not run what was taken before a pause. Conclusion: the only order found that explains what was seen; the failing run itself was not repeated.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -244,6 +244,7 @@
     const router = new RequestRouter({
       targets: (database) => this.#targets(database),
       decide: (request) => this.#decide(request),
+      hasPausedSince: (sinceMs) => this.#clientServer.hasPausedSince(sinceMs),
       random: this.random,
     });
     return new ClientServer({
--- a/src/daemon/request-targets.ts
+++ b/src/daemon/request-targets.ts
@@ -4,7 +4,6 @@
  * @packageDocumentation
  */
 import type { DatabaseEngine } from '../engine/database-engine.js';
-import { ALWAYS_AWAITED } from '../engine/execution.js';
 import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
 import type { RequestTarget } from '../entry/request-router.js';
 import type { PeerLink } from '../peer/peer-link.js';
@@ -16,10 +15,10 @@
     private readonly findEngine: (database: string) => DatabaseEngine | null,
   ) {}
 
-  forward(request: StatementRequest, sink: AnswerSink & { lost(): void }): void {
+  forward(request: StatementRequest, sink: AnswerSink & { lost(): void }, isAwaited: () => boolean): void {
     const engine = this.findEngine(request.database);
     if (engine === null) sink.notOwner();
-    else void engine.execute(request, sink, ALWAYS_AWAITED);
+    else void engine.execute(request, sink, isAwaited);
   }
 
   closeStream(database: string, streamId: string): void {
--- a/src/engine/execution.ts
+++ b/src/engine/execution.ts
@@ -43,9 +43,6 @@
   readonly isStopped: () => boolean;
 }
 
-/** For requests of clients of this daemon: they are told of everything that happens to them. */
-export const ALWAYS_AWAITED = (): boolean => true;
-
 /** Backoff between attempts at members. */
 export const ATTEMPT_BACKOFF = { initialDelayMs: 5, maxDelayMs: 200 };
 
--- a/src/entry/client-server.ts
+++ b/src/entry/client-server.ts
@@ -62,6 +62,7 @@
     performance.now(),
   );
   #pauseTimer: NodeJS.Timeout | null = null;
+  #isAwaitingPasses = false;
   #nextProcessId = 1;
   #isClosing = false;
 
@@ -76,7 +77,7 @@
 
   /** Starts to listen. */
   listen(host: string, port: number): Promise<void> {
-    this.#pauseTimer = setInterval(() => this.#pauses.tick(performance.now()), PAUSE_TICK_MS);
+    this.#pauseTimer = setInterval(() => this.#mayReadBeOld(), PAUSE_TICK_MS);
     this.#pauseTimer.unref();
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
@@ -97,6 +98,30 @@
     return [...this.#connections].filter((connection) => connection.closeNow()).length;
   }
 
+  /** True when the process has been paused since `sinceMs`, in monotonic milliseconds. */
+  hasPausedSince(sinceMs: number): boolean {
+    const hasPaused = this.#pauses.hasPausedSince(sinceMs, performance.now());
+    this.#awaitPasses();
+    return hasPaused;
+  }
+
+  #mayReadBeOld(): boolean {
+    const mayBeOld = this.#pauses.tick(performance.now());
+    if (mayBeOld) this.#awaitPasses();
+    return mayBeOld;
+  }
+
+  /** Counts the passes of the event loop after a pause. */
+  #awaitPasses(): void {
+    if (this.#isAwaitingPasses) return;
+    this.#isAwaitingPasses = true;
+    const next = (): void => {
+      if (this.#pauses.passed()) setImmediate(next);
+      else this.#isAwaitingPasses = false;
+    };
+    setImmediate(next);
+  }
+
   #accept(socket: Socket): void {
     socket.setNoDelay(true);
     socket.on('error', () => socket.destroy());
@@ -187,7 +212,7 @@
       router,
       maxRequestBytes,
       maxUnreadBytes,
-      mayReadBeOld: () => this.#pauses.tick(performance.now()),
+      mayReadBeOld: () => this.#mayReadBeOld(),
       onClosed: () => {
         this.#connections.delete(connection);
         this.#cancelTargets.delete(processId);
--- a/src/entry/request-router.test.ts
+++ b/src/entry/request-router.test.ts
@@ -48,6 +48,7 @@
   const router = new RequestRouter({
     targets: () => [target('d1', attempts++ === 0 ? first : others)],
     decide: () => ({ ...DEFAULT_DECISION, deadlineMs: 30 }),
+    hasPausedSince: () => false,
     random: () => 0.5,
   });
   return new Promise((resolve, reject) => {
@@ -82,6 +83,7 @@
   const router = new RequestRouter({
     targets: () => [],
     decide: () => DEFAULT_DECISION,
+    hasPausedSince: () => false,
     random: () => 0.5,
   });
   const failure = await new Promise<{ readonly error: RequestError; readonly status: string }>((resolve) => {
@@ -98,3 +100,65 @@
   assert.equal(failure.error.endsTransaction, true);
   assert.equal(failure.status, 'E');
 });
+
+test('a request that waited while the process was paused is begun nowhere', async () => {
+  let hasPaused = false;
+  const begun: string[] = [];
+  const first: RequestTarget = {
+    ...target('d1', 'notOwner'),
+    forward: (_request, sink) => {
+      // The process is paused while its own engine has the request; when it goes on, another daemon owns the database.
+      hasPaused = true;
+      sink.notOwner();
+    },
+  };
+  const second: RequestTarget = {
+    ...target('d2', 'notOwner'),
+    forward: (_request, sink) => {
+      begun.push('d2');
+      sink.end('I');
+    },
+  };
+  const router = new RequestRouter({
+    targets: () => [first, second],
+    decide: () => DEFAULT_DECISION,
+    hasPausedSince: () => hasPaused,
+    random: () => 0.5,
+  });
+  const error = await new Promise<RequestError>((resolve, reject) => {
+    const sink = {
+      data: () => undefined,
+      end: () => reject(new Error('begun')),
+      fail: resolve,
+      notOwner: () => reject(new Error('not owner')),
+    };
+    void router.route(REQUEST, 'I', { target: null }, new CancelSignal(), sink);
+  });
+  assert.deepEqual(begun, []);
+  assert.equal(error.verdict, 'not_run');
+});
+
+test('a target is told that a request is awaited no longer once the process has been paused', async () => {
+  let hasPaused = false;
+  const answers: boolean[] = [];
+  const only: RequestTarget = {
+    ...target('d1', 'notOwner'),
+    forward: (_request, sink, isAwaited) => {
+      answers.push(isAwaited());
+      hasPaused = true;
+      answers.push(isAwaited());
+      sink.end('I');
+    },
+  };
+  const router = new RequestRouter({
+    targets: () => [only],
+    decide: () => DEFAULT_DECISION,
+    hasPausedSince: () => hasPaused,
+    random: () => 0.5,
+  });
+  await new Promise<void>((resolve, reject) => {
+    const sink = { data: () => undefined, end: () => resolve(), fail: reject, notOwner: reject };
+    void router.route(REQUEST, 'I', { target: null }, new CancelSignal(), sink);
+  });
+  assert.deepEqual(answers, [true, false]);
+});
--- a/src/entry/request-router.ts
+++ b/src/entry/request-router.ts
@@ -17,7 +17,8 @@
 /** Sends requests to one daemon. */
 export interface RequestTarget {
   readonly daemonId: string;
-  forward(request: StatementRequest, sink: AnswerSink & { lost(): void }): void;
+  /** @param isAwaited - asked right before the request is begun; it must not be when this says false */
+  forward(request: StatementRequest, sink: AnswerSink & { lost(): void }, isAwaited: () => boolean): void;
   closeStream(database: string, streamId: string): void;
   cancel(database: string, streamId: string): void;
 }
@@ -27,6 +28,8 @@
   /** Daemons to try for a database, most likely owner first. */
   targets(database: string): readonly RequestTarget[];
   decide(request: StatementRequest): PolicyDecision;
+  /** True when this process was paused since then (monotonic, in milliseconds): clients may have given up meanwhile. */
+  hasPausedSince(sinceMs: number): boolean;
   readonly random: () => number;
 }
 
@@ -37,6 +40,7 @@
 
 const SEARCH_BACKOFF = { initialDelayMs: 10, maxDelayMs: 100 };
 const RETRY_AFTER_SEARCH_MS = 500;
+const PAUSED = 'the daemon was paused while the request waited';
 
 interface Routing {
   readonly request: StatementRequest;
@@ -44,6 +48,7 @@
   sink: AnswerSink;
   readonly isInTransaction: boolean;
   readonly decision: PolicyDecision;
+  readonly routedAtMs: number;
   readonly deadlineMs: number;
   readonly signal: CancelSignal;
   attempts: number;
@@ -72,13 +77,15 @@
     sink: AnswerSink,
   ): Promise<void> {
     const decision = this.ports.decide(request);
+    const routedAtMs = performance.now();
     const routing: Routing = {
       request,
       binding,
       sink,
       isInTransaction: status !== 'I',
       decision,
-      deadlineMs: performance.now() + decision.deadlineMs,
+      routedAtMs,
+      deadlineMs: routedAtMs + decision.deadlineMs,
       signal,
       attempts: 0,
     };
@@ -109,6 +116,10 @@
     }
     while (performance.now() < routing.deadlineMs && !routing.signal.isCanceled) {
       for (const target of this.ports.targets(database)) {
+        if (!this.#isAwaited(routing)) {
+          this.#giveUp(routing, SqlState.cannotConnectNow, PAUSED, 0);
+          return;
+        }
         const outcome = await this.#attempt(routing, target);
         if (outcome === 'settled') return;
       }
@@ -124,6 +135,11 @@
     this.#giveUp(routing, SqlState.cannotConnectNow, message, RETRY_AFTER_SEARCH_MS);
   }
 
+  /** False when the client may have given up while this process was paused, and written something newer elsewhere. */
+  #isAwaited({ routedAtMs }: Routing): boolean {
+    return !this.ports.hasPausedSince(routedAtMs);
+  }
+
   #giveUp(routing: Routing, sqlState: SqlStateCode, message: string, retryAfterMs: number | null): void {
     routing.sink.fail(new RequestError(sqlState, 'not_run', message, retryAfterMs), 'I');
   }
@@ -159,6 +175,7 @@
           },
           lost: () => resolve(this.#handleLost(routing, hasSentData)),
         },
+        () => this.#isAwaited(routing),
       );
     });
   }
