Reads wait at every member that could serve them; those that can be in time go first

Cause: a read was bound to one member while it waited for a connection. When both replicas of a group were behind, and after a loss of power, reads queued at the leader stayed there though a replica had a connection free; the queue was served in order of arrival until all of it was late. Change: a wait (LinkWait) stands at all pools whose members could serve the read; the first free connection takes it. Pools serve those that can still meet their latency objective first, by priority and by the end of the objective, then the late ones. The first position of a leader after a silence wakes those who wait: replicas may serve them now. A second member is asked by the time since the read was sent, not since it came.

--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -107,7 +107,9 @@
       return null;
     }
     try {
-      const link = await this.pool.acquire(this.#values, this.terms.priority, this.terms.waitMs);
+      const { priority, waitMs } = this.terms;
+      const demand = { values: this.#values, priority, dueAtMs: performance.now() + waitMs };
+      const link = await this.pool.acquire(demand, waitMs);
       if (this.#isReturned) {
         this.pool.release(link);
         return null;
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -3,9 +3,11 @@
  *
  * @packageDocumentation
  */
-import { PoolTimeoutError, type LinkPool } from '../relay/link-pool.js';
+import type { LinkPool } from '../relay/link-pool.js';
+import type { LinkDemand } from '../relay/link-queue.js';
+import { PoolTimeoutError } from '../relay/link-wait.js';
 import { PooledLink } from '../relay/pooled-link.js';
-import type { SessionLink, SessionValues } from '../relay/session-link.js';
+import type { SessionLink } from '../relay/session-link.js';
 import type { Assignment } from './assign-gateways.js';
 import type { GatewayClient } from './gateway-client.js';
 
@@ -45,7 +47,12 @@
 
   /** True when a request would have to wait for another to finish. */
   get isExhausted(): boolean {
-    return this.#isDirect() && this.options.pool.isExhausted;
+    return this.isDirect && this.options.pool.isExhausted;
+  }
+
+  /** True when this daemon has connections of its own to the member. */
+  get isDirect(): boolean {
+    return connectsItself(this.options.assignment(), this.options.ownName);
   }
 
   /**
@@ -53,11 +60,21 @@
    *
    * @throws PoolTimeoutError, DialError: nothing was sent
    */
-  async acquire(values: SessionValues, priority: number, waitMs: number): Promise<SessionLink> {
-    const { pool, gateways, groupName, memberId } = this.options;
+  async acquire(demand: LinkDemand, waitMs: number): Promise<SessionLink> {
+    const assignment = this.options.assignment();
+    if (assignment.gateways === null || this.isDirect) return this.options.pool.acquire(demand, waitMs);
+    return this.borrow(demand, waitMs);
+  }
+
+  /**
+   * A connection that a gateway lends; give it back with {@link MemberConnections.release}.
+   *
+   * @throws PoolTimeoutError: nothing was sent
+   */
+  borrow({ priority }: LinkDemand, waitMs: number): SessionLink {
+    const { gateways, groupName, memberId } = this.options;
     const assignment = this.options.assignment();
-    if (assignment.gateways === null || this.#isDirect()) return pool.acquire(values, priority, waitMs);
-    const gateway = gateways.choose(assignment.gateways);
+    const gateway = gateways.choose(assignment.gateways ?? []);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
     const link = gateways.borrow(gateway, { groupName, memberId, priority, waitMs: Math.round(waitMs) });
     this.#borrowed.add(link);
@@ -73,8 +90,4 @@
     this.#borrowed.delete(link);
     link.close();
   }
-
-  #isDirect(): boolean {
-    return connectsItself(this.options.assignment(), this.options.ownName);
-  }
 }
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { LinkPool } from './link-pool.js';
+import type { LinkDemand } from './link-queue.js';
 import {
   DialError,
   LinkLostError,
@@ -43,6 +44,7 @@
 
 const ADDRESS = { memberId: 'm', groupName: 'g', host: 'h', port: 1 };
 const NO_VALUES = new Map<string, string>();
+const DEMAND: LinkDemand = { values: NO_VALUES, priority: 1, dueAtMs: Number.POSITIVE_INFINITY };
 
 function poolOf(budget: number, dial: () => Promise<MemberLink>, clock = { now: 0 }): LinkPool {
   return new LinkPool({
@@ -52,6 +54,7 @@
     dialTimeoutMs: 100,
     limitBackoffMs: 10,
     idleMs: 1000,
+    serviceMs: () => 10,
     onTrouble: () => undefined,
     now: () => clock.now,
   });
@@ -63,11 +66,11 @@
     dialed += 1;
     return Promise.resolve(new FakeLink());
   });
-  const first = await pool.acquire(NO_VALUES, 1, 1000);
-  await pool.acquire(NO_VALUES, 1, 1000);
+  const first = await pool.acquire(DEMAND, 1000);
+  await pool.acquire(DEMAND, 1000);
   const served: string[] = [];
-  const low = pool.acquire(NO_VALUES, 2, 1000).then((link) => (served.push('low'), link));
-  const high = pool.acquire(NO_VALUES, 0, 1000).then((link) => (served.push('high'), link));
+  const low = pool.acquire({ ...DEMAND, priority: 2 }, 1000).then((link) => (served.push('low'), link));
+  const high = pool.acquire({ ...DEMAND, priority: 0 }, 1000).then((link) => (served.push('high'), link));
   assert.equal(dialed, 2);
   pool.release(first);
   pool.release(await high);
@@ -83,7 +86,7 @@
     links.push(link);
     return Promise.resolve(link);
   });
-  const link = await pool.acquire(NO_VALUES, 1, 1000);
+  const link = await pool.acquire(DEMAND, 1000);
   void link.send({ kind: 'status' });
   pool.release(link);
   assert.equal(links[0]?.isOpen, false);
@@ -93,7 +96,7 @@
 test('session values are those of the session that uses it, and nothing of an earlier one is left', async () => {
   const fake = new FakeLink();
   const pool = poolOf(1, () => Promise.resolve(fake));
-  const link = await pool.acquire(NO_VALUES, 1, 1000);
+  const link = await pool.acquire(DEMAND, 1000);
   await link.adoptValues(
     new Map([
       ['lang', 'ur'],
@@ -116,7 +119,7 @@
 test('a connection that refuses a value is ended: its state is unknown', async () => {
   const fake = new FakeLink();
   const pool = poolOf(1, () => Promise.resolve(fake));
-  const link = await pool.acquire(NO_VALUES, 1, 1000);
+  const link = await pool.acquire(DEMAND, 1000);
   fake.refuseNext = true;
   await assert.rejects(link.adoptValues(new Map([['lang', 'ur']])), LinkLostError);
   assert.equal(link.isOpen, false);
@@ -132,8 +135,8 @@
       : Promise.resolve(new FakeLink());
   };
   const pool = poolOf(3, dial, clock);
-  await pool.acquire(NO_VALUES, 1, 1000);
-  const waiting = pool.acquire(NO_VALUES, 1, 1000);
+  await pool.acquire(DEMAND, 1000);
+  const waiting = pool.acquire(DEMAND, 1000);
   await new Promise((resolve) => setImmediate(resolve));
   clock.now = 20;
   await waiting;
@@ -144,7 +147,7 @@
   const clock = { now: 0 };
   const pool = poolOf(3, () => Promise.resolve(new FakeLink()), clock);
   const links = [];
-  for (let index = 0; index < 3; index += 1) links.push(await pool.acquire(NO_VALUES, 1, 1000));
+  for (let index = 0; index < 3; index += 1) links.push(await pool.acquire(DEMAND, 1000));
   for (const link of links) pool.release(link);
   pool.trim();
   assert.equal(pool.size, 3);
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -3,27 +3,17 @@
  *
  * @packageDocumentation
  */
+import { nextToServe, type LinkDemand } from './link-queue.js';
+import { LinkWait, PoolTimeoutError, type PoolWaiter, type WaitingPlace } from './link-wait.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
 import { PooledLink } from './pooled-link.js';
 import type { SessionValues } from './session-link.js';
 
-/** No connection came free in time: nothing was sent. */
-export class PoolTimeoutError extends Error {
-  override readonly name = 'PoolTimeoutError';
-}
-
 /** Connections that are kept though they are idle. */
 const KEPT_IDLE = 1;
 /** Time between two connections that are opened in advance, in milliseconds: each takes a slot of the member. */
 const WARMING_MS = 200;
 
-interface Waiter {
-  readonly priority: number;
-  readonly values: SessionValues;
-  grant(link: PooledLink): void;
-  fail(error: Error): void;
-}
-
 /** What a pool is told about its surroundings. */
 export interface LinkPoolOptions {
   readonly dialer: MemberDialer;
@@ -36,6 +26,8 @@
   readonly limitBackoffMs: number;
   /** How long a connection may be idle while others are, in milliseconds. */
   readonly idleMs: number;
+  /** Time that the member takes for an answer, in milliseconds. */
+  serviceMs(): number;
   /** Told when a connection could not be opened or ended by itself. */
   onTrouble(reason: string): void;
   /** Monotonic time, in milliseconds. */
@@ -43,10 +35,10 @@
 }
 
 /** Opens connections on demand, hands them out by priority, takes them back when they are clean. */
-export class LinkPool {
+export class LinkPool implements WaitingPlace {
   /** Given back last stands last, and is used first. */
   readonly #idle: { readonly link: PooledLink; readonly sinceMs: number }[] = [];
-  readonly #waiters: Waiter[] = [];
+  readonly #waiters: PoolWaiter[] = [];
   readonly #links = new Set<PooledLink>();
   #dialing = 0;
   #limitedUntilMs = Number.NEGATIVE_INFINITY;
@@ -76,31 +68,32 @@
    *
    * @throws {@link PoolTimeoutError}, {@link DialError}: nothing was sent
    */
-  acquire(values: SessionValues, priority: number, waitMs: number): Promise<PooledLink> {
-    if (this.#isClosed) return Promise.reject(new PoolTimeoutError('the member has left'));
-    const idle = this.#takeIdle(values);
-    if (idle !== null) return Promise.resolve(idle);
-    if (waitMs <= 0) return Promise.reject(new PoolTimeoutError('no time to wait for a connection'));
-    return new Promise((resolve, reject) => {
-      const waiter: Waiter = {
-        priority,
-        values,
-        grant: (link) => {
-          clearTimeout(timer);
-          resolve(link);
-        },
-        fail: (error) => {
-          clearTimeout(timer);
-          reject(error);
-        },
-      };
-      const timer = setTimeout(() => {
-        this.#removeWaiter(waiter);
-        reject(new PoolTimeoutError('no connection came free'));
-      }, waitMs);
-      this.#enqueue(waiter);
-      if (this.#mayDial() && this.#dialing < this.#waiters.length) this.#dial();
-    });
+  async acquire(demand: LinkDemand, waitMs: number): Promise<PooledLink> {
+    const wait = new LinkWait<this>(demand, waitMs);
+    wait.joinAll([{ place: this, member: this }]);
+    const { link } = await wait.granted;
+    return link as PooledLink;
+  }
+
+  /** Grants an idle connection at once, or lets a request wait for one. */
+  join(waiter: PoolWaiter): void {
+    if (this.#isClosed) {
+      waiter.fail(new PoolTimeoutError('the member has left'), this);
+      return;
+    }
+    const idle = this.#takeIdle(waiter.demand.values);
+    if (idle !== null) {
+      waiter.grant(idle, this);
+      return;
+    }
+    this.#waiters.push(waiter);
+    if (this.#mayDial() && this.#dialing < this.#waiters.length) this.#dial();
+  }
+
+  /** A request waits here no more. */
+  leave(waiter: PoolWaiter): void {
+    const index = this.#waiters.indexOf(waiter);
+    if (index >= 0) this.#waiters.splice(index, 1);
   }
 
   /** An idle connection for a question of the daemon's own, or `null`. */
@@ -114,9 +107,9 @@
       link.close();
       return;
     }
-    const waiter = this.#waiters.shift();
+    const waiter = this.#nextWaiter();
     if (waiter === undefined) this.#idle.push({ link, sinceMs: this.options.now() });
-    else waiter.grant(link);
+    else waiter.grant(link, this);
   }
 
   /**
@@ -162,7 +155,7 @@
 
   /** Tells all who wait that none will come soon: the member does not answer. Nothing was sent. */
   failWaiters(reason: string): void {
-    for (const waiter of this.#waiters.splice(0)) waiter.fail(new PoolTimeoutError(reason));
+    for (const waiter of this.#waiters.splice(0)) waiter.fail(new PoolTimeoutError(reason), this);
   }
 
   /** Ends all connections: the member does not answer. */
@@ -187,15 +180,11 @@
     return index < 0 ? null : (this.#idle.splice(index, 1)[0]?.link ?? null);
   }
 
-  #enqueue(waiter: Waiter): void {
-    const index = this.#waiters.findIndex((other) => other.priority > waiter.priority);
-    if (index < 0) this.#waiters.push(waiter);
-    else this.#waiters.splice(index, 0, waiter);
-  }
-
-  #removeWaiter(waiter: Waiter): void {
-    const index = this.#waiters.indexOf(waiter);
-    if (index >= 0) this.#waiters.splice(index, 1);
+  /** Takes the one out of the queue that is to be served next. */
+  #nextWaiter(): PoolWaiter | undefined {
+    const { now, serviceMs } = this.options;
+    const index = nextToServe(this.#waiters, now(), serviceMs());
+    return index < 0 ? undefined : this.#waiters.splice(index, 1)[0];
   }
 
   #dial(): void {
@@ -235,6 +224,6 @@
     } else if (error.reason !== 'slow') {
       this.options.onTrouble(error.reason);
     }
-    this.#waiters.shift()?.fail(error);
+    this.#nextWaiter()?.fail(error, this);
   }
 }
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -8,13 +8,15 @@
 import { laterPosition } from '../position/position.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { selectReadMember, type ReadCandidate } from '../topology/select-member.js';
+import { alternatives, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
+import { dueAt, type LinkDemand } from './link-queue.js';
+import { LinkWait, type Grant, type WaitingPlace } from './link-wait.js';
 import { DialError, type MemberErrorCode, type MemberReply } from './member-link.js';
 import { shouldAskElsewhere } from './patience.js';
 import { firstWithin } from './race.js';
 import { Refusal } from './refusal.js';
 import { LATE_ANSWER_MS, RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
-import type { SessionValues } from './session-link.js';
+import type { SessionLink, SessionValues } from './session-link.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 
 /** A read to be run, or a transaction that only reads. */
@@ -31,11 +33,27 @@
   readonly deadlineMs: number;
 }
 
+/** How one attempt ended, and at which members. */
 type Attempt =
-  | { readonly kind: 'reply'; readonly reply: MemberReply; readonly member: Member }
-  | { readonly kind: 'failed'; readonly reason: string; readonly reply: MemberReply; readonly member: Member }
-  | { readonly kind: 'not_run'; readonly reason: string; readonly member: Member }
-  | { readonly kind: 'lost'; readonly reason: string; readonly member: Member };
+  | { readonly kind: 'reply'; readonly reply: MemberReply }
+  | {
+      readonly kind: 'failed';
+      readonly reason: string;
+      readonly reply: MemberReply;
+      readonly members: Iterable<Member>;
+    }
+  | {
+      readonly kind: 'not_run' | 'lost';
+      readonly reason: string;
+      readonly members: Iterable<Member>;
+    };
+
+/** An attempt under way: it waits for a connection at some members, then for the answer of one. */
+interface Asking {
+  readonly wait: LinkWait<Member>;
+  /** Since when the answer is waited for, in monotonic milliseconds; `null` while a connection is. */
+  sentAtMs: number | null;
+}
 
 /** Share of the target latency after which a second member is asked. */
 const HEDGE_SHARE = 0.6;
@@ -43,6 +61,12 @@
 /** Time added to a staleness bound for the way of the request to the daemon, in milliseconds. */
 const STALENESS_MARGIN_MS = 60;
 
+/** A time that is longer than any request, in milliseconds. */
+const NEVER_MS = 60_000;
+
+const ANSWERED = 'answered by another member';
+const UNPROVEN = 'no evidence of the leader';
+
 /** Most members asked at once. */
 const MAX_PARALLEL = 2;
 
@@ -101,7 +125,7 @@
   readonly #excluded = new Set<string>();
   /** Members to which no connection could be opened in this round. */
   readonly #unreachable = new Set<string>();
-  readonly #pending = new Map<Promise<Attempt>, Member>();
+  readonly #pending = new Map<Promise<Attempt>, Asking>();
   #isSettled = false;
   #wasSent = false;
   #lastReason = 'no member can serve';
@@ -124,6 +148,7 @@
       return await this.#run();
     } finally {
       this.#isSettled = true;
+      for (const { wait } of this.#pending.values()) wait.cancel();
     }
   }
 
@@ -140,7 +165,7 @@
         await this.job.group.changed.wait(Math.min(RETRY_PAUSE_MS, remaining));
         continue;
       }
-      const attempt = await firstWithin(this.#pending.keys(), Math.min(this.#hedgeMs(), remaining));
+      const attempt = await this.#next(remaining);
       if (attempt === null) continue;
       if (attempt.kind === 'reply') return attempt.reply;
       if (attempt.kind === 'failed') {
@@ -149,17 +174,26 @@
         if (this.#failures >= MAX_FAILURES) return attempt.reply;
       }
       this.#lastReason = attempt.reason;
-      this.#excluded.add(attempt.member.entry.memberId);
+      const members = [...attempt.members].map(({ entry }) => entry.memberId);
+      for (const memberId of members) this.#excluded.add(memberId);
       this.context.observer.notable({
         requestId: this.job.requestId,
         decision: 'read_elsewhere',
-        member: attempt.member.entry.memberId,
+        member: members.join(','),
         reason: attempt.reason,
         outcome: attempt.kind,
       });
     }
   }
 
+  /** The next attempt that ends; `null` when it is time to look again. */
+  #next(remainingMs: number): Promise<Attempt | null> {
+    const lookMs = Math.min(this.#lookMs(), remainingMs);
+    const ends: Promise<Attempt | null>[] = [...this.#pending.keys()];
+    if (this.#waiting() !== null) ends.push(this.job.group.changed.wait(lookMs).then(() => null));
+    return firstWithin(ends, lookMs);
+  }
+
   /** True when no member can serve now, and another daemon may know one that can. */
   #shouldAskElsewhere(): boolean {
     const { context, job } = this;
@@ -178,80 +212,134 @@
     });
   }
 
-  #hedgeMs(): number {
-    const isMore = this.#pending.size < MAX_PARALLEL;
-    return isMore ? this.job.route.targetLatencyMs * HEDGE_SHARE : Number.MAX_SAFE_INTEGER / 1e9;
+  /** Time until a second member may be asked, or others may be able to serve, in milliseconds. */
+  #lookMs(): number {
+    const hedgeMs = this.job.route.targetLatencyMs * HEDGE_SHARE;
+    if (this.#pending.size >= MAX_PARALLEL) return NEVER_MS;
+    const now = this.context.now();
+    const sentAtMs = Math.max(...[...this.#pending.values()].map((asking) => asking.sentAtMs ?? now));
+    return Math.max(1, sentAtMs + hedgeMs - now);
+  }
+
+  /** The attempt that waits for a connection, or `null`. */
+  #waiting(): Asking | null {
+    for (const asking of this.#pending.values()) if (asking.wait.isWaiting) return asking;
+    return null;
   }
 
   #launch(): void {
-    if (this.#pending.size >= MAX_PARALLEL) return;
+    const waiting = this.#waiting();
+    if (waiting === null && this.#pending.size >= MAX_PARALLEL) return;
     const { group, route, sessionFloor, receivedAtMs } = this.job;
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
-    for (const member of this.#pending.values()) excluded.add(member.entry.memberId);
-    const choice = selectReadMember(readCandidates(this.context, group, floor), { floor, excluded });
+    for (const { wait } of this.#pending.values())
+      for (const { entry } of wait.members) excluded.add(entry.memberId);
+    const candidates = readCandidates(this.context, group, floor);
+    const demand = { floor, excluded };
+    const choice = selectReadMember(candidates, demand);
     const member = choice === null ? undefined : group.members.get(choice.memberId);
     if (choice === null || member === undefined) return;
+    const others = alternatives(choice, candidates, demand).flatMap(
+      ({ memberId }) => group.members.get(memberId) ?? [],
+    );
+    if (waiting !== null) {
+      if (!choice.isAvoided) waiting.wait.joinAll(placesOf([member, ...others]));
+      return;
+    }
     if (this.#pending.size > 0 && (choice.isAvoided || member.pool.isExhausted)) return;
-    this.context.observer.routine({
-      requestId: this.job.requestId,
-      decision: 'read_at',
-      member: choice.memberId,
-      leader: choice.isLeader,
-      floor: floor === null ? null : `${floor.term}.${floor.index}`,
-      second: this.#pending.size > 0,
-    });
-    const attempt = this.#attempt(member, choice.isLeader, choice.isLeader ? null : floor);
-    this.#pending.set(attempt, member);
+    this.#ask(member, member.pool.isExhausted ? others : []);
+  }
+
+  /** Asks a member, or whichever of the others has a connection free first. */
+  #ask(member: Member, others: readonly Member[]): void {
+    const demand = this.#demand();
+    const waitMs = this.job.deadlineMs - this.context.now();
+    const asking: Asking = { wait: new LinkWait<Member>(demand, waitMs), sentAtMs: null };
+    const attempt = this.#attempt(asking);
+    this.#pending.set(attempt, asking);
     void attempt.then(() => this.#pending.delete(attempt));
+    if (member.pool.isDirect) asking.wait.joinAll(placesOf([member, ...others]));
+    else asking.wait.settle(member, () => member.pool.borrow(demand, waitMs));
   }
 
-  async #attempt(member: Member, asLeader: boolean, after: Position | null): Promise<Attempt> {
-    const { job, context } = this;
-    let link;
+  #demand(): LinkDemand {
+    const { values, route, deadlineMs } = this.job;
+    return { values, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
+  }
+
+  async #attempt(asking: Asking): Promise<Attempt> {
+    const { wait } = asking;
+    let granted: Grant<Member>;
     try {
-      link = await member.pool.acquire(job.values, job.route.priority, job.deadlineMs - context.now());
+      granted = await wait.granted;
     } catch (error) {
-      if (error instanceof DialError) this.#unreachable.add(member.entry.memberId);
-      return { kind: 'not_run', reason: `no connection: ${String(error)}`, member };
+      for (const [{ entry }, failure] of wait.failures)
+        if (failure instanceof DialError) this.#unreachable.add(entry.memberId);
+      return { kind: 'not_run', reason: `no connection: ${String(error)}`, members: wait.members };
+    }
+    const { link, member } = granted;
+    try {
+      return await this.#askOver(link, member, asking);
+    } finally {
+      member.pool.release(link);
     }
+  }
+
+  async #askOver(link: SessionLink, member: Member, asking: Asking): Promise<Attempt> {
+    const { job, context } = this;
+    const members = [member];
+    if (this.#isSettled) return { kind: 'not_run', reason: ANSWERED, members };
+    const asLeader = job.group.leader(context.now()) === member;
+    if (!asLeader && job.group.evidence.leader?.memberId === member.entry.memberId)
+      return { kind: 'not_run', reason: UNPROVEN, members };
+    const floor = asLeader ? null : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
+    if (!asLeader && floor === null) return { kind: 'not_run', reason: 'no position of the leader', members };
+    context.observer.routine({
+      requestId: job.requestId,
+      decision: 'read_at',
+      member: member.entry.memberId,
+      leader: asLeader,
+      floor: floor === null ? null : `${floor.term}.${floor.index}`,
+      second: this.#pending.size > 1,
+    });
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now() + LATE_ANSWER_MS);
     let isSent = false;
     try {
-      const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
-        if (this.#isSettled) return 'answered by another member';
-        if (asLeader && job.group.leader(context.now()) !== member) return 'no evidence of the leader';
+      const reply = await sendStatement(link, job.statement, job.requestId, job.values, floor, () => {
+        if (this.#isSettled) return ANSWERED;
+        if (asLeader && job.group.leader(context.now()) !== member) return UNPROVEN;
         isSent = true;
         this.#wasSent = true;
+        asking.sentAtMs = context.now();
         return null;
       });
-      if (typeof reply === 'string') return { kind: 'not_run', reason: reply, member };
+      if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
       return this.#judge(member, asLeader, reply.reply, reply.sentAtMs);
     } catch (error) {
-      return { kind: isSent ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, member };
+      return { kind: isSent ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
       clearTimeout(overdue);
-      member.pool.release(link);
     }
   }
 
   #judge(member: Member, asLeader: boolean, reply: MemberReply, sentAtMs: number): Attempt {
     const { group } = this.job;
     const answerMs = this.context.now() - sentAtMs;
+    const members = [member];
     member.trust(this.context.now());
     member.recordPosition(reply.position, this.context.now());
-    if (asLeader && reply.position !== null) group.positions.record(sentAtMs, reply.position);
+    if (asLeader && reply.position !== null) group.recordLed(sentAtMs, reply.position);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
       member.recordLatency(answerMs);
       this.context.observer.memberAnswered('read', asLeader, answerMs);
-      return { kind: 'reply', reply, member };
+      return { kind: 'reply', reply };
     }
     const { code } = reply.result;
-    if (NOT_RUN_CODES.has(code)) return { kind: 'not_run', reason: code, member };
-    if (code === 'unknown_name') return { kind: 'not_run', reason: code, member };
-    if (FAILED_CODES.has(code)) return { kind: 'failed', reason: code, reply, member };
-    return { kind: 'reply', reply, member };
+    if (NOT_RUN_CODES.has(code) || code === 'unknown_name') return { kind: 'not_run', reason: code, members };
+    if (FAILED_CODES.has(code)) return { kind: 'failed', reason: code, reply, members };
+    return { kind: 'reply', reply };
   }
 
   #giveUp(): MemberReply {
@@ -261,3 +349,8 @@
     throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
   }
 }
+
+/** The pools of members at which a request can wait: those to which this daemon connects itself. */
+function placesOf(members: readonly Member[]): { readonly place: WaitingPlace; readonly member: Member }[] {
+  return members.filter(({ pool }) => pool.isDirect).map((member) => ({ place: member.pool.own, member }));
+}
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -338,6 +338,7 @@
       dialTimeoutMs: DIAL_MS,
       limitBackoffMs: LIMIT_BACKOFF_MS,
       idleMs: IDLE_MS,
+      serviceMs: () => member.latencyMs,
       onTrouble: (reason) => this.#suspect(entry.groupName, member, reason),
       now: options.now,
     });
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -82,6 +82,7 @@
     budget: () => 1,
     dialTimeoutMs: 100,
     limitBackoffMs: 10,
+    serviceMs: () => 10,
     idleMs: 1000,
     onTrouble: () => undefined,
     now: () => 0,
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -7,6 +7,7 @@
 import type { Position } from '../position/position.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import { dueAt } from './link-queue.js';
 import { DialError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { readCandidates, readFloor } from './read-runner.js';
@@ -155,7 +156,9 @@
     this.#isUnreachable = false;
     let link: SessionLink;
     try {
-      link = await member.pool.acquire(step.values, route.priority, step.deadlineMs - context.now());
+      const dueAtMs = dueAt(route, step.deadlineMs);
+      const demand = { values: step.values, priority: route.priority, dueAtMs };
+      link = await member.pool.acquire(demand, step.deadlineMs - context.now());
     } catch (error) {
       this.#isUnreachable = error instanceof DialError;
       this.#lastReason = `no connection: ${String(error)}`;
@@ -258,7 +261,7 @@
     member.trust(this.context.now());
     context.observer.memberAnswered(step.kind, isLeader, context.now() - sentAtMs);
     if (isLeader && reply.position !== null && group.leader(sentAtMs) === member)
-      group.positions.record(sentAtMs, reply.position);
+      group.recordLed(sentAtMs, reply.position);
     if (step.kind === 'commit' && this.#hasWritten && reply.result.isComplete && reply.position !== null)
       group.recordAcknowledged(reply.position);
     if (!reply.result.isComplete && reply.result.code === 'read_only' && isLeader)
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -5,6 +5,7 @@
  */
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import { dueAt, type LinkDemand } from './link-queue.js';
 import { DialError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
@@ -119,7 +120,7 @@
     this.#isUnreachable = false;
     let link;
     try {
-      link = await leader.pool.acquire(job.values, job.route.priority, job.deadlineMs - context.now());
+      link = await leader.pool.acquire(this.#demand(), job.deadlineMs - context.now());
     } catch (error) {
       this.#isUnreachable = error instanceof DialError;
       this.#lastReason = `no connection: ${String(error)}`;
@@ -158,6 +159,11 @@
     }
   }
 
+  #demand(): LinkDemand {
+    const { values, route, deadlineMs } = this.job;
+    return { values, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
+  }
+
   #notRun(): Refusal {
     return new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#inputs());
   }
@@ -173,7 +179,7 @@
     if (reply.result.isComplete) {
       context.observer.memberAnswered('write', true, context.now() - sentAtMs);
       if (reply.position !== null) {
-        job.group.positions.record(sentAtMs, reply.position);
+        job.group.recordLed(sentAtMs, reply.position);
         job.group.recordAcknowledged(reply.position);
       }
       return reply;
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -126,6 +126,9 @@
 /** Time for which a commit may go without an answer before the group counts as stalled, in milliseconds. */
 const STALL_MS = 350;
 
+/** Age of the newest position of a leader below which reads have a floor, in milliseconds: the shortest bound in use. */
+const FLOOR_KNOWN_MS = 500;
+
 /** One group. */
 export class MemberGroup {
   readonly members = new Map<string, Member>();
@@ -176,6 +179,16 @@
     this.#acknowledged = laterPosition(this.#acknowledged, position);
   }
 
+  /**
+   * Takes a position that the proven leader gave when it was asked at `askedAtMs`. The first for a while wakes those who
+   * wait: reads that only the leader could serve may go to others now.
+   */
+  recordLed(askedAtMs: number, position: Position): void {
+    const wasKnown = this.positions.floorSince(askedAtMs - FLOOR_KNOWN_MS) !== null;
+    this.positions.record(askedAtMs, position);
+    if (!wasKnown) this.changed.notify();
+  }
+
   /** For how long no leader has been proven, in milliseconds; 0 while one is. */
   leaderlessMs(nowMs: number): number {
     if (this.leaderlessSinceMs === null || this.evidence.current(nowMs) !== null) return 0;
--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -40,6 +40,9 @@
 /** Cost of a request that fails and has to be asked elsewhere, as milliseconds of waiting. */
 const FAILURE_COST_MS = 400;
 
+/** Share of failed requests beyond that of the best member with which another is no alternative to it. */
+const ALTERNATIVE_FAILURE_SHARE = 0.1;
+
 /** Time of one request where nothing has been measured, in milliseconds. */
 const DEFAULT_LATENCY_MS = 15;
 
@@ -60,6 +63,24 @@
   return best;
 }
 
+/**
+ * Other candidates at which a read may wait for a connection beside the best one: whichever has one free first serves it.
+ * Not those of which something bad is known.
+ */
+export function alternatives(
+  best: ReadCandidate,
+  candidates: readonly ReadCandidate[],
+  demand: ReadDemand,
+): readonly ReadCandidate[] {
+  return candidates.filter(
+    (candidate) =>
+      candidate !== best &&
+      !candidate.isAvoided &&
+      candidate.failureShare <= best.failureShare + ALTERNATIVE_FAILURE_SHARE &&
+      canServe(candidate, demand),
+  );
+}
+
 function canServe(candidate: ReadCandidate, demand: ReadDemand): boolean {
   if (demand.excluded.has(candidate.memberId)) return false;
   if (candidate.isLeaving && !candidate.isLeader) return false;
