A leader without valid evidence serves reads by their floor, as a replica does

Ruled out: that its data is too old. The floor of a read is a position that a proven leader gave after the oldest moment which the route allows; the member itself refuses when its log does not hold it. A member that was replaced fulfils that as well as a replica. Change: the believed leader is a candidate like the replicas while its evidence has lapsed; read-only transactions likewise. Routes that need the leader are as before.

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -92,7 +92,10 @@
   return sessionFloor === null ? floor : laterPosition(floor, sessionFloor);
 }
 
-/** The members of a group as candidates for a read; the leader only under valid evidence. */
+/**
+ * The members of a group as candidates for a read. A leader without valid evidence counts as a replica: it may have been
+ * replaced, but its log holds every commit up to the floor of the read, which was taken from a proven leader.
+ */
 export function readCandidates(
   context: RelayContext,
   group: MemberGroup,
@@ -100,10 +103,8 @@
 ): ReadCandidate[] {
   const now = context.now();
   const leader = group.leader(now);
-  const believed = group.evidence.leader?.memberId;
   const candidates: ReadCandidate[] = [];
   for (const [memberId, member] of group.members) {
-    if (memberId === believed && member !== leader) continue;
     candidates.push({
       memberId,
       isLeader: member === leader,
@@ -291,8 +292,6 @@
     const members = [member];
     if (this.#isSettled) return { kind: 'not_run', reason: ANSWERED, members };
     const asLeader = job.group.leader(context.now()) === member;
-    if (!asLeader && job.group.evidence.leader?.memberId === member.entry.memberId)
-      return { kind: 'not_run', reason: UNPROVEN, members };
     const floor = asLeader ? null : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
     if (!asLeader && floor === null) return { kind: 'not_run', reason: 'no position of the leader', members };
     context.observer.routine({
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -164,7 +164,7 @@
       this.#lastReason = `no connection: ${String(error)}`;
       return null;
     }
-    const isLeader = group.evidence.leader?.memberId === member.entry.memberId;
+    const isLeader = !this.#mayUseReplica() || group.leader(context.now()) === member;
     const pinned: Pinned = { member, link, isLeader };
     this.#member = member;
     const overdue = setTimeout(() => link.close(), step.deadlineMs - context.now());
