While a commit is slow, further writes wait for its answer, so that reads keep connections

Change: CommitWatch follows the commits of a group; one that takes four times as long as most do holds up the writes and the transactions that may write, not the reads; waiting reads are not failed for a stall any more.

--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -108,7 +108,8 @@
     }
     try {
       const { priority, waitMs } = this.terms;
-      const demand = { values: this.#values, priority, dueAtMs: performance.now() + waitMs };
+      const dueAtMs = performance.now() + waitMs;
+      const demand = { values: this.#values, isWrite: false, priority, dueAtMs };
       const link = await this.pool.acquire(demand, waitMs);
       if (this.#isReturned) {
         this.pool.release(link);
--- /dev/null
+++ b/src/leadership/commit-watch.test.ts
@@ -0,0 +1,45 @@
+/**
+ * Slow and stalled commits.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CommitWatch } from './commit-watch.js';
+
+test('a commit that takes several times what commits usually take is slow, then stalled', () => {
+  const commits = new CommitWatch();
+  for (let at = 0; at < 1000; at += 50) commits.ended(commits.sent(at), true, at + 20);
+  commits.sent(2000);
+  assert.equal(commits.isSlow(2060), false);
+  assert.equal(commits.isSlow(2100), true);
+  assert.equal(commits.isStalled(2100), false);
+  assert.equal(commits.isStalled(2350), true);
+});
+
+test('where commits take long, what counts as slow grows with them, up to a stall', () => {
+  const commits = new CommitWatch();
+  for (let at = 0; at < 5000; at += 200) commits.ended(commits.sent(at), true, at + 150);
+  commits.sent(10_000);
+  assert.equal(commits.isSlow(10_200), false);
+  assert.equal(commits.isSlow(10_350), true);
+});
+
+test('its answer ends it; a commit that was given up tells nothing of how long they take', () => {
+  const commits = new CommitWatch();
+  const lost = commits.sent(0);
+  assert.equal(commits.isSlow(400), true);
+  commits.ended(lost, false, 800);
+  assert.equal(commits.isSlow(800), false);
+  commits.sent(1000);
+  assert.equal(commits.isSlow(1130), true, 'as if it had never been');
+});
+
+test('the oldest commit decides', () => {
+  const commits = new CommitWatch();
+  const first = commits.sent(0);
+  commits.sent(300);
+  assert.equal(commits.isStalled(400), true);
+  commits.ended(first, true, 400);
+  assert.equal(commits.isStalled(400), false);
+});
--- a/src/relay/leader-doubts.ts
+++ b/src/relay/leader-doubts.ts
@@ -68,11 +68,11 @@
 
   /** Commits at a leader that answers but cannot reach its replicas. */
   #checkStall(group: MemberGroup, now: number): void {
-    if (!group.isStalled(now)) return;
+    if (!group.commits.isStalled(now)) return;
     const leader = group.leader(now);
     if (leader === null) return;
     this.#tell(group, leader, 'stalled');
-    leader.pool.own.failWaiters('commits stall');
+    leader.pool.own.failWaiters('commits stall', ({ isWrite }) => isWrite);
   }
 
   /** A leader that fails requests though it seems well: another can take its place. */
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -44,7 +44,12 @@
 
 const ADDRESS = { memberId: 'm', groupName: 'g', host: 'h', port: 1 };
 const NO_VALUES = new Map<string, string>();
-const DEMAND: LinkDemand = { values: NO_VALUES, priority: 1, dueAtMs: Number.POSITIVE_INFINITY };
+const DEMAND: LinkDemand = {
+  values: NO_VALUES,
+  isWrite: false,
+  priority: 1,
+  dueAtMs: Number.POSITIVE_INFINITY,
+};
 
 function poolOf(budget: number, dial: () => Promise<MemberLink>, clock = { now: 0 }): LinkPool {
   return new LinkPool({
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -153,9 +153,13 @@
     return nowMs - Math.max(waitingSince, lastReceived);
   }
 
-  /** Tells all who wait that none will come soon: the member does not answer. Nothing was sent. */
-  failWaiters(reason: string): void {
-    for (const waiter of this.#waiters.splice(0)) waiter.fail(new PoolTimeoutError(reason), this);
+  /** Tells those who wait that none will come soon. Nothing was sent. */
+  failWaiters(reason: string, isConcerned: (demand: LinkDemand) => boolean = () => true): void {
+    const concerned = this.#waiters.filter(({ demand }) => isConcerned(demand));
+    for (const waiter of concerned) {
+      this.leave(waiter);
+      waiter.fail(new PoolTimeoutError(reason), this);
+    }
   }
 
   /** Ends all connections: the member does not answer. */
--- a/src/relay/link-queue.test.ts
+++ b/src/relay/link-queue.test.ts
@@ -13,7 +13,9 @@
 function waiting(
   ...demands: readonly (readonly [priority: number, dueAtMs: number])[]
 ): { demand: LinkDemand }[] {
-  return demands.map(([priority, dueAtMs]) => ({ demand: { values: new Map(), priority, dueAtMs } }));
+  return demands.map(([priority, dueAtMs]) => ({
+    demand: { values: new Map(), isWrite: false, priority, dueAtMs },
+  }));
 }
 
 test('nobody waits', () => {
--- a/src/relay/link-queue.ts
+++ b/src/relay/link-queue.ts
@@ -13,6 +13,8 @@
 /** What a request wants of a connection. */
 export interface LinkDemand {
   readonly values: SessionValues;
+  /** It may wait for replicas at the leader: a write, or a transaction that may hold one. */
+  readonly isWrite: boolean;
   /** Of its route; 0 is the most urgent. */
   readonly priority: number;
   /** When its latency objective ends, in monotonic milliseconds. */
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -266,7 +266,7 @@
 
   #demand(): LinkDemand {
     const { values, route, deadlineMs } = this.job;
-    return { values, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
+    return { values, isWrite: false, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
   }
 
   async #attempt(asking: Asking): Promise<Attempt> {
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -99,7 +99,8 @@
       const reply = await this.#firstAt(member, step);
       if (reply !== null) return reply;
       const now = context.now();
-      const isUnreachable = this.#isUnreachable || member.isAvoided(now) || options.group.isStalled(now);
+      const isUnreachable =
+        this.#isUnreachable || member.isAvoided(now) || options.group.commits.isStalled(now);
       if (!this.#mayUseReplica() && isWaitOver(context, options.group, isUnreachable, wait))
         throw this.#notRun();
       this.#excluded.add(member.entry.memberId);
@@ -117,10 +118,17 @@
     const { context, options } = this;
     const until = step.deadlineMs - LEADER_RESERVE_MS;
     for (;;) {
-      const member = this.#chooseNow();
-      if (member !== null) return member;
       const now = context.now();
+      const isHeldUp = !this.#mayUseReplica() && options.group.commits.isSlow(now);
+      const member = isHeldUp ? null : this.#chooseNow();
+      if (member !== null) return member;
       if (now >= until) return null;
+      if (isHeldUp) {
+        this.#lastReason = 'an earlier commit is slow';
+        if (isWaitOver(context, options.group, options.group.commits.isStalled(now), wait)) return null;
+        await options.group.changed.wait(RETRY_PAUSE_MS);
+        continue;
+      }
       if (this.#excluded.size > 0) {
         this.#excluded.clear();
         await options.group.changed.wait(RETRY_PAUSE_MS);
@@ -157,7 +165,8 @@
     let link: SessionLink;
     try {
       const dueAtMs = dueAt(route, step.deadlineMs);
-      const demand = { values: step.values, priority: route.priority, dueAtMs };
+      const isWrite = !this.#mayUseReplica();
+      const demand = { values: step.values, isWrite, priority: route.priority, dueAtMs };
       link = await member.pool.acquire(demand, step.deadlineMs - context.now());
     } catch (error) {
       this.#isUnreachable = error instanceof DialError;
@@ -248,14 +257,22 @@
     const { group } = options;
     const { link, isLeader, member } = pinned;
     const isKept = step.kind === 'commit' && this.#hasWritten;
-    const answered = isKept ? group.commitSent(context.now()) : null;
+    const commit = isKept ? group.commits.sent(context.now()) : null;
     const sending = sendStatement(link, step.statement, step.requestId, step.values, null, () => {
       if (this.#isOver) return 'the transaction was ended';
       if (step.kind === 'write') this.#hasWritten = true;
       this.#wasSent = true;
       return null;
     });
-    const sent = await sending.finally(() => answered?.());
+    let isAnswered = false;
+    const sent = await sending
+      .then((answer) => {
+        isAnswered = typeof answer !== 'string';
+        return answer;
+      })
+      .finally(() => {
+        if (commit !== null) group.commits.ended(commit, isAnswered, context.now());
+      });
     if (typeof sent === 'string') throw new Refusal('aborted', 'not_run', sent, RETRY_AFTER_MS);
     const { reply, sentAtMs } = sent;
     member.trust(this.context.now());
--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -44,7 +44,7 @@
     now: () => (now += STEP_MS),
     suspect: () => undefined,
   };
-  const answered = group.commitSent(now - 400);
+  const commit = group.commits.sent(now - 400);
   const job = {
     requestId: 'x',
     statement: { kind: 'plain', payload: 'WRITE k v' },
@@ -63,7 +63,7 @@
   });
   assert.equal(acquired, 0);
   assert.ok(now - sentAtMs < ROUTE.timeoutMs / 2);
-  answered();
+  group.commits.ended(commit, true, now);
   const later = new WriteRunner(context, { ...job, deadlineMs: now + 100 }).run();
   await assert.rejects(later, Refusal);
   assert.ok(acquired > 0, 'sent again once commits are answered');
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -93,11 +93,13 @@
     for (;;) {
       const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS, wait);
       if (leader === null || context.now() >= job.deadlineMs) throw this.#notRun();
-      if (job.group.isStalled(context.now())) {
-        // What is sent now would be in doubt, and keep a connection from the reads.
-        this.#lastReason = 'commits stall';
-        if (isWaitOver(context, job.group, true, wait)) throw this.#notRun();
-        await job.group.changed.wait(WAIT_LOOK_MS);
+      const { commits } = job.group;
+      if (commits.isSlow(context.now())) {
+        // What is sent now may end in doubt, and would keep a connection from the reads.
+        const isStalled = commits.isStalled(context.now());
+        this.#lastReason = isStalled ? 'commits stall' : 'an earlier commit is slow';
+        if (isWaitOver(context, job.group, isStalled, wait)) throw this.#notRun();
+        await job.group.changed.wait(RETRY_PAUSE_MS);
         continue;
       }
       const reply = await this.#attempt(leader);
@@ -129,7 +131,8 @@
     let isSent = false;
     let sentAtMs = 0;
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now());
-    const answered = job.group.commitSent(context.now());
+    const commit = job.group.commits.sent(context.now());
+    let isAnswered = false;
     try {
       const sent = await sendStatement(link, job.statement, job.requestId, job.values, null, () => {
         if (job.group.leader(context.now()) !== leader) return 'no evidence of the leader';
@@ -141,6 +144,7 @@
         this.#lastReason = sent;
         return null;
       }
+      isAnswered = true;
       return this.#judge(leader, sent.reply, sent.sentAtMs);
     } catch (error) {
       if (!isSent) {
@@ -153,7 +157,7 @@
         ...this.#inputs(),
       });
     } finally {
-      answered();
+      job.group.commits.ended(commit, isAnswered, context.now());
       clearTimeout(overdue);
       leader.pool.release(link);
     }
@@ -161,7 +165,7 @@
 
   #demand(): LinkDemand {
     const { values, route, deadlineMs } = this.job;
-    return { values, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
+    return { values, isWrite: true, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
   }
 
   #notRun(): Refusal {
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
+import { CommitWatch } from '../leadership/commit-watch.js';
 import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
 import { PositionHistory } from '../leadership/position-history.js';
 import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
@@ -123,9 +124,6 @@
   }
 }
 
-/** Time for which a commit may go without an answer before the group counts as stalled, in milliseconds. */
-const STALL_MS = 350;
-
 /** Age of the newest position of a leader below which reads have a floor, in milliseconds: the shortest bound in use. */
 const FLOOR_KNOWN_MS = 500;
 
@@ -139,6 +137,7 @@
   readonly former = new Map<string, Member>();
   readonly evidence: LeadershipEvidence;
   readonly positions = new PositionHistory();
+  readonly commits = new CommitWatch();
   /** Since when no leader has been proven, in monotonic milliseconds; `null` while one is. */
   leaderlessSinceMs: number | null = null;
   /** Wakes whoever waits for a leader or a member. */
@@ -146,8 +145,6 @@
   /** The latest position of a commit that this daemon has acknowledged. */
   #acknowledged: Position = ZERO_POSITION;
 
-  readonly #commitsSinceMs = new Map<object, number>();
-
   /** @param countsFromMs - from when on answers of witnesses count as evidence, in monotonic milliseconds */
   constructor(
     readonly name: string,
@@ -156,19 +153,6 @@
     this.evidence = new LeadershipEvidence(countsFromMs);
   }
 
-  /** A commit was sent; call what is returned when its answer is here. */
-  commitSent(nowMs: number): () => void {
-    const key = {};
-    this.#commitsSinceMs.set(key, nowMs);
-    return () => this.#commitsSinceMs.delete(key);
-  }
-
-  /** True while a commit of this daemon goes without an answer: the leader may not reach its replicas. */
-  isStalled(nowMs: number): boolean {
-    const oldest = this.#commitsSinceMs.values().next();
-    return oldest.done !== true && nowMs - oldest.value >= STALL_MS;
-  }
-
   /** The latest position of a commit that this daemon has acknowledged. */
   get acknowledged(): Position {
     return this.#acknowledged;
