A read's answer is never lost to a wake-up at the same moment, and a second member is asked only by the clock

A read that waited on several things at once took the first that came and dropped the rest: an attempt that ended in the same turn as a timer or a change of the group was gone, and the read was run again. The first position of a leader wakes all reads, so this hit just the moments after a restart. Any wake-up could also start a second attempt at once. Change: attempts that end are queued and looked at before anything new is begun; a second member is asked only once the time for it has come. The test fails before (the read is sent to the leader and to the replica).

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import { ChangeSignal } from '../common/signal.js';
 import type { Position } from '../position/position.js';
 import { laterPosition } from '../position/position.js';
 import type { Route } from '../topology/catalog.js';
@@ -13,7 +14,6 @@
 import { LinkWait, type Grant, type WaitingPlace } from './link-wait.js';
 import { DialError, type MemberErrorCode, type MemberReply } from './member-link.js';
 import { shouldAskElsewhere } from './patience.js';
-import { firstWithin } from './race.js';
 import { Refusal } from './refusal.js';
 import { LATE_ANSWER_MS, RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import type { SessionLink, SessionValues } from './session-link.js';
@@ -126,7 +126,10 @@
   readonly #excluded = new Set<string>();
   /** Members to which no connection could be opened in this round. */
   readonly #unreachable = new Set<string>();
-  readonly #pending = new Map<Promise<Attempt>, Asking>();
+  readonly #pending = new Set<Asking>();
+  /** Attempts that have ended and were not looked at yet. */
+  readonly #ended: Attempt[] = [];
+  readonly #attemptEnded = new ChangeSignal();
   #isSettled = false;
   #wasSent = false;
   #lastReason = 'no member can serve';
@@ -149,7 +152,7 @@
       return await this.#run();
     } finally {
       this.#isSettled = true;
-      for (const { wait } of this.#pending.values()) wait.cancel();
+      for (const { wait } of this.#pending) wait.cancel();
     }
   }
 
@@ -157,8 +160,8 @@
     for (;;) {
       const remaining = this.job.deadlineMs - this.context.now();
       if (remaining <= 0) return this.#giveUp();
-      this.#launch();
-      if (this.#pending.size === 0) {
+      if (this.#ended.length === 0) this.#launch();
+      if (this.#pending.size === 0 && this.#ended.length === 0) {
         if (this.#failure !== null && this.#failures >= MAX_FAILURES) return this.#failure;
         if (this.#shouldAskElsewhere()) return this.#giveUp();
         this.#excluded.clear();
@@ -188,11 +191,15 @@
   }
 
   /** The next attempt that ends; `null` when it is time to look again. */
-  #next(remainingMs: number): Promise<Attempt | null> {
-    const lookMs = Math.min(this.#lookMs(), remainingMs);
-    const ends: Promise<Attempt | null>[] = [...this.#pending.keys()];
-    if (this.#waiting() !== null) ends.push(this.job.group.changed.wait(lookMs).then(() => null));
-    return firstWithin(ends, lookMs);
+  async #next(remainingMs: number): Promise<Attempt | null> {
+    if (this.#ended.length === 0) {
+      const lookMs = Math.min(Math.max(1, this.#hedgeInMs()), remainingMs);
+      const isWaiting = this.#waiting() !== null;
+      const ends = [this.#attemptEnded.wait(lookMs)];
+      if (isWaiting) ends.push(this.job.group.changed.wait(lookMs));
+      await Promise.race(ends);
+    }
+    return this.#ended.shift() ?? null;
   }
 
   /** True when no member can serve now, and another daemon may know one that can. */
@@ -213,29 +220,29 @@
     });
   }
 
-  /** Time until a second member may be asked, or others may be able to serve, in milliseconds. */
-  #lookMs(): number {
-    const hedgeMs = this.job.route.targetLatencyMs * HEDGE_SHARE;
+  /** Time until a second member may be asked, in milliseconds; 0 when it may be now. */
+  #hedgeInMs(): number {
+    if (this.#pending.size === 0) return 0;
     if (this.#pending.size >= MAX_PARALLEL) return NEVER_MS;
     const now = this.context.now();
-    const sentAtMs = Math.max(...[...this.#pending.values()].map((asking) => asking.sentAtMs ?? now));
-    return Math.max(1, sentAtMs + hedgeMs - now);
+    const hedgeMs = this.job.route.targetLatencyMs * HEDGE_SHARE;
+    const sentAtMs = Math.max(...[...this.#pending].map((asking) => asking.sentAtMs ?? now));
+    return Math.max(0, sentAtMs + hedgeMs - now);
   }
 
   /** The attempt that waits for a connection, or `null`. */
   #waiting(): Asking | null {
-    for (const asking of this.#pending.values()) if (asking.wait.isWaiting) return asking;
+    for (const asking of this.#pending) if (asking.wait.isWaiting) return asking;
     return null;
   }
 
   #launch(): void {
     const waiting = this.#waiting();
-    if (waiting === null && this.#pending.size >= MAX_PARALLEL) return;
+    if (waiting === null && this.#hedgeInMs() > 0) return;
     const { group, route, sessionFloor, receivedAtMs } = this.job;
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
-    for (const { wait } of this.#pending.values())
-      for (const { entry } of wait.members) excluded.add(entry.memberId);
+    for (const { wait } of this.#pending) for (const { entry } of wait.members) excluded.add(entry.memberId);
     const candidates = readCandidates(this.context, group, floor);
     const demand = { floor, excluded };
     const choice = selectReadMember(candidates, demand);
@@ -257,9 +264,12 @@
     const demand = this.#demand();
     const waitMs = this.job.deadlineMs - this.context.now();
     const asking: Asking = { wait: new LinkWait<Member>(demand, waitMs), sentAtMs: null };
-    const attempt = this.#attempt(asking);
-    this.#pending.set(attempt, asking);
-    void attempt.then(() => this.#pending.delete(attempt));
+    this.#pending.add(asking);
+    void this.#attempt(asking).then((attempt) => {
+      this.#pending.delete(asking);
+      this.#ended.push(attempt);
+      this.#attemptEnded.notify();
+    });
     if (member.pool.isDirect) asking.wait.joinAll(placesOf([member, ...others]));
     else asking.wait.settle(member, () => member.pool.borrow(demand, waitMs));
   }
