--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -427,7 +427,7 @@
   /** Registers once it is known what the store has of this daemon from before. */
   #startDuty(registered: ReadonlyMap<string, DaemonRecord>): void {
     this.#isDutyStarted = true;
-    this.#registration.firstLook(registered);
+    this.#registration.firstLook(registered, this.options.now());
     this.#runForever(this.#duty.run());
   }
 
@@ -478,10 +478,17 @@
     return gateways?.length ?? this.#daemons.live.length;
   }
 
-  /** Gives an order to all other daemons. */
-  #order(order: HolderOrder, timeoutMs: number): Promise<OrderOutcomes> {
+  /** Gives an order to all other daemons, or to those of the given names again. */
+  #order(order: HolderOrder, timeoutMs: number, again?: ReadonlySet<string>): Promise<OrderOutcomes> {
+    const known = this.#daemons.known(this.options.now());
+    if (again !== undefined)
+      return this.#mesh.order(
+        known.filter(({ name }) => again.has(name)),
+        order,
+        timeoutMs,
+      );
     const ports = {
-      known: () => this.#daemons.known(this.options.now()),
+      known: () => known,
       readRegister: () => listLeasedDaemons(this.options.store),
       send: this.#mesh.order.bind(this.#mesh),
     };
@@ -495,7 +502,7 @@
       control: this.#control,
       promotion: options.promotion,
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
-      order: (order, timeoutMs) => this.#order(order, timeoutMs),
+      order: (order, timeoutMs, again) => this.#order(order, timeoutMs, again),
       callerCount: (memberId) => this.#callerCount(watched.group, memberId),
       confirmLeader: () => {
         watched.watcher.confirm();
