Promotions look at the pauses before every call and ask daemons that started meanwhile; a restart counts evidence at once

The middle one is needed only for a daemon at a new address: orders to an earlier process at the same address reach the new one. Change: a daemon counts evidence from its first look at the store where it is listed under its address; whoever promotes asks those whose process did not run again once the replicas are paused, and waits its evidence out if it is silent then; the pauses are looked at before every call.

--- a/src/cluster/registration.ts
+++ b/src/cluster/registration.ts
@@ -8,7 +8,6 @@
 
 /** What one daemon knows of its own record in the store. */
 export class Registration {
-  #isListed = false;
   #countsFromMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly self: DaemonRecord) {}
@@ -18,16 +17,19 @@
     return this.#countsFromMs;
   }
 
-  /** Takes the records that the store had before this process registered. */
-  firstLook(registered: ReadonlyMap<string, DaemonRecord>): void {
+  /**
+   * Takes the records that the store had before this process registered. Orders to an earlier process at the same address
+   * reach this one, so its own record need not be awaited.
+   */
+  firstLook(registered: ReadonlyMap<string, DaemonRecord>, nowMs: number): void {
     const earlier = registered.get(this.self.name);
-    this.#isListed = earlier !== undefined && hasSameAddress(earlier, this.self);
+    if (earlier !== undefined && hasSameAddress(earlier, this.self)) this.#countsFromMs = nowMs;
   }
 
-  /** The store has taken the record. An earlier process at the same address was known already. */
+  /** The store has taken the record. */
   registered(nowMs: number): void {
     if (Number.isFinite(this.#countsFromMs)) return;
-    this.#countsFromMs = this.#isListed ? nowMs : nowMs + REGISTRATION_SETTLE_MS;
+    this.#countsFromMs = nowMs + REGISTRATION_SETTLE_MS;
   }
 }
 
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -34,8 +34,12 @@
   readonly promotion: PromotionPort;
   /** The fence while the duty is held for so many milliseconds more, or `null`. */
   heldFence(reserveMs: number): number | null;
-  /** Gives an order to all other daemons. */
-  order(order: HolderOrder, timeoutMs: number): Promise<ReadonlyMap<string, OrderOutcome>>;
+  /** Gives an order to all other daemons, or to those of the given names again. */
+  order(
+    order: HolderOrder,
+    timeoutMs: number,
+    again?: ReadonlySet<string>,
+  ): Promise<ReadonlyMap<string, OrderOutcome>>;
   /** Daemons that connect to a member themselves. */
   callerCount(memberId: string): number;
   /** A member leads by this daemon's own promotion. */
@@ -289,7 +293,8 @@
     this.#doubts.clear();
     const isAlive =
       leader !== null && (leader.isLeaving || this.options.now() - leader.answeredAtMs < ALIVE_MS);
-    const revoking = options.order({ kind: 'revoke', groupName: group.name, term }, ORDER_MS);
+    const revoke: HolderOrder = { kind: 'revoke', groupName: group.name, term };
+    const revoking = options.order(revoke, ORDER_MS);
     if (leader?.isLeaving === true) {
       await revoking;
       await delay(HANDOVER_REST_MS);
@@ -298,9 +303,13 @@
     const pausedAtMs = options.now();
     const outcomes = await revoking;
     const areLate = pausedAtMs - startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
-    const mustWait = hasSilent(outcomes) || areLate;
+    const [startedSince, heldAtOnce] = await Promise.all([
+      this.#revokeStarted(outcomes, revoke),
+      this.#holdPauses(paused, term + 1),
+    ]);
+    const mustWait = hasSilent(outcomes) || hasSilent(startedSince) || areLate;
     if (mustWait) await delay(pausedAtMs + EVIDENCE_MS - options.now());
-    const hold = !mustWait || (await this.#holdPauses(paused, term + 1));
+    const hold = mustWait ? await this.#holdPauses(paused, term + 1) : heldAtOnce;
     const candidates = paused.map(toCandidate);
     const acknowledged = latestAcknowledged(group.acknowledged, outcomes);
     const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
@@ -332,6 +341,18 @@
     if (!isAlive && leader !== null) await this.#demote(leader, term + 1);
   }
 
+  /**
+   * Asks those daemons again whose process did not run before the pauses: one that has started since may have asked a
+   * replica that was not paused yet. What it asks from now on is no evidence.
+   */
+  async #revokeStarted(
+    outcomes: ReadonlyMap<string, OrderOutcome>,
+    revoke: HolderOrder,
+  ): Promise<ReadonlyMap<string, OrderOutcome>> {
+    const gone = [...outcomes].filter(([, { kind }]) => kind === 'gone').map(([name]) => name);
+    return gone.length === 0 ? new Map() : this.options.order(revoke, ORDER_MS, new Set(gone));
+  }
+
   /** Asks the platform for the promotion and waits until the member leads. */
   async #appoint(successor: SuccessorCandidate, oldTerm: number, reason: string): Promise<boolean> {
     const { options, group } = this;
