--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,7 +12,8 @@
 import { runScenario, type RunResult } from './experiment/run-scenario.js';
 import { SCENARIOS } from './experiment/scenarios.js';
 import { runThroughput } from './experiment/throughput.js';
-import { runScale } from './scale/run-scale.js';
+import { playSeeds } from './seeds/play-seeds.js';
+import { formatPlays, type Play } from './seeds/summarize.js';
 
 const program = new Command('bench').description('experiments over real processes on loopback');
 
@@ -68,30 +69,36 @@
   );
 
 program
-  .command('scale')
+  .command('seeds')
   .description(
-    'hollow daemons, many to a process: control cost for each daemon, and time for news to reach the last',
+    "days of a deployment with several seeds, by the users' bench: mean, spread, difference to another run",
   )
-  .option('--daemons <counts>', 'sizes, separated by commas', '20,40,80')
-  .option('--seconds <seconds>', 'length of each measurement', '15')
-  .option('--settle-seconds <seconds>', 'longest wait until the news of the start has been passed on', '240')
-  .option('--changes <count>', 'configuration changes during the measurement', '0')
+  .requiredOption('--bench <program>', 'the bench')
+  .requiredOption('--site <file>', 'the site file')
+  .requiredOption('--days <names>', 'days, separated by commas')
+  .requiredOption('--why <text>', 'why, for the journal')
+  .option('--seeds <numbers>', 'seeds, separated by commas', '11,12,13,14')
+  .option('--repository <folder>', 'the version to play', '.')
+  .option('--jobs <count>', 'days played at once', '4')
+  .option('--against <file>', 'the result of another run')
   .option('--out <file>', 'write the result to a file')
   .action(async (options: Record<string, string>) => {
-    const sizes = (options['daemons'] ?? '').split(',').map(Number);
-    const results = [];
-    for (const daemons of sizes) {
-      const result = await runScale({
-        daemons,
-        durationMs: Number(options['seconds']) * 1000,
-        maxSettleMs: Number(options['settleSeconds']) * 1000,
-        configurationChanges: Number(options['changes']),
-        databasesPerDaemon: 4 / 3,
-      });
-      process.stderr.write(`${JSON.stringify(result)}\n`);
-      results.push(result);
-      print(results, options['out']);
-    }
+    const plan = {
+      bench: options['bench'] ?? '',
+      site: options['site'] ?? '',
+      repository: options['repository'] ?? '.',
+      days: (options['days'] ?? '').split(','),
+      seeds: (options['seeds'] ?? '').split(',').map(Number),
+      jobs: Number(options['jobs']),
+      why: options['why'] ?? '',
+    };
+    const plays = await playSeeds(plan, ({ day, seed, worth }) =>
+      process.stderr.write(`${day} ${seed} ${String(worth)}\n`),
+    );
+    const before = options['against'];
+    const earlier = before === undefined ? null : (JSON.parse(readFileSync(before, 'utf8')) as Play[]);
+    process.stdout.write(formatPlays(plays, earlier));
+    if (options['out'] !== undefined) print(plays, options['out']);
   });
 
 program
