Where a member gives a daemon no connection, it borrows one of another; questions open the pool's first connection

Cause: a member counts the connections of machines that lost power for 3 s. Of 16, twelve were dark and four free, for six daemons whose own questions to members took further ones. Change: a pool without a connection whose member has just refused one for its limit is shut for 100 ms: those who wait are told at once, and requests are lent a connection by another daemon, over the same loans that large fleets use; a lender without one says so at once. Questions that learn who leads open the first connection of the pool instead of one of their own, so requests find it open; signs of life do not, since a pool does not tell slow from silent.

--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -106,6 +106,10 @@
       this.#reply(notSent('not a gateway of the member'));
       return null;
     }
+    if (this.pool.isShut) {
+      this.#reply(notSent('gateway: the member has too many connections'));
+      return null;
+    }
     try {
       const { priority, waitMs } = this.terms;
       const dueAtMs = performance.now() + waitMs;
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { DaemonRecord } from '../cluster/daemon-record.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import type { LinkDemand } from '../relay/link-queue.js';
 import { PoolTimeoutError } from '../relay/link-wait.js';
@@ -20,6 +21,8 @@
   readonly gateways: GatewayClient;
   /** Who connects to the member now. */
   assignment(): Assignment;
+  /** Other daemons that may have a connection when this one is given none. */
+  others(): readonly DaemonRecord[];
   /** This daemon's name. */
   readonly ownName: string;
 }
@@ -50,9 +53,12 @@
     return this.isDirect && this.options.pool.isExhausted;
   }
 
-  /** True when this daemon has connections of its own to the member. */
+  /**
+   * True when this daemon uses connections of its own to the member. Not while the member refuses it one: for seconds after
+   * a loss of power, members count the connections of processes that are no more.
+   */
   get isDirect(): boolean {
-    return connectsItself(this.options.assignment(), this.options.ownName);
+    return this.#isAssigned() && !(this.options.pool.isShut && this.options.others().length > 0);
   }
 
   /**
@@ -61,8 +67,7 @@
    * @throws PoolTimeoutError, DialError: nothing was sent
    */
   async acquire(demand: LinkDemand, waitMs: number): Promise<SessionLink> {
-    const assignment = this.options.assignment();
-    if (assignment.gateways === null || this.isDirect) return this.options.pool.acquire(demand, waitMs);
+    if (this.isDirect) return this.options.pool.acquire(demand, waitMs);
     return this.borrow(demand, waitMs);
   }
 
@@ -73,8 +78,8 @@
    */
   borrow({ priority }: LinkDemand, waitMs: number): SessionLink {
     const { gateways, groupName, memberId } = this.options;
-    const assignment = this.options.assignment();
-    const gateway = gateways.choose(assignment.gateways ?? []);
+    const lenders = this.#isAssigned() ? this.options.others() : (this.options.assignment().gateways ?? []);
+    const gateway = gateways.choose(lenders);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
     const link = gateways.borrow(gateway, { groupName, memberId, priority, waitMs: Math.round(waitMs) });
     this.#borrowed.add(link);
@@ -90,4 +95,8 @@
     this.#borrowed.delete(link);
     link.close();
   }
+
+  #isAssigned(): boolean {
+    return connectsItself(this.options.assignment(), this.options.ownName);
+  }
 }
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -130,7 +130,7 @@
     const [witness] = this.#witnesses().filter((member) => !claimants.includes(member));
     const asked = isClaimed ? [...claimants, ...(witness === undefined ? [] : [witness])] : members;
     const answers = await Promise.all(
-      asked.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_MS)),
+      asked.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_MS, true)),
     );
     asked.forEach((member, index) => this.#believe(member, answers[index]));
     return answers.some((answer) => this.#takeWitness(answer));
@@ -154,7 +154,7 @@
   }
 
   async #askWitness(witness: Member): Promise<boolean> {
-    const answer = await this.control.ask(witness, { kind: 'status' }, STATUS_MS);
+    const answer = await this.control.ask(witness, { kind: 'status' }, STATUS_MS, true);
     this.#believe(witness, answer);
     return this.#takeWitness(answer);
   }
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -11,6 +11,7 @@
   type MemberStatus,
   type StatusReader,
 } from '../relay/member-link.js';
+import type { PooledLink } from '../relay/pooled-link.js';
 import type { Member } from '../topology/member-group.js';
 
 /**
@@ -44,12 +45,24 @@
 
   constructor(private readonly options: MemberControlOptions) {}
 
-  /** Asks one member; never rejects. */
-  async ask(member: Member, request: MemberRequest, timeoutMs: number): Promise<ControlAnswer> {
+  /**
+   * Asks one member; never rejects.
+   *
+   * @param opensPool - a connection that has to be opened for it is the first of the pool, where it has none. Not for a
+   * sign of life: the pool does not tell a member that keeps new connections waiting from a silent one.
+   */
+  async ask(
+    member: Member,
+    request: MemberRequest,
+    timeoutMs: number,
+    opensPool = false,
+  ): Promise<ControlAnswer> {
     const deadlineMs = this.options.now() + timeoutMs;
-    const pooled = member.pool.own.takeIdle();
+    const pooled =
+      member.pool.own.takeIdle() ?? (opensPool ? await this.#openPooled(member, timeoutMs) : null);
+    if (pooled !== null && 'kind' in pooled) return pooled;
     if (pooled !== null) {
-      const answer = await this.#send(pooled, request, timeoutMs);
+      const answer = await this.#send(pooled, request, deadlineMs - this.options.now());
       member.pool.own.release(pooled);
       if (answer.kind === 'answered') member.trust(this.options.now());
       return answer;
@@ -75,6 +88,19 @@
     for (const [memberId, usedAtMs] of this.#usedAtMs) if (usedAtMs < unusedSinceMs) this.forget(memberId);
   }
 
+  /** The first connection of the pool, where it has none: the requests use it next. `null` where it has some. */
+  async #openPooled(member: Member, timeoutMs: number): Promise<PooledLink | ControlAnswer | null> {
+    const { own } = member.pool;
+    if (!own.isUnopened) return null;
+    const demand = { values: new Map<string, string>(), isWrite: false, priority: 0, dueAtMs: 0 };
+    try {
+      return await own.acquire(demand, timeoutMs);
+    } catch (error) {
+      if (error instanceof DialError) return answerOf(error);
+      return SILENT;
+    }
+  }
+
   async #ownLink(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
     const { memberId } = member.entry;
     this.#usedAtMs.set(memberId, this.options.now());
@@ -86,9 +112,7 @@
       return link;
     } catch (error) {
       if (!(error instanceof DialError)) throw error;
-      if (error.reason === 'refused' || error.reason === 'wrong_member') return { kind: 'refused' };
-      if (error.reason === 'slow') return { kind: 'slow' };
-      return error.reason === 'silent' || error.reason === 'lost' ? SILENT : { kind: 'busy' };
+      return answerOf(error);
     }
   }
 
@@ -110,3 +134,20 @@
     }
   }
 }
+
+/** What a connection that could not be opened says of the member. */
+function answerOf({ reason }: DialError): ControlAnswer {
+  switch (reason) {
+    case 'refused':
+    case 'wrong_member':
+      return { kind: 'refused' };
+    case 'slow':
+      return { kind: 'slow' };
+    case 'silent':
+    case 'lost':
+      return SILENT;
+    case 'too_many_connections':
+    case 'busy':
+      return { kind: 'busy' };
+  }
+}
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -181,3 +181,14 @@
   pool.trim();
   assert.equal(pool.size, 2);
 });
+
+test('a member that gives no connection at all fails all who wait for it, and is shut for a while', async () => {
+  const clock = { now: 0 };
+  const pool = poolOf(2, () => Promise.reject(new DialError('too_many_connections', 'full')), clock);
+  const waiting = [pool.acquire(DEMAND, 1000), pool.acquire(DEMAND, 1000), pool.acquire(DEMAND, 1000)];
+  assert.equal(pool.isShut, false);
+  for (const each of waiting) await assert.rejects(each, DialError);
+  assert.equal(pool.isShut, true);
+  clock.now = 11;
+  assert.equal(pool.isShut, false, 'asked again');
+});
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -63,6 +63,11 @@
     return this.#idle.length === 0 && !this.#mayDial();
   }
 
+  /** True while there is no connection, and the member has just refused one since it has too many. */
+  get isShut(): boolean {
+    return this.size === 0 && this.options.now() < this.#limitedUntilMs;
+  }
+
   /**
    * A connection for exclusive use; give it back with {@link LinkPool.release}.
    *
@@ -101,6 +106,11 @@
     return this.#takeIdle(new Map());
   }
 
+  /** True when a question of the daemon's own should open the first connection: requests use it next. */
+  get isUnopened(): boolean {
+    return !this.#isClosed && this.size === 0 && this.#mayDial();
+  }
+
   /** Takes a connection back; one that is not clean is ended. */
   release(link: PooledLink): void {
     if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
@@ -224,7 +234,10 @@
     if (error.reason === 'too_many_connections') {
       this.#limitedUntilMs = this.options.now() + this.options.limitBackoffMs;
       setTimeout(() => this.#redial(), this.options.limitBackoffMs + 1);
-      if (this.#links.size > 0) return;
+      if (this.size > 0) return;
+      // Others may have one to lend: nobody is to wait here.
+      for (const waiter of this.#waiters.splice(0)) waiter.fail(error, this);
+      return;
     } else if (error.reason !== 'slow') {
       this.options.onTrouble(error.reason);
     }
--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -96,6 +96,7 @@
       memberId,
       pool,
       gateways: new GatewayClient('h', () => clock.now, Math.random),
+      others: () => [],
       assignment: () => ({ gateways: null, budget: 1 }),
       ownName: 'd',
     });
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -348,6 +348,7 @@
       pool,
       gateways: this.#gatewayClient,
       assignment: () => this.#assignments.of(member.entry),
+      others: () => this.#daemons.live.filter(({ name }) => name !== options.self.name),
       ownName: options.self.name,
     });
     const member: Member = new Member(entry, connections);
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -106,6 +106,7 @@
       () => 0,
       () => 0,
     ),
+    others: () => [],
     assignment: () => ({ gateways: null, budget: 1 }),
     ownName: 'd',
   });
