Daemons that serve from memory pause longer while the store turns them away

Calls that are refused are priced like others. Change: the pauses of the watch grow to 1 s (0.4 s before the first read: a daemon without a configuration cannot serve), those of the lease from 0.2 to 1 s once the daemon has been registered.

--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -364,4 +364,36 @@
     assert.ok(store.lists >= 2);
     assert.ok(told.includes('a/2@9'));
   });
+
+  /** A copy of a store that fails; its pauses, and how many it waits out before it stands still. */
+  function pausesOf(hasRead: boolean): Promise<readonly number[]> {
+    const pauses: number[] = [];
+    return new Promise((resolve) => {
+      const failing = (): Promise<never> => Promise.reject(new StoreError('turned away', false));
+      const watched: WatchedStore = new WatchedStore({
+        feed: {
+          list: () => (hasRead ? Promise.resolve({ items: [], revision: 3 }) : failing()),
+          watch: failing,
+        },
+        log: () => undefined,
+        now: () => 0,
+        random: () => 1,
+        rest: (ms) => {
+          pauses.push(ms);
+          if (pauses.length < 12) return Promise.resolve();
+          watched.stop();
+          resolve(pauses);
+          return new Promise(() => undefined);
+        },
+      });
+      void watched.run();
+    });
+  }
+
+  test('waits longer with each refusal, but not so long before the first read: the daemon cannot serve yet', async () => {
+    const unread = await pausesOf(false);
+    assert.deepEqual(unread.slice(0, 3), [80, 160, 320]);
+    assert.equal(Math.max(...unread), 400);
+    assert.equal(Math.max(...(await pausesOf(true))), 1000);
+  });
 });
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -32,8 +32,12 @@
 
 /** Times of the lease under which a daemon is said to live. */
 const LIFE_LEASE: LeaseTimes = { lengthMs: 3000, safetyMs: 250, renewalMs: 900 };
-/** Time between attempts while the store does not answer, in milliseconds. */
+/**
+ * Time between attempts to keep the lease while the store does not answer, in milliseconds: doubled from the first to the
+ * second with each failure in a row. A daemon that was never registered keeps to the first.
+ */
 const RETRY_MS = 200;
+const LAST_RETRY_MS = 1000;
 /** Longest wait for the sight of the duty's record, in milliseconds: an answer that is lost must not use up the lease. */
 const CONFIRM_MS = 400;
 /** Time between attempts of the holder of the duty, in milliseconds. */
@@ -150,13 +154,21 @@
 
   /** Keeps the lease until {@link Duty.stop}. */
   async run(): Promise<void> {
+    let failures = 0;
     while (!this.#isStopped) {
       const isKept = await this.#keep();
+      failures = isKept ? 0 : failures + 1;
       if (isKept && !this.#isStopped) await this.#acquire();
-      await delay(isKept ? this.#life.times.renewalMs * (0.9 + this.random() * 0.2) : RETRY_MS);
+      const pauseMs = isKept ? this.#life.times.renewalMs : this.#retryMs(failures);
+      await delay(pauseMs * (0.9 + this.random() * 0.2));
     }
   }
 
+  #retryMs(failures: number): number {
+    if (this.#ownRevision === 0) return RETRY_MS;
+    return Math.min(LAST_RETRY_MS, RETRY_MS * 2 ** Math.min(failures - 1, 8));
+  }
+
   /** The coordination keys have changed. */
   async keysChanged(): Promise<void> {
     const { items, revision } = this.copy();
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -27,9 +27,14 @@
 /** Wait of the first watch after a failure, in milliseconds: shows soon that the store answers again. */
 const FIRST_WATCH_MS = 1;
 
-/** Pause after a failure, in milliseconds: doubled from the first to the second with each failure in a row. */
+/** Pause after a failure, in milliseconds: doubled from the first to the longest with each failure in a row. */
 const FIRST_PAUSE_MS = 40;
-const LAST_PAUSE_MS = 400;
+/**
+ * Longest pause of a daemon that has read nothing yet, and cannot serve, and of one that goes on from memory: calls that the
+ * store turns away are priced like others.
+ */
+const LONGEST_PAUSE_UNREAD_MS = 400;
+const LONGEST_PAUSE_MS = 1000;
 
 /**
  * Rest after an answer with changes, in milliseconds: a change seldom comes alone, and those that follow it are told
@@ -175,7 +180,9 @@
       this.#isAvailable = false;
       this.#tellAvailability(reason);
     }
-    const ceiling = Math.min(LAST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures, 10));
-    await delay(ceiling * (0.5 + this.options.random() / 2));
+    const longest = this.#revision === null ? LONGEST_PAUSE_UNREAD_MS : LONGEST_PAUSE_MS;
+    const ceiling = Math.min(longest, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures, 10));
+    const { rest = delay } = this.options;
+    await rest(ceiling * (0.5 + this.options.random() / 2));
   }
 }
