--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -396,4 +396,23 @@
     assert.equal(Math.max(...unread), 400);
     assert.equal(Math.max(...(await pausesOf(true))), 1000);
   });
+
+  test('is asked for once, ahead of its use, also when that fails', async () => {
+    const store = new MemoryStore();
+    const { watched } = follow(store);
+    watched.stop();
+    const early = new MemoryStore();
+    const prefetched = new WatchedStore({
+      feed: { list: () => early.list(), watch: () => new Promise(() => undefined) },
+      log: () => undefined,
+      now: () => 0,
+      random: () => 0.5,
+    });
+    prefetched.prefetch();
+    assert.equal(early.lists, 1);
+    void prefetched.run();
+    await settle();
+    assert.equal(early.lists, 1);
+    prefetched.stop();
+  });
 });
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -67,6 +67,7 @@
   watchers = 1;
   readonly #items = new Map<string, StoredItem>();
   readonly #listeners: { readonly prefix: string; readonly listener: WatchedPrefixListener }[] = [];
+  #prefetched: ReturnType<ChangeFeed['list']> | null = null;
   #revision: number | null = null;
   #isStopped = false;
   #isAvailable = true;
@@ -89,6 +90,13 @@
     return this.#items;
   }
 
+  /** Asks for the keys ahead of {@link WatchedStore.run}, while the process is still getting ready. */
+  prefetch(): void {
+    this.#prefetched = this.options.feed.list(WHOLE_STORE);
+    // Whoever runs the copy hears of a failure; nobody may do so.
+    this.#prefetched.catch(() => undefined);
+  }
+
   /** Follows the keys until {@link WatchedStore.stop}. */
   async run(): Promise<void> {
     let mustLoad = true;
@@ -109,7 +117,9 @@
   }
 
   async #load(): Promise<void> {
-    const { items, revision } = await this.options.feed.list(WHOLE_STORE);
+    const listing = this.#prefetched ?? this.options.feed.list(WHOLE_STORE);
+    this.#prefetched = null;
+    const { items, revision } = await listing;
     const present = new Set(items.map((item) => item.key));
     for (const key of [...this.#items.keys()]) if (!present.has(key)) this.#remove(key, revision);
     for (const item of items) this.#put(item);
