--- /dev/null
+++ b/src/relay/verdicts.test.ts
@@ -0,0 +1,265 @@
+/**
+ * Whatever members do, in whatever order: a request that is refused as not run has not run, and a write runs once at most.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
+import { GatewayClient } from '../gateway/gateway-client.js';
+import { MemberConnections } from '../gateway/member-connections.js';
+import { Catalog, type Route } from '../topology/catalog.js';
+import { Member, MemberGroup } from '../topology/member-group.js';
+import { LinkPool } from './link-pool.js';
+import {
+  DialError,
+  LinkLostError,
+  type MemberErrorCode,
+  type MemberLink,
+  type MemberReply,
+  type MemberRequest,
+} from './member-link.js';
+import { ReadRunner } from './read-runner.js';
+import { Refusal } from './refusal.js';
+import type { RelayContext } from './relay-context.js';
+import { Transaction } from './transaction.js';
+import { WriteRunner } from './write-runner.js';
+
+/** What a member does with the next connection or request that reaches it. */
+const DEEDS = [
+  'refuse',
+  'full',
+  'busy',
+  'behind',
+  'read_only',
+  'run',
+  'run_late',
+  'run_and_lose',
+  'hang',
+  'lose',
+] as const;
+type Deed = (typeof DEEDS)[number];
+
+const TIMEOUT_MS = 110;
+const LATE_MS = 40;
+const ROUTE: Route = {
+  database: 'stock',
+  groupName: 'g',
+  consistency: 'read_your_writes',
+  timeoutMs: TIMEOUT_MS,
+  targetLatencyMs: 30,
+  priority: 2,
+  maxStalenessMs: 1500,
+};
+
+/** Members that follow a script and count what they run. */
+class Script {
+  runs = 0;
+  #next = 0;
+
+  constructor(private readonly deeds: readonly Deed[]) {}
+
+  take(): Deed {
+    this.#next += 1;
+    return this.deeds[(this.#next - 1) % this.deeds.length] ?? 'hang';
+  }
+
+  dial(): Promise<MemberLink> {
+    const deed = this.take();
+    if (deed === 'refuse') return Promise.reject(new DialError('refused', 'nobody listens'));
+    if (deed === 'full') return Promise.reject(new DialError('too_many_connections', 'full'));
+    return Promise.resolve(new ScriptedLink(this));
+  }
+}
+
+class ScriptedLink implements MemberLink {
+  isOpen = true;
+  readonly lastReceivedMs = 0;
+  readonly #waiting = new Set<(error: Error) => void>();
+  #onClosed: (isByPeer: boolean) => void = () => undefined;
+
+  constructor(private readonly script: Script) {}
+
+  send(request: MemberRequest): Promise<MemberReply> {
+    if (!this.isOpen) return Promise.reject(new LinkLostError('not open'));
+    const isOfClient = request.kind === 'statement' || request.kind === 'execute';
+    const deed = isOfClient ? this.script.take() : 'run';
+    if (isOfClient && deed.startsWith('run')) this.script.runs += 1;
+    return new Promise((resolve, reject) => {
+      this.#waiting.add(reject);
+      if (deed === 'run') resolve(done(request));
+      if (deed === 'run_late') setTimeout(() => resolve(done(request)), LATE_MS);
+      if (deed === 'busy' || deed === 'behind' || deed === 'read_only') resolve(refused(deed));
+      if (deed === 'run_and_lose' || deed === 'lose') setImmediate(() => this.#end(true));
+    });
+  }
+
+  close(): void {
+    this.#end(false);
+  }
+
+  onClosed(listener: (isByPeer: boolean) => void): void {
+    this.#onClosed = listener;
+  }
+
+  #end(isByPeer: boolean): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    for (const reject of this.#waiting) reject(new LinkLostError('closed'));
+    this.#onClosed(isByPeer);
+  }
+}
+
+function done({ kind }: MemberRequest): MemberReply {
+  const state = kind === 'begin' || kind === 'statement' ? 'open' : 'idle';
+  return { rows: [], result: { isComplete: true, signature: 's' }, state, position: { term: 1, index: 5 } };
+}
+
+function refused(code: MemberErrorCode): MemberReply {
+  return {
+    rows: [],
+    result: { isComplete: false, code, text: code },
+    state: 'idle',
+    position: { term: 1, index: 1 },
+  };
+}
+
+/** A group of three whose members share a script. */
+function scene(
+  deeds: readonly Deed[],
+  hasEvidence: boolean,
+): { script: Script; context: RelayContext; group: MemberGroup } {
+  const script = new Script(deeds);
+  const group = new MemberGroup('g');
+  const now = (): number => performance.now();
+  for (const memberId of ['leader', 'first', 'second']) {
+    const entry = {
+      memberId,
+      groupName: 'g',
+      host: 'h',
+      port: 1,
+      zone: 'a',
+      slots: 1,
+      isDraining: false,
+      saysPrimary: memberId === 'leader',
+    };
+    const pool = new LinkPool({
+      dialer: script,
+      address: entry,
+      budget: () => 1,
+      dialTimeoutMs: 50,
+      limitBackoffMs: 5,
+      idleMs: 1000,
+      serviceMs: () => 5,
+      onTrouble: () => undefined,
+      now,
+    });
+    const connections = new MemberConnections({
+      groupName: 'g',
+      memberId,
+      pool,
+      gateways: new GatewayClient('h', now, Math.random),
+      assignment: () => ({ gateways: null, budget: 1 }),
+      others: () => [],
+      ownName: 'd',
+    });
+    group.members.set(memberId, new Member(entry, connections));
+  }
+  group.evidence.believe({ memberId: 'leader', term: 1 });
+  if (hasEvidence) group.evidence.witness(1, 0, now());
+  group.recordLed(now() - 100, { term: 1, index: 5 });
+  const context: RelayContext = {
+    catalog: new Catalog(),
+    zone: 'a',
+    observer: QUIET_OBSERVER,
+    group: () => group,
+    now,
+    suspect: () => undefined,
+  };
+  return { script, context, group };
+}
+
+const SCRIPTS = fc.array(fc.constantFrom(...DEEDS), { minLength: 1, maxLength: 8 });
+const RUNS = { seed: 7, numRuns: 40 };
+const PLAIN = { kind: 'plain', payload: 'x' } as const;
+
+/** The refusal that a request ends with, or `null` when it is answered. */
+async function refusalOf(answer: Promise<MemberReply>): Promise<Refusal | null> {
+  try {
+    await answer;
+    return null;
+  } catch (error) {
+    assert.ok(error instanceof Refusal, String(error));
+    return error;
+  }
+}
+
+function check(script: Script, refusal: Refusal | null): void {
+  if (refusal?.verdict === 'not_run' && refusal.code === 'busy')
+    assert.equal(script.runs, 0, refusal.message);
+  if (refusal?.code === 'busy') assert.ok(refusal.retryAfterMs !== null, 'told when to come back');
+}
+
+test('a read', async () => {
+  const property = fc.asyncProperty(SCRIPTS, fc.boolean(), async (deeds, hasEvidence) => {
+    const { script, context, group } = scene(deeds, hasEvidence);
+    const receivedAtMs = performance.now();
+    const job = {
+      requestId: 'r',
+      statement: PLAIN,
+      route: ROUTE,
+      group,
+      values: new Map<string, string>(),
+      sessionFloor: null,
+      receivedAtMs,
+      deadlineMs: receivedAtMs + TIMEOUT_MS,
+    };
+    check(script, await refusalOf(new ReadRunner(context, job).run()));
+  });
+  await fc.assert(property, RUNS);
+});
+
+test('a write, which also runs once at most', async () => {
+  const property = fc.asyncProperty(SCRIPTS, fc.boolean(), async (deeds, isCommitSlow) => {
+    const { script, context, group } = scene(deeds, true);
+    if (isCommitSlow) group.commits.sent(performance.now() - 200);
+    const job = {
+      requestId: 'w',
+      statement: PLAIN,
+      route: ROUTE,
+      group,
+      values: new Map<string, string>(),
+      deadlineMs: performance.now() + TIMEOUT_MS,
+    };
+    const refusal = await refusalOf(new WriteRunner(context, job).run());
+    check(script, refusal);
+    assert.ok(script.runs <= 1);
+  });
+  await fc.assert(property, RUNS);
+});
+
+test('the first statement of a transaction, which runs on one connection at most', async () => {
+  const property = fc.asyncProperty(SCRIPTS, fc.boolean(), async (deeds, isReadOnly) => {
+    const { script, context, group } = scene(deeds, true);
+    const receivedAtMs = performance.now();
+    const transaction = new Transaction(context, {
+      route: ROUTE,
+      group,
+      isReadOnly,
+      receivedAtMs,
+      sessionFloor: null,
+    });
+    const step = {
+      requestId: 't',
+      statement: PLAIN,
+      kind: 'read',
+      values: new Map<string, string>(),
+      deadlineMs: receivedAtMs + TIMEOUT_MS,
+    } as const;
+    check(script, await refusalOf(transaction.run(step)));
+    assert.ok(script.runs <= 1);
+    transaction.end();
+  });
+  await fc.assert(property, RUNS);
+});
