--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -1,80 +1,14 @@
 /**
- * The duty, and the copy of the store, against a store in memory whose answers can be lost.
+ * The duty, against a store in memory whose answers can be lost.
  *
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
 import { after, describe, test } from 'node:test';
-import {
-  StoreError,
-  type CoordinationStore,
-  type StoredItem,
-  type StoreTransaction,
-  type TransactionAnswer,
-  type WatchAnswer,
-} from './coordination-store.js';
+import { MemoryStore, settle } from '../../test/support/memory-store.js';
+import type { StoredItem } from './coordination-store.js';
 import { DUTY_LEASE, TAKEOVER_WAIT_MS } from './duty-record.js';
 import { Duty } from './duty.js';
-import { WatchedStore } from './watched-store.js';
-
-/** A store in memory; a lease ends when the test says so. */
-class MemoryStore implements CoordinationStore {
-  readonly items = new Map<string, StoredItem & { leaseId: number }>();
-  readonly leases = new Set<number>();
-  revision = 1;
-  isDown = false;
-  watchAnswers: WatchAnswer[] = [];
-  lists = 0;
-  reads = 0;
-
-  list(): Promise<{ items: readonly StoredItem[]; revision: number }> {
-    this.lists += 1;
-    return Promise.resolve({ items: [...this.items.values()], revision: this.revision });
-  }
-
-  read(key: string): Promise<StoredItem | null> {
-    this.reads += 1;
-    if (this.isDown) return Promise.reject(new StoreError('down', true));
-    return Promise.resolve(this.items.get(key) ?? null);
-  }
-
-  async watch(): Promise<WatchAnswer> {
-    const next = this.watchAnswers.shift();
-    if (next !== undefined) return next;
-    await new Promise((resolve) => setTimeout(resolve, 1));
-    return { kind: 'events', events: [], revision: this.revision };
-  }
-
-  transact({ conditions, puts }: StoreTransaction): Promise<TransactionAnswer> {
-    if (this.isDown) return Promise.reject(new StoreError('down', true));
-    const isMet = conditions.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision);
-    if (!isMet) return Promise.resolve({ kind: 'conflict' });
-    if (puts.some(({ leaseId }) => leaseId !== 0 && !this.leases.has(leaseId)))
-      return Promise.resolve({ kind: 'no_lease' });
-    this.revision += 1;
-    for (const { key, value, leaseId } of puts)
-      this.items.set(key, { key, value, revision: this.revision, leaseId });
-    return Promise.resolve({ kind: 'done', revision: this.revision });
-  }
-
-  grantLease(ttlMs: number): Promise<{ leaseId: number; ttlMs: number }> {
-    if (this.isDown) return Promise.reject(new StoreError('down', true));
-    const leaseId = 100 + this.leases.size;
-    this.leases.add(leaseId);
-    return Promise.resolve({ leaseId, ttlMs });
-  }
-
-  keepLease(leaseId: number): Promise<boolean> {
-    if (this.isDown) return Promise.reject(new StoreError('down', true));
-    return Promise.resolve(this.leases.has(leaseId));
-  }
-
-  endLease(leaseId: number): Promise<void> {
-    this.leases.delete(leaseId);
-    for (const item of [...this.items.values()]) if (item.leaseId === leaseId) this.items.delete(item.key);
-    return Promise.resolve();
-  }
-}
 
 interface Holder {
   readonly duty: Duty;
@@ -113,10 +47,6 @@
   for (const duty of started) await duty.stop();
 });
 
-async function settle(): Promise<void> {
-  for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve));
-}
-
 describe('the duty', () => {
   test('is held by one, and the fence rises with each holder', async () => {
     const store = new MemoryStore();
@@ -280,139 +210,3 @@
     await second.duty.stop();
   });
 });
-
-describe('the copy of the store', () => {
-  function follow(store: MemoryStore): { watched: WatchedStore; told: string[]; rests: number[] } {
-    const told: string[] = [];
-    const rests: number[] = [];
-    const watched = new WatchedStore({
-      feed: {
-        list: () => store.list(),
-        watch: async () => ({ ...(await store.watch()), isPassedOn: false }),
-      },
-      log: () => undefined,
-      now: () => 0,
-      random: () => 0.5,
-      rest: (ms) => {
-        rests.push(ms);
-        return Promise.resolve();
-      },
-    });
-    watched.subscribe('a/', {
-      changed: ({ key, revision }) => told.push(`${key}@${revision}`),
-      removed: (key) => told.push(`-${key}`),
-      settled: () => told.push('settled'),
-      availability: (isAvailable) => told.push(isAvailable ? 'up' : 'down'),
-    });
-    void watched.run();
-    return { watched, told, rests };
-  }
-  const value = Buffer.from('x');
-
-  test('tells what is there, then what changes, never an older revision', async () => {
-    const store = new MemoryStore();
-    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
-    store.items.set('b/1', { key: 'b/1', value, revision: 5, leaseId: 0 });
-    store.watchAnswers = [
-      { kind: 'events', events: [{ key: 'a/1', value, revision: 4 }], revision: 6 },
-      { kind: 'events', events: [{ key: 'a/1', value: null, revision: 7 }], revision: 7 },
-    ];
-    const { watched, told } = follow(store);
-    await settle();
-    watched.stop();
-    assert.deepEqual(told, ['a/1@5', 'settled', 'settled', '-a/1', 'settled']);
-  });
-
-  test('rests after changes, so that those that follow come in one answer, and not without', async () => {
-    const store = new MemoryStore();
-    store.watchAnswers = [
-      { kind: 'events', events: [{ key: 'a/1', value, revision: 4 }], revision: 4 },
-      { kind: 'events', events: [], revision: 5 },
-      { kind: 'events', events: [{ key: 'b/1', value, revision: 6 }], revision: 6 },
-    ];
-    const { watched, rests } = follow(store);
-    await settle();
-    watched.stop();
-    assert.deepEqual(rests, [50, 50]);
-  });
-
-  test('rests longer the more daemons follow the store, up to a limit', async () => {
-    const store = new MemoryStore();
-    store.watchAnswers = [67, 900].map((revision) => ({
-      kind: 'events',
-      events: [{ key: 'a/1', value, revision }],
-      revision,
-    }));
-    const { watched, rests } = follow(store);
-    watched.watchers = 30;
-    await settle();
-    watched.stop();
-    assert.deepEqual(rests.slice(0, 1), [108]);
-    watched.watchers = 900;
-    assert.ok(rests.every((ms) => ms <= 180));
-  });
-
-  test('reads everything again when the store has forgotten its history', async () => {
-    const store = new MemoryStore();
-    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
-    store.watchAnswers = [{ kind: 'compacted' }];
-    const { watched, told } = follow(store);
-    store.items.delete('a/1');
-    store.items.set('a/2', { key: 'a/2', value, revision: 9, leaseId: 0 });
-    await settle();
-    watched.stop();
-    assert.ok(store.lists >= 2);
-    assert.ok(told.includes('a/2@9'));
-  });
-
-  /** A copy of a store that fails; its pauses, and how many it waits out before it stands still. */
-  function pausesOf(hasRead: boolean): Promise<readonly number[]> {
-    const pauses: number[] = [];
-    return new Promise((resolve) => {
-      const failing = (): Promise<never> => Promise.reject(new StoreError('turned away', false));
-      const watched: WatchedStore = new WatchedStore({
-        feed: {
-          list: () => (hasRead ? Promise.resolve({ items: [], revision: 3 }) : failing()),
-          watch: failing,
-        },
-        log: () => undefined,
-        now: () => 0,
-        random: () => 1,
-        rest: (ms) => {
-          pauses.push(ms);
-          if (pauses.length < 12) return Promise.resolve();
-          watched.stop();
-          resolve(pauses);
-          return new Promise(() => undefined);
-        },
-      });
-      void watched.run();
-    });
-  }
-
-  test('waits longer with each refusal, but not so long before the first read: the daemon cannot serve yet', async () => {
-    const unread = await pausesOf(false);
-    assert.deepEqual(unread.slice(0, 3), [80, 160, 320]);
-    assert.equal(Math.max(...unread), 400);
-    assert.equal(Math.max(...(await pausesOf(true))), 1000);
-  });
-
-  test('is asked for once, ahead of its use, also when that fails', async () => {
-    const store = new MemoryStore();
-    const { watched } = follow(store);
-    watched.stop();
-    const early = new MemoryStore();
-    const prefetched = new WatchedStore({
-      feed: { list: () => early.list(), watch: () => new Promise(() => undefined) },
-      log: () => undefined,
-      now: () => 0,
-      random: () => 0.5,
-    });
-    prefetched.prefetch();
-    assert.equal(early.lists, 1);
-    void prefetched.run();
-    await settle();
-    assert.equal(early.lists, 1);
-    prefetched.stop();
-  });
-});
--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -6,11 +6,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
-import { GatewayClient } from '../gateway/gateway-client.js';
-import { MemberConnections } from '../gateway/member-connections.js';
+import { testGroup } from '../../test/support/relay-members.js';
 import { Catalog, type Route } from '../topology/catalog.js';
-import { Member, MemberGroup } from '../topology/member-group.js';
-import { LinkPool } from './link-pool.js';
+import type { MemberGroup } from '../topology/member-group.js';
 import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
 import { ReadRunner } from './read-runner.js';
 import type { RelayContext } from './relay-context.js';
@@ -67,42 +65,8 @@
 /** A group of a leader and a replica to which this daemon has one connection each. */
 function scene(route: Route = ROUTE): Scene {
   const clock = { now: performance.now() };
-  const group = new MemberGroup('g');
   const fakes = { leader: new FakeMember(), replica: new FakeMember() };
-  for (const [memberId, fake] of Object.entries(fakes)) {
-    const entry = {
-      memberId,
-      groupName: 'g',
-      host: 'h',
-      port: 1,
-      zone: 'a',
-      slots: 1,
-      isDraining: false,
-      saysPrimary: memberId === 'leader',
-    };
-    const pool = new LinkPool({
-      dialer: fake,
-      address: entry,
-      budget: () => 1,
-      dialTimeoutMs: 100,
-      limitBackoffMs: 10,
-      idleMs: 1000,
-      serviceMs: () => 10,
-      onTrouble: () => undefined,
-      now: () => clock.now,
-    });
-    const connections = new MemberConnections({
-      groupName: 'g',
-      memberId,
-      pool,
-      gateways: new GatewayClient('h', () => clock.now, Math.random),
-      others: () => [],
-      assignment: () => ({ gateways: null, budget: 1 }),
-      ownName: 'd',
-    });
-    group.members.set(memberId, new Member(entry, connections));
-  }
-  group.evidence.believe({ memberId: 'leader', term: 1 });
+  const group = testGroup(fakes, () => clock.now);
   group.evidence.witness(1, 0, clock.now);
   const context: RelayContext = {
     catalog: new Catalog(),
--- a/src/relay/verdicts.test.ts
+++ b/src/relay/verdicts.test.ts
@@ -7,11 +7,9 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
-import { GatewayClient } from '../gateway/gateway-client.js';
-import { MemberConnections } from '../gateway/member-connections.js';
+import { testGroup } from '../../test/support/relay-members.js';
 import { Catalog, type Route } from '../topology/catalog.js';
-import { Member, MemberGroup } from '../topology/member-group.js';
-import { LinkPool } from './link-pool.js';
+import type { MemberGroup } from '../topology/member-group.js';
 import {
   DialError,
   LinkLostError,
@@ -131,42 +129,8 @@
   hasEvidence: boolean,
 ): { script: Script; context: RelayContext; group: MemberGroup } {
   const script = new Script(deeds);
-  const group = new MemberGroup('g');
   const now = (): number => performance.now();
-  for (const memberId of ['leader', 'first', 'second']) {
-    const entry = {
-      memberId,
-      groupName: 'g',
-      host: 'h',
-      port: 1,
-      zone: 'a',
-      slots: 1,
-      isDraining: false,
-      saysPrimary: memberId === 'leader',
-    };
-    const pool = new LinkPool({
-      dialer: script,
-      address: entry,
-      budget: () => 1,
-      dialTimeoutMs: 50,
-      limitBackoffMs: 5,
-      idleMs: 1000,
-      serviceMs: () => 5,
-      onTrouble: () => undefined,
-      now,
-    });
-    const connections = new MemberConnections({
-      groupName: 'g',
-      memberId,
-      pool,
-      gateways: new GatewayClient('h', now, Math.random),
-      assignment: () => ({ gateways: null, budget: 1 }),
-      others: () => [],
-      ownName: 'd',
-    });
-    group.members.set(memberId, new Member(entry, connections));
-  }
-  group.evidence.believe({ memberId: 'leader', term: 1 });
+  const group = testGroup({ leader: script, first: script, second: script }, now);
   if (hasEvidence) group.evidence.witness(1, 0, now());
   group.recordLed(now() - 100, { term: 1, index: 5 });
   const context: RelayContext = {
--- /dev/null
+++ b/test/support/memory-store.ts
@@ -0,0 +1,76 @@
+/**
+ * A coordination store in memory, for tests.
+ *
+ * @packageDocumentation
+ */
+import {
+  StoreError,
+  type CoordinationStore,
+  type StoredItem,
+  type StoreTransaction,
+  type TransactionAnswer,
+  type WatchAnswer,
+} from '../../src/coordination/coordination-store.js';
+
+/** A store in memory; a lease ends when the test says so. */
+export class MemoryStore implements CoordinationStore {
+  readonly items = new Map<string, StoredItem & { leaseId: number }>();
+  readonly leases = new Set<number>();
+  revision = 1;
+  isDown = false;
+  watchAnswers: WatchAnswer[] = [];
+  lists = 0;
+  reads = 0;
+
+  list(): Promise<{ items: readonly StoredItem[]; revision: number }> {
+    this.lists += 1;
+    return Promise.resolve({ items: [...this.items.values()], revision: this.revision });
+  }
+
+  read(key: string): Promise<StoredItem | null> {
+    this.reads += 1;
+    if (this.isDown) return Promise.reject(new StoreError('down', true));
+    return Promise.resolve(this.items.get(key) ?? null);
+  }
+
+  async watch(): Promise<WatchAnswer> {
+    const next = this.watchAnswers.shift();
+    if (next !== undefined) return next;
+    await new Promise((resolve) => setTimeout(resolve, 1));
+    return { kind: 'events', events: [], revision: this.revision };
+  }
+
+  transact({ conditions, puts }: StoreTransaction): Promise<TransactionAnswer> {
+    if (this.isDown) return Promise.reject(new StoreError('down', true));
+    const isMet = conditions.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision);
+    if (!isMet) return Promise.resolve({ kind: 'conflict' });
+    if (puts.some(({ leaseId }) => leaseId !== 0 && !this.leases.has(leaseId)))
+      return Promise.resolve({ kind: 'no_lease' });
+    this.revision += 1;
+    for (const { key, value, leaseId } of puts)
+      this.items.set(key, { key, value, revision: this.revision, leaseId });
+    return Promise.resolve({ kind: 'done', revision: this.revision });
+  }
+
+  grantLease(ttlMs: number): Promise<{ leaseId: number; ttlMs: number }> {
+    if (this.isDown) return Promise.reject(new StoreError('down', true));
+    const leaseId = 100 + this.leases.size;
+    this.leases.add(leaseId);
+    return Promise.resolve({ leaseId, ttlMs });
+  }
+
+  keepLease(leaseId: number): Promise<boolean> {
+    if (this.isDown) return Promise.reject(new StoreError('down', true));
+    return Promise.resolve(this.leases.has(leaseId));
+  }
+
+  endLease(leaseId: number): Promise<void> {
+    this.leases.delete(leaseId);
+    for (const item of [...this.items.values()]) if (item.leaseId === leaseId) this.items.delete(item.key);
+    return Promise.resolve();
+  }
+}
+
+export async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/test/support/relay-members.ts
@@ -0,0 +1,56 @@
+/**
+ * Members of a group with one connection each, for tests of what the relay does with them.
+ *
+ * @packageDocumentation
+ */
+import { GatewayClient } from '../../src/gateway/gateway-client.js';
+import { MemberConnections } from '../../src/gateway/member-connections.js';
+import { LinkPool } from '../../src/relay/link-pool.js';
+import type { MemberDialer } from '../../src/relay/member-link.js';
+import { Member, MemberGroup } from '../../src/topology/member-group.js';
+
+const GROUP = 'g';
+
+/** A member to which this daemon may open one connection. */
+function testMember(memberId: string, dialer: MemberDialer, now: () => number): Member {
+  const entry = {
+    memberId,
+    groupName: GROUP,
+    host: 'h',
+    port: 1,
+    zone: 'a',
+    slots: 1,
+    isDraining: false,
+    saysPrimary: memberId === 'leader',
+  };
+  const pool = new LinkPool({
+    dialer,
+    address: entry,
+    budget: () => 1,
+    dialTimeoutMs: 50,
+    limitBackoffMs: 5,
+    idleMs: 1000,
+    serviceMs: () => 5,
+    onTrouble: () => undefined,
+    now,
+  });
+  const connections = new MemberConnections({
+    groupName: GROUP,
+    memberId,
+    pool,
+    gateways: new GatewayClient('h', now, Math.random),
+    assignment: () => ({ gateways: null, budget: 1 }),
+    others: () => [],
+    ownName: 'd',
+  });
+  return new Member(entry, connections);
+}
+
+/** A group of the members given by id, led by `leader` in term 1; evidence of that is up to the test. */
+export function testGroup(dialers: Readonly<Record<string, MemberDialer>>, now: () => number): MemberGroup {
+  const group = new MemberGroup(GROUP);
+  for (const [memberId, dialer] of Object.entries(dialers))
+    group.members.set(memberId, testMember(memberId, dialer, now));
+  group.evidence.believe({ memberId: 'leader', term: 1 });
+  return group;
+}
