--- a/src/cluster/daemon-directory.ts
+++ b/src/cluster/daemon-directory.ts
@@ -58,6 +58,16 @@
     return [...this.#live.values()];
   }
 
+  /**
+   * Daemons that take part in the work or may be about to: also those that the store has a record of, and whose lease has
+   * run out or is not there yet. After a loss of power all start at the same time, and know each other by their records only.
+   */
+  expected(nowMs: number): readonly DaemonRecord[] {
+    const expected = new Map(this.known(nowMs).map((record) => [record.name, record]));
+    for (const [name, record] of this.#live) expected.set(name, record);
+    return [...expected.values()];
+  }
+
   /** The record of a daemon by its name, or `null`. */
   find(name: string): DaemonRecord | null {
     return this.#registered.get(name) ?? null;
--- a/src/gateway/assign-gateways.test.ts
+++ b/src/gateway/assign-gateways.test.ts
@@ -95,6 +95,14 @@
     );
   });
 
+  test('after a loss of power, those that the store has a record of are expected back', () => {
+    const directory = new DaemonDirectory();
+    directory.update(records, new Set(['d0']), 0);
+    assert.equal(directory.live.length, 1);
+    assert.equal(directory.expected(100).length, 3);
+    assert.equal(directory.expected(700_000).length, 1);
+  });
+
   test('but it may still hold evidence: it is known until it is replaced or long gone', () => {
     const directory = new DaemonDirectory();
     directory.update(records, all, 0);
--- a/src/gateway/assignments.ts
+++ b/src/gateway/assignments.ts
@@ -18,14 +18,18 @@
  */
 const YOUNG_MS = 3500;
 const YOUNG_SHARE = 0.5;
-/** Daemons planned with before the others are known. */
-const ASSUMED_DAEMONS = 8;
+/** Nobody is known who may connect: nobody does. */
+const NOBODY: Assignment = { gateways: [], budget: 0 };
 
 /** What the assignments depend on. */
 export interface AssignmentsOptions {
   readonly ownName: string;
-  /** Daemons that take part in the work. */
-  daemons(): readonly DaemonRecord[];
+  /**
+   * Daemons that take part in the work.
+   *
+   * @param isYoung - true while this daemon may not have heard yet of others that start at the same time
+   */
+  daemons(isYoung: boolean): readonly DaemonRecord[];
   /** Connections that each member of a group accepts. */
   connectionLimit(groupName: string): number;
   /** Since when this daemon runs, in monotonic milliseconds. */
@@ -58,8 +62,12 @@
   budget(entry: MemberEntry): number {
     const assignment = this.of(entry);
     if (!connectsItself(assignment, this.options.ownName)) return 0;
-    const isYoung = this.options.now() - this.options.startedAtMs() < YOUNG_MS;
-    return Math.max(1, Math.floor(isYoung ? assignment.budget * YOUNG_SHARE : assignment.budget));
+    return Math.max(1, Math.floor(this.isYoung ? assignment.budget * YOUNG_SHARE : assignment.budget));
+  }
+
+  /** True while this daemon has just started. */
+  get isYoung(): boolean {
+    return this.options.now() - this.options.startedAtMs() < YOUNG_MS;
   }
 
   /** True when this daemon connects to a member itself. */
@@ -75,8 +83,8 @@
   #assign({ memberId, groupName, zone, slots }: MemberEntry): Assignment {
     const limit = this.options.connectionLimit(groupName);
     const connections = Math.max(1, Math.min(limit - RESERVED_CONNECTIONS, slots * CONNECTIONS_PER_SLOT));
-    const daemons = this.options.daemons();
-    if (daemons.length === 0) return { gateways: null, budget: Math.floor(connections / ASSUMED_DAEMONS) };
+    const daemons = this.options.daemons(this.isYoung);
+    if (daemons.length === 0) return NOBODY;
     return assignGateways(daemons, { memberId, zone, connections });
   }
 }
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -11,6 +11,7 @@
 import type { MemberReply } from '../relay/member-link.js';
 import type { PooledLink } from '../relay/pooled-link.js';
 import type { SessionValues } from '../relay/session-link.js';
+import { StatusQuestions } from './status-questions.js';
 import {
   MAX_GATEWAY_MESSAGE_BYTES,
   type BorrowMessage,
@@ -50,6 +51,7 @@
     private readonly terms: BorrowMessage,
     private readonly pool: LinkPool | null,
     private readonly answer: (message: GatewayMessage) => void,
+    private readonly statusQuestions: StatusQuestions,
   ) {}
 
   /** Takes a message. */
@@ -69,11 +71,24 @@
     this.#isWorking = true;
     for (let message = this.#queue.shift(); message !== undefined; message = this.#queue.shift()) {
       if (message.type === 'values') this.#values = new Map(message.values);
+      else if (message.request.kind === 'status' && this.#link === null) await this.#serveStatus();
       else await this.#serve(message);
     }
     this.#isWorking = false;
   }
 
+  async #serveStatus(): Promise<void> {
+    if (this.pool === null) {
+      this.#reply(notSent('not a gateway of the member'));
+      return;
+    }
+    try {
+      this.#reply(await this.statusQuestions.ask(this.pool));
+    } catch (error) {
+      this.#reply(notSent(`gateway: ${String(error)}`));
+    }
+  }
+
   async #serve(message: LoanRequestMessage): Promise<void> {
     const link = this.#link ?? (await this.#take());
     if (link === null) return;
@@ -148,6 +163,7 @@
 export class GatewayServer {
   readonly #server: Server;
   readonly #channels = new Map<MessageChannel<GatewayMessage>, Map<number, Loan>>();
+  readonly #statusQuestions = new StatusQuestions();
   #isLeaving = false;
 
   constructor(private readonly ports: GatewayServerPorts) {
@@ -202,7 +218,8 @@
     switch (message.type) {
       case 'borrow': {
         const pool = this.ports.pool(message.groupName, message.memberId);
-        loans.set(message.loan, new Loan(message, pool, (answer) => channel.send(answer)));
+        const answer = (reply: GatewayMessage): void => channel.send(reply);
+        loans.set(message.loan, new Loan(message, pool, answer, this.#statusQuestions));
         break;
       }
       case 'values':
--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -33,6 +33,7 @@
     idleMs: 1000,
     serviceMs: () => 10,
     onTrouble: () => undefined,
+    random: () => 0.5,
     now: () => clock.now,
   });
   const gateways = {
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -53,12 +53,22 @@
     return this.isDirect && this.options.pool.isExhausted;
   }
 
+  /** True when this daemon is one of those that connect to the member. */
+  get isAssigned(): boolean {
+    return connectsItself(this.options.assignment(), this.options.ownName);
+  }
+
+  /** True when some daemons hold the connections to the member for all. */
+  get hasGateways(): boolean {
+    return this.options.assignment().gateways !== null;
+  }
+
   /**
    * True when this daemon uses connections of its own to the member. Not while the member refuses it one: for seconds after
    * a loss of power, members count the connections of processes that are no more.
    */
   get isDirect(): boolean {
-    return this.#isAssigned() && !(this.options.pool.isShut && this.options.others().length > 0);
+    return this.isAssigned && !(this.options.pool.isShut && this.options.others().length > 0);
   }
 
   /**
@@ -78,7 +88,7 @@
    */
   borrow({ priority }: LinkDemand, waitMs: number): SessionLink {
     const { gateways, groupName, memberId } = this.options;
-    const lenders = this.#isAssigned() ? this.options.others() : (this.options.assignment().gateways ?? []);
+    const lenders = this.isAssigned ? this.options.others() : (this.options.assignment().gateways ?? []);
     const gateway = gateways.choose(lenders);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
     const link = gateways.borrow(gateway, { groupName, memberId, priority, waitMs: Math.round(waitMs) });
@@ -95,8 +105,4 @@
     this.#borrowed.delete(link);
     link.close();
   }
-
-  #isAssigned(): boolean {
-    return connectsItself(this.options.assignment(), this.options.ownName);
-  }
 }
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -17,6 +17,11 @@
 const SHARING_TIMEOUT_MS = 200;
 /** Time between questions while a group has no evidence, in milliseconds. */
 const MISSING_MS = 80;
+/**
+ * The same for each daemon of the fleet, in milliseconds: all may miss evidence at the same time, and one daemon answers a
+ * thousand questions a second on a part of a small core.
+ */
+const MISSING_MS_EACH = 1;
 /** Time without evidence after which a daemon asks the members itself, whoever else does, in milliseconds. */
 const PATIENCE_MS = 1200;
 
@@ -79,7 +84,7 @@
   /** Asks for evidence until {@link EvidenceSharing.stop}. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      await delay(this.#isMissing() ? MISSING_MS : SHARING_MS);
+      await delay(this.#isMissing() ? this.#missingMs() : SHARING_MS);
       if (this.options.holdsDuty()) continue;
       const askedAtMs = this.options.now();
       const entries = await this.#ask();
@@ -92,6 +97,11 @@
     this.#isStopped = true;
   }
 
+  #missingMs(): number {
+    const fairMs = this.options.daemons().length * MISSING_MS_EACH;
+    return Math.min(SHARING_MS, Math.max(MISSING_MS, fairMs));
+  }
+
   #isMissing(): boolean {
     const now = this.options.now();
     return this.options.groups().some(({ evidence }) => evidence.current(now) === null);
--- a/src/leadership/group-supervisor.test.ts
+++ b/src/leadership/group-supervisor.test.ts
@@ -47,6 +47,7 @@
       heldFence: () => 1,
       order: (order, _timeoutMs, again) => this.#order(order, again),
       callerCount: () => 2,
+      isLent: () => false,
       confirmLeader: () => undefined,
       log: (event) => void this.steps.push(event),
       now: () => performance.now(),
@@ -130,3 +131,67 @@
   await scene.until('promotion_given_up');
   assert.ok(!scene.steps.some((step) => step.startsWith('promote ')));
 });
+
+/** A group whose leader keeps new connections waiting; `lent`: other daemons hold the connections to it. */
+function slowLeaderScene(lent: boolean): {
+  supervisor: GroupSupervisor;
+  group: MemberGroup;
+  steps: string[];
+} {
+  const steps: string[] = [];
+  const group = new MemberGroup('g');
+  for (const memberId of NAMES) group.members.set(memberId, memberOf(memberId));
+  group.evidence.believe({ memberId: 'old', term: TERM });
+  const ask = (member: Member): Promise<ControlAnswer> => {
+    if (member.entry.memberId === 'old') steps.push('asked');
+    return Promise.resolve(member.entry.memberId === 'old' ? { kind: 'slow' } : { kind: 'busy' });
+  };
+  const supervisor = new GroupSupervisor(group, {
+    control: { ask } as unknown as MemberControl,
+    promotion: { promote: () => Promise.resolve(true) },
+    heldFence: () => 1,
+    order: () => Promise.resolve(new Map()),
+    callerCount: () => 6,
+    isLent: () => lent,
+    confirmLeader: () => undefined,
+    log: (event) => void steps.push(event),
+    now: () => performance.now(),
+  });
+  return { supervisor, group, steps };
+}
+
+async function stepsOf(
+  scene: { supervisor: GroupSupervisor; steps: string[] },
+  last: string,
+): Promise<string[]> {
+  const running = scene.supervisor.run();
+  const deadlineMs = performance.now() + 10_000;
+  while (!scene.steps.includes(last)) {
+    assert.ok(performance.now() < deadlineMs, `${last} was not reached: ${scene.steps.join(', ')}`);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  scene.supervisor.stop();
+  await running;
+  return scene.steps;
+}
+
+const SILENT_TO_GATEWAY = { groupName: 'g', memberId: 'old', reason: 'silent', reporter: 'd4' } as const;
+
+test('a leader that keeps a new connection waiting is not replaced while others use theirs', async () => {
+  const scene = slowLeaderScene(true);
+  scene.supervisor.suspect();
+  const steps = await stepsOf(scene, 'asked');
+  assert.ok(!steps.includes('promotion_begins'), steps.join(', '));
+});
+
+test('it is once an open connection of another daemon is silent, too', async () => {
+  const scene = slowLeaderScene(true);
+  scene.supervisor.suspect(SILENT_TO_GATEWAY);
+  await stepsOf(scene, 'promotion_begins');
+});
+
+test('it is at once where every daemon connects itself', async () => {
+  const scene = slowLeaderScene(false);
+  scene.supervisor.suspect();
+  await stepsOf(scene, 'promotion_begins');
+});
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -42,6 +42,8 @@
   ): Promise<ReadonlyMap<string, OrderOutcome>>;
   /** Daemons that connect to a member themselves. */
   callerCount(memberId: string): number;
+  /** True when those hold their connections to it for all daemons. */
+  isLent(memberId: string): boolean;
   /** A member leads by this daemon's own promotion. */
   confirmLeader(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -249,18 +251,21 @@
       if (answer.kind === 'busy' || leader.answeredAtMs > askedAtMs) return null;
       kind = answer.kind;
     }
-    if (kind !== 'refused' && this.#isAloneInDoubt(leader)) return null;
+    if (kind !== 'refused' && this.#isAloneInDoubt(leader, kind)) return null;
     return `leader is ${kind}`;
   }
 
   /**
-   * True when a leader with many callers is silent to this daemon alone: it may be that it only keeps new
-   * connections waiting.
+   * True when a leader with many callers is silent to this daemon alone: it may be that it only keeps new connections
+   * waiting. Where others hold the connections for all, one that only keeps a new connection waiting is taken for hung
+   * when an open one is silent, too.
    */
-  #isAloneInDoubt(leader: Member): boolean {
+  #isAloneInDoubt(leader: Member, kind: string): boolean {
+    const { memberId } = leader.entry;
     const corroboration = this.#corroboration(leader);
-    if (corroboration === 1) return false;
-    return this.#doubts.count('silent', leader.entry.memberId, this.options.now()) < corroboration;
+    const mustBeSeenByOthers = kind === 'slow' && this.options.isLent(memberId);
+    if (corroboration === 1 && !mustBeSeenByOthers) return false;
+    return this.#doubts.count('silent', memberId, this.options.now()) < corroboration;
   }
 
   /** Daemons that have to agree on a doubt. */
--- /dev/null
+++ b/src/leadership/member-control.test.ts
@@ -0,0 +1,110 @@
+/**
+ * Over which connections a daemon asks members about themselves.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DialError, type MemberLink, type MemberReply } from '../relay/member-link.js';
+import type { Member } from '../topology/member-group.js';
+import { MemberControl } from './member-control.js';
+
+const REPLY: MemberReply = {
+  rows: ['row'],
+  result: { isComplete: true, signature: '-' },
+  state: 'idle',
+  position: null,
+};
+const STATUS = { isPrimary: false, term: 1, received: { term: 1, index: 1 }, pausedForTerm: 0 };
+const LINK = { isOpen: true, send: () => Promise.resolve(REPLY), close: () => undefined };
+
+/** What is asked, and how. */
+interface Scene {
+  readonly control: MemberControl;
+  readonly member: Member;
+  readonly steps: string[];
+}
+
+/**
+ * @param mayConnect - this daemon may open connections beside its pools
+ * @param gateway - how the gateways take a question
+ */
+function scene(mayConnect: boolean, gateway: 'answers' | 'is silent' | 'is out of reach'): Scene {
+  const steps: string[] = [];
+  const member = {
+    entry: { memberId: 'm' },
+    address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
+    trust: () => undefined,
+    pool: {
+      own: { takeIdle: () => null, isUnopened: false },
+      hasGateways: true,
+      isAssigned: false,
+      borrow: () => {
+        steps.push('borrow');
+        if (gateway === 'is out of reach') throw new Error('no gateway in reach');
+        if (gateway === 'answers') return LINK;
+        let giveUp: (error: Error) => void = () => undefined;
+        const send = (): Promise<MemberReply> => new Promise((_resolve, reject) => (giveUp = reject));
+        return { isOpen: true, send, close: () => giveUp(new Error('given up')) };
+      },
+      release: () => steps.push('return'),
+    },
+  } as unknown as Member;
+  const dial = (): Promise<MemberLink> => {
+    steps.push('dial');
+    return Promise.resolve(LINK as unknown as MemberLink);
+  };
+  const control = new MemberControl({
+    dialer: { dial },
+    readStatus: () => STATUS,
+    mayConnect: () => mayConnect,
+    now: () => performance.now(),
+  });
+  return { control, member, steps };
+}
+
+test('where others hold the connections, a question goes through them', async () => {
+  const { control, member, steps } = scene(false, 'answers');
+  const answer = await control.ask(member, { kind: 'status' }, 100, true);
+  assert.equal(answer.kind, 'answered');
+  assert.deepEqual(steps, ['borrow', 'return']);
+});
+
+for (const trouble of ['is silent', 'is out of reach'] as const) {
+  test(`where a gateway ${trouble}, nothing is known of the member, and nobody connects beside it`, async () => {
+    const { control, member, steps } = scene(false, trouble);
+    assert.deepEqual(await control.ask(member, { kind: 'status' }, 30), { kind: 'busy' });
+    assert.ok(!steps.includes('dial'));
+  });
+
+  test(`but for the one daemon that may, when a gateway ${trouble}`, async () => {
+    const { control, member, steps } = scene(true, trouble);
+    assert.equal((await control.ask(member, { kind: 'status' }, 30)).kind, 'answered');
+    assert.ok(steps.includes('dial'));
+  });
+}
+
+test('orders of a promotion go over a connection of their own', async () => {
+  const { control, member, steps } = scene(true, 'answers');
+  await control.ask(member, { kind: 'pause', term: 2 }, 100);
+  assert.deepEqual(steps, ['dial']);
+});
+
+test('questions that come while a connection is opened wait for the same one', async () => {
+  const { member } = scene(true, 'answers');
+  let dials = 0;
+  const control = new MemberControl({
+    dialer: {
+      dial: () => {
+        dials += 1;
+        return Promise.reject(new DialError('slow', 'no answer in time'));
+      },
+    },
+    readStatus: () => STATUS,
+    mayConnect: () => true,
+    now: () => performance.now(),
+  });
+  const asked = [1, 2, 3].map((term) => control.ask(member, { kind: 'pause', term }, 100));
+  assert.deepEqual(new Set((await Promise.all(asked)).map(({ kind }) => kind)), new Set(['slow']));
+  assert.equal(dials, 1);
+});
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -12,6 +12,7 @@
   type StatusReader,
 } from '../relay/member-link.js';
 import type { PooledLink } from '../relay/pooled-link.js';
+import type { SessionLink } from '../relay/session-link.js';
 import type { Member } from '../topology/member-group.js';
 
 /**
@@ -30,24 +31,42 @@
 export interface MemberControlOptions {
   readonly dialer: MemberDialer;
   readonly readStatus: StatusReader;
+  /**
+   * True while this daemon may open connections beside those of its pools, also to members that others connect to: one
+   * daemon at a time, since members accept few.
+   */
+  mayConnect(): boolean;
   now(): number;
 }
 
 /** Time after which an own connection that is not used is ended, in milliseconds. */
 const OWN_LINK_IDLE_MS = 500;
 
+/**
+ * Longest wait for a status through a gateway, in milliseconds, where a connection of its own can be asked after it: some
+ * round trips between zones and the time of a statement.
+ */
+const THROUGH_GATEWAY_MS = 60;
+
 const SILENT: ControlAnswer = { kind: 'silent' };
+const BUSY: ControlAnswer = { kind: 'busy' };
 
-/** Asks members over idle pooled connections, or over one of its own where none is idle. */
+/**
+ * Asks members over idle pooled connections, else through a gateway of the member, else over a connection of its own.
+ * Where some daemons hold the connections for all, only one may open any beside them.
+ */
 export class MemberControl {
   readonly #ownLinks = new Map<string, MemberLink>();
   readonly #usedAtMs = new Map<string, number>();
+  /** Own connections that are being opened, by member: questions that come meanwhile wait for the same one. */
+  readonly #dials = new Map<string, Promise<MemberLink | ControlAnswer>>();
 
   constructor(private readonly options: MemberControlOptions) {}
 
   /**
    * Asks one member; never rejects.
    *
+   * @param timeoutMs - longest wait; a question through a gateway that finds out nothing may come on top
    * @param opensPool - a connection that has to be opened for it is the first of the pool, where it has none. Not for a
    * sign of life: the pool does not tell a member that keeps new connections waiting from a silent one.
    */
@@ -59,17 +78,20 @@
   ): Promise<ControlAnswer> {
     const deadlineMs = this.options.now() + timeoutMs;
     const pooled =
-      member.pool.own.takeIdle() ?? (opensPool ? await this.#openPooled(member, timeoutMs) : null);
+      member.pool.own.takeIdle() ?? (opensPool ? await this.#waitForPooled(member, timeoutMs) : null);
     if (pooled !== null && 'kind' in pooled) return pooled;
-    if (pooled !== null) {
-      const answer = await this.#send(pooled, request, deadlineMs - this.options.now());
-      member.pool.own.release(pooled);
-      if (answer.kind === 'answered') member.trust(this.options.now());
-      return answer;
+    if (pooled !== null) return this.#askOver(pooled, member, request, deadlineMs);
+    const mayConnect = !member.pool.hasGateways || this.options.mayConnect();
+    if (request.kind === 'status' && !member.pool.isAssigned) {
+      const answer = await this.#askThroughGateway(member, mayConnect ? THROUGH_GATEWAY_MS : timeoutMs);
+      // What a gateway cannot say may be the gateway's own trouble.
+      if (answer.kind === 'answered' || !mayConnect) return answer;
     }
+    if (!mayConnect) return BUSY;
+    const ownDeadlineMs = this.options.now() + timeoutMs;
     const link = await this.#ownLink(member, timeoutMs);
     if ('kind' in link) return link;
-    const answer = await this.#send(link, request, deadlineMs - this.options.now());
+    const answer = await this.#send(link, request, ownDeadlineMs - this.options.now());
     if (!link.isOpen) this.#ownLinks.delete(member.entry.memberId);
     if (answer.kind === 'answered') member.trust(this.options.now());
     return answer;
@@ -88,11 +110,16 @@
     for (const [memberId, usedAtMs] of this.#usedAtMs) if (usedAtMs < unusedSinceMs) this.forget(memberId);
   }
 
-  /** The first connection of the pool, where it has none: the requests use it next. `null` where it has some. */
-  async #openPooled(member: Member, timeoutMs: number): Promise<PooledLink | ControlAnswer | null> {
-    const { own } = member.pool;
-    if (!own.isUnopened) return null;
-    const demand = { values: new Map<string, string>(), isWrite: false, priority: 0, dueAtMs: 0 };
+  /**
+   * A connection of the pool: the first one where it has none, which the requests use next, or one that comes free where
+   * others may not be opened. `null` where the question has to find another way.
+   */
+  async #waitForPooled(member: Member, timeoutMs: number): Promise<PooledLink | ControlAnswer | null> {
+    const { own, hasGateways, isAssigned } = member.pool;
+    const mustWait = hasGateways && isAssigned && !this.options.mayConnect();
+    if (!own.isUnopened && !mustWait) return null;
+    const dueAtMs = this.options.now() + timeoutMs;
+    const demand = { values: new Map<string, string>(), isWrite: false, priority: 0, dueAtMs };
     try {
       return await own.acquire(demand, timeoutMs);
     } catch (error) {
@@ -101,14 +128,50 @@
     }
   }
 
+  async #askOver(
+    pooled: PooledLink,
+    member: Member,
+    request: MemberRequest,
+    deadlineMs: number,
+  ): Promise<ControlAnswer> {
+    const answer = await this.#send(pooled, request, deadlineMs - this.options.now());
+    member.pool.own.release(pooled);
+    if (answer.kind === 'answered') member.trust(this.options.now());
+    return answer;
+  }
+
+  /** The status of a member over a connection that a gateway lends. Silence says nothing of the member. */
+  async #askThroughGateway(member: Member, timeoutMs: number): Promise<ControlAnswer> {
+    const demand = { values: new Map<string, string>(), isWrite: false, priority: 0, dueAtMs: 0 };
+    let link: SessionLink;
+    try {
+      link = member.pool.borrow(demand, timeoutMs);
+    } catch {
+      // No gateway is in reach: nothing is known of the member.
+      return BUSY;
+    }
+    const answer = await this.#send(link, { kind: 'status' }, timeoutMs);
+    member.pool.release(link);
+    return answer.kind === 'answered' ? answer : BUSY;
+  }
+
   async #ownLink(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
     const { memberId } = member.entry;
     this.#usedAtMs.set(memberId, this.options.now());
     const known = this.#ownLinks.get(memberId);
     if (known !== undefined && known.isOpen) return known;
+    let dial = this.#dials.get(memberId);
+    if (dial === undefined) {
+      dial = this.#dialOwn(member, timeoutMs).finally(() => this.#dials.delete(memberId));
+      this.#dials.set(memberId, dial);
+    }
+    return dial;
+  }
+
+  async #dialOwn(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
     try {
       const link = await this.options.dialer.dial(member.address, timeoutMs);
-      this.#ownLinks.set(memberId, link);
+      this.#ownLinks.set(member.entry.memberId, link);
       return link;
     } catch (error) {
       if (!(error instanceof DialError)) throw error;
@@ -117,7 +180,7 @@
   }
 
   async #send(
-    link: Pick<MemberLink, 'send' | 'close'>,
+    link: Pick<MemberLink | SessionLink, 'send' | 'close'>,
     request: MemberRequest,
     timeoutMs: number,
   ): Promise<ControlAnswer> {
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -61,6 +61,7 @@
     idleMs: 1000,
     serviceMs: () => 10,
     onTrouble: () => undefined,
+    random: () => 0.5,
     now: () => clock.now,
   });
 }
@@ -192,3 +193,62 @@
   clock.now = 11;
   assert.equal(pool.isShut, false, 'asked again');
 });
+
+/** Connections that are accepted when the test says so. */
+function slowDialer(): { dial: () => Promise<MemberLink>; accept: () => void; dialed: () => number } {
+  const open: ((link: MemberLink) => void)[] = [];
+  let dialed = 0;
+  return {
+    dial: () => {
+      dialed += 1;
+      return new Promise((resolve) => open.push(resolve));
+    },
+    accept: () => open.shift()?.(new FakeLink()),
+    dialed: () => dialed,
+  };
+}
+
+test('few connections are opened at once, the next as one is accepted', async () => {
+  const { dial, accept, dialed } = slowDialer();
+  const pool = poolOf(8, dial);
+  const waiting = Array.from({ length: 6 }, () => pool.acquire(DEMAND, 1000));
+  assert.equal(dialed(), 2);
+  accept();
+  await waiting[0];
+  assert.equal(dialed(), 3);
+  for (let index = 0; index < 5; index += 1) {
+    accept();
+    await waiting[index + 1];
+  }
+  assert.equal(dialed(), 6);
+});
+
+test('a member that is slow to accept loses who waits to others, not the connection under way', async () => {
+  const { dial, accept, dialed } = slowDialer();
+  const pool = poolOf(1, dial);
+  await assert.rejects(pool.acquire(DEMAND, 1000), DialError);
+  const next = pool.acquire(DEMAND, 1000);
+  assert.equal(dialed(), 1, 'it is not begun anew');
+  accept();
+  await next;
+});
+
+test('a member that did not accept in time is left alone for longer each time', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] });
+  const clock = { now: 0 };
+  const begun: number[] = [];
+  const dial = (): Promise<MemberLink> => {
+    begun.push(clock.now);
+    return Promise.reject(new DialError('slow', 'no answer in time'));
+  };
+  const pool = poolOf(1, dial, clock);
+  void pool.acquire(DEMAND, 10_000).catch(() => undefined);
+  for (; clock.now < 3000; clock.now += 1) {
+    context.mock.timers.tick(1);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const pauses = begun.slice(1).map((at, index) => at - (begun[index] ?? 0));
+  assert.ok(pauses.length >= 4, `connections begun: ${begun.join(', ')}`);
+  for (const [index, pause] of pauses.slice(1).entries())
+    assert.ok(pause >= 1.8 * (pauses[index] ?? 0), `connections begun: ${begun.join(', ')}`);
+});
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -13,6 +13,19 @@
 const KEPT_IDLE = 1;
 /** Time between two connections that are opened in advance, in milliseconds: each takes a slot of the member. */
 const WARMING_MS = 200;
+/**
+ * Connections that a pool opens at once: each takes a slot of the member while it is opened, and every daemon that connects
+ * to the member may be opening some.
+ */
+const MAX_DIALING = 2;
+/** For how long a member may keep a new connection waiting before it is given up, in milliseconds. */
+const ACCEPT_MS = 2000;
+/**
+ * Pause after a member was too slow to accept a connection, in milliseconds: doubled from the first to the second with each
+ * one in a row, and spread over half of it, so that pools do not come back together.
+ */
+const FIRST_DIAL_PAUSE_MS = 50;
+const LAST_DIAL_PAUSE_MS = 1600;
 
 /** What a pool is told about its surroundings. */
 export interface LinkPoolOptions {
@@ -32,6 +45,8 @@
   onTrouble(reason: string): void;
   /** Monotonic time, in milliseconds. */
   now(): number;
+  /** A number from 0 up to 1. */
+  random(): number;
 }
 
 /** Opens connections on demand, hands them out by priority, takes them back when they are clean. */
@@ -41,6 +56,8 @@
   readonly #waiters: PoolWaiter[] = [];
   readonly #links = new Set<PooledLink>();
   #dialing = 0;
+  /** Connections in a row that the member was too slow to accept. */
+  #slowDials = 0;
   #limitedUntilMs = Number.NEGATIVE_INFINITY;
   #warmedAtMs = Number.NEGATIVE_INFINITY;
   #keptIdle = KEPT_IDLE;
@@ -185,6 +202,7 @@
   }
 
   #mayDial(): boolean {
+    if (this.#dialing >= MAX_DIALING) return false;
     return this.size < this.options.budget() && this.options.now() >= this.#limitedUntilMs;
   }
 
@@ -203,16 +221,25 @@
 
   #dial(): void {
     this.#dialing += 1;
-    this.options.dialer.dial(this.options.address, this.options.dialTimeoutMs).then(
-      (memberLink) => {
-        this.#dialing -= 1;
-        this.#add(new PooledLink(memberLink));
-      },
-      (error: unknown) => {
+    const { dialer, address, dialTimeoutMs } = this.options;
+    // The member goes on with a connection that is given up: it is waited for, but whoever waits may go elsewhere.
+    const slow = new DialError('slow', 'the member has not accepted the connection yet');
+    const timer = setTimeout(() => this.#nextWaiter()?.fail(slow, this), dialTimeoutMs);
+    dialer
+      .dial(address, dialTimeoutMs, ACCEPT_MS)
+      .finally(() => {
+        clearTimeout(timer);
         this.#dialing -= 1;
-        this.#dialFailed(error instanceof DialError ? error : new DialError('lost', String(error)));
-      },
-    );
+      })
+      .then(
+        (memberLink) => {
+          this.#slowDials = 0;
+          this.#add(new PooledLink(memberLink));
+          this.#redial();
+        },
+        (error: unknown) =>
+          this.#dialFailed(error instanceof DialError ? error : new DialError('lost', String(error))),
+      );
   }
 
   #add(link: PooledLink): void {
@@ -231,16 +258,38 @@
   }
 
   #dialFailed(error: DialError): void {
-    if (error.reason === 'too_many_connections') {
-      this.#limitedUntilMs = this.options.now() + this.options.limitBackoffMs;
-      setTimeout(() => this.#redial(), this.options.limitBackoffMs + 1);
-      if (this.size > 0) return;
-      // Others may have one to lend: nobody is to wait here.
-      for (const waiter of this.#waiters.splice(0)) waiter.fail(error, this);
-      return;
-    } else if (error.reason !== 'slow') {
-      this.options.onTrouble(error.reason);
+    const { limitBackoffMs } = this.options;
+    switch (error.reason) {
+      case 'too_many_connections':
+        this.#pauseDials(limitBackoffMs);
+        // Others may have one to lend: nobody is to wait here.
+        if (this.size === 0) for (const waiter of this.#waiters.splice(0)) waiter.fail(error, this);
+        return;
+      case 'slow':
+        this.#pauseDials(this.#slowPauseMs());
+        return;
+      case 'busy':
+        this.#pauseDials(this.#slowPauseMs());
+        break;
+      case 'refused':
+      case 'silent':
+      case 'lost':
+      case 'wrong_member':
+        this.options.onTrouble(error.reason);
     }
     this.#nextWaiter()?.fail(error, this);
+    this.#redial();
+  }
+
+  /** Opens no connection for a while; those who wait may get one that comes free. */
+  #pauseDials(pauseMs: number): void {
+    this.#limitedUntilMs = this.options.now() + pauseMs;
+    setTimeout(() => this.#redial(), pauseMs + 1);
+  }
+
+  #slowPauseMs(): number {
+    const pauseMs = Math.min(LAST_DIAL_PAUSE_MS, FIRST_DIAL_PAUSE_MS * 2 ** Math.min(this.#slowDials, 8));
+    this.#slowDials += 1;
+    return pauseMs * (1 - this.options.random() / 2);
   }
 }
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -122,8 +122,12 @@
 
 /** Opens connections to members. */
 export interface MemberDialer {
-  /** @throws {@link DialError} */
-  dial(address: MemberAddress, timeoutMs: number): Promise<MemberLink>;
+  /**
+   * @param timeoutMs - longest wait for the host to take the connection
+   * @param acceptMs - longest wait for the member to accept the session, from the start; the same where it is not given
+   * @throws {@link DialError}
+   */
+  dial(address: MemberAddress, timeoutMs: number, acceptMs?: number): Promise<MemberLink>;
 }
 
 /** Reads the status out of a reply, or `null` when the member refused. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -32,6 +32,7 @@
 import { LinkPool } from './link-pool.js';
 import type { MemberDialer, StatusReader } from './member-link.js';
 import type { RelayContext, RelayObserver } from './relay-context.js';
+import { Readiness } from './readiness.js';
 import { Session } from './session.js';
 
 /** What a relay daemon is given. */
@@ -60,6 +61,8 @@
 const LIMIT_BACKOFF_MS = 100;
 /** Time after which a connection that is not needed is ended, in milliseconds. */
 const IDLE_MS = 800;
+/** For how long a former holder of the duty ends what it has begun at members, in milliseconds: as long as a promotion. */
+const DUTY_WIND_UP_MS = 2500;
 interface WatchedGroup {
   readonly group: MemberGroup;
   readonly watcher: LeadershipWatcher;
@@ -88,17 +91,20 @@
   readonly #gatewayServer: GatewayServer;
   readonly #sharing: EvidenceSharing;
   readonly #assignments: Assignments;
-  #isReady = false;
+  readonly #readiness = new Readiness();
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
   #startedAtMs = 0;
+  /** Until when a former holder of the duty may end what it has begun over connections of its own. */
+  #mayConnectUntilMs = Number.NEGATIVE_INFINITY;
+  #wasYoung = true;
 
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
     this.#registration = new Registration(self);
     this.#assignments = new Assignments({
       ownName: self.name,
-      daemons: () => this.#daemons.live,
+      daemons: (isYoung) => (isYoung ? this.#daemons.expected(now()) : this.#daemons.live),
       connectionLimit: (groupName) => this.catalog.document?.groups.get(groupName)?.maxConnections ?? 0,
       startedAtMs: () => this.#startedAtMs,
       now,
@@ -126,7 +132,12 @@
       log: options.log,
       now,
     });
-    this.#control = new MemberControl({ dialer, readStatus, now });
+    this.#control = new MemberControl({
+      dialer,
+      readStatus,
+      mayConnect: () => this.isDutyHolder || now() < this.#mayConnectUntilMs,
+      now,
+    });
     this.#mesh = new PeerMesh(self, {
       order: (order) => this.#obey(order),
       suspicion: (suspicion) => this.#heed(suspicion),
@@ -201,8 +212,8 @@
 
   /** True once requests can be served; stays so. */
   get isReady(): boolean {
-    if (!this.#isReady) this.#isReady = this.#canServe();
-    return this.#isReady;
+    this.#lookWhetherReady();
+    return this.#readiness.isReady;
   }
 
   /** The groups, for status and metrics. */
@@ -277,11 +288,11 @@
     return true;
   }
 
-  #canServe(): boolean {
-    const { document } = this.catalog;
-    if (document === null || !this.directory.isLoaded) return false;
+  #lookWhetherReady(): void {
+    if (this.#readiness.isReady || this.catalog.document === null || !this.directory.isLoaded) return;
     const now = this.options.now();
-    return this.groups.every((group) => group.leader(now) !== null);
+    const proven = this.groups.filter((group) => group.leader(now) !== null);
+    this.#readiness.look(proven.length, this.groups.length, now);
   }
 
   /** Groups follow the routes: one is watched while a route leads to it. */
@@ -338,6 +349,7 @@
       dialTimeoutMs: DIAL_MS,
       limitBackoffMs: LIMIT_BACKOFF_MS,
       idleMs: IDLE_MS,
+      random: options.random,
       serviceMs: () => member.latencyMs,
       onTrouble: (reason) => this.#suspect(entry.groupName, member, reason),
       now: options.now,
@@ -373,7 +385,10 @@
     }
     this.#control.trim();
     this.#gatewayClient.check();
-    if (this.#daemons.refresh(this.options.now())) this.#daemonsChanged();
+    this.#lookWhetherReady();
+    const hasSettled = this.#wasYoung && !this.#assignments.isYoung;
+    this.#wasYoung = this.#assignments.isYoung;
+    if (this.#daemons.refresh(this.options.now()) || hasSettled) this.#daemonsChanged();
   }
 
   #suspect(groupName: string, member: Member, reason: string): void {
@@ -464,6 +479,7 @@
 
   #dutyLost(reason: string): void {
     this.options.log('duty_lost', { reason });
+    this.#mayConnectUntilMs = this.options.now() + DUTY_WIND_UP_MS;
     this.#mesh.disconnectAll();
     for (const watched of this.#groups.values()) {
       watched.supervisor?.stop();
@@ -505,6 +521,7 @@
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
       order: (order, timeoutMs, again) => this.#order(order, timeoutMs, again),
       callerCount: (memberId) => this.#callerCount(watched.group, memberId),
+      isLent: (memberId) => watched.group.members.get(memberId)?.pool.hasGateways ?? false,
       confirmLeader: () => {
         watched.watcher.confirm();
         watched.watcher.wake();
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -85,6 +85,7 @@
     serviceMs: () => 10,
     idleMs: 1000,
     onTrouble: () => undefined,
+    random: () => 0.5,
     now: () => 0,
   });
   const entry = {
--- /dev/null
+++ b/test/integration/connection-congestion.test.ts
@@ -0,0 +1,190 @@
+/**
+ * A member to which every new connection costs a slot for a while, before a large fleet that starts at once: neither the
+ * fleet's questions nor its connections may take what the member needs for statements.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import type { DaemonRecord } from '../../src/cluster/daemon-record.js';
+import type { GatewayClient } from '../../src/gateway/gateway-client.js';
+import { MemberConnections } from '../../src/gateway/member-connections.js';
+import { StatusQuestions } from '../../src/gateway/status-questions.js';
+import { MemberControl } from '../../src/leadership/member-control.js';
+import { LinkPool } from '../../src/relay/link-pool.js';
+import type { SessionLink } from '../../src/relay/session-link.js';
+import { Member, type MemberEntry } from '../../src/topology/member-group.js';
+import { ModelledMember, type MemberModel } from '../support/modelled-member.js';
+
+const MODEL: MemberModel = { slots: 2, handshakeMs: 27, workMs: 14, queue: 16 };
+/** Statements that the member answers in a second at its best. */
+const BEST_PER_S = (1000 / MODEL.workMs) * MODEL.slots;
+const DAEMONS = 195;
+const GATEWAYS = 6;
+const CONNECTIONS_EACH = 4;
+const QUESTION_EACH_MS = 300;
+const STATUS_TIMEOUT_MS = 250;
+const OBJECTIVE_MS = 250;
+
+const ENTRY: MemberEntry = {
+  memberId: 'm',
+  groupName: 'g',
+  host: 'h',
+  port: 1,
+  zone: 'z',
+  slots: MODEL.slots,
+  isDraining: false,
+  saysPrimary: false,
+};
+
+/** A clock and timers that are moved by hand. */
+class Time {
+  now = 0;
+
+  constructor(private readonly context: TestContext) {
+    context.mock.timers.enable({ apis: ['setTimeout'] });
+    context.mock.method(performance, 'now', () => this.now);
+  }
+
+  async advance(ms: number): Promise<void> {
+    for (let step = 0; step < ms; step += 1) {
+      this.now += 1;
+      this.context.mock.timers.tick(1);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+}
+
+/** The fleet as one member sees it. */
+class Fleet {
+  readonly member = new ModelledMember(MODEL);
+  readonly #records = Array.from({ length: DAEMONS }, (_, index) => ({ name: `d${index}` }) as DaemonRecord);
+  readonly #gateways = this.#records.slice(0, GATEWAYS);
+  readonly #pools = new Map(this.#gateways.map(({ name }) => [name, this.#pool(CONNECTIONS_EACH)]));
+  readonly #statusQuestions = new StatusQuestions();
+  answered = 0;
+  /** Statements that were answered within their objective. */
+  inTime = 0;
+  #asked = 0;
+
+  constructor(private readonly time: Time) {}
+
+  /** Every daemon asks for the status, again and again. */
+  askForever(): void {
+    for (const { name } of this.#records) {
+      const member = this.#memberOf(name);
+      const control = new MemberControl({
+        dialer: this.member,
+        readStatus: (reply) =>
+          reply.result.isComplete
+            ? { isPrimary: false, term: 1, received: { term: 1, index: 1 }, pausedForTerm: 0 }
+            : null,
+        mayConnect: () => name === 'd0',
+        now: () => this.time.now,
+      });
+      const ask = async (): Promise<void> => {
+        const answer = await control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true);
+        if (answer.kind === 'answered') this.answered += 1;
+        control.trim();
+        setTimeout(() => void ask(), QUESTION_EACH_MS);
+      };
+      setTimeout(() => void ask(), (Number(name.slice(1)) * 300) / DAEMONS);
+    }
+  }
+
+  /** One statement through the gateways in turn. */
+  async request(): Promise<void> {
+    const pool = [...this.#pools.values()][this.#asked++ % GATEWAYS];
+    if (pool === undefined) return;
+    const dueAtMs = this.time.now + OBJECTIVE_MS;
+    const demand = { values: new Map<string, string>(), isWrite: false, priority: 1, dueAtMs };
+    try {
+      const link = await pool.acquire(demand, OBJECTIVE_MS);
+      const reply = await link.send({ kind: 'statement', requestId: 'r', payload: 'READ x', after: null });
+      pool.release(link);
+      if (reply.result.isComplete && this.time.now <= dueAtMs) this.inTime += 1;
+    } catch {
+      // No connection came free in time: the client is told so.
+    }
+  }
+
+  /** Plays a load; gives the statements that the member answered, and those answered in time. */
+  async load(perSecond: number, ms: number): Promise<{ readonly served: number; readonly inTime: number }> {
+    const before = { served: this.member.served, inTime: this.inTime };
+    let due = 0;
+    for (let step = 0; step < ms; step += 1) {
+      due += perSecond / 1000;
+      for (; due >= 1; due -= 1) void this.request();
+      await this.time.advance(1);
+      for (const pool of this.#pools.values()) pool.trim();
+    }
+    return { served: this.member.served - before.served, inTime: this.inTime - before.inTime };
+  }
+
+  #memberOf(name: string): Member {
+    const pool = this.#pools.get(name) ?? this.#pool(0);
+    const lend = {
+      choose: () => this.#gateways[0] ?? null,
+      borrow: (record: DaemonRecord) => this.#lend(record),
+    };
+    const connections = new MemberConnections({
+      groupName: ENTRY.groupName,
+      memberId: ENTRY.memberId,
+      pool,
+      gateways: lend as unknown as GatewayClient,
+      assignment: () => ({ gateways: this.#gateways, budget: CONNECTIONS_EACH }),
+      others: () => this.#records,
+      ownName: name,
+    });
+    return new Member(ENTRY, connections);
+  }
+
+  #lend({ name }: DaemonRecord): SessionLink {
+    const pool = this.#pools.get(name);
+    const send: SessionLink['send'] = () =>
+      pool === undefined ? Promise.reject(new Error('no gateway')) : this.#statusQuestions.ask(pool);
+    return { send, close: () => undefined } as unknown as SessionLink;
+  }
+
+  #pool(budget: number): LinkPool {
+    return new LinkPool({
+      dialer: this.member,
+      address: ENTRY,
+      budget: () => budget,
+      dialTimeoutMs: 400,
+      limitBackoffMs: 100,
+      idleMs: 800,
+      serviceMs: () => MODEL.workMs,
+      onTrouble: () => undefined,
+      now: () => this.time.now,
+      random: () => 0.5,
+    });
+  }
+}
+
+test('a fleet that starts at once learns what it asks, and leaves the member its slots', async (context) => {
+  const time = new Time(context);
+  const fleet = new Fleet(time);
+  fleet.askForever();
+  await time.advance(2000);
+  assert.ok(fleet.answered > DAEMONS, `answered: ${fleet.answered}`);
+  assert.ok(fleet.member.dials <= GATEWAYS * CONNECTIONS_EACH, `connections begun: ${fleet.member.dials}`);
+});
+
+test('at five times its load a member serves nine tenths of its best', async (context) => {
+  const fleet = new Fleet(new Time(context));
+  fleet.askForever();
+  await fleet.load(5 * BEST_PER_S, 1000);
+  const { served } = await fleet.load(5 * BEST_PER_S, 3000);
+  assert.ok(served >= 0.9 * 3 * BEST_PER_S, `served: ${served} of ${Math.round(3 * BEST_PER_S)}`);
+});
+
+test('two seconds after a pulse all is served in time again', async (context) => {
+  const fleet = new Fleet(new Time(context));
+  fleet.askForever();
+  await fleet.load(0.6 * BEST_PER_S, 1000);
+  await fleet.load(5 * BEST_PER_S, 2000);
+  await fleet.load(0.6 * BEST_PER_S, 2000);
+  const { inTime } = await fleet.load(0.6 * BEST_PER_S, 2000);
+  assert.ok(inTime >= 0.98 * 2 * 0.6 * BEST_PER_S, `in time: ${inTime}`);
+});
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -32,6 +32,7 @@
     idleMs: 1000,
     serviceMs: () => 5,
     onTrouble: () => undefined,
+    random: () => 0.5,
     now,
   });
   const connections = new MemberConnections({
