--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -6,6 +6,7 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { DaemonRecord } from './daemon-record.js';
+import { EvidenceReader, type EvidenceAnswer, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { Position } from '../position/position.js';
 
@@ -54,18 +55,9 @@
   | { readonly kind: 'gone' }
   | { readonly kind: 'silent' };
 
-/** Evidence that the holder has, with its age when the answer was made. */
-export interface SharedEvidence {
-  readonly groupName: string;
-  readonly memberId: string;
-  readonly term: number;
-  /** Time since the witness was asked, in milliseconds. */
-  readonly ageMs: number;
-}
-
 type MeshMessage =
-  | { readonly type: 'ask_evidence'; readonly id: number }
-  | { readonly type: 'evidence'; readonly id: number; readonly entries: readonly SharedEvidence[] }
+  | { readonly type: 'ask_evidence'; readonly id: number; readonly knownVersion: number }
+  | { readonly type: 'evidence'; readonly id: number; readonly answer: EvidenceAnswer }
   | { readonly type: 'order'; readonly id: number; readonly order: HolderOrder }
   | { readonly type: 'answer'; readonly id: number; readonly answer: OrderAnswer }
   | { readonly type: 'suspicion'; readonly suspicion: Suspicion };
@@ -74,8 +66,8 @@
 export interface MeshListener {
   order(order: HolderOrder): OrderAnswer;
   suspicion(suspicion: Suspicion): void;
-  /** The evidence that this daemon has gathered itself. */
-  ownEvidence(): readonly SharedEvidence[];
+  /** The evidence that this daemon has gathered itself, for one who has been sent a version of the leaders. */
+  ownEvidence(knownVersion: number): EvidenceAnswer;
 }
 
 const MAX_MESSAGE_BYTES = 64 * 1024;
@@ -157,7 +149,11 @@
   #receive(message: MeshMessage): void {
     if (message.type === 'suspicion') this.listener.suspicion(message.suspicion);
     if (message.type === 'ask_evidence')
-      this.#channel?.send({ type: 'evidence', id: message.id, entries: this.listener.ownEvidence() });
+      this.#channel?.send({
+        type: 'evidence',
+        id: message.id,
+        answer: this.listener.ownEvidence(message.knownVersion),
+      });
     if (message.type !== 'answer') return;
     this.#waiting.get(message.id)?.({ kind: 'answered', answer: message.answer });
     this.#waiting.delete(message.id);
@@ -167,7 +163,8 @@
 /** One daemon's part of the mesh. */
 export class PeerMesh {
   readonly #server: Server;
-  readonly #inbound = new Set<MessageChannel<MeshMessage>>();
+  /** Connections that holders of the duty have opened, with what is known of their evidence. */
+  readonly #inbound = new Map<MessageChannel<MeshMessage>, EvidenceReader>();
   readonly #links = new Map<string, HolderLink>();
   readonly #questions = new Map<number, (entries: readonly SharedEvidence[] | null) => void>();
   #nextId = 1;
@@ -229,7 +226,7 @@
 
   /** Tells the holder of a doubt. */
   suspect(suspicion: Suspicion): void {
-    for (const channel of this.#inbound) channel.send({ type: 'suspicion', suspicion });
+    for (const channel of this.#inbound.keys()) channel.send({ type: 'suspicion', suspicion });
   }
 
   /**
@@ -237,8 +234,9 @@
    * Its ages are right or too high for a question that was asked before the call.
    */
   askEvidence(timeoutMs: number): Promise<readonly SharedEvidence[] | null> {
-    const channel = [...this.#inbound].at(-1);
-    if (channel === undefined) return Promise.resolve(null);
+    const holder = [...this.#inbound].at(-1);
+    if (holder === undefined) return Promise.resolve(null);
+    const [channel, reader] = holder;
     this.#nextId += 1;
     const id = this.#nextId;
     return new Promise((resolve) => {
@@ -247,14 +245,14 @@
         clearTimeout(timer);
         resolve(entries);
       });
-      channel.send({ type: 'ask_evidence', id });
+      channel.send({ type: 'ask_evidence', id, knownVersion: reader.knownVersion });
     });
   }
 
   /** Ends everything. */
   close(): void {
     this.disconnectAll();
-    for (const channel of this.#inbound) channel.destroy();
+    for (const channel of this.#inbound.keys()) channel.destroy();
     this.#server.close();
   }
 
@@ -279,15 +277,16 @@
   }
 
   #accept(socket: Socket): void {
+    const reader = new EvidenceReader();
     const channel: MessageChannel<MeshMessage> = new MessageChannel<MeshMessage>(socket, MAX_MESSAGE_BYTES, {
       message: (message) => {
-        if (message.type === 'evidence') this.#settleQuestion(message.id, message.entries);
+        if (message.type === 'evidence') this.#settleQuestion(message.id, reader.read(message.answer));
         if (message.type !== 'order') return;
         channel.send({ type: 'answer', id: message.id, answer: this.listener.order(message.order) });
       },
       closed: () => this.#inbound.delete(channel),
     });
-    this.#inbound.add(channel);
+    this.#inbound.set(channel, reader);
   }
 }
 
--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -47,6 +47,22 @@
   for (const duty of started) await duty.stop();
 });
 
+test('a daemon whose record was taken away is back soon, long before its next renewal is due', async () => {
+  const store = new MemoryStore();
+  const clock = { now: 0 };
+  const { duty } = await running(holder(store, 'd1', clock));
+  const key = 'sorrelladder/live/d1';
+  assert.ok(store.items.delete(key));
+  store.revision += 1;
+  await duty.keysChanged();
+  const deadlineMs = performance.now() + 1500;
+  while (!store.items.has(key)) {
+    assert.ok(performance.now() < deadlineMs, 'the record is still gone');
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  await duty.stop();
+});
+
 describe('the duty', () => {
   test('is held by one, and the fence rises with each holder', async () => {
     const store = new MemoryStore();
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -10,7 +10,7 @@
  *
  * @packageDocumentation
  */
-import { delay } from '../common/signal.js';
+import { ChangeSignal, delay } from '../common/signal.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import {
   DutyHistory,
@@ -30,13 +30,18 @@
 const DUTY_KEY = `${COORDINATION_PREFIX}duty`;
 const FENCE_KEY = `${COORDINATION_PREFIX}fence`;
 
-/** Times of the lease under which a daemon is said to live. */
-const LIFE_LEASE: LeaseTimes = { lengthMs: 3000, safetyMs: 250, renewalMs: 900 };
+/**
+ * Times of the lease under which a daemon is said to live. Whoever meets a daemon that is gone finds out by itself, so the
+ * lease need not be short; each renewal is priced, and there is one for each daemon.
+ */
+const LIFE_LEASE: LeaseTimes = { lengthMs: 6000, safetyMs: 250, renewalMs: 2000 };
 /**
  * Time between attempts to keep the lease while the store does not answer, in milliseconds: doubled from the first to the
  * second with each failure in a row. A daemon that was never registered keeps to the first.
  */
 const RETRY_MS = 200;
+/** Least time between two attempts to keep the lease, in milliseconds. */
+const LEAST_REST_MS = 200;
 const LAST_RETRY_MS = 1000;
 /** Longest wait for the sight of the duty's record, in milliseconds: an answer that is lost must not use up the lease. */
 const CONFIRM_MS = 400;
@@ -111,6 +116,9 @@
   readonly #history = new DutyHistory();
   #isStopped = false;
   #isAcquiring = false;
+  #awaitsTurn = false;
+  /** Told when the record of this daemon's lease is gone. */
+  readonly #vanished = new ChangeSignal();
   /** The lease asked for before the store was read, while nobody has used it. */
   #granting: Promise<void> | null = null;
 
@@ -123,6 +131,8 @@
     private readonly isEnded: (holder: DutyHolder) => Promise<boolean>,
     private readonly now: () => number,
     private readonly random: () => number,
+    /** How long this daemon leaves a free duty to others before it asks for it, in milliseconds. */
+    private readonly turnMs: () => number = () => 0,
   ) {
     this.#life = new StoreLease(store, LIFE_LEASE, now);
     this.#lease = new StoreLease(store, DUTY_LEASE, now);
@@ -158,12 +168,18 @@
     while (!this.#isStopped) {
       const isKept = await this.#keep();
       failures = isKept ? 0 : failures + 1;
-      if (isKept && !this.#isStopped) await this.#acquire();
+      if (isKept && !this.#isStopped) void this.#acquireInTurn();
       const pauseMs = isKept ? this.#life.times.renewalMs : this.#retryMs(failures);
-      await delay(pauseMs * (0.9 + this.random() * 0.2));
+      await this.#rest(pauseMs * (0.9 + this.random() * 0.2));
     }
   }
 
+  /** Waits for the next renewal, or less when the store has taken the record of this daemon's lease away. */
+  async #rest(ms: number): Promise<void> {
+    await delay(Math.min(ms, LEAST_REST_MS));
+    if (this.#isRegistered && ms > LEAST_REST_MS) await this.#vanished.wait(ms - LEAST_REST_MS);
+  }
+
   #retryMs(failures: number): number {
     if (this.#ownRevision === 0) return RETRY_MS;
     return Math.min(LAST_RETRY_MS, RETRY_MS * 2 ** Math.min(failures - 1, 8));
@@ -177,8 +193,11 @@
     if (revision < this.#ownRevision) return;
     if (duty !== null && this.#isOurs(duty.record)) this.#take(duty.record.fence, duty.revision);
     else this.#lose(duty?.record.state === 'held' ? `held by ${duty.record.holder}` : 'the record is gone');
-    if (duty?.record.state !== 'held' && this.#isRegistered) await this.#acquire();
-    if (!items.has(LIVE_PREFIX + this.self.name)) this.#isRegistered = false;
+    if (!items.has(LIVE_PREFIX + this.self.name)) {
+      this.#isRegistered = false;
+      this.#vanished.notify();
+    }
+    if (duty?.record.state !== 'held' && this.#isRegistered) await this.#acquireInTurn();
   }
 
   /** Gives up the duty and the record. */
@@ -245,11 +264,22 @@
     return this.#isRegistered;
   }
 
+  /** Asks for the duty when it is this daemon's turn: whoever asks makes two calls of the store, and one is enough. */
+  async #acquireInTurn(): Promise<void> {
+    if (this.#awaitsTurn || !this.#mayAcquire()) return;
+    const turnMs = this.turnMs();
+    if (turnMs > 0) {
+      this.#awaitsTurn = true;
+      await delay(turnMs);
+      this.#awaitsTurn = false;
+    }
+    await this.#acquire();
+  }
+
   /** Takes the duty if nobody holds it, or if an earlier life of this very daemon did. */
   async #acquire(): Promise<void> {
-    if (this.#isAcquiring || this.#isStopped || this.#fence !== null || !this.#isRegistered) return;
+    if (this.#isAcquiring || !this.#mayAcquire()) return;
     const duty = this.#dutyRecord();
-    if (duty?.record.state === 'held' && duty.record.holder !== this.self.name) return;
     const endedLife = duty?.record.state === 'held' ? duty.record.life : this.self.life;
     this.#freeFromMs = this.#history.freeFromMs(endedLife);
     this.#isAcquiring = true;
@@ -262,6 +292,13 @@
     }
   }
 
+  /** True when this daemon does not hold the duty and, as far as it knows, nobody else does. */
+  #mayAcquire(): boolean {
+    if (this.#isStopped || this.#fence !== null || !this.#isRegistered) return false;
+    const duty = this.#dutyRecord();
+    return duty?.record.state !== 'held' || duty.record.holder === this.self.name;
+  }
+
   async #tryAcquire(dutyRevision: number): Promise<void> {
     await this.#lease.grant();
     const leaseId = this.#lease.id;
--- a/src/gateway/assign-gateways.test.ts
+++ b/src/gateway/assign-gateways.test.ts
@@ -24,20 +24,26 @@
 
 describe('the connections of a member', () => {
   test('are shared by all daemons while each gets one', () => {
-    assert.deepEqual(assign(fleet(6, ['a', 'b', 'c']), 31), { gateways: null, budget: 5 });
-    assert.deepEqual(assign(fleet(31, ['a', 'b', 'c']), 31), { gateways: null, budget: 1 });
+    assert.deepEqual(assign(fleet(6, ['a', 'b', 'c']), 31), { gateways: null, standbys: [], budget: 5 });
+    assert.deepEqual(assign(fleet(31, ['a', 'b', 'c']), 31), { gateways: null, standbys: [], budget: 1 });
   });
 
   test('are held by a few daemons of the member’s zone beyond that, never more than there are', () => {
     for (const size of [32, 67, 300, 900]) {
-      const { gateways, budget } = assign(fleet(size, ['a', 'b', 'c']), 31);
+      const { gateways, standbys, budget } = assign(fleet(size, ['a', 'b', 'c']), 31);
       assert.ok(gateways !== null && gateways.length >= 2);
       assert.ok(gateways.every(({ zone }) => zone === 'a'));
-      assert.ok(gateways.length * budget <= 31);
+      assert.ok((gateways.length + standbys.length) * budget <= 31);
       assert.ok(budget >= 4);
     }
   });
 
+  test('are held by one daemon of another zone too, should the zone be lost', () => {
+    const { standbys } = assign(fleet(66, ['a', 'b', 'c']), 31);
+    assert.equal(standbys.length, 1);
+    assert.notEqual(standbys[0]?.zone, 'a');
+  });
+
   test('are held elsewhere when the zone has no daemons', () => {
     const { gateways } = assign(fleet(60, ['b', 'c']), 31);
     assert.ok(gateways !== null && gateways.length > 0);
--- a/src/gateway/assign-gateways.ts
+++ b/src/gateway/assign-gateways.ts
@@ -22,6 +22,8 @@
 export interface Assignment {
   /** The gateways, or `null` when every daemon connects itself. */
   readonly gateways: readonly DaemonRecord[] | null;
+  /** Gateways in other zones, which lend only while none of the others does: a zone may be lost as a whole. */
+  readonly standbys: readonly DaemonRecord[];
   /** Most connections of each that connects. */
   readonly budget: number;
 }
@@ -31,16 +33,23 @@
 /** Fewest gateways in the member's zone; with fewer daemons there, others take part. */
 const FEWEST_IN_ZONE = 2;
 
+/** Gateways of a member from which on one of them stands in another zone. */
+const ENOUGH_FOR_STANDBY = 4;
+
 /** Assigns the connections to a member. */
 export function assignGateways(
   daemons: readonly DaemonRecord[],
   { memberId, zone, connections }: AssignmentQuestion,
 ): Assignment {
   const share = Math.floor(connections / Math.max(1, daemons.length));
-  if (share >= 1) return { gateways: null, budget: share };
+  if (share >= 1) return { gateways: null, standbys: [], budget: share };
   const inZone = daemons.filter((daemon) => daemon.zone === zone);
   const candidates = inZone.length >= FEWEST_IN_ZONE ? inZone : daemons;
   const wanted = Math.max(1, Math.floor(connections / CONNECTIONS_PER_GATEWAY));
-  const gateways = rankByCapacity(memberId, candidates).slice(0, wanted);
-  return { gateways, budget: Math.max(1, Math.floor(connections / gateways.length)) };
+  const elsewhere = daemons.filter((daemon) => !candidates.includes(daemon));
+  const standbyCount = wanted >= ENOUGH_FOR_STANDBY ? 1 : 0;
+  const standbys = rankByCapacity(memberId, elsewhere).slice(0, standbyCount);
+  const gateways = rankByCapacity(memberId, candidates).slice(0, wanted - standbys.length);
+  const connecting = gateways.length + standbys.length;
+  return { gateways, standbys, budget: Math.max(1, Math.floor(connections / connecting)) };
 }
--- a/src/gateway/assignments.ts
+++ b/src/gateway/assignments.ts
@@ -19,7 +19,7 @@
 const YOUNG_MS = 3500;
 const YOUNG_SHARE = 0.5;
 /** Nobody is known who may connect: nobody does. */
-const NOBODY: Assignment = { gateways: [], budget: 0 };
+const NOBODY: Assignment = { gateways: [], standbys: [], budget: 0 };
 
 /** What the assignments depend on. */
 export interface AssignmentsOptions {
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -5,7 +5,7 @@
  */
 import { connect } from 'node:net';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import { EvidenceReader, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import { BorrowedLink } from './borrowed-link.js';
@@ -19,7 +19,7 @@
 /** Silence after which no new loans are asked for, and after which the connection is given up, in milliseconds. */
 const AVOID_AFTER_MS = 400;
 const DEAD_MS = 1200;
-/** How long a gateway that was silent or refused is avoided, in milliseconds. */
+/** How long a gateway that was silent or not reached is left alone before a connection to it is opened again, in milliseconds. */
 const AVOID_MS = 600;
 
 /** What is borrowed. */
@@ -54,9 +54,11 @@
   isLeaving = false;
   readonly loans = new Map<number, BorrowedLink>();
   readonly questions = new Map<number, OpenQuestion>();
+  readonly #evidence = new EvidenceReader();
   readonly #channel: MessageChannel<GatewayMessage>;
   readonly #openedAtMs: number;
   #isConnected = false;
+  #hasAnswered = false;
   /** Since when an answer has been owed with nothing heard, in monotonic milliseconds; `null` when none is. */
   #owedSinceMs: number | null = null;
   #pingedAtMs = Number.NEGATIVE_INFINITY;
@@ -77,6 +79,11 @@
     });
   }
 
+  /** True once the gateway has said anything. */
+  get hasAnswered(): boolean {
+    return this.#hasAnswered;
+  }
+
   /** Silence while an answer is owed, in milliseconds. */
   get silenceMs(): number {
     return this.#owedSinceMs === null ? 0 : this.now() - this.#owedSinceMs;
@@ -96,7 +103,15 @@
 
   ask(id: number, question: Question, settle: (answer: Answer) => void): void {
     this.questions.set(id, { isPrompt: question.type === 'ask_evidence', settle });
-    this.#transmit({ ...question, id });
+    if (question.type === 'ask_evidence')
+      this.#transmit({ type: 'ask_evidence', id, knownVersion: this.#evidence.knownVersion });
+    else this.#transmit({ ...question, id });
+  }
+
+  /** Asks for a sign of life at once. */
+  probe(): void {
+    this.overdue();
+    this.#channel.send({ type: 'ping' });
   }
 
   /** An answer has not come in time: a sign of life is due. */
@@ -124,6 +139,7 @@
   }
 
   #receive(message: GatewayMessage): void {
+    this.#hasAnswered = true;
     switch (message.type) {
       case 'reply':
         this.loans.get(message.loan)?.receive(message.reply);
@@ -131,10 +147,13 @@
       case 'lost':
         this.loans.get(message.loan)?.lose(message.reason);
         break;
-      case 'evidence':
+      case 'evidence': {
+        const entries = this.#evidence.read(message.answer);
+        this.#answered(message.id, { type: 'evidence', entries });
+        break;
+      }
       case 'changes':
-        this.questions.get(message.id)?.settle(message);
-        this.questions.delete(message.id);
+        this.#answered(message.id, { type: 'changes', answer: message.answer });
         break;
       case 'leaving':
         this.isLeaving = true;
@@ -145,6 +164,11 @@
     this.#owedSinceMs = this.#isOwed() ? this.now() : null;
   }
 
+  #answered(id: number, answer: Answer): void {
+    this.questions.get(id)?.settle(answer);
+    this.questions.delete(id);
+  }
+
   #isOwed(): boolean {
     for (const { isPrompt } of this.questions.values()) if (isPrompt) return true;
     for (const link of this.loans.values()) if (link.isWaiting) return true;
@@ -171,6 +195,8 @@
 export class GatewayClient {
   readonly #connections = new Map<string, GatewayConnection>();
   readonly #avoidUntilMs = new Map<string, number>();
+  /** Gateways that were silent or not reached: no request finds out whether they are back. */
+  readonly #lost = new Set<string>();
   #nextQuestion = 1;
 
   /** @param localAddress - the daemon's own address, from which it calls */
@@ -180,14 +206,25 @@
     private readonly random: () => number,
   ) {}
 
-  /** The gateway to borrow from now: the one with the fewest loans of this daemon; `null` when none can be used. */
-  choose(gateways: readonly DaemonRecord[]): DaemonRecord | null {
+  /**
+   * The gateway to borrow from now: the one with the fewest loans of this daemon; `null` when none can be used. One that was
+   * lost is used again once it has answered a question, or when there is no other.
+   *
+   * @param standbys - used while none of the gateways is known to be there
+   */
+  choose(gateways: readonly DaemonRecord[], standbys: readonly DaemonRecord[] = []): DaemonRecord | null {
+    const usable = gateways.filter((record) => this.#isUsable(record));
+    const present = this.#leastUsed(usable.filter((record) => this.#isBack(record)));
+    return present ?? (standbys.length > 0 ? this.choose(standbys) : null) ?? this.#leastUsed(usable);
+  }
+
+  #leastUsed(gateways: readonly DaemonRecord[]): DaemonRecord | null {
     let best: DaemonRecord | null = null;
     let fewest = Number.POSITIVE_INFINITY;
     const start = Math.floor(this.random() * gateways.length);
     for (let i = 0; i < gateways.length; i += 1) {
       const record = gateways[(start + i) % gateways.length];
-      if (record === undefined || !this.#isUsable(record)) continue;
+      if (record === undefined) continue;
       const loans = this.#connections.get(keyOf(record))?.loans.size ?? 0;
       if (loans >= fewest) continue;
       best = record;
@@ -235,15 +272,10 @@
     });
   }
 
-  /** Keeps a gateway from being chosen for a while: it has refused. */
-  avoid(gateway: DaemonRecord): void {
-    this.#avoidUntilMs.set(keyOf(gateway), this.now() + AVOID_MS);
-  }
-
   /** Looks after silent connections; to be called every some ten milliseconds. */
   check(): void {
     for (const [key, connection] of [...this.#connections]) {
-      if (connection.silenceMs > AVOID_AFTER_MS) this.#avoidUntilMs.set(key, this.now() + AVOID_MS);
+      if (connection.silenceMs > AVOID_AFTER_MS) this.#lose(key);
       connection.check();
     }
   }
@@ -254,6 +286,7 @@
     for (const [key, connection] of [...this.#connections])
       if (!keys.has(key) && connection.loans.size === 0) connection.close();
     for (const key of [...this.#avoidUntilMs.keys()]) if (!keys.has(key)) this.#avoidUntilMs.delete(key);
+    for (const key of [...this.#lost]) if (!keys.has(key)) this.#lost.delete(key);
   }
 
   /** Ends everything. */
@@ -261,6 +294,22 @@
     for (const connection of [...this.#connections.values()]) connection.close();
   }
 
+  /** True unless a gateway was lost; asks one that was whether it is back. */
+  #isBack(record: DaemonRecord): boolean {
+    const key = keyOf(record);
+    if (!this.#lost.has(key)) return true;
+    const known = this.#connections.get(key);
+    if (known === undefined) this.#connection(record).probe();
+    if (known?.hasAnswered !== true || known.silenceMs > 0) return false;
+    this.#lost.delete(key);
+    return true;
+  }
+
+  #lose(key: string): void {
+    this.#lost.add(key);
+    this.#avoidUntilMs.set(key, this.now() + AVOID_MS);
+  }
+
   #isUsable(record: DaemonRecord): boolean {
     const key = keyOf(record);
     if (this.now() < (this.#avoidUntilMs.get(key) ?? Number.NEGATIVE_INFINITY)) return false;
@@ -273,7 +322,7 @@
     if (known !== undefined) return known;
     const connection: GatewayConnection = new GatewayConnection(record, this.localAddress, this.now, () => {
       this.#connections.delete(key);
-      this.#avoidUntilMs.set(key, this.now() + AVOID_MS);
+      this.#lose(key);
     });
     this.#connections.set(key, connection);
     return connection;
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -7,7 +7,7 @@
  *
  * @packageDocumentation
  */
-import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import type { EvidenceAnswer } from '../leadership/evidence-exchange.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
 import type { MemberReply, MemberRequest } from '../relay/member-link.js';
 import type { PreparedShape } from '../relay/statement.js';
@@ -73,13 +73,15 @@
 export interface EvidenceQuestionMessage {
   readonly type: 'ask_evidence';
   readonly id: number;
+  /** Version of the leaders that whoever asks has been sent over this connection. */
+  readonly knownVersion: number;
 }
 
 /** What the gateway can prove. */
 export interface EvidenceAnswerMessage {
   readonly type: 'evidence';
   readonly id: number;
-  readonly entries: readonly SharedEvidence[];
+  readonly answer: EvidenceAnswer;
 }
 
 /** Asks for changes of the store after a revision. */
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { createServer, type Server, type Socket } from 'node:net';
-import type { SharedEvidence } from '../cluster/peer-mesh.js';
+import type { EvidenceAnswer } from '../leadership/evidence-exchange.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
@@ -24,7 +24,8 @@
 export interface GatewayServerPorts {
   /** The pool of a member to which this daemon may connect, or `null`. */
   pool(groupName: string, memberId: string): LinkPool | null;
-  ownEvidence(): readonly SharedEvidence[];
+  /** What this daemon can prove, for one who has been sent a version of the leaders. */
+  ownEvidence(knownVersion: number): EvidenceAnswer;
   /** Changes of the store as this daemon has heard of them. */
   changes(afterRevision: number, waitMs: number): Promise<PassedChanges>;
 }
@@ -234,7 +235,11 @@
         channel.send({ type: 'pong' });
         break;
       case 'ask_evidence':
-        channel.send({ type: 'evidence', id: message.id, entries: this.ports.ownEvidence() });
+        channel.send({
+          type: 'evidence',
+          id: message.id,
+          answer: this.ports.ownEvidence(message.knownVersion),
+        });
         break;
       case 'ask_changes':
         void this.ports
--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -48,7 +48,7 @@
     memberId: 'm',
     pool,
     gateways: gateways as unknown as GatewayClient,
-    assignment: () => ({ gateways: null, budget: 2 }),
+    assignment: () => ({ gateways: null, standbys: [], budget: 2 }),
     others: () => others.map((name) => ({ name }) as DaemonRecord),
     ownName: 'd1',
   });
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -28,8 +28,8 @@
 }
 
 /** True when a daemon connects to the member itself. */
-export function connectsItself(assignment: Assignment, daemonName: string): boolean {
-  return assignment.gateways === null || assignment.gateways.some(({ name }) => name === daemonName);
+export function connectsItself({ gateways, standbys }: Assignment, daemonName: string): boolean {
+  return gateways === null || [...gateways, ...standbys].some(({ name }) => name === daemonName);
 }
 
 /** Hands out connections to one member. */
@@ -88,8 +88,10 @@
    */
   borrow({ priority }: LinkDemand, waitMs: number): SessionLink {
     const { gateways, groupName, memberId } = this.options;
-    const lenders = this.isAssigned ? this.options.others() : (this.options.assignment().gateways ?? []);
-    const gateway = gateways.choose(lenders);
+    const { gateways: lenders, standbys } = this.options.assignment();
+    const gateway = this.isAssigned
+      ? gateways.choose(this.options.others())
+      : gateways.choose(lenders ?? [], standbys);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
     const link = gateways.borrow(gateway, { groupName, memberId, priority, waitMs: Math.round(waitMs) });
     this.#borrowed.add(link);
--- /dev/null
+++ b/src/leadership/evidence-exchange.test.ts
@@ -0,0 +1,48 @@
+/**
+ * Evidence on its way between daemons.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EvidenceAnswers, EvidenceReader, type SharedEvidence } from './evidence-exchange.js';
+
+function evidenceOf(memberId: string, ageMs: number): SharedEvidence {
+  return { groupName: 'g', memberId, term: 1, ageMs };
+}
+
+test('the leaders are sent once, and again when they change', () => {
+  let evidence = [evidenceOf('m1', 10)];
+  const answers = new EvidenceAnswers(() => evidence);
+  const reader = new EvidenceReader();
+  const first = answers.answer(reader.knownVersion);
+  assert.deepEqual(reader.read(first), evidence);
+  evidence = [evidenceOf('m1', 20)];
+  const second = answers.answer(reader.knownVersion);
+  assert.equal(second.leaders, null);
+  assert.deepEqual(reader.read(second), evidence);
+  evidence = [evidenceOf('m2', 5)];
+  const third = answers.answer(reader.knownVersion);
+  assert.notEqual(third.leaders, null);
+  assert.deepEqual(reader.read(third), evidence);
+});
+
+test('an answer that comes after a newer list is not read with that list', () => {
+  let evidence = [evidenceOf('m1', 10)];
+  const answers = new EvidenceAnswers(() => evidence);
+  const reader = new EvidenceReader();
+  reader.read(answers.answer(reader.knownVersion));
+  const old = answers.answer(reader.knownVersion);
+  evidence = [evidenceOf('m2', 5)];
+  reader.read(answers.answer(reader.knownVersion));
+  assert.deepEqual(reader.read(old), []);
+});
+
+test('two who ask are answered each by what it knows', () => {
+  const answers = new EvidenceAnswers(() => [evidenceOf('m1', 10)]);
+  const one = new EvidenceReader();
+  const other = new EvidenceReader();
+  one.read(answers.answer(one.knownVersion));
+  assert.equal(answers.answer(one.knownVersion).leaders, null);
+  assert.equal(other.read(answers.answer(other.knownVersion)).length, 1);
+});
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -8,9 +8,9 @@
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { chooseDelegates } from '../cluster/delegates.js';
-import type { SharedEvidence } from '../cluster/peer-mesh.js';
 import { delay } from '../common/signal.js';
 import type { MemberGroup } from '../topology/member-group.js';
+import type { SharedEvidence } from './evidence-exchange.js';
 import { EVIDENCE_MS, SHARING_MS } from './leadership-evidence.js';
 
 /** Longest wait for evidence of another daemon, in milliseconds. */
--- a/src/peer/message-channel.ts
+++ b/src/peer/message-channel.ts
@@ -14,7 +14,11 @@
 }
 
 const LENGTH_BYTES = 4;
-const packr = new Packr({ useRecords: true, int64AsType: 'number' });
+
+/** Names of fields are sent once over each connection, with the first message of each shape. */
+function newCodec(): Packr {
+  return new Packr({ useRecords: true, int64AsType: 'number', sequential: true });
+}
 
 /**
  * A connection that carries messages of one type.
@@ -28,6 +32,8 @@
   bytesSent = 0;
   /** Bytes received so far. */
   bytesReceived = 0;
+  readonly #encoder = newCodec();
+  readonly #decoder = newCodec();
   #pending: Buffer[] = [];
   #pendingBytes = 0;
   #outgoing: Buffer[] = [];
@@ -53,7 +59,7 @@
   /** Sends a message; messages of one turn of the event loop leave in one write. */
   send(message: Message): void {
     if (this.#closed) return;
-    const body = packr.pack(message);
+    const body = this.#encoder.pack(message);
     const length = Buffer.allocUnsafe(LENGTH_BYTES);
     length.writeUInt32BE(body.length);
     this.#outgoing.push(length, body);
@@ -115,7 +121,7 @@
   #deliver(body: Buffer): boolean {
     let message: Message;
     try {
-      message = packr.unpack(body) as Message;
+      message = this.#decoder.unpack(body) as Message;
     } catch {
       this.socket.destroy();
       return false;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -7,6 +7,7 @@
 import { DaemonDirectory } from '../cluster/daemon-directory.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { chooseDelegates } from '../cluster/delegates.js';
+import { dutyTurnMs } from '../cluster/duty-turn.js';
 import { deliverOrder, type OrderOutcomes } from '../cluster/order-delivery.js';
 import { Registration } from '../cluster/registration.js';
 import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
@@ -21,6 +22,7 @@
 import { GatewayServer } from '../gateway/gateway-server.js';
 import { MemberConnections } from '../gateway/member-connections.js';
 import { GroupSupervisor, type PromotionPort } from '../leadership/group-supervisor.js';
+import { EvidenceAnswers } from '../leadership/evidence-exchange.js';
 import { EvidenceSharing } from '../leadership/evidence-sharing.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { MemberControl } from '../leadership/member-control.js';
@@ -90,6 +92,7 @@
   readonly #gatewayClient: GatewayClient;
   readonly #gatewayServer: GatewayServer;
   readonly #sharing: EvidenceSharing;
+  readonly #evidenceAnswers = new EvidenceAnswers(() => this.#sharing.ownEvidence());
   readonly #assignments: Assignments;
   readonly #readiness = new Readiness();
   #tickTimer: NodeJS.Timeout | null = null;
@@ -141,7 +144,7 @@
     this.#mesh = new PeerMesh(self, {
       order: (order) => this.#obey(order),
       suspicion: (suspicion) => this.#heed(suspicion),
-      ownEvidence: () => this.#sharing.ownEvidence(),
+      ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
     });
     this.#gatewayClient = new GatewayClient(self.host, now, random);
     const feed = new DelegatedFeed({
@@ -165,7 +168,7 @@
     });
     this.#gatewayServer = new GatewayServer({
       pool: (groupName, memberId) => this.#lendablePool(groupName, memberId),
-      ownEvidence: () => this.#sharing.ownEvidence(),
+      ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       changes: (afterRevision, waitMs) => changeRelay.ask(afterRevision, waitMs),
     });
     this.#sharing = new EvidenceSharing({
@@ -199,6 +202,7 @@
       (holder) => this.#isEnded(holder),
       now,
       random,
+      () => dutyTurnMs(self.name, this.#daemons.live),
     );
     this.#context = {
       catalog: this.catalog,
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -108,7 +108,7 @@
       () => 0,
     ),
     others: () => [],
-    assignment: () => ({ gateways: null, budget: 1 }),
+    assignment: () => ({ gateways: null, standbys: [], budget: 1 }),
     ownName: 'd',
   });
   group.members.set('m', new Member(entry, connections));
--- a/test/integration/connection-congestion.test.ts
+++ b/test/integration/connection-congestion.test.ts
@@ -132,7 +132,7 @@
       memberId: ENTRY.memberId,
       pool,
       gateways: lend as unknown as GatewayClient,
-      assignment: () => ({ gateways: this.#gateways, budget: CONNECTIONS_EACH }),
+      assignment: () => ({ gateways: this.#gateways, standbys: [], budget: CONNECTIONS_EACH }),
       others: () => this.#records,
       ownName: name,
     });
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -40,7 +40,7 @@
     memberId,
     pool,
     gateways: new GatewayClient('h', now, Math.random),
-    assignment: () => ({ gateways: null, budget: 1 }),
+    assignment: () => ({ gateways: null, standbys: [], budget: 1 }),
     others: () => [],
     ownName: 'd',
   });
