--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -63,6 +63,24 @@
   await duty.stop();
 });
 
+test('a daemon that could not keep its lease does so as soon as the store answers again', async () => {
+  const store = new MemoryStore();
+  const { duty } = await running(holder(store, 'd1', { now: 0 }));
+  store.isDown = true;
+  store.items.delete('sorrelladder/live/d1');
+  store.leases.clear();
+  await duty.keysChanged();
+  await new Promise((resolve) => setTimeout(resolve, 1700));
+  store.isDown = false;
+  duty.storeRegained();
+  const deadlineMs = performance.now() + 400;
+  while (!store.items.has('sorrelladder/live/d1')) {
+    assert.ok(performance.now() < deadlineMs, 'the lease is still gone');
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  await duty.stop();
+});
+
 describe('the duty', () => {
   test('is held by one, and the fence rises with each holder', async () => {
     const store = new MemoryStore();
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -37,12 +37,13 @@
 const LIFE_LEASE: LeaseTimes = { lengthMs: 6000, safetyMs: 250, renewalMs: 2000 };
 /**
  * Time between attempts to keep the lease while the store does not answer, in milliseconds: doubled from the first to the
- * second with each failure in a row. A daemon that was never registered keeps to the first.
+ * second with each failure in a row, and over once the store is heard of again. A daemon that was never registered keeps to
+ * the first.
  */
 const RETRY_MS = 200;
 /** Least time between two attempts to keep the lease, in milliseconds. */
 const LEAST_REST_MS = 200;
-const LAST_RETRY_MS = 1000;
+const LAST_RETRY_MS = 2000;
 /** Longest wait for the sight of the duty's record, in milliseconds: an answer that is lost must not use up the lease. */
 const CONFIRM_MS = 400;
 /** Time between attempts of the holder of the duty, in milliseconds. */
@@ -117,8 +118,9 @@
   #isStopped = false;
   #isAcquiring = false;
   #awaitsTurn = false;
-  /** Told when the record of this daemon's lease is gone. */
-  readonly #vanished = new ChangeSignal();
+  /** Told when the record of this daemon's lease is gone, or the store answers again. */
+  readonly #keepSoon = new ChangeSignal();
+  #mustKeepSoon = false;
   /** The lease asked for before the store was read, while nobody has used it. */
   #granting: Promise<void> | null = null;
 
@@ -174,10 +176,21 @@
     }
   }
 
-  /** Waits for the next renewal, or less when the store has taken the record of this daemon's lease away. */
+  /** The store answers again: the lease may have run out. */
+  storeRegained(): void {
+    this.#askToKeepSoon();
+  }
+
+  /** Waits for the next attempt, or less when there is a reason to make it soon. */
   async #rest(ms: number): Promise<void> {
     await delay(Math.min(ms, LEAST_REST_MS));
-    if (this.#isRegistered && ms > LEAST_REST_MS) await this.#vanished.wait(ms - LEAST_REST_MS);
+    if (!this.#mustKeepSoon && ms > LEAST_REST_MS) await this.#keepSoon.wait(ms - LEAST_REST_MS);
+    this.#mustKeepSoon = false;
+  }
+
+  #askToKeepSoon(): void {
+    this.#mustKeepSoon = true;
+    this.#keepSoon.notify();
   }
 
   #retryMs(failures: number): number {
@@ -195,7 +208,7 @@
     else this.#lose(duty?.record.state === 'held' ? `held by ${duty.record.holder}` : 'the record is gone');
     if (!items.has(LIVE_PREFIX + this.self.name)) {
       this.#isRegistered = false;
-      this.#vanished.notify();
+      this.#askToKeepSoon();
     }
     if (duty?.record.state !== 'held' && this.#isRegistered) await this.#acquireInTurn();
   }
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -35,6 +35,8 @@
  */
 const LONGEST_PAUSE_UNREAD_MS = 400;
 const LONGEST_PAUSE_MS = 1000;
+/** The latter grows with the number of daemons, in milliseconds for each, up to twice its length. */
+const PAUSE_MS_PER_WATCHER = 10;
 
 /**
  * Rest after an answer with changes, in milliseconds: a change seldom comes alone, and those that follow it are told
@@ -151,6 +153,10 @@
     return Math.min(LONGEST_REST_MS, LEAST_REST_MS + REST_MS_PER_WATCHER * (this.watchers - 1));
   }
 
+  #longestPauseMs(): number {
+    return LONGEST_PAUSE_MS + Math.min(LONGEST_PAUSE_MS, PAUSE_MS_PER_WATCHER * (this.watchers - 1));
+  }
+
   #settle(events: readonly StoreEvent[]): void {
     for (const { prefix, listener } of this.#listeners)
       if (events.some(({ key }) => key.startsWith(prefix))) listener.settled();
@@ -190,7 +196,7 @@
       this.#isAvailable = false;
       this.#tellAvailability(reason);
     }
-    const longest = this.#revision === null ? LONGEST_PAUSE_UNREAD_MS : LONGEST_PAUSE_MS;
+    const longest = this.#revision === null ? LONGEST_PAUSE_UNREAD_MS : this.#longestPauseMs();
     const ceiling = Math.min(longest, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures, 10));
     const { rest = delay } = this.options;
     await rest(ceiling * (0.5 + this.options.random() / 2));
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -164,7 +164,10 @@
       changed: () => undefined,
       removed: () => undefined,
       settled: () => this.#keysChanged(),
-      availability: (isAvailable) => this.#daemons.availability(isAvailable, now()),
+      availability: (isAvailable) => {
+        this.#daemons.availability(isAvailable, now());
+        if (isAvailable) this.#duty.storeRegained();
+      },
     });
     this.#gatewayServer = new GatewayServer({
       pool: (groupName, memberId) => this.#lendablePool(groupName, memberId),
