--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -7,7 +7,6 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import { chooseDelegates } from '../cluster/delegates.js';
 import { delay } from '../common/signal.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import type { SharedEvidence } from './evidence-exchange.js';
@@ -30,7 +29,10 @@
   readonly ownName: string;
   readonly zone: string;
   groups(): readonly MemberGroup[];
-  daemons(): readonly DaemonRecord[];
+  /** Number of daemons that take part in the work. */
+  fleetSize(): number;
+  /** The daemons that question members on behalf of all; `null` when everybody does. */
+  askers(): readonly DaemonRecord[] | null;
   holdsDuty(): boolean;
   /** Asks the holder of the duty; `null` when there is none or it does not answer. */
   askHolder(timeoutMs: number): Promise<readonly SharedEvidence[] | null>;
@@ -46,6 +48,8 @@
 export class EvidenceSharing {
   #isStopped = false;
   #withoutSinceMs = new Map<string, number>();
+  /** The last question to the holder of the duty went without an answer. */
+  #isHolderSilent = false;
 
   constructor(private readonly options: EvidenceSharingOptions) {}
 
@@ -64,10 +68,15 @@
 
   /** True when this daemon questions members on behalf of others. */
   isAsker(): boolean {
-    const askers = chooseDelegates('witnesses', this.options.daemons());
+    const askers = this.options.askers();
     return askers === null || askers.some(({ name }) => name === this.options.ownName);
   }
 
+  /** True while others live on the evidence that this daemon gathers from members: it has to be fresh when they ask. */
+  get isReliedOn(): boolean {
+    return this.#isHolderSilent && this.options.askers() !== null && this.isAsker();
+  }
+
   /** What this daemon can prove to others. */
   ownEvidence(): readonly SharedEvidence[] {
     const now = this.options.now();
@@ -86,9 +95,7 @@
     while (!this.#isStopped) {
       await delay(this.#isMissing() ? this.#missingMs() : SHARING_MS);
       if (this.options.holdsDuty()) continue;
-      const askedAtMs = this.options.now();
-      const entries = await this.#ask();
-      for (const entry of entries ?? []) this.#adopt(entry, askedAtMs);
+      await this.#askOnce();
     }
   }
 
@@ -98,7 +105,7 @@
   }
 
   #missingMs(): number {
-    const fairMs = this.options.daemons().length * MISSING_MS_EACH;
+    const fairMs = this.options.fleetSize() * MISSING_MS_EACH;
     return Math.min(SHARING_MS, Math.max(MISSING_MS, fairMs));
   }
 
@@ -107,18 +114,33 @@
     return this.options.groups().some(({ evidence }) => evidence.current(now) === null);
   }
 
-  async #ask(): Promise<readonly SharedEvidence[] | null> {
-    const ofHolder = await this.options.askHolder(SHARING_TIMEOUT_MS);
-    if (ofHolder !== null) return ofHolder;
-    const askers = chooseDelegates('witnesses', this.options.daemons())?.filter(
-      ({ name }) => name !== this.options.ownName,
-    );
-    if (askers === undefined || askers.length === 0) return null;
+  /** Asks the holder of the duty, and another daemon where it does not answer, or did not the last time. */
+  async #askOnce(): Promise<void> {
+    if (this.#isHolderSilent) {
+      await Promise.all([this.#askHolder(), this.#askAsker()]);
+      return;
+    }
+    await this.#askHolder();
+    if (this.#isHolderSilent) await this.#askAsker();
+  }
+
+  async #askHolder(): Promise<void> {
+    const askedAtMs = this.options.now();
+    const entries = await this.options.askHolder(SHARING_TIMEOUT_MS);
+    this.#isHolderSilent = entries === null;
+    for (const entry of entries ?? []) this.#adopt(entry, askedAtMs);
+  }
+
+  async #askAsker(): Promise<void> {
+    const askedAtMs = this.options.now();
+    const askers = this.options.askers()?.filter(({ name }) => name !== this.options.ownName) ?? [];
     const inZone = askers.filter(({ zone }) => zone === this.options.zone);
     const isNear = inZone.length > 0 && this.options.random() < 0.8;
     const choice = isNear ? inZone : askers;
     const asked = choice[Math.floor(this.options.random() * choice.length)];
-    return asked === undefined ? null : this.options.askDaemon(asked, SHARING_TIMEOUT_MS);
+    if (asked === undefined) return;
+    const entries = await this.options.askDaemon(asked, SHARING_TIMEOUT_MS);
+    for (const entry of entries ?? []) this.#adopt(entry, askedAtMs);
   }
 
   #adopt({ groupName, memberId, term, ageMs }: SharedEvidence, askedAtMs: number): void {
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -15,7 +15,7 @@
 /** How long an answer of a witness counts, from the time at which it was asked, in milliseconds. */
 export const EVIDENCE_MS = 1600;
 
-/** Age of evidence at which the holder of the promotion duty, which shares it, renews it, in milliseconds. */
+/** Age of evidence at which a daemon on whose evidence others live renews it, in milliseconds. */
 export const HOLDER_RENEWAL_MS = 500;
 
 /**
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -49,6 +49,8 @@
     private readonly heldDuty: () => HeldDuty | null,
     /** False while other daemons ask the members on behalf of this one. */
     private readonly mayAsk: () => boolean,
+    /** True while others live on the evidence of this daemon, though it does not hold the duty. */
+    private readonly isReliedOn: () => boolean,
     private readonly now: () => number,
   ) {}
 
@@ -85,7 +87,8 @@
 
   /** Time for which the evidence needs no renewal, in milliseconds. */
   #restMs(): number {
-    const renewalMs = this.heldDuty() !== null ? HOLDER_RENEWAL_MS : OWN_RENEWAL_MS;
+    const isShared = this.heldDuty() !== null || this.isReliedOn();
+    const renewalMs = isShared ? HOLDER_RENEWAL_MS : OWN_RENEWAL_MS;
     return this.group.evidence.validUntilMs - (EVIDENCE_MS - renewalMs) - this.now();
   }
 
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -59,6 +59,8 @@
 const WARM_CONNECTIONS = 2;
 /** Time between looks at silence and departures, in milliseconds. */
 const TICK_MS = 50;
+/** The same while this daemon has nothing under way at any member, in milliseconds: less than any silence that counts. */
+const REST_TICK_MS = 100;
 const DIAL_MS = 400;
 const LIMIT_BACKOFF_MS = 100;
 /** Time after which a connection that is not needed is ended, in milliseconds. */
@@ -89,6 +91,8 @@
   #isDutyStarted = false;
   /** Who follows the store for all, until the daemons change. */
   #followers: readonly DaemonRecord[] | null | undefined = undefined;
+  /** Who asks witnesses for all, until the daemons change. */
+  #askers: readonly DaemonRecord[] | null | undefined = undefined;
   readonly #gatewayClient: GatewayClient;
   readonly #gatewayServer: GatewayServer;
   readonly #sharing: EvidenceSharing;
@@ -178,7 +182,8 @@
       ownName: self.name,
       zone: options.zone,
       groups: () => this.groups,
-      daemons: () => this.#daemons.live,
+      fleetSize: () => this.#daemons.live.length,
+      askers: () => this.#witnessAskers(),
       holdsDuty: () => this.#duty.heldFence(0) !== null,
       askHolder: (timeoutMs) => this.#mesh.askEvidence(timeoutMs),
       askDaemon: (record, timeoutMs) => this.#gatewayClient.askEvidence(record, timeoutMs),
@@ -252,7 +257,7 @@
     await this.#gatewayServer.listen(host, gatewayPort);
     this.#duty.prepare();
     this.#runForever(this.#sharing.run());
-    this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
+    this.#scheduleTick();
   }
 
   /** Daemons that take part in the work, this one included. */
@@ -274,7 +279,7 @@
   /** Ends everything. */
   stop(): void {
     this.#isStopped = true;
-    if (this.#tickTimer !== null) clearInterval(this.#tickTimer);
+    if (this.#tickTimer !== null) clearTimeout(this.#tickTimer);
     this.#sharing.stop();
     this.#mesh.close();
     this.#gatewayServer.close();
@@ -332,6 +337,7 @@
       listener,
       () => this.#duty.held,
       () => options.now() >= this.#registration.countsFromMs && this.#sharing.asksWitnesses(group),
+      () => this.#sharing.isReliedOn,
       options.now,
     );
     const watched: WatchedGroup = { group, watcher, supervisor: null };
@@ -381,6 +387,20 @@
     return this.#assignments.connects(member.entry) ? member.pool.own : null;
   }
 
+  /** An idle daemon of a large fleet would spend much of its processor time on being woken. */
+  #scheduleTick(): void {
+    const run = (): void => {
+      this.#tick();
+      if (!this.#isStopped) this.#scheduleTick();
+    };
+    this.#tickTimer = setTimeout(run, this.#isAtRest() ? REST_TICK_MS : TICK_MS);
+  }
+
+  /** True while no request and no loan is under way. */
+  #isAtRest(): boolean {
+    return this.groups.every((group) => [...group.members.values()].every(({ pool }) => pool.load === 0));
+  }
+
   #tick(): void {
     for (const { group } of this.#groups.values()) {
       this.#doubts.check(group);
@@ -458,6 +478,7 @@
     this.watched.watchers = Math.max(1, this.#daemons.live.length);
     this.#assignments.clear();
     this.#followers = undefined;
+    this.#askers = undefined;
     this.#gatewayClient.retain(this.#daemons.live);
     if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
   }
@@ -468,6 +489,12 @@
     return this.#followers;
   }
 
+  /** The daemons that ask witnesses on behalf of all; `null` when everybody does. */
+  #witnessAskers(): readonly DaemonRecord[] | null {
+    if (this.#askers === undefined) this.#askers = chooseDelegates('witnesses', this.#daemons.live);
+    return this.#askers;
+  }
+
   /** True when the process of a former holder of the duty has certainly ended. */
   async #isEnded({ name, life }: DutyHolder): Promise<boolean> {
     const record = this.#daemons.find(name);
