--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -233,6 +233,17 @@
   await next;
 });
 
+test('whoever comes while a connection is kept waiting does not wait for it longer than the first', async () => {
+  const { dial, dialed } = slowDialer();
+  const pool = poolOf(1, dial);
+  await assert.rejects(pool.acquire(DEMAND, 10_000), DialError);
+  const startedMs = performance.now();
+  const later = [pool.acquire(DEMAND, 10_000), pool.acquire(DEMAND, 10_000)];
+  for (const each of later) await assert.rejects(each, DialError);
+  assert.ok(performance.now() - startedMs < 1000);
+  assert.equal(dialed(), 1);
+});
+
 test('a member that did not accept in time is left alone for longer each time', async (context) => {
   context.mock.timers.enable({ apis: ['setTimeout'] });
   const clock = { now: 0 };
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -223,12 +223,11 @@
     this.#dialing += 1;
     const { dialer, address, dialTimeoutMs } = this.options;
     // The member goes on with a connection that is given up: it is waited for, but whoever waits may go elsewhere.
-    const slow = new DialError('slow', 'the member has not accepted the connection yet');
-    const timer = setTimeout(() => this.#nextWaiter()?.fail(slow, this), dialTimeoutMs);
+    const timer = setInterval(() => this.#dialIsSlow(), dialTimeoutMs).unref();
     dialer
       .dial(address, dialTimeoutMs, ACCEPT_MS)
       .finally(() => {
-        clearTimeout(timer);
+        clearInterval(timer);
         this.#dialing -= 1;
       })
       .then(
@@ -242,6 +241,13 @@
       );
   }
 
+  /** A connection has been under way for long: where there is no other, nobody is to wait for it alone. */
+  #dialIsSlow(): void {
+    const slow = new DialError('slow', 'the member has not accepted the connection yet');
+    if (this.#links.size > 0) this.#nextWaiter()?.fail(slow, this);
+    else for (const waiter of this.#waiters.splice(0)) waiter.fail(slow, this);
+  }
+
   #add(link: PooledLink): void {
     this.#links.add(link);
     link.onClosed((isByPeer) => this.#lost(link, isByPeer));
