--- a/src/cluster/daemon-directory.ts
+++ b/src/cluster/daemon-directory.ts
@@ -31,16 +31,23 @@
    *
    * @param registered - all records
    * @param leased - names of the daemons whose lease runs
+   * @returns true when a daemon has come, gone or started anew
    */
-  update(registered: Records, leased: ReadonlySet<string>, nowMs: number): void {
+  update(registered: Records, leased: ReadonlySet<string>, nowMs: number): boolean {
+    let hasChanged = false;
+    for (const [name, record] of registered) {
+      if (this.#registered.get(name)?.life !== record.life) hasChanged = true;
+      if (!leased.has(name)) continue;
+      if (this.#live.get(name)?.life !== record.life) hasChanged = true;
+      this.#live.set(name, record);
+    }
     // A record that is gone was taken away: its daemon may run on, and hold evidence.
     this.#registered = new Map([...this.#registered, ...registered]);
     this.#leased = leased;
-    for (const [name, record] of registered) if (leased.has(name)) this.#live.set(name, record);
     for (const name of leased) this.#unleasedSinceMs.delete(name);
     for (const name of this.#registered.keys())
       if (!leased.has(name) && !this.#unleasedSinceMs.has(name)) this.#unleasedSinceMs.set(name, nowMs);
-    this.#dropUnleased(nowMs);
+    return this.#dropUnleased(nowMs) || hasChanged;
   }
 
   /** The store answers again, or has stopped to. */
--- a/src/cluster/delegates.ts
+++ b/src/cluster/delegates.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { rankByCapacity } from './rank-by-capacity.js';
+import { preferredDaemons } from './rank-by-capacity.js';
 import type { DaemonRecord } from './daemon-record.js';
 
 /** What is done for all: asking witnesses for evidence, or following the store. */
@@ -23,6 +23,29 @@
   const zones = new Set(daemons.map(({ zone }) => zone));
   return [...zones].flatMap((zone) => {
     const inZone = daemons.filter((daemon) => daemon.zone === zone);
-    return rankByCapacity(work, inZone).slice(0, DELEGATES_PER_ZONE);
+    return preferredDaemons(work, inZone, DELEGATES_PER_ZONE);
   });
 }
+
+/** Who works on behalf of all, as long as the daemons stay the same. */
+export class Delegations {
+  readonly #known = new Map<DelegatedWork, readonly DaemonRecord[] | null>();
+
+  /** @param daemons - those that take part in the work */
+  constructor(private readonly daemons: () => readonly DaemonRecord[]) {}
+
+  /** Chooses anew: the daemons have changed. */
+  clear(): void {
+    this.#known.clear();
+  }
+
+  /** The daemons that do a work on behalf of all; `null` when everybody does it. */
+  of(work: DelegatedWork): readonly DaemonRecord[] | null {
+    let delegates = this.#known.get(work);
+    if (delegates === undefined) {
+      delegates = chooseDelegates(work, this.daemons());
+      this.#known.set(work, delegates);
+    }
+    return delegates;
+  }
+}
--- a/src/cluster/duty-turn.ts
+++ b/src/cluster/duty-turn.ts
@@ -7,7 +7,7 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from './daemon-record.js';
-import { rankByCapacity } from './rank-by-capacity.js';
+import { rankOf } from './rank-by-capacity.js';
 
 /** Daemons that ask at once: one that is gone, and one that is cut off, cost no time. */
 const FIRST_CANDIDATES = 3;
@@ -18,7 +18,7 @@
 
 /** How long a daemon leaves a free duty to others, in milliseconds. */
 export function dutyTurnMs(name: string, daemons: readonly DaemonRecord[]): number {
-  const rank = rankByCapacity('duty', daemons).findIndex((daemon) => daemon.name === name);
+  const rank = rankOf('duty', daemons, name);
   if (rank < 0) return 0;
   return Math.min(LONGEST_TURN_MS, Math.max(0, rank + 1 - FIRST_CANDIDATES) * TURN_MS);
 }
--- a/src/gateway/assign-gateways.test.ts
+++ b/src/gateway/assign-gateways.test.ts
@@ -101,6 +101,16 @@
     );
   });
 
+  test('only a daemon that comes, goes or starts anew is a change', () => {
+    const directory = new DaemonDirectory();
+    assert.equal(directory.update(records, all, 0), true);
+    assert.equal(directory.update(records, all, 100), false);
+    assert.equal(directory.update(records, new Set(['d0', 'd1']), 200), true);
+    assert.equal(directory.update(records, all, 300), true);
+    const restarted = new Map([...records].map(([name, record]) => [name, { ...record, life: 'other' }]));
+    assert.equal(directory.update(restarted, all, 400), true);
+  });
+
   test('after a loss of power, those that the store has a record of are expected back', () => {
     const directory = new DaemonDirectory();
     directory.update(records, new Set(['d0']), 0);
--- a/src/gateway/assign-gateways.ts
+++ b/src/gateway/assign-gateways.ts
@@ -8,7 +8,7 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import { rankByCapacity } from '../cluster/rank-by-capacity.js';
+import { preferredDaemons } from '../cluster/rank-by-capacity.js';
 
 /** What is known of a member. */
 export interface AssignmentQuestion {
@@ -46,10 +46,9 @@
   const inZone = daemons.filter((daemon) => daemon.zone === zone);
   const candidates = inZone.length >= FEWEST_IN_ZONE ? inZone : daemons;
   const wanted = Math.max(1, Math.floor(connections / CONNECTIONS_PER_GATEWAY));
-  const elsewhere = daemons.filter((daemon) => !candidates.includes(daemon));
-  const standbyCount = wanted >= ENOUGH_FOR_STANDBY ? 1 : 0;
-  const standbys = rankByCapacity(memberId, elsewhere).slice(0, standbyCount);
-  const gateways = rankByCapacity(memberId, candidates).slice(0, wanted - standbys.length);
+  const elsewhere = candidates === daemons ? [] : daemons.filter((daemon) => daemon.zone !== zone);
+  const standbys = preferredDaemons(memberId, elsewhere, wanted >= ENOUGH_FOR_STANDBY ? 1 : 0);
+  const gateways = preferredDaemons(memberId, candidates, wanted - standbys.length);
   const connecting = gateways.length + standbys.length;
   return { gateways, standbys, budget: Math.max(1, Math.floor(connections / connecting)) };
 }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -6,7 +6,7 @@
 import { delay } from '../common/signal.js';
 import { DaemonDirectory } from '../cluster/daemon-directory.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import { chooseDelegates } from '../cluster/delegates.js';
+import { Delegations } from '../cluster/delegates.js';
 import { dutyTurnMs } from '../cluster/duty-turn.js';
 import { deliverOrder, type OrderOutcomes } from '../cluster/order-delivery.js';
 import { Registration } from '../cluster/registration.js';
@@ -21,11 +21,12 @@
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { GatewayServer } from '../gateway/gateway-server.js';
 import { MemberConnections } from '../gateway/member-connections.js';
-import { GroupSupervisor, type PromotionPort } from '../leadership/group-supervisor.js';
+import type { GroupSupervisorOptions, PromotionPort } from '../leadership/group-supervisor.js';
 import { EvidenceAnswers } from '../leadership/evidence-exchange.js';
 import { EvidenceSharing } from '../leadership/evidence-sharing.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { MemberControl } from '../leadership/member-control.js';
+import { Supervision } from '../leadership/supervision.js';
 import type { RelayState } from '../observability/relay-metrics.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
 import { MemberDirectory } from '../topology/member-directory.js';
@@ -65,12 +66,13 @@
 const LIMIT_BACKOFF_MS = 100;
 /** Time after which a connection that is not needed is ended, in milliseconds. */
 const IDLE_MS = 800;
+/** Time between two looks of the holder of the duty at its connections to the other daemons, in milliseconds. */
+const RECONNECT_MS = 500;
 /** For how long a former holder of the duty ends what it has begun at members, in milliseconds: as long as a promotion. */
 const DUTY_WIND_UP_MS = 2500;
 interface WatchedGroup {
   readonly group: MemberGroup;
   readonly watcher: LeadershipWatcher;
-  supervisor: GroupSupervisor | null;
 }
 
 /** A relay daemon without its sockets towards clients. */
@@ -89,10 +91,11 @@
   readonly #daemons = new DaemonDirectory();
   readonly #registration: Registration;
   #isDutyStarted = false;
-  /** Who follows the store for all, until the daemons change. */
-  #followers: readonly DaemonRecord[] | null | undefined = undefined;
-  /** Who asks witnesses for all, until the daemons change. */
-  #askers: readonly DaemonRecord[] | null | undefined = undefined;
+  readonly #delegations = new Delegations(() => this.#daemons.live);
+  readonly #supervision = new Supervision({
+    supervisorOptions: (group) => this.#supervisorOptions(group),
+    runForever: (loop) => this.#runForever(loop),
+  });
   readonly #gatewayClient: GatewayClient;
   readonly #gatewayServer: GatewayServer;
   readonly #sharing: EvidenceSharing;
@@ -105,6 +108,8 @@
   /** Until when a former holder of the duty may end what it has begun over connections of its own. */
   #mayConnectUntilMs = Number.NEGATIVE_INFINITY;
   #wasYoung = true;
+  /** When the holder of the duty last saw to its connections. */
+  #connectedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
@@ -127,14 +132,14 @@
     this.directory = new MemberDirectory({
       leaveMs: options.leaveMs,
       heartbeatMs: options.heartbeatMs,
-      lagMs: () => (this.#storeFollowers() === null ? 0 : WORST_LAG_MS),
+      lagMs: () => (this.#delegations.of('store') === null ? 0 : WORST_LAG_MS),
       group: (name) => this.#groups.get(name)?.group ?? null,
       create: (entry) => this.#createMember(entry),
       changed: (group) => {
         group.changed.notify();
         this.#groups.get(group.name)?.watcher.wake();
       },
-      leaderInDoubt: (group) => this.#groups.get(group.name)?.supervisor?.suspect(),
+      leaderInDoubt: (group) => this.#supervision.suspect(group.name),
       forgotten: (memberId) => this.#control.forget(memberId),
       log: options.log,
       now,
@@ -155,7 +160,7 @@
       store,
       ownName: self.name,
       zone: options.zone,
-      delegates: () => this.#storeFollowers(),
+      delegates: () => this.#delegations.of('store'),
       mustBeDirect: () => this.isDutyHolder,
       ask: this.#gatewayClient.askChanges.bind(this.#gatewayClient),
       log: options.log,
@@ -183,7 +188,7 @@
       zone: options.zone,
       groups: () => this.groups,
       fleetSize: () => this.#daemons.live.length,
-      askers: () => this.#witnessAskers(),
+      askers: () => this.#delegations.of('witnesses'),
       holdsDuty: () => this.#duty.heldFence(0) !== null,
       askHolder: (timeoutMs) => this.#mesh.askEvidence(timeoutMs),
       askDaemon: (record, timeoutMs) => this.#gatewayClient.askEvidence(record, timeoutMs),
@@ -340,16 +345,16 @@
       () => this.#sharing.isReliedOn,
       options.now,
     );
-    const watched: WatchedGroup = { group, watcher, supervisor: null };
+    const watched: WatchedGroup = { group, watcher };
     this.#groups.set(name, watched);
     this.directory.fill(group);
     this.#runForever(watcher.run());
-    if (this.isDutyHolder) this.#supervise(watched);
+    if (this.isDutyHolder) this.#supervision.begin(group);
   }
 
   #forgetGroup(watched: WatchedGroup): void {
     watched.watcher.stop();
-    watched.supervisor?.stop();
+    this.#supervision.end(watched.group.name);
     for (const member of watched.group.members.values()) member.pool.own.close();
   }
 
@@ -416,6 +421,15 @@
     const hasSettled = this.#wasYoung && !this.#assignments.isYoung;
     this.#wasYoung = this.#assignments.isYoung;
     if (this.#daemons.refresh(this.options.now()) || hasSettled) this.#daemonsChanged();
+    this.#keepConnected();
+  }
+
+  /** The holder of the duty opens connections to the others that were lost: over them it is asked for evidence. */
+  #keepConnected(): void {
+    const now = this.options.now();
+    if (!this.isDutyHolder || now - this.#connectedAtMs < RECONNECT_MS) return;
+    this.#connectedAtMs = now;
+    this.#mesh.connectAll(this.#daemons.live);
   }
 
   #suspect(groupName: string, member: Member, reason: string): void {
@@ -454,15 +468,12 @@
 
   /** Another daemon doubts a leader. */
   #heed(suspicion: Suspicion): void {
-    const watched = this.#groups.get(suspicion.groupName);
-    if (watched === undefined) return;
-    watched.supervisor?.suspect(suspicion);
+    this.#supervision.suspect(suspicion.groupName, suspicion);
   }
 
   #keysChanged(): void {
     const { registered, leased } = readDaemons(this.watched.items);
-    this.#daemons.update(registered, leased, this.options.now());
-    this.#daemonsChanged();
+    if (this.#daemons.update(registered, leased, this.options.now())) this.#daemonsChanged();
     if (!this.#isDutyStarted) this.#startDuty(registered);
     this.#runForever(this.#duty.keysChanged());
   }
@@ -477,24 +488,11 @@
   #daemonsChanged(): void {
     this.watched.watchers = Math.max(1, this.#daemons.live.length);
     this.#assignments.clear();
-    this.#followers = undefined;
-    this.#askers = undefined;
+    this.#delegations.clear();
     this.#gatewayClient.retain(this.#daemons.live);
     if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
   }
 
-  /** The daemons that follow the store on behalf of all; `null` when everybody does. */
-  #storeFollowers(): readonly DaemonRecord[] | null {
-    if (this.#followers === undefined) this.#followers = chooseDelegates('store', this.#daemons.live);
-    return this.#followers;
-  }
-
-  /** The daemons that ask witnesses on behalf of all; `null` when everybody does. */
-  #witnessAskers(): readonly DaemonRecord[] | null {
-    if (this.#askers === undefined) this.#askers = chooseDelegates('witnesses', this.#daemons.live);
-    return this.#askers;
-  }
-
   /** True when the process of a former holder of the duty has certainly ended. */
   async #isEnded({ name, life }: DutyHolder): Promise<boolean> {
     const record = this.#daemons.find(name);
@@ -505,9 +503,9 @@
   #dutyTaken(fence: number): void {
     this.options.log('duty_taken', { fence });
     this.#mesh.connectAll(this.#daemons.live);
-    for (const watched of this.#groups.values()) {
-      watched.group.evidence.unconfirm();
-      this.#supervise(watched);
+    for (const { group } of this.#groups.values()) {
+      group.evidence.unconfirm();
+      this.#supervision.begin(group);
     }
   }
 
@@ -515,11 +513,8 @@
     this.options.log('duty_lost', { reason });
     this.#mayConnectUntilMs = this.options.now() + DUTY_WIND_UP_MS;
     this.#mesh.disconnectAll();
-    for (const watched of this.#groups.values()) {
-      watched.supervisor?.stop();
-      watched.supervisor = null;
-      watched.group.evidence.unconfirm();
-    }
+    this.#supervision.endAll();
+    for (const { group } of this.#groups.values()) group.evidence.unconfirm();
   }
 
   /** Daemons that connect to a member themselves, and so can tell that it is out of reach. */
@@ -546,25 +541,23 @@
     return deliverOrder(ports, order, timeoutMs);
   }
 
-  #supervise(watched: WatchedGroup): void {
+  #supervisorOptions(group: MemberGroup): GroupSupervisorOptions {
     const { options } = this;
-    watched.supervisor?.stop();
-    const supervisor = new GroupSupervisor(watched.group, {
+    return {
       control: this.#control,
       promotion: options.promotion,
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
       order: (order, timeoutMs, again) => this.#order(order, timeoutMs, again),
-      callerCount: (memberId) => this.#callerCount(watched.group, memberId),
-      isLent: (memberId) => watched.group.members.get(memberId)?.pool.hasGateways ?? false,
+      callerCount: (memberId) => this.#callerCount(group, memberId),
+      isLent: (memberId) => group.members.get(memberId)?.pool.hasGateways ?? false,
       confirmLeader: () => {
-        watched.watcher.confirm();
-        watched.watcher.wake();
+        const watcher = this.#groups.get(group.name)?.watcher;
+        watcher?.confirm();
+        watcher?.wake();
       },
       log: options.log,
       now: options.now,
-    });
-    watched.supervisor = supervisor;
-    this.#runForever(supervisor.run());
+    };
   }
 
   /** A loop of the daemon ended with an error that nothing expects: the process must not go on without it. */
