--- a/src/cluster/duty-turn.test.ts
+++ b/src/cluster/duty-turn.test.ts
@@ -5,21 +5,9 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { DaemonRecord } from './daemon-record.js';
+import { fleetOf } from '../../test/support/daemon-records.js';
 import { dutyTurnMs } from './duty-turn.js';
 
-function fleetOf(size: number): readonly DaemonRecord[] {
-  return Array.from({ length: size }, (_, index) => ({
-    name: `d${index}`,
-    life: 'l',
-    host: 'h',
-    port: 1,
-    gatewayPort: 2,
-    zone: 'a',
-    capacity: 1,
-  }));
-}
-
 test('three ask at once, however many there are, and nobody waits for long', () => {
   for (const size of [1, 2, 6, 195, 900]) {
     const fleet = fleetOf(size);
--- a/src/cluster/rank-by-capacity.test.ts
+++ b/src/cluster/rank-by-capacity.test.ts
@@ -5,18 +5,12 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { DaemonRecord } from './daemon-record.js';
+import { daemonRecord } from '../../test/support/daemon-records.js';
 import { preferredDaemons, rankOf } from './rank-by-capacity.js';
 
-const FLEET = Array.from({ length: 60 }, (_, index): DaemonRecord => ({
-  name: `d${index}`,
-  life: 'l',
-  host: 'h',
-  port: 1,
-  gatewayPort: 2,
-  zone: 'a',
-  capacity: 1 + (index % 3),
-}));
+const FLEET = Array.from({ length: 60 }, (_, index) =>
+  daemonRecord(`d${index}`, { capacity: 1 + (index % 3) }),
+);
 
 test('the preferred ones are the first of the whole order, however they are listed', () => {
   const all = preferredDaemons('key', FLEET, FLEET.length);
--- a/src/gateway/assignments.test.ts
+++ b/src/gateway/assignments.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { fleetOf } from '../../test/support/daemon-records.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import type { MemberEntry } from '../topology/member-group.js';
 import { Assignments } from './assignments.js';
@@ -20,18 +21,6 @@
   saysPrimary: false,
 }));
 
-function fleetOf(size: number): readonly DaemonRecord[] {
-  return Array.from({ length: size }, (_, index) => ({
-    name: `d${index}`,
-    life: 'l',
-    host: 'h',
-    port: 1,
-    gatewayPort: 2,
-    zone: 'a',
-    capacity: 1,
-  }));
-}
-
 /** The assignments of one daemon, to which the store shows some of the fleet. */
 function assignmentsOf(
   ownName: string,
--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { daemonRecord } from '../../test/support/daemon-records.js';
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
@@ -30,7 +31,7 @@
 after(() => running.close());
 
 function recordOf(name: string, gatewayPort: number): DaemonRecord {
-  return { name, life: 'l', host: HOST, port: 1, gatewayPort, zone: 'z', capacity: 1 };
+  return daemonRecord(name, { host: HOST, gatewayPort });
 }
 
 /** A client that has lost a gateway. */
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -58,6 +58,7 @@
   #dialing = 0;
   /** Connections in a row that the member was too slow to accept. */
   #slowDials = 0;
+  /** Until when no connection is opened. */
   #limitedUntilMs = Number.NEGATIVE_INFINITY;
   #warmedAtMs = Number.NEGATIVE_INFINITY;
   #keptIdle = KEPT_IDLE;
@@ -80,7 +81,7 @@
     return this.#idle.length === 0 && !this.#mayDial();
   }
 
-  /** True while there is no connection, and the member has just refused one since it has too many. */
+  /** True while there is no connection, and none is opened since the member has just refused one, or was too slow to accept it. */
   get isShut(): boolean {
     return this.size === 0 && this.options.now() < this.#limitedUntilMs;
   }
