--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -41,9 +41,9 @@
  * the first.
  */
 const RETRY_MS = 200;
+const LAST_RETRY_MS = 2000;
 /** Least time between two attempts to keep the lease, in milliseconds. */
 const LEAST_REST_MS = 200;
-const LAST_RETRY_MS = 2000;
 /** Longest wait for the sight of the duty's record, in milliseconds: an answer that is lost must not use up the lease. */
 const CONFIRM_MS = 400;
 /** Time between attempts of the holder of the duty, in milliseconds. */
