--- a/src/coordination/coordination-store.ts
+++ b/src/coordination/coordination-store.ts
@@ -25,6 +25,10 @@
   | { readonly kind: 'events'; readonly events: readonly StoreEvent[]; readonly revision: number }
   | { readonly kind: 'compacted' };
 
+/** Whether an item still has a known revision, and the item where it has another; `null` when it is gone. */
+export type ConditionalRead =
+  { readonly kind: 'unchanged' } | { readonly kind: 'changed'; readonly item: StoredItem | null };
+
 /** A change under conditions. */
 export interface StoreTransaction {
   /** Keys with the revision that each must have; 0: absent. */
@@ -64,6 +68,11 @@
   list(prefix: string): Promise<{ readonly items: readonly StoredItem[]; readonly revision: number }>;
   /** One item, read linearizably, or `null`; waits for the answer for at most `timeoutMs` milliseconds, where given. */
   read(key: string, timeoutMs?: number): Promise<StoredItem | null>;
+  /**
+   * One item, read linearizably, unless it still has a known revision (0: is absent): a question that is put often about
+   * an item that is large and seldom changes. Waits for the answer for at most `timeoutMs` milliseconds.
+   */
+  readIfChanged(key: string, knownRevision: number, timeoutMs: number): Promise<ConditionalRead>;
   /** Changes under a prefix after a revision; waits for one for at most `waitMs` milliseconds. */
   watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchAnswer>;
   transact(transaction: StoreTransaction): Promise<TransactionAnswer>;
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -113,6 +113,11 @@
     }
   }
 
+  /** Takes an item that was heard of by another way; an older one than the copy's changes nothing. */
+  offer(item: StoredItem): void {
+    this.#put(item);
+  }
+
   /** Stops following. */
   stop(): void {
     this.#isStopped = true;
--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -17,8 +17,10 @@
   pool: () => null,
   ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
   changes: () => new Promise<never>(() => undefined),
+  configuration: () => ({ proof: null, item: null }),
+  grant: () => Promise.resolve(null),
 };
-const TERMS = { groupName: 'g', memberId: 'm', priority: 1, waitMs: 100 };
+const TERMS = { groupName: 'g', memberId: 'm', tenantName: null, priority: 1, waitMs: 100 };
 
 let running: GatewayServer;
 const alive = recordOf('alive', 23_871);
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -6,6 +6,8 @@
 import { connect } from 'node:net';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { EvidenceReader, type SharedEvidence } from '../leadership/evidence-exchange.js';
+import type { Grant, GrantRequest } from '../quota/quota-home.js';
+import type { PassedConfiguration } from '../tenancy/lease-renewal.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import { BorrowedLink } from './borrowed-link.js';
@@ -26,6 +28,7 @@
 export interface LoanTerms {
   readonly groupName: string;
   readonly memberId: string;
+  readonly tenantName: string | null;
   readonly priority: number;
   /** Longest wait for a connection, in milliseconds. */
   readonly waitMs: number;
@@ -34,12 +37,16 @@
 /** A question to another daemon that is no loan. */
 type Question =
   | { readonly type: 'ask_evidence' }
-  | { readonly type: 'ask_changes'; readonly afterRevision: number; readonly waitMs: number };
+  | { readonly type: 'ask_changes'; readonly afterRevision: number; readonly waitMs: number }
+  | { readonly type: 'ask_configuration'; readonly heldRevision: number }
+  | { readonly type: 'ask_grant'; readonly request: GrantRequest };
 
 /** Its answer; `null` when none came in time. */
 type Answer =
   | { readonly type: 'evidence'; readonly entries: readonly SharedEvidence[] }
   | { readonly type: 'changes'; readonly answer: PassedChanges }
+  | { readonly type: 'configuration'; readonly answer: PassedConfiguration }
+  | { readonly type: 'grant'; readonly grant: Grant | null }
   | null;
 
 /** A question under way. */
@@ -49,6 +56,14 @@
   settle(answer: Answer): void;
 }
 
+/** What a gateway answers at once, or with the member's next answer: its silence then is a sign of trouble. */
+const PROMPTLY_ANSWERED: ReadonlySet<GatewayMessage['type']> = new Set([
+  'request',
+  'ask_evidence',
+  'ask_configuration',
+  'ask_grant',
+]);
+
 /** The connection to one gateway. */
 class GatewayConnection {
   isLeaving = false;
@@ -102,7 +117,7 @@
   }
 
   ask(id: number, question: Question, settle: (answer: Answer) => void): void {
-    this.questions.set(id, { isPrompt: question.type === 'ask_evidence', settle });
+    this.questions.set(id, { isPrompt: question.type !== 'ask_changes', settle });
     if (question.type === 'ask_evidence')
       this.#transmit({ type: 'ask_evidence', id, knownVersion: this.#evidence.knownVersion });
     else this.#transmit({ ...question, id });
@@ -134,7 +149,7 @@
   }
 
   #transmit(message: GatewayMessage): void {
-    if (message.type === 'request' || message.type === 'ask_evidence') this.#owedSinceMs ??= this.now();
+    if (PROMPTLY_ANSWERED.has(message.type)) this.#owedSinceMs ??= this.now();
     this.#channel.send(message);
   }
 
@@ -155,6 +170,10 @@
       case 'changes':
         this.#answered(message.id, { type: 'changes', answer: message.answer });
         break;
+      case 'configuration':
+      case 'grant':
+        this.#answered(message.id, message);
+        break;
       case 'leaving':
         this.isLeaving = true;
         break;
@@ -255,6 +274,22 @@
     return answer?.type === 'changes' ? answer.answer : null;
   }
 
+  /** What a daemon knows of the newest configuration; `null` when it does not answer in time. */
+  async askConfiguration(
+    record: DaemonRecord,
+    heldRevision: number,
+    timeoutMs: number,
+  ): Promise<PassedConfiguration | null> {
+    const answer = await this.#ask(record, { type: 'ask_configuration', heldRevision }, timeoutMs);
+    return answer?.type === 'configuration' ? answer.answer : null;
+  }
+
+  /** What a daemon grants; `null` when it does not answer in time, or is not the one to ask. */
+  async askGrant(record: DaemonRecord, request: GrantRequest, timeoutMs: number): Promise<Grant | null> {
+    const answer = await this.#ask(record, { type: 'ask_grant', request }, timeoutMs);
+    return answer?.type === 'grant' ? answer.grant : null;
+  }
+
   #ask(record: DaemonRecord, question: Question, timeoutMs: number): Promise<Answer> {
     const connection = this.#connection(record);
     this.#nextQuestion += 1;
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -10,7 +10,9 @@
 import type { EvidenceAnswer } from '../leadership/evidence-exchange.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
 import type { MemberReply, MemberRequest } from '../relay/member-link.js';
+import type { Grant, GrantRequest } from '../quota/quota-home.js';
 import type { PreparedShape } from '../relay/statement.js';
+import type { PassedConfiguration } from '../tenancy/lease-renewal.js';
 
 /** Begins a loan; nothing is sent to the member yet. */
 export interface BorrowMessage {
@@ -18,6 +20,8 @@
   readonly loan: number;
   readonly groupName: string;
   readonly memberId: string;
+  /** Name of the tenant that the connection has to belong to; `null` where any will do. */
+  readonly tenantName: string | null;
   readonly priority: number;
   /** Longest wait for a connection, in milliseconds. */
   readonly waitMs: number;
@@ -100,6 +104,34 @@
   readonly answer: PassedChanges;
 }
 
+/** Asks for a proof that a configuration is the newest, and for a newer one. */
+export interface ConfigurationQuestionMessage {
+  readonly type: 'ask_configuration';
+  readonly id: number;
+  readonly heldRevision: number;
+}
+
+/** What the daemon knows of the newest configuration. */
+export interface ConfigurationAnswerMessage {
+  readonly type: 'configuration';
+  readonly id: number;
+  readonly answer: PassedConfiguration;
+}
+
+/** Asks the home of a tenant for operations. */
+export interface GrantQuestionMessage {
+  readonly type: 'ask_grant';
+  readonly id: number;
+  readonly request: GrantRequest;
+}
+
+/** What the home grants; `null` when this daemon is not the one to ask. */
+export interface GrantAnswerMessage {
+  readonly type: 'grant';
+  readonly id: number;
+  readonly grant: Grant | null;
+}
+
 /** Any message on a connection to a gateway. */
 export type GatewayMessage =
   | BorrowMessage
@@ -113,7 +145,11 @@
   | EvidenceQuestionMessage
   | EvidenceAnswerMessage
   | ChangesQuestionMessage
-  | ChangesAnswerMessage;
+  | ChangesAnswerMessage
+  | ConfigurationQuestionMessage
+  | ConfigurationAnswerMessage
+  | GrantQuestionMessage
+  | GrantAnswerMessage;
 
 /** Largest message, in bytes. */
 export const MAX_GATEWAY_MESSAGE_BYTES = 2 * 1024 * 1024 + 64 * 1024;
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -5,6 +5,8 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { EvidenceAnswer } from '../leadership/evidence-exchange.js';
+import type { Grant, GrantRequest } from '../quota/quota-home.js';
+import type { PassedConfiguration } from '../tenancy/lease-renewal.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
@@ -28,6 +30,10 @@
   ownEvidence(knownVersion: number): EvidenceAnswer;
   /** Changes of the store as this daemon has heard of them. */
   changes(afterRevision: number, waitMs: number): Promise<PassedChanges>;
+  /** What this daemon knows of the newest configuration, for one who holds a revision of it. */
+  configuration(heldRevision: number): PassedConfiguration;
+  /** Operations of a tenant for another daemon; `null` when this daemon is not the one to ask. */
+  grant(request: GrantRequest): Promise<Grant | null>;
 }
 
 /** An answer that says that nothing was sent to the member. */
@@ -127,9 +133,9 @@
       return null;
     }
     try {
-      const { priority, waitMs } = this.terms;
+      const { tenantName, priority, waitMs } = this.terms;
       const dueAtMs = performance.now() + waitMs;
-      const demand = { values: this.#values, isWrite: false, priority, dueAtMs };
+      const demand = { tenantName, values: this.#values, isWrite: false, priority, dueAtMs };
       const link = await this.pool.acquire(demand, waitMs);
       if (this.#isReturned) {
         this.pool.release(link);
@@ -246,12 +252,26 @@
           .changes(message.afterRevision, message.waitMs)
           .then((answer) => channel.send({ type: 'changes', id: message.id, answer }));
         break;
+      case 'ask_configuration':
+        channel.send({
+          type: 'configuration',
+          id: message.id,
+          answer: this.ports.configuration(message.heldRevision),
+        });
+        break;
+      case 'ask_grant':
+        void this.ports
+          .grant(message.request)
+          .then((grant) => channel.send({ type: 'grant', id: message.id, grant }));
+        break;
       case 'reply':
       case 'lost':
       case 'pong':
       case 'leaving':
       case 'evidence':
       case 'changes':
+      case 'configuration':
+      case 'grant':
         channel.destroy();
     }
   }
--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -13,7 +13,7 @@
 import type { GatewayClient } from './gateway-client.js';
 import { MemberConnections } from './member-connections.js';
 
-const DEMAND: LinkDemand = { values: new Map(), isWrite: false, priority: 1, dueAtMs: 0 };
+const DEMAND: LinkDemand = { tenantName: null, values: new Map(), isWrite: false, priority: 1, dueAtMs: 0 };
 const LENT = { isOpen: true } as SessionLink;
 
 /** Connections to a member that refuses them all since it has too many. */
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -86,14 +86,15 @@
    *
    * @throws PoolTimeoutError: nothing was sent
    */
-  borrow({ priority }: LinkDemand, waitMs: number): SessionLink {
+  borrow({ tenantName, priority }: LinkDemand, waitMs: number): SessionLink {
     const { gateways, groupName, memberId } = this.options;
     const { gateways: lenders, standbys } = this.options.assignment();
     const gateway = this.isAssigned
       ? gateways.choose(this.options.others())
       : gateways.choose(lenders ?? [], standbys);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
-    const link = gateways.borrow(gateway, { groupName, memberId, priority, waitMs: Math.round(waitMs) });
+    const terms = { groupName, memberId, tenantName, priority, waitMs: Math.round(waitMs) };
+    const link = gateways.borrow(gateway, terms);
     this.#borrowed.add(link);
     return link;
   }
--- a/src/gateway/status-questions.ts
+++ b/src/gateway/status-questions.ts
@@ -31,7 +31,13 @@
 
 async function sendStatus(pool: LinkPool): Promise<MemberReply> {
   const dueAtMs = performance.now() + CONNECTION_WAIT_MS;
-  const demand = { values: new Map<string, string>(), isWrite: false, priority: 0, dueAtMs };
+  const demand = {
+    tenantName: null,
+    values: new Map<string, string>(),
+    isWrite: false,
+    priority: 0,
+    dueAtMs,
+  };
   const link = await pool.acquire(demand, CONNECTION_WAIT_MS);
   try {
     return await link.send({ kind: 'status' });
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -11,8 +11,10 @@
   type MemberStatus,
   type StatusReader,
 } from '../relay/member-link.js';
+import type { LinkDemand } from '../relay/link-queue.js';
 import type { PooledLink } from '../relay/pooled-link.js';
 import type { SessionLink } from '../relay/session-link.js';
+import { NO_TENANT } from '../tenancy/tenant-register.js';
 import type { Member } from '../topology/member-group.js';
 
 /**
@@ -119,7 +121,7 @@
     const mustWait = hasGateways && isAssigned && !this.options.mayConnect();
     if (!own.isUnopened && !mustWait) return null;
     const dueAtMs = this.options.now() + timeoutMs;
-    const demand = { values: new Map<string, string>(), isWrite: false, priority: 0, dueAtMs };
+    const demand = ownDemand(dueAtMs);
     try {
       return await own.acquire(demand, timeoutMs);
     } catch (error) {
@@ -142,7 +144,7 @@
 
   /** The status of a member over a connection that a gateway lends. Silence says nothing of the member. */
   async #askThroughGateway(member: Member, timeoutMs: number): Promise<ControlAnswer> {
-    const demand = { values: new Map<string, string>(), isWrite: false, priority: 0, dueAtMs: 0 };
+    const demand = ownDemand(0);
     let link: SessionLink;
     try {
       link = member.pool.borrow(demand, timeoutMs);
@@ -170,7 +172,8 @@
 
   async #dialOwn(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
     try {
-      const link = await this.options.dialer.dial(member.address, timeoutMs);
+      const target = { ...member.address, tenantName: NO_TENANT };
+      const link = await this.options.dialer.dial(target, timeoutMs);
       this.#ownLinks.set(member.entry.memberId, link);
       return link;
     } catch (error) {
@@ -198,6 +201,11 @@
   }
 }
 
+/** What a question of the daemon's own wants of a connection. */
+function ownDemand(dueAtMs: number): LinkDemand {
+  return { tenantName: null, values: new Map(), isWrite: false, priority: 0, dueAtMs };
+}
+
 /** What a connection that could not be opened says of the member. */
 function answerOf({ reason }: DialError): ControlAnswer {
   switch (reason) {
--- /dev/null
+++ b/src/quota/quota-home.ts
@@ -0,0 +1,113 @@
+/**
+ * Grants operations to other daemons, for the tenants whose home this daemon is.
+ *
+ * Each tenant has one home, by rendezvous hashing over the daemons that live; its bucket is the tenant's quota, whole. A home
+ * that has just come begins with an empty bucket, since the one before it may have granted all. While a home does not answer,
+ * the next in line stands in for it: whole when the process of the home has certainly ended, else with a small share, since
+ * the home may go on granting where it is reached.
+ *
+ * @packageDocumentation
+ */
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { Tenant } from '../tenancy/tenant-register.js';
+import { TokenBucket } from './token-bucket.js';
+
+/** Operations that a daemon asks for. */
+export interface GrantRequest {
+  readonly tenantName: string;
+  /** Operations that it wants to run now or soon. */
+  readonly count: number;
+  /** True when the home did not answer, and this daemon is the next in line. */
+  readonly isForHome: boolean;
+}
+
+/** What is granted. */
+export interface Grant {
+  readonly count: number;
+  /** Time until the tenant has room again, in milliseconds; 0 while it has. */
+  readonly roomInMs: number;
+}
+
+/**
+ * Share of a quota that is granted in place of a home that may still be granting. Together with what a grant may outlive its
+ * second (see `GRANT_MS`) it stays within a tenth of the quota over five seconds, which limits are given as excess.
+ */
+const STAND_IN_SHARE = 0.05;
+/** For how long it is remembered whether the process of a home has ended, in milliseconds: it may be started again. */
+const ENDED_KNOWN_MS = 300;
+/** Buckets that are kept; tenants come and go with the configuration. */
+const MAX_BUCKETS = 10_000;
+
+/** What the home needs. */
+export interface QuotaHomeOptions {
+  readonly ownName: string;
+  /** The daemons to ask for a tenant, the home first. */
+  inLine(tenantName: string): readonly DaemonRecord[];
+  /** A tenant of the configuration in force, or `null`. */
+  tenant(name: string): Tenant | null;
+  /** Since when the buckets of tenants that are new here fill, in monotonic milliseconds. */
+  sinceMs(): number;
+  /** True when the process of a daemon has certainly ended. */
+  isEnded(record: DaemonRecord): Promise<boolean>;
+  now(): number;
+}
+
+interface EndedHome {
+  readonly isEnded: Promise<boolean>;
+  readonly atMs: number;
+}
+
+/** The grants of one daemon. */
+export class QuotaHome {
+  readonly #buckets = new Map<string, TokenBucket>();
+  readonly #standInBuckets = new Map<string, TokenBucket>();
+  readonly #ended = new Map<string, EndedHome>();
+
+  constructor(private readonly options: QuotaHomeOptions) {}
+
+  /** Grants what the tenant has left; nothing where this daemon is not the one to ask. */
+  async grant({ tenantName, count, isForHome }: GrantRequest): Promise<Grant | null> {
+    const [home, next] = this.options.inLine(tenantName);
+    if (home === undefined) return null;
+    if (home.name === this.options.ownName) return this.grantOwn(tenantName, count);
+    if (!isForHome || next?.name !== this.options.ownName) return null;
+    if (await this.#isEnded(home)) return this.grantOwn(tenantName, count);
+    return this.#grantShare(tenantName, count);
+  }
+
+  /** Grants as the home. */
+  grantOwn(tenantName: string, count: number): Grant | null {
+    const quota = this.options.tenant(tenantName)?.quota;
+    if (quota === undefined) return null;
+    if (quota === null) return { count, roomInMs: 0 };
+    return this.#bucket(this.#buckets, tenantName).take(count, quota, this.options.now());
+  }
+
+  #grantShare(tenantName: string, count: number): Grant | null {
+    const quota = this.options.tenant(tenantName)?.quota;
+    if (quota === undefined) return null;
+    if (quota === null) return { count, roomInMs: 0 };
+    const share = { ratePerS: quota.ratePerS * STAND_IN_SHARE, burst: quota.burst * STAND_IN_SHARE };
+    return this.#bucket(this.#standInBuckets, tenantName).take(count, share, this.options.now());
+  }
+
+  #bucket(buckets: Map<string, TokenBucket>, tenantName: string): TokenBucket {
+    let bucket = buckets.get(tenantName);
+    if (bucket === undefined) {
+      if (buckets.size >= MAX_BUCKETS) buckets.clear();
+      bucket = new TokenBucket(this.options.sinceMs());
+      buckets.set(tenantName, bucket);
+    }
+    return bucket;
+  }
+
+  #isEnded(home: DaemonRecord): Promise<boolean> {
+    const key = `${home.name} ${home.life}`;
+    const known = this.#ended.get(key);
+    const nowMs = this.options.now();
+    if (known !== undefined && nowMs - known.atMs < ENDED_KNOWN_MS) return known.isEnded;
+    const isEnded = this.options.isEnded(home);
+    this.#ended.set(key, { isEnded, atMs: nowMs });
+    return isEnded;
+  }
+}
--- /dev/null
+++ b/src/quota/quota-service.ts
@@ -0,0 +1,74 @@
+/**
+ * The quotas of one daemon: what it asks of the tenants' homes, and what it grants as one.
+ *
+ * @packageDocumentation
+ */
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { preferredDaemons } from '../cluster/rank-by-capacity.js';
+import type { Tenant } from '../tenancy/tenant-register.js';
+import { GrantedQuotas, type Charge, type OperationQuotas } from './operation-quotas.js';
+import { QuotaHome, type Grant, type GrantRequest } from './quota-home.js';
+
+/** The home of a tenant, and the daemon that stands in for it. */
+const DAEMONS_IN_LINE = 2;
+
+/** What the service needs. */
+export interface QuotaServiceOptions {
+  readonly ownName: string;
+  /** Daemons that take part in the work. */
+  daemons(): readonly DaemonRecord[];
+  /** A tenant of the configuration in force, or `null`. */
+  tenant(name: string): Tenant | null;
+  /** Asks another daemon; `null` when it does not answer in time, or has nothing to say. */
+  ask(record: DaemonRecord, request: GrantRequest, timeoutMs: number): Promise<Grant | null>;
+  /** True when the process of a daemon has certainly ended. */
+  isEnded(record: DaemonRecord): Promise<boolean>;
+  now(): number;
+  /** A number from 0 up to 1. */
+  random(): number;
+}
+
+/** Wires the parts, and keeps who is asked for whom. */
+export class QuotaService implements OperationQuotas {
+  readonly #inLine = new Map<string, readonly DaemonRecord[]>();
+  readonly #home: QuotaHome;
+  readonly #quotas: GrantedQuotas;
+  #lives: ReadonlySet<string> = new Set();
+  /** When a daemon was last seen to go: it may have been a home until then, and have granted all. */
+  #leftAtMs: number;
+
+  constructor(private readonly options: QuotaServiceOptions) {
+    const { ownName, tenant, ask, isEnded, now, random } = options;
+    this.#leftAtMs = now();
+    const inLine = (tenantName: string): readonly DaemonRecord[] => this.#lineOf(tenantName);
+    const sinceMs = (): number => this.#leftAtMs;
+    this.#home = new QuotaHome({ ownName, inLine, tenant, sinceMs, isEnded, now });
+    this.#quotas = new GrantedQuotas({ ownName, home: this.#home, inLine, ask, now, random });
+  }
+
+  charge(tenant: Tenant): Charge | Promise<Charge> {
+    return this.#quotas.charge(tenant);
+  }
+
+  /** Grants operations to another daemon; `null` when this daemon is not the one to ask. */
+  grant(request: GrantRequest): Promise<Grant | null> {
+    return this.#home.grant(request);
+  }
+
+  /** The daemons have changed. */
+  daemonsChanged(): void {
+    this.#inLine.clear();
+    const lives = new Set(this.options.daemons().map(({ name, life }) => `${name} ${life}`));
+    for (const life of this.#lives) if (!lives.has(life)) this.#leftAtMs = this.options.now();
+    this.#lives = lives;
+  }
+
+  #lineOf(tenantName: string): readonly DaemonRecord[] {
+    let line = this.#inLine.get(tenantName);
+    if (line === undefined) {
+      line = preferredDaemons(tenantName, this.options.daemons(), DAEMONS_IN_LINE);
+      this.#inLine.set(tenantName, line);
+    }
+    return line;
+  }
+}
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -45,6 +45,7 @@
 const ADDRESS = { memberId: 'm', groupName: 'g', host: 'h', port: 1 };
 const NO_VALUES = new Map<string, string>();
 const DEMAND: LinkDemand = {
+  tenantName: 'one',
   values: NO_VALUES,
   isWrite: false,
   priority: 1,
@@ -170,15 +171,16 @@
     return Promise.resolve(new FakeLink());
   };
   const pool = poolOf(3, dial, clock);
-  pool.warm(2);
-  pool.warm(2);
+  pool.keep(2);
+  pool.warm();
+  pool.warm();
   assert.equal(dialed, 1, 'not two at once: each takes a slot of the member');
   await new Promise((resolve) => setImmediate(resolve));
   clock.now = 1000;
-  pool.warm(2);
+  pool.warm();
   await new Promise((resolve) => setImmediate(resolve));
   clock.now = 5000;
-  pool.warm(2);
+  pool.warm();
   pool.trim();
   assert.equal(pool.size, 2);
 });
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -1,8 +1,12 @@
 /**
  * The connections of one daemon to one member, within a budget.
  *
+ * A connection belongs to the tenant for which it was opened, for good: members are told once who calls. Where the budget is
+ * used up, the idle connection that was used longest ago is given up for a tenant that has none.
+ *
  * @packageDocumentation
  */
+import { NO_TENANT } from '../tenancy/tenant-register.js';
 import { nextToServe, type LinkDemand } from './link-queue.js';
 import { LinkWait, PoolTimeoutError, type PoolWaiter, type WaitingPlace } from './link-wait.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
@@ -18,6 +22,11 @@
  * to the member may be opening some.
  */
 const MAX_DIALING = 2;
+/**
+ * How long somebody waits while connections of other tenants are given back and used again, in milliseconds: twice the time
+ * that members take for a new connection (12 to 14 ms). Below it, a switch costs the member more than the wait costs the caller.
+ */
+const SWITCH_AFTER_MS = 25;
 /** For how long a member may keep a new connection waiting before it is given up, in milliseconds. */
 const ACCEPT_MS = 2000;
 /**
@@ -49,13 +58,21 @@
   random(): number;
 }
 
+/** Somebody who waits, and since when, in monotonic milliseconds. */
+interface Waiting {
+  readonly waiter: PoolWaiter;
+  readonly demand: LinkDemand;
+  readonly sinceMs: number;
+}
+
 /** Opens connections on demand, hands them out by priority, takes them back when they are clean. */
 export class LinkPool implements WaitingPlace {
   /** Given back last stands last, and is used first. */
   readonly #idle: { readonly link: PooledLink; readonly sinceMs: number }[] = [];
-  readonly #waiters: PoolWaiter[] = [];
+  readonly #waiters: Waiting[] = [];
   readonly #links = new Set<PooledLink>();
-  #dialing = 0;
+  /** Names of the tenants for which connections are being opened. */
+  readonly #dialing: string[] = [];
   /** Connections in a row that the member was too slow to accept. */
   #slowDials = 0;
   /** Until when no connection is opened. */
@@ -68,12 +85,12 @@
 
   /** Connections that are open or being opened. */
   get size(): number {
-    return this.#links.size + this.#dialing;
+    return this.#links.size + this.#dialing.length;
   }
 
   /** Connections handed out, and requests that wait for one. */
   get load(): number {
-    return this.#links.size - this.#idle.length + this.#dialing + this.#waiters.length;
+    return this.#links.size - this.#idle.length + this.#dialing.length + this.#waiters.length;
   }
 
   /** True when a request would have to wait for another to finish. */
@@ -104,24 +121,25 @@
       waiter.fail(new PoolTimeoutError('the member has left'), this);
       return;
     }
-    const idle = this.#takeIdle(waiter.demand.values);
+    const { demand } = waiter;
+    const idle = this.#takeIdle(demand.tenantName, demand.values);
     if (idle !== null) {
       waiter.grant(idle, this);
       return;
     }
-    this.#waiters.push(waiter);
-    if (this.#mayDial() && this.#dialing < this.#waiters.length) this.#dial();
+    this.#waiters.push({ waiter, demand, sinceMs: this.options.now() });
+    this.#openForWaiters();
   }
 
   /** A request waits here no more. */
   leave(waiter: PoolWaiter): void {
-    const index = this.#waiters.indexOf(waiter);
+    const index = this.#waiters.findIndex((waiting) => waiting.waiter === waiter);
     if (index >= 0) this.#waiters.splice(index, 1);
   }
 
   /** An idle connection for a question of the daemon's own, or `null`. */
   takeIdle(): PooledLink | null {
-    return this.#takeIdle(new Map());
+    return this.#takeIdle(null, new Map());
   }
 
   /** True when a question of the daemon's own should open the first connection: requests use it next. */
@@ -135,9 +153,25 @@
       link.close();
       return;
     }
-    const waiter = this.#nextWaiter();
-    if (waiter === undefined) this.#idle.push({ link, sinceMs: this.options.now() });
-    else waiter.grant(link, this);
+    if (this.#mustSwitch(link)) {
+      link.close();
+      return;
+    }
+    const waiter = this.#nextWaiter(link.tenantName);
+    if (waiter !== undefined) {
+      waiter.grant(link, this);
+      return;
+    }
+    this.#idle.push({ link, sinceMs: this.options.now() });
+    this.#openForWaiters();
+  }
+
+  /** True when a connection has to make room for a tenant that has waited for long, and that no other way has one for. */
+  #mustSwitch(link: PooledLink): boolean {
+    if (this.#idle.length > 0 || this.size < this.options.budget() || this.#isPaused()) return false;
+    const first = this.#firstUncovered();
+    if (first === undefined || isServedBy(first.demand, link.tenantName)) return false;
+    return this.options.now() - first.sinceMs >= SWITCH_AFTER_MS;
   }
 
   /**
@@ -155,19 +189,47 @@
     }
   }
 
-  /** Opens connections in advance, one after the other, for requests of many daemons to come. */
-  warm(count: number): void {
+  /** Sets how many connections are kept though they are idle. */
+  keep(count: number): void {
     this.#keptIdle = count;
+  }
+
+  /** Opens the connections that are to be kept, one after the other, for requests of many daemons to come. */
+  warm(): void {
     const now = this.options.now();
-    if (this.#isClosed || this.size >= count || now - this.#warmedAtMs < WARMING_MS || !this.#mayDial())
-      return;
+    const isEnough = this.size >= this.#keptIdle;
+    if (this.#isClosed || isEnough || now - this.#warmedAtMs < WARMING_MS || !this.#mayDial()) return;
     this.#warmedAtMs = now;
-    this.#dial();
+    this.#dial(NO_TENANT);
+  }
+
+  /** Opens connections for those who wait, as far as the budget goes; idle ones of other tenants make room. */
+  #openForWaiters(): void {
+    while (!this.#isClosed) {
+      const first = this.#firstUncovered();
+      if (first === undefined) return;
+      if (this.#mayDial()) this.#dial(first.demand.tenantName ?? NO_TENANT);
+      else if (!this.#giveUpIdle()) return;
+    }
   }
 
-  /** Opens connections for requests that wait since the member had too many. */
-  #redial(): void {
-    while (this.#dialing < this.#waiters.length && this.#mayDial()) this.#dial();
+  /** Of those who wait and for whom no connection is being opened, the one that is to be served next. */
+  #firstUncovered(): Waiting | undefined {
+    const dialing = [...this.#dialing];
+    const uncovered = this.#waiters.filter(({ demand }) => {
+      const index = dialing.findIndex((tenantName) => isServedBy(demand, tenantName));
+      if (index >= 0) dialing.splice(index, 1);
+      return index < 0;
+    });
+    return uncovered[nextToServe(uncovered, this.options.now(), this.options.serviceMs())];
+  }
+
+  /** Ends the idle connection that was used longest ago; false when there is none, or none may be opened in its place. */
+  #giveUpIdle(): boolean {
+    const oldest = this.#idle[0];
+    if (oldest === undefined || this.#isPaused()) return false;
+    oldest.link.close();
+    return true;
   }
 
   /** For how long requests have waited with no byte from the member, in milliseconds; 0 when none waits. */
@@ -184,7 +246,7 @@
   /** Tells those who wait that none will come soon. Nothing was sent. */
   failWaiters(reason: string, isConcerned: (demand: LinkDemand) => boolean = () => true): void {
     const concerned = this.#waiters.filter(({ demand }) => isConcerned(demand));
-    for (const waiter of concerned) {
+    for (const { waiter } of concerned) {
       this.leave(waiter);
       waiter.fail(new PoolTimeoutError(reason), this);
     }
@@ -202,51 +264,62 @@
     this.failWaiters('the member has left');
   }
 
+  /** True while no connection is opened, whatever the budget says. */
+  #isPaused(): boolean {
+    return this.#dialing.length >= MAX_DIALING || this.options.now() < this.#limitedUntilMs;
+  }
+
   #mayDial(): boolean {
-    if (this.#dialing >= MAX_DIALING) return false;
-    return this.size < this.options.budget() && this.options.now() >= this.#limitedUntilMs;
+    return this.size < this.options.budget() && !this.#isPaused();
   }
 
-  #takeIdle(values: SessionValues): PooledLink | null {
-    let index = this.#idle.findLastIndex(({ link }) => link.isOpen && link.hasValues(values));
-    if (index < 0) index = this.#idle.findLastIndex(({ link }) => link.isOpen);
+  #takeIdle(tenantName: string | null, values: SessionValues): PooledLink | null {
+    const isFit = (link: PooledLink): boolean =>
+      link.isOpen && (tenantName === null || link.tenantName === tenantName);
+    let index = this.#idle.findLastIndex(({ link }) => isFit(link) && link.hasValues(values));
+    if (index < 0) index = this.#idle.findLastIndex(({ link }) => isFit(link));
     return index < 0 ? null : (this.#idle.splice(index, 1)[0]?.link ?? null);
   }
 
-  /** Takes the one out of the queue that is to be served next. */
-  #nextWaiter(): PoolWaiter | undefined {
+  /** Takes the one out of the queue that is to be served next by a connection of a tenant. */
+  #nextWaiter(tenantName: string): PoolWaiter | undefined {
     const { now, serviceMs } = this.options;
-    const index = nextToServe(this.#waiters, now(), serviceMs());
-    return index < 0 ? undefined : this.#waiters.splice(index, 1)[0];
+    const served = this.#waiters.filter(({ demand }) => isServedBy(demand, tenantName));
+    const next = served[nextToServe(served, now(), serviceMs())];
+    if (next !== undefined) this.#waiters.splice(this.#waiters.indexOf(next), 1);
+    return next?.waiter;
   }
 
-  #dial(): void {
-    this.#dialing += 1;
+  #dial(tenantName: string): void {
+    this.#dialing.push(tenantName);
     const { dialer, address, dialTimeoutMs } = this.options;
     // The member goes on with a connection that is given up: it is waited for, but whoever waits may go elsewhere.
-    const timer = setInterval(() => this.#dialIsSlow(), dialTimeoutMs).unref();
+    const timer = setInterval(() => this.#dialIsSlow(tenantName), dialTimeoutMs).unref();
     dialer
-      .dial(address, dialTimeoutMs, ACCEPT_MS)
+      .dial({ ...address, tenantName }, dialTimeoutMs, ACCEPT_MS)
       .finally(() => {
         clearInterval(timer);
-        this.#dialing -= 1;
+        this.#dialing.splice(this.#dialing.indexOf(tenantName), 1);
       })
       .then(
         (memberLink) => {
           this.#slowDials = 0;
-          this.#add(new PooledLink(memberLink));
-          this.#redial();
+          this.#add(new PooledLink(memberLink, tenantName));
+          this.#openForWaiters();
         },
         (error: unknown) =>
-          this.#dialFailed(error instanceof DialError ? error : new DialError('lost', String(error))),
+          this.#dialFailed(
+            tenantName,
+            error instanceof DialError ? error : new DialError('lost', String(error)),
+          ),
       );
   }
 
   /** A connection has been under way for long: where there is no other, nobody is to wait for it alone. */
-  #dialIsSlow(): void {
+  #dialIsSlow(tenantName: string): void {
     const slow = new DialError('slow', 'the member has not accepted the connection yet');
-    if (this.#links.size > 0) this.#nextWaiter()?.fail(slow, this);
-    else for (const waiter of this.#waiters.splice(0)) waiter.fail(slow, this);
+    if (this.#links.size > 0) this.#nextWaiter(tenantName)?.fail(slow, this);
+    else for (const { waiter } of this.#waiters.splice(0)) waiter.fail(slow, this);
   }
 
   #add(link: PooledLink): void {
@@ -261,16 +334,16 @@
     if (isByPeer) this.options.onTrouble('lost');
     const index = this.#idle.findIndex((idle) => idle.link === link);
     if (index >= 0) this.#idle.splice(index, 1);
-    this.#redial();
+    this.#openForWaiters();
   }
 
-  #dialFailed(error: DialError): void {
+  #dialFailed(tenantName: string, error: DialError): void {
     const { limitBackoffMs } = this.options;
     switch (error.reason) {
       case 'too_many_connections':
         this.#pauseDials(limitBackoffMs);
         // Others may have one to lend: nobody is to wait here.
-        if (this.size === 0) for (const waiter of this.#waiters.splice(0)) waiter.fail(error, this);
+        if (this.size === 0) for (const { waiter } of this.#waiters.splice(0)) waiter.fail(error, this);
         return;
       case 'slow':
         this.#pauseDials(this.#slowPauseMs());
@@ -284,14 +357,14 @@
       case 'wrong_member':
         this.options.onTrouble(error.reason);
     }
-    this.#nextWaiter()?.fail(error, this);
-    this.#redial();
+    this.#nextWaiter(tenantName)?.fail(error, this);
+    this.#openForWaiters();
   }
 
   /** Opens no connection for a while; those who wait may get one that comes free. */
   #pauseDials(pauseMs: number): void {
     this.#limitedUntilMs = this.options.now() + pauseMs;
-    setTimeout(() => this.#redial(), pauseMs + 1);
+    setTimeout(() => this.#openForWaiters(), pauseMs + 1);
   }
 
   #slowPauseMs(): number {
@@ -300,3 +373,8 @@
     return pauseMs * (1 - this.options.random() / 2);
   }
 }
+
+/** True when a connection of a tenant will do. */
+function isServedBy(demand: LinkDemand, tenantName: string): boolean {
+  return demand.tenantName === null || demand.tenantName === tenantName;
+}
--- a/src/relay/link-queue.test.ts
+++ b/src/relay/link-queue.test.ts
@@ -14,7 +14,7 @@
   ...demands: readonly (readonly [priority: number, dueAtMs: number])[]
 ): { demand: LinkDemand }[] {
   return demands.map(([priority, dueAtMs]) => ({
-    demand: { values: new Map(), isWrite: false, priority, dueAtMs },
+    demand: { tenantName: null, values: new Map(), isWrite: false, priority, dueAtMs },
   }));
 }
 
--- a/src/relay/link-queue.ts
+++ b/src/relay/link-queue.ts
@@ -12,6 +12,10 @@
 
 /** What a request wants of a connection. */
 export interface LinkDemand {
+  /**
+   * Name of the tenant that the connection has to belong to; `null` where any will do, for questions of the daemon's own.
+   */
+  readonly tenantName: string | null;
   readonly values: SessionValues;
   /** It may wait for replicas at the leader: a write, or a transaction that may hold one. */
   readonly isWrite: boolean;
--- a/src/relay/link-wait.test.ts
+++ b/src/relay/link-wait.test.ts
@@ -8,7 +8,13 @@
 import { LinkWait, PoolTimeoutError, type PoolWaiter, type WaitingPlace } from './link-wait.js';
 import type { SessionLink } from './session-link.js';
 
-const DEMAND = { values: new Map<string, string>(), isWrite: false, priority: 1, dueAtMs: 0 };
+const DEMAND = {
+  tenantName: null,
+  values: new Map<string, string>(),
+  isWrite: false,
+  priority: 1,
+  dueAtMs: 0,
+};
 const LINK = {} as SessionLink;
 
 class Place implements WaitingPlace {
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -120,6 +120,12 @@
   readonly port: number;
 }
 
+/** A member, and on whose behalf it is connected to. */
+export interface DialTarget extends MemberAddress {
+  /** Name of the tenant that the member is told, for the life of the connection; empty where there is none. */
+  readonly tenantName: string;
+}
+
 /** Opens connections to members. */
 export interface MemberDialer {
   /**
@@ -127,7 +133,7 @@
    * @param acceptMs - longest wait for the member to accept the session, from the start; the same where it is not given
    * @throws {@link DialError}
    */
-  dial(address: MemberAddress, timeoutMs: number, acceptMs?: number): Promise<MemberLink>;
+  dial(target: DialTarget, timeoutMs: number, acceptMs?: number): Promise<MemberLink>;
 }
 
 /** Reads the status out of a reply, or `null` when the member refused. */
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -23,7 +23,11 @@
   #inFlight = 0;
   #waitingSinceMs: number | null = null;
 
-  constructor(private readonly link: MemberLink) {}
+  /** @param tenantName - the tenant that the member was told, for good */
+  constructor(
+    private readonly link: MemberLink,
+    readonly tenantName: string,
+  ) {}
 
   /** True while the connection can be used. */
   get isOpen(): boolean {
--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
+import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { testGroup } from '../../test/support/relay-members.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import type { MemberGroup } from '../topology/member-group.js';
@@ -52,6 +53,7 @@
   targetLatencyMs: 5000,
   priority: 2,
   maxStalenessMs: 1500,
+  isPublic: true,
 };
 
 interface Scene {
@@ -70,6 +72,8 @@
   group.evidence.witness(1, 0, clock.now);
   const context: RelayContext = {
     catalog: new Catalog(),
+    configurationLease: ALWAYS_PROVEN,
+    quotas: NO_QUOTAS,
     zone: 'a',
     observer: QUIET_OBSERVER,
     group: () => group,
@@ -82,6 +86,7 @@
       statement: { kind: 'plain', payload: `READ ${requestId}` },
       route,
       group,
+      tenantName: 'one',
       values: new Map(),
       sessionFloor: null,
       receivedAtMs: clock.now,
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -25,6 +25,8 @@
   readonly statement: SessionStatement;
   readonly route: Route;
   readonly group: MemberGroup;
+  /** Name of the tenant that members are told. */
+  readonly tenantName: string;
   readonly values: SessionValues;
   /** What the session itself has committed, or `null`. */
   readonly sessionFloor: Position | null;
@@ -275,8 +277,14 @@
   }
 
   #demand(): LinkDemand {
-    const { values, route, deadlineMs } = this.job;
-    return { values, isWrite: false, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
+    const { tenantName, values, route, deadlineMs } = this.job;
+    return {
+      tenantName,
+      values,
+      isWrite: false,
+      priority: route.priority,
+      dueAtMs: dueAt(route, deadlineMs),
+    };
   }
 
   async #attempt(asking: Asking): Promise<Attempt> {
--- a/src/relay/refusal.ts
+++ b/src/relay/refusal.ts
@@ -19,6 +19,8 @@
   | 'failed'
   | 'unknown_name'
   | 'unknown_database'
+  /** No tenant holds the caller's key, or none does any more. */
+  | 'unauthorized'
   | 'malformed'
   | 'too_large';
 
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -3,6 +3,8 @@
  *
  * @packageDocumentation
  */
+import type { OperationQuotas } from '../quota/operation-quotas.js';
+import type { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { Catalog } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 
@@ -28,6 +30,10 @@
 /** What the parts of the relay share. */
 export interface RelayContext {
   readonly catalog: Catalog;
+  /** For how long the configuration may be acted on. */
+  readonly configurationLease: Pick<ConfigurationLease, 'isProven'>;
+  /** What tenants may still have run. */
+  readonly quotas: OperationQuotas;
   readonly zone: string;
   readonly observer: RelayObserver;
   /** The group of a name; groups come and go with the configuration. */
@@ -44,5 +50,11 @@
 /** How long the answer to a request that its client no longer waits for may occupy a connection, in milliseconds. */
 export const LATE_ANSWER_MS = 300;
 
+/**
+ * Advice to a client that is turned away since the configuration cannot be shown to be the newest, in milliseconds: a renewal
+ * of the proof is tried more often.
+ */
+export const UNPROVEN_RETRY_AFTER_MS = 250;
+
 /** Advice to a client whose request was not run, in milliseconds. */
 export const RETRY_AFTER_MS = 50;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -28,6 +28,10 @@
 import { MemberControl } from '../leadership/member-control.js';
 import { Supervision } from '../leadership/supervision.js';
 import type { RelayState } from '../observability/relay-metrics.js';
+import { QuotaService } from '../quota/quota-service.js';
+import { ConfigurationLease } from '../tenancy/configuration-lease.js';
+import type { KeyDigest } from '../tenancy/key-digest.js';
+import { LeaseRenewal, type PassedConfiguration } from '../tenancy/lease-renewal.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
 import { MemberDirectory } from '../topology/member-directory.js';
 import { Member, MemberGroup, type MemberEntry } from '../topology/member-group.js';
@@ -51,6 +55,10 @@
   readonly leaveMs: number;
   /** Time between two signs of life of a member in the directory, in milliseconds. */
   readonly heartbeatMs: number;
+  /** Key of the configuration in the store. */
+  readonly configurationKey: string;
+  /** How long a key may be served after it was taken away, in milliseconds; `null` when no bound is strict. */
+  readonly revocationMs: number | null;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
   now(): number;
   random(): number;
@@ -58,6 +66,8 @@
 
 /** Connections that a gateway holds open in advance. */
 const WARM_CONNECTIONS = 2;
+/** Connections that a gateway keeps where each belongs to a tenant, which may come back. */
+const KEPT_TENANT_CONNECTIONS = 4;
 /** Time between looks at silence and departures, in milliseconds. */
 const TICK_MS = 50;
 /** The same while this daemon has nothing under way at any member, in milliseconds: less than any silence that counts. */
@@ -101,6 +111,9 @@
   readonly #sharing: EvidenceSharing;
   readonly #evidenceAnswers = new EvidenceAnswers(() => this.#sharing.ownEvidence());
   readonly #assignments: Assignments;
+  readonly #configurationLease: ConfigurationLease;
+  readonly #leaseRenewal: LeaseRenewal;
+  readonly #quotas: QuotaService;
   readonly #readiness = new Readiness();
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
@@ -178,10 +191,35 @@
         if (isAvailable) this.#duty.storeRegained();
       },
     });
+    this.#configurationLease = new ConfigurationLease(options.revocationMs);
+    this.#leaseRenewal = new LeaseRenewal({
+      lease: this.#configurationLease,
+      store,
+      configurationKey: options.configurationKey,
+      ownName: self.name,
+      zone: options.zone,
+      delegates: () => this.#delegations.of('store'),
+      ask: this.#gatewayClient.askConfiguration.bind(this.#gatewayClient),
+      offer: (item) => this.watched.offer(item),
+      log: options.log,
+      now,
+      random,
+    });
+    this.#quotas = new QuotaService({
+      ownName: self.name,
+      daemons: () => this.#daemons.live,
+      tenant: (name) => this.catalog.tenants.find(name),
+      ask: this.#gatewayClient.askGrant.bind(this.#gatewayClient),
+      isEnded: (record) => this.#mesh.isGone(record),
+      now,
+      random,
+    });
     this.#gatewayServer = new GatewayServer({
       pool: (groupName, memberId) => this.#lendablePool(groupName, memberId),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       changes: (afterRevision, waitMs) => changeRelay.ask(afterRevision, waitMs),
+      configuration: (heldRevision) => this.#passedConfiguration(heldRevision),
+      grant: (request) => this.#quotas.grant(request),
     });
     this.#sharing = new EvidenceSharing({
       ownName: self.name,
@@ -219,6 +257,8 @@
     );
     this.#context = {
       catalog: this.catalog,
+      configurationLease: this.#configurationLease,
+      quotas: this.#quotas,
       zone: options.zone,
       observer: options.observer,
       group: (name) => this.#groups.get(name)?.group ?? null,
@@ -262,6 +302,7 @@
     await this.#gatewayServer.listen(host, gatewayPort);
     this.#duty.prepare();
     this.#runForever(this.#sharing.run());
+    this.#runForever(this.#leaseRenewal.run());
     this.#scheduleTick();
   }
 
@@ -286,25 +327,35 @@
     this.#isStopped = true;
     if (this.#tickTimer !== null) clearTimeout(this.#tickTimer);
     this.#sharing.stop();
+    this.#leaseRenewal.stop();
     this.#mesh.close();
     this.#gatewayServer.close();
     this.#gatewayClient.close();
     for (const watched of this.#groups.values()) this.#forgetGroup(watched);
   }
 
-  /** Opens a session on a database. */
-  openSession(database: string): Session {
-    return new Session(this.#context, database);
+  /** Opens a session on a database, for whoever holds a key. */
+  openSession(database: string, key: KeyDigest | null): Session {
+    return new Session(this.#context, database, key);
   }
 
-  /** Takes a configuration if it is newer. */
-  offerCatalog(document: CatalogDocument): boolean {
-    if (!this.catalog.offer(document)) return false;
+  /** Takes a configuration if it is newer; `revision` is that of its item in the store. */
+  offerCatalog(document: CatalogDocument, revision: number): boolean {
+    const isTaken = this.catalog.offer(document);
+    if (document.version === this.catalog.document?.version) this.#configurationLease.adopt(revision);
+    if (!isTaken) return false;
     this.#assignments.clear();
     this.#syncGroups(document);
     return true;
   }
 
+  /** What this daemon knows of the newest configuration, for one who holds a revision of it. */
+  #passedConfiguration(heldRevision: number): PassedConfiguration {
+    const proof = this.#configurationLease.handOn(this.options.now());
+    const item = this.watched.items.get(this.options.configurationKey);
+    return { proof, item: item !== undefined && item.revision > heldRevision ? item : null };
+  }
+
   #lookWhetherReady(): void {
     if (this.#readiness.isReady || this.catalog.document === null || !this.directory.isLoaded) return;
     const now = this.options.now();
@@ -412,7 +463,7 @@
       this.directory.check(group);
       for (const member of group.members.values()) {
         member.pool.own.trim();
-        if (this.#assignments.isGateway(member.entry)) member.pool.own.warm(WARM_CONNECTIONS);
+        if (this.#assignments.isGateway(member.entry)) this.#keepWarm(member.pool.own);
       }
     }
     this.#control.trim();
@@ -424,6 +475,16 @@
     this.#keepConnected();
   }
 
+  /** For whom connections to open is known in advance only where there are no tenants. */
+  #keepWarm(pool: LinkPool): void {
+    if (this.catalog.tenants.size > 0) {
+      pool.keep(KEPT_TENANT_CONNECTIONS);
+      return;
+    }
+    pool.keep(WARM_CONNECTIONS);
+    pool.warm();
+  }
+
   /** The holder of the duty opens connections to the others that were lost: over them it is asked for evidence. */
   #keepConnected(): void {
     const now = this.options.now();
@@ -490,6 +551,7 @@
     this.#assignments.clear();
     this.#delegations.clear();
     this.#gatewayClient.retain(this.#daemons.live);
+    this.#quotas.daemonsChanged();
     if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
   }
 
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -5,12 +5,14 @@
  */
 import type { Position } from '../position/position.js';
 import { laterPosition } from '../position/position.js';
+import { authorize, type Caller } from '../tenancy/authorize.js';
+import type { KeyDigest } from '../tenancy/key-digest.js';
 import type { Route } from '../topology/catalog.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import type { MemberErrorCode, MemberReply } from './member-link.js';
 import { ReadRunner } from './read-runner.js';
 import { Refusal, type RefusalCode } from './refusal.js';
-import { RETRY_AFTER_MS, type RelayContext } from './relay-context.js';
+import { RETRY_AFTER_MS, UNPROVEN_RETRY_AFTER_MS, type RelayContext } from './relay-context.js';
 import type { SessionStatement } from './send-statement.js';
 import type { ClientRequest, PreparedShape, Statement, TransactionState } from './statement.js';
 import { Transaction, type TransactionStep } from './transaction.js';
@@ -39,21 +41,40 @@
   readonly position: Position;
 }
 
+/** A statement that is an operation by itself. */
+interface Operation {
+  readonly request: ClientRequest;
+  readonly statement: SessionStatement;
+  readonly route: Route;
+  readonly group: MemberGroup;
+  readonly tenantName: string;
+}
+
+/** A transaction that the client has begun; no member knows of it until its first statement. */
+interface BeginRequest {
+  readonly isReadOnly: boolean;
+  readonly receivedAtMs: number;
+  readonly route: Route;
+  readonly group: MemberGroup;
+  readonly tenantName: string;
+}
+
 /** One client session. */
 export class Session {
   readonly #values = new Map<string, string>();
   readonly #prepared = new Map<string, PreparedShape>();
   #state: TransactionState = 'idle';
   #transaction: Transaction | null = null;
-  #beginRequest: { isReadOnly: boolean; receivedAtMs: number; route: Route; group: MemberGroup } | null =
-    null;
+  #beginRequest: BeginRequest | null = null;
   #ownPosition: OwnPosition | null = null;
   #restTimer: NodeJS.Timeout | null = null;
   #isHandling = false;
 
+  /** @param key - of the client; `null` when it gave none */
   constructor(
     private readonly context: RelayContext,
     private readonly database: string,
+    private readonly key: KeyDigest | null,
   ) {}
 
   /** Transaction state as the client knows it. */
@@ -66,6 +87,14 @@
     return this.#isHandling;
   }
 
+  /** Why the session may not be opened, or `null`. */
+  admit(): Refusal | null {
+    const route = this.context.catalog.route(this.database);
+    if (route === null) return unknownDatabase(this.database);
+    const answer = this.#authorization(route);
+    return answer instanceof Refusal ? answer : null;
+  }
+
   /** Handles one request; never rejects. */
   async handle(request: ClientRequest): Promise<SessionReply> {
     this.#isHandling = true;
@@ -135,6 +164,7 @@
         return DONE;
       case 'commit':
         if (this.#state === 'idle') throw malformed('no transaction is open');
+        this.#authorizeInTransaction();
         return this.#commit(request, statement.payload);
       case 'set':
         requireRoom(this.#values, statement.name);
@@ -165,10 +195,13 @@
     throw malformed('the transaction has failed');
   }
 
-  #begin(isReadOnly: boolean, receivedAtMs: number): SessionResult {
+  async #begin(isReadOnly: boolean, receivedAtMs: number): Promise<SessionResult> {
     if (this.#state !== 'idle') throw malformed('a transaction is open');
     const { route, group } = this.#route();
-    this.#beginRequest = { isReadOnly, receivedAtMs, route, group };
+    const caller = this.#authorize(route);
+    await this.#charge(caller);
+    const { tenantName } = caller;
+    this.#beginRequest = { isReadOnly, receivedAtMs, route, group, tenantName };
     this.#state = 'open';
     return DONE;
   }
@@ -181,14 +214,35 @@
   }
 
   #run(request: ClientRequest, statement: SessionStatement, isWrite: boolean): Promise<SessionResult> {
-    if (this.#state === 'open') return this.#inTransaction(request, statement, isWrite ? 'write' : 'read');
-    return isWrite ? this.#singleWrite(request, statement) : this.#singleRead(request, statement);
+    if (this.#state === 'open') {
+      this.#authorizeInTransaction();
+      return this.#inTransaction(request, statement, isWrite ? 'write' : 'read');
+    }
+    return this.#single(request, statement, isWrite);
   }
 
-  async #singleRead(request: ClientRequest, statement: SessionStatement): Promise<SessionResult> {
+  /** A statement that is an operation by itself; one that is not run is not charged. */
+  async #single(
+    request: ClientRequest,
+    statement: SessionStatement,
+    isWrite: boolean,
+  ): Promise<SessionResult> {
     const { route, group } = this.#route();
+    const caller = this.#authorize(route);
+    const refund = await this.#charge(caller);
+    const operation = { request, statement, route, group, tenantName: caller.tenantName };
+    try {
+      return await (isWrite ? this.#singleWrite(operation) : this.#singleRead(operation));
+    } catch (error) {
+      if (error instanceof Refusal && error.verdict === 'not_run') refund();
+      throw error;
+    }
+  }
+
+  async #singleRead({ request, statement, route, group, tenantName }: Operation): Promise<SessionResult> {
     const { requestId, receivedAtMs } = request;
     const job = {
+      tenantName,
       requestId,
       statement,
       route,
@@ -201,11 +255,10 @@
     return toResult(await new ReadRunner(this.context, job).run(), false);
   }
 
-  async #singleWrite(request: ClientRequest, statement: SessionStatement): Promise<SessionResult> {
-    const { route, group } = this.#route();
+  async #singleWrite({ request, statement, route, group, tenantName }: Operation): Promise<SessionResult> {
     const { requestId, receivedAtMs } = request;
     const deadlineMs = receivedAtMs + route.timeoutMs;
-    const job = { requestId, statement, route, group, values: this.#values, deadlineMs };
+    const job = { requestId, statement, route, group, tenantName, values: this.#values, deadlineMs };
     const reply = await new WriteRunner(this.context, job).run();
     if (reply.result.isComplete) this.#recordOwn(group, reply.position);
     return toResult(reply, false);
@@ -249,13 +302,67 @@
 
   #route(): { route: Route; group: MemberGroup } {
     const route = this.context.catalog.route(this.database);
-    if (route === null)
-      throw new Refusal('unknown_database', 'not_run', `no such database: ${this.database}`);
+    if (route === null) throw unknownDatabase(this.database);
     const group = this.context.group(route.groupName);
     if (group === null) throw new Refusal('busy', 'not_run', 'the group is not known yet', RETRY_AFTER_MS);
     return { route, group };
   }
 
+  #authorization(route: Route): Caller | Refusal {
+    const { catalog, configurationLease, now } = this.context;
+    const { document } = catalog;
+    if (document === null) throw new Error('a route without a configuration');
+    const isProven = configurationLease.isProven(now());
+    const authorization = authorize(document, isProven, route, this.key);
+    switch (authorization.kind) {
+      case 'granted':
+        return authorization.caller;
+      case 'unknown_key':
+        return new Refusal('unauthorized', 'not_run', 'no tenant holds this key');
+      case 'unproven':
+        return new Refusal(
+          'busy',
+          'not_run',
+          'the configuration may be out of date',
+          UNPROVEN_RETRY_AFTER_MS,
+        );
+    }
+  }
+
+  /** Who calls; asked for each operation, since keys are taken away while sessions are open. */
+  #authorize(route: Route): Caller {
+    const answer = this.#authorization(route);
+    if (answer instanceof Refusal) throw answer;
+    return answer;
+  }
+
+  /** The same for each statement of an open transaction, which goes on only for the tenant that has begun it. */
+  #authorizeInTransaction(): void {
+    const begin = this.#beginRequest;
+    if (begin === null) return;
+    const answer = this.#authorization(begin.route);
+    if (!(answer instanceof Refusal)) {
+      if (answer.tenantName === begin.tenantName) return;
+      throw new Refusal('aborted', 'not_run', 'the key has passed to another tenant', RETRY_AFTER_MS);
+    }
+    if (answer.code === 'unauthorized') throw answer;
+    throw new Refusal('aborted', 'not_run', answer.message, answer.retryAfterMs);
+  }
+
+  /** Charges an operation to the caller's account; what is returned gives it back. */
+  async #charge({ account }: Caller): Promise<() => void> {
+    if (account === null) return () => undefined;
+    const charge = await this.context.quotas.charge(account);
+    switch (charge.kind) {
+      case 'charged':
+        return charge.refund;
+      case 'over_quota':
+        throw new Refusal('busy', 'not_run', 'the tenant has used up its quota', charge.retryAfterMs);
+      case 'no_home':
+        throw new Refusal('busy', 'not_run', 'the quota of the tenant is not known', charge.retryAfterMs);
+    }
+  }
+
   #floorIn(group: MemberGroup): Position | null {
     return this.#ownPosition?.groupName === group.name ? this.#ownPosition.position : null;
   }
@@ -282,6 +389,10 @@
   }
 }
 
+function unknownDatabase(database: string): Refusal {
+  return new Refusal('unknown_database', 'not_run', `no such database: ${database}`);
+}
+
 function malformed(reason: string): Refusal {
   return new Refusal('malformed', 'not_run', reason);
 }
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
+import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { Member, MemberGroup } from '../topology/member-group.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
@@ -71,6 +72,7 @@
   targetLatencyMs: 100,
   priority: 1,
   maxStalenessMs: 0,
+  isPublic: true,
 };
 
 function scene(): { link: SlowLink; transaction: Transaction } {
@@ -117,13 +119,22 @@
   group.evidence.vouch(1e9, 0);
   const context: RelayContext = {
     catalog: new Catalog(),
+    configurationLease: ALWAYS_PROVEN,
+    quotas: NO_QUOTAS,
     zone: 'a',
     observer: QUIET_OBSERVER,
     group: () => group,
     now: () => 0,
     suspect: () => undefined,
   };
-  const options = { route: ROUTE, group, isReadOnly: false, receivedAtMs: 0, sessionFloor: null };
+  const options = {
+    route: ROUTE,
+    group,
+    isReadOnly: false,
+    receivedAtMs: 0,
+    tenantName: 'one',
+    sessionFloor: null,
+  };
   return { link, transaction: new Transaction(context, options) };
 }
 
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -22,6 +22,8 @@
   readonly group: MemberGroup;
   readonly isReadOnly: boolean;
   readonly receivedAtMs: number;
+  /** Name of the tenant that members are told. */
+  readonly tenantName: string;
   readonly sessionFloor: Position | null;
 }
 
@@ -160,13 +162,13 @@
   /** Begins at a member and runs the first statement; `null` when nothing is kept and another may be tried. */
   async #firstAt(member: Member, step: TransactionStep): Promise<MemberReply | null> {
     const { context, options } = this;
-    const { group, route } = options;
+    const { group, route, tenantName } = options;
     this.#isUnreachable = false;
     let link: SessionLink;
     try {
       const dueAtMs = dueAt(route, step.deadlineMs);
       const isWrite = !this.#mayUseReplica();
-      const demand = { values: step.values, isWrite, priority: route.priority, dueAtMs };
+      const demand = { tenantName, values: step.values, isWrite, priority: route.priority, dueAtMs };
       link = await member.pool.acquire(demand, step.deadlineMs - context.now());
     } catch (error) {
       this.#isUnreachable = error instanceof DialError;
--- a/src/relay/verdicts.test.ts
+++ b/src/relay/verdicts.test.ts
@@ -7,6 +7,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
+import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { testGroup } from '../../test/support/relay-members.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import type { MemberGroup } from '../topology/member-group.js';
@@ -49,6 +50,7 @@
   targetLatencyMs: 30,
   priority: 2,
   maxStalenessMs: 1500,
+  isPublic: true,
 };
 
 /** Members that follow a script and count what they run. */
@@ -135,6 +137,8 @@
   group.recordLed(now() - 100, { term: 1, index: 5 });
   const context: RelayContext = {
     catalog: new Catalog(),
+    configurationLease: ALWAYS_PROVEN,
+    quotas: NO_QUOTAS,
     zone: 'a',
     observer: QUIET_OBSERVER,
     group: () => group,
@@ -174,6 +178,7 @@
       statement: PLAIN,
       route: ROUTE,
       group,
+      tenantName: 'one',
       values: new Map<string, string>(),
       sessionFloor: null,
       receivedAtMs,
@@ -193,6 +198,7 @@
       statement: PLAIN,
       route: ROUTE,
       group,
+      tenantName: 'one',
       values: new Map<string, string>(),
       deadlineMs: performance.now() + TIMEOUT_MS,
     };
@@ -212,6 +218,7 @@
       group,
       isReadOnly,
       receivedAtMs,
+      tenantName: 'one',
       sessionFloor: null,
     });
     const step = {
--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
+import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
 import { Refusal } from './refusal.js';
@@ -20,6 +21,7 @@
   targetLatencyMs: 100,
   priority: 1,
   maxStalenessMs: 0,
+  isPublic: true,
 };
 /** Time that passes with each look at the clock, in milliseconds. */
 const STEP_MS = 20;
@@ -38,6 +40,8 @@
   group.evidence.witness(1, 0, now);
   const context: RelayContext = {
     catalog: new Catalog(),
+    configurationLease: ALWAYS_PROVEN,
+    quotas: NO_QUOTAS,
     zone: 'a',
     observer: QUIET_OBSERVER,
     group: () => group,
@@ -50,6 +54,7 @@
     statement: { kind: 'plain', payload: 'WRITE k v' },
     route: ROUTE,
     group,
+    tenantName: 'one',
     values: new Map(),
     deadlineMs: now + ROUTE.timeoutMs,
   } as const;
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -19,6 +19,8 @@
   readonly statement: SessionStatement;
   readonly route: Route;
   readonly group: MemberGroup;
+  /** Name of the tenant that members are told. */
+  readonly tenantName: string;
   readonly values: SessionValues;
   readonly deadlineMs: number;
 }
@@ -164,8 +166,8 @@
   }
 
   #demand(): LinkDemand {
-    const { values, route, deadlineMs } = this.job;
-    return { values, isWrite: true, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
+    const { tenantName, values, route, deadlineMs } = this.job;
+    return { tenantName, values, isWrite: true, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
   }
 
   #notRun(): Refusal {
--- /dev/null
+++ b/src/tenancy/configuration-lease.ts
@@ -0,0 +1,81 @@
+/**
+ * For how long this daemon may act on the configuration that it holds. Pure.
+ *
+ * A key that was taken away must not be served for longer than a bound after that was acknowledged, also by a daemon that
+ * hears of nothing. So the configuration is held under a lease: it may be acted on while it is known to have been the newest
+ * at a moment less than the bound ago. That moment is taken before the question is put, by this daemon's monotonic clock, so
+ * that late answers, pauses of the process and the time that a proof spends at other daemons only shorten the lease.
+ *
+ * @packageDocumentation
+ */
+
+/** What somebody knows: at a moment, no configuration was newer than the one of this revision. */
+export interface ConfigurationProof {
+  readonly revision: number;
+  /** Monotonic milliseconds of this daemon. */
+  readonly provenAtMs: number;
+}
+
+/** A proof as it is handed on: clocks of daemons have nothing in common but their pace. */
+export interface AgedProof {
+  readonly revision: number;
+  /** At least the time since the moment of the proof, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Taken off the bound, in milliseconds: clocks of machines run at slightly different paces. */
+const SAFETY_MS = 50;
+
+/** The lease of one daemon. */
+export class ConfigurationLease {
+  #heldRevision = 0;
+  /** The latest proof, also of a configuration that has not come yet. */
+  #latest: ConfigurationProof | null = null;
+  /** The latest proof that what is held was the newest. */
+  #held: ConfigurationProof | null = null;
+
+  /** @param boundMs - how long a key may be served after it was taken away; `null` when no bound is strict */
+  constructor(private readonly boundMs: number | null) {}
+
+  /** True when proofs are needed. */
+  get isNeeded(): boolean {
+    return this.boundMs !== null;
+  }
+
+  /** Revision of the configuration in force; 0 before the first. */
+  get heldRevision(): number {
+    return this.#heldRevision;
+  }
+
+  /** The configuration of a revision is in force. */
+  adopt(revision: number): void {
+    if (revision < this.#heldRevision) return;
+    this.#heldRevision = revision;
+    if (this.#latest !== null && this.#latest.revision <= revision) this.#held = this.#latest;
+  }
+
+  /** Takes a proof. */
+  prove(proof: ConfigurationProof): void {
+    if (this.#latest === null || proof.provenAtMs > this.#latest.provenAtMs) this.#latest = proof;
+    if (proof.revision > this.#heldRevision) return;
+    if (this.#held === null || proof.provenAtMs > this.#held.provenAtMs) this.#held = proof;
+  }
+
+  /** True while the configuration in force may be acted on. */
+  isProven(nowMs: number): boolean {
+    if (this.boundMs === null) return true;
+    return this.#held !== null && nowMs - this.#held.provenAtMs < this.boundMs - SAFETY_MS;
+  }
+
+  /** Time since the moment of the proof by which the configuration is acted on, in milliseconds; `null` without one. */
+  ageMs(nowMs: number): number | null {
+    return this.#held === null ? null : nowMs - this.#held.provenAtMs;
+  }
+
+  /** The latest proof, for another daemon; `null` when it is of no use any more. */
+  handOn(nowMs: number): AgedProof | null {
+    if (this.boundMs === null || this.#latest === null) return null;
+    const ageMs = nowMs - this.#latest.provenAtMs;
+    return ageMs < this.boundMs ? { revision: this.#latest.revision, ageMs } : null;
+  }
+}
--- /dev/null
+++ b/src/tenancy/lease-renewal.ts
@@ -0,0 +1,153 @@
+/**
+ * Renews the lease on the configuration: from the store, or from a daemon that has it from there.
+ *
+ * In a large fleet a few daemons of each zone ask the store, and the others ask these, so that the store's calls do not grow
+ * with the number of daemons. Whoever the store turns away asks other daemons; whoever reaches no daemon asks the store.
+ *
+ * @packageDocumentation
+ */
+import { delay } from '../common/signal.js';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { type CoordinationStore, StoreError, type StoredItem } from '../coordination/coordination-store.js';
+import type { AgedProof, ConfigurationLease } from './configuration-lease.js';
+
+/**
+ * Time between renewals, in milliseconds. A proof is at most two of them and two answers old when it is renewed at a daemon
+ * that has it from another, so one of 5 s bears 2 s in which nobody answers.
+ */
+const RENEWAL_MS = 1000;
+/** Pause after a renewal that failed, in milliseconds: doubled from the first to the time between renewals. */
+const FIRST_PAUSE_MS = 125;
+/** Longest waits for the store and for another daemon, in milliseconds. */
+const STORE_MS = 400;
+const DAEMON_MS = 250;
+/** Daemons that are asked before a renewal has failed. */
+const MAX_ASKED = 4;
+
+/** What another daemon hands on. */
+export interface PassedConfiguration {
+  readonly proof: AgedProof | null;
+  /** The configuration, where it is newer than the one that the asking daemon holds. */
+  readonly item: StoredItem | null;
+}
+
+/** What the renewal needs. */
+export interface LeaseRenewalOptions {
+  readonly lease: ConfigurationLease;
+  readonly store: Pick<CoordinationStore, 'readIfChanged'>;
+  /** Key of the configuration in the store. */
+  readonly configurationKey: string;
+  readonly ownName: string;
+  readonly zone: string;
+  /** The daemons that ask the store for all; `null` when everybody does. */
+  delegates(): readonly DaemonRecord[] | null;
+  /** Asks another daemon; `null` when it does not answer in time. */
+  ask(record: DaemonRecord, heldRevision: number, timeoutMs: number): Promise<PassedConfiguration | null>;
+  /** A configuration that is newer than the one held. */
+  offer(item: StoredItem): void;
+  log(event: string, details: Readonly<Record<string, unknown>>): void;
+  now(): number;
+  /** A number from 0 up to 1. */
+  random(): number;
+  /** Waits, in milliseconds. */
+  rest?(ms: number): Promise<void>;
+}
+
+/** Keeps the lease of one daemon. */
+export class LeaseRenewal {
+  #isStopped = false;
+  #failures = 0;
+  #wasProven = true;
+
+  constructor(private readonly options: LeaseRenewalOptions) {}
+
+  /** Renews until {@link LeaseRenewal.stop}; returns at once where no lease is needed. */
+  async run(): Promise<void> {
+    const { rest = delay } = this.options;
+    while (this.options.lease.isNeeded && !this.#isStopped) {
+      const isRenewed = await this.renew();
+      this.#failures = isRenewed ? 0 : this.#failures + 1;
+      this.#noteProof();
+      await rest(this.#pauseMs());
+    }
+  }
+
+  /** Stops renewing. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** One renewal; false when nobody had a proof. */
+  async renew(): Promise<boolean> {
+    const { ownName } = this.options;
+    const delegates = this.options.delegates();
+    const asksStore = delegates === null || delegates.some(({ name }) => name === ownName);
+    if (asksStore && (await this.#askStore())) return true;
+    let hasAnswered = false;
+    for (const record of this.#inOrder(delegates ?? [])) {
+      const answer = await this.#askDaemon(record);
+      if (answer === 'renewed') return true;
+      if (answer === 'no_proof') hasAnswered = true;
+    }
+    return !asksStore && !hasAnswered && (await this.#askStore());
+  }
+
+  async #askStore(): Promise<boolean> {
+    const { lease, store, configurationKey, now } = this.options;
+    const askedAtMs = now();
+    const knownRevision = lease.heldRevision;
+    try {
+      const answer = await store.readIfChanged(configurationKey, knownRevision, STORE_MS);
+      if (answer.kind === 'unchanged') {
+        lease.prove({ revision: knownRevision, provenAtMs: askedAtMs });
+        return true;
+      }
+      if (answer.item === null) return false;
+      this.options.offer(answer.item);
+      lease.prove({ revision: answer.item.revision, provenAtMs: askedAtMs });
+      return true;
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      return false;
+    }
+  }
+
+  async #askDaemon(record: DaemonRecord): Promise<'renewed' | 'no_proof' | 'silent'> {
+    const { lease, ask, now } = this.options;
+    const askedAtMs = now();
+    const answer = await ask(record, lease.heldRevision, DAEMON_MS);
+    if (answer === null) return 'silent';
+    if (answer.item !== null) this.options.offer(answer.item);
+    if (answer.proof === null) return 'no_proof';
+    const { revision, ageMs } = answer.proof;
+    lease.prove({ revision, provenAtMs: askedAtMs - ageMs });
+    return 'renewed';
+  }
+
+  /** Other delegates, those of the own zone first, each part in an order of chance. */
+  #inOrder(delegates: readonly DaemonRecord[]): readonly DaemonRecord[] {
+    const { ownName, zone, random } = this.options;
+    return delegates
+      .filter(({ name }) => name !== ownName)
+      .map((record) => ({ record, order: (record.zone === zone ? 0 : 1) + random() }))
+      .sort((one, other) => one.order - other.order)
+      .slice(0, MAX_ASKED)
+      .map(({ record }) => record);
+  }
+
+  #pauseMs(): number {
+    const ceiling = Math.min(RENEWAL_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures, 8));
+    return this.#failures === 0 ? RENEWAL_MS : ceiling * (0.5 + this.options.random() / 2);
+  }
+
+  #noteProof(): void {
+    const { lease, log, now } = this.options;
+    const isProven = lease.isProven(now());
+    if (isProven === this.#wasProven) return;
+    this.#wasProven = isProven;
+    log(isProven ? 'configuration_proven' : 'configuration_unproven', {
+      revision: lease.heldRevision,
+      ageMs: Math.round(lease.ageMs(now()) ?? -1),
+    });
+  }
+}
--- a/src/topology/catalog.ts
+++ b/src/topology/catalog.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 
+import { NO_TENANTS, type TenantRegister } from '../tenancy/tenant-register.js';
+
 /** What a route promises of its reads. */
 export type Consistency =
   /** Reads see every acknowledged commit. */
@@ -26,6 +28,8 @@
   readonly priority: number;
   /** Oldest state that a read may see, in milliseconds; 0 on primary routes. */
   readonly maxStalenessMs: number;
+  /** Anybody may use it; of other routes, only callers whose key a tenant holds. */
+  readonly isPublic: boolean;
 }
 
 /** One group of members. */
@@ -42,6 +46,7 @@
   readonly version: number;
   readonly routes: ReadonlyMap<string, Route>;
   readonly groups: ReadonlyMap<string, GroupSettings>;
+  readonly tenants: TenantRegister;
   /** Longest rest of a transaction between two statements, in milliseconds. */
   readonly transactionIdleMs: number;
   /** Longest message of a client, in bytes. */
@@ -64,6 +69,11 @@
     return true;
   }
 
+  /** The tenants of the configuration in force. */
+  get tenants(): TenantRegister {
+    return this.#document?.tenants ?? NO_TENANTS;
+  }
+
   /** The route of a database name, or `null`. */
   route(database: string): Route | null {
     return this.#document?.routes.get(database) ?? null;
--- a/src/topology/topology.test.ts
+++ b/src/topology/topology.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NO_TENANTS } from '../tenancy/tenant-register.js';
 import { Catalog, type CatalogDocument } from './catalog.js';
 import { selectReadMember, type ReadCandidate } from './select-member.js';
 
@@ -13,6 +14,7 @@
     version: number,
     routes: new Map(),
     groups: new Map(),
+    tenants: NO_TENANTS,
     transactionIdleMs: 3000,
     maxMessageBytes: 1000,
   };
--- a/test/integration/connection-congestion.test.ts
+++ b/test/integration/connection-congestion.test.ts
@@ -97,7 +97,13 @@
     const pool = [...this.#pools.values()][this.#asked++ % GATEWAYS];
     if (pool === undefined) return;
     const dueAtMs = this.time.now + OBJECTIVE_MS;
-    const demand = { values: new Map<string, string>(), isWrite: false, priority: 1, dueAtMs };
+    const demand = {
+      tenantName: null,
+      values: new Map<string, string>(),
+      isWrite: false,
+      priority: 1,
+      dueAtMs,
+    };
     try {
       const link = await pool.acquire(demand, OBJECTIVE_MS);
       const reply = await link.send({ kind: 'statement', requestId: 'r', payload: 'READ x', after: null });
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -5,6 +5,7 @@
  */
 import {
   StoreError,
+  type ConditionalRead,
   type CoordinationStore,
   type StoredItem,
   type StoreTransaction,
@@ -33,6 +34,11 @@
     return Promise.resolve(this.items.get(key) ?? null);
   }
 
+  async readIfChanged(key: string, knownRevision: number): Promise<ConditionalRead> {
+    const item = await this.read(key);
+    return (item?.revision ?? 0) === knownRevision ? { kind: 'unchanged' } : { kind: 'changed', item };
+  }
+
   async watch(): Promise<WatchAnswer> {
     const next = this.watchAnswers.shift();
     if (next !== undefined) return next;
