Tests of tenants, keys and quotas; a stand-in begins with nothing, and a daemon that the store turns away asks others

And in a small fleet, where every daemon asks the store, one that the store turned away asked nobody else.

Stand-in buckets begin empty for each life of a home; buckets of tenants whose home is elsewhere are dropped; the renewal asks the other daemons where there are no delegates.

Pool: property that no connection passes to another tenant and nobody starves. Quotas: 1,000 modelled daemons with late answers, restarts, cuts and homes that move.

--- a/src/quota/quota-home.ts
+++ b/src/quota/quota-home.ts
@@ -71,8 +71,16 @@
     if (home === undefined) return null;
     if (home.name === this.options.ownName) return this.grantOwn(tenantName, count);
     if (!isForHome || next?.name !== this.options.ownName) return null;
-    if (await this.#isEnded(home)) return this.grantOwn(tenantName, count);
-    return this.#grantShare(tenantName, count);
+    const isEnded = await this.#isEnded(home);
+    return this.#grantFor(home, isEnded ? 1 : STAND_IN_SHARE, tenantName, count);
+  }
+
+  /** The daemons have changed: another home may grant what a bucket here would go on filling up with. */
+  daemonsChanged(): void {
+    const { inLine, ownName } = this.options;
+    for (const tenantName of [...this.#buckets.keys()])
+      if (inLine(tenantName)[0]?.name !== ownName) this.#buckets.delete(tenantName);
+    this.#standInBuckets.clear();
   }
 
   /** Grants as the home. */
@@ -80,25 +88,18 @@
     const quota = this.options.tenant(tenantName)?.quota;
     if (quota === undefined) return null;
     if (quota === null) return { count, roomInMs: 0 };
-    return this.#bucket(this.#buckets, tenantName).take(count, quota, this.options.now());
+    const bucket = bucketOf(this.#buckets, tenantName, this.options.sinceMs());
+    return bucket.take(count, quota, this.options.now());
   }
 
-  #grantShare(tenantName: string, count: number): Grant | null {
+  /** Grants a share of the quota in place of a home: of nothing at first, since the home may have granted all. */
+  #grantFor(home: DaemonRecord, share: number, tenantName: string, count: number): Grant | null {
     const quota = this.options.tenant(tenantName)?.quota;
     if (quota === undefined) return null;
     if (quota === null) return { count, roomInMs: 0 };
-    const share = { ratePerS: quota.ratePerS * STAND_IN_SHARE, burst: quota.burst * STAND_IN_SHARE };
-    return this.#bucket(this.#standInBuckets, tenantName).take(count, share, this.options.now());
-  }
-
-  #bucket(buckets: Map<string, TokenBucket>, tenantName: string): TokenBucket {
-    let bucket = buckets.get(tenantName);
-    if (bucket === undefined) {
-      if (buckets.size >= MAX_BUCKETS) buckets.clear();
-      bucket = new TokenBucket(this.options.sinceMs());
-      buckets.set(tenantName, bucket);
-    }
-    return bucket;
+    const nowMs = this.options.now();
+    const bucket = bucketOf(this.#standInBuckets, `${share} ${home.name} ${home.life} ${tenantName}`, nowMs);
+    return bucket.take(count, { ratePerS: quota.ratePerS * share, burst: quota.burst * share }, nowMs);
   }
 
   #isEnded(home: DaemonRecord): Promise<boolean> {
@@ -111,3 +112,13 @@
     return isEnded;
   }
 }
+
+/** The bucket of a key; a new one has filled since `sinceMs`. */
+function bucketOf(buckets: Map<string, TokenBucket>, key: string, sinceMs: number): TokenBucket {
+  let bucket = buckets.get(key);
+  if (bucket !== undefined) return bucket;
+  if (buckets.size >= MAX_BUCKETS) buckets.clear();
+  bucket = new TokenBucket(sinceMs);
+  buckets.set(key, bucket);
+  return bucket;
+}
--- a/src/quota/quota-service.ts
+++ b/src/quota/quota-service.ts
@@ -61,6 +61,7 @@
     const lives = new Set(this.options.daemons().map(({ name, life }) => `${name} ${life}`));
     for (const life of this.#lives) if (!lives.has(life)) this.#leftAtMs = this.options.now();
     this.#lives = lives;
+    this.#home.daemonsChanged();
   }
 
   #lineOf(tenantName: string): readonly DaemonRecord[] {
--- /dev/null
+++ b/src/quota/quota.test.ts
@@ -0,0 +1,365 @@
+/**
+ * Quotas of a fleet: what is granted stays under the limit in every window, whatever becomes of the homes.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { daemonRecord, fleetOf } from '../../test/support/daemon-records.js';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { Tenant } from '../tenancy/tenant-register.js';
+import { GrantedQuotas, type Charge } from './operation-quotas.js';
+import { QuotaHome, type Grant, type GrantRequest } from './quota-home.js';
+import { QuotaService } from './quota-service.js';
+import { TokenBucket } from './token-bucket.js';
+
+const WINDOW_MS = 5000;
+const TENANT: Tenant = { name: 'amber', priority: 0, quota: { ratePerS: 40, burst: 40 } };
+
+/** Most operations in any window: the quota, a tenth above it, and some. */
+function allowed({ ratePerS, burst }: { ratePerS: number; burst: number }): number {
+  return ((ratePerS * WINDOW_MS) / 1000 + burst) * 1.1 + 20;
+}
+
+/** Most of the times that lie within one window, wherever it begins. */
+function mostInWindow(times: readonly number[]): number {
+  const sorted = [...times].sort((one, other) => one - other);
+  let most = 0;
+  let from = 0;
+  for (const [index, time] of sorted.entries()) {
+    while ((sorted[from] ?? 0) <= time - WINDOW_MS) from += 1;
+    most = Math.max(most, index - from + 1);
+  }
+  return most;
+}
+
+describe('a token bucket', () => {
+  test('gives its burst, then its rate, and says when there is more', () => {
+    const bucket = new TokenBucket(0);
+    const quota = { ratePerS: 10, burst: 5 };
+    assert.deepEqual(bucket.take(3, quota, 10_000), { count: 3, roomInMs: 0 });
+    assert.deepEqual(bucket.take(9, quota, 10_000), { count: 2, roomInMs: 100 });
+    assert.deepEqual(bucket.take(1, quota, 10_050), { count: 0, roomInMs: 50 });
+    assert.deepEqual(bucket.take(1, quota, 10_100), { count: 1, roomInMs: 100 });
+  });
+
+  test('follows a limit that is lowered at once, and never fills at rate 0', () => {
+    const bucket = new TokenBucket(0);
+    assert.equal(bucket.take(1, { ratePerS: 100, burst: 100 }, 10_000).count, 1);
+    assert.equal(bucket.take(100, { ratePerS: 2, burst: 3 }, 10_000).count, 3);
+    assert.equal(bucket.take(100, { ratePerS: 0, burst: 3 }, 90_000).count, 0);
+  });
+
+  test('whoever comes with a clock that is behind takes no more for it', () => {
+    const bucket = new TokenBucket(0);
+    const quota = { ratePerS: 10, burst: 10 };
+    assert.equal(bucket.take(10, quota, 10_000).count, 10);
+    assert.equal(bucket.take(10, quota, 5000).count, 0);
+    assert.equal(bucket.take(10, quota, 10_000).count, 0);
+  });
+});
+
+/** A fleet in modelled time: every daemon has its own view of who lives, and messages take time. */
+class ModelledFleet {
+  nowMs = 0;
+  readonly runs: number[] = [];
+  refused = 0;
+  readonly #services = new Map<string, QuotaService>();
+  readonly #views = new Map<string, readonly DaemonRecord[]>();
+  readonly #down = new Set<string>();
+  readonly #due: { atMs: number; run: () => void }[] = [];
+  readonly #cut = new Set<string>();
+
+  constructor(
+    readonly records: readonly DaemonRecord[],
+    private readonly tenant: Tenant,
+    private readonly delayMs: () => number,
+    private readonly random: () => number,
+  ) {
+    for (const record of records) this.start(record);
+  }
+
+  /** A process starts anew, and knows nothing. */
+  start(record: DaemonRecord): void {
+    this.#down.delete(record.name);
+    this.#views.set(record.name, this.#views.get(record.name) ?? this.records);
+    const service = new QuotaService({
+      ownName: record.name,
+      daemons: () => this.#views.get(record.name) ?? [],
+      tenant: (name) => (name === this.tenant.name ? this.tenant : null),
+      ask: (other, request, timeoutMs) => this.#ask(record, other, request, timeoutMs),
+      isEnded: (other) => Promise.resolve(this.#down.has(other.name) && !this.#isCut(record, other)),
+      now: () => this.nowMs,
+      random: this.random,
+    });
+    service.daemonsChanged();
+    this.#services.set(record.name, service);
+  }
+
+  kill({ name }: DaemonRecord): void {
+    this.#down.add(name);
+    this.#services.delete(name);
+  }
+
+  /** One daemon reaches no other any more, and the other way round. */
+  cut({ name }: DaemonRecord): void {
+    this.#cut.add(name);
+  }
+
+  /** What a daemon knows of who lives. */
+  view({ name }: DaemonRecord, records: readonly DaemonRecord[]): void {
+    this.#views.set(name, records);
+    this.#services.get(name)?.daemonsChanged();
+  }
+
+  /** An operation comes in. */
+  operation({ name }: DaemonRecord): void {
+    const service = this.#services.get(name);
+    if (service === undefined) return;
+    void Promise.resolve(service.charge(this.tenant)).then((charge) => {
+      if (charge.kind === 'charged') this.runs.push(this.nowMs);
+      else this.refused += 1;
+    });
+  }
+
+  /** Lets time pass. */
+  async advance(ms: number): Promise<void> {
+    const untilMs = this.nowMs + ms;
+    for (;;) {
+      await settle();
+      this.#due.sort((one, other) => one.atMs - other.atMs);
+      const next = this.#due[0];
+      if (next === undefined || next.atMs > untilMs) break;
+      this.#due.shift();
+      this.nowMs = next.atMs;
+      next.run();
+    }
+    this.nowMs = untilMs;
+  }
+
+  #isCut(one: DaemonRecord, other: DaemonRecord): boolean {
+    return this.#cut.has(one.name) || this.#cut.has(other.name);
+  }
+
+  #ask(
+    from: DaemonRecord,
+    to: DaemonRecord,
+    request: GrantRequest,
+    timeoutMs: number,
+  ): Promise<Grant | null> {
+    return new Promise((resolve) => {
+      this.#later(timeoutMs, () => resolve(null));
+      if (this.#isCut(from, to)) return;
+      this.#later(this.delayMs(), () => {
+        void this.#services
+          .get(to.name)
+          ?.grant(request)
+          .then((grant) => this.#later(this.delayMs(), () => resolve(grant)));
+      });
+    });
+  }
+
+  #later(ms: number, run: () => void): void {
+    this.#due.push({ atMs: this.nowMs + ms, run });
+  }
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 12; turn += 1) await Promise.resolve();
+}
+
+function generatorOf(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+/** Sends `perS` operations a second to daemons of chance, for a time. */
+async function load(
+  fleet: ModelledFleet,
+  daemons: readonly DaemonRecord[],
+  perS: number,
+  forMs: number,
+  random: () => number,
+): Promise<void> {
+  const stepMs = 1000 / perS;
+  for (let ms = 0; ms < forMs; ms += stepMs) {
+    const daemon = daemons[Math.floor(random() * daemons.length)];
+    if (daemon !== undefined) fleet.operation(daemon);
+    await fleet.advance(stepMs);
+  }
+}
+
+describe('the quota of a fleet', () => {
+  const records = fleetOf(83);
+
+  test('what a tenant may have is not refused, though its callers are spread over all daemons', async () => {
+    const random = generatorOf(1);
+    const fleet = new ModelledFleet(records, TENANT, () => 1 + random() * 2, random);
+    await fleet.advance(WINDOW_MS);
+    await load(fleet, records, 30, 10_000, random);
+    await fleet.advance(1000);
+    assert.equal(fleet.refused, 0);
+    assert.equal(fleet.runs.length, 300);
+  });
+
+  test('a tenant that sends seven times its usual has what it may have, and no more', async () => {
+    const random = generatorOf(2);
+    const fleet = new ModelledFleet(records, TENANT, () => 1 + random() * 2, random);
+    await fleet.advance(WINDOW_MS);
+    await load(fleet, records, 200, 10_000, random);
+    await fleet.advance(1000);
+    const quota = TENANT.quota ?? { ratePerS: 0, burst: 0 };
+    assert.ok(mostInWindow(fleet.runs) <= allowed(quota), `${mostInWindow(fleet.runs)} in a window`);
+    assert.ok(fleet.runs.length >= 0.9 * (quota.ratePerS * 10 + quota.burst), `${fleet.runs.length} run`);
+  });
+
+  test('stays within the limit at 1,000 daemons with late answers, restarts, cuts and homes that move', async () => {
+    const many = fleetOf(1000);
+    const quota = TENANT.quota ?? { ratePerS: 0, burst: 0 };
+    let total = 0;
+    for (let seed = 10; seed < 16; seed += 1) {
+      const random = generatorOf(seed);
+      const fleet = new ModelledFleet(many, TENANT, () => (random() < 0.05 ? 140 : 1 + random() * 3), random);
+      await fleet.advance(WINDOW_MS);
+      const living = new Set(many);
+      for (let round = 0; round < 12; round += 1) {
+        await load(fleet, [...living], 250, 800, random);
+        const [home] = [...living].filter((record) => isHome(record, [...living]));
+        const victim = home ?? many[0];
+        if (victim === undefined) continue;
+        const dice = random();
+        if (dice < 0.4) {
+          fleet.kill(victim);
+          living.delete(victim);
+          await load(fleet, [...living], 250, 300, random);
+          const restarted = { ...victim, life: `${victim.life}'` };
+          living.add(restarted);
+          fleet.start(restarted);
+          for (const record of living) fleet.view(record, [...living]);
+        } else if (dice < 0.6) {
+          fleet.cut(victim);
+        } else if (dice < 0.8) {
+          fleet.kill(victim);
+          living.delete(victim);
+          for (const record of living) fleet.view(record, [...living]);
+        }
+      }
+      await fleet.advance(1000);
+      const most = mostInWindow(fleet.runs);
+      assert.ok(most <= allowed(quota), `seed ${seed}: ${most} in a window, ${allowed(quota)} allowed`);
+      total += fleet.runs.length;
+    }
+    // A home that is cut for good, and that nobody takes for gone, leaves a twentieth: the least is far below the mean.
+    assert.ok(total > 6 * 200, `only ${total} run`);
+  });
+});
+
+/** True when a daemon is asked for the tenant, by those who know just these. */
+function isHome(record: DaemonRecord, living: readonly DaemonRecord[]): boolean {
+  const asked: string[] = [];
+  const service = new QuotaService({
+    ownName: 'nobody',
+    daemons: () => living,
+    tenant: () => TENANT,
+    ask: (other) => {
+      asked.push(other.name);
+      return new Promise(() => undefined);
+    },
+    isEnded: () => Promise.resolve(false),
+    now: () => 0,
+    random: () => 0,
+  });
+  void service.charge(TENANT);
+  return asked[0] === record.name;
+}
+
+describe('charges', () => {
+  const home = daemonRecord('home');
+  const next = daemonRecord('next');
+
+  function quotasWith(
+    ask: (record: DaemonRecord, request: GrantRequest) => Promise<Grant | null>,
+    clock: { now: number },
+  ): GrantedQuotas {
+    const inLine = (): readonly DaemonRecord[] => [home, next];
+    const own = new QuotaHome({
+      ownName: 'self',
+      inLine,
+      tenant: () => TENANT,
+      sinceMs: () => 0,
+      isEnded: () => Promise.resolve(false),
+      now: () => clock.now,
+    });
+    return new GrantedQuotas({
+      ownName: 'self',
+      home: own,
+      inLine,
+      ask,
+      now: () => clock.now,
+      random: () => 0,
+    });
+  }
+
+  test('those who wait are asked for together, and an operation that was not run gives its grant back', async () => {
+    const clock = { now: 0 };
+    const counts: number[] = [];
+    const quotas = quotasWith((_record, { count }) => {
+      counts.push(count);
+      return Promise.resolve({ count, roomInMs: 0 });
+    }, clock);
+    const charges = await Promise.all([1, 2, 3].map(() => quotas.charge(TENANT)));
+    assert.deepEqual(counts, [1, 2]);
+    const [first] = charges;
+    if (first?.kind === 'charged') first.refund();
+    const again = quotas.charge(TENANT);
+    assert.ok(!(again instanceof Promise), 'taken from what was given back');
+    assert.deepEqual(counts, [1, 2]);
+  });
+
+  test('a grant that is not used soon is not used at all', async () => {
+    const clock = { now: 0 };
+    let asked = 0;
+    const quotas = quotasWith((_record, { count }) => {
+      asked += 1;
+      return Promise.resolve({ count, roomInMs: 0 });
+    }, clock);
+    const charge = await quotas.charge(TENANT);
+    if (charge.kind === 'charged') charge.refund();
+    clock.now = 201;
+    await quotas.charge(TENANT);
+    assert.equal(asked, 2);
+  });
+
+  test('where there is no room nobody asks until there may be some, and callers are told when', async () => {
+    const clock = { now: 0 };
+    let asked = 0;
+    const quotas = quotasWith(() => {
+      asked += 1;
+      return Promise.resolve({ count: 0, roomInMs: 80 });
+    }, clock);
+    const first: Charge = await quotas.charge(TENANT);
+    assert.equal(first.kind, 'over_quota');
+    assert.ok(first.kind === 'over_quota' && first.retryAfterMs >= 80);
+    clock.now = 79;
+    assert.equal((await quotas.charge(TENANT)).kind, 'over_quota');
+    assert.equal(asked, 1);
+    clock.now = 81;
+    await quotas.charge(TENANT);
+    assert.equal(asked, 2);
+  });
+
+  test('a home that does not answer is stood in for by the next in line', async () => {
+    const asked: string[] = [];
+    const quotas = quotasWith(
+      (record, { isForHome, count }) => {
+        asked.push(`${record.name} ${isForHome}`);
+        return Promise.resolve(record.name === 'home' ? null : { count, roomInMs: 0 });
+      },
+      { now: 0 },
+    );
+    assert.equal((await quotas.charge(TENANT)).kind, 'charged');
+    assert.deepEqual(asked, ['home false', 'next true']);
+  });
+});
--- /dev/null
+++ b/src/relay/link-pool-tenants.test.ts
@@ -0,0 +1,182 @@
+/**
+ * Pooled connections of many tenants: none is handed on, and none keeps the others waiting for ever.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { LinkPool } from './link-pool.js';
+import type { LinkDemand } from './link-queue.js';
+import { LinkLostError, type DialTarget, type MemberLink, type MemberReply } from './member-link.js';
+import type { PooledLink } from './pooled-link.js';
+
+const DONE: MemberReply = {
+  rows: [],
+  result: { isComplete: true, signature: '-' },
+  state: 'idle',
+  position: null,
+};
+
+/** A connection that knows for whom it was opened. */
+class TenantLink implements MemberLink {
+  isOpen = true;
+  lastReceivedMs = 0;
+  #onClosed: ((isByPeer: boolean) => void) | null = null;
+
+  constructor(readonly target: DialTarget) {}
+
+  send(): Promise<MemberReply> {
+    return this.isOpen ? Promise.resolve(DONE) : Promise.reject(new LinkLostError('closed'));
+  }
+
+  close(): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.#onClosed?.(false);
+  }
+
+  onClosed(listener: (isByPeer: boolean) => void): void {
+    this.#onClosed = listener;
+  }
+}
+
+/** A pool, the connections that it has opened, and the time. */
+function scene(budget: number): { pool: LinkPool; links: TenantLink[]; clock: { now: number } } {
+  const clock = { now: 0 };
+  const links: TenantLink[] = [];
+  const dial = (target: DialTarget): Promise<MemberLink> => {
+    const link = new TenantLink(target);
+    links.push(link);
+    return Promise.resolve(link);
+  };
+  const pool = new LinkPool({
+    dialer: { dial },
+    address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
+    budget: () => budget,
+    dialTimeoutMs: 100,
+    limitBackoffMs: 10,
+    idleMs: 1000,
+    serviceMs: () => 10,
+    onTrouble: () => undefined,
+    random: () => 0.5,
+    now: () => clock.now,
+  });
+  return { pool, links, clock };
+}
+
+function demandOf(tenantName: string | null, dueAtMs = 1e6): LinkDemand {
+  return { tenantName, values: new Map(), isWrite: false, priority: 1, dueAtMs };
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 8; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+}
+
+test('an idle connection of another tenant makes room, the one used longest ago', async () => {
+  const { pool, links } = scene(2);
+  const amber = await pool.acquire(demandOf('amber'), 1000);
+  const birch = await pool.acquire(demandOf('birch'), 1000);
+  pool.release(amber);
+  pool.release(birch);
+  const cedar = await pool.acquire(demandOf('cedar'), 1000);
+  assert.equal(cedar.tenantName, 'cedar');
+  assert.equal(amber.isOpen, false);
+  assert.equal(birch.isOpen, true);
+  assert.equal(pool.size, 2);
+  assert.deepEqual(
+    links.map(({ target }) => target.tenantName),
+    ['amber', 'birch', 'cedar'],
+  );
+});
+
+test('a tenant that has waited for long gets the place of one that goes on calling', async () => {
+  const { pool, clock } = scene(1);
+  const first = await pool.acquire(demandOf('amber'), 1000);
+  const other = pool.acquire(demandOf('birch', 5000), 1000);
+  const next = pool.acquire(demandOf('amber', 9000), 1000);
+  pool.release(first);
+  assert.equal(await next, first, 'not for a short wait: opening takes a slot of the member');
+  clock.now = 30;
+  const third = pool.acquire(demandOf('amber', 9000), 1000);
+  pool.release(first);
+  assert.equal((await other).tenantName, 'birch');
+  assert.equal(first.isOpen, false);
+  pool.release(await other);
+  assert.equal((await third).tenantName, 'amber');
+});
+
+test('a question of the daemon’s own is asked over a connection of any tenant', async () => {
+  const { pool, links } = scene(1);
+  pool.release(await pool.acquire(demandOf('amber'), 1000));
+  const link = await pool.acquire(demandOf(null), 1000);
+  assert.equal(link.tenantName, 'amber');
+  assert.equal(links.length, 1);
+});
+
+test('whatever is asked for and given back, a connection is never handed to another tenant', async () => {
+  const step = fc.record({
+    kind: fc.constantFrom('acquire', 'acquire', 'release', 'lose', 'wait', 'trim'),
+    tenant: fc.constantFrom('amber', 'birch', 'cedar', 'doum', null),
+    which: fc.nat(20),
+    ms: fc.nat(60),
+  });
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 1, max: 5 }),
+      fc.array(step, { maxLength: 50 }),
+      async (budget, steps) => {
+        const { pool, links, clock } = scene(budget);
+        const held: PooledLink[] = [];
+        let waiting = 0;
+        const inUse = new Set<PooledLink>();
+        for (const { kind, tenant, which, ms } of steps) {
+          switch (kind) {
+            case 'acquire':
+              waiting += 1;
+              void pool.acquire(demandOf(tenant, clock.now + 500), 60_000).then((link) => {
+                waiting -= 1;
+                assert.ok(!inUse.has(link), 'handed to two at once');
+                if (tenant !== null) assert.equal(link.tenantName, tenant);
+                inUse.add(link);
+                held.push(link);
+              });
+              break;
+            case 'release': {
+              const [link] = held.splice(which % Math.max(1, held.length), 1);
+              if (link === undefined) break;
+              inUse.delete(link);
+              pool.release(link);
+              break;
+            }
+            case 'lose':
+              links[which % Math.max(1, links.length)]?.close();
+              break;
+            case 'wait':
+              clock.now += ms;
+              break;
+            case 'trim':
+              clock.now += 2000;
+              pool.trim();
+              break;
+          }
+          await settle();
+          assert.ok(pool.size <= budget, `${pool.size} connections`);
+        }
+        // Whoever still waits is served once the others give back: nobody starves.
+        for (let round = 0; round < 200 && (waiting > 0 || held.length > 0); round += 1) {
+          clock.now += 30;
+          for (const link of held.splice(0)) {
+            inUse.delete(link);
+            pool.release(link);
+          }
+          await settle();
+        }
+        assert.equal(waiting, 0, 'somebody was never served');
+        const toldOf = new Map(links.map((link) => [link, link.target.tenantName]));
+        assert.equal(toldOf.size, links.length);
+      },
+    ),
+    { seed: 4711, numRuns: 150 },
+  );
+});
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -199,6 +199,7 @@
       ownName: self.name,
       zone: options.zone,
       delegates: () => this.#delegations.of('store'),
+      daemons: () => this.#daemons.live,
       ask: this.#gatewayClient.askConfiguration.bind(this.#gatewayClient),
       offer: (item) => this.watched.offer(item),
       log: options.log,
--- /dev/null
+++ b/src/tenancy/lease-renewal.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Whom a daemon asks for a proof of its configuration.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { daemonRecord } from '../../test/support/daemon-records.js';
+import { MemoryStore } from '../../test/support/memory-store.js';
+import type { StoredItem } from '../coordination/coordination-store.js';
+import { ConfigurationLease } from './configuration-lease.js';
+import { LeaseRenewal, type LeaseRenewalOptions, type PassedConfiguration } from './lease-renewal.js';
+
+const KEY = 'configuration';
+const BOUND_MS = 5000;
+const NEAR = daemonRecord('near', { zone: 'a' });
+const FAR = daemonRecord('far', { zone: 'b' });
+const ITEM: StoredItem = { key: KEY, value: Buffer.from('new'), revision: 9 };
+
+/** A daemon that holds revision 7, its renewal, and whom it has asked. */
+function scene(overrides: Partial<LeaseRenewalOptions> = {}): {
+  readonly renewal: LeaseRenewal;
+  readonly lease: ConfigurationLease;
+  readonly store: MemoryStore;
+  readonly asked: string[];
+  readonly offered: StoredItem[];
+  readonly clock: { now: number };
+} {
+  const clock = { now: 1000 };
+  const lease = new ConfigurationLease(BOUND_MS);
+  lease.adopt(7);
+  const store = new MemoryStore();
+  store.items.set(KEY, { key: KEY, value: Buffer.from('held'), revision: 7, leaseId: 0 });
+  const asked: string[] = [];
+  const offered: StoredItem[] = [];
+  const { ask = () => Promise.resolve(null), ...others } = overrides;
+  const renewal = new LeaseRenewal({
+    lease,
+    store,
+    configurationKey: KEY,
+    ownName: 'self',
+    zone: 'a',
+    delegates: () => [FAR, NEAR],
+    daemons: () => [FAR, NEAR],
+    ask: (record, heldRevision, timeoutMs) => {
+      asked.push(record.name);
+      return ask(record, heldRevision, timeoutMs);
+    },
+    offer: (item) => {
+      offered.push(item);
+      lease.adopt(item.revision);
+    },
+    log: () => undefined,
+    now: () => clock.now,
+    random: () => 0.5,
+    ...others,
+  });
+  return { renewal, lease, store, asked, offered, clock };
+}
+
+function proofOf(revision: number, ageMs: number): Promise<PassedConfiguration> {
+  return Promise.resolve({ proof: { revision, ageMs }, item: null });
+}
+
+test('a daemon that follows others asks one of its zone, and counts the age of the proof', async () => {
+  const { renewal, lease, asked, store } = scene({ ask: () => proofOf(7, 1500) });
+  assert.ok(await renewal.renew());
+  assert.deepEqual(asked, ['near']);
+  assert.equal(store.reads, 0);
+  assert.equal(lease.ageMs(1000), 1500);
+});
+
+test('one that has no proof is left for one of another zone, not for the store', async () => {
+  const ask = (record: { name: string }): Promise<PassedConfiguration> =>
+    record.name === 'near' ? Promise.resolve({ proof: null, item: null }) : proofOf(7, 10);
+  const { renewal, asked, store } = scene({ ask });
+  assert.ok(await renewal.renew());
+  assert.deepEqual(asked, ['near', 'far']);
+  assert.equal(store.reads, 0);
+});
+
+test('nobody asks the store while the daemons that do have no proof: it is down for them', async () => {
+  const { renewal, store } = scene({ ask: () => Promise.resolve({ proof: null, item: null }) });
+  assert.equal(await renewal.renew(), false);
+  assert.equal(store.reads, 0);
+});
+
+test('who reaches no daemon asks the store', async () => {
+  const { renewal, lease, store } = scene();
+  assert.ok(await renewal.renew());
+  assert.equal(store.reads, 1);
+  assert.ok(lease.isProven(1000));
+});
+
+test('a daemon that the store turns away asks others, also in a small fleet', async () => {
+  const { renewal, lease, store, asked } = scene({ delegates: () => null, ask: () => proofOf(7, 100) });
+  store.isDown = true;
+  assert.ok(await renewal.renew());
+  assert.deepEqual(asked, ['near']);
+  assert.ok(lease.isProven(1000));
+});
+
+test('a newer configuration comes with the answer, from the store and from a daemon', async () => {
+  const fromDaemon = scene({ ask: () => Promise.resolve({ proof: { revision: 9, ageMs: 0 }, item: ITEM }) });
+  assert.ok(await fromDaemon.renewal.renew());
+  assert.deepEqual(fromDaemon.offered, [ITEM]);
+  assert.ok(fromDaemon.lease.isProven(1000));
+  const fromStore = scene({ delegates: () => null });
+  fromStore.store.items.set(KEY, { ...ITEM, leaseId: 0 });
+  assert.ok(await fromStore.renewal.renew());
+  assert.equal(fromStore.offered[0]?.revision, 9);
+  assert.ok(fromStore.lease.isProven(1000));
+});
+
+test('the moment of the proof is that before the question, however late the answer', async () => {
+  const { renewal, lease, clock } = scene({
+    ask: () => {
+      clock.now += 240;
+      return proofOf(7, 0);
+    },
+  });
+  assert.ok(await renewal.renew());
+  assert.equal(lease.ageMs(clock.now), 240);
+});
--- a/src/tenancy/lease-renewal.ts
+++ b/src/tenancy/lease-renewal.ts
@@ -41,6 +41,8 @@
   readonly zone: string;
   /** The daemons that ask the store for all; `null` when everybody does. */
   delegates(): readonly DaemonRecord[] | null;
+  /** Daemons that take part in the work. */
+  daemons(): readonly DaemonRecord[];
   /** Asks another daemon; `null` when it does not answer in time. */
   ask(record: DaemonRecord, heldRevision: number, timeoutMs: number): Promise<PassedConfiguration | null>;
   /** A configuration that is newer than the one held. */
@@ -84,7 +86,7 @@
     const asksStore = delegates === null || delegates.some(({ name }) => name === ownName);
     if (asksStore && (await this.#askStore())) return true;
     let hasAnswered = false;
-    for (const record of this.#inOrder(delegates ?? [])) {
+    for (const record of this.#inOrder(delegates ?? this.options.daemons())) {
       const answer = await this.#askDaemon(record);
       if (answer === 'renewed') return true;
       if (answer === 'no_proof') hasAnswered = true;
@@ -124,10 +126,10 @@
     return 'renewed';
   }
 
-  /** Other delegates, those of the own zone first, each part in an order of chance. */
-  #inOrder(delegates: readonly DaemonRecord[]): readonly DaemonRecord[] {
+  /** Other daemons that ask the store, those of the own zone first, each part in an order of chance. */
+  #inOrder(askers: readonly DaemonRecord[]): readonly DaemonRecord[] {
     const { ownName, zone, random } = this.options;
-    return delegates
+    return askers
       .filter(({ name }) => name !== ownName)
       .map((record) => ({ record, order: (record.zone === zone ? 0 : 1) + random() }))
       .sort((one, other) => one.order - other.order)
