Changes of large values are passed on as differences; old proofs do not end a renewal; homes that moved are found

From second 7 on, daemons of one zone refused keys though others had proofs: both delegates of the zone were turned away by the store, and handed on proofs 4 s old, which counted as a renewal. 274 tries were refused since a home took itself for none (daemons hear of one another at different times), or had not heard of a new tenant.

Loss of connections, and pauses of processes: the daemons go on logging through the gap.

A value over 1 kB is passed on as its difference to the one before it, by parts that end where objects of JSON end; whoever holds another value reads the store. A proof older than one and a half renewals is kept, and others are asked on. A daemon that is no home passes the question on once, and the quota travels with it. Those who ask for a proof are not sent the configuration in the first 1.5 s, in which the change itself comes.

--- a/src/coordination/change-feed.test.ts
+++ b/src/coordination/change-feed.test.ts
@@ -13,9 +13,11 @@
 import {
   StoreError,
   type CoordinationStore,
+  type StoredItem,
   type StoreEvent,
   type WatchAnswer,
 } from './coordination-store.js';
+import { applyDelta, diffValues } from './value-delta.js';
 
 const VALUE = Buffer.from('x');
 
@@ -121,7 +123,10 @@
   answers: Map<string, PassedChanges | null>;
 }
 
-function rig(read: CoordinationStore['read'] = () => Promise.resolve(null)): Rig {
+function rig(
+  read: CoordinationStore['read'] = () => Promise.resolve(null),
+  held: ReadonlyMap<string, StoredItem> = new Map(),
+): Rig {
   const asked: string[] = [];
   const state = { now: 0, isDirect: false, delegates: [daemon('d1'), daemon('d2'), daemon('far', 'b')] };
   const answers = new Map<string, PassedChanges | null>();
@@ -138,6 +143,7 @@
     zone: 'a',
     delegates: () => state.delegates,
     mustBeDirect: () => state.isDirect,
+    held: (key) => held.get(key) ?? null,
     ask: ({ name }) => {
       asked.push(name);
       return Promise.resolve(answers.get(name) ?? null);
@@ -156,6 +162,65 @@
   return { kind: 'changes', changes: log.since(0) ?? [], revision: 9, ageMs };
 }
 
+describe('a large value of which little has changed', () => {
+  const before = { key: 'c', value: Buffer.from(`{"version":1,"parts":[${partsText(300)}]}`), revision: 4 };
+  const after = { ...before, value: Buffer.from(`{"version":2,"parts":[${partsText(299)}]}`), revision: 7 };
+  const later = { ...before, value: Buffer.from(`{"version":3,"parts":[${partsText(298)}]}`), revision: 8 };
+
+  function partsText(count: number): string {
+    return Array.from(
+      { length: count },
+      (_, index) => `{"name":"part-${index}","keys":["k${index}"]}`,
+    ).join();
+  }
+
+  function passed(): PassedChanges {
+    const log = new ChangeLog();
+    log.restart(4, 0);
+    log.append(4, [after, later], 8, 0, [before, after]);
+    return { kind: 'changes', changes: log.since(4) ?? [], revision: 8, ageMs: 10 };
+  }
+
+  test('is passed on as the difference, and whole by whoever holds the value before', async () => {
+    const answer = passed();
+    const bytes = JSON.stringify(answer).length;
+    assert.ok(bytes < before.value.length / 20, `${bytes} bytes for two changes`);
+    const { feed, answers } = rig(undefined, new Map([['c', before]]));
+    answers.set('d1', answer);
+    const heard = await feed.watch(4, 2500);
+    assert.ok(heard.kind === 'events');
+    assert.deepEqual(heard.events, [after, later]);
+  });
+
+  test('is read from the store by whoever holds another', async () => {
+    const { feed, answers } = rig(() => Promise.resolve(later), new Map([['c', { ...before, revision: 3 }]]));
+    answers.set('d1', passed());
+    const heard = await feed.watch(4, 2500);
+    assert.ok(heard.kind === 'events' && heard.events.every(({ value }) => value === later.value));
+  });
+
+  test('comes out as it went in, whatever the values are', () => {
+    const text = fc.array(fc.constantFrom('{"a":1}', '{"b":2}', ',', 'x', '}', 'é', '{"c":'), {
+      maxLength: 40,
+    });
+    fc.assert(
+      fc.property(text, text, (one, other) => {
+        const [from, to] = [Buffer.from(one.join('')), Buffer.from(other.join(''))];
+        assert.deepEqual(applyDelta(from, diffValues(from, to)), to);
+      }),
+      { seed: 5, numRuns: 500 },
+    );
+    const random = fc.uint8Array({ maxLength: 400 });
+    fc.assert(
+      fc.property(random, random, (one, other) => {
+        const [from, to] = [Buffer.from(one), Buffer.from(other)];
+        assert.deepEqual(applyDelta(from, diffValues(from, to)), to);
+      }),
+      { seed: 6, numRuns: 500 },
+    );
+  });
+});
+
 describe('a daemon that follows through another', () => {
   test('asks one in its zone, and stays with it', async () => {
     const { feed, asked, answers } = rig();
--- a/src/coordination/change-feed.ts
+++ b/src/coordination/change-feed.ts
@@ -10,7 +10,8 @@
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { type PassedChanges, STALE_MS } from './change-relay.js';
 import type { PassedChange } from './change-log.js';
-import type { CoordinationStore, StoreEvent, WatchAnswer } from './coordination-store.js';
+import { applyDelta } from './value-delta.js';
+import type { CoordinationStore, StoredItem, StoreEvent, WatchAnswer } from './coordination-store.js';
 
 /** Wait for a change at another daemon, and for its answer beyond that, in milliseconds. */
 const ASK_WAIT_MS = 700;
@@ -42,6 +43,8 @@
   delegates(): readonly DaemonRecord[] | null;
   /** True when this daemon has to hear from the store itself, whoever else does. */
   mustBeDirect(): boolean;
+  /** An item as this daemon's copy has it, or `null`. */
+  held(key: string): StoredItem | null;
   /** Asks another daemon; `null` when it does not answer in time. */
   ask(
     record: DaemonRecord,
@@ -115,24 +118,46 @@
         return { kind: 'compacted', isPassedOn: true };
       case 'changes': {
         if (answer.ageMs > STALE_MS) return null;
-        const events = await Promise.all(answer.changes.map((change) => this.#toEvent(change)));
+        const events = await this.#toEvents(answer.changes);
         return { kind: 'events', events, revision: answer.revision, isPassedOn: true };
       }
     }
   }
 
-  async #toEvent({ key, revision, content }: PassedChange): Promise<StoreEvent> {
+  /** In order: a change may be told as the difference to the one before it. */
+  async #toEvents(changes: readonly PassedChange[]): Promise<readonly StoreEvent[]> {
+    const events: StoreEvent[] = [];
+    const latest = new Map<string, StoreEvent>();
+    for (const change of changes) {
+      const event = await this.#toEvent(change, latest.get(change.key) ?? this.options.held(change.key));
+      latest.set(event.key, event);
+      events.push(event);
+    }
+    return events;
+  }
+
+  async #toEvent({ key, revision, content }: PassedChange, before: StoreEvent | null): Promise<StoreEvent> {
     switch (content.kind) {
       case 'value':
         return { key, revision, value: content.value };
       case 'gone':
         return { key, revision, value: null };
-      case 'large': {
-        const item = await this.options.store.read(key);
-        return item ?? { key, revision, value: null };
+      case 'delta': {
+        const { baseRevision, delta } = content;
+        if (before === null || before.value === null || before.revision !== baseRevision)
+          return this.#read(key, revision);
+        return { key, revision, value: applyDelta(before.value, delta) };
       }
+      case 'large':
+        return this.#read(key, revision);
     }
   }
+
+  /** The newest value, from the store. */
+  async #read(key: string, revision: number): Promise<StoreEvent> {
+    const item = await this.options.store.read(key);
+    return item ?? { key, revision, value: null };
+  }
 }
 
 function keyOf(record: DaemonRecord): string {
--- a/src/coordination/change-log.ts
+++ b/src/coordination/change-log.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
-import type { StoreEvent } from './coordination-store.js';
+import type { StoredItem, StoreEvent } from './coordination-store.js';
+import { diffValues, sizeOfDelta, type ValueDelta } from './value-delta.js';
 
 /** Most changes that are kept, and bytes of their values; who asks for older ones reads the store. */
 const MAX_CHANGES = 2000;
@@ -16,9 +17,24 @@
  */
 export const MAX_PASSED_BYTES = 32 * 1024;
 
-/** The value of a change as it is passed on; `large`: to be read from the store. */
+/** Values up to this length are passed on whole, in bytes. */
+const WHOLE_BYTES = 1024;
+
+/** The value of a change as it is passed on. */
 export type PassedValue =
-  { readonly kind: 'value'; readonly value: Buffer } | { readonly kind: 'gone' } | { readonly kind: 'large' };
+  | { readonly kind: 'value'; readonly value: Buffer }
+  /** The difference to the value that the key had at a revision. */
+  | { readonly kind: 'delta'; readonly baseRevision: number; readonly delta: ValueDelta }
+  | { readonly kind: 'gone' }
+  /** To be read from the store. */
+  | { readonly kind: 'large' };
+
+/** A change as it is kept; its difference to the value before is found when somebody asks for it. */
+interface KeptChange {
+  readonly event: StoreEvent;
+  readonly before: StoredItem | null;
+  passed: PassedChange | null;
+}
 
 /** A change as it is passed on. */
 export interface PassedChange {
@@ -31,7 +47,7 @@
 export class ChangeLog {
   /** Wakes whoever waits for a change, or for the end of the log. */
   readonly changed = new ChangeSignal();
-  #changes: PassedChange[] = [];
+  #changes: KeptChange[] = [];
   #bytes = 0;
   /** All changes after this revision are kept; `null` while the copy does not come from the store itself. */
   #completeAfter: number | null = null;
@@ -56,10 +72,21 @@
     this.changed.notify();
   }
 
-  /** The store has told its changes after `afterRevision`, up to `revision`. */
-  append(afterRevision: number, events: readonly StoreEvent[], revision: number, nowMs: number): void {
+  /**
+   * The store has told its changes after `afterRevision`, up to `revision`.
+   *
+   * @param itemsBefore - the items that the changes replace, in the same order; `null` where there was none
+   */
+  append(
+    afterRevision: number,
+    events: readonly StoreEvent[],
+    revision: number,
+    nowMs: number,
+    itemsBefore: readonly (StoredItem | null)[] = [],
+  ): void {
     if (this.#completeAfter === null) this.#clear(afterRevision);
-    for (const event of events) this.#keep(toPassed(event));
+    for (const [index, event] of events.entries())
+      this.#keep({ event, before: itemsBefore[index] ?? null, passed: null });
     this.#revision = Math.max(this.#revision, revision);
     this.#confirmedAtMs = nowMs;
     if (events.length > 0) this.changed.notify();
@@ -71,14 +98,14 @@
     this.#completeAfter = completeAfter;
   }
 
-  #keep(change: PassedChange): void {
+  #keep(change: KeptChange): void {
     this.#changes.push(change);
     this.#bytes += sizeOf(change);
     while (this.#changes.length > MAX_CHANGES || this.#bytes > MAX_BYTES) {
       const oldest = this.#changes.shift();
       if (oldest === undefined) return;
       this.#bytes -= sizeOf(oldest);
-      this.#completeAfter = Math.max(this.#completeAfter ?? 0, oldest.revision);
+      this.#completeAfter = Math.max(this.#completeAfter ?? 0, oldest.event.revision);
     }
   }
 
@@ -92,16 +119,27 @@
   /** The changes after a revision, or `null` when some of them are not kept. */
   since(revision: number): readonly PassedChange[] | null {
     if (this.#completeAfter === null || revision < this.#completeAfter) return null;
-    return this.#changes.filter((change) => change.revision > revision);
+    return this.#changes
+      .filter(({ event }) => event.revision > revision)
+      .map((change) => (change.passed ??= toPassed(change)));
   }
 }
 
-function sizeOf({ content }: PassedChange): number {
-  return content.kind === 'value' ? content.value.length : 0;
+function sizeOf({ event }: KeptChange): number {
+  return event.value?.length ?? 0;
 }
 
-function toPassed({ key, revision, value }: StoreEvent): PassedChange {
-  if (value === null) return { key, revision, content: { kind: 'gone' } };
-  if (value.length > MAX_PASSED_BYTES) return { key, revision, content: { kind: 'large' } };
-  return { key, revision, content: { kind: 'value', value } };
+function toPassed({ event, before }: KeptChange): PassedChange {
+  const { key, revision, value } = event;
+  return { key, revision, content: value === null ? { kind: 'gone' } : passValue(value, before) };
+}
+
+function passValue(value: Buffer, before: StoredItem | null): PassedValue {
+  if (value.length <= WHOLE_BYTES) return { kind: 'value', value };
+  if (before !== null) {
+    const delta = diffValues(before.value, value);
+    const isShort = sizeOfDelta(delta) <= Math.min(value.length / 2, MAX_PASSED_BYTES);
+    if (isShort) return { kind: 'delta', baseRevision: before.revision, delta };
+  }
+  return value.length <= MAX_PASSED_BYTES ? { kind: 'value', value } : { kind: 'large' };
 }
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -141,13 +141,15 @@
     const afterRevision = this.#revision ?? 0;
     const answer = await this.options.feed.watch(afterRevision, waitMs);
     if (answer.kind === 'compacted') return false;
+    const itemsBefore: (StoredItem | null)[] = [];
     for (const event of answer.events) {
+      itemsBefore.push(this.#items.get(event.key) ?? null);
       if (event.value === null) this.#remove(event.key, event.revision);
       else this.#put({ key: event.key, value: event.value, revision: event.revision });
     }
     this.#revision = Math.max(afterRevision, answer.revision);
     if (answer.isPassedOn) this.changes.suspend();
-    else this.changes.append(afterRevision, answer.events, answer.revision, this.options.now());
+    else this.changes.append(afterRevision, answer.events, answer.revision, this.options.now(), itemsBefore);
     this.#settle(answer.events);
     const { rest = delay } = this.options;
     if (answer.events.length > 0 && !answer.isPassedOn) await rest(this.#restMs());
--- a/src/quota/operation-quotas.ts
+++ b/src/quota/operation-quotas.ts
@@ -7,7 +7,7 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import type { Tenant } from '../tenancy/tenant-register.js';
+import type { Quota, Tenant } from '../tenancy/tenant-register.js';
 import type { Grant, GrantRequest, QuotaHome } from './quota-home.js';
 
 /** How long an unused grant holds from when it was asked for, in milliseconds: what a window may hold above the quota. */
@@ -87,26 +87,27 @@
   constructor(private readonly options: GrantedQuotasOptions) {}
 
   charge(tenant: Tenant): Charge | Promise<Charge> {
-    if (tenant.quota === null) return FREE;
+    const { name, quota } = tenant;
+    if (quota === null) return FREE;
     const nowMs = this.options.now();
-    const account = this.#account(tenant.name);
+    const account = this.#account(name);
     account.called(nowMs);
     const grant = takeGrant(account, nowMs);
     if (grant !== null) return grant;
     if (nowMs < account.refusedUntilMs) return this.#overQuota(account.refusedUntilMs - nowMs);
     return new Promise((resolve) => {
       account.waiting.push(resolve);
-      if (!account.isAsking) void this.#ask(tenant.name, account);
+      if (!account.isAsking) void this.#ask(name, quota, account);
     });
   }
 
-  async #ask(tenantName: string, account: Account): Promise<void> {
+  async #ask(tenantName: string, quota: Quota, account: Account): Promise<void> {
     account.isAsking = true;
     while (account.waiting.length > 0) {
       const askedAtMs = this.options.now();
       const ahead = Math.floor(account.expected(GRANT_MS, askedAtMs) * AHEAD_SHARE);
       const asking = account.waiting.splice(0);
-      const grant = await this.#fromHome(tenantName, asking.length + ahead);
+      const grant = await this.#fromHome(tenantName, quota, asking.length + ahead);
       this.#settle(account, asking, grant, askedAtMs);
     }
     account.isAsking = false;
@@ -148,12 +149,13 @@
     return Math.round(ms * (1 + this.options.random() / 2));
   }
 
-  async #fromHome(tenantName: string, count: number): Promise<Grant | null> {
+  async #fromHome(tenantName: string, quota: Quota, count: number): Promise<Grant | null> {
     const [home, next] = this.options.inLine(tenantName);
     if (home === undefined) return null;
-    const grant = await this.#from(home, { tenantName, count, isForHome: false });
+    const request = { tenantName, quota, count, isForHome: false, isPassedOn: false };
+    const grant = await this.#from(home, request);
     if (grant !== null || next === undefined) return grant;
-    return this.#from(next, { tenantName, count, isForHome: true });
+    return this.#from(next, { ...request, isForHome: true });
   }
 
   #from(record: DaemonRecord, request: GrantRequest): Promise<Grant | null> {
--- a/src/quota/quota-home.ts
+++ b/src/quota/quota-home.ts
@@ -9,16 +9,20 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import type { Tenant } from '../tenancy/tenant-register.js';
+import type { Quota, Tenant } from '../tenancy/tenant-register.js';
 import { TokenBucket } from './token-bucket.js';
 
 /** Operations that a daemon asks for. */
 export interface GrantRequest {
   readonly tenantName: string;
+  /** The tenant's quota as the asking daemon knows it, for a home that has not heard of the tenant yet. */
+  readonly quota: Quota;
   /** Operations that it wants to run now or soon. */
   readonly count: number;
   /** True when the home did not answer, and this daemon is the next in line. */
   readonly isForHome: boolean;
+  /** True when another daemon that took itself for no home passes it on: it is not passed on again. */
+  readonly isPassedOn: boolean;
 }
 
 /** What is granted. */
@@ -33,6 +37,8 @@
  * second (see `GRANT_MS`) it stays within a tenth of the quota over five seconds, which limits are given as excess.
  */
 const STAND_IN_SHARE = 0.05;
+/** Longest wait for a home to which a question is passed on, in milliseconds: less than whoever asked waits. */
+const PASS_ON_MS = 100;
 /** For how long it is remembered whether the process of a home has ended, in milliseconds: it may be started again. */
 const ENDED_KNOWN_MS = 300;
 /** Buckets that are kept; tenants come and go with the configuration. */
@@ -47,6 +53,8 @@
   tenant(name: string): Tenant | null;
   /** Since when the buckets of tenants that are new here fill, in monotonic milliseconds. */
   sinceMs(): number;
+  /** Asks another daemon; `null` when it does not answer in time, or has nothing to say. */
+  ask(record: DaemonRecord, request: GrantRequest, timeoutMs: number): Promise<Grant | null>;
   /** True when the process of a daemon has certainly ended. */
   isEnded(record: DaemonRecord): Promise<boolean>;
   now(): number;
@@ -66,13 +74,18 @@
   constructor(private readonly options: QuotaHomeOptions) {}
 
   /** Grants what the tenant has left; nothing where this daemon is not the one to ask. */
-  async grant({ tenantName, count, isForHome }: GrantRequest): Promise<Grant | null> {
-    const [home, next] = this.options.inLine(tenantName);
+  async grant(request: GrantRequest): Promise<Grant | null> {
+    const { ownName, inLine, ask } = this.options;
+    const [home, next] = inLine(request.tenantName);
     if (home === undefined) return null;
-    if (home.name === this.options.ownName) return this.grantOwn(tenantName, count);
-    if (!isForHome || next?.name !== this.options.ownName) return null;
+    if (home.name === ownName) return this.#grantAsHome(request);
+    if (!request.isForHome) {
+      // Daemons hear of one another at different times: this one may know better who the home is.
+      return request.isPassedOn ? null : ask(home, { ...request, isPassedOn: true }, PASS_ON_MS);
+    }
+    if (next?.name !== ownName) return null;
     const isEnded = await this.#isEnded(home);
-    return this.#grantFor(home, isEnded ? 1 : STAND_IN_SHARE, tenantName, count);
+    return this.#grantFor(home, isEnded ? 1 : STAND_IN_SHARE, request);
   }
 
   /** The daemons have changed: another home may grant what a bucket here would go on filling up with. */
@@ -83,25 +96,30 @@
     this.#standInBuckets.clear();
   }
 
-  /** Grants as the home. */
-  grantOwn(tenantName: string, count: number): Grant | null {
-    const quota = this.options.tenant(tenantName)?.quota;
-    if (quota === undefined) return null;
+  #grantAsHome(request: GrantRequest): Grant {
+    const { tenantName, count } = request;
+    const quota = this.#quotaOf(request);
     if (quota === null) return { count, roomInMs: 0 };
     const bucket = bucketOf(this.#buckets, tenantName, this.options.sinceMs());
     return bucket.take(count, quota, this.options.now());
   }
 
   /** Grants a share of the quota in place of a home: of nothing at first, since the home may have granted all. */
-  #grantFor(home: DaemonRecord, share: number, tenantName: string, count: number): Grant | null {
-    const quota = this.options.tenant(tenantName)?.quota;
-    if (quota === undefined) return null;
+  #grantFor(home: DaemonRecord, share: number, request: GrantRequest): Grant {
+    const { tenantName, count } = request;
+    const quota = this.#quotaOf(request);
     if (quota === null) return { count, roomInMs: 0 };
     const nowMs = this.options.now();
     const bucket = bucketOf(this.#standInBuckets, `${share} ${home.name} ${home.life} ${tenantName}`, nowMs);
     return bucket.take(count, { ratePerS: quota.ratePerS * share, burst: quota.burst * share }, nowMs);
   }
 
+  /** By the configuration in force here, where it has the tenant; `null` when nothing limits it. */
+  #quotaOf({ tenantName, quota }: GrantRequest): Quota | null {
+    const tenant = this.options.tenant(tenantName);
+    return tenant === null ? quota : tenant.quota;
+  }
+
   #isEnded(home: DaemonRecord): Promise<boolean> {
     const key = `${home.name} ${home.life}`;
     const known = this.#ended.get(key);
--- a/src/quota/quota-service.ts
+++ b/src/quota/quota-service.ts
@@ -42,7 +42,7 @@
     this.#leftAtMs = now();
     const inLine = (tenantName: string): readonly DaemonRecord[] => this.#lineOf(tenantName);
     const sinceMs = (): number => this.#leftAtMs;
-    this.#home = new QuotaHome({ ownName, inLine, tenant, sinceMs, isEnded, now });
+    this.#home = new QuotaHome({ ownName, inLine, tenant, sinceMs, ask, isEnded, now });
     this.#quotas = new GrantedQuotas({ ownName, home: this.#home, inLine, ask, now, random });
   }
 
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -289,6 +289,7 @@
       inLine,
       tenant: () => TENANT,
       sinceMs: () => 0,
+      ask: () => Promise.resolve(null),
       isEnded: () => Promise.resolve(false),
       now: () => clock.now,
     });
@@ -363,3 +364,39 @@
     assert.deepEqual(asked, ['home false', 'next true']);
   });
 });
+
+test('a daemon that is no home passes the question on to the one that it takes for it, once', async () => {
+  const passed: GrantRequest[] = [];
+  const home = new QuotaHome({
+    ownName: 'old',
+    inLine: () => [daemonRecord('new')],
+    tenant: () => TENANT,
+    sinceMs: () => 0,
+    ask: (_record, request) => {
+      passed.push(request);
+      return Promise.resolve({ count: request.count, roomInMs: 0 });
+    },
+    isEnded: () => Promise.resolve(false),
+    now: () => 0,
+  });
+  const quota = { ratePerS: 1, burst: 1 };
+  const request = { tenantName: 'amber', quota, count: 2, isForHome: false, isPassedOn: false };
+  assert.deepEqual(await home.grant(request), { count: 2, roomInMs: 0 });
+  assert.equal(await home.grant({ ...request, isPassedOn: true }), null);
+  assert.deepEqual(passed, [{ ...request, isPassedOn: true }]);
+});
+
+test('a home that has not heard of a tenant goes by what the asking daemon knows', async () => {
+  const home = new QuotaHome({
+    ownName: 'home',
+    inLine: () => [daemonRecord('home')],
+    tenant: () => null,
+    sinceMs: () => 0,
+    ask: () => Promise.resolve(null),
+    isEnded: () => Promise.resolve(false),
+    now: () => 10_000,
+  });
+  const quota = { ratePerS: 2, burst: 3 };
+  const request = { tenantName: 'fresh', quota, count: 9, isForHome: false, isPassedOn: false };
+  assert.equal((await home.grant(request))?.count, 3);
+});
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -80,6 +80,11 @@
 const RECONNECT_MS = 500;
 /** For how long a former holder of the duty ends what it has begun at members, in milliseconds: as long as a promotion. */
 const DUTY_WIND_UP_MS = 2500;
+/**
+ * Time in which others hear of a configuration by the changes of the store, in milliseconds: it is not sent whole to those who
+ * ask for a proof meanwhile.
+ */
+const CHANGES_COME_MS = 1500;
 interface WatchedGroup {
   readonly group: MemberGroup;
   readonly watcher: LeadershipWatcher;
@@ -118,6 +123,8 @@
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
   #startedAtMs = 0;
+  /** When the configuration in force came. */
+  #catalogAtMs = Number.NEGATIVE_INFINITY;
   /** Until when a former holder of the duty may end what it has begun over connections of its own. */
   #mayConnectUntilMs = Number.NEGATIVE_INFINITY;
   #wasYoung = true;
@@ -175,6 +182,7 @@
       zone: options.zone,
       delegates: () => this.#delegations.of('store'),
       mustBeDirect: () => this.isDutyHolder,
+      held: (key) => this.watched.items.get(key) ?? null,
       ask: this.#gatewayClient.askChanges.bind(this.#gatewayClient),
       log: options.log,
       now,
@@ -345,6 +353,7 @@
     const isTaken = this.catalog.offer(document);
     if (document.version === this.catalog.document?.version) this.#configurationLease.adopt(revision);
     if (!isTaken) return false;
+    this.#catalogAtMs = this.options.now();
     this.#assignments.clear();
     this.#syncGroups(document);
     return true;
@@ -352,9 +361,12 @@
 
   /** What this daemon knows of the newest configuration, for one who holds a revision of it. */
   #passedConfiguration(heldRevision: number): PassedConfiguration {
-    const proof = this.#configurationLease.handOn(this.options.now());
+    const now = this.options.now();
+    const proof = this.#configurationLease.handOn(now);
     const item = this.watched.items.get(this.options.configurationKey);
-    return { proof, item: item !== undefined && item.revision > heldRevision ? item : null };
+    const isOwed =
+      item !== undefined && item.revision > heldRevision && now - this.#catalogAtMs > CHANGES_COME_MS;
+    return { proof, item: isOwed ? item : null };
   }
 
   #lookWhetherReady(): void {
--- a/src/tenancy/lease-renewal.ts
+++ b/src/tenancy/lease-renewal.ts
@@ -21,8 +21,13 @@
 /** Longest waits for the store and for another daemon, in milliseconds. */
 const STORE_MS = 400;
 const DAEMON_MS = 250;
+/**
+ * Age up to which a proof of another daemon is as good as one of the store, in milliseconds: it has asked since the last renewal
+ * but one. An older one is kept, but others are asked for a younger one: its daemon may be cut off itself.
+ */
+const FRESH_MS = 1.5 * RENEWAL_MS;
 /** Daemons that are asked before a renewal has failed. */
-const MAX_ASKED = 4;
+const MAX_ASKED = 6;
 
 /** What another daemon hands on. */
 export interface PassedConfiguration {
@@ -123,7 +128,7 @@
     if (answer.proof === null) return 'no_proof';
     const { revision, ageMs } = answer.proof;
     lease.prove({ revision, provenAtMs: askedAtMs - ageMs });
-    return 'renewed';
+    return ageMs <= FRESH_MS ? 'renewed' : 'no_proof';
   }
 
   /** Other daemons that ask the store, those of the own zone first, each part in an order of chance. */
