Replicas that are expected to lack what a read asks for are not asked

What was known of a replica's position counted for 150 ms only, while a daemon hears of a group some two times a second.

Floors that are too high: they are the oldest position heard of within the bound.

A floor carries the moment at which the leader had reached it; a replica that lacked (held) one of an age is expected to lack (hold) others as recent. The expectation halves in 4 s, and shrinks with each answer, so that it is tried again.

--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -106,8 +106,8 @@
     history.record(1000, { term: 1, index: 10 });
     history.record(1100, { term: 1, index: 20 });
     history.record(1200, { term: 1, index: 30 });
-    assert.deepEqual(history.floorSince(1050), { term: 1, index: 20 });
-    assert.deepEqual(history.floorSince(900), { term: 1, index: 10 });
+    assert.deepEqual(history.floorSince(1050), { position: { term: 1, index: 20 }, reachedAtMs: 1100 });
+    assert.deepEqual(history.floorSince(900), { position: { term: 1, index: 10 }, reachedAtMs: 1000 });
     assert.equal(history.floorSince(1201), null);
   });
 
@@ -126,7 +126,7 @@
         const since = now - back;
         const floor = history.floorSince(since);
         const before = asked.filter(({ at }) => at < since).at(-1);
-        assert.ok(floor === null || before === undefined || floor.index >= before.index);
+        assert.ok(floor === null || before === undefined || floor.position.index >= before.index);
       }),
       { seed: 20261202, numRuns: 300 },
     );
--- a/src/leadership/position-history.ts
+++ b/src/leadership/position-history.ts
@@ -12,6 +12,18 @@
   readonly position: Position;
 }
 
+/** What a replica has to hold for a read. */
+export interface ReadFloor {
+  readonly position: Position;
+  /** About when the leader had reached it, in monotonic milliseconds. */
+  readonly reachedAtMs: number;
+}
+
+/** The one that holds both. */
+export function laterFloor(one: ReadFloor, other: ReadFloor): ReadFloor {
+  return comparePositions(one.position, other.position) < 0 ? other : one;
+}
+
 /** Least time between two samples that are kept, in milliseconds. */
 const SAMPLE_SPACING_MS = 20;
 
@@ -33,15 +45,17 @@
   }
 
   /**
-   * The lowest known position that holds every commit acknowledged before `sinceMs`, or `null` when the leader
+   * The lowest known floor that holds every commit acknowledged before `sinceMs`, or `null` when the leader
    * was not asked since.
    */
-  floorSince(sinceMs: number): Position | null {
-    let floor: Position | null = null;
+  floorSince(sinceMs: number): ReadFloor | null {
+    let floor: ReadFloor | null = null;
     for (let index = this.#samples.length - 1; index >= 0; index -= 1) {
       const sample = this.#samples[index];
       if (sample === undefined || sample.askedAtMs < sinceMs) break;
-      if (floor === null || comparePositions(sample.position, floor) < 0) floor = sample.position;
+      const { position, askedAtMs } = sample;
+      if (floor === null || comparePositions(position, floor.position) <= 0)
+        floor = { position, reachedAtMs: askedAtMs };
     }
     return floor;
   }
--- a/src/position/position.ts
+++ b/src/position/position.ts
@@ -29,6 +29,11 @@
   return comparePositions(left, right) >= 0 ? left : right;
 }
 
+/** A position as the logs have it. */
+export function formatPosition({ term, index }: Position): string {
+  return `${term}.${index}`;
+}
+
 /** True when a member that has reached `reached` holds everything up to `required`. */
 export function hasReached(reached: Position, required: Position): boolean {
   return comparePositions(reached, required) >= 0;
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -5,8 +5,8 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
-import type { Position } from '../position/position.js';
-import { laterPosition } from '../position/position.js';
+import { formatPosition } from '../position/position.js';
+import { laterFloor, type ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { alternatives, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
@@ -29,7 +29,7 @@
   readonly tenantName: string;
   readonly values: SessionValues;
   /** What the session itself has committed, or `null`. */
-  readonly sessionFloor: Position | null;
+  readonly sessionFloor: ReadFloor | null;
   /** When the first byte of the request may have been sent at the latest, in monotonic milliseconds. */
   readonly receivedAtMs: number;
   readonly deadlineMs: number;
@@ -84,14 +84,14 @@
 export function readFloor(
   group: MemberGroup,
   route: Route,
-  sessionFloor: Position | null,
+  sessionFloor: ReadFloor | null,
   receivedAtMs: number,
-): Position | null {
+): ReadFloor | null {
   if (route.consistency === 'primary') return null;
   const since = receivedAtMs - route.maxStalenessMs + STALENESS_MARGIN_MS;
   const floor = group.positions.floorSince(since);
   if (floor === null) return null;
-  return sessionFloor === null ? floor : laterPosition(floor, sessionFloor);
+  return sessionFloor === null ? floor : laterFloor(floor, sessionFloor);
 }
 
 /**
@@ -101,7 +101,7 @@
 export function readCandidates(
   context: RelayContext,
   group: MemberGroup,
-  floor: Position | null,
+  floor: ReadFloor | null,
 ): ReadCandidate[] {
   const now = context.now();
   const leader = group.leader(now);
@@ -117,12 +117,25 @@
       failureShare: member.failureShare(now),
       isLeaving: member.isLeaving,
       isAvoided: member.isAvoided(now),
-      isBehind: floor !== null && member.isKnownBehind(floor, now),
+      isBehind: floor !== null && member.isBehind(floor, now),
     });
   }
   return candidates;
 }
 
+/** Takes what an answer says of how far a member is: where its log stands, and whether it held the floor of a read. */
+export function recordReplica(
+  member: Member,
+  floor: ReadFloor | null,
+  { position, result }: MemberReply,
+  nowMs: number,
+): void {
+  member.recordPosition(position, nowMs);
+  if (floor === null) return;
+  if (result.isComplete) member.recordFloor(floor, true, nowMs);
+  else if (result.code === 'behind') member.recordFloor(floor, false, nowMs);
+}
+
 /** Runs one read. */
 export class ReadRunner {
   readonly #excluded = new Set<string>();
@@ -317,22 +330,29 @@
       decision: 'read_at',
       member: member.entry.memberId,
       leader: asLeader,
-      floor: floor === null ? null : `${floor.term}.${floor.index}`,
+      floor: floor === null ? null : formatPosition(floor.position),
       second: this.#pending.size > 1,
     });
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now() + LATE_ANSWER_MS);
     let isSent = false;
     try {
-      const reply = await sendStatement(link, job.statement, job.requestId, job.values, floor, () => {
-        if (this.#isSettled) return ANSWERED;
-        if (asLeader && job.group.leader(context.now()) !== member) return UNPROVEN;
-        isSent = true;
-        this.#wasSent = true;
-        asking.sentAtMs = context.now();
-        return null;
-      });
+      const reply = await sendStatement(
+        link,
+        job.statement,
+        job.requestId,
+        job.values,
+        floor?.position ?? null,
+        () => {
+          if (this.#isSettled) return ANSWERED;
+          if (asLeader && job.group.leader(context.now()) !== member) return UNPROVEN;
+          isSent = true;
+          this.#wasSent = true;
+          asking.sentAtMs = context.now();
+          return null;
+        },
+      );
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
-      return this.#judge(member, asLeader, reply.reply, reply.sentAtMs);
+      return this.#judge(member, asLeader, floor, reply.reply, reply.sentAtMs);
     } catch (error) {
       return { kind: isSent ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
@@ -340,12 +360,18 @@
     }
   }
 
-  #judge(member: Member, asLeader: boolean, reply: MemberReply, sentAtMs: number): Attempt {
+  #judge(
+    member: Member,
+    asLeader: boolean,
+    floor: ReadFloor | null,
+    reply: MemberReply,
+    sentAtMs: number,
+  ): Attempt {
     const { group } = this.job;
     const answerMs = this.context.now() - sentAtMs;
     const members = [member];
     member.trust(this.context.now());
-    member.recordPosition(reply.position, this.context.now());
+    recordReplica(member, floor, reply, this.context.now());
     if (asLeader && reply.position !== null) group.recordLed(sentAtMs, reply.position);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { Position } from '../position/position.js';
-import { laterPosition } from '../position/position.js';
+import { laterFloor, type ReadFloor } from '../leadership/position-history.js';
 import { authorize, type Caller } from '../tenancy/authorize.js';
 import type { KeyDigest } from '../tenancy/key-digest.js';
 import type { Route } from '../topology/catalog.js';
@@ -38,7 +38,7 @@
 /** A session's own position, and the group whose log it is in. */
 interface OwnPosition {
   readonly groupName: string;
-  readonly position: Position;
+  readonly floor: ReadFloor;
 }
 
 /** A statement that is an operation by itself. */
@@ -363,16 +363,17 @@
     }
   }
 
-  #floorIn(group: MemberGroup): Position | null {
-    return this.#ownPosition?.groupName === group.name ? this.#ownPosition.position : null;
+  #floorIn(group: MemberGroup): ReadFloor | null {
+    return this.#ownPosition?.groupName === group.name ? this.#ownPosition.floor : null;
   }
 
   #recordOwn(group: MemberGroup, position: Position | null): void {
     if (position === null) return;
     const before = this.#floorIn(group);
+    const floor = { position, reachedAtMs: this.context.now() };
     this.#ownPosition = {
       groupName: group.name,
-      position: before === null ? position : laterPosition(before, position),
+      floor: before === null ? floor : laterFloor(before, floor),
     };
   }
 
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -4,13 +4,14 @@
  * @packageDocumentation
  */
 import { selectReadMember } from '../topology/select-member.js';
-import type { Position } from '../position/position.js';
+import { formatPosition } from '../position/position.js';
+import type { ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { dueAt } from './link-queue.js';
 import { DialError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
-import { readCandidates, readFloor } from './read-runner.js';
+import { readCandidates, readFloor, recordReplica } from './read-runner.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
@@ -24,7 +25,7 @@
   readonly receivedAtMs: number;
   /** Name of the tenant that members are told. */
   readonly tenantName: string;
-  readonly sessionFloor: Position | null;
+  readonly sessionFloor: ReadFloor | null;
 }
 
 /** A statement inside a transaction. */
@@ -219,17 +220,17 @@
     const { member, link, isLeader } = pinned;
     await link.adoptValues(step.values);
     if (isLeader && group.leader(context.now()) !== member) return 'no evidence of the leader';
-    const after = isLeader ? null : readFloor(group, route, options.sessionFloor, options.receivedAtMs);
-    if (!isLeader && after === null) return 'no position of the leader';
+    const floor = isLeader ? null : readFloor(group, route, options.sessionFloor, options.receivedAtMs);
+    if (!isLeader && floor === null) return 'no position of the leader';
     context.observer.routine({
       requestId: step.requestId,
       decision: 'begin_at',
       member: member.entry.memberId,
       leader: isLeader,
-      floor: after === null ? null : `${after.term}.${after.index}`,
+      floor: floor === null ? null : formatPosition(floor.position),
     });
-    const reply = await link.send({ kind: 'begin', isReadOnly, after });
-    member.recordPosition(reply.position, context.now());
+    const reply = await link.send({ kind: 'begin', isReadOnly, after: floor?.position ?? null });
+    recordReplica(member, floor, reply, context.now());
     if (reply.result.isComplete) return reply.state === 'open' ? null : 'did not begin';
     if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
     return reply.result.code;
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -6,7 +6,8 @@
 import { ChangeSignal } from '../common/signal.js';
 import { CommitWatch } from '../leadership/commit-watch.js';
 import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
-import { PositionHistory } from '../leadership/position-history.js';
+import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
+import { ReplicaLag } from './replica-lag.js';
 import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
 import type { MemberConnections } from '../gateway/member-connections.js';
 import type { MemberAddress } from '../relay/member-link.js';
@@ -47,6 +48,8 @@
   #latencyMs = 0;
   #failureShare = 0;
   #failureAtMs = 0;
+  /** How far it is behind the leader in time. */
+  readonly lag = new ReplicaLag();
   #position: Position = ZERO_POSITION;
   #positionAtMs = Number.NEGATIVE_INFINITY;
   #answeredAtMs = Number.NEGATIVE_INFINITY;
@@ -92,9 +95,17 @@
     this.#positionAtMs = nowMs;
   }
 
-  /** True when it said a short time ago that it does not hold a position yet. */
-  isKnownBehind(position: Position, nowMs: number): boolean {
-    return nowMs - this.#positionAtMs < POSITION_KNOWN_MS && !hasReached(this.#position, position);
+  /** True when it said a short time ago that it does not hold a floor yet, or is expected to lack it by its lag. */
+  isBehind({ position, reachedAtMs }: ReadFloor, nowMs: number): boolean {
+    if (hasReached(this.#position, position)) return false;
+    if (nowMs - this.#positionAtMs < POSITION_KNOWN_MS) return true;
+    return Math.max(0, nowMs - reachedAtMs) < this.lag.expectedMs(nowMs);
+  }
+
+  /** Learns from whether it held the floor of a read. */
+  recordFloor({ reachedAtMs }: ReadFloor, wasHeld: boolean, nowMs: number): void {
+    if (wasHeld) this.lag.held(nowMs - reachedAtMs, nowMs);
+    else this.lag.lacked(nowMs - reachedAtMs, nowMs);
   }
 
   /** Keeps new requests away for a while. */
--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { Position } from '../position/position.js';
+import type { ReadFloor } from '../leadership/position-history.js';
 
 /** A member as far as the choice needs it. */
 export interface ReadCandidate {
@@ -19,14 +19,14 @@
   readonly failureShare: number;
   readonly isLeaving: boolean;
   readonly isAvoided: boolean;
-  /** It said a short time ago that it does not hold the floor of this read yet. */
+  /** It does not hold the floor of this read yet, as far as is known. */
   readonly isBehind: boolean;
 }
 
 /** What a read asks for. */
 export interface ReadDemand {
   /** What a replica has to hold; `null` when only the leader will do. */
-  readonly floor: Position | null;
+  readonly floor: ReadFloor | null;
   /** Members that have refused this read. */
   readonly excluded: ReadonlySet<string>;
 }
--- a/src/topology/topology.test.ts
+++ b/src/topology/topology.test.ts
@@ -42,7 +42,7 @@
   isBehind: false,
 };
 const LEADER: ReadCandidate = { ...REPLICA, memberId: 'l', isLeader: true };
-const FLOOR = { term: 1, index: 1 };
+const FLOOR = { position: { term: 1, index: 1 }, reachedAtMs: 0 };
 const NONE: ReadonlySet<string> = new Set();
 
 function choose(
