--- a/src/tenancy/lease-renewal.test.ts
+++ b/src/tenancy/lease-renewal.test.ts
@@ -79,6 +79,15 @@
   assert.equal(store.reads, 0);
 });
 
+test('one whose proof is old may be cut off itself: others are asked for a younger one', async () => {
+  const { renewal, lease, asked } = scene({
+    ask: ({ name }) => proofOf(7, name === 'near' ? 4000 : 300),
+  });
+  assert.ok(await renewal.renew());
+  assert.deepEqual(asked, ['near', 'far']);
+  assert.equal(lease.ageMs(1000), 300);
+});
+
 test('nobody asks the store while the daemons that do have no proof: it is down for them', async () => {
   const { renewal, store } = scene({ ask: () => Promise.resolve({ proof: null, item: null }) });
   assert.equal(await renewal.renew(), false);
