A daemon that is silent is not waited for by every operation that needs its grant

An operation whose tenant's home is silent waited 150 ms for it, then asked the stand-in: each one, for as long as the home's lease runs (6 s). Found by reading.

Leaving alone every daemon that was lost: one whose process has ended is soon back, and its stand-in grants a twentieth from then on.

Grants and proofs are not asked of a daemon that has owed an answer for 0.4 s.

Test first: the second question to a silent daemon returns at once (waited for its whole time before). src/gateway 26 passed, 0 failed.

--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
+import { createServer } from 'node:net';
 import { after, before, test } from 'node:test';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { daemonRecord } from '../../test/support/daemon-records.js';
@@ -88,3 +89,21 @@
   assert.equal(client.choose([gone])?.name, 'gone');
   client.close();
 });
+
+test('a daemon that is silent is not waited for by others too, for grants and proofs', async () => {
+  const clock = { now: 0 };
+  const silent = recordOf('silent', 23_873);
+  const server = createServer((socket) => socket.resume());
+  await new Promise<void>((resolve) => server.listen(silent.gatewayPort, HOST, resolve));
+  const client = new GatewayClient(HOST, () => clock.now, Math.random);
+  const quota = { ratePerS: 1, burst: 1 };
+  const request = { tenantName: 'amber', quota, count: 1, isForHome: false, isPassedOn: false };
+  assert.equal(await client.askGrant(silent, request, 20), null);
+  clock.now = 500;
+  const startMs = performance.now();
+  assert.equal(await client.askGrant(silent, request, 60_000), null);
+  assert.equal(await client.askConfiguration(silent, 0, 60_000), null);
+  assert.ok(performance.now() - startMs < 10_000);
+  client.close();
+  server.close();
+});
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -274,18 +274,20 @@
     return answer?.type === 'changes' ? answer.answer : null;
   }
 
-  /** What a daemon knows of the newest configuration; `null` when it does not answer in time. */
+  /** What a daemon knows of the newest configuration; `null` when it does not answer in time, or is silent. */
   async askConfiguration(
     record: DaemonRecord,
     heldRevision: number,
     timeoutMs: number,
   ): Promise<PassedConfiguration | null> {
+    if (this.#isSilent(record)) return null;
     const answer = await this.#ask(record, { type: 'ask_configuration', heldRevision }, timeoutMs);
     return answer?.type === 'configuration' ? answer.answer : null;
   }
 
-  /** What a daemon grants; `null` when it does not answer in time, or is not the one to ask. */
+  /** What a daemon grants; `null` when it does not answer in time, is silent, or is not the one to ask. */
   async askGrant(record: DaemonRecord, request: GrantRequest, timeoutMs: number): Promise<Grant | null> {
+    if (this.#isSilent(record)) return null;
     const answer = await this.#ask(record, { type: 'ask_grant', request }, timeoutMs);
     return answer?.type === 'grant' ? answer.grant : null;
   }
@@ -351,6 +353,11 @@
     return this.#connections.get(key)?.isLeaving !== true;
   }
 
+  /** True while it owes an answer for long: callers do not wait for it too. One whose process has ended is soon back. */
+  #isSilent(record: DaemonRecord): boolean {
+    return (this.#connections.get(keyOf(record))?.silenceMs ?? 0) > AVOID_AFTER_MS;
+  }
+
   #connection(record: DaemonRecord): GatewayConnection {
     const key = keyOf(record);
     const known = this.#connections.get(key);
