--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -215,6 +215,26 @@
     assert.ok(fleet.runs.length >= 0.9 * (quota.ratePerS * 10 + quota.burst), `${fleet.runs.length} run`);
   });
 
+  test('stays within the limit when all daemons lose power, however often, and callers come back all at once', async () => {
+    const random = generatorOf(3);
+    const fleet = new ModelledFleet(records, TENANT, () => 1 + random() * 2, random);
+    await fleet.advance(WINDOW_MS);
+    let living = records;
+    for (let round = 0; round < 4; round += 1) {
+      await load(fleet, living, 250, 1500 + round * 700, random);
+      for (const record of living) fleet.kill(record);
+      await fleet.advance(500);
+      living = living.map((record) => ({ ...record, life: `${record.life}'` }));
+      for (const record of living) fleet.view(record, living);
+      for (const record of living) fleet.start(record);
+    }
+    await load(fleet, living, 250, 4000, random);
+    const most = mostInWindow(fleet.runs);
+    const quota = TENANT.quota ?? { ratePerS: 0, burst: 0 };
+    assert.ok(most <= allowed(quota), `${most} in a window, ${allowed(quota)} allowed`);
+    assert.ok(fleet.runs.length > 300, `only ${fleet.runs.length} run`);
+  });
+
   test('stays within the limit at 1,000 daemons with late answers, restarts, cuts and homes that move', async () => {
     const many = fleetOf(1000);
     const quota = TENANT.quota ?? { ratePerS: 0, burst: 0 };
