--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -10,7 +10,13 @@
  */
 import { ChangeSignal, delay } from '../common/signal.js';
 import type { HolderOrder, OrderOutcome, Suspicion } from '../cluster/peer-mesh.js';
-import { hasReached, laterPosition, ZERO_POSITION, type Position } from '../position/position.js';
+import {
+  formatPosition,
+  hasReached,
+  laterPosition,
+  ZERO_POSITION,
+  type Position,
+} from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
@@ -318,6 +324,16 @@
     const candidates = paused.map(toCandidate);
     const acknowledged = latestAcknowledged(group.acknowledged, outcomes);
     const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
+    options.log('promotion_candidates', {
+      group: group.name,
+      received: candidates
+        .map(({ memberId, received }) => `${memberId}@${formatPosition(received)}`)
+        .join(','),
+      former: [...group.former.keys()].join(','),
+      missing,
+      acknowledged: acknowledged === null ? null : formatPosition(acknowledged),
+      unheard: unheard(outcomes),
+    });
     if (isAlive && successor !== null) await this.#demote(leader, term + 1);
     const isDone = successor !== null && (await this.#appoint(successor, term, reason));
     if (!isDone) {
@@ -466,6 +482,12 @@
   return [...outcomes.values()].some((outcome) => outcome.kind === 'silent');
 }
 
+/** Names of the daemons that did not say what they have acknowledged. */
+function unheard(outcomes: ReadonlyMap<string, OrderOutcome>): string {
+  const names = [...outcomes].filter(([, { kind }]) => kind !== 'answered').map(([name]) => name);
+  return names.join(',');
+}
+
 /** The latest acknowledged commit, or `null` when a daemon that may know a later one was not heard. */
 function latestAcknowledged(own: Position, outcomes: ReadonlyMap<string, OrderOutcome>): Position | null {
   let latest = own;
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -157,6 +157,11 @@
     private readonly job: ReadJob,
   ) {}
 
+  /** True once a member has been sent the statement. */
+  get wasSent(): boolean {
+    return this.#wasSent;
+  }
+
   /**
    * The answer of the first member that has one.
    *
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -59,6 +59,12 @@
   readonly tenantName: string;
 }
 
+/** What runs a statement. */
+interface StatementProgress {
+  /** True once a member has been sent it. */
+  readonly wasSent: boolean;
+}
+
 /** One client session. */
 export class Session {
   readonly #values = new Map<string, string>();
@@ -69,6 +75,8 @@
   #ownPosition: OwnPosition | null = null;
   #restTimer: NodeJS.Timeout | null = null;
   #isHandling = false;
+  /** What runs the statement that is being handled; `null` while none is at work for it. */
+  #progress: StatementProgress | null = null;
 
   /** @param key - of the client; `null` when it gave none */
   constructor(
@@ -87,6 +95,11 @@
     return this.#isHandling;
   }
 
+  /** True when a member has been sent the request that is being handled. */
+  get wasSent(): boolean {
+    return this.#progress?.wasSent ?? false;
+  }
+
   /** Why the session may not be opened, or `null`. */
   admit(): Refusal | null {
     const route = this.context.catalog.route(this.database);
@@ -107,6 +120,7 @@
       return this.#refused(request, error);
     } finally {
       this.#isHandling = false;
+      this.#progress = null;
       this.#startRestTimer();
     }
   }
@@ -252,14 +266,18 @@
       receivedAtMs,
       deadlineMs: receivedAtMs + route.timeoutMs,
     };
-    return toResult(await new ReadRunner(this.context, job).run(), false);
+    const runner = new ReadRunner(this.context, job);
+    this.#progress = runner;
+    return toResult(await runner.run(), false);
   }
 
   async #singleWrite({ request, statement, route, group, tenantName }: Operation): Promise<SessionResult> {
     const { requestId, receivedAtMs } = request;
     const deadlineMs = receivedAtMs + route.timeoutMs;
     const job = { requestId, statement, route, group, tenantName, values: this.#values, deadlineMs };
-    const reply = await new WriteRunner(this.context, job).run();
+    const runner = new WriteRunner(this.context, job);
+    this.#progress = runner;
+    const reply = await runner.run();
     if (reply.result.isComplete) this.#recordOwn(group, reply.position);
     return toResult(reply, false);
   }
@@ -270,6 +288,7 @@
     kind: TransactionStep['kind'],
   ): Promise<SessionResult> {
     const transaction = this.#openTransaction();
+    this.#progress = transaction;
     const { requestId, receivedAtMs } = request;
     const deadlineMs = receivedAtMs + transaction.options.route.timeoutMs;
     const reply = await transaction.run({ requestId, statement, kind, values: this.#values, deadlineMs });
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -52,6 +52,8 @@
   #hasWritten = false;
   /** A statement has been sent, and was not refused as not run. */
   #wasSent = false;
+  /** The member has been sent the present statement, and has not refused it as not run. */
+  #wasStepSent = false;
   #isOver = false;
   #lastReason = 'no member can serve';
   /** No connection could be opened at the last attempt. */
@@ -67,6 +69,11 @@
     return this.#pinned !== null;
   }
 
+  /** True once the member has been sent the present statement, unless it then said that it has not run it. */
+  get wasSent(): boolean {
+    return this.#wasStepSent;
+  }
+
   /** True once a write has been sent in it. */
   get hasWritten(): boolean {
     return this.#hasWritten;
@@ -78,6 +85,7 @@
    * @throws {@link Refusal}; the transaction is then over at the member
    */
   async run(step: TransactionStep): Promise<MemberReply> {
+    this.#wasStepSent = false;
     const reply = this.#pinned === null ? await this.#first(step) : await this.#next(this.#pinned, step);
     if (step.kind === 'commit' || reply.state !== 'open') this.end();
     return reply;
@@ -195,6 +203,7 @@
       if (!reply.result.isComplete && isNotRun(reply)) {
         this.#lastReason = reply.result.code;
         this.#wasSent = false;
+        this.#wasStepSent = false;
         this.#hasWritten = false;
         this.#release(pinned);
         return null;
@@ -265,6 +274,7 @@
       if (this.#isOver) return 'the transaction was ended';
       if (step.kind === 'write') this.#hasWritten = true;
       this.#wasSent = true;
+      this.#wasStepSent = true;
       return null;
     });
     let isAnswered = false;
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -78,12 +78,19 @@
   #lastReason = 'no leader';
   /** No connection could be opened at the last attempt. */
   #isUnreachable = false;
+  /** The leader has been sent the write, and has not refused it as not run. */
+  #wasSent = false;
 
   constructor(
     private readonly context: RelayContext,
     private readonly job: WriteJob,
   ) {}
 
+  /** True once the leader has been sent the write, unless it then said that it has not run it. */
+  get wasSent(): boolean {
+    return this.#wasSent;
+  }
+
   /**
    * The leader's answer.
    *
@@ -130,7 +137,6 @@
       this.#lastReason = `no connection: ${String(error)}`;
       return null;
     }
-    let isSent = false;
     let sentAtMs = 0;
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now());
     const commit = job.group.commits.sent(context.now());
@@ -138,7 +144,7 @@
     try {
       const sent = await sendStatement(link, job.statement, job.requestId, job.values, null, () => {
         if (job.group.leader(context.now()) !== leader) return 'no evidence of the leader';
-        isSent = true;
+        this.#wasSent = true;
         sentAtMs = context.now();
         return null;
       });
@@ -147,9 +153,11 @@
         return null;
       }
       isAnswered = true;
-      return this.#judge(leader, sent.reply, sent.sentAtMs);
+      const reply = this.#judge(leader, sent.reply, sent.sentAtMs);
+      if (reply === null) this.#wasSent = false;
+      return reply;
     } catch (error) {
-      if (!isSent) {
+      if (!this.#wasSent) {
         this.#lastReason = `connection lost: ${String(error)}`;
         return null;
       }
