Fault proxy: the end of a connection is as late as the bytes before it

Cause: a delayed link handed on the end of a connection at once when no bytes were queued, so an end could never cross a request. Change: the end takes its place in the queue.

--- a/standin/rig/fault-proxy.ts
+++ b/standin/rig/fault-proxy.ts
@@ -16,8 +16,9 @@
   readonly targetHost: string;
 }
 
+/** Bytes on their way; `null` is the end of the connection. */
 interface Chunk {
-  readonly data: Buffer;
+  readonly data: Buffer | null;
   readonly dueMs: number;
 }
 
@@ -35,18 +36,14 @@
   ) {}
 
   push(data: Buffer): void {
-    const delayMs = this.proxy.delayMs(this.fromZone, this.toZone);
-    if (delayMs === 0 && this.#queue.length === 0 && !this.proxy.isCut(this.fromZone, this.toZone)) {
-      this.sink.write(data);
-      return;
-    }
-    this.#queue.push({ data, dueMs: performance.now() + delayMs });
-    this.pump();
+    this.#take(data);
   }
 
+  /** The end is as late as the bytes before it. */
   end(): void {
+    if (this.#hasEnded) return;
     this.#hasEnded = true;
-    this.pump();
+    this.#take(null);
   }
 
   /** Delivers what is due, unless the way is cut. */
@@ -57,11 +54,25 @@
     const nowMs = performance.now();
     while (this.#queue[0] !== undefined && this.#queue[0].dueMs <= nowMs) {
       const chunk = this.#queue.shift();
-      if (chunk !== undefined) this.sink.write(chunk.data);
+      if (chunk !== undefined) this.#deliver(chunk.data);
     }
     const next = this.#queue[0];
     if (next !== undefined) this.#timer = setTimeout(() => this.pump(), Math.max(1, next.dueMs - nowMs));
-    else if (this.#hasEnded) this.sink.end();
+  }
+
+  #take(data: Buffer | null): void {
+    const delayMs = this.proxy.delayMs(this.fromZone, this.toZone);
+    if (delayMs === 0 && this.#queue.length === 0 && !this.proxy.isCut(this.fromZone, this.toZone)) {
+      this.#deliver(data);
+      return;
+    }
+    this.#queue.push({ data, dueMs: performance.now() + delayMs });
+    this.pump();
+  }
+
+  #deliver(data: Buffer | null): void {
+    if (data === null) this.sink.end();
+    else this.sink.write(data);
   }
 }
 
@@ -157,8 +168,8 @@
     source.on('error', () => source.destroy());
     source.on('close', () => {
       this.#sockets.delete(source);
-      this.#flows.delete(flow);
       flow.end();
+      this.#flows.delete(flow);
       if (source.errored !== null) sink.destroy();
     });
   }
