A planned stop brings every session to its end, and answers every request that it has read

Cause: a stop ended idle sessions, left the others alone and destroyed them at 0.85 of the grace time, whatever they were doing; the end of an idle connection crossed requests on their way. Ruled out: that the member breaks off (request_unanswered says wasSent=true, ms=249, while the member answers); that a request is cut by the configuration or by SIGHUP (the session code ends a connection for neither, but with an answer). Change: a plan of the stop (src/relay/planned-stop.ts). A session at rest is told an error unasked and left to its client to close: a request that crosses it has its answer.

--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -78,6 +78,7 @@
     observer: QUIET_OBSERVER,
     group: () => group,
     now: () => clock.now,
+    plannedStop: () => null,
     suspect: () => undefined,
   };
   const read = (requestId: string): Promise<MemberReply> =>
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -146,6 +146,7 @@
   readonly #ended: Attempt[] = [];
   readonly #attemptEnded = new ChangeSignal();
   #isSettled = false;
+  #isAbandoned = false;
   #wasSent = false;
   #lastReason = 'no member can serve';
   /** The answer of a member that ran the read and failed: the last word if no other has a better one. */
@@ -162,6 +163,14 @@
     return this.#wasSent;
   }
 
+  /** Sends nothing more. */
+  abandon(): void {
+    this.#isSettled = true;
+    this.#isAbandoned = true;
+    for (const { wait } of this.#pending) wait.cancel();
+    this.#attemptEnded.notify();
+  }
+
   /**
    * The answer of the first member that has one.
    *
@@ -179,7 +188,7 @@
   async #run(): Promise<MemberReply> {
     for (;;) {
       const remaining = this.job.deadlineMs - this.context.now();
-      if (remaining <= 0) return this.#giveUp();
+      if (remaining <= 0 || this.#isAbandoned) return this.#giveUp();
       if (this.#ended.length === 0) this.#launch();
       if (this.#pending.size === 0 && this.#ended.length === 0) {
         if (this.#failure !== null && this.#failures >= MAX_FAILURES) return this.#failure;
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { Catalog } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { PlannedStop } from './planned-stop.js';
 
 /** One decision that touches a request. */
 export interface Decision {
@@ -38,6 +39,8 @@
   readonly observer: RelayObserver;
   /** The group of a name; groups come and go with the configuration. */
   group(name: string): MemberGroup | null;
+  /** The plan by which this daemon stops; `null` while it goes on. */
+  plannedStop(): PlannedStop | null;
   /** Monotonic time, in milliseconds. */
   now(): number;
   /** A member went silent, refused connections or denied its lead. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -39,6 +39,7 @@
 import { LinkPool } from './link-pool.js';
 import type { MemberDialer, StatusReader } from './member-link.js';
 import type { RelayContext, RelayObserver } from './relay-context.js';
+import type { PlannedStop } from './planned-stop.js';
 import { Readiness } from './readiness.js';
 import { Session } from './session.js';
 
@@ -126,6 +127,7 @@
   readonly #readiness = new Readiness();
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
+  #plannedStop: PlannedStop | null = null;
   #startedAtMs = 0;
   /** When the configuration in force came. */
   #catalogAtMs = Number.NEGATIVE_INFINITY;
@@ -276,6 +278,7 @@
       zone: options.zone,
       observer: options.observer,
       group: (name) => this.#groups.get(name)?.group ?? null,
+      plannedStop: () => this.#plannedStop,
       now,
       suspect: (group, member, reason) => this.#doubts.suspect(group, member, reason),
     };
@@ -330,8 +333,9 @@
     return this.#gatewayServer.openLoans;
   }
 
-  /** Gives up the duty and lends no more; sessions and open loans go on. */
-  async retire(): Promise<void> {
+  /** Gives up the duty and lends no more; sessions and open loans go on, until the times of the plan. */
+  async retire(plan: PlannedStop): Promise<void> {
+    this.#plannedStop = plan;
     this.#gatewayServer.leave();
     await Promise.race([this.#duty.stop(), delay(500)]);
   }
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -11,6 +11,7 @@
 import type { MemberGroup } from '../topology/member-group.js';
 import type { MemberErrorCode, MemberReply } from './member-link.js';
 import { ReadRunner } from './read-runner.js';
+import { ELSEWHERE_RETRY_AFTER_MS, refusalOfCut } from './cut-request.js';
 import { Refusal, type RefusalCode } from './refusal.js';
 import { RETRY_AFTER_MS, UNPROVEN_RETRY_AFTER_MS, type RelayContext } from './relay-context.js';
 import type { SessionStatement } from './send-statement.js';
@@ -63,8 +64,12 @@
 interface StatementProgress {
   /** True once a member has been sent it. */
   readonly wasSent: boolean;
+  /** Its answer is no longer wanted: what was not sent yet never is. */
+  abandon(): void;
 }
 
+const STOPPING = 'the daemon is stopping';
+
 /** One client session. */
 export class Session {
   readonly #values = new Map<string, string>();
@@ -77,6 +82,8 @@
   #isHandling = false;
   /** What runs the statement that is being handled; `null` while none is at work for it. */
   #progress: StatementProgress | null = null;
+  /** Ends the wait for the answer to the present request; `null` while there is none. */
+  #cut: (() => void) | null = null;
 
   /** @param key - of the client; `null` when it gave none */
   constructor(
@@ -113,7 +120,7 @@
     this.#isHandling = true;
     this.#stopRestTimer();
     try {
-      const result = await this.#dispatch(request);
+      const result = await this.#dispatchUntilCut(request);
       this.#ended(request, 'served');
       return { result, state: this.#state };
     } catch (error) {
@@ -121,10 +128,24 @@
     } finally {
       this.#isHandling = false;
       this.#progress = null;
+      this.#cut = null;
       this.#startRestTimer();
     }
   }
 
+  /** Ends the request that is being handled with what is known of it. */
+  cut(): void {
+    this.#cut?.();
+  }
+
+  /** The daemon ends the session: what is open is rolled back, and a client that asks meanwhile is told this. */
+  bidFarewell(): Refusal {
+    const code = this.#state === 'idle' ? 'busy' : 'aborted';
+    this.close();
+    if (this.#state === 'open') this.#state = 'failed';
+    return new Refusal(code, 'not_run', STOPPING, ELSEWHERE_RETRY_AFTER_MS);
+  }
+
   /** A request was not understood: an open transaction has failed. */
   fail(): void {
     if (this.#state === 'idle') return;
@@ -165,9 +186,49 @@
     return { result: { isComplete: false, refusal }, state: this.#state };
   }
 
+  /** Runs a request; one that is cut meanwhile ends at once, and sends nothing more. */
+  #dispatchUntilCut(request: ClientRequest): Promise<SessionResult> {
+    return new Promise((resolve, reject) => {
+      this.#cut = (): void => {
+        reject(this.#refusalOfCut(request.statement));
+        this.#progress?.abandon();
+      };
+      this.#dispatch(request).then(resolve, reject);
+    });
+  }
+
+  #refusalOfCut(statement: Statement): Refusal {
+    const prepared = statement.kind === 'execute' ? this.#prepared.get(statement.name) : undefined;
+    const cutRequest = {
+      kind: statement.kind,
+      isWrite: statement.kind === 'write' || prepared?.isWrite === true,
+      wasSent: this.wasSent,
+      isInTransaction: this.#state !== 'idle',
+      hasWritten: this.#transaction?.hasWritten ?? false,
+    };
+    return refusalOfCut(cutRequest, STOPPING);
+  }
+
+  /** Near its end a daemon begins nothing that others can do; commits keep the time that is left for answers. */
+  #requireTime(statement: Statement): void {
+    const stop = this.context.plannedStop();
+    if (stop === null) return;
+    const isEnd = statement.kind === 'commit' || statement.kind === 'rollback';
+    if (this.context.now() < (isEnd ? stop.lastAnswerAtMs : stop.lastStatementAtMs)) return;
+    const code = this.#state === 'idle' ? 'busy' : 'aborted';
+    throw new Refusal(code, 'not_run', STOPPING, ELSEWHERE_RETRY_AFTER_MS);
+  }
+
+  /** When a request has to be answered: by its route's time, and before the daemon ends. */
+  #deadlineOf(request: ClientRequest, route: Route): number {
+    const lastAnswerAtMs = this.context.plannedStop()?.lastAnswerAtMs ?? Number.POSITIVE_INFINITY;
+    return Math.min(request.receivedAtMs + route.timeoutMs, lastAnswerAtMs);
+  }
+
   async #dispatch(request: ClientRequest): Promise<SessionResult> {
     const { statement } = request;
     if (this.#state === 'failed') return this.#inFailed(statement);
+    this.#requireTime(statement);
     switch (statement.kind) {
       case 'begin':
         return this.#begin(statement.isReadOnly, request.receivedAtMs);
@@ -264,7 +325,7 @@
       values: this.#values,
       sessionFloor: this.#floorIn(group),
       receivedAtMs,
-      deadlineMs: receivedAtMs + route.timeoutMs,
+      deadlineMs: this.#deadlineOf(request, route),
     };
     const runner = new ReadRunner(this.context, job);
     this.#progress = runner;
@@ -272,8 +333,8 @@
   }
 
   async #singleWrite({ request, statement, route, group, tenantName }: Operation): Promise<SessionResult> {
-    const { requestId, receivedAtMs } = request;
-    const deadlineMs = receivedAtMs + route.timeoutMs;
+    const { requestId } = request;
+    const deadlineMs = this.#deadlineOf(request, route);
     const job = { requestId, statement, route, group, tenantName, values: this.#values, deadlineMs };
     const runner = new WriteRunner(this.context, job);
     this.#progress = runner;
@@ -289,8 +350,8 @@
   ): Promise<SessionResult> {
     const transaction = this.#openTransaction();
     this.#progress = transaction;
-    const { requestId, receivedAtMs } = request;
-    const deadlineMs = receivedAtMs + transaction.options.route.timeoutMs;
+    const { requestId } = request;
+    const deadlineMs = this.#deadlineOf(request, transaction.options.route);
     const reply = await transaction.run({ requestId, statement, kind, values: this.#values, deadlineMs });
     const result = toResult(reply, kind !== 'commit' || !transaction.hasWritten);
     if (kind === 'commit' && reply.result.isComplete && transaction.hasWritten)
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -126,6 +126,7 @@
     observer: QUIET_OBSERVER,
     group: () => group,
     now: () => 0,
+    plannedStop: () => null,
     suspect: () => undefined,
   };
   const options = {
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -91,6 +91,11 @@
     return reply;
   }
 
+  /** The same as {@link Transaction.end}: a transaction whose statement is given up goes on nowhere. */
+  abandon(): void {
+    this.end();
+  }
+
   /** Ends it at the member without keeping anything, unless it has ended already. */
   end(): void {
     if (this.#isOver) return;
--- a/src/relay/verdicts.test.ts
+++ b/src/relay/verdicts.test.ts
@@ -143,6 +143,7 @@
     observer: QUIET_OBSERVER,
     group: () => group,
     now,
+    plannedStop: () => null,
     suspect: () => undefined,
   };
   return { script, context, group };
--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -46,6 +46,7 @@
     observer: QUIET_OBSERVER,
     group: () => group,
     now: () => (now += STEP_MS),
+    plannedStop: () => null,
     suspect: () => undefined,
   };
   const commit = group.commits.sent(now - 400);
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -80,6 +80,7 @@
   #isUnreachable = false;
   /** The leader has been sent the write, and has not refused it as not run. */
   #wasSent = false;
+  #isAbandoned = false;
 
   constructor(
     private readonly context: RelayContext,
@@ -91,6 +92,11 @@
     return this.#wasSent;
   }
 
+  /** Sends nothing more. */
+  abandon(): void {
+    this.#isAbandoned = true;
+  }
+
   /**
    * The leader's answer.
    *
@@ -101,7 +107,7 @@
     const wait = { sinceMs: context.now(), timeoutMs: job.route.timeoutMs };
     for (;;) {
       const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS, wait);
-      if (leader === null || context.now() >= job.deadlineMs) throw this.#notRun();
+      if (leader === null || context.now() >= job.deadlineMs || this.#isAbandoned) throw this.#notRun();
       const { commits } = job.group;
       if (commits.isSlow(context.now())) {
         // What is sent now may end in doubt, and would keep a connection from the reads.
@@ -143,6 +149,7 @@
     let isAnswered = false;
     try {
       const sent = await sendStatement(link, job.statement, job.requestId, job.values, null, () => {
+        if (this.#isAbandoned) return 'given up';
         if (job.group.leader(context.now()) !== leader) return 'no evidence of the leader';
         this.#wasSent = true;
         sentAtMs = context.now();
