A request that was never sent is told apart from one whose answer is lost

Cause: a connection that had ended before the request left threw the same error as one that ended with the request under way. A commit on a loan that was over was told to be in doubt, and a write was not tried again.

Ruled out: judging by whether the connection is open before each statement. It can end while values are adopted or a shape is prepared, which for a loan is no wait at all and for a connection of one's own is a way to the member and back.

Change: NotSentError, a LinkLostError, is thrown by connections that are not open. A commit of writes that was not sent is aborted, not run, with a time to come back: no other connection can commit the transaction, and the member rolls it back once it sees the end of the one that it rested on. So is one that was refused as busy and could not be sent again. A first statement begins on another connection, and a single write is sent over another.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { LinkLostError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
+import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { memberNameOf } from '../relay/pooled-link.js';
 import type { SessionLink, SessionValues } from '../relay/session-link.js';
 import type { PreparedShape, TransactionState } from '../relay/statement.js';
@@ -51,7 +51,7 @@
   }
 
   async adoptValues(values: SessionValues): Promise<void> {
-    if (!this.#isOpen) throw new LinkLostError('not open');
+    if (!this.#isOpen) throw new NotSentError('not open');
     if (isSame(values, this.#values)) return;
     this.#values = new Map(values);
     this.#begin();
@@ -65,7 +65,7 @@
   }
 
   send(request: MemberRequest): Promise<MemberReply> {
-    if (!this.#isOpen) return Promise.reject(new LinkLostError('not open'));
+    if (!this.#isOpen) return Promise.reject(new NotSentError('not open'));
     this.#begin();
     const prepared = request.kind === 'execute' ? (this.#prepared.get(request.name) ?? null) : null;
     return new Promise((resolve, reject) => {
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -75,7 +75,12 @@
 
 /** The connection ended, or was given up, before the answer was whole: the request may have run. */
 export class LinkLostError extends Error {
-  override readonly name = 'LinkLostError';
+  override readonly name: string = 'LinkLostError';
+}
+
+/** The connection had ended before the request left: the member has not been sent it, and never will be. */
+export class NotSentError extends LinkLostError {
+  override readonly name = 'NotSentError';
 }
 
 /** No connection could be opened: nothing was sent. */
@@ -103,7 +108,7 @@
   /**
    * Sends a request.
    *
-   * @throws {@link LinkLostError} when the connection ends first
+   * @throws {@link LinkLostError} when the connection ends first; {@link NotSentError} when it had ended before
    */
   send(request: MemberRequest): Promise<MemberReply>;
   /** Ends the connection; the member rolls back what is open. */
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -12,7 +12,7 @@
 import { alternatives, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import { LinkWait, type Grant, type WaitingPlace } from './link-wait.js';
-import { DialError, type MemberErrorCode, type MemberReply } from './member-link.js';
+import { DialError, NotSentError, type MemberErrorCode, type MemberReply } from './member-link.js';
 import { shouldAskElsewhere } from './patience.js';
 import { Refusal } from './refusal.js';
 import { LATE_ANSWER_MS, RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
@@ -359,7 +359,8 @@
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
       return this.#judge(member, asLeader, floor, reply.reply, reply.sentAtMs);
     } catch (error) {
-      return { kind: isSent ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
+      const isLost = isSent && !(error instanceof NotSentError);
+      return { kind: isLost ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
       clearTimeout(overdue);
     }
--- a/src/relay/session-link.ts
+++ b/src/relay/session-link.ts
@@ -29,7 +29,7 @@
    * @throws LinkLostError
    */
   prepare(prepared: PreparedShape): Promise<string>;
-  /** @throws LinkLostError */
+  /** @throws LinkLostError; NotSentError, which is one too, when the member has certainly not been sent the request */
   send(request: MemberRequest): Promise<MemberReply>;
   /** Ends it; the member rolls back what is open. */
   close(): void;
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -1,10 +1,12 @@
 /**
- * A transaction whose client leaves at every point of a statement: nothing of it runs outside of it.
+ * A transaction whose client leaves at every point of a statement: nothing of it runs outside of it. And one whose connection
+ * ends: what its client is told is what is known.
  *
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { delay } from '../common/signal.js';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { Catalog, type Route } from '../topology/catalog.js';
@@ -12,7 +14,14 @@
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { MemberConnections } from '../gateway/member-connections.js';
 import { LinkPool } from './link-pool.js';
-import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
+import {
+  LinkLostError,
+  NotSentError,
+  type MemberLink,
+  type MemberReply,
+  type MemberRequest,
+} from './member-link.js';
+import { Refusal } from './refusal.js';
 import type { RelayContext } from './relay-context.js';
 import { Transaction } from './transaction.js';
 
@@ -27,9 +36,10 @@
     reject(error: Error): void;
   }[] = [];
   #isInTransaction = false;
+  #onClosed: (isByPeer: boolean) => void = () => undefined;
 
   send(request: MemberRequest): Promise<MemberReply> {
-    if (!this.isOpen) return Promise.reject(new LinkLostError('closed'));
+    if (!this.isOpen) return Promise.reject(new NotSentError('closed'));
     return new Promise((resolve, reject) => this.#waiting.push({ request, resolve, reject }));
   }
 
@@ -43,13 +53,21 @@
     return true;
   }
 
+  /** Refuses the oldest request without running it. */
+  refuse(): void {
+    const result = { isComplete: false, code: 'busy', text: 'busy' } as const;
+    this.#waiting.shift()?.resolve({ rows: [], result, state: 'open', position: null });
+  }
+
   /** What was sent may have arrived before the end of the connection: it runs. */
   close(): void {
+    if (!this.isOpen) return;
     this.isOpen = false;
     for (const { request, reject } of this.#waiting.splice(0)) {
       this.#run(request);
       reject(new LinkLostError('closed'));
     }
+    this.#onClosed(false);
   }
 
   #run({ kind }: MemberRequest): void {
@@ -59,8 +77,8 @@
       this.ran.push(`${kind} ${this.#isInTransaction ? 'inside' : 'outside'}`);
   }
 
-  onClosed(): void {
-    // Nobody is told: the test looks at the link itself.
+  onClosed(listener: (isByPeer: boolean) => void): void {
+    this.#onClosed = listener;
   }
 }
 
@@ -75,11 +93,14 @@
   isPublic: true,
 };
 
-function scene(): { link: SlowLink; transaction: Transaction } {
-  const link = new SlowLink();
+/** @param links - the connections that the member accepts, in this order */
+function scene(links: readonly SlowLink[] = [new SlowLink()]): { link: SlowLink; transaction: Transaction } {
+  const [link] = links;
+  assert.ok(link !== undefined);
+  let dials = 0;
   const group = new MemberGroup('g');
   const pool = new LinkPool({
-    dialer: { dial: () => Promise.resolve(link) },
+    dialer: { dial: () => Promise.resolve(links[dials++] ?? link) },
     address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
     budget: () => 1,
     dialTimeoutMs: 100,
@@ -180,3 +201,80 @@
     );
   }
 });
+
+const NO_VALUES = new Map<string, string>();
+const WRITE = { ...STEP, statement: { kind: 'plain', payload: 'WRITE t d' }, values: NO_VALUES } as const;
+const COMMIT = { ...WRITE, statement: { kind: 'plain', payload: 'COMMIT' }, kind: 'commit' } as const;
+
+/** A transaction that has written, and rests. */
+async function written(): Promise<ReturnType<typeof scene>> {
+  const opened = scene();
+  const work = opened.transaction.run(WRITE);
+  for (let answers = 0; answers < 2; answers += 1) {
+    await turns();
+    opened.link.answer();
+  }
+  await work;
+  return opened;
+}
+
+/** The refusal that a statement ends with. */
+async function refusalOf(work: Promise<MemberReply>): Promise<Refusal> {
+  const error = await work.then(
+    () => assert.fail('not refused'),
+    (reason: unknown) => reason,
+  );
+  assert.ok(error instanceof Refusal, String(error));
+  return error;
+}
+
+/*
+ * Users were told that a commit is in doubt though it had never left: the connection of their transaction had ended while the
+ * transaction rested. Whatever was lost with a commit counted as a commit whose answer is lost.
+ */
+test('a commit that finds its connection ended is a promise that nothing is kept', async () => {
+  const { link, transaction } = await written();
+  link.close();
+  const refusal = await refusalOf(transaction.run(COMMIT));
+  assert.equal(refusal.code, 'aborted');
+  assert.equal(refusal.verdict, 'not_run');
+  assert.ok(refusal.retryAfterMs !== null, 'told when to come back');
+  assert.deepEqual(link.ran, ['statement inside']);
+});
+
+test('a commit that was refused as not run, and cannot be sent again, is such a promise too', async () => {
+  const { link, transaction } = await written();
+  const work = refusalOf(transaction.run(COMMIT));
+  await turns();
+  link.refuse();
+  link.close();
+  const refusal = await work;
+  assert.equal(refusal.code, 'aborted');
+  assert.equal(refusal.verdict, 'not_run');
+});
+
+test('a commit that was sent, and whose answer is lost, is in doubt', async () => {
+  const { link, transaction } = await written();
+  const work = refusalOf(transaction.run(COMMIT));
+  await turns();
+  link.close();
+  const refusal = await work;
+  assert.equal(refusal.code, 'in_doubt');
+  assert.equal(refusal.verdict, 'may_have_run');
+});
+
+test('a first statement that finds its connection ended begins on another', async () => {
+  const first = new SlowLink();
+  const second = new SlowLink();
+  const { transaction } = scene([first, second]);
+  const work = transaction.run(WRITE);
+  await turns();
+  first.answer();
+  first.close();
+  while (second.ran.length === 0) {
+    await delay(1);
+    second.answer();
+  }
+  assert.equal((await work).result.isComplete, true);
+  assert.deepEqual([...first.ran, ...second.ran], ['statement inside']);
+});
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -9,7 +9,7 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { dueAt } from './link-queue.js';
-import { DialError, type MemberReply } from './member-link.js';
+import { DialError, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { readCandidates, readFloor, recordReplica } from './read-runner.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
@@ -202,9 +202,7 @@
       }
       if (!reply.result.isComplete && isNotRun(reply)) {
         this.#lastReason = reply.result.code;
-        this.#wasSent = false;
-        this.#wasStepSent = false;
-        this.#hasWritten = false;
+        this.#firstWasNotRun();
         this.#release(pinned);
         return null;
       }
@@ -214,6 +212,7 @@
       link.close();
       member.pool.release(link);
       if (error instanceof Refusal) throw error;
+      if (error instanceof NotSentError) this.#firstWasNotRun();
       if (this.#wasSent) this.#throwLoss(step, error);
       this.#lastReason = `connection lost: ${String(error)}`;
       return null;
@@ -222,6 +221,13 @@
     }
   }
 
+  /** The first statement was refused as not run, or did not leave: it may begin elsewhere. */
+  #firstWasNotRun(): void {
+    this.#wasSent = false;
+    this.#wasStepSent = false;
+    this.#hasWritten = false;
+  }
+
   /** Begins at the member; a reason when it could not. */
   async #begin(pinned: Pinned, step: TransactionStep): Promise<string | null> {
     const { context, options } = this;
@@ -252,12 +258,14 @@
         const reply = await this.#send(pinned, step);
         const isBusy = !reply.result.isComplete && reply.result.code === 'busy' && reply.state === 'open';
         if (!isBusy) return reply;
+        this.#wasStepSent = false;
         await this.options.group.changed.wait(RETRY_PAUSE_MS);
         if (this.#isOver) throw new Refusal('aborted', 'not_run', 'the transaction was ended');
       }
     } catch (error) {
       this.end();
       if (error instanceof Refusal) throw error;
+      if (error instanceof NotSentError) this.#wasStepSent = false;
       return this.#throwLoss(step, error);
     } finally {
       clearTimeout(overdue);
@@ -301,10 +309,11 @@
 
   /**
    * A commit of writes whose answer is lost is in doubt. Anything else is rolled back by the member; it may have
-   * run on that connection, so the transaction goes on on no other.
+   * run on that connection, so the transaction goes on on no other. A commit that was not sent is no exception: no other
+   * connection can commit the transaction, and the member rolls it back once it sees the end of this one, however late.
    */
   #throwLoss(step: TransactionStep, error: unknown): never {
-    if (step.kind === 'commit' && this.#hasWritten)
+    if (step.kind === 'commit' && this.#hasWritten && this.#wasStepSent)
       throw new Refusal(
         'in_doubt',
         'may_have_run',
--- a/src/relay/verdicts.test.ts
+++ b/src/relay/verdicts.test.ts
@@ -14,6 +14,7 @@
 import {
   DialError,
   LinkLostError,
+  NotSentError,
   type MemberErrorCode,
   type MemberLink,
   type MemberReply,
@@ -82,7 +83,7 @@
   constructor(private readonly script: Script) {}
 
   send(request: MemberRequest): Promise<MemberReply> {
-    if (!this.isOpen) return Promise.reject(new LinkLostError('not open'));
+    if (!this.isOpen) return Promise.reject(new NotSentError('not open'));
     const isOfClient = request.kind === 'statement' || request.kind === 'execute';
     const deed = isOfClient ? this.script.take() : 'run';
     if (isOfClient && deed.startsWith('run')) this.script.runs += 1;
--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -1,14 +1,16 @@
 /**
- * A write while commits at the leader go without an answer.
+ * A write while commits at the leader go without an answer, and one whose connection has ended before it leaves.
  *
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { FakeLink } from '../../test/support/fake-link.js';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
+import { PooledLink } from './pooled-link.js';
 import { Refusal } from './refusal.js';
 import type { RelayContext } from './relay-context.js';
 import { WriteRunner } from './write-runner.js';
@@ -73,3 +75,46 @@
   await assert.rejects(later, Refusal);
   assert.ok(acquired > 0, 'sent again once commits are answered');
 });
+
+test('is sent again over another connection when its own had ended before it left', async () => {
+  const ended = new FakeLink();
+  ended.close();
+  const open = new FakeLink();
+  const links = [ended, open];
+  const group = new MemberGroup('g');
+  const leader = {
+    entry: { memberId: 'm' },
+    isAvoided: () => false,
+    trust: () => undefined,
+    recordOutcome: () => undefined,
+    pool: {
+      acquire: () => Promise.resolve(new PooledLink(links.shift() ?? open, 'one')),
+      release: () => undefined,
+    },
+  };
+  group.members.set('m', leader as unknown as Member);
+  group.evidence.believe({ memberId: 'm', term: 1 });
+  group.evidence.witness(1, 0, performance.now());
+  const context: RelayContext = {
+    catalog: new Catalog(),
+    configurationLease: ALWAYS_PROVEN,
+    quotas: NO_QUOTAS,
+    zone: 'a',
+    observer: QUIET_OBSERVER,
+    group: () => group,
+    now: () => performance.now(),
+    suspect: () => undefined,
+  };
+  const reply = await new WriteRunner(context, {
+    requestId: 'x',
+    statement: { kind: 'plain', payload: 'WRITE k v' },
+    route: ROUTE,
+    group,
+    tenantName: 'one',
+    values: new Map(),
+    deadlineMs: performance.now() + ROUTE.timeoutMs,
+  }).run();
+  assert.equal(reply.result.isComplete, true);
+  assert.equal(ended.sent.length, 0);
+  assert.equal(open.sent.length, 1);
+});
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -6,7 +6,7 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
-import { DialError, type MemberReply } from './member-link.js';
+import { DialError, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
 import { shouldAskElsewhere } from './patience.js';
@@ -157,6 +157,7 @@
       if (reply === null) this.#wasSent = false;
       return reply;
     } catch (error) {
+      if (error instanceof NotSentError) this.#wasSent = false;
       if (!this.#wasSent) {
         this.#lastReason = `connection lost: ${String(error)}`;
         return null;
--- a/test/support/fake-link.ts
+++ b/test/support/fake-link.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import {
-  LinkLostError,
+  NotSentError,
   type MemberLink,
   type MemberReply,
   type MemberRequest,
@@ -22,7 +22,7 @@
   constructor(readonly tenantName = '') {}
 
   send(request: MemberRequest): Promise<MemberReply> {
-    if (!this.isOpen) return Promise.reject(new LinkLostError('closed'));
+    if (!this.isOpen) return Promise.reject(new NotSentError('closed'));
     this.sent.push(request);
     const result = this.refuseNext
       ? ({ isComplete: false, code: 'failed', text: 'no' } as const)
--- a/test/support/modelled-member.ts
+++ b/test/support/modelled-member.ts
@@ -7,6 +7,7 @@
 import {
   DialError,
   LinkLostError,
+  NotSentError,
   type MemberLink,
   type MemberReply,
   type MemberRequest,
@@ -98,7 +99,7 @@
   constructor(private readonly member: ModelledMember) {}
 
   async send(request: MemberRequest): Promise<MemberReply> {
-    if (!this.isOpen) throw new LinkLostError('not open');
+    if (!this.isOpen) throw new NotSentError('not open');
     const reply = await this.member.answer(request);
     if (!this.isOpen) throw new LinkLostError('given up');
     return reply;
