A gateway that stops tells its borrowers what became of every request

Cause: a gateway told everybody to borrow elsewhere and then left its loans alone until its connections were destroyed. Requests that waited there for a connection went on waiting, up to their whole time-out, and ended in doubt though nothing was sent. What rested inside a transaction learnt of the end only from the end itself, and answers that stood in a buffer went with the process. Besides, a loan that the gateway had lost was never returned, and counted as open until its channel ended.

Ruled out: that the former test of processes was at fault.

Change: a loan is a module of its own and ends in stages. leave: nobody waits for a connection any more, who does is told that nothing was sent and asks elsewhere. windUp: what rests inside a transaction is ended, or as soon as its statement is answered, with a word that nothing more was sent; nothing new is taken. finish: what is left is told whether the member had been sent it, then comes a last message, and the connection ends once all is read. What crosses the last message was not sent either. A loan that is lost is over at both ends, and what was queued behind the lost request is thrown away: it must not run outside its transaction.

Conclusion: leave is in use already; windUp and finish wait to be called by the stop of the daemon.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -77,7 +77,7 @@
   close(): void {
     if (!this.#isOpen) return;
     if (this.#hasBegun) this.transmit({ type: 'return', loan: this.terms.loan });
-    this.#end('given up');
+    this.#end(new LinkLostError('given up'));
   }
 
   /** The gateway passes the member's answer on. */
@@ -86,17 +86,21 @@
     this.#pending.shift()?.resolve(reply);
   }
 
-  /** The gateway has lost the member's connection, or the way to the gateway is lost. */
-  lose(reason: string): void {
+  /**
+   * The loan is over, or the way to the gateway is lost.
+   *
+   * @param isUnsent - true when what is not answered was not sent to the member
+   */
+  lose(reason: string, isUnsent: boolean): void {
     if (!this.#isOpen) return;
-    this.#end(reason);
+    this.#end(isUnsent ? new NotSentError(reason) : new LinkLostError(reason));
   }
 
   /** The gateway was never reached: what waits was not sent. */
   refuse(reply: MemberReply): void {
     if (!this.#isOpen) return;
     for (const { resolve } of this.#pending.splice(0)) resolve(reply);
-    this.#end('the gateway was not reached');
+    this.#end(new NotSentError('the gateway was not reached'));
   }
 
   #begin(): void {
@@ -105,10 +109,10 @@
     this.transmit(this.terms);
   }
 
-  #end(reason: string): void {
+  #end(error: LinkLostError): void {
     this.#isOpen = false;
     this.onEnd();
-    for (const { reject } of this.#pending.splice(0)) reject(new LinkLostError(reason));
+    for (const { reject } of this.#pending.splice(0)) reject(error);
   }
 }
 
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -12,7 +12,7 @@
 import { MessageChannel } from '../peer/message-channel.js';
 import { BorrowedLink } from './borrowed-link.js';
 import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage } from './gateway-messages.js';
-import { notSent } from './gateway-server.js';
+import { notSent } from './loan.js';
 
 /** Longest time to open a connection, in milliseconds. */
 const DIAL_MS = 400;
@@ -73,6 +73,8 @@
   readonly #channel: MessageChannel<GatewayMessage>;
   readonly #openedAtMs: number;
   #isConnected = false;
+  /** The gateway has said its last: what it has not spoken of was not sent. */
+  #hasEnded = false;
   #hasAnswered = false;
   /** Since when an answer has been owed with nothing heard, in monotonic milliseconds; `null` when none is. */
   #owedSinceMs: number | null = null;
@@ -160,7 +162,7 @@
         this.loans.get(message.loan)?.receive(message.reply);
         break;
       case 'lost':
-        this.loans.get(message.loan)?.lose(message.reason);
+        this.loans.get(message.loan)?.lose(message.reason, message.isUnsent);
         break;
       case 'evidence': {
         const entries = this.#evidence.read(message.answer);
@@ -177,6 +179,10 @@
       case 'leaving':
         this.isLeaving = true;
         break;
+      case 'ended':
+        this.#hasEnded = true;
+        this.#channel.destroy();
+        break;
       default:
         break;
     }
@@ -204,7 +210,7 @@
     for (const { settle } of this.questions.values()) settle(null);
     this.questions.clear();
     for (const link of [...this.loans.values()]) {
-      if (this.#isConnected) link.lose('the connection to the gateway was lost');
+      if (this.#isConnected) link.lose('the connection to the gateway was lost', this.#hasEnded);
       else link.refuse(notSent('the gateway was not reached'));
     }
   }
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -56,11 +56,13 @@
   readonly reply: MemberReply;
 }
 
-/** The member's connection was lost with a request under way: it may have run. */
+/** The loan is over: the member's connection was lost, or given up. What is open is rolled back. */
 export interface LoanLostMessage {
   readonly type: 'lost';
   readonly loan: number;
   readonly reason: string;
+  /** True when nothing that the loan has not been answered was sent, or will be; otherwise it may have run. */
+  readonly isUnsent: boolean;
 }
 
 /** Asks for a sign of life, or gives one. */
@@ -73,6 +75,11 @@
   readonly type: 'leaving';
 }
 
+/** The last message of a gateway that stops: it reads nothing more, so what it has not spoken of was not sent. */
+export interface GatewayEndsMessage {
+  readonly type: 'ended';
+}
+
 /** Asks for evidence of leaders, and gives it. */
 export interface EvidenceQuestionMessage {
   readonly type: 'ask_evidence';
@@ -142,6 +149,7 @@
   | LoanLostMessage
   | GatewaySignMessage
   | GatewayLeavesMessage
+  | GatewayEndsMessage
   | EvidenceQuestionMessage
   | EvidenceAnswerMessage
   | ChangesQuestionMessage
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -10,17 +10,9 @@
 import type { PassedChanges } from '../coordination/change-relay.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
-import type { MemberReply } from '../relay/member-link.js';
-import type { PooledLink } from '../relay/pooled-link.js';
-import type { SessionValues } from '../relay/session-link.js';
+import { MAX_GATEWAY_MESSAGE_BYTES, type BorrowMessage, type GatewayMessage } from './gateway-messages.js';
+import { Loan, type LendingStage } from './loan.js';
 import { StatusQuestions } from './status-questions.js';
-import {
-  MAX_GATEWAY_MESSAGE_BYTES,
-  type BorrowMessage,
-  type GatewayMessage,
-  type LoanRequestMessage,
-  type ValuesMessage,
-} from './gateway-messages.js';
 
 /** What the server asks of its daemon. */
 export interface GatewayServerPorts {
@@ -36,142 +28,14 @@
   grant(request: GrantRequest): Promise<Grant | null>;
 }
 
-/** An answer that says that nothing was sent to the member. */
-export function notSent(reason: string): MemberReply {
-  return {
-    rows: [],
-    result: { isComplete: false, code: 'busy', text: reason },
-    state: 'idle',
-    position: null,
-  };
-}
-
-/** One use of a connection by another daemon. Its messages are handled in order. */
-class Loan {
-  readonly #queue: (ValuesMessage | LoanRequestMessage)[] = [];
-  #values: SessionValues = new Map();
-  #link: PooledLink | null = null;
-  #isWorking = false;
-  #isReturned = false;
-
-  constructor(
-    private readonly terms: BorrowMessage,
-    private readonly pool: LinkPool | null,
-    private readonly answer: (message: GatewayMessage) => void,
-    private readonly statusQuestions: StatusQuestions,
-  ) {}
-
-  /** Takes a message. */
-  push(message: ValuesMessage | LoanRequestMessage): void {
-    this.#queue.push(message);
-    if (!this.#isWorking) void this.#work();
-  }
-
-  /** The other daemon needs it no more, or has gone. */
-  end(): void {
-    this.#isReturned = true;
-    this.#queue.length = 0;
-    this.#giveBack();
-  }
-
-  async #work(): Promise<void> {
-    this.#isWorking = true;
-    for (let message = this.#queue.shift(); message !== undefined; message = this.#queue.shift()) {
-      if (message.type === 'values') this.#values = new Map(message.values);
-      else if (message.request.kind === 'status' && this.#link === null) await this.#serveStatus();
-      else await this.#serve(message);
-    }
-    this.#isWorking = false;
-  }
-
-  async #serveStatus(): Promise<void> {
-    if (this.pool === null) {
-      this.#reply(notSent('not a gateway of the member'));
-      return;
-    }
-    try {
-      this.#reply(await this.statusQuestions.ask(this.pool));
-    } catch (error) {
-      this.#reply(notSent(`gateway: ${String(error)}`));
-    }
-  }
-
-  async #serve(message: LoanRequestMessage): Promise<void> {
-    const link = this.#link ?? (await this.#take());
-    if (link === null) return;
-    const wasIdle = link.state === 'idle';
-    let { request } = message;
-    try {
-      await link.adoptValues(this.#values);
-      if (request.kind === 'execute' && message.prepared !== null)
-        request = { ...request, name: await link.prepare(message.prepared) };
-    } catch (error) {
-      this.#giveBack();
-      if (wasIdle) this.#reply(notSent(`gateway: ${String(error)}`));
-      else this.#lost(error);
-      return;
-    }
-    if (this.#link !== link) return;
-    try {
-      const reply = await link.send(request);
-      if (link.isClean) this.#giveBack();
-      this.#reply(reply);
-    } catch (error) {
-      this.#giveBack();
-      this.#lost(error);
-    }
-  }
-
-  /** A connection for the requests that follow, or `null` after saying that there is none. */
-  async #take(): Promise<PooledLink | null> {
-    if (this.pool === null) {
-      this.#reply(notSent('not a gateway of the member'));
-      return null;
-    }
-    if (this.pool.isShut) {
-      this.#reply(notSent('gateway: the member has too many connections'));
-      return null;
-    }
-    try {
-      const { tenantName, priority, waitMs } = this.terms;
-      const dueAtMs = performance.now() + waitMs;
-      const demand = { tenantName, values: this.#values, isWrite: false, priority, dueAtMs };
-      const link = await this.pool.acquire(demand, waitMs);
-      if (this.#isReturned) {
-        this.pool.release(link);
-        return null;
-      }
-      this.#link = link;
-      return link;
-    } catch (error) {
-      this.#reply(notSent(`gateway: ${String(error)}`));
-      return null;
-    }
-  }
-
-  #giveBack(): void {
-    const link = this.#link;
-    this.#link = null;
-    if (link === null) return;
-    if (!link.isClean) link.close();
-    this.pool?.release(link);
-  }
-
-  #reply(reply: MemberReply): void {
-    if (!this.#isReturned) this.answer({ type: 'reply', loan: this.terms.loan, reply });
-  }
-
-  #lost(error: unknown): void {
-    if (!this.#isReturned) this.answer({ type: 'lost', loan: this.terms.loan, reason: String(error) });
-  }
-}
-
 /** Listens for daemons that borrow. */
 export class GatewayServer {
   readonly #server: Server;
   readonly #channels = new Map<MessageChannel<GatewayMessage>, Map<number, Loan>>();
   readonly #statusQuestions = new StatusQuestions();
-  #isLeaving = false;
+  #stage: LendingStage = 'lending';
+  /** True once nothing that comes is read any more. */
+  #isFinished = false;
 
   constructor(private readonly ports: GatewayServerPorts) {
     this.#server = createServer((socket) => this.#accept(socket));
@@ -192,10 +56,31 @@
     });
   }
 
-  /** Tells everybody to borrow elsewhere; loans that are open go on. */
+  /** Tells everybody to borrow elsewhere, also those who wait for a connection here; loans that have one go on. */
   leave(): void {
-    this.#isLeaving = true;
     for (const channel of this.#channels.keys()) channel.send({ type: 'leaving' });
+    this.#enter('leaving');
+  }
+
+  /** Ends what rests inside a transaction, at once or with the answer to come, and takes nothing new. */
+  windUp(): void {
+    this.#enter('winding_up');
+  }
+
+  /**
+   * Says of everything that is still open whether it was sent, and ends the connections once all has been read. Resolves when
+   * they have ended; the caller bounds the wait, and calls {@link GatewayServer.close} after it.
+   */
+  async finish(): Promise<void> {
+    this.#enter('winding_up');
+    this.#server.close();
+    for (const loan of this.#loans()) loan.finish();
+    this.#isFinished = true;
+    const ends = [...this.#channels.keys()].map((channel) => {
+      channel.send({ type: 'ended' });
+      return channel.end();
+    });
+    await Promise.all(ends);
   }
 
   /** Ends everything at once. */
@@ -204,6 +89,28 @@
     for (const channel of this.#channels.keys()) channel.destroy();
   }
 
+  #enter(stage: LendingStage): void {
+    this.#stage = stage;
+    for (const loan of this.#loans()) loan.stageChanged();
+  }
+
+  /** A copy: loans that end leave their channel. */
+  #loans(): readonly Loan[] {
+    return [...this.#channels.values()].flatMap((loans) => [...loans.values()]);
+  }
+
+  #lend(channel: MessageChannel<GatewayMessage>, loans: Map<number, Loan>, terms: BorrowMessage): void {
+    const loan = new Loan({
+      terms,
+      pool: this.ports.pool(terms.groupName, terms.memberId),
+      statusQuestions: this.#statusQuestions,
+      stage: () => this.#stage,
+      answer: (message) => channel.send(message),
+      onLost: () => loans.delete(terms.loan),
+    });
+    loans.set(terms.loan, loan);
+  }
+
   #accept(socket: Socket): void {
     const loans = new Map<number, Loan>();
     const channel: MessageChannel<GatewayMessage> = new MessageChannel<GatewayMessage>(
@@ -218,17 +125,15 @@
       },
     );
     this.#channels.set(channel, loans);
-    if (this.#isLeaving) channel.send({ type: 'leaving' });
+    if (this.#stage !== 'lending') channel.send({ type: 'leaving' });
   }
 
   #handle(channel: MessageChannel<GatewayMessage>, loans: Map<number, Loan>, message: GatewayMessage): void {
+    if (this.#isFinished) return;
     switch (message.type) {
-      case 'borrow': {
-        const pool = this.ports.pool(message.groupName, message.memberId);
-        const answer = (reply: GatewayMessage): void => channel.send(reply);
-        loans.set(message.loan, new Loan(message, pool, answer, this.#statusQuestions));
+      case 'borrow':
+        this.#lend(channel, loans, message);
         break;
-      }
       case 'values':
       case 'request':
         loans.get(message.loan)?.push(message);
@@ -268,6 +173,7 @@
       case 'lost':
       case 'pong':
       case 'leaving':
+      case 'ended':
       case 'evidence':
       case 'changes':
       case 'configuration':
--- a/src/peer/message-channel.ts
+++ b/src/peer/message-channel.ts
@@ -38,7 +38,10 @@
   #pendingBytes = 0;
   #outgoing: Buffer[] = [];
   #isFlushScheduled = false;
+  #isEnding = false;
   #closed = false;
+  #resolveEnded: () => void = () => undefined;
+  readonly #ended = new Promise<void>((resolve) => (this.#resolveEnded = resolve));
 
   constructor(
     private readonly socket: Socket,
@@ -58,7 +61,7 @@
 
   /** Sends a message; messages of one turn of the event loop leave in one write. */
   send(message: Message): void {
-    if (this.#closed) return;
+    if (this.#closed || this.#isEnding) return;
     const body = this.#encoder.pack(message);
     const length = Buffer.allocUnsafe(LENGTH_BYTES);
     length.writeUInt32BE(body.length);
@@ -73,10 +76,17 @@
     this.socket.destroy();
   }
 
-  /** Sends what is waiting, then ends the connection. */
-  end(): void {
-    this.#flush();
-    this.socket.end();
+  /**
+   * Sends what is waiting, then ends the connection; nothing can be sent after that. Resolves once the connection has ended: the
+   * other end has then read everything, unless it has gone.
+   */
+  end(): Promise<void> {
+    if (!this.#isEnding) {
+      this.#isEnding = true;
+      this.#flush();
+      this.socket.end();
+    }
+    return this.#ended;
   }
 
   #flush(): void {
@@ -133,6 +143,7 @@
   #close(): void {
     if (this.#closed) return;
     this.#closed = true;
+    this.#resolveEnded();
     this.listener.closed();
   }
 }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -336,6 +336,16 @@
     await Promise.race([this.#duty.stop(), delay(500)]);
   }
 
+  /** Loans that rest inside a transaction are ended, with nothing kept, and no more are made. */
+  windUpLoans(): void {
+    this.#gatewayServer.windUp();
+  }
+
+  /** Ends every loan; resolves once its borrowers have been told, which the caller bounds. */
+  finishLoans(): Promise<void> {
+    return this.#gatewayServer.finish();
+  }
+
   /** Ends everything. */
   stop(): void {
     this.#isStopped = true;
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -9,79 +9,17 @@
 import { delay } from '../common/signal.js';
 import { QUIET_OBSERVER } from '../../test/support/quiet-observer.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
+import { SlowLink } from '../../test/support/slow-link.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { Member, MemberGroup } from '../topology/member-group.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { MemberConnections } from '../gateway/member-connections.js';
 import { LinkPool } from './link-pool.js';
-import {
-  LinkLostError,
-  NotSentError,
-  type MemberLink,
-  type MemberReply,
-  type MemberRequest,
-} from './member-link.js';
+import type { MemberReply } from './member-link.js';
 import { Refusal } from './refusal.js';
 import type { RelayContext } from './relay-context.js';
 import { Transaction } from './transaction.js';
 
-/** A member that answers when the test says so, in order, and knows its transaction state. */
-class SlowLink implements MemberLink {
-  isOpen = true;
-  lastReceivedMs = 0;
-  readonly ran: string[] = [];
-  readonly #waiting: {
-    request: MemberRequest;
-    resolve(reply: MemberReply): void;
-    reject(error: Error): void;
-  }[] = [];
-  #isInTransaction = false;
-  #onClosed: (isByPeer: boolean) => void = () => undefined;
-
-  send(request: MemberRequest): Promise<MemberReply> {
-    if (!this.isOpen) return Promise.reject(new NotSentError('closed'));
-    return new Promise((resolve, reject) => this.#waiting.push({ request, resolve, reject }));
-  }
-
-  /** Answers the oldest request; false when there is none. */
-  answer(): boolean {
-    const next = this.#waiting.shift();
-    if (next === undefined) return false;
-    this.#run(next.request);
-    const state = this.#isInTransaction ? 'open' : 'idle';
-    next.resolve({ rows: [], result: { isComplete: true, signature: 's' }, state, position: null });
-    return true;
-  }
-
-  /** Refuses the oldest request without running it. */
-  refuse(): void {
-    const result = { isComplete: false, code: 'busy', text: 'busy' } as const;
-    this.#waiting.shift()?.resolve({ rows: [], result, state: 'open', position: null });
-  }
-
-  /** What was sent may have arrived before the end of the connection: it runs. */
-  close(): void {
-    if (!this.isOpen) return;
-    this.isOpen = false;
-    for (const { request, reject } of this.#waiting.splice(0)) {
-      this.#run(request);
-      reject(new LinkLostError('closed'));
-    }
-    this.#onClosed(false);
-  }
-
-  #run({ kind }: MemberRequest): void {
-    if (kind === 'begin') this.#isInTransaction = true;
-    if (kind === 'rollback') this.#isInTransaction = false;
-    if (kind === 'statement' || kind === 'execute')
-      this.ran.push(`${kind} ${this.#isInTransaction ? 'inside' : 'outside'}`);
-  }
-
-  onClosed(listener: (isByPeer: boolean) => void): void {
-    this.#onClosed = listener;
-  }
-}
-
 const ROUTE: Route = {
   database: 'pay',
   groupName: 'g',
