The last word on a connection says what is known of the request that runs

Cause: the goodbye at the end of a drain, and those after a pause and after a malformed message, all promised not_run for whatever the connection was at. A write or commit that had been handed to the owner may have been run, or may still be.

Ruled out: waiting longer for the answer. The drain has a bound, and the owner may be the one that is slow; the client needs a true word when the bound is reached.

Change: a connection keeps the request that it has handed on, and judges it as the loss of an owner is judged: a write or a commit may have run, a statement inside a transaction is rolled back with it. The SQLSTATE stays PostgreSQL's own, 57P01 or 08P01.

--- a/src/entry/client-connection.ts
+++ b/src/entry/client-connection.ts
@@ -7,6 +7,7 @@
 import { CancelSignal } from '../common/cancel-signal.js';
 import type { AnswerSink, StatementRequest } from '../engine/statement-request.js';
 import type { RequestTags } from '../statement/request-tags.js';
+import { judgeLoss } from '../verdict/judge-loss.js';
 import { RequestError, SqlState } from '../verdict/verdict.js';
 import { errorResponseFor, readyForQuery } from '../wire/backend-messages.js';
 import { CorkedWriter } from '../wire/corked-writer.js';
@@ -38,6 +39,8 @@
   readonly onClosed: () => void;
 }
 
+/** What a client is told as its connection ends while none of its requests runs. */
+const STOPPING = new RequestError(SqlState.adminShutdown, 'not_run', 'the daemon is stopping', 0);
 const MAX_SETTINGS = 100;
 /** Requests that a client may send ahead before its connection is no longer read. */
 const MAX_QUEUED_REQUESTS = 1000;
@@ -61,6 +64,8 @@
   #isBatchOpen = false;
   #skipsToSync = false;
   #isRunning = false;
+  /** The request that was handed on, and is not answered yet. */
+  #running: ClientRequest | null = null;
   #isClosing = false;
   #isClosed = false;
   /** True once the client has said goodbye; what it sent before is still run. */
@@ -96,7 +101,7 @@
     this.#closeIfIdle();
   }
 
-  /** Ends the connection at once; true when something was cut. */
+  /** Ends the connection at once, with what is known of the request that runs; true when something was cut. */
   closeNow(): boolean {
     const wasBusy = this.isBusy;
     this.#sayGoodbye();
@@ -138,7 +143,7 @@
   #refuseOldRequest(): void {
     const message = 'the daemon was paused and cannot tell how old the request is';
     const fatal = new RequestError(SqlState.adminShutdown, 'not_run', message, 0);
-    this.socket.end(errorResponseFor(fatal, 'FATAL'));
+    this.socket.end(this.#farewell(fatal));
     this.#handleClosed();
   }
 
@@ -146,7 +151,7 @@
     const isKnown = error instanceof FrameError || error instanceof TooManyStatementsError;
     const message = isKnown ? error.message || 'too many prepared statements' : 'malformed message';
     const fatal = new RequestError(SqlState.protocolViolation, 'not_run', message);
-    this.socket.end(errorResponseFor(fatal, 'FATAL'));
+    this.socket.end(this.#farewell(fatal));
     this.#handleClosed();
     this.socket.destroySoon();
   }
@@ -208,7 +213,7 @@
     this.#answerError(new RequestError(SqlState.inFailedTransaction, 'not_run', message), 'E', request);
   }
 
-  #route(request: ClientRequest): Promise<void> {
+  async #route(request: ClientRequest): Promise<void> {
     this.#cancelSignal = new CancelSignal();
     const sink: AnswerSink = {
       data: (frames) => this.#write(frames),
@@ -217,7 +222,12 @@
       notOwner: () => undefined,
     };
     const message = this.#toStatementRequest(request);
-    return this.options.router.route(message, this.#status, this.#binding, this.#cancelSignal, sink);
+    this.#running = request;
+    try {
+      await this.options.router.route(message, this.#status, this.#binding, this.#cancelSignal, sink);
+    } finally {
+      this.#running = null;
+    }
   }
 
   #toStatementRequest(request: ClientRequest): StatementRequest {
@@ -295,10 +305,31 @@
     if (!this.isBusy) this.#sayGoodbye();
   }
 
+  /**
+   * What the client is told last, with what is known of the request that runs: its answer is not waited for, and whoever has it
+   * may have run it, or may still run it.
+   */
+  #farewell(reason: RequestError): Buffer {
+    if (this.#running === null) return errorResponseFor(reason, 'FATAL');
+    const { facts, terminator, tags } = this.#running;
+    const lost = {
+      kind: facts.kind,
+      isInTransaction: this.#status !== 'I',
+      controlsTransaction: facts.controlsTransaction,
+      hasSentData: true,
+      hasOnceKey: tags.onceKey !== null,
+      isRepeatable: false,
+      endsWithFlush: terminator === 'flush',
+    };
+    const judgement = judgeLoss(lost, reason.message);
+    const { error } = judgement.kind === 'report' ? judgement.report : judgement.otherwise;
+    const farewell = new RequestError(reason.sqlState, error.verdict, error.message, error.retryAfterMs);
+    return errorResponseFor(farewell, 'FATAL');
+  }
+
   #sayGoodbye(): void {
     if (this.#isClosed) return;
-    const error = new RequestError(SqlState.adminShutdown, 'not_run', 'the daemon is stopping', 0);
-    this.socket.end(errorResponseFor(error, 'FATAL'));
+    this.socket.end(this.#farewell(STOPPING));
     this.#handleClosed();
   }
 
