A gateway's word that no connection came free comes before the loan is given up

Ruled out: letting the daemon that borrows wait longer. It has to answer its client within the route's time-out.

Change: a gateway waits for a connection 50 ms less than the request may wait (half as long where that is less than 100 ms). The reserve is a judgement, not a measurement.

--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -30,6 +30,20 @@
   readonly ownName: string;
 }
 
+/**
+ * Time for which a gateway's word that no connection came free may be on its way, in milliseconds: a few ways between zones, and a
+ * wait for the processor.
+ */
+const WORD_RESERVE_MS = 50;
+
+/**
+ * How long a gateway waits for a connection on behalf of a request that waits so long, in milliseconds. Its word has to come before
+ * the loan is given up: after that nobody could tell whether the request was sent.
+ */
+function gatewayWaitMs(waitMs: number): number {
+  return Math.round(Math.max(waitMs - WORD_RESERVE_MS, waitMs / 2));
+}
+
 /** True when a daemon connects to the member itself. */
 export function connectsItself({ gateways, standbys }: Assignment, daemonName: string): boolean {
   return gateways === null || [...gateways, ...standbys].some(({ name }) => name === daemonName);
@@ -96,7 +110,7 @@
       ? gateways.choose(this.options.others())
       : this.#chooseFor(tenantName, lenders ?? [], standbys);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
-    const terms = { groupName, memberId, tenantName, priority, waitMs: Math.round(waitMs) };
+    const terms = { groupName, memberId, tenantName, priority, waitMs: gatewayWaitMs(waitMs) };
     const link = gateways.borrow(gateway, terms);
     this.#borrowed.add(link);
     return link;
