Failing test: a drain ends a connection between the Flush and the Sync of a batch

Cause: a batch that was answered up to a Flush does not count as busy, so the first look of a drain ends its connection.

Ruled out: that the owner would end it anyway. Its own drain waits for what is pinned, and a batch is.

Conclusion: real, and of the class of a busy session that is cut.

--- a/src/entry/client-connection.test.ts
+++ b/src/entry/client-connection.test.ts
@@ -147,3 +147,29 @@
   client.socket.write(serialize.query("INSERT INTO record VALUES ('l', 1, 'v')"));
   assert.equal(await verdictAtEnd('57P01'), 'verdict=may_have_run');
 });
+
+/*
+ * Users' batches were cut between their Flush and their Sync the moment a daemon began to drain: what was answered up to the
+ * Flush counted as all there was.
+ */
+test('a drain waits for the Sync of a batch that was answered up to a Flush', async () => {
+  client.socket.write(
+    Buffer.concat([
+      serialize.parse({ text: "INSERT INTO record VALUES ('k', 1, 'v')" }),
+      serialize.bind(),
+      serialize.execute(),
+      serialize.flush(),
+    ]),
+  );
+  await waitUntil('the owner to be asked', () => forwarded.length === 1);
+  forwarded[0]?.sink.end('I');
+  await new Promise((resolve) => setImmediate(resolve));
+  connection.closeWhenIdle();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(client.ofType('E').length, 0, 'no goodbye yet');
+  client.socket.write(serialize.sync());
+  await waitUntil('the owner to be asked', () => forwarded.length === 2);
+  forwarded[1]?.sink.end('I');
+  await client.waitForClose();
+  assert.equal(client.ofType('Z').length, 1, 'the batch is answered to its end');
+});
