A drain waits for the end of a batch

Change: a connection is busy until the Sync of a batch that was answered up to a Flush. The end of the drain still bounds it.

--- a/src/entry/client-connection.ts
+++ b/src/entry/client-connection.ts
@@ -84,9 +84,10 @@
     socket.on('close', () => this.#handleClosed());
   }
 
-  /** True while a request runs or a transaction is open. */
+  /** True while a request runs, a transaction is open, or a batch has not been ended by its Sync. */
   get isBusy(): boolean {
-    return this.#isRunning || this.#queue.length > 0 || this.#status !== 'I' || this.#batch.length > 0;
+    const isInBatch = this.#batch.length > 0 || this.#isBatchOpen;
+    return this.#isRunning || this.#queue.length > 0 || this.#status !== 'I' || isInBatch;
   }
 
   /** Cancels the request that runs now. */
