--- /dev/null
+++ b/src/leadership/promotion-loss.test.ts
@@ -0,0 +1,41 @@
+/**
+ * Promotions that would lose an acknowledged commit, with members, daemons and the platform as models.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { OrderOutcome } from '../cluster/peer-mesh.js';
+import { FIRST_TERM, ModelledGroup } from '../../test/support/modelled-group.js';
+import type { Position } from '../position/position.js';
+
+function knows(acknowledged: Position): OrderOutcome {
+  return { kind: 'answered', answer: { acknowledged } };
+}
+
+/** A commit that only the primary and a replica that has ended since have received; `other` lacks it. */
+function commitOnEndedReplica(): { readonly scene: ModelledGroup; readonly commit: Position } {
+  const scene = new ModelledGroup(['old', 'leaving', 'other']);
+  scene.retire('leaving');
+  scene.member('other').isDeaf = true;
+  assert.ok(scene.commit(scene.member('old')));
+  scene.member('leaving').state = 'ended';
+  scene.member('old').state = 'ended';
+  return { scene, commit: { term: FIRST_TERM, index: 2 } };
+}
+
+describe('a commit that no running replica holds', () => {
+  /**
+   * Users see a change that had been confirmed to them undone. A replica is deaf, the other one leaves: it alone receives a
+   * commit, a daemon tells its client, the replica ends, the primary crashes. One of many daemons is silent. What the
+   * others had acknowledged was thrown away because of that one, and the deaf replica was promoted.
+   * Evidence: `promotion_call member=other` though `d2` has said 3.2 and `other` has received 3.1.
+   */
+  test('is missed though one of the daemons is silent', async () => {
+    const { scene, commit } = commitOnEndedReplica();
+    scene.daemons.set('d2', knows(commit));
+    scene.daemons.set('d3', { kind: 'silent' });
+    await scene.until('promotion_given_up');
+    assert.ok(!scene.events.includes('promote other'), scene.events.join(', '));
+  });
+});
