A promotion covers what any daemon is known to have acknowledged, though others are silent

Cause: the latest acknowledged commit was taken for unknown as soon as one daemon was not heard, and was then not looked at. Ruled out: waiting for the silent daemon (it may be gone for good), and counting it as having acknowledged everything (no promotion at size). What is known is a lower bound whoever is silent, and refusing to go below it costs nothing else. Change: the choice is given the latest known commit and whether that is the whole of it. The first has to be covered always, the second is asked for only where a replica is missing, as before. No step of a promotion was added.

--- a/src/leadership/choose-successor.ts
+++ b/src/leadership/choose-successor.ts
@@ -17,8 +17,15 @@
   readonly candidates: readonly SuccessorCandidate[];
   /** Members that could hold more but did not answer: replicas that could not be paused. */
   readonly missing: number;
-  /** The latest commit acknowledged by any daemon, or `null` when not all of them were heard. */
-  readonly acknowledged: Position | null;
+  readonly acknowledged: Acknowledged;
+}
+
+/** What is known of the commits that daemons have acknowledged. */
+export interface Acknowledged {
+  /** The latest one that some daemon is known to have acknowledged. */
+  readonly latest: Position;
+  /** False when a daemon may have acknowledged a later one: it was not heard. */
+  readonly isWhole: boolean;
 }
 
 /**
@@ -26,8 +33,8 @@
  *
  * With all replicas paused, the one that has received the most holds all: each acknowledged commit was received
  * by one of them, and logs are prefixes of each other. What the daemons have acknowledged has to be covered all
- * the same where it is known: a member that nobody lists any more may have received a commit. With some missing,
- * it has to be known.
+ * the same as far as it is known, also when one of them was not heard: a member that nobody lists any more may have
+ * received a commit. With some missing, it has to be known whole.
  */
 export function chooseSuccessor(question: SuccessorQuestion): SuccessorCandidate | null {
   let best: SuccessorCandidate | null = null;
@@ -35,8 +42,9 @@
     if (best === null || isBetter(candidate, best)) best = candidate;
   }
   if (best === null) return null;
-  if (question.acknowledged === null) return question.missing === 0 ? best : null;
-  return hasReached(best.received, question.acknowledged) ? best : null;
+  const { latest, isWhole } = question.acknowledged;
+  if (question.missing > 0 && !isWhole) return null;
+  return hasReached(best.received, latest) ? best : null;
 }
 
 function isBetter(candidate: SuccessorCandidate, best: SuccessorCandidate): boolean {
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -19,7 +19,7 @@
 } from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
+import { chooseSuccessor, type Acknowledged, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
@@ -331,7 +331,7 @@
         .join(','),
       former: [...group.former.keys()].join(','),
       missing,
-      acknowledged: acknowledged === null ? null : formatPosition(acknowledged),
+      acknowledged: formatPosition(acknowledged.latest),
       unheard: unheard(outcomes),
     });
     if (isAlive && successor !== null) await this.#demote(leader, term + 1);
@@ -488,12 +488,13 @@
   return names.join(',');
 }
 
-/** The latest acknowledged commit, or `null` when a daemon that may know a later one was not heard. */
-function latestAcknowledged(own: Position, outcomes: ReadonlyMap<string, OrderOutcome>): Position | null {
+/** What this daemon and those that answered have acknowledged. */
+function latestAcknowledged(own: Position, outcomes: ReadonlyMap<string, OrderOutcome>): Acknowledged {
   let latest = own;
+  let isWhole = true;
   for (const outcome of outcomes.values()) {
-    if (outcome.kind !== 'answered') return null;
-    latest = laterPosition(latest, outcome.answer.acknowledged);
+    if (outcome.kind === 'answered') latest = laterPosition(latest, outcome.answer.acknowledged);
+    else isWhole = false;
   }
-  return latest;
+  return { latest, isWhole };
 }
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -6,8 +6,8 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import fc from 'fast-check';
-import { comparePositions, type Position } from '../position/position.js';
-import { chooseSuccessor } from './choose-successor.js';
+import { comparePositions, ZERO_POSITION, type Position } from '../position/position.js';
+import { chooseSuccessor, type Acknowledged } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EVIDENCE_MS, LeadershipEvidence, REVOCATION_MS } from './leadership-evidence.js';
 import { PositionHistory } from './position-history.js';
@@ -135,6 +135,9 @@
 
 describe('the choice of a successor', () => {
   const at = (index: number, term = 1): Position => ({ term, index });
+  const whole = (latest: Position): Acknowledged => ({ latest, isWhole: true });
+  const partial = (latest: Position): Acknowledged => ({ latest, isWhole: false });
+  const UNKNOWN = partial(ZERO_POSITION);
 
   test('is the one that has received the most; of equals, one that stays', () => {
     const candidates = [
@@ -142,23 +145,30 @@
       { memberId: 'b', received: at(5), isLeaving: false },
       { memberId: 'c', received: at(9, 0), isLeaving: false },
     ];
-    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: null })?.memberId, 'b');
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: UNKNOWN })?.memberId, 'b');
     const more = [...candidates, { memberId: 'd', received: at(6), isLeaving: true }];
-    assert.equal(chooseSuccessor({ candidates: more, missing: 0, acknowledged: null })?.memberId, 'd');
+    assert.equal(chooseSuccessor({ candidates: more, missing: 0, acknowledged: UNKNOWN })?.memberId, 'd');
   });
 
   test('with replicas missing, every acknowledged commit has to be covered', () => {
     const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
-    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: at(5) })?.memberId, 'a');
-    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: at(6) }), null);
-    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: null }), null);
-    assert.equal(chooseSuccessor({ candidates: [], missing: 0, acknowledged: null }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: whole(at(5)) })?.memberId, 'a');
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: whole(at(6)) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: UNKNOWN }), null);
+    assert.equal(chooseSuccessor({ candidates: [], missing: 0, acknowledged: UNKNOWN }), null);
   });
 
   test('what is known to be acknowledged has to be covered though no listed replica is missing', () => {
     const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
-    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: at(6) }), null);
-    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: null })?.memberId, 'a');
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: whole(at(6)) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: UNKNOWN })?.memberId, 'a');
+  });
+
+  test('what some daemons are known to have acknowledged has to be covered though others were not heard', () => {
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: partial(at(6)) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: partial(at(5)) })?.memberId, 'a');
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: partial(at(5)) }), null);
   });
 
   test('holds every acknowledged commit, whatever was received where', () => {
@@ -174,7 +184,7 @@
           isLeaving: false,
         }));
         const missing = indexes.length - reachable.length;
-        const chosen = chooseSuccessor({ candidates, missing, acknowledged });
+        const chosen = chooseSuccessor({ candidates, missing, acknowledged: whole(acknowledged) });
         assert.ok(chosen === null || comparePositions(chosen.received, acknowledged) >= 0);
       }),
       { seed: 20261202, numRuns: 300 },
--- a/test/model/promotion-model.test.ts
+++ b/test/model/promotion-model.test.ts
@@ -18,12 +18,17 @@
 import type { DaemonRecord } from '../../src/cluster/daemon-record.js';
 import { Registration } from '../../src/cluster/registration.js';
 import { DUTY_LEASE } from '../../src/coordination/duty-record.js';
-import { chooseSuccessor, type SuccessorCandidate } from '../../src/leadership/choose-successor.js';
+import {
+  chooseSuccessor,
+  type Acknowledged,
+  type SuccessorCandidate,
+} from '../../src/leadership/choose-successor.js';
 import {
   EVIDENCE_MS,
   LeadershipEvidence,
   REGISTRATION_SETTLE_MS,
 } from '../../src/leadership/leadership-evidence.js';
+import { ZERO_POSITION } from '../../src/position/position.js';
 
 /** A mechanism that can be taken out. */
 type Mechanism =
@@ -83,6 +88,9 @@
   readonly log: number[] = [];
 }
 
+/** The other daemon may have acknowledged anything. */
+const UNHEARD: Acknowledged = { latest: ZERO_POSITION, isWhole: false };
+
 /** One run of the model. */
 class Run {
   violation: string | null = null;
@@ -236,7 +244,7 @@
     const chosen =
       this.without === 'the successor has received the most'
         ? this.#candidates.at(-1)
-        : chooseSuccessor({ candidates: this.#candidates, missing: 0, acknowledged: null });
+        : chooseSuccessor({ candidates: this.#candidates, missing: 0, acknowledged: UNHEARD });
     this.#successor = chosen == null ? null : this.#replicas[chosen.memberId === '0' ? 0 : 1];
   }
 
