Failing test: a replica that has ended is passed over though it may have the only copy

With a daemon silent nothing else is asked. Ruled out: that its log is asked elsewhere. The new member at its address has it, but the directory may not list that one yet.

--- a/src/leadership/promotion-loss.test.ts
+++ b/src/leadership/promotion-loss.test.ts
@@ -38,4 +38,16 @@
     await scene.until('promotion_given_up');
     assert.ok(!scene.events.includes('promote other'), scene.events.join(', '));
   });
+
+  /**
+   * The same loss, but the daemon that told its client is the silent one: nobody says that there was such a commit. The
+   * replica that has ended refuses connections, and was left out of the count of those that may hold more.
+   * Evidence: `promotion_candidates former=leaving missing=0`, then `promotion_call member=other`.
+   */
+  test('is not passed over though nobody who answers knows it', async () => {
+    const { scene } = commitOnEndedReplica();
+    scene.daemons.set('d2', { kind: 'silent' });
+    await scene.until('promotion_given_up');
+    assert.ok(!scene.events.includes('promote other'), scene.events.join(', '));
+  });
 });
