A replica that has ended is missing until another is known to hold what it had

Cause: a former replica that refuses connections was left out of those that may hold more. It may have received a commit that was acknowledged on its word alone, and its log is then at the crashed primary and at a new member that is not listed yet. Ruled out: (1) counting it as missing until the directory forgets it: after each replaced replica, a crash of the primary would wait up to 30 s wherever a daemon is silent. (2) Reading the members from the store itself before a promotion: the new member may not have written its entry yet. Change: while the leader is proven, the holder of the duty sees that a former member refuses connections, and asks the leader then how far the log has come. All that the ended one had is at or before that. At a promotion it is missing unless a paused member has come so far, or stands at its address. With the end seen before the crash and a daemon silent, the first attempt promotes. A well group gains one connection attempt a second for each former member that still runs, by the holder alone. What goes on after which time: at once where the end was seen and the other replica follows; when the new member or the primary is back; at the latest when the directory forgets the member, 30 s after its entry went.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -21,6 +21,7 @@
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { chooseSuccessor, type Acknowledged, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
+import { EndedMembers } from './ended-members.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
 
@@ -117,6 +118,8 @@
   readonly #wake = new ChangeSignal();
   #isStopped = false;
   readonly #doubts = new Doubts();
+  readonly #ended = new EndedMembers();
+  #isNotingEnded = false;
   #suspected = false;
   #lastHandoverMs = Number.NEGATIVE_INFINITY;
 
@@ -156,6 +159,8 @@
       await this.#promote(leader, 'leader leaves');
       return;
     }
+    // Not awaited: a former member that is dark must not hold up a promotion.
+    void this.#noteEnded(leader);
     if (!isSuspected && this.#isWell(leader)) return;
     const trouble = await this.#trouble(leader);
     if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
@@ -178,6 +183,32 @@
     await this.#repair(leader);
   }
 
+  /** Finds out which former members have ended, and asks the leader then how far the log has come. */
+  async #noteEnded(leader: Member): Promise<void> {
+    const { former } = this.group;
+    this.#ended.retain(former);
+    const unknown = [...former.values()].filter(({ entry }) => !this.#ended.has(entry.memberId));
+    if (unknown.length === 0 || this.#isNotingEnded) return;
+    this.#isNotingEnded = true;
+    const answers = await Promise.all(unknown.map((member) => this.#status(member)));
+    const ended = unknown.filter((_, index) => answers[index]?.kind === 'refused');
+    const position = ended.length === 0 ? null : await this.#logPosition(leader);
+    if (position !== null) for (const { entry } of ended) this.#ended.record(entry.memberId, position);
+    this.#isNotingEnded = false;
+  }
+
+  /** How far the log has come, if the leader answers and is proven to lead; else `null`. */
+  async #logPosition(leader: Member): Promise<Position | null> {
+    const answer = await this.#status(leader);
+    const proven = this.group.evidence.current(this.options.now());
+    const isProven =
+      answer.kind === 'answered' &&
+      answer.status.isPrimary &&
+      proven?.memberId === leader.entry.memberId &&
+      proven.term === answer.status.term;
+    return isProven ? answer.status.received : null;
+  }
+
   async #handOver(leader: Member, reason: string): Promise<void> {
     this.#lastHandoverMs = this.options.now();
     await this.#promote(leader, reason);
@@ -405,15 +436,20 @@
     void this.options.order(order, ORDER_MS);
   }
 
-  /** Pauses all members but the leader. */
+  /** Pauses all members but the leader. One that has ended is missing unless another is known to hold what it had. */
   async #pauseAll(members: readonly Member[], term: number): Promise<Pauses> {
     const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
     const paused = results.filter((result) => typeof result !== 'string');
-    const missing = results.filter((result) => result === 'missing').length;
+    const gone = members.filter((_, index) => results[index] === 'gone').map(({ entry }) => entry);
+    const uncovered = this.#ended.uncovered(
+      gone,
+      paused.map(({ member, status }) => ({ entry: member.entry, received: status.received })),
+    );
+    const missing = results.filter((result) => result === 'missing').length + uncovered.length;
     return { paused, missing };
   }
 
-  /** Pauses one member; one that still leads is demoted. A former member that does not run is gone for good. */
+  /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
   async #pause(member: Member, term: number): Promise<Paused | 'missing' | 'gone'> {
     const { control } = this.options;
     for (let attempt = 0; attempt < 2; attempt += 1) {
--- a/src/leadership/promotion-loss.test.ts
+++ b/src/leadership/promotion-loss.test.ts
@@ -9,6 +9,9 @@
 import { FIRST_TERM, ModelledGroup } from '../../test/support/modelled-group.js';
 import type { Position } from '../position/position.js';
 
+/** Time in which a supervisor has seen that a member has ended, in milliseconds. */
+const NOTED_MS = 100;
+
 function knows(acknowledged: Position): OrderOutcome {
   return { kind: 'answered', answer: { acknowledged } };
 }
@@ -50,4 +53,57 @@
     await scene.until('promotion_given_up');
     assert.ok(!scene.events.includes('promote other'), scene.events.join(', '));
   });
+
+  test('is found with the new member at the address of the one that ended', async () => {
+    const { scene, commit } = commitOnEndedReplica();
+    scene.daemons.set('d2', { kind: 'silent' });
+    const { port } = scene.member('leaving');
+    const running = scene.until('leads come');
+    await scene.reached('promotion_given_up');
+    scene.add('come', port).received = commit;
+    await running;
+    assert.ok(!scene.events.includes('promote other'), scene.events.join(', '));
+  });
+
+  test('is waited for no longer than the directory keeps the replica in mind', async () => {
+    const { scene } = commitOnEndedReplica();
+    scene.daemons.set('d2', { kind: 'silent' });
+    const running = scene.until('leads other');
+    await scene.reached('promotion_given_up');
+    scene.group.former.delete('leaving');
+    await running;
+  });
+});
+
+describe('a replica that ended while the primary led', () => {
+  /** The supervisor has had the time to see that it ended; then the primary crashes, and a daemon is silent. */
+  async function endedBeforeCrash(prepare: (scene: ModelledGroup) => void): Promise<ModelledGroup> {
+    const scene = new ModelledGroup(['old', 'leaving', 'other']);
+    scene.retire('leaving');
+    scene.daemons.set('d2', { kind: 'silent' });
+    scene.group.evidence.witness(FIRST_TERM, 0, performance.now());
+    prepare(scene);
+    scene.member('leaving').state = 'ended';
+    const running = scene.supervisor.run();
+    await new Promise((resolve) => setTimeout(resolve, NOTED_MS));
+    scene.member('old').state = 'ended';
+    scene.supervisor.suspect();
+    await Promise.race([scene.reached('leads other'), scene.reached('promotion_given_up')]);
+    scene.supervisor.stop();
+    await running;
+    return scene;
+  }
+
+  test('holds up no promotion of one that has come as far as the primary was then', async () => {
+    const scene = await endedBeforeCrash((group) => void group.commit(group.member('old')));
+    assert.ok(scene.events.includes('leads other'), scene.events.join(', '));
+  });
+
+  test('may have more than one that has not', async () => {
+    const scene = await endedBeforeCrash((group) => {
+      group.member('other').isDeaf = true;
+      assert.ok(group.commit(group.member('old')));
+    });
+    assert.ok(scene.events.includes('promotion_given_up'), scene.events.join(', '));
+  });
 });
