Failing test: the platform acts on a promotion that was given up, and commits are lost

Cause: after 1.5 s without a new leader the replicas are resumed, though the platform may still act on the call. What is acknowledged then on the word of another replica is lacked by the member that was named. Ruled out: that ending the connection takes the call back. It does for bytes on their way, not for a call that the platform has read; it may be slow, and a promotion takes up to a second after its acceptance at some deployments.

--- a/src/leadership/promotion-loss.test.ts
+++ b/src/leadership/promotion-loss.test.ts
@@ -107,3 +107,39 @@
     assert.ok(scene.events.includes('promotion_given_up'), scene.events.join(', '));
   });
 });
+
+describe('a call that the platform acts on late', () => {
+  /** Time that the platform takes for a call, in milliseconds: beyond the wait for one, as when it is slow. */
+  const SLOW_PLATFORM_MS = 2200;
+
+  /**
+   * Users see a confirmed change undone some seconds after a hiccup. The primary is silent for a moment, the replica that
+   * has received the most is named to the platform, which is slow. The promotion is given up after 1.5 s, the replicas
+   * are resumed, the primary is back, and a commit is acknowledged on the word of the other replica alone. Then the
+   * platform does what it was asked.
+   * Evidence: `promotion_given_up reason="the platform did not do it"`, and `leads` of that member after it.
+   */
+  test('finds the member with every commit that was acknowledged meanwhile', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'other']);
+    const old = scene.member('old');
+    scene.member('other').isDeaf = true;
+    assert.ok(scene.commit(old));
+    scene.platform = (memberId) => {
+      setTimeout(() => scene.lead(memberId), SLOW_PLATFORM_MS);
+      return Promise.reject(new Error('no answer in time'));
+    };
+    old.state = 'dark';
+    const running = scene.until('leads named');
+    await scene.reached('promote named');
+    old.state = 'running';
+    scene.member('other').isDeaf = false;
+    scene.member('named').isDeaf = true;
+    let acknowledged = old.received;
+    const traffic = setInterval(() => {
+      if (scene.events.includes('leads named')) clearInterval(traffic);
+      else if (scene.commit(old)) acknowledged = old.received;
+    }, 20);
+    await running;
+    assert.deepEqual(scene.member('named').received, acknowledged, scene.events.join(', '));
+  });
+});
--- a/test/support/modelled-group.ts
+++ b/test/support/modelled-group.ts
@@ -30,6 +30,8 @@
   pausedForTerm = 0;
   term = FIRST_TERM;
   received: Position = { term: FIRST_TERM, index: 1 };
+  /** Questions for its status. */
+  statuses = 0;
 
   constructor(
     readonly memberId: string,
@@ -156,6 +158,7 @@
 
   #ask({ entry }: Member, request: MemberRequest): Promise<ControlAnswer> {
     const member = this.member(entry.memberId);
+    if (request.kind === 'status') member.statuses += 1;
     if (member.state === 'ended') return Promise.resolve({ kind: 'refused' });
     if (member.state === 'dark') return Promise.resolve({ kind: 'silent' });
     if (request.kind === 'pause' && !member.isPrimary) member.pausedForTerm = request.term;
