A promotion is not given up while the platform may still act on its call

Cause: after 1.5 s the replicas were resumed, and another member could be named, though a call without a refusal may take effect later: the platform may be slow, and some take a second after they have accepted. Ruled out: (1) a shorter call: the platform's reading of it cannot be taken back. (2) Resuming the named replica alone, so that it receives all that is acknowledged: it would be a witness for the old leader, and reads there would miss what the named one acknowledges once it leads. Change: a module of its own names the same member once more after 1.5 s and watches it for 5 s after the last call, with the replicas paused and the daemons asked again to let go (an order holds for 1.5 s). Refused calls and a member that has ended end it at once, as before. The member is asked each 10 ms from 0.1 s; before, it was asked as fast as it answered as soon as the platform had accepted: the pause was raced against that answer. Conclusion: what is acted on more than 5 s after the last call is not covered. A primary that was silent for a moment while the platform was out of reach leads on after 6.5 s instead of 1.5 s.

--- /dev/null
+++ b/src/leadership/appointment.test.ts
@@ -0,0 +1,117 @@
+/**
+ * How often the platform and the member that is to lead are asked, and for how long.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, mock, test } from 'node:test';
+import { appoint } from './appointment.js';
+import type { ControlAnswer } from './member-control.js';
+
+const OLD_TERM = 3;
+const STEP_MS = 5;
+
+/** What the platform and the member do, and what they were asked; times in milliseconds. */
+interface World {
+  readonly platform: (call: number) => Promise<boolean>;
+  /** When the member leads. */
+  readonly leadsAtMs: number;
+  /** When the member ends. */
+  readonly endsAtMs: number;
+  /** Until when the duty is held. */
+  readonly heldUntilMs: number;
+}
+
+const USUAL: World = {
+  platform: () => Promise.resolve(true),
+  leadsAtMs: 300,
+  endsAtMs: Number.POSITIVE_INFINITY,
+  heldUntilMs: Number.POSITIVE_INFINITY,
+};
+
+beforeEach(() => mock.timers.enable({ apis: ['setTimeout'] }));
+afterEach(() => mock.timers.reset());
+
+async function play(changes: Partial<World>): Promise<{
+  readonly leads: boolean;
+  readonly ms: number;
+  readonly calls: number;
+  readonly questions: number;
+  readonly orders: number;
+}> {
+  const world = { ...USUAL, ...changes };
+  let now = 0;
+  let calls = 0;
+  let questions = 0;
+  let orders = 0;
+  const status = (): Promise<ControlAnswer> => {
+    questions += 1;
+    if (now >= world.endsAtMs) return Promise.resolve({ kind: 'refused' });
+    const isPrimary = now >= world.leadsAtMs;
+    const received = { term: OLD_TERM, index: 1 };
+    const term = isPrimary ? OLD_TERM + 1 : OLD_TERM;
+    return Promise.resolve({
+      kind: 'answered',
+      askedAtMs: now,
+      status: { isPrimary, term, received, pausedForTerm: 0 },
+    });
+  };
+  const call = (): Promise<boolean> | null => {
+    if (now >= world.heldUntilMs) return null;
+    calls += 1;
+    return world.platform(calls);
+  };
+  let outcome: { readonly leads: boolean } | null = null;
+  const running = appoint({ call, status, letGo: () => (orders += 1), now: () => now }, OLD_TERM);
+  void running.then((answer) => (outcome = { leads: answer !== null }));
+  while (outcome === null && now < 20_000) {
+    await new Promise((resolve) => setImmediate(resolve));
+    now += STEP_MS;
+    mock.timers.tick(STEP_MS);
+  }
+  return { leads: (await running) !== null, ms: now, calls, questions, orders };
+}
+
+/**
+ * A member that was about to lead was asked for its status as fast as it answered, each question taking one of its slots:
+ * the pause between two was raced against the platform's answer, which had come.
+ */
+test('a member is asked at intervals while it is made to lead', async () => {
+  const { leads, ms, questions } = await play({ leadsAtMs: 400 });
+  assert.ok(leads && ms < 450, `${ms} ms`);
+  assert.ok(questions < 35, `${questions} questions`);
+});
+
+test('a refusal ends it at once', async () => {
+  const { leads, ms, calls } = await play({ platform: () => Promise.resolve(false) });
+  assert.deepEqual([leads, calls], [false, 1]);
+  assert.ok(ms < 50, `${ms} ms`);
+});
+
+test('the same member is named again, and found to lead late', async () => {
+  const { leads, calls, orders } = await play({ leadsAtMs: 4000 });
+  assert.deepEqual([leads, calls], [true, 2]);
+  assert.ok(orders >= 4, `daemons were asked to let go ${orders} times`);
+});
+
+test('a refusal says nothing of the call before it', async () => {
+  const platform = (call: number): Promise<boolean> =>
+    call === 1 ? Promise.reject(new Error('no answer')) : Promise.resolve(false);
+  assert.ok((await play({ platform, leadsAtMs: 4000 })).leads);
+});
+
+test('no call is made without the duty, but the last one is waited for', async () => {
+  const { leads, calls } = await play({ heldUntilMs: 1000, leadsAtMs: 4000 });
+  assert.deepEqual([leads, calls], [true, 1]);
+  assert.deepEqual((await play({ heldUntilMs: 0 })).leads, false);
+});
+
+test('it ends 6.5 s after the first call, whatever the platform does', async () => {
+  const { leads, ms } = await play({ leadsAtMs: Number.POSITIVE_INFINITY });
+  assert.ok(!leads && ms >= 6500 && ms < 7000, `${ms} ms`);
+});
+
+test('a member that has ended is not waited for', async () => {
+  const { leads, ms } = await play({ leadsAtMs: Number.POSITIVE_INFINITY, endsAtMs: 600 });
+  assert.ok(!leads && ms < 700, `${ms} ms`);
+});
--- /dev/null
+++ b/src/leadership/appointment.ts
@@ -0,0 +1,115 @@
+/**
+ * Asks the platform to make a member lead, and waits until it does or until the platform can do it no more.
+ *
+ * A call without a refusal may take effect long after it: until then nothing may be acknowledged that the named member has
+ * not received. So the same member is named again rather than another, and the wait goes on beyond the last call.
+ *
+ * @packageDocumentation
+ */
+import { delay } from '../common/signal.js';
+import type { MemberStatus } from '../relay/member-link.js';
+import type { ControlAnswer } from './member-control.js';
+
+/** Longest wait for the platform's answer, in milliseconds. */
+const CALL_MS = 700;
+/** How often the platform is asked, and the time between, in milliseconds. */
+const CALLS = 2;
+const CALL_SPACING_MS = 1500;
+/** Time after a call in which the platform may act on it, in milliseconds: a slow one takes some seconds. */
+const LATE_CALL_MS = 5000;
+/** How long the platform takes at least, in milliseconds: the member is not asked before. */
+const LEAST_MS = 100;
+/** Time between questions to the member, in milliseconds. */
+const LOOK_MS = 10;
+/** Time between questions once the member is late, in milliseconds. */
+const LATE_LOOK_MS = 100;
+/** Time between two orders to let go of the old leader, in milliseconds: one holds for less than the whole wait. */
+const LET_GO_MS = 700;
+
+/** What an appointment needs. */
+export interface AppointmentPorts {
+  /** Calls the platform; false when it refused, `null` when the duty is not held for long enough any more. */
+  call(timeoutMs: number): Promise<boolean> | null;
+  /** Asks the member for its status. */
+  status(): Promise<ControlAnswer>;
+  /** Asks all daemons again to let go of the old leader. */
+  letGo(): void;
+  now(): number;
+}
+
+/**
+ * Has a member lead a term after `oldTerm`.
+ *
+ * @returns the member's status once it leads; `null` when it does not, and no call is left that may still make it lead
+ */
+export async function appoint(ports: AppointmentPorts, oldTerm: number): Promise<MemberStatus | null> {
+  const appointment = new Appointment(ports, oldTerm);
+  for (let number = 0; number < CALLS; number += 1) {
+    const status = await appointment.attempt();
+    if (status !== null || !appointment.isOpen) return status;
+  }
+  return appointment.awaitLate();
+}
+
+class Appointment {
+  /** A call has been made that the platform has not refused. */
+  isOpen = false;
+  #calledAtMs = Number.NEGATIVE_INFINITY;
+  #letGoAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly ports: AppointmentPorts,
+    private readonly oldTerm: number,
+  ) {}
+
+  /** One call, and the usual wait for its effect. */
+  async attempt(): Promise<MemberStatus | null> {
+    const { ports } = this;
+    const call = ports.call(CALL_MS);
+    if (call === null) return null;
+    const wasOpen = this.isOpen;
+    this.isOpen = true;
+    this.#calledAtMs = ports.now();
+    this.#letGoAtMs = this.#calledAtMs;
+    let isRefused = false;
+    const refusal = new Promise<void>((resolve) => {
+      const told = (accepted: boolean): void => {
+        isRefused = !accepted;
+        if (isRefused) resolve();
+      };
+      call.then(told, () => undefined);
+    });
+    await Promise.race([refusal, delay(LEAST_MS)]);
+    while (!isRefused && ports.now() - this.#calledAtMs < CALL_SPACING_MS) {
+      const status = await this.#look();
+      if (status !== null || !this.isOpen) return status;
+      await Promise.race([refusal, delay(LOOK_MS)]);
+    }
+    if (isRefused) this.isOpen = wasOpen;
+    return null;
+  }
+
+  /** Waits until the platform can act on no call any more. */
+  async awaitLate(): Promise<MemberStatus | null> {
+    while (this.ports.now() - this.#calledAtMs < LATE_CALL_MS) {
+      const status = await this.#look();
+      if (status !== null || !this.isOpen) return status;
+      await delay(LATE_LOOK_MS);
+    }
+    return null;
+  }
+
+  /** The member's status if it leads. */
+  async #look(): Promise<MemberStatus | null> {
+    const { ports } = this;
+    if (ports.now() - this.#letGoAtMs > LET_GO_MS) {
+      this.#letGoAtMs = ports.now();
+      ports.letGo();
+    }
+    const answer = await ports.status();
+    // A member that has ended cannot be made to lead.
+    if (answer.kind === 'refused') this.isOpen = false;
+    if (answer.kind !== 'answered') return null;
+    return answer.status.isPrimary && answer.status.term > this.oldTerm ? answer.status : null;
+  }
+}
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -19,6 +19,7 @@
 } from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import { appoint } from './appointment.js';
 import { chooseSuccessor, type Acknowledged, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EndedMembers } from './ended-members.js';
@@ -29,7 +30,7 @@
 export interface PromotionPort {
   /**
    * @param fence - rises with each holder of the duty
-   * @param timeoutMs - after it, nothing of the call may arrive any more
+   * @param timeoutMs - after it, nothing of the call may arrive any more; one that has arrived may still be acted on
    * @returns false when the platform says that the member does not run
    */
   promote(groupName: string, memberId: string, fence: number, timeoutMs: number): Promise<boolean>;
@@ -88,19 +89,13 @@
 const ALIVE_MS = 100;
 /** How long requests under way at a leader that leaves may take to end, in milliseconds. */
 const HANDOVER_REST_MS = 60;
-/** Longest wait for the platform's answer, in milliseconds. */
-const PROMOTE_CALL_MS = 700;
-/** Longest wait for the new leader, in milliseconds. */
-const TAKEOVER_MS = 1500;
-/** Time between questions to a member that is to lead, in milliseconds. */
-const TAKEOVER_LOOK_MS = 25;
-/** How long the platform takes at least, in milliseconds: no question before. */
-const TAKEOVER_LEAST_MS = 270;
 /** A promotion is begun only when the duty is held this much longer, in milliseconds. */
 const DUTY_RESERVE_MS = 400;
 
 const LEADS_NO_LONGER = 'leader leads no longer';
 
+type RevokeOrder = Extract<HolderOrder, { kind: 'revoke' }>;
+
 /** A paused replica. */
 interface Paused {
   readonly member: Member;
@@ -335,7 +330,7 @@
     this.#doubts.clear();
     const isAlive =
       leader !== null && (leader.isLeaving || this.options.now() - leader.answeredAtMs < ALIVE_MS);
-    const revoke: HolderOrder = { kind: 'revoke', groupName: group.name, term };
+    const revoke: RevokeOrder = { kind: 'revoke', groupName: group.name, term };
     const revoking = options.order(revoke, ORDER_MS);
     if (leader?.isLeaving === true) {
       await revoking;
@@ -366,7 +361,7 @@
       unheard: unheard(outcomes),
     });
     if (isAlive && successor !== null) await this.#demote(leader, term + 1);
-    const isDone = successor !== null && (await this.#appoint(successor, term, reason));
+    const isDone = successor !== null && (await this.#appoint(successor, revoke, reason));
     if (!isDone) {
       options.log('promotion_given_up', {
         group: group.name,
@@ -399,34 +394,33 @@
    */
   async #revokeStarted(
     outcomes: ReadonlyMap<string, OrderOutcome>,
-    revoke: HolderOrder,
+    revoke: RevokeOrder,
   ): Promise<ReadonlyMap<string, OrderOutcome>> {
     const gone = [...outcomes].filter(([, { kind }]) => kind === 'gone').map(([name]) => name);
     return gone.length === 0 ? new Map() : this.options.order(revoke, ORDER_MS, new Set(gone));
   }
 
   /** Asks the platform for the promotion and waits until the member leads. */
-  async #appoint(successor: SuccessorCandidate, oldTerm: number, reason: string): Promise<boolean> {
+  async #appoint(successor: SuccessorCandidate, revoke: RevokeOrder, reason: string): Promise<boolean> {
     const { options, group } = this;
-    const fence = options.heldFence(DUTY_RESERVE_MS);
-    const member = this.#memberOf(successor.memberId);
-    if (fence === null || member === null) return false;
-    const calledAtMs = options.now();
-    options.log('promotion_call', { group: group.name, member: successor.memberId, fence, reason });
-    const call = options.promotion
-      .promote(group.name, successor.memberId, fence, PROMOTE_CALL_MS)
-      .catch(() => null);
-    const isRefused = call.then((accepted) => accepted === false);
-    await Promise.race([isRefused, delay(TAKEOVER_LEAST_MS)]);
-    while (options.now() - calledAtMs < TAKEOVER_MS) {
-      const answer = await this.#status(member);
-      if (answer.kind === 'answered' && answer.status.isPrimary && answer.status.term > oldTerm) {
-        this.#announce(successor.memberId, answer.status.term);
-        return true;
-      }
-      if ((await Promise.race([isRefused, delay(TAKEOVER_LOOK_MS)])) === true) return false;
-    }
-    return false;
+    const { memberId } = successor;
+    const member = this.#memberOf(memberId);
+    if (member === null) return false;
+    const call = (timeoutMs: number): Promise<boolean> | null => {
+      const fence = options.heldFence(DUTY_RESERVE_MS);
+      if (fence === null) return null;
+      options.log('promotion_call', { group: group.name, member: memberId, fence, reason });
+      return options.promotion.promote(group.name, memberId, fence, timeoutMs);
+    };
+    const ports = {
+      call,
+      status: () => this.#status(member),
+      letGo: () => void options.order(revoke, ORDER_MS),
+      now: options.now,
+    };
+    const status = await appoint(ports, revoke.term);
+    if (status !== null) this.#announce(memberId, status.term);
+    return status !== null;
   }
 
   #announce(memberId: string, term: number): void {
