A promotion without a replica asks the daemons again what they have acknowledged

Cause: what daemons had acknowledged was taken from their answers to the order to let go. A write sent before could be acknowledged after that, on the word of a replica that the holder of the duty could not pause. Ruled out: holding back such answers at the daemons: a planned hand-over lets requests under way end, and they would end in doubt. One question more to each daemon, only where a replica is missing. Conclusion: a write that is still unanswered at the second question, and then received by that replica, is not covered.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -348,7 +348,8 @@
     if (mustWait) await delay(pausedAtMs + EVIDENCE_MS - options.now());
     const hold = mustWait ? await this.#holdPauses(paused, term + 1) : heldAtOnce;
     const candidates = paused.map(toCandidate);
-    const acknowledged = latestAcknowledged(group.acknowledged, outcomes);
+    const lastWords = missing > 0 ? await this.#askAgain(outcomes, revoke) : [];
+    const acknowledged = latestAcknowledged(group.acknowledged, [...outcomes.values(), ...lastWords]);
     const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
     options.log('promotion_candidates', {
       group: group.name,
@@ -400,6 +401,21 @@
     return gone.length === 0 ? new Map() : this.options.order(revoke, ORDER_MS, new Set(gone));
   }
 
+  /**
+   * What the daemons have acknowledged by now, if all of them have let go. A write that was under way then may have been
+   * acknowledged since, on the word of a replica that could not be paused.
+   */
+  async #askAgain(
+    outcomes: ReadonlyMap<string, OrderOutcome>,
+    revoke: RevokeOrder,
+  ): Promise<readonly OrderOutcome[]> {
+    const haveAllLetGo = [...outcomes.values()].every(({ kind }) => kind === 'answered');
+    if (!haveAllLetGo) return [];
+    this.group.evidence.revoke(revoke.term, this.options.now());
+    const again = await this.options.order(revoke, ORDER_MS, new Set(outcomes.keys()));
+    return [...again.values()];
+  }
+
   /** Asks the platform for the promotion and waits until the member leads. */
   async #appoint(successor: SuccessorCandidate, revoke: RevokeOrder, reason: string): Promise<boolean> {
     const { options, group } = this;
@@ -415,7 +431,10 @@
     const ports = {
       call,
       status: () => this.#status(member),
-      letGo: () => void options.order(revoke, ORDER_MS),
+      letGo: () => {
+        group.evidence.revoke(revoke.term, options.now());
+        void options.order(revoke, ORDER_MS);
+      },
       now: options.now,
     };
     const status = await appoint(ports, revoke.term);
@@ -519,10 +538,10 @@
 }
 
 /** What this daemon and those that answered have acknowledged. */
-function latestAcknowledged(own: Position, outcomes: ReadonlyMap<string, OrderOutcome>): Acknowledged {
+function latestAcknowledged(own: Position, outcomes: readonly OrderOutcome[]): Acknowledged {
   let latest = own;
   let isWhole = true;
-  for (const outcome of outcomes.values()) {
+  for (const outcome of outcomes) {
     if (outcome.kind === 'answered') latest = laterPosition(latest, outcome.answer.acknowledged);
     else isWhole = false;
   }
