Daemons say what they may have acknowledged before they last started

Cause: what a daemon has acknowledged is kept in memory. After a restart, or once it had dropped a group and watched it again, it answered with the position before the first commit, which the holder of the duty took for the whole; its own part likewise. Ruled out: keeping it in the store (a write for each commit), and taking each answer of a process that has had an earlier one as unknown for ever (no promotion without a replica after the first planned restart). Change: an answer carries the latest commit that is known to be acknowledged and a limit after which none was. A daemon that has forgotten gives the first position of the proven leader since as limit: all that it forgot was in the log by then. Without one the limit is unknown. Limits count only where a replica is missing. Such a group goes on when the missing replica or the primary is back, or is forgotten by the directory.

--- a/src/cluster/order-delivery.test.ts
+++ b/src/cluster/order-delivery.test.ts
@@ -11,6 +11,7 @@
   REGISTRATION_SETTLE_MS,
 } from '../leadership/leadership-evidence.js';
 import type { DaemonRecord } from './daemon-record.js';
+import { ZERO_POSITION } from '../position/position.js';
 import { deliverOrder, type OrderPorts } from './order-delivery.js';
 import type { HolderOrder, OrderOutcome } from './peer-mesh.js';
 import { Registration } from './registration.js';
@@ -20,7 +21,7 @@
 }
 
 const REVOKE: HolderOrder = { kind: 'revoke', groupName: 'g', term: 3 };
-const ANSWERED: OrderOutcome = { kind: 'answered', answer: { acknowledged: { term: 0, index: 0 } } };
+const ANSWERED: OrderOutcome = { kind: 'answered', answer: { latest: ZERO_POSITION, limit: ZERO_POSITION } };
 
 function ports(register: () => Promise<readonly DaemonRecord[]>): { ports: OrderPorts; sent: string[] } {
   const sent: string[] = [];
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -8,7 +8,7 @@
 import type { DaemonRecord } from './daemon-record.js';
 import { EvidenceReader, type EvidenceAnswer, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import { MessageChannel } from '../peer/message-channel.js';
-import type { Position } from '../position/position.js';
+import type { Acknowledged } from '../leadership/acknowledged.js';
 
 /** What the holder asks of the others. */
 export type HolderOrder =
@@ -24,11 +24,8 @@
       readonly term: number;
     };
 
-/** What a daemon answers to an order. */
-export interface OrderAnswer {
-  /** Latest position of a commit that it has acknowledged to a client. */
-  readonly acknowledged: Position;
-}
+/** What a daemon answers to an order: what it has acknowledged to clients. */
+export type OrderAnswer = Acknowledged;
 
 /**
  * Why a leader is doubted. `silent`: it does not answer this daemon; `refused`: it refuses or ends connections;
--- a/src/cluster/registration.ts
+++ b/src/cluster/registration.ts
@@ -9,6 +9,7 @@
 /** What one daemon knows of its own record in the store. */
 export class Registration {
   #countsFromMs = Number.POSITIVE_INFINITY;
+  #hasPredecessor = true;
 
   constructor(private readonly self: DaemonRecord) {}
 
@@ -17,12 +18,18 @@
     return this.#countsFromMs;
   }
 
+  /** True unless this is known to be the first process of this daemon: an earlier one may have acknowledged commits. */
+  get hasPredecessor(): boolean {
+    return this.#hasPredecessor;
+  }
+
   /**
    * Takes the records that the store had before this process registered. Orders to an earlier process at the same address
    * reach this one, so its own record need not be awaited.
    */
   firstLook(registered: ReadonlyMap<string, DaemonRecord>, nowMs: number): void {
     const earlier = registered.get(this.self.name);
+    this.#hasPredecessor = earlier !== undefined;
     if (earlier !== undefined && hasSameAddress(earlier, this.self)) this.#countsFromMs = nowMs;
   }
 
--- a/src/leadership/group-supervisor.test.ts
+++ b/src/leadership/group-supervisor.test.ts
@@ -95,7 +95,9 @@
     this.steps.push(again === undefined ? order.kind : `${order.kind} again: ${[...again].join(',')}`);
     const kind = again === undefined ? this.onFirstOrder : this.onSecondOrder;
     const outcome: OrderOutcome =
-      kind === 'answered' ? { kind, answer: { acknowledged: { term: TERM, index: 9 } } } : { kind };
+      kind === 'answered'
+        ? { kind, answer: { latest: { term: TERM, index: 9 }, limit: { term: TERM, index: 9 } } }
+        : { kind };
     return Promise.resolve(new Map([['d2', outcome]]));
   }
 }
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -19,8 +19,9 @@
 } from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
 import { appoint } from './appointment.js';
-import { chooseSuccessor, type Acknowledged, type SuccessorCandidate } from './choose-successor.js';
+import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EndedMembers } from './ended-members.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
@@ -349,7 +350,10 @@
     const hold = mustWait ? await this.#holdPauses(paused, term + 1) : heldAtOnce;
     const candidates = paused.map(toCandidate);
     const lastWords = missing > 0 ? await this.#askAgain(outcomes, revoke) : [];
-    const acknowledged = latestAcknowledged(group.acknowledged, [...outcomes.values(), ...lastWords]);
+    const acknowledged = joinAcknowledged([
+      group.acknowledged,
+      ...[...outcomes.values(), ...lastWords].map(acknowledgedBy),
+    ]);
     const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
     options.log('promotion_candidates', {
       group: group.name,
@@ -537,13 +541,9 @@
   return names.join(',');
 }
 
-/** What this daemon and those that answered have acknowledged. */
-function latestAcknowledged(own: Position, outcomes: readonly OrderOutcome[]): Acknowledged {
-  let latest = own;
-  let isWhole = true;
-  for (const outcome of outcomes) {
-    if (outcome.kind === 'answered') latest = laterPosition(latest, outcome.answer.acknowledged);
-    else isWhole = false;
-  }
-  return { latest, isWhole };
+/** What a daemon has acknowledged that was not heard. */
+const UNHEARD: Acknowledged = { latest: ZERO_POSITION, limit: null };
+
+function acknowledgedBy(outcome: OrderOutcome): Acknowledged {
+  return outcome.kind === 'answered' ? outcome.answer : UNHEARD;
 }
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -7,10 +7,12 @@
 import { describe, test } from 'node:test';
 import fc from 'fast-check';
 import { comparePositions, ZERO_POSITION, type Position } from '../position/position.js';
-import { chooseSuccessor, type Acknowledged } from './choose-successor.js';
+import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
+import { chooseSuccessor } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EVIDENCE_MS, LeadershipEvidence, REVOCATION_MS } from './leadership-evidence.js';
 import { PositionHistory } from './position-history.js';
+import { MemberGroup } from '../topology/member-group.js';
 
 function ledBy(memberId: string, term: number): LeadershipEvidence {
   const evidence = new LeadershipEvidence();
@@ -135,8 +137,8 @@
 
 describe('the choice of a successor', () => {
   const at = (index: number, term = 1): Position => ({ term, index });
-  const whole = (latest: Position): Acknowledged => ({ latest, isWhole: true });
-  const partial = (latest: Position): Acknowledged => ({ latest, isWhole: false });
+  const whole = (latest: Position): Acknowledged => ({ latest, limit: latest });
+  const partial = (latest: Position): Acknowledged => ({ latest, limit: null });
   const UNKNOWN = partial(ZERO_POSITION);
 
   test('is the one that has received the most; of equals, one that stays', () => {
@@ -171,6 +173,29 @@
     assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: partial(at(5)) }), null);
   });
 
+  test('what a daemon may have forgotten has to be covered only where a replica is missing', () => {
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    const forgetful = joinAcknowledged([whole(at(4)), { latest: at(2), limit: at(6) }]);
+    assert.deepEqual(forgetful, { latest: at(4), limit: at(6) });
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: forgetful }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: forgetful })?.memberId, 'a');
+    assert.equal(joinAcknowledged([forgetful, UNKNOWN]).limit, null);
+  });
+
+  test('what a daemon has forgotten was in the log when the leader first gave its position', () => {
+    let hasForgotten = true;
+    const group = new MemberGroup('g', undefined, () => hasForgotten);
+    assert.deepEqual(group.acknowledged, UNKNOWN);
+    group.recordAcknowledged(at(3));
+    group.recordLed(10, at(4));
+    group.recordLed(20, at(9));
+    assert.deepEqual(group.acknowledged, { latest: at(3), limit: at(4) });
+    group.recordAcknowledged(at(9));
+    assert.deepEqual(group.acknowledged, whole(at(9)));
+    hasForgotten = false;
+    assert.deepEqual(group.acknowledged, whole(at(9)));
+  });
+
   test('holds every acknowledged commit, whatever was received where', () => {
     const received = fc.array(fc.integer({ min: 0, max: 6 }), { minLength: 2, maxLength: 4 });
     fc.assert(
--- a/src/leadership/promotion-loss.test.ts
+++ b/src/leadership/promotion-loss.test.ts
@@ -16,8 +16,8 @@
 /** Time until the answer to a write that was under way, in milliseconds. */
 const WRITE_MS = 50;
 
-function knows(acknowledged: Position): OrderOutcome {
-  return { kind: 'answered', answer: { acknowledged } };
+function knows(latest: Position): OrderOutcome {
+  return { kind: 'answered', answer: { latest, limit: latest } };
 }
 
 /** A commit that only the primary and a replica that has ended since have received; `other` lacks it. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -28,6 +28,7 @@
 import { MemberControl } from '../leadership/member-control.js';
 import { Supervision } from '../leadership/supervision.js';
 import type { RelayState } from '../observability/relay-metrics.js';
+import { ZERO_POSITION } from '../position/position.js';
 import { QuotaService } from '../quota/quota-service.js';
 import { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { KeyDigest } from '../tenancy/key-digest.js';
@@ -100,6 +101,8 @@
   /** The copy of the store; whoever makes the daemon runs it. */
   readonly watched: WatchedStore;
   readonly #groups = new Map<string, WatchedGroup>();
+  /** Groups that were watched before: what was acknowledged then is forgotten. */
+  readonly #droppedGroups = new Set<string>();
   /** The members as the platform lists them. */
   readonly directory: MemberDirectory;
   readonly #doubts: LeaderDoubts;
@@ -388,13 +391,18 @@
     for (const [name, watched] of this.#groups) {
       if (wanted.has(name)) continue;
       this.#groups.delete(name);
+      this.#droppedGroups.add(name);
       this.#forgetGroup(watched);
     }
   }
 
   #addGroup(name: string): void {
     const { options } = this;
-    const group = new MemberGroup(name, () => this.#registration.countsFromMs);
+    const group = new MemberGroup(
+      name,
+      () => this.#registration.countsFromMs,
+      () => this.#hasForgotten(name),
+    );
     const listener = {
       evidenceChanged: (_group: MemberGroup, memberId: string | null, reason: string) =>
         options.log(memberId === null ? 'evidence_lapsed' : 'evidence_gained', {
@@ -527,7 +535,8 @@
   /** An order of the holder of the duty. */
   #obey(order: HolderOrder): OrderAnswer {
     const watched = this.#groups.get(order.groupName);
-    if (watched === undefined) return { acknowledged: { term: 0, index: 0 } };
+    if (watched === undefined)
+      return { latest: ZERO_POSITION, limit: this.#hasForgotten(order.groupName) ? null : ZERO_POSITION };
     const { group, watcher } = watched;
     this.options.log('order', { ...order });
     switch (order.kind) {
@@ -543,7 +552,12 @@
     }
     group.changed.notify();
     watcher.wake();
-    return { acknowledged: group.acknowledged };
+    return group.acknowledged;
+  }
+
+  /** True when this daemon may have acknowledged commits of a group before it last began to watch it. */
+  #hasForgotten(groupName: string): boolean {
+    return this.#registration.hasPredecessor || this.#droppedGroups.has(groupName);
   }
 
   /** Another daemon doubts a leader. */
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
+import type { Acknowledged } from '../leadership/acknowledged.js';
 import { CommitWatch } from '../leadership/commit-watch.js';
 import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
@@ -155,18 +156,26 @@
   readonly changed = new ChangeSignal();
   /** The latest position of a commit that this daemon has acknowledged. */
   #acknowledged: Position = ZERO_POSITION;
+  /** The first position of the proven leader that this daemon was given. */
+  #firstLed: Position | null = null;
 
-  /** @param countsFromMs - from when on answers of witnesses count as evidence, in monotonic milliseconds */
+  /**
+   * @param countsFromMs - from when on answers of witnesses count as evidence, in monotonic milliseconds
+   * @param hasForgotten - true when this daemon may have acknowledged commits that it does not know of any more
+   */
   constructor(
     readonly name: string,
     countsFromMs?: () => number,
+    private readonly hasForgotten: () => boolean = () => false,
   ) {
     this.evidence = new LeadershipEvidence(countsFromMs);
   }
 
-  /** The latest position of a commit that this daemon has acknowledged. */
-  get acknowledged(): Position {
-    return this.#acknowledged;
+  /** What this daemon has acknowledged. What it has forgotten was in the log when the leader first gave its position. */
+  get acknowledged(): Acknowledged {
+    const latest = this.#acknowledged;
+    if (!this.hasForgotten()) return { latest, limit: latest };
+    return { latest, limit: this.#firstLed === null ? null : laterPosition(latest, this.#firstLed) };
   }
 
   /** Notes an acknowledged commit. */
@@ -180,6 +189,7 @@
    */
   recordLed(askedAtMs: number, position: Position): void {
     const wasKnown = this.positions.floorSince(askedAtMs - FLOOR_KNOWN_MS) !== null;
+    this.#firstLed ??= position;
     this.positions.record(askedAtMs, position);
     if (!wasKnown) this.changed.notify();
   }
--- a/test/model/promotion-model.test.ts
+++ b/test/model/promotion-model.test.ts
@@ -16,13 +16,10 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import type { DaemonRecord } from '../../src/cluster/daemon-record.js';
+import type { Acknowledged } from '../../src/leadership/acknowledged.js';
 import { Registration } from '../../src/cluster/registration.js';
 import { DUTY_LEASE } from '../../src/coordination/duty-record.js';
-import {
-  chooseSuccessor,
-  type Acknowledged,
-  type SuccessorCandidate,
-} from '../../src/leadership/choose-successor.js';
+import { chooseSuccessor, type SuccessorCandidate } from '../../src/leadership/choose-successor.js';
 import {
   EVIDENCE_MS,
   LeadershipEvidence,
@@ -89,7 +86,7 @@
 }
 
 /** The other daemon may have acknowledged anything. */
-const UNHEARD: Acknowledged = { latest: ZERO_POSITION, isWhole: false };
+const UNHEARD: Acknowledged = { latest: ZERO_POSITION, limit: null };
 
 /** One run of the model. */
 class Run {
