Failing test: a holder that has lost the duty resumes replicas that the next one has paused

Cause: a promotion that came to nothing ends with orders to resume and to allow evidence again, whether the duty is still held or not. Ruled out: that members tell the pauses apart: both are for the same term, and RESUME names none.

--- a/src/leadership/promotion-loss.test.ts
+++ b/src/leadership/promotion-loss.test.ts
@@ -187,3 +187,25 @@
     assert.ok(!scene.events.includes('promotion_given_up'), scene.events.join(', '));
   });
 });
+
+describe('a holder that has lost the duty', () => {
+  /**
+   * Users see a confirmed change undone after the holder of the duty stood still. It pauses the replicas and calls the platform;
+   * meanwhile its duty lapses, and the next holder pauses them for its own promotion. The first one finds that its own came
+   * to nothing, and resumes them: a write that waits at the old primary is received and acknowledged.
+   * Evidence: `duty_lost`, then `promotion_given_up` and orders to resume by the same daemon.
+   */
+  test('lifts no pause, which may be the one of the next holder', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'other']);
+    scene.member('named').received = { term: FIRST_TERM, index: 2 };
+    scene.member('old').state = 'dark';
+    scene.platform = () => {
+      scene.isDutyHeld = false;
+      scene.member('named').state = 'ended';
+      return Promise.reject(new Error('no answer in time'));
+    };
+    await scene.until('promotion_given_up');
+    assert.notEqual(scene.member('other').pausedForTerm, 0);
+    assert.ok(!scene.events.includes('allow'), scene.events.join(', '));
+  });
+});
