Who has lost the duty lifts no pause; the next holder finishes what it finds begun

Cause: a promotion that came to nothing resumed the replicas and allowed evidence again also when the duty had passed on, by which the pauses of the next holder were lifted. That one in turn resumed replicas that it found paused, though a call of the earlier holder may still be acted on. Ruled out: resuming only what one has paused oneself: both pause for the same term, and RESUME names none. Waiting 5 s before a new holder resumes: the group would have no leader meanwhile. Change: without the duty nothing is lifted. At its first look at a group a new holder promotes when it finds a replica paused, which is safe whatever the platform still does with an earlier call that names the same member. Conclusion: while the store is away and nobody can take the duty, replicas stay paused until it is back: a group whose primary was only silent for a moment then waits that long. A call of the earlier holder that names another member than the new one chooses is not covered.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -90,6 +90,8 @@
 const ALIVE_MS = 100;
 /** How long requests under way at a leader that leaves may take to end, in milliseconds. */
 const HANDOVER_REST_MS = 60;
+/** Time after a promotion was given up in which none is begun, in milliseconds. */
+const GIVEN_UP_REST_MS = 100;
 /** A promotion is begun only when the duty is held this much longer, in milliseconds. */
 const DUTY_RESERVE_MS = 400;
 
@@ -116,6 +118,8 @@
   readonly #doubts = new Doubts();
   readonly #ended = new EndedMembers();
   #isNotingEnded = false;
+  /** No look has been taken yet at what an earlier holder may have left paused. */
+  #isNew = true;
   #suspected = false;
   #lastHandoverMs = Number.NEGATIVE_INFINITY;
 
@@ -157,7 +161,7 @@
     }
     // Not awaited: a former member that is dark must not hold up a promotion.
     void this.#noteEnded(leader);
-    if (!isSuspected && this.#isWell(leader)) return;
+    if (!isSuspected && !this.#isNew && this.#isWell(leader)) return;
     const trouble = await this.#trouble(leader);
     if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
     else if (trouble !== null) await this.#promote(leader, trouble);
@@ -166,6 +170,11 @@
 
   /** The leader answers this daemon: it may still be of no use to others, or to itself. */
   async #lookCloser(leader: Member): Promise<void> {
+    if (this.#isNew) {
+      this.#isNew = false;
+      // The platform may still act on the earlier holder's call: resumed replicas would let commits pass by that member.
+      if (await this.#isOnePaused(leader)) return this.#promote(leader, 'an earlier promotion was left');
+    }
     const now = this.options.now();
     const { memberId } = leader.entry;
     if (now - this.#lastHandoverMs > HANDOVER_PAUSE_MS) {
@@ -307,7 +316,13 @@
     return isManyCallers ? CORROBORATING_CALLERS : 1;
   }
 
-  /** Lets replicas go on that a promotion given up, or its holder, left paused. */
+  /** True when a replica is paused. */
+  async #isOnePaused(leader: Member): Promise<boolean> {
+    const answers = await Promise.all(this.#others(leader).map((member) => this.#status(member)));
+    return answers.some((answer) => answer.kind === 'answered' && answer.status.pausedForTerm !== 0);
+  }
+
+  /** Lets replicas go on that a promotion given up left paused. */
   async #repair(leader: Member): Promise<void> {
     const now = this.options.now();
     if (this.group.evidence.current(now)?.memberId === leader.entry.memberId) return;
@@ -374,10 +389,8 @@
         paused: paused.length,
         missing,
       });
-      await this.#resumeAll(paused.map(({ member }) => member));
-      group.evidence.allowAgain();
-      void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
-      await delay(100);
+      await this.#undo(paused);
+      await delay(GIVEN_UP_REST_MS);
       return;
     }
     options.log('promotion_ends', {
@@ -493,6 +506,15 @@
     });
   }
 
+  /** Lets replicas and daemons go on. Without the duty that is left to the next holder, whose pauses these may be. */
+  async #undo(paused: readonly Paused[]): Promise<void> {
+    const { options, group } = this;
+    if (options.heldFence(0) === null) return;
+    await this.#resumeAll(paused.map(({ member }) => member));
+    group.evidence.allowAgain();
+    void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
+  }
+
   async #resumeAll(members: readonly Member[]): Promise<void> {
     await Promise.all(
       members.map((member) => this.options.control.ask(member, { kind: 'resume' }, STATUS_MS)),
--- a/src/leadership/promotion-loss.test.ts
+++ b/src/leadership/promotion-loss.test.ts
@@ -208,4 +208,13 @@
     assert.notEqual(scene.member('other').pausedForTerm, 0);
     assert.ok(!scene.events.includes('allow'), scene.events.join(', '));
   });
+
+  test('leaves it to the next one, who finishes the promotion though the old primary is proven to lead', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'other']);
+    scene.group.evidence.witness(FIRST_TERM, 0, performance.now());
+    scene.member('other').pausedForTerm = FIRST_TERM + 1;
+    await scene.until('promotion_ends');
+    assert.equal(scene.member('other').pausedForTerm, 0);
+    assert.ok(!scene.member('old').isPrimary);
+  });
 });
