--- a/src/leadership/choose-successor.ts
+++ b/src/leadership/choose-successor.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { comparePositions, hasReached, type Position } from '../position/position.js';
+import type { Acknowledged } from './acknowledged.js';
 
 /** A member that was paused for the promotion, or demoted, with what it then said. */
 export interface SuccessorCandidate {
@@ -17,8 +18,7 @@
   readonly candidates: readonly SuccessorCandidate[];
   /** Members that could hold more but did not answer: replicas that could not be paused. */
   readonly missing: number;
-  /** The latest commit acknowledged by any daemon, or `null` when not all of them were heard. */
-  readonly acknowledged: Position | null;
+  readonly acknowledged: Acknowledged;
 }
 
 /**
@@ -26,8 +26,9 @@
  *
  * With all replicas paused, the one that has received the most holds all: each acknowledged commit was received
  * by one of them, and logs are prefixes of each other. What the daemons have acknowledged has to be covered all
- * the same where it is known: a member that nobody lists any more may have received a commit. With some missing,
- * it has to be known.
+ * the same as far as it is known, also when one of them was not heard: a member that nobody lists any more may have
+ * received a commit. With some missing, all that daemons may have acknowledged has
+ * to be covered.
  */
 export function chooseSuccessor(question: SuccessorQuestion): SuccessorCandidate | null {
   let best: SuccessorCandidate | null = null;
@@ -35,8 +36,9 @@
     if (best === null || isBetter(candidate, best)) best = candidate;
   }
   if (best === null) return null;
-  if (question.acknowledged === null) return question.missing === 0 ? best : null;
-  return hasReached(best.received, question.acknowledged) ? best : null;
+  const { latest, limit } = question.acknowledged;
+  const required = question.missing > 0 ? limit : latest;
+  return required !== null && hasReached(best.received, required) ? best : null;
 }
 
 function isBetter(candidate: SuccessorCandidate, best: SuccessorCandidate): boolean {
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -19,8 +19,11 @@
 } from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
+import { appoint } from './appointment.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
+import { EndedMembers } from './ended-members.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
 
@@ -28,7 +31,7 @@
 export interface PromotionPort {
   /**
    * @param fence - rises with each holder of the duty
-   * @param timeoutMs - after it, nothing of the call may arrive any more
+   * @param timeoutMs - after it, nothing of the call may arrive any more; one that has arrived may still be acted on
    * @returns false when the platform says that the member does not run
    */
   promote(groupName: string, memberId: string, fence: number, timeoutMs: number): Promise<boolean>;
@@ -87,19 +90,15 @@
 const ALIVE_MS = 100;
 /** How long requests under way at a leader that leaves may take to end, in milliseconds. */
 const HANDOVER_REST_MS = 60;
-/** Longest wait for the platform's answer, in milliseconds. */
-const PROMOTE_CALL_MS = 700;
-/** Longest wait for the new leader, in milliseconds. */
-const TAKEOVER_MS = 1500;
-/** Time between questions to a member that is to lead, in milliseconds. */
-const TAKEOVER_LOOK_MS = 25;
-/** How long the platform takes at least, in milliseconds: no question before. */
-const TAKEOVER_LEAST_MS = 270;
+/** Time after a promotion was given up in which none is begun, in milliseconds. */
+const GIVEN_UP_REST_MS = 100;
 /** A promotion is begun only when the duty is held this much longer, in milliseconds. */
 const DUTY_RESERVE_MS = 400;
 
 const LEADS_NO_LONGER = 'leader leads no longer';
 
+type RevokeOrder = Extract<HolderOrder, { kind: 'revoke' }>;
+
 /** A paused replica. */
 interface Paused {
   readonly member: Member;
@@ -117,6 +116,10 @@
   readonly #wake = new ChangeSignal();
   #isStopped = false;
   readonly #doubts = new Doubts();
+  readonly #ended = new EndedMembers();
+  #isNotingEnded = false;
+  /** No look has been taken yet at what an earlier holder may have left paused. */
+  #isNew = true;
   #suspected = false;
   #lastHandoverMs = Number.NEGATIVE_INFINITY;
 
@@ -156,7 +159,9 @@
       await this.#promote(leader, 'leader leaves');
       return;
     }
-    if (!isSuspected && this.#isWell(leader)) return;
+    // Not awaited: a former member that is dark must not hold up a promotion.
+    void this.#noteEnded(leader);
+    if (!isSuspected && !this.#isNew && this.#isWell(leader)) return;
     const trouble = await this.#trouble(leader);
     if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
     else if (trouble !== null) await this.#promote(leader, trouble);
@@ -165,6 +170,11 @@
 
   /** The leader answers this daemon: it may still be of no use to others, or to itself. */
   async #lookCloser(leader: Member): Promise<void> {
+    if (this.#isNew) {
+      this.#isNew = false;
+      // The platform may still act on the earlier holder's call: resumed replicas would let commits pass by that member.
+      if (await this.#isOnePaused(leader)) return this.#promote(leader, 'an earlier promotion was left');
+    }
     const now = this.options.now();
     const { memberId } = leader.entry;
     if (now - this.#lastHandoverMs > HANDOVER_PAUSE_MS) {
@@ -178,6 +188,32 @@
     await this.#repair(leader);
   }
 
+  /** Finds out which former members have ended, and asks the leader then how far the log has come. */
+  async #noteEnded(leader: Member): Promise<void> {
+    const { former } = this.group;
+    this.#ended.retain(former);
+    const unknown = [...former.values()].filter(({ entry }) => !this.#ended.has(entry.memberId));
+    if (unknown.length === 0 || this.#isNotingEnded) return;
+    this.#isNotingEnded = true;
+    const answers = await Promise.all(unknown.map((member) => this.#status(member)));
+    const ended = unknown.filter((_, index) => answers[index]?.kind === 'refused');
+    const position = ended.length === 0 ? null : await this.#logPosition(leader);
+    if (position !== null) for (const { entry } of ended) this.#ended.record(entry.memberId, position);
+    this.#isNotingEnded = false;
+  }
+
+  /** How far the log has come, if the leader answers and is proven to lead; else `null`. */
+  async #logPosition(leader: Member): Promise<Position | null> {
+    const answer = await this.#status(leader);
+    const proven = this.group.evidence.current(this.options.now());
+    const isProven =
+      answer.kind === 'answered' &&
+      answer.status.isPrimary &&
+      proven?.memberId === leader.entry.memberId &&
+      proven.term === answer.status.term;
+    return isProven ? answer.status.received : null;
+  }
+
   async #handOver(leader: Member, reason: string): Promise<void> {
     this.#lastHandoverMs = this.options.now();
     await this.#promote(leader, reason);
@@ -280,7 +316,13 @@
     return isManyCallers ? CORROBORATING_CALLERS : 1;
   }
 
-  /** Lets replicas go on that a promotion given up, or its holder, left paused. */
+  /** True when a replica is paused. */
+  async #isOnePaused(leader: Member): Promise<boolean> {
+    const answers = await Promise.all(this.#others(leader).map((member) => this.#status(member)));
+    return answers.some((answer) => answer.kind === 'answered' && answer.status.pausedForTerm !== 0);
+  }
+
+  /** Lets replicas go on that a promotion given up left paused. */
   async #repair(leader: Member): Promise<void> {
     const now = this.options.now();
     if (this.group.evidence.current(now)?.memberId === leader.entry.memberId) return;
@@ -304,7 +346,7 @@
     this.#doubts.clear();
     const isAlive =
       leader !== null && (leader.isLeaving || this.options.now() - leader.answeredAtMs < ALIVE_MS);
-    const revoke: HolderOrder = { kind: 'revoke', groupName: group.name, term };
+    const revoke: RevokeOrder = { kind: 'revoke', groupName: group.name, term };
     const revoking = options.order(revoke, ORDER_MS);
     if (leader?.isLeaving === true) {
       await revoking;
@@ -322,7 +364,11 @@
     if (mustWait) await delay(pausedAtMs + EVIDENCE_MS - options.now());
     const hold = mustWait ? await this.#holdPauses(paused, term + 1) : heldAtOnce;
     const candidates = paused.map(toCandidate);
-    const acknowledged = latestAcknowledged(group.acknowledged, outcomes);
+    const lastWords = missing > 0 ? await this.#askAgain(outcomes, revoke) : [];
+    const acknowledged = joinAcknowledged([
+      group.acknowledged,
+      ...[...outcomes.values(), ...lastWords].map(acknowledgedBy),
+    ]);
     const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
     options.log('promotion_candidates', {
       group: group.name,
@@ -331,11 +377,11 @@
         .join(','),
       former: [...group.former.keys()].join(','),
       missing,
-      acknowledged: acknowledged === null ? null : formatPosition(acknowledged),
+      acknowledged: formatPosition(acknowledged.latest),
       unheard: unheard(outcomes),
     });
     if (isAlive && successor !== null) await this.#demote(leader, term + 1);
-    const isDone = successor !== null && (await this.#appoint(successor, term, reason));
+    const isDone = successor !== null && (await this.#appoint(successor, revoke, reason));
     if (!isDone) {
       options.log('promotion_given_up', {
         group: group.name,
@@ -343,10 +389,8 @@
         paused: paused.length,
         missing,
       });
-      await this.#resumeAll(paused.map(({ member }) => member));
-      group.evidence.allowAgain();
-      void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
-      await delay(100);
+      await this.#undo(paused);
+      await delay(GIVEN_UP_REST_MS);
       return;
     }
     options.log('promotion_ends', {
@@ -368,34 +412,51 @@
    */
   async #revokeStarted(
     outcomes: ReadonlyMap<string, OrderOutcome>,
-    revoke: HolderOrder,
+    revoke: RevokeOrder,
   ): Promise<ReadonlyMap<string, OrderOutcome>> {
     const gone = [...outcomes].filter(([, { kind }]) => kind === 'gone').map(([name]) => name);
     return gone.length === 0 ? new Map() : this.options.order(revoke, ORDER_MS, new Set(gone));
   }
 
+  /**
+   * What the daemons have acknowledged by now, if all of them have let go. A write that was under way then may have been
+   * acknowledged since, on the word of a replica that could not be paused.
+   */
+  async #askAgain(
+    outcomes: ReadonlyMap<string, OrderOutcome>,
+    revoke: RevokeOrder,
+  ): Promise<readonly OrderOutcome[]> {
+    const haveAllLetGo = [...outcomes.values()].every(({ kind }) => kind === 'answered');
+    if (!haveAllLetGo) return [];
+    this.group.evidence.revoke(revoke.term, this.options.now());
+    const again = await this.options.order(revoke, ORDER_MS, new Set(outcomes.keys()));
+    return [...again.values()];
+  }
+
   /** Asks the platform for the promotion and waits until the member leads. */
-  async #appoint(successor: SuccessorCandidate, oldTerm: number, reason: string): Promise<boolean> {
+  async #appoint(successor: SuccessorCandidate, revoke: RevokeOrder, reason: string): Promise<boolean> {
     const { options, group } = this;
-    const fence = options.heldFence(DUTY_RESERVE_MS);
-    const member = this.#memberOf(successor.memberId);
-    if (fence === null || member === null) return false;
-    const calledAtMs = options.now();
-    options.log('promotion_call', { group: group.name, member: successor.memberId, fence, reason });
-    const call = options.promotion
-      .promote(group.name, successor.memberId, fence, PROMOTE_CALL_MS)
-      .catch(() => null);
-    const isRefused = call.then((accepted) => accepted === false);
-    await Promise.race([isRefused, delay(TAKEOVER_LEAST_MS)]);
-    while (options.now() - calledAtMs < TAKEOVER_MS) {
-      const answer = await this.#status(member);
-      if (answer.kind === 'answered' && answer.status.isPrimary && answer.status.term > oldTerm) {
-        this.#announce(successor.memberId, answer.status.term);
-        return true;
-      }
-      if ((await Promise.race([isRefused, delay(TAKEOVER_LOOK_MS)])) === true) return false;
-    }
-    return false;
+    const { memberId } = successor;
+    const member = this.#memberOf(memberId);
+    if (member === null) return false;
+    const call = (timeoutMs: number): Promise<boolean> | null => {
+      const fence = options.heldFence(DUTY_RESERVE_MS);
+      if (fence === null) return null;
+      options.log('promotion_call', { group: group.name, member: memberId, fence, reason });
+      return options.promotion.promote(group.name, memberId, fence, timeoutMs);
+    };
+    const ports = {
+      call,
+      status: () => this.#status(member),
+      letGo: () => {
+        group.evidence.revoke(revoke.term, options.now());
+        void options.order(revoke, ORDER_MS);
+      },
+      now: options.now,
+    };
+    const status = await appoint(ports, revoke.term);
+    if (status !== null) this.#announce(memberId, status.term);
+    return status !== null;
   }
 
   #announce(memberId: string, term: number): void {
@@ -405,15 +466,20 @@
     void this.options.order(order, ORDER_MS);
   }
 
-  /** Pauses all members but the leader. */
+  /** Pauses all members but the leader. One that has ended is missing unless another is known to hold what it had. */
   async #pauseAll(members: readonly Member[], term: number): Promise<Pauses> {
     const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
     const paused = results.filter((result) => typeof result !== 'string');
-    const missing = results.filter((result) => result === 'missing').length;
+    const gone = members.filter((_, index) => results[index] === 'gone').map(({ entry }) => entry);
+    const uncovered = this.#ended.uncovered(
+      gone,
+      paused.map(({ member, status }) => ({ entry: member.entry, received: status.received })),
+    );
+    const missing = results.filter((result) => result === 'missing').length + uncovered.length;
     return { paused, missing };
   }
 
-  /** Pauses one member; one that still leads is demoted. A former member that does not run is gone for good. */
+  /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
   async #pause(member: Member, term: number): Promise<Paused | 'missing' | 'gone'> {
     const { control } = this.options;
     for (let attempt = 0; attempt < 2; attempt += 1) {
@@ -440,6 +506,15 @@
     });
   }
 
+  /** Lets replicas and daemons go on. Without the duty that is left to the next holder, whose pauses these may be. */
+  async #undo(paused: readonly Paused[]): Promise<void> {
+    const { options, group } = this;
+    if (options.heldFence(0) === null) return;
+    await this.#resumeAll(paused.map(({ member }) => member));
+    group.evidence.allowAgain();
+    void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
+  }
+
   async #resumeAll(members: readonly Member[]): Promise<void> {
     await Promise.all(
       members.map((member) => this.options.control.ask(member, { kind: 'resume' }, STATUS_MS)),
@@ -488,12 +563,9 @@
   return names.join(',');
 }
 
-/** The latest acknowledged commit, or `null` when a daemon that may know a later one was not heard. */
-function latestAcknowledged(own: Position, outcomes: ReadonlyMap<string, OrderOutcome>): Position | null {
-  let latest = own;
-  for (const outcome of outcomes.values()) {
-    if (outcome.kind !== 'answered') return null;
-    latest = laterPosition(latest, outcome.answer.acknowledged);
-  }
-  return latest;
+/** What a daemon has acknowledged that was not heard. */
+const UNHEARD: Acknowledged = { latest: ZERO_POSITION, limit: null };
+
+function acknowledgedBy(outcome: OrderOutcome): Acknowledged {
+  return outcome.kind === 'answered' ? outcome.answer : UNHEARD;
 }
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -6,11 +6,13 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import fc from 'fast-check';
-import { comparePositions, type Position } from '../position/position.js';
+import { comparePositions, ZERO_POSITION, type Position } from '../position/position.js';
+import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
 import { chooseSuccessor } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EVIDENCE_MS, LeadershipEvidence, REVOCATION_MS } from './leadership-evidence.js';
 import { PositionHistory } from './position-history.js';
+import { MemberGroup } from '../topology/member-group.js';
 
 function ledBy(memberId: string, term: number): LeadershipEvidence {
   const evidence = new LeadershipEvidence();
@@ -135,6 +137,9 @@
 
 describe('the choice of a successor', () => {
   const at = (index: number, term = 1): Position => ({ term, index });
+  const whole = (latest: Position): Acknowledged => ({ latest, limit: latest });
+  const partial = (latest: Position): Acknowledged => ({ latest, limit: null });
+  const UNKNOWN = partial(ZERO_POSITION);
 
   test('is the one that has received the most; of equals, one that stays', () => {
     const candidates = [
@@ -142,23 +147,53 @@
       { memberId: 'b', received: at(5), isLeaving: false },
       { memberId: 'c', received: at(9, 0), isLeaving: false },
     ];
-    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: null })?.memberId, 'b');
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: UNKNOWN })?.memberId, 'b');
     const more = [...candidates, { memberId: 'd', received: at(6), isLeaving: true }];
-    assert.equal(chooseSuccessor({ candidates: more, missing: 0, acknowledged: null })?.memberId, 'd');
+    assert.equal(chooseSuccessor({ candidates: more, missing: 0, acknowledged: UNKNOWN })?.memberId, 'd');
   });
 
   test('with replicas missing, every acknowledged commit has to be covered', () => {
     const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
-    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: at(5) })?.memberId, 'a');
-    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: at(6) }), null);
-    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: null }), null);
-    assert.equal(chooseSuccessor({ candidates: [], missing: 0, acknowledged: null }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: whole(at(5)) })?.memberId, 'a');
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: whole(at(6)) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: UNKNOWN }), null);
+    assert.equal(chooseSuccessor({ candidates: [], missing: 0, acknowledged: UNKNOWN }), null);
   });
 
   test('what is known to be acknowledged has to be covered though no listed replica is missing', () => {
     const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
-    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: at(6) }), null);
-    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: null })?.memberId, 'a');
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: whole(at(6)) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: UNKNOWN })?.memberId, 'a');
+  });
+
+  test('what some daemons are known to have acknowledged has to be covered though others were not heard', () => {
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: partial(at(6)) }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: partial(at(5)) })?.memberId, 'a');
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: partial(at(5)) }), null);
+  });
+
+  test('what a daemon may have forgotten has to be covered only where a replica is missing', () => {
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    const forgetful = joinAcknowledged([whole(at(4)), { latest: at(2), limit: at(6) }]);
+    assert.deepEqual(forgetful, { latest: at(4), limit: at(6) });
+    assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: forgetful }), null);
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: forgetful })?.memberId, 'a');
+    assert.equal(joinAcknowledged([forgetful, UNKNOWN]).limit, null);
+  });
+
+  test('what a daemon has forgotten was in the log when the leader first gave its position', () => {
+    let hasForgotten = true;
+    const group = new MemberGroup('g', undefined, () => hasForgotten);
+    assert.deepEqual(group.acknowledged, UNKNOWN);
+    group.recordAcknowledged(at(3));
+    group.recordLed(10, at(4));
+    group.recordLed(20, at(9));
+    assert.deepEqual(group.acknowledged, { latest: at(3), limit: at(4) });
+    group.recordAcknowledged(at(9));
+    assert.deepEqual(group.acknowledged, whole(at(9)));
+    hasForgotten = false;
+    assert.deepEqual(group.acknowledged, whole(at(9)));
   });
 
   test('holds every acknowledged commit, whatever was received where', () => {
@@ -174,7 +209,7 @@
           isLeaving: false,
         }));
         const missing = indexes.length - reachable.length;
-        const chosen = chooseSuccessor({ candidates, missing, acknowledged });
+        const chosen = chooseSuccessor({ candidates, missing, acknowledged: whole(acknowledged) });
         assert.ok(chosen === null || comparePositions(chosen.received, acknowledged) >= 0);
       }),
       { seed: 20261202, numRuns: 300 },
