--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -104,6 +104,7 @@
     observer: QUIET_OBSERVER,
     group: () => group,
     now: () => performance.now(),
+    plannedStop: () => null,
     suspect: () => undefined,
   };
   const reply = await new WriteRunner(context, {
