--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -378,6 +378,7 @@
       former: [...group.former.keys()].join(','),
       missing,
       acknowledged: formatPosition(acknowledged.latest),
+      limit: acknowledged.limit === null ? null : formatPosition(acknowledged.limit),
       unheard: unheard(outcomes),
     });
     if (isAlive && successor !== null) await this.#demote(leader, term + 1);
