--- a/standin/rig/fault-proxy.ts
+++ b/standin/rig/fault-proxy.ts
@@ -14,6 +14,8 @@
   readonly listenHost: string;
   readonly port: number;
   readonly targetHost: string;
+  /** Where it goes on the target, if that is another port. */
+  readonly targetPort?: number;
 }
 
 /** Bytes on their way; `null` is the end of the connection. */
@@ -152,7 +154,7 @@
 
   #accept(incoming: Socket, route: Route): void {
     const fromZone = this.#zones.get(incoming.remoteAddress ?? '') ?? 'client';
-    const outgoing = connect({ host: route.targetHost, port: route.port });
+    const outgoing = connect({ host: route.targetHost, port: route.targetPort ?? route.port });
     const requests = new Flow(this, fromZone, route.zone, outgoing);
     const replies = new Flow(this, route.zone, fromZone, incoming);
     this.#join(incoming, outgoing, requests);
