After its last word to a promotion a daemon acknowledges nothing of the old term

Change: a commit whose answer comes after the seal is in doubt, until the promotion is given up, the revocation lapses (1.5 s, renewed while the platform is waited for) or a later term leads. Ruled out: sealing in planned hand-overs (requests under way at a leader that leaves are to end well) and in promotions with all replicas paused (what is answered then was received by one of them).

--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -179,7 +179,8 @@
   }
 
   /** Notes a commit that is about to be acknowledged; false when it may not be, since a promotion counts without it. */
-  acknowledge(position: Position, _nowMs: number): boolean {
+  acknowledge(position: Position, nowMs: number): boolean {
+    if (!this.evidence.mayAcknowledge(position.term, nowMs)) return false;
     this.#acknowledged = laterPosition(this.#acknowledged, position);
     return true;
   }
