A read that no member has run is refused as not run

Cause: once a member had been sent a read, it was told to have timed out, also when every member had refused it, or its connection had ended before it left. Its client cannot tell it from one that ran. Ruled out: counting a lost attempt as not run. Change: what members have refused, and what did not leave, is taken off. Figures: the new test fails before (timed_out), passes after; all tests of the relay pass. Conclusion: the verdict is as exact as what is known.

--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -12,6 +12,7 @@
 import type { MemberGroup } from '../topology/member-group.js';
 import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
 import { ReadRunner } from './read-runner.js';
+import { Refusal } from './refusal.js';
 import type { RelayContext } from './relay-context.js';
 
 /** A member that answers when the test says so. */
@@ -32,6 +33,16 @@
     });
   }
 
+  /** Refuses the oldest request: not run. */
+  refuse(): void {
+    this.#waiting.shift()?.({
+      rows: [],
+      result: { isComplete: false, code: 'busy', text: 'BUSY' },
+      state: 'idle',
+      position: null,
+    });
+  }
+
   /** Answers the oldest request. */
   answer(signature: string): void {
     const resolve = this.#waiting.shift();
@@ -163,3 +174,18 @@
     assert.deepEqual([leader.asked.length, replica.asked.length], [0, 0]);
   }
 });
+
+test('a read that every member has refused as not run is refused as not run when its time is over', async () => {
+  const { clock, leader, read } = scene({ ...ROUTE, consistency: 'primary', timeoutMs: 200 });
+  const refused = assert.rejects(read('a'), (error: unknown) => {
+    assert.ok(error instanceof Refusal);
+    assert.equal(error.code, 'busy');
+    assert.equal(error.verdict, 'not_run');
+    return true;
+  });
+  await settle();
+  assert.equal(leader.asked.length, 1);
+  clock.now += 300;
+  leader.refuse();
+  await refused;
+});
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -147,7 +147,8 @@
   readonly #attemptEnded = new ChangeSignal();
   #isSettled = false;
   #isAbandoned = false;
-  #wasSent = false;
+  /** Attempts that a member has been sent, and has not refused as not run. */
+  #mayHaveRun = 0;
   #lastReason = 'no member can serve';
   /** The answer of a member that ran the read and failed: the last word if no other has a better one. */
   #failure: MemberReply | null = null;
@@ -158,9 +159,9 @@
     private readonly job: ReadJob,
   ) {}
 
-  /** True once a member has been sent the statement. */
+  /** True once a member has been sent the statement, unless all that were have refused it as not run. */
   get wasSent(): boolean {
-    return this.#wasSent;
+    return this.#mayHaveRun > 0;
   }
 
   /** Sends nothing more. */
@@ -360,15 +361,18 @@
           if (this.#isSettled) return ANSWERED;
           if (asLeader && job.group.leader(context.now()) !== member) return UNPROVEN;
           isSent = true;
-          this.#wasSent = true;
+          this.#mayHaveRun += 1;
           asking.sentAtMs = context.now();
           return null;
         },
       );
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
-      return this.#judge(member, asLeader, floor, reply.reply, reply.sentAtMs);
+      const attempt = this.#judge(member, asLeader, floor, reply.reply, reply.sentAtMs);
+      if (attempt.kind === 'not_run') this.#mayHaveRun -= 1;
+      return attempt;
     } catch (error) {
       const isLost = isSent && !(error instanceof NotSentError);
+      if (isSent && !isLost) this.#mayHaveRun -= 1;
       return { kind: isLost ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
       clearTimeout(overdue);
@@ -402,7 +406,7 @@
 
   #giveUp(): MemberReply {
     if (this.#failure !== null) return this.#failure;
-    if (this.#wasSent)
+    if (this.wasSent)
       throw new Refusal('timed_out', 'may_have_run', `no answer in time: ${this.#lastReason}`);
     throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
   }
