A platform that gives no answer is asked again each half a second

Cause: two calls were made, at 0 and 1.5 s, and then their effect was waited for until 6.5 s, though the platform might be back. Ruled out: giving up sooner (a call that was read may act late). Change: after a call without an answer the same member is named again after 0.5 s, for 4.5 s; a platform that takes the calls is asked twice as before.

--- a/src/leadership/appointment.test.ts
+++ b/src/leadership/appointment.test.ts
@@ -111,6 +111,13 @@
   assert.ok(!leads && ms >= 6500 && ms < 7000, `${ms} ms`);
 });
 
+test('a platform that gives no answer is asked again each half a second, for 4.5 s', async () => {
+  const platform = (): Promise<boolean> => Promise.reject(new Error('no answer'));
+  const { leads, ms, calls } = await play({ platform, leadsAtMs: Number.POSITIVE_INFINITY });
+  assert.ok(!leads && ms >= 9000 && ms < 10_000, `${ms} ms`);
+  assert.ok(calls >= 8 && calls <= 10, `${calls} calls`);
+});
+
 test('a member that has ended is not waited for', async () => {
   const { leads, ms } = await play({ leadsAtMs: Number.POSITIVE_INFINITY, endsAtMs: 600 });
   assert.ok(!leads && ms < 700, `${ms} ms`);
--- a/src/leadership/appointment.ts
+++ b/src/leadership/appointment.ts
@@ -12,9 +12,15 @@
 
 /** Longest wait for the platform's answer, in milliseconds. */
 const CALL_MS = 700;
-/** How often the platform is asked, and the time between, in milliseconds. */
+/** How often a platform that takes the calls is asked, and the time between, in milliseconds. */
 const CALLS = 2;
 const CALL_SPACING_MS = 1500;
+/**
+ * For how long one that gives no answer is asked again, and the time between, in milliseconds: it may be away for some seconds,
+ * and naming the same member once more does no harm.
+ */
+const RETRIED_MS = 4500;
+const RETRY_MS = 500;
 /** Time after a call in which the platform may act on it, in milliseconds: a slow one takes some seconds. */
 const LATE_CALL_MS = 5000;
 /** How long the platform takes at least, in milliseconds: the member is not asked before. */
@@ -44,9 +50,12 @@
  */
 export async function appoint(ports: AppointmentPorts, oldTerm: number): Promise<MemberStatus | null> {
   const appointment = new Appointment(ports, oldTerm);
-  for (let number = 0; number < CALLS; number += 1) {
+  const untilMs = ports.now() + RETRIED_MS;
+  for (let number = 1; appointment.mayCall; number += 1) {
     const status = await appointment.attempt();
     if (status !== null || !appointment.isOpen) return status;
+    const isRetried = appointment.isUnanswered && ports.now() < untilMs;
+    if (number >= CALLS && !isRetried) break;
   }
   return appointment.awaitLate();
 }
@@ -54,6 +63,10 @@
 class Appointment {
   /** A call has been made that the platform has not refused. */
   isOpen = false;
+  /** False once the duty is not held for long enough any more. */
+  mayCall = true;
+  /** The last call got no answer. */
+  isUnanswered = false;
   #calledAtMs = Number.NEGATIVE_INFINITY;
   #letGoAtMs = Number.NEGATIVE_INFINITY;
 
@@ -66,21 +79,25 @@
   async attempt(): Promise<MemberStatus | null> {
     const { ports } = this;
     const call = ports.call(CALL_MS);
-    if (call === null) return null;
+    if (call === null) {
+      this.mayCall = false;
+      return null;
+    }
     const wasOpen = this.isOpen;
     this.isOpen = true;
     this.#calledAtMs = ports.now();
     this.#letGoAtMs = this.#calledAtMs;
     let isRefused = false;
+    this.isUnanswered = false;
     const refusal = new Promise<void>((resolve) => {
       const told = (accepted: boolean): void => {
         isRefused = !accepted;
         if (isRefused) resolve();
       };
-      call.then(told, () => undefined);
+      call.then(told, () => (this.isUnanswered = true));
     });
     await Promise.race([refusal, delay(LEAST_MS)]);
-    while (!isRefused && ports.now() - this.#calledAtMs < CALL_SPACING_MS) {
+    while (!isRefused && ports.now() - this.#calledAtMs < this.#spacingMs) {
       const status = await this.#look();
       if (status !== null || !this.isOpen) return status;
       await Promise.race([refusal, delay(LOOK_MS)]);
@@ -89,6 +106,10 @@
     return null;
   }
 
+  get #spacingMs(): number {
+    return this.isUnanswered ? RETRY_MS : CALL_SPACING_MS;
+  }
+
   /** Waits until the platform can act on no call any more. */
   async awaitLate(): Promise<MemberStatus | null> {
     while (this.ports.now() - this.#calledAtMs < LATE_CALL_MS) {
