A supervision that was stopped acts no more, though its daemon has the duty again

Cause: what lifts pauses looked at the duty alone; it may have been lost and taken again while a promotion waited for the platform, and the pauses are then those of the next supervision. Ruled out: that endAll waits for it (it only says so). Change: one place gives the fence, and none once stopped; replicas are not resumed after a success without the duty either.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -402,9 +402,10 @@
       leader: successor.memberId,
       ms: Math.round(options.now() - startedAtMs),
     });
-    await this.#resumeAll(
-      paused.map(({ member }) => member).filter((member) => member.entry.memberId !== successor.memberId),
-    );
+    if (this.#fence(0) !== null)
+      await this.#resumeAll(
+        paused.map(({ member }) => member).filter((member) => member.entry.memberId !== successor.memberId),
+      );
     // A former member leads only until another has its log: no daemon gives it work.
     if (group.former.has(successor.memberId)) this.#suspected = true;
     if (!isAlive && leader !== null) await this.#demote(leader, term + 1);
@@ -451,7 +452,7 @@
     const member = this.#memberOf(memberId);
     if (member === null) return false;
     const call = (timeoutMs: number): Promise<boolean> | null => {
-      const fence = options.heldFence(DUTY_RESERVE_MS);
+      const fence = this.#fence(DUTY_RESERVE_MS);
       if (fence === null) return null;
       options.log('promotion_call', { group: group.name, member: memberId, fence, reason });
       return options.promotion.promote(group.name, memberId, fence, timeoutMs);
@@ -477,6 +478,11 @@
     void this.options.order(order, ORDER_MS);
   }
 
+  /** The fence while this supervision acts under the duty; one that was stopped acts no more, though the duty may be back. */
+  #fence(reserveMs: number): number | null {
+    return this.#isStopped ? null : this.options.heldFence(reserveMs);
+  }
+
   /** Pauses all members but the leader. One that has ended is missing unless another is known to hold what it had. */
   async #pauseAll(members: readonly Member[], term: number): Promise<Pauses> {
     const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
@@ -520,7 +526,7 @@
   /** Lets replicas and daemons go on. Without the duty that is left to the next holder, whose pauses these may be. */
   async #undo(paused: readonly Paused[]): Promise<void> {
     const { options, group } = this;
-    if (options.heldFence(0) === null) return;
+    if (this.#fence(0) === null) return;
     await this.#resumeAll(paused.map(({ member }) => member));
     group.evidence.allowAgain();
     void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
