A daemon that is about to stop is no home of quotas

Change: from the signal on it leaves itself out of the line, and passes on what it is asked by those who take it for the home; the last daemon stays home. Ruled out: shortening the 3 s in which vanished leases mean nothing (daemons have to register again); a mark in the store (late or missing in an outage).

--- a/src/quota/quota-service.ts
+++ b/src/quota/quota-service.ts
@@ -35,6 +35,7 @@
   readonly #quotas: GrantedQuotas;
   #lives: ReadonlySet<string> = new Set();
   #hasSeenOneGo = false;
+  #isRetired = false;
   /** When a daemon was last seen to go: it may have been a home until then, and have granted all. */
   #leftAtMs: number;
 
@@ -57,9 +58,13 @@
     return this.#home.grant(request);
   }
 
-  /** This daemon is about to stop. */
+  /**
+   * This daemon is about to stop: it is no home any more, and passes on what those ask who take it for one. Others may already do
+   * without it, and two homes would grant the quota twice.
+   */
   retire(): void {
-    this.#inLine.clear();
+    this.#isRetired = true;
+    this.daemonsChanged();
   }
 
   /** The daemons have changed. */
@@ -76,10 +81,18 @@
     this.#hasSeenOneGo = true;
   }
 
+  /** The daemons that may be homes; the last one is, though it is about to stop. */
+  #candidates(): readonly DaemonRecord[] {
+    const daemons = this.options.daemons();
+    if (!this.#isRetired) return daemons;
+    const others = daemons.filter(({ name }) => name !== this.options.ownName);
+    return others.length > 0 ? others : daemons;
+  }
+
   #lineOf(tenantName: string): readonly DaemonRecord[] {
     let line = this.#inLine.get(tenantName);
     if (line === undefined) {
-      line = preferredDaemons(tenantName, this.options.daemons(), DAEMONS_IN_LINE);
+      line = preferredDaemons(tenantName, this.#candidates(), DAEMONS_IN_LINE);
       this.#inLine.set(tenantName, line);
     }
     return line;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -339,6 +339,7 @@
   /** Gives up the duty and lends no more; sessions and open loans go on, until the times of the plan. */
   async retire(plan: PlannedStop): Promise<void> {
     this.#plannedStop = plan;
+    this.#quotas.retire();
     this.#gatewayServer.leave();
     await Promise.race([this.#duty.stop(), delay(500)]);
   }
