--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -17,22 +17,23 @@
   ZERO_POSITION,
   type Position,
 } from '../position/position.js';
-import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
+import { joinAcknowledged } from './acknowledged.js';
 import { appoint } from './appointment.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EndedMembers } from './ended-members.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
+import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
+import { ReplicaPauses, type Paused } from './replica-pauses.js';
 
 /** Asks the platform to make a member lead. Rejects when it may or may not have been heard. */
 export interface PromotionPort {
   /**
    * @param fence - rises with each holder of the duty
    * @param timeoutMs - after it, nothing of the call may arrive any more; one that has arrived may still be acted on
-   * @returns false when the platform says that the member does not run
+   * @returns false when the platform says that the member does not run, or when it cannot have heard the call
    */
   promote(groupName: string, memberId: string, fence: number, timeoutMs: number): Promise<boolean>;
 }
@@ -71,8 +72,6 @@
 /** Callers of a leader from which on several of them have to find it silent, and how many. */
 const MANY_CALLERS = 9;
 const CORROBORATING_CALLERS = 2;
-/** Longest wait for a pause, in milliseconds. */
-const PAUSE_MS = 300;
 /**
  * Pauses that took this much less than daemons wait before they count evidence came late: one that registered meanwhile
  * may hold some, in milliseconds.
@@ -99,24 +98,13 @@
 
 type LetGoOrder = Extract<HolderOrder, { kind: 'revoke' | 'seal' }>;
 
-/** A paused replica. */
-interface Paused {
-  readonly member: Member;
-  readonly status: MemberStatus;
-}
-
-/** How the pauses went. `missing`: members that may hold more than the paused ones. */
-interface Pauses {
-  readonly paused: readonly Paused[];
-  readonly missing: number;
-}
-
 /** Supervises one group while this daemon holds the duty. */
 export class GroupSupervisor {
   readonly #wake = new ChangeSignal();
   #isStopped = false;
   readonly #doubts = new Doubts();
   readonly #ended = new EndedMembers();
+  readonly #pauses: ReplicaPauses;
   #isNotingEnded = false;
   /** No look has been taken yet at what an earlier holder may have left paused. */
   #isNew = true;
@@ -126,7 +114,9 @@
   constructor(
     private readonly group: MemberGroup,
     private readonly options: GroupSupervisorOptions,
-  ) {}
+  ) {
+    this.#pauses = new ReplicaPauses(options.control, group, this.#ended);
+  }
 
   /** Supervises until {@link GroupSupervisor.stop}. */
   async run(): Promise<void> {
@@ -352,17 +342,17 @@
       await revoking;
       await delay(HANDOVER_REST_MS);
     }
-    const { paused, missing } = await this.#pauseAll(others, term);
+    const { paused, missing } = await this.#pauses.pauseAll(others, term);
     const pausedAtMs = options.now();
     const outcomes = await revoking;
     const areLate = pausedAtMs - startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
     const [startedSince, heldAtOnce] = await Promise.all([
       this.#revokeStarted(outcomes, revoke),
-      this.#holdPauses(paused, term + 1),
+      this.#pauses.hold(paused, term + 1),
     ]);
     const mustWait = hasSilent(outcomes) || hasSilent(startedSince) || areLate;
     if (mustWait) await delay(pausedAtMs + EVIDENCE_MS - options.now());
-    const hold = mustWait ? await this.#holdPauses(paused, term + 1) : heldAtOnce;
+    const hold = mustWait ? await this.#pauses.hold(paused, term + 1) : heldAtOnce;
     const candidates = paused.map(toCandidate);
     // Requests under way at a leader that leaves may end well: it lets go itself, and is asked for its position.
     const lastOrder: LetGoOrder =
@@ -403,7 +393,7 @@
       ms: Math.round(options.now() - startedAtMs),
     });
     if (this.#fence(0) !== null)
-      await this.#resumeAll(
+      await this.#pauses.resumeAll(
         paused.map(({ member }) => member).filter((member) => member.entry.memberId !== successor.memberId),
       );
     // A former member leads only until another has its log: no daemon gives it work.
@@ -483,61 +473,15 @@
     return this.#isStopped ? null : this.options.heldFence(reserveMs);
   }
 
-  /** Pauses all members but the leader. One that has ended is missing unless another is known to hold what it had. */
-  async #pauseAll(members: readonly Member[], term: number): Promise<Pauses> {
-    const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
-    const paused = results.filter((result) => typeof result !== 'string');
-    const gone = members.filter((_, index) => results[index] === 'gone').map(({ entry }) => entry);
-    const uncovered = this.#ended.uncovered(
-      gone,
-      paused.map(({ member, status }) => ({ entry: member.entry, received: status.received })),
-    );
-    const missing = results.filter((result) => result === 'missing').length + uncovered.length;
-    return { paused, missing };
-  }
-
-  /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
-  async #pause(member: Member, term: number): Promise<Paused | 'missing' | 'gone'> {
-    const { control } = this.options;
-    for (let attempt = 0; attempt < 2; attempt += 1) {
-      let answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
-      if (answer.kind === 'answered' && answer.status.isPrimary) {
-        await control.ask(member, { kind: 'demote', term }, PAUSE_MS);
-        answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
-      }
-      if (answer.kind === 'answered') return toPaused(member, answer.status, term);
-      if (answer.kind === 'refused') return this.group.former.has(member.entry.memberId) ? 'gone' : 'missing';
-    }
-    return 'missing';
-  }
-
-  /**
-   * False when a replica has lost its pause, by a restart: it may have received commits since, and have given evidence to
-   * a daemon that was not asked to let go.
-   */
-  async #holdPauses(paused: readonly Paused[], term: number): Promise<boolean> {
-    const answers = await Promise.all(paused.map(({ member }) => this.#status(member)));
-    return paused.every(({ member }, index) => {
-      const answer = answers[index];
-      return answer?.kind !== 'answered' || toPaused(member, answer.status, term) !== 'missing';
-    });
-  }
-
   /** Lets replicas and daemons go on. Without the duty that is left to the next holder, whose pauses these may be. */
   async #undo(paused: readonly Paused[]): Promise<void> {
     const { options, group } = this;
     if (this.#fence(0) === null) return;
-    await this.#resumeAll(paused.map(({ member }) => member));
+    await this.#pauses.resumeAll(paused.map(({ member }) => member));
     group.evidence.allowAgain();
     void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
   }
 
-  async #resumeAll(members: readonly Member[]): Promise<void> {
-    await Promise.all(
-      members.map((member) => this.options.control.ask(member, { kind: 'resume' }, STATUS_MS)),
-    );
-  }
-
   async #demote(leader: Member, term: number): Promise<void> {
     await this.options.control.ask(leader, { kind: 'demote', term }, STATUS_MS);
   }
@@ -556,11 +500,6 @@
   }
 }
 
-function toPaused(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
-  const isStopped = !status.isPrimary && (status.pausedForTerm >= term || status.term >= term);
-  return isStopped ? { member, status } : 'missing';
-}
-
 function givenUpReason(hold: boolean, successor: SuccessorCandidate | null): string {
   if (!hold) return 'a replica has lost its pause';
   return successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it';
@@ -569,20 +508,3 @@
 function toCandidate({ member, status }: Paused): SuccessorCandidate {
   return { memberId: member.entry.memberId, received: status.received, isLeaving: member.isLeaving };
 }
-
-function hasSilent(outcomes: ReadonlyMap<string, OrderOutcome>): boolean {
-  return [...outcomes.values()].some((outcome) => outcome.kind === 'silent');
-}
-
-/** Names of the daemons that did not say what they have acknowledged. */
-function unheard(outcomes: ReadonlyMap<string, OrderOutcome>): string {
-  const names = [...outcomes].filter(([, { kind }]) => kind !== 'answered').map(([name]) => name);
-  return names.join(',');
-}
-
-/** What a daemon has acknowledged that was not heard. */
-const UNHEARD: Acknowledged = { latest: ZERO_POSITION, limit: null };
-
-function acknowledgedBy(outcome: OrderOutcome): Acknowledged {
-  return outcome.kind === 'answered' ? outcome.answer : UNHEARD;
-}
--- /dev/null
+++ b/src/leadership/replica-pauses.ts
@@ -0,0 +1,87 @@
+/**
+ * Pauses of the replicas of a group: while they stand, nothing more can be acknowledged.
+ *
+ * @packageDocumentation
+ */
+import type { MemberStatus } from '../relay/member-link.js';
+import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { EndedMembers } from './ended-members.js';
+import type { MemberControl } from './member-control.js';
+
+/** Longest wait for a pause, in milliseconds. */
+const PAUSE_MS = 300;
+/** Longest wait for a member's status, or until it has resumed, in milliseconds. */
+const STATUS_MS = 200;
+
+/** A paused replica. */
+export interface Paused {
+  readonly member: Member;
+  readonly status: MemberStatus;
+}
+
+/** How the pauses went. `missing`: members that may hold more than the paused ones. */
+export interface Pauses {
+  readonly paused: readonly Paused[];
+  readonly missing: number;
+}
+
+/** Pauses members, looks whether the pauses stand, and lifts them. */
+export class ReplicaPauses {
+  constructor(
+    private readonly control: MemberControl,
+    private readonly group: MemberGroup,
+    private readonly ended: EndedMembers,
+  ) {}
+
+  /** Pauses all members but the leader. One that has ended is missing unless another is known to hold what it had. */
+  async pauseAll(members: readonly Member[], term: number): Promise<Pauses> {
+    const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
+    const paused = results.filter((result) => typeof result !== 'string');
+    const gone = members.filter((_, index) => results[index] === 'gone').map(({ entry }) => entry);
+    const uncovered = this.ended.uncovered(
+      gone,
+      paused.map(({ member, status }) => ({ entry: member.entry, received: status.received })),
+    );
+    const missing = results.filter((result) => result === 'missing').length + uncovered.length;
+    return { paused, missing };
+  }
+
+  /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
+  async #pause(member: Member, term: number): Promise<Paused | 'missing' | 'gone'> {
+    const { control } = this;
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      let answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
+      if (answer.kind === 'answered' && answer.status.isPrimary) {
+        await control.ask(member, { kind: 'demote', term }, PAUSE_MS);
+        answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
+      }
+      if (answer.kind === 'answered') return toPaused(member, answer.status, term);
+      if (answer.kind === 'refused') return this.group.former.has(member.entry.memberId) ? 'gone' : 'missing';
+    }
+    return 'missing';
+  }
+
+  /**
+   * False when a replica has lost its pause, by a restart: it may have received commits since, and have given evidence to
+   * a daemon that was not asked to let go.
+   */
+  async hold(paused: readonly Paused[], term: number): Promise<boolean> {
+    const answers = await Promise.all(
+      paused.map(({ member }) => this.control.ask(member, { kind: 'status' }, STATUS_MS)),
+    );
+    return paused.every(({ member }, index) => {
+      const answer = answers[index];
+      return answer?.kind !== 'answered' || toPaused(member, answer.status, term) !== 'missing';
+    });
+  }
+
+  /** Lets members receive again. */
+  async resumeAll(members: readonly Member[]): Promise<void> {
+    await Promise.all(members.map((member) => this.control.ask(member, { kind: 'resume' }, STATUS_MS)));
+  }
+}
+
+function toPaused(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
+  const isStopped = !status.isPrimary && (status.pausedForTerm >= term || status.term >= term);
+  return isStopped ? { member, status } : 'missing';
+}
