Who stands in for a home that retires grants the whole quota at once

Cause: a home that retires passed its callers on to the next in line, which granted a twentieth until it had heard that the home was gone; in a large fleet that takes some hundred milliseconds for each daemon that stops. Ruled out: letting it grant on (two homes where the others have done without it already, the fault that was mended). Change: the question says that it comes from a home that has retired.

--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -97,7 +97,14 @@
   await new Promise<void>((resolve) => server.listen(silent.gatewayPort, HOST, resolve));
   const client = new GatewayClient(HOST, () => clock.now, Math.random);
   const quota = { ratePerS: 1, burst: 1 };
-  const request = { tenantName: 'amber', quota, count: 1, isForHome: false, isPassedOn: false };
+  const request = {
+    tenantName: 'amber',
+    quota,
+    count: 1,
+    isForHome: false,
+    isPassedOn: false,
+    hasHomeRetired: false,
+  };
   assert.equal(await client.askGrant(silent, request, 20), null);
   clock.now = 500;
   const startMs = performance.now();
--- a/src/quota/operation-quotas.ts
+++ b/src/quota/operation-quotas.ts
@@ -152,7 +152,7 @@
   async #fromHome(tenantName: string, quota: Quota, count: number): Promise<Grant | null> {
     const [home, next] = this.options.inLine(tenantName);
     if (home === undefined) return null;
-    const request = { tenantName, quota, count, isForHome: false, isPassedOn: false };
+    const request = { tenantName, quota, count, isForHome: false, isPassedOn: false, hasHomeRetired: false };
     const grant = await this.#from(home, request);
     if (grant !== null || next === undefined) return grant;
     return this.#from(next, { ...request, isForHome: true });
--- a/src/quota/quota-home.ts
+++ b/src/quota/quota-home.ts
@@ -23,6 +23,8 @@
   readonly isForHome: boolean;
   /** True when another daemon that took itself for no home passes it on: it is not passed on again. */
   readonly isPassedOn: boolean;
+  /** True when it comes from a home that is about to stop, and grants no more. */
+  readonly hasHomeRetired: boolean;
 }
 
 /** What is granted. */
@@ -92,7 +94,8 @@
       return request.isPassedOn ? null : ask(home, { ...request, isPassedOn: true }, PASS_ON_MS);
     }
     if (next?.name !== ownName) return null;
-    const isEnded = await this.#isEnded(home);
+    // Before it is heard of everywhere that a home retires, a share alone would refuse what the tenant may have.
+    const isEnded = request.hasHomeRetired || (await this.#isEnded(home));
     return this.#grantFor(home, isEnded ? 1 : STAND_IN_SHARE, request);
   }
 
--- a/src/quota/quota-service.ts
+++ b/src/quota/quota-service.ts
@@ -40,7 +40,8 @@
   #leftAtMs: number;
 
   constructor(private readonly options: QuotaServiceOptions) {
-    const { ownName, tenant, ask, isEnded, now, random } = options;
+    const { ownName, tenant, isEnded, now, random } = options;
+    const ask = this.#ask.bind(this);
     this.#leftAtMs = now();
     const inLine = (tenantName: string): readonly DaemonRecord[] => this.#lineOf(tenantName);
     const sinceMs = (): number => this.#leftAtMs;
@@ -67,6 +68,12 @@
     this.daemonsChanged();
   }
 
+  /** Who has retired asks the next in line to grant in its place, whether that one has heard of it or not. */
+  #ask(record: DaemonRecord, request: GrantRequest, timeoutMs: number): Promise<Grant | null> {
+    const asked = this.#isRetired ? { ...request, isForHome: true, hasHomeRetired: true } : request;
+    return this.options.ask(record, asked, timeoutMs);
+  }
+
   /** The daemons have changed. */
   daemonsChanged(): void {
     this.#inLine.clear();
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -157,6 +157,24 @@
     assert.ok(mostInWindow(fleet.runs) > 100, 'it is not refused for want of a home');
   });
 
+  /**
+   * While machines were stopped in series, tenants were refused what they may have: 1,092 tries instead of 570 on a day. A home that
+   * retired sent everybody to the next in line, which had not heard of it yet and granted a twentieth in its place.
+   */
+  test('is granted whole by the next in line before the others hear that its home retires', async () => {
+    const random = generatorOf(7);
+    const records = fleetOf(30);
+    const fleet = new ModelledFleet(records, TENANT, () => 1, random);
+    const [home] = preferredDaemons(TENANT.name, records, 1);
+    assert.ok(home !== undefined);
+    await load(fleet, records, 30, 4000, random);
+    const refusedBefore = fleet.refused;
+    fleet.retire(home);
+    await load(fleet, records, 30, 700, random);
+    assert.ok(fleet.refused - refusedBefore <= 3, `${fleet.refused - refusedBefore} refused`);
+    assert.ok(mostInWindow(fleet.runs) <= allowed(QUOTA), `${mostInWindow(fleet.runs)} in a window`);
+  });
+
   test('stays within the limit at 1,000 daemons with late answers, restarts, cuts and homes that move', async () => {
     const many = fleetOf(1000);
     const quota = TENANT.quota ?? { ratePerS: 0, burst: 0 };
@@ -232,7 +250,14 @@
   });
   service.daemonsChanged();
   const quota = TENANT.quota ?? { ratePerS: 0, burst: 0 };
-  const request = { tenantName: TENANT.name, quota, count: 1, isForHome: false, isPassedOn: false };
+  const request = {
+    tenantName: TENANT.name,
+    quota,
+    count: 1,
+    isForHome: false,
+    isPassedOn: false,
+    hasHomeRetired: false,
+  };
   assert.equal((await service.grant(request))?.count, 1);
   views = [other];
   nowMs = 10_000;
@@ -352,7 +377,14 @@
     now: () => 0,
   });
   const quota = { ratePerS: 1, burst: 1 };
-  const request = { tenantName: 'amber', quota, count: 2, isForHome: false, isPassedOn: false };
+  const request = {
+    tenantName: 'amber',
+    quota,
+    count: 2,
+    isForHome: false,
+    isPassedOn: false,
+    hasHomeRetired: false,
+  };
   assert.deepEqual(await home.grant(request), { count: 2, roomInMs: 0 });
   assert.equal(await home.grant({ ...request, isPassedOn: true }), null);
   assert.deepEqual(passed, [{ ...request, isPassedOn: true }]);
@@ -370,6 +402,13 @@
     now: () => 10_000,
   });
   const quota = { ratePerS: 2, burst: 3 };
-  const request = { tenantName: 'fresh', quota, count: 9, isForHome: false, isPassedOn: false };
+  const request = {
+    tenantName: 'fresh',
+    quota,
+    count: 9,
+    isForHome: false,
+    isPassedOn: false,
+    hasHomeRetired: false,
+  };
   assert.equal((await home.grant(request))?.count, 3);
 });
