A member's life has a type: its id and the start of its process

Cause: all that is known of a member is kept by its id, while a member that starts again under its id holds nothing of before. Nothing sets the start yet, so nothing behaves differently. Ruled out: a new id for each life made up by the daemon: two daemons would not mean the same life by it.

--- a/src/gateway/assignments.test.ts
+++ b/src/gateway/assignments.test.ts
@@ -19,6 +19,7 @@
   slots: 2,
   isDraining: false,
   saysPrimary: false,
+  bornMs: null,
 }));
 
 /** The assignments of one daemon, to which the store shows some of the fleet. */
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -58,6 +58,7 @@
     slots: 2,
     isDraining: false,
     saysPrimary: true,
+    bornMs: null,
   };
   const connections = new MemberConnections({
     groupName: 'g',
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -8,14 +8,14 @@
 import { CommitWatch } from '../leadership/commit-watch.js';
 import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
+import type { Incarnation } from './incarnation.js';
 import { ReplicaLag } from './replica-lag.js';
 import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
 import type { MemberConnections } from '../gateway/member-connections.js';
 import type { MemberAddress } from '../relay/member-link.js';
 
 /** A member as the directory describes it. */
-export interface MemberEntry {
-  readonly memberId: string;
+export interface MemberEntry extends Incarnation {
   readonly groupName: string;
   readonly host: string;
   readonly port: number;
@@ -44,6 +44,8 @@
   missingSinceMs: number | null = null;
   /** Since when it has been known to leave, in monotonic milliseconds; `null` while it stays. */
   leavingSinceMs: number | null = null;
+  /** Its process has ended: another life goes by its id, and whoever answers at its address is not this one. */
+  hasEnded = false;
   #avoidUntilMs = Number.NEGATIVE_INFINITY;
   /** Smoothed time of its answers, in milliseconds. */
   #latencyMs = 0;
@@ -144,7 +146,7 @@
   readonly members = new Map<string, Member>();
   /**
    * Members that get no more work, but may still run: until they are gone they receive the log, and a commit may
-   * have been acknowledged on their word alone.
+   * have been acknowledged on their word alone. By incarnation: several lives of one id may stand here.
    */
   readonly former = new Map<string, Member>();
   readonly evidence: LeadershipEvidence;
--- a/src/topology/replica-lag.test.ts
+++ b/src/topology/replica-lag.test.ts
@@ -18,6 +18,7 @@
   slots: 3,
   isDraining: false,
   saysPrimary: false,
+  bornMs: null,
 };
 
 /** Reads of a replica that is behind by a time, one each 100 ms, whose floors are of all ages up to 1400 ms. */
--- a/test/integration/connection-congestion.test.ts
+++ b/test/integration/connection-congestion.test.ts
@@ -35,6 +35,7 @@
   slots: MODEL.slots,
   isDraining: false,
   saysPrimary: false,
+  bornMs: null,
 };
 
 /** A clock and timers that are moved by hand. */
--- a/test/support/modelled-group.ts
+++ b/test/support/modelled-group.ts
@@ -95,6 +95,7 @@
       slots: 1,
       isDraining: false,
       saysPrimary: false,
+      bornMs: null,
     };
     this.group.members.set(memberId, new Member(entry, {} as MemberConnections));
     return member;
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -22,6 +22,7 @@
     slots: 1,
     isDraining: false,
     saysPrimary: memberId === 'leader',
+    bornMs: null,
   };
   const pool = new LinkPool({
     dialer,
