Sight: who was asked in a promotion, what each member holds, and commits kept without evidence

Cause: the log could not tell the three hypotheses of the incident apart. promotion_candidates gave a number of missing members and no names; nothing said what a former leader had received when it stepped down, nor what the promoted member holds when it leads; a commit that a daemon acknowledges after it has let go of the leader left no line. Change: promotion_begins names the members asked; promotion_candidates names lives and who was missed; leader_demoted and promoted_member_leads give positions; kept_without_evidence is told for each commit acknowledged without evidence. No decision changes.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -17,6 +17,7 @@
   ZERO_POSITION,
   type Position,
 } from '../position/position.js';
+import { formatIncarnation } from '../topology/incarnation.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { joinAcknowledged } from './acknowledged.js';
 import { appoint } from './appointment.js';
@@ -331,7 +332,13 @@
     if (others.length === 0) return;
     const startedAtMs = options.now();
     const term = group.evidence.leader?.term ?? group.evidence.minimumTerm;
-    options.log('promotion_begins', { group: group.name, leader: leader?.entry.memberId, term, reason });
+    options.log('promotion_begins', {
+      group: group.name,
+      leader: leader === null ? null : formatIncarnation(leader.entry),
+      term,
+      reason,
+      others: others.map(({ entry }) => formatIncarnation(entry)).join(','),
+    });
     group.evidence.revoke(term, startedAtMs);
     this.#doubts.clear();
     const isAlive =
@@ -342,7 +349,8 @@
       await revoking;
       await delay(HANDOVER_REST_MS);
     }
-    const { paused, missing } = await this.#pauses.pauseAll(others, term);
+    const { paused, missing: missed } = await this.#pauses.pauseAll(others, term);
+    const missing = missed.length;
     const pausedAtMs = options.now();
     const outcomes = await revoking;
     const areLate = pausedAtMs - startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
@@ -365,9 +373,10 @@
     const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
     options.log('promotion_candidates', {
       group: group.name,
-      received: candidates
-        .map(({ memberId, received }) => `${memberId}@${formatPosition(received)}`)
+      received: paused
+        .map(({ member, status }) => `${formatIncarnation(member.entry)}:${formatPosition(status.received)}`)
         .join(','),
+      missed: missed.map(formatIncarnation).join(','),
       former: [...group.former.keys()].join(','),
       missing,
       acknowledged: formatPosition(acknowledged.latest),
@@ -457,8 +466,16 @@
       now: options.now,
     };
     const status = await appoint(ports, order.term);
-    if (status !== null) this.#announce(memberId, status.term);
-    return status !== null;
+    if (status === null) return false;
+    options.log('promoted_member_leads', {
+      group: group.name,
+      member: formatIncarnation(member.entry),
+      term: status.term,
+      received: formatPosition(status.received),
+      expected: formatPosition(successor.received),
+    });
+    this.#announce(memberId, status.term);
+    return true;
   }
 
   #announce(memberId: string, term: number): void {
@@ -482,8 +499,15 @@
     void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
   }
 
+  /** Has the former leader follow; the log says what it had received by then. */
   async #demote(leader: Member, term: number): Promise<void> {
-    await this.options.control.ask(leader, { kind: 'demote', term }, STATUS_MS);
+    const answer = await this.options.control.ask(leader, { kind: 'demote', term }, STATUS_MS);
+    this.options.log('leader_demoted', {
+      group: this.group.name,
+      member: formatIncarnation(leader.entry),
+      outcome: answer.kind,
+      received: answer.kind === 'answered' ? formatPosition(answer.status.received) : null,
+    });
   }
 
   #status(member: Member): ReturnType<MemberControl['ask']> {
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { MemberStatus } from '../relay/member-link.js';
+import type { Incarnation } from '../topology/incarnation.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import type { EndedMembers } from './ended-members.js';
 import type { MemberControl } from './member-control.js';
@@ -22,7 +23,7 @@
 /** How the pauses went. `missing`: members that may hold more than the paused ones. */
 export interface Pauses {
   readonly paused: readonly Paused[];
-  readonly missing: number;
+  readonly missing: readonly Incarnation[];
 }
 
 /** Pauses members, looks whether the pauses stand, and lifts them. */
@@ -42,8 +43,8 @@
       gone,
       paused.map(({ member, status }) => ({ entry: member.entry, received: status.received })),
     );
-    const missing = results.filter((result) => result === 'missing').length + uncovered.length;
-    return { paused, missing };
+    const silent = members.filter((_, index) => results[index] === 'missing').map(({ entry }) => entry);
+    return { paused, missing: [...silent, ...uncovered] };
   }
 
   /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -15,7 +15,14 @@
 import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
-import { awaitLeader, isWaitOver, LEADER_RESERVE_MS, PASSED_OVER, type LeaderWait } from './write-runner.js';
+import {
+  awaitLeader,
+  isWaitOver,
+  LEADER_RESERVE_MS,
+  noteUnproven,
+  PASSED_OVER,
+  type LeaderWait,
+} from './write-runner.js';
 
 /** What a transaction begins with. */
 export interface TransactionOptions {
@@ -308,6 +315,7 @@
     const commitPosition = isKept && reply.result.isComplete ? reply.position : null;
     if (commitPosition !== null && !group.acknowledge(commitPosition, context.now()))
       throw new Refusal('in_doubt', 'may_have_run', PASSED_OVER, null, this.#inputs());
+    if (commitPosition !== null) noteUnproven(context, group, step.requestId, commitPosition);
     if (!reply.result.isComplete && reply.result.code === 'read_only' && isLeader)
       context.suspect(group, member, 'read_only');
     return reply;
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -5,6 +5,7 @@
  */
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import { formatPosition, type Position } from '../position/position.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import { DialError, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
@@ -76,6 +77,25 @@
   });
 }
 
+/** Notes a commit that is acknowledged while this daemon has no evidence that its leader leads. */
+export function noteUnproven(
+  context: RelayContext,
+  group: MemberGroup,
+  requestId: string,
+  position: Position,
+): void {
+  const now = context.now();
+  if (group.evidence.current(now) !== null) return;
+  const { evidenceLeftMs } = group.describeLeadership(now);
+  context.observer.notable({
+    requestId,
+    decision: 'kept_without_evidence',
+    group: group.name,
+    position: formatPosition(position),
+    evidenceLeftMs,
+  });
+}
+
 /** Runs one write. */
 export class WriteRunner {
   #lastReason = 'no leader';
@@ -212,6 +232,7 @@
       if (reply.position !== null) {
         job.group.recordLed(sentAtMs, reply.position);
         if (!job.group.acknowledge(reply.position, context.now())) throw this.#passedOver();
+        noteUnproven(context, job.group, job.requestId, reply.position);
       }
       return reply;
     }
