A promotion looks at all replicas after the daemons' last word, and a commit is confirmed only with evidence at its answer

Cause: who let go of a leader began nothing more at it, but went on confirming what it answered; positions and pauses were taken before that ended. A replica that the pauses did not cover (started since, started again, out of the holder's reach) received from the old leader, and a member without those commits was named. Class: what is proven at one moment is used at a later one. Ruled out: that a silent daemon is needed (all had answered in the traces); that the loss needs a fault of the promoted member. Change: every promotion ends with the daemons' last word (seal), also over a leader that leaves; after it all members listed by then are looked at once more, late ones are paused, one that does not answer counts as missing, and the positions of that look decide. A daemon acknowledges a commit only with evidence when the answer is there; without, the answer waits for evidence, for a later term (in doubt), or for the end of its time (in doubt). The promotion is a module of its own. That a daemon acknowledges by the seal alone was asked by one unit test: replaced by four that ask for evidence at the answer.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -2,32 +2,19 @@
  * The duty of one group: sees that it has a leader, and promotes another member when it has not, or when its
  * leader leaves.
  *
- * A promotion first makes every daemon let go of the old leader, then pauses all replicas, so that nothing more
- * can be acknowledged; waits until the evidence of daemons that did not answer has lapsed; promotes the member
- * that has received the most; and lets the others follow it.
+ * How it promotes is in `promotion.ts`.
  *
  * @packageDocumentation
  */
 import { ChangeSignal, delay } from '../common/signal.js';
 import type { HolderOrder, OrderOutcome, Suspicion } from '../cluster/peer-mesh.js';
-import {
-  formatPosition,
-  hasReached,
-  laterPosition,
-  ZERO_POSITION,
-  type Position,
-} from '../position/position.js';
-import { formatIncarnation } from '../topology/incarnation.js';
+import { hasReached, laterPosition, ZERO_POSITION, type Position } from '../position/position.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { joinAcknowledged } from './acknowledged.js';
-import { appoint } from './appointment.js';
-import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { Doubts } from './doubts.js';
 import { EndedMembers } from './ended-members.js';
-import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { MemberControl } from './member-control.js';
-import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
-import { ReplicaPauses, type Paused } from './replica-pauses.js';
+import { DUTY_RESERVE_MS, Promotion } from './promotion.js';
+import { ReplicaPauses } from './replica-pauses.js';
 
 /** Asks the platform to make a member lead. Rejects when it may or may not have been heard. */
 export interface PromotionPort {
@@ -73,32 +60,17 @@
 /** Callers of a leader from which on several of them have to find it silent, and how many. */
 const MANY_CALLERS = 9;
 const CORROBORATING_CALLERS = 2;
-/**
- * Pauses that took this much less than daemons wait before they count evidence came late: one that registered meanwhile
- * may hold some, in milliseconds.
- */
-const REGISTER_MARGIN_MS = 100;
-/** Longest wait for the other daemons, in milliseconds. */
-const ORDER_MS = 200;
 /** Time after a handover in which no other is begun for the same kinds of reason, in milliseconds. */
 const HANDOVER_PAUSE_MS = 5000;
 /** Replicas that have to agree that they receive nothing. */
 const STALL_WITNESSES = 2;
 /** Time that replicas have to receive what the leader has, in milliseconds. */
 const STALL_LOOK_MS = 120;
-/** A leader that answered within this time is asked to step down first, in milliseconds. */
-const ALIVE_MS = 100;
-/** How long requests under way at a leader that leaves may take to end, in milliseconds. */
-const HANDOVER_REST_MS = 60;
 /** Time after a promotion was given up in which none is begun, in milliseconds. */
 const GIVEN_UP_REST_MS = 100;
-/** A promotion is begun only when the duty is held this much longer, in milliseconds. */
-const DUTY_RESERVE_MS = 400;
 
 const LEADS_NO_LONGER = 'leader leads no longer';
 
-type LetGoOrder = Extract<HolderOrder, { kind: 'revoke' | 'seal' }>;
-
 /** Supervises one group while this daemon holds the duty. */
 export class GroupSupervisor {
   readonly #wake = new ChangeSignal();
@@ -327,162 +299,22 @@
 
   /** @param leader - the member to be replaced; `null` when every member may succeed */
   async #promote(leader: Member | null, reason: string): Promise<void> {
-    const { options, group } = this;
-    const others = this.#others(leader);
-    if (others.length === 0) return;
-    const startedAtMs = options.now();
-    const term = group.evidence.leader?.term ?? group.evidence.minimumTerm;
-    options.log('promotion_begins', {
-      group: group.name,
-      leader: leader === null ? null : formatIncarnation(leader.entry),
-      term,
-      reason,
-      others: others.map(({ entry }) => formatIncarnation(entry)).join(','),
-    });
-    group.evidence.revoke(term, startedAtMs);
+    if (this.#others(leader).length === 0) return;
     this.#doubts.clear();
-    const isAlive =
-      leader !== null && (leader.isLeaving || this.options.now() - leader.answeredAtMs < ALIVE_MS);
-    const revoke: LetGoOrder = { kind: 'revoke', groupName: group.name, term };
-    const revoking = options.order(revoke, ORDER_MS);
-    if (leader?.isLeaving === true) {
-      await revoking;
-      await delay(HANDOVER_REST_MS);
-    }
-    const { paused, missing: missed } = await this.#pauses.pauseAll(others, term);
-    const missing = missed.length;
-    const pausedAtMs = options.now();
-    const outcomes = await revoking;
-    const areLate = pausedAtMs - startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
-    const [startedSince, heldAtOnce] = await Promise.all([
-      this.#revokeStarted(outcomes, revoke),
-      this.#pauses.hold(paused, term + 1),
-    ]);
-    const mustWait = hasSilent(outcomes) || hasSilent(startedSince) || areLate;
-    if (mustWait) await delay(pausedAtMs + EVIDENCE_MS - options.now());
-    const hold = mustWait ? await this.#pauses.hold(paused, term + 1) : heldAtOnce;
-    const candidates = paused.map(toCandidate);
-    // Requests under way at a leader that leaves may end well: it lets go itself, and is asked for its position.
-    const lastOrder: LetGoOrder =
-      missing > 0 && leader?.isLeaving !== true ? { ...revoke, kind: 'seal' } : revoke;
-    const lastWords = missing > 0 ? await this.#askAgain(outcomes, lastOrder) : [];
-    const acknowledged = joinAcknowledged([
-      group.acknowledged,
-      ...[...outcomes.values(), ...lastWords].map(acknowledgedBy),
-    ]);
-    const successor = hold ? chooseSuccessor({ candidates, missing, acknowledged }) : null;
-    options.log('promotion_candidates', {
-      group: group.name,
-      received: paused
-        .map(({ member, status }) => `${formatIncarnation(member.entry)}:${formatPosition(status.received)}`)
-        .join(','),
-      missed: missed.map(formatIncarnation).join(','),
-      former: [...group.former.keys()].join(','),
-      missing,
-      acknowledged: formatPosition(acknowledged.latest),
-      limit: acknowledged.limit === null ? null : formatPosition(acknowledged.limit),
-      unheard: unheard(outcomes),
-    });
-    if (isAlive && successor !== null) await this.#demote(leader, term + 1);
-    const isDone = successor !== null && (await this.#appoint(successor, lastOrder, reason));
-    if (!isDone) {
-      options.log('promotion_given_up', {
-        group: group.name,
-        reason: givenUpReason(hold, successor),
-        paused: paused.length,
-        missing,
-      });
-      await this.#undo(paused);
+    const ports = {
+      group: this.group,
+      pauses: this.#pauses,
+      options: this.options,
+      others: () => this.#others(leader),
+      fence: (reserveMs: number) => this.#fence(reserveMs),
+    };
+    const outcome = await new Promotion(ports, leader, reason).run();
+    if (outcome.kind === 'given_up') {
       await delay(GIVEN_UP_REST_MS);
       return;
     }
-    options.log('promotion_ends', {
-      group: group.name,
-      leader: successor.memberId,
-      ms: Math.round(options.now() - startedAtMs),
-    });
-    if (this.#fence(0) !== null)
-      await this.#pauses.resumeAll(
-        paused.map(({ member }) => member).filter((member) => member.entry.memberId !== successor.memberId),
-      );
     // A former member leads only until another has its log: no daemon gives it work.
-    if (group.former.has(successor.memberId)) this.#suspected = true;
-    if (!isAlive && leader !== null) await this.#demote(leader, term + 1);
-  }
-
-  /**
-   * Asks those daemons again whose process did not run before the pauses: one that has started since may have asked a
-   * replica that was not paused yet. What it asks from now on is no evidence.
-   */
-  async #revokeStarted(
-    outcomes: ReadonlyMap<string, OrderOutcome>,
-    revoke: LetGoOrder,
-  ): Promise<ReadonlyMap<string, OrderOutcome>> {
-    const gone = [...outcomes].filter(([, { kind }]) => kind === 'gone').map(([name]) => name);
-    return gone.length === 0 ? new Map() : this.options.order(revoke, ORDER_MS, new Set(gone));
-  }
-
-  /**
-   * What the daemons have acknowledged by now, if all of them have let go. A write that was under way then may have been
-   * acknowledged since, on the word of a replica that could not be paused; one that is answered later still is not.
-   */
-  async #askAgain(
-    outcomes: ReadonlyMap<string, OrderOutcome>,
-    order: LetGoOrder,
-  ): Promise<readonly OrderOutcome[]> {
-    const haveAllLetGo = [...outcomes.values()].every(({ kind }) => kind === 'answered');
-    if (!haveAllLetGo) return [];
-    this.#letGo(order);
-    const again = await this.options.order(order, ORDER_MS, new Set(outcomes.keys()));
-    return [...again.values()];
-  }
-
-  /** This daemon's own part in an order to let go. */
-  #letGo({ kind, term }: LetGoOrder): void {
-    const { evidence } = this.group;
-    if (kind === 'seal') evidence.seal(term, this.options.now());
-    else evidence.revoke(term, this.options.now());
-  }
-
-  /** Asks the platform for the promotion and waits until the member leads. */
-  async #appoint(successor: SuccessorCandidate, order: LetGoOrder, reason: string): Promise<boolean> {
-    const { options, group } = this;
-    const { memberId } = successor;
-    const member = this.#memberOf(memberId);
-    if (member === null) return false;
-    const call = (timeoutMs: number): Promise<boolean> | null => {
-      const fence = this.#fence(DUTY_RESERVE_MS);
-      if (fence === null) return null;
-      options.log('promotion_call', { group: group.name, member: memberId, fence, reason });
-      return options.promotion.promote(group.name, memberId, fence, timeoutMs);
-    };
-    const ports = {
-      call,
-      status: () => this.#status(member),
-      letGo: () => {
-        this.#letGo(order);
-        void options.order(order, ORDER_MS);
-      },
-      now: options.now,
-    };
-    const status = await appoint(ports, order.term);
-    if (status === null) return false;
-    options.log('promoted_member_leads', {
-      group: group.name,
-      member: formatIncarnation(member.entry),
-      term: status.term,
-      received: formatPosition(status.received),
-      expected: formatPosition(successor.received),
-    });
-    this.#announce(memberId, status.term);
-    return true;
-  }
-
-  #announce(memberId: string, term: number): void {
-    this.group.evidence.believe({ memberId, term });
-    this.options.confirmLeader();
-    const order: HolderOrder = { kind: 'leader', groupName: this.group.name, memberId, term };
-    void this.options.order(order, ORDER_MS);
+    if (!this.group.members.has(outcome.leader.entry.memberId)) this.#suspected = true;
   }
 
   /** The fence while this supervision acts under the duty; one that was stopped acts no more, though the duty may be back. */
@@ -490,26 +322,6 @@
     return this.#isStopped ? null : this.options.heldFence(reserveMs);
   }
 
-  /** Lets replicas and daemons go on. Without the duty that is left to the next holder, whose pauses these may be. */
-  async #undo(paused: readonly Paused[]): Promise<void> {
-    const { options, group } = this;
-    if (this.#fence(0) === null) return;
-    await this.#pauses.resumeAll(paused.map(({ member }) => member));
-    group.evidence.allowAgain();
-    void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
-  }
-
-  /** Has the former leader follow; the log says what it had received by then. */
-  async #demote(leader: Member, term: number): Promise<void> {
-    const answer = await this.options.control.ask(leader, { kind: 'demote', term }, STATUS_MS);
-    this.options.log('leader_demoted', {
-      group: this.group.name,
-      member: formatIncarnation(leader.entry),
-      outcome: answer.kind,
-      received: answer.kind === 'answered' ? formatPosition(answer.status.received) : null,
-    });
-  }
-
   #status(member: Member): ReturnType<MemberControl['ask']> {
     return this.options.control.ask(member, { kind: 'status' }, STATUS_MS);
   }
@@ -523,12 +335,3 @@
     return [...members.values(), ...former.values()].filter((member) => member !== leader);
   }
 }
-
-function givenUpReason(hold: boolean, successor: SuccessorCandidate | null): string {
-  if (!hold) return 'a replica has lost its pause';
-  return successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it';
-}
-
-function toCandidate({ member, status }: Paused): SuccessorCandidate {
-  return { memberId: member.entry.memberId, received: status.received, isLeaving: member.isLeaving };
-}
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -45,14 +45,20 @@
   readonly term: number;
 }
 
+/**
+ * What is known of a commit that a leader has answered. `proven`: nobody can have been promoted over the leader without counting it;
+ * `replaced`: a later term leads; `unproven`: neither is known.
+ */
+export type CommitStanding = 'proven' | 'unproven' | 'replaced';
+
 /** What one daemon believes of the leadership of one group. */
 export class LeadershipEvidence {
   #leader: Leader | null = null;
   #validUntilMs = Number.NEGATIVE_INFINITY;
   #revokedUpToTerm = -1;
   #revokedUntilMs = Number.NEGATIVE_INFINITY;
-  /** While the revocation lasts, no commit of a term up to this one is acknowledged any more. */
-  #sealedUpToTerm = -1;
+  /** The leader of the last revocation, and until when what it answers is acknowledged: as long as the dropped evidence ran. */
+  #yielded: { readonly term: number; readonly untilMs: number } | null = null;
   /** No term below this one leads any more: a later one was announced or seen. */
   #minimumTerm = 0;
   #isConfirmed = false;
@@ -131,9 +137,17 @@
     return true;
   }
 
-  /** A promotion over `term` is about to begin: evidence is dropped, and not gathered again for a while. */
+  /**
+   * A promotion over `term` is about to begin: evidence is dropped, and not gathered again for a while. What is under way may
+   * still end well: it is acknowledged for as long as the evidence would have lasted, unless the term is sealed.
+   */
   revoke(term: number, nowMs: number): void {
     if (this.#leader !== null && this.#leader.term > term) return;
+    if (nowMs < this.#validUntilMs) this.#yielded = { term, untilMs: this.#validUntilMs };
+    this.#drop(term, nowMs);
+  }
+
+  #drop(term: number, nowMs: number): void {
     this.#isConfirmed = false;
     this.#validUntilMs = Number.NEGATIVE_INFINITY;
     this.#revokedUpToTerm = Math.max(this.#revokedUpToTerm, term);
@@ -141,23 +155,29 @@
   }
 
   /**
-   * The same, and this daemon has said for good what it has acknowledged: a commit of the term that is answered from now on was
-   * perhaps received by none of those who may lead next.
+   * The same, and nothing of the term is acknowledged any more without new evidence: this daemon says for good what it has
+   * acknowledged. A commit that is answered after that was perhaps received by none of those who may lead next.
    */
   seal(term: number, nowMs: number): void {
-    this.revoke(term, nowMs);
-    this.#sealedUpToTerm = Math.max(this.#sealedUpToTerm, term);
+    if (this.#leader !== null && this.#leader.term > term) return;
+    this.#yielded = null;
+    this.#drop(term, nowMs);
   }
 
-  /** True unless a promotion over the term has been told already what this daemon has acknowledged. */
-  mayAcknowledge(term: number, nowMs: number): boolean {
-    return term > this.#sealedUpToTerm || nowMs >= this.#revokedUntilMs;
+  /**
+   * What is known at `nowMs` of a commit that a leader of `term` has answered. Evidence has to hold at that moment, not only when the
+   * commit was sent: whoever promotes counts the commits that were acknowledged by the time at which evidence ends.
+   */
+  standing(term: number, nowMs: number): CommitStanding {
+    if (term < this.#minimumTerm) return 'replaced';
+    if (this.#leader?.term === term && nowMs < this.#validUntilMs) return 'proven';
+    if (this.#yielded?.term === term && nowMs < this.#yielded.untilMs) return 'proven';
+    return 'unproven';
   }
 
   /** The promotion was given up, and its pauses are lifted: evidence may be gathered again. */
   allowAgain(): void {
     this.#revokedUntilMs = Number.NEGATIVE_INFINITY;
-    this.#sealedUpToTerm = -1;
   }
 
   /** The leader has said, or another member has shown, that it leads no longer. */
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -20,6 +20,14 @@
   return evidence;
 }
 
+/** A group whose leader is proven from 0 on. */
+function ledGroup(): MemberGroup {
+  const group = new MemberGroup('g');
+  group.evidence.believe({ memberId: 'a', term: 1 });
+  group.evidence.witness(1, 0, 0);
+  return group;
+}
+
 describe('evidence', () => {
   test('lapses after its time, counted from the question', () => {
     const evidence = ledBy('a', 3);
@@ -182,27 +190,56 @@
     assert.equal(joinAcknowledged([forgetful, UNKNOWN]).limit, null);
   });
 
-  test('after its last word to a promotion a daemon acknowledges nothing of the old term, until it is given up', () => {
+  test('a commit is acknowledged only with evidence at the time of its answer', () => {
     const group = new MemberGroup('g');
-    assert.ok(group.acknowledge(at(3), 0));
+    assert.equal(group.acknowledge(at(3), 0), 'unproven', 'no leader is known');
+    group.evidence.believe({ memberId: 'a', term: at(3).term });
+    assert.equal(group.acknowledge(at(3), 0), 'unproven', 'nobody has shown that it leads');
+    group.evidence.witness(at(3).term, 0, 0);
+    assert.equal(group.acknowledge(at(3), EVIDENCE_MS - 1), 'proven');
+    assert.equal(group.acknowledge(at(4), EVIDENCE_MS), 'unproven', 'the evidence has lapsed');
+    assert.deepEqual(group.acknowledged.latest, at(3));
+    group.evidence.believe({ memberId: 'b', term: at(3).term + 1 });
+    assert.equal(group.acknowledge(at(4), EVIDENCE_MS), 'replaced');
+  });
+
+  test('what is under way when a daemon lets go is acknowledged for as long as its evidence would have lasted', () => {
+    const group = ledGroup();
+    group.evidence.revoke(at(3).term, 10);
+    assert.equal(group.acknowledge(at(4), EVIDENCE_MS - 1), 'proven');
+    assert.equal(group.acknowledge(at(5), EVIDENCE_MS), 'unproven');
+  });
+
+  test('after its last word to a promotion a daemon acknowledges nothing of the old term, until it is given up', () => {
+    const group = ledGroup();
+    assert.equal(group.acknowledge(at(3), 5), 'proven');
+    group.evidence.revoke(at(3).term, 8);
     group.evidence.seal(at(3).term, 10);
-    assert.ok(!group.acknowledge(at(4), 20));
-    assert.ok(group.acknowledge({ term: at(4).term + 1, index: 4 }, 20));
+    assert.equal(group.acknowledge(at(4), 20), 'unproven');
+    assert.ok(!group.evidence.witness(at(3).term, 0, 20), 'no evidence is gathered');
     group.evidence.allowAgain();
-    assert.ok(group.acknowledge(at(5), 20));
+    assert.equal(group.acknowledge(at(5), 20), 'unproven', 'nor is the old evidence back');
+    assert.ok(group.evidence.witness(at(3).term, 0, 21));
+    assert.equal(group.acknowledge(at(5), 22), 'proven');
     group.evidence.seal(at(3).term, 30);
-    assert.ok(group.acknowledge(at(6), 30 + REVOCATION_MS));
+    assert.equal(
+      group.acknowledge(at(6), 30 + REVOCATION_MS),
+      'unproven',
+      'the order wears off, evidence is asked for',
+    );
   });
 
   test('what a daemon has forgotten was in the log when the leader first gave its position', () => {
     let hasForgotten = true;
     const group = new MemberGroup('g', undefined, () => hasForgotten);
     assert.deepEqual(group.acknowledged, UNKNOWN);
-    group.acknowledge(at(3), 0);
+    group.evidence.believe({ memberId: 'a', term: at(3).term });
+    group.evidence.witness(at(3).term, 0, 0);
+    assert.equal(group.acknowledge(at(3), 0), 'proven');
     group.recordLed(10, at(4));
     group.recordLed(20, at(9));
     assert.deepEqual(group.acknowledged, { latest: at(3), limit: at(4) });
-    group.acknowledge(at(9), 0);
+    assert.equal(group.acknowledge(at(9), 30), 'proven');
     assert.deepEqual(group.acknowledged, whole(at(9)));
     hasForgotten = false;
     assert.deepEqual(group.acknowledged, whole(at(9)));
--- /dev/null
+++ b/src/leadership/promotion.ts
@@ -0,0 +1,351 @@
+/**
+ * One promotion: has a member lead that is proven to hold every acknowledged commit, and is proven to do so at the last moment
+ * before the platform is called.
+ *
+ * Every daemon lets go of the leader, and the replicas are paused; the evidence of daemons that do not answer lapses. Then every daemon says
+ * its last word: it acknowledges nothing of the old term after it. Only after that all replicas that are listed by then are looked at
+ * once more: their pauses must stand, and what they have received decides. What was said or listed before proves nothing: a replica
+ * may have started, or started again, and received on, as long as a daemon acknowledged what the old leader answered.
+ *
+ * @packageDocumentation
+ */
+import { delay } from '../common/signal.js';
+import type { HolderOrder, OrderOutcome } from '../cluster/peer-mesh.js';
+import { formatPosition } from '../position/position.js';
+import { formatIncarnation, type Incarnation } from '../topology/incarnation.js';
+import type { Member, MemberGroup } from '../topology/member-group.js';
+import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
+import { appoint } from './appointment.js';
+import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
+import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
+import type { GroupSupervisorOptions } from './group-supervisor.js';
+import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
+import type { Paused, Pauses, ReplicaPauses } from './replica-pauses.js';
+
+/**
+ * Pauses that took this much less than daemons wait before they count evidence came late: one that registered meanwhile
+ * may hold some, in milliseconds.
+ */
+const REGISTER_MARGIN_MS = 100;
+/** Longest wait for the other daemons, in milliseconds. */
+const ORDER_MS = 200;
+/** Longest wait for a member's status, in milliseconds. */
+const STATUS_MS = 200;
+/** A leader that answered within this time is asked to step down first, in milliseconds. */
+const ALIVE_MS = 100;
+/** How long requests under way at a leader that leaves may take to end, in milliseconds. */
+const HANDOVER_REST_MS = 60;
+/** Time between two orders to let go while evidence is waited out, in milliseconds: one holds for less than the whole wait. */
+const REVOKE_AGAIN_MS = 700;
+/** A promotion is called for only when the duty is held this much longer, in milliseconds. */
+export const DUTY_RESERVE_MS = 400;
+
+/** An order to daemons to let go of a leader. */
+type LetGoOrder = Extract<HolderOrder, { kind: 'revoke' | 'seal' }>;
+
+/** What a promotion needs beside what its supervisor has. */
+export interface PromotionPorts {
+  readonly group: MemberGroup;
+  readonly pauses: ReplicaPauses;
+  readonly options: GroupSupervisorOptions;
+  /** The members to be asked as they are known now: all but the leader. */
+  others(): readonly Member[];
+  /** The fence while the supervision acts under the duty for so many milliseconds more, or `null`. */
+  fence(reserveMs: number): number | null;
+}
+
+/** How a promotion went. */
+export type PromotionOutcome =
+  { readonly kind: 'led'; readonly leader: Member } | { readonly kind: 'given_up' };
+
+/** What is known at the last moment before the choice. */
+interface LastLook {
+  readonly paused: readonly Paused[];
+  readonly missing: readonly Incarnation[];
+  /** No replica had lost its pause. */
+  readonly stands: boolean;
+}
+
+/** One promotion over a leader. */
+export class Promotion {
+  readonly #startedAtMs: number;
+  readonly #term: number;
+  readonly #isAlive: boolean;
+  /** All members that were asked to pause. */
+  readonly #asked = new Set<Member>();
+  /** All members that were paused. */
+  readonly #paused = new Set<Member>();
+
+  /** @param leader - the member to be replaced; `null` when every member may succeed */
+  constructor(
+    private readonly ports: PromotionPorts,
+    private readonly leader: Member | null,
+    private readonly reason: string,
+  ) {
+    const { options, group } = ports;
+    this.#startedAtMs = options.now();
+    this.#term = group.evidence.leader?.term ?? group.evidence.minimumTerm;
+    this.#isAlive =
+      leader !== null && (leader.isLeaving || this.#startedAtMs - leader.answeredAtMs < ALIVE_MS);
+  }
+
+  /** Promotes, or gives up and lets members and daemons go on. */
+  async run(): Promise<PromotionOutcome> {
+    const { options, group } = this.ports;
+    const others = this.ports.others();
+    options.log('promotion_begins', {
+      group: group.name,
+      leader: this.leader === null ? null : formatIncarnation(this.leader.entry),
+      term: this.#term,
+      reason: this.reason,
+      others: others.map(({ entry }) => formatIncarnation(entry)).join(','),
+    });
+    const { pauses, outcomes } = await this.#letGo(others);
+    const words = await this.#takeLastWords(outcomes);
+    const look = await this.#lastLook(pauses);
+    const acknowledged = joinAcknowledged([group.acknowledged, ...words.map(acknowledgedBy)]);
+    const successor = this.#choose(look, acknowledged, unheard(outcomes));
+    if (successor === null) return this.#giveUp(look);
+    if (this.#isAlive) await this.#demoteLeader();
+    const isDone = await this.#appoint(successor);
+    if (!isDone) return this.#giveUp(look, successor);
+    return this.#end(successor);
+  }
+
+  /**
+   * Has all daemons let go of the leader and pauses the replicas; returns when the evidence of daemons that did not answer has lapsed.
+   */
+  async #letGo(
+    others: readonly Member[],
+  ): Promise<{ readonly pauses: Pauses; readonly outcomes: ReadonlyMap<string, OrderOutcome> }> {
+    const { options } = this.ports;
+    const revoking = this.#revoke();
+    if (this.leader?.isLeaving === true) {
+      // What is under way at a leader that leaves may end well.
+      await revoking;
+      await delay(HANDOVER_REST_MS);
+    }
+    const pauses = await this.#pause(others, []);
+    const pausedAtMs = options.now();
+    const first = await revoking;
+    const areLate = pausedAtMs - this.#startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
+    const outcomes = new Map([...first, ...(await this.#revokeStarted(first))]);
+    if (hasSilent(outcomes) || areLate) await this.#waitRevoked(pausedAtMs + EVIDENCE_MS);
+    return { pauses, outcomes };
+  }
+
+  /** Has this daemon and all others let go of the leader. */
+  #revoke(): Promise<ReadonlyMap<string, OrderOutcome>> {
+    const { options, group } = this.ports;
+    group.evidence.revoke(this.#term, options.now());
+    return options.order(this.#order('revoke'), ORDER_MS);
+  }
+
+  #order(kind: LetGoOrder['kind']): LetGoOrder {
+    return { kind, groupName: this.ports.group.name, term: this.#term };
+  }
+
+  /** @param pausedBefore - may cover what members that have ended had */
+  async #pause(members: readonly Member[], pausedBefore: readonly Paused[]): Promise<Pauses> {
+    for (const member of members) this.#asked.add(member);
+    const pauses = await this.ports.pauses.pauseAll(members, this.#term, pausedBefore);
+    for (const { member } of pauses.paused) this.#paused.add(member);
+    return pauses;
+  }
+
+  /**
+   * Asks those daemons again whose process did not run before the pauses: one that has started since may have asked a
+   * replica that was not paused yet. What it asks from now on is no evidence.
+   */
+  async #revokeStarted(
+    outcomes: ReadonlyMap<string, OrderOutcome>,
+  ): Promise<ReadonlyMap<string, OrderOutcome>> {
+    const gone = [...outcomes].filter(([, { kind }]) => kind === 'gone').map(([name]) => name);
+    if (gone.length === 0) return new Map();
+    return this.ports.options.order(this.#order('revoke'), ORDER_MS, new Set(gone));
+  }
+
+  /** Waits; an order to let go lasts for a while only, so it is given again. */
+  async #waitRevoked(untilMs: number): Promise<void> {
+    const { now } = this.ports.options;
+    for (;;) {
+      const leftMs = untilMs - now();
+      if (leftMs <= 0) return;
+      await delay(Math.min(leftMs, REVOKE_AGAIN_MS));
+      if (now() < untilMs) void this.#revoke();
+    }
+  }
+
+  /**
+   * What the daemons have acknowledged, for good: they acknowledge nothing of the term after they have said it, and those that do not say
+   * it have no evidence left when this returns. A write that was under way when they let go may have been acknowledged since.
+   */
+  async #takeLastWords(outcomes: ReadonlyMap<string, OrderOutcome>): Promise<readonly OrderOutcome[]> {
+    const { options, group } = this.ports;
+    group.evidence.seal(this.#term, options.now());
+    const asked = [...outcomes].filter(([, { kind }]) => kind !== 'silent').map(([name]) => name);
+    const words =
+      asked.length === 0
+        ? new Map<string, OrderOutcome>()
+        : await options.order(this.#order('seal'), ORDER_MS, new Set(asked));
+    const areAllHeard = asked.every((name) => (words.get(name)?.kind ?? 'silent') !== 'silent');
+    // What a daemon had when it was first asked lasts no longer than this.
+    if (!areAllHeard) await this.#waitRevoked(this.#startedAtMs + EVIDENCE_MS);
+    const silent = [...outcomes].filter(([name]) => !words.has(name)).map(([, outcome]) => outcome);
+    return [...words.values(), ...silent.map(asUnheardSince)];
+  }
+
+  /** Looks at all replicas that are known by now; those that were not known before are paused first. */
+  async #lastLook(pauses: Pauses): Promise<LastLook> {
+    const unknown = this.ports.others().filter((member) => !this.#asked.has(member));
+    const late = await this.#pause(unknown, pauses.paused);
+    const looked = await this.ports.pauses.lookAt([...pauses.paused, ...late.paused], this.#term + 1);
+    return {
+      paused: looked.standing,
+      missing: [...pauses.missing, ...late.missing, ...looked.silent],
+      stands: looked.lost.length === 0,
+    };
+  }
+
+  #choose(look: LastLook, acknowledged: Acknowledged, silentDaemons: string): SuccessorCandidate | null {
+    const { options, group } = this.ports;
+    const candidates = look.paused.map(toCandidate);
+    const question = { candidates, missing: look.missing.length, acknowledged };
+    options.log('promotion_candidates', {
+      group: group.name,
+      received: look.paused
+        .map(({ member, status }) => `${formatIncarnation(member.entry)}:${formatPosition(status.received)}`)
+        .join(','),
+      missed: look.missing.map(formatIncarnation).join(','),
+      former: [...group.former.keys()].join(','),
+      missing: look.missing.length,
+      acknowledged: formatPosition(acknowledged.latest),
+      limit: acknowledged.limit === null ? null : formatPosition(acknowledged.limit),
+      unheard: silentDaemons,
+    });
+    return look.stands ? chooseSuccessor(question) : null;
+  }
+
+  /** Asks the platform for the promotion and waits until the member leads. */
+  async #appoint(successor: SuccessorCandidate): Promise<boolean> {
+    const { options, group } = this.ports;
+    const member = this.#memberOf(successor);
+    const call = (timeoutMs: number): Promise<boolean> | null => {
+      const fence = this.ports.fence(DUTY_RESERVE_MS);
+      if (fence === null) return null;
+      options.log('promotion_call', {
+        group: group.name,
+        member: successor.memberId,
+        fence,
+        reason: this.reason,
+      });
+      return options.promotion.promote(group.name, successor.memberId, fence, timeoutMs);
+    };
+    const ports = {
+      call,
+      status: () => options.control.ask(member, { kind: 'status' }, STATUS_MS),
+      letGo: () => this.#sealAgain(),
+      now: options.now,
+    };
+    const status = await appoint(ports, this.#term);
+    if (status === null) return false;
+    options.log('promoted_member_leads', {
+      group: group.name,
+      member: formatIncarnation(member.entry),
+      term: status.term,
+      received: formatPosition(status.received),
+      expected: formatPosition(successor.received),
+    });
+    this.#announce(successor.memberId, status.term);
+    return true;
+  }
+
+  /** An order lasts for a while only; daemons that have started since are given it, too. */
+  #sealAgain(): void {
+    const { options, group } = this.ports;
+    group.evidence.seal(this.#term, options.now());
+    void options.order(this.#order('seal'), ORDER_MS);
+  }
+
+  #announce(memberId: string, term: number): void {
+    const { options, group } = this.ports;
+    group.evidence.believe({ memberId, term });
+    options.confirmLeader();
+    const order: HolderOrder = { kind: 'leader', groupName: group.name, memberId, term };
+    void options.order(order, ORDER_MS);
+  }
+
+  async #end(successor: SuccessorCandidate): Promise<PromotionOutcome> {
+    const { options, group } = this.ports;
+    const leader = this.#memberOf(successor);
+    options.log('promotion_ends', {
+      group: group.name,
+      leader: successor.memberId,
+      ms: Math.round(options.now() - this.#startedAtMs),
+    });
+    await this.#resume([...this.#paused].filter((member) => member !== leader));
+    if (!this.#isAlive) await this.#demoteLeader();
+    return { kind: 'led', leader };
+  }
+
+  async #giveUp(look: LastLook, successor: SuccessorCandidate | null = null): Promise<PromotionOutcome> {
+    const { options, group } = this.ports;
+    options.log('promotion_given_up', {
+      group: group.name,
+      reason: givenUpReason(look, successor),
+      paused: look.paused.length,
+      missing: look.missing.length,
+    });
+    await this.#undo();
+    return { kind: 'given_up' };
+  }
+
+  /** Lets replicas and daemons go on. Without the duty that is left to the next holder, whose pauses these may be. */
+  async #undo(): Promise<void> {
+    const { options, group } = this.ports;
+    if (this.ports.fence(0) === null) return;
+    await this.#resume([...this.#paused]);
+    group.evidence.allowAgain();
+    void options.order({ kind: 'allow', groupName: group.name }, ORDER_MS);
+  }
+
+  async #resume(members: readonly Member[]): Promise<void> {
+    if (this.ports.fence(0) !== null) await this.ports.pauses.resumeAll(members);
+  }
+
+  /** Has the former leader follow; the log says what it had received by then. */
+  async #demoteLeader(): Promise<void> {
+    const { options, group } = this.ports;
+    if (this.leader === null) return;
+    const request = { kind: 'demote', term: this.#term + 1 } as const;
+    const answer = await options.control.ask(this.leader, request, STATUS_MS);
+    options.log('leader_demoted', {
+      group: group.name,
+      member: formatIncarnation(this.leader.entry),
+      outcome: answer.kind,
+      received: answer.kind === 'answered' ? formatPosition(answer.status.received) : null,
+    });
+  }
+
+  /** The member of a candidate: the one that was paused, not another of its id. */
+  #memberOf({ memberId }: SuccessorCandidate): Member {
+    const member = [...this.#paused].find(({ entry }) => entry.memberId === memberId);
+    if (member === undefined) throw new Error(`no candidate ${memberId}`);
+    return member;
+  }
+}
+
+/** What a daemon said that was not asked for its last word, or did not say it: it may have acknowledged more since. */
+function asUnheardSince(outcome: OrderOutcome): OrderOutcome {
+  if (outcome.kind !== 'answered') return outcome;
+  return { kind: 'answered', answer: { latest: outcome.answer.latest, limit: null } };
+}
+
+function givenUpReason({ stands }: LastLook, successor: SuccessorCandidate | null): string {
+  if (!stands) return 'a replica has lost its pause';
+  return successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it';
+}
+
+function toCandidate({ member, status }: Paused): SuccessorCandidate {
+  return { memberId: member.entry.memberId, received: status.received, isLeaving: member.isLeaving };
+}
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -26,6 +26,14 @@
   readonly missing: readonly Incarnation[];
 }
 
+/** What a second look at paused replicas has found. */
+export interface SecondLook {
+  /** With what they have received by now. */
+  readonly standing: readonly Paused[];
+  readonly lost: readonly Incarnation[];
+  readonly silent: readonly Incarnation[];
+}
+
 /** Pauses members, looks whether the pauses stand, and lifts them. */
 export class ReplicaPauses {
   constructor(
@@ -34,14 +42,21 @@
     private readonly ended: EndedMembers,
   ) {}
 
-  /** Pauses all members but the leader. One that has ended is missing unless another is known to hold what it had. */
-  async pauseAll(members: readonly Member[], term: number): Promise<Pauses> {
+  /**
+   * Pauses members. One that has ended is missing unless another is known to hold what it had.
+   *
+   * @param pausedBefore - others that may
+   */
+  async pauseAll(members: readonly Member[], term: number, pausedBefore: readonly Paused[]): Promise<Pauses> {
     const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
     const paused = results.filter((result) => typeof result !== 'string');
     const gone = members.filter((_, index) => results[index] === 'gone').map(({ entry }) => entry);
     const uncovered = this.ended.uncovered(
       gone,
-      paused.map(({ member, status }) => ({ entry: member.entry, received: status.received })),
+      [...pausedBefore, ...paused].map(({ member, status }) => ({
+        entry: member.entry,
+        received: status.received,
+      })),
     );
     const silent = members.filter((_, index) => results[index] === 'missing').map(({ entry }) => entry);
     return { paused, missing: [...silent, ...uncovered] };
@@ -63,17 +78,24 @@
   }
 
   /**
-   * False when a replica has lost its pause, by a restart: it may have received commits since, and have given evidence to
-   * a daemon that was not asked to let go.
+   * Looks at paused replicas once more. One that has lost its pause, by a restart, may have received commits since, and have given
+   * evidence to a daemon that was not asked to let go; one that does not answer may have, too.
    */
-  async hold(paused: readonly Paused[], term: number): Promise<boolean> {
+  async lookAt(paused: readonly Paused[], term: number): Promise<SecondLook> {
     const answers = await Promise.all(
       paused.map(({ member }) => this.control.ask(member, { kind: 'status' }, STATUS_MS)),
     );
-    return paused.every(({ member }, index) => {
+    const standing: Paused[] = [];
+    const lost: Incarnation[] = [];
+    const silent: Incarnation[] = [];
+    paused.forEach(({ member }, index) => {
       const answer = answers[index];
-      return answer?.kind !== 'answered' || toPaused(member, answer.status, term) !== 'missing';
+      const now = answer?.kind === 'answered' ? toPaused(member, answer.status, term) : null;
+      if (now === null) silent.push(member.entry);
+      else if (now === 'missing') lost.push(member.entry);
+      else standing.push(now);
     });
+    return { standing, lost, silent };
   }
 
   /** Lets members receive again. */
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -8,6 +8,7 @@
 import type { ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import { proveCommit } from './commit-proof.js';
 import { dueAt } from './link-queue.js';
 import { DialError, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
@@ -15,14 +16,7 @@
 import { Refusal, type RefusalInputs } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
-import {
-  awaitLeader,
-  isWaitOver,
-  LEADER_RESERVE_MS,
-  noteUnproven,
-  PASSED_OVER,
-  type LeaderWait,
-} from './write-runner.js';
+import { awaitLeader, isWaitOver, LEADER_RESERVE_MS, PASSED_OVER, type LeaderWait } from './write-runner.js';
 
 /** What a transaction begins with. */
 export interface TransactionOptions {
@@ -95,9 +89,18 @@
     this.#wasStepSent = false;
     const reply = this.#pinned === null ? await this.#first(step) : await this.#next(this.#pinned, step);
     if (step.kind === 'commit' || reply.state !== 'open') this.end();
+    if (step.kind === 'commit' && this.#hasWritten) await this.#prove(step, reply);
     return reply;
   }
 
+  /** Returns once a commit that the member has kept may be acknowledged. */
+  async #prove({ requestId, deadlineMs }: TransactionStep, { result, position }: MemberReply): Promise<void> {
+    const { group } = this.options;
+    if (!result.isComplete || position === null) return;
+    if (await proveCommit(this.context, { requestId, group, position, deadlineMs })) return;
+    throw new Refusal('in_doubt', 'may_have_run', PASSED_OVER, null, this.#inputs());
+  }
+
   /** The same as {@link Transaction.end}: a transaction whose statement is given up goes on nowhere. */
   abandon(): void {
     this.end();
@@ -312,10 +315,6 @@
     context.observer.memberAnswered(step.kind, isLeader, context.now() - sentAtMs);
     if (isLeader && reply.position !== null && group.leader(sentAtMs) === member)
       group.recordLed(sentAtMs, reply.position);
-    const commitPosition = isKept && reply.result.isComplete ? reply.position : null;
-    if (commitPosition !== null && !group.acknowledge(commitPosition, context.now()))
-      throw new Refusal('in_doubt', 'may_have_run', PASSED_OVER, null, this.#inputs());
-    if (commitPosition !== null) noteUnproven(context, group, step.requestId, commitPosition);
     if (!reply.result.isComplete && reply.result.code === 'read_only' && isLeader)
       context.suspect(group, member, 'read_only');
     return reply;
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -5,7 +5,7 @@
  */
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { formatPosition, type Position } from '../position/position.js';
+import { proveCommit } from './commit-proof.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import { DialError, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
@@ -30,7 +30,7 @@
 export const LEADER_RESERVE_MS = 60;
 
 /** Why a commit that a leader has kept is not acknowledged. */
-export const PASSED_OVER = 'the leader is being replaced without it';
+export const PASSED_OVER = 'the leader is being replaced, perhaps without it';
 
 /** Since when a request waits, and how long it may take, in milliseconds. */
 export interface LeaderWait {
@@ -77,25 +77,6 @@
   });
 }
 
-/** Notes a commit that is acknowledged while this daemon has no evidence that its leader leads. */
-export function noteUnproven(
-  context: RelayContext,
-  group: MemberGroup,
-  requestId: string,
-  position: Position,
-): void {
-  const now = context.now();
-  if (group.evidence.current(now) !== null) return;
-  const { evidenceLeftMs } = group.describeLeadership(now);
-  context.observer.notable({
-    requestId,
-    decision: 'kept_without_evidence',
-    group: group.name,
-    position: formatPosition(position),
-    evidenceLeftMs,
-  });
-}
-
 /** Runs one write. */
 export class WriteRunner {
   #lastReason = 'no leader';
@@ -141,7 +122,7 @@
         continue;
       }
       const reply = await this.#attempt(leader);
-      if (reply !== null) return reply;
+      if (reply !== null) return this.#proven(reply);
       const isUnreachable = this.#isUnreachable || leader.isAvoided(context.now());
       if (isWaitOver(context, job.group, isUnreachable, wait)) throw this.#notRun();
       context.observer.notable({
@@ -154,6 +135,15 @@
     }
   }
 
+  /** The answer once it may be given: what the leader has kept is acknowledged only when that is proven. */
+  async #proven(reply: MemberReply): Promise<MemberReply> {
+    const { context, job } = this;
+    const { position } = reply;
+    if (!reply.result.isComplete || position === null) return reply;
+    if (!(await proveCommit(context, { ...job, position }))) throw this.#passedOver();
+    return reply;
+  }
+
   /** One attempt: the answer, or `null` when it was not run. */
   async #attempt(leader: Member): Promise<MemberReply | null> {
     const { context, job } = this;
@@ -229,11 +219,7 @@
     leader.recordOutcome(!reply.result.isComplete && reply.result.code === 'failed', context.now());
     if (reply.result.isComplete) {
       context.observer.memberAnswered('write', true, context.now() - sentAtMs);
-      if (reply.position !== null) {
-        job.group.recordLed(sentAtMs, reply.position);
-        if (!job.group.acknowledge(reply.position, context.now())) throw this.#passedOver();
-        noteUnproven(context, job.group, job.requestId, reply.position);
-      }
+      if (reply.position !== null) job.group.recordLed(sentAtMs, reply.position);
       return reply;
     }
     const { code } = reply.result;
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -6,7 +6,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import type { Acknowledged } from '../leadership/acknowledged.js';
 import { CommitWatch } from '../leadership/commit-watch.js';
-import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
+import { LeadershipEvidence, type CommitStanding } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
 import type { Incarnation } from './incarnation.js';
 import { ReplicaLag } from './replica-lag.js';
@@ -180,11 +180,11 @@
     return { latest, limit: this.#firstLed === null ? null : laterPosition(latest, this.#firstLed) };
   }
 
-  /** Notes a commit that is about to be acknowledged; false when it may not be, since a promotion counts without it. */
-  acknowledge(position: Position, nowMs: number): boolean {
-    if (!this.evidence.mayAcknowledge(position.term, nowMs)) return false;
-    this.#acknowledged = laterPosition(this.#acknowledged, position);
-    return true;
+  /** Notes a commit that is acknowledged at once if it is `proven`; else it must not be, yet or at all. */
+  acknowledge(position: Position, nowMs: number): CommitStanding {
+    const standing = this.evidence.standing(position.term, nowMs);
+    if (standing === 'proven') this.#acknowledged = laterPosition(this.#acknowledged, position);
+    return standing;
   }
 
   /**
