Failing tests: a member that starts again is taken for what it was before

Seen: the one replica that has a commit starts again empty, counts as paused, and a replica without the commit is named; the chosen member starts again empty after the last look, is made to lead, and is announced. The scene in which whichever member is named starts again empty cannot be won once the platform has been called: its model lets every named member lead, and empties it first; it stays as it was written.

--- a/src/leadership/reborn-members.test.ts
+++ b/src/leadership/reborn-members.test.ts
@@ -45,6 +45,63 @@
 }
 
 describe('what one life of a member had received', () => {
+  /**
+   * The one replica that received a commit starts again under its id, empty; the primary dies, and one daemon is silent.
+   * Evidence: `promotion_candidates missing=0`, then a replica without the commit is named.
+   */
+  test('is missing when it was the only replica that had a commit and one daemon is silent', async () => {
+    const scene = new ModelledGroup(['old', 'holder', 'other']);
+    scene.member('other').isDeaf = true;
+    assert.ok(scene.commit(scene.member('old')));
+    const commit = scene.member('holder').received;
+    startAgain(scene, 'holder');
+    scene.member('holder').isDeaf = true;
+    scene.member('old').state = 'ended';
+    scene.daemons.set('d2', { kind: 'silent' });
+    await Promise.race([scene.until('promotion_given_up'), scene.reached('leads other')]);
+    scene.supervisor.stop();
+    assert.ok(!scene.events.includes('leads other'), told(scene, commit));
+  });
+
+  /**
+   * The chosen member starts again, empty, after the last look at its pause and before the platform acts; whichever member is
+   * named does. Evidence: `promotion_ends` with a member whose log is empty.
+   */
+  test('is with the member that leads though every member that is named starts again', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'other']);
+    assert.ok(scene.commit(scene.member('old')));
+    const commit = { term: FIRST_TERM, index: 2 };
+    scene.daemons.set('d2', knows(commit));
+    scene.member('old').state = 'ended';
+    scene.platform = (memberId) => {
+      setTimeout(() => startAgain(scene, memberId), RESTART_MS);
+      setTimeout(() => scene.lead(memberId), LEADS_MS);
+      return Promise.resolve(true);
+    };
+    await Promise.race([scene.until('promotion_given_up'), scene.reached('promotion_ends')]);
+    scene.supervisor.stop();
+    const led = firstLed(scene) ?? 'named';
+    assert.ok(hasReached(scene.member(led).received, commit), told(scene, commit));
+  });
+
+  /** The same, but only the member that is named first starts again: the other replica still has the commit. */
+  test('is taken from another replica when the member that was named has lost it', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'other']);
+    assert.ok(scene.commit(scene.member('old')));
+    const commit = { term: FIRST_TERM, index: 2 };
+    scene.daemons.set('d2', knows(commit));
+    scene.member('old').state = 'ended';
+    scene.platform = (memberId) => {
+      if (memberId === 'named') setTimeout(() => startAgain(scene, memberId), RESTART_MS);
+      setTimeout(() => scene.lead(memberId), LEADS_MS);
+      return Promise.resolve(true);
+    };
+    await Promise.race([scene.until('promotion_given_up'), scene.reached('promotion_ends')]);
+    scene.supervisor.stop();
+    assert.ok(scene.member('other').isPrimary, told(scene, commit));
+    assert.ok(hasReached(scene.member('other').received, commit), told(scene, commit));
+  });
+
   test('is not lost when a paused replica is silent at the second look and starts again before a leader that leaves steps down', async () => {
     const scene = new ModelledGroup(['old', 'named', 'other']);
     const old = scene.member('old');
