A read at the leader asks for what the leader has said that it holds

Cause: evidence names a leader by id and term, and lasts 1.6 s. A member that starts again under its id within that time, empty, is read from as the leader until the evidence lapses. Class: what one life said is taken as said by the next. Ruled out: a question for the role over each new connection (a priced question each, and each gateway would have to vouch); ending the evidence when a connection breaks (daemons without one would not see it). Change: reads and the beginning of transactions at the leader carry the latest position that it gave in its term; a life that lacks it refuses, its lead is doubted at once and the holder of the duty is told. Price: some 20 bytes for a read at the leader.

--- a/src/relay/leader-doubts.ts
+++ b/src/relay/leader-doubts.ts
@@ -18,6 +18,9 @@
 /** Silence after which its connections are ended, in milliseconds. */
 const DEAD_MS = 1200;
 
+/** Reasons that show that a member does not lead, or not any more. */
+const DENIALS: ReadonlySet<string> = new Set(['read_only', 'lost_log']);
+
 /** What the doubts need. */
 export interface LeaderDoubtsOptions {
   readonly ownName: string;
@@ -45,15 +48,19 @@
     for (const member of group.members.values()) this.#checkSilence(group, member, now);
   }
 
-  /** A member went silent, refused or ended connections, or denied its lead (`read_only`). */
+  /**
+   * A member went silent, refused or ended connections, denied its lead (`read_only`), or lacks what the leader has said that it
+   * holds (`lost_log`): another life goes by its id.
+   */
   suspect(group: MemberGroup, member: Member, reason: string): void {
     const isLeader = isLeaderOf(group, member);
-    if (reason === 'read_only') {
+    const isDenial = DENIALS.has(reason);
+    if (isDenial) {
       if (isLeader) group.evidence.loseLeader();
     } else {
       this.#avoid(group, member, reason);
     }
-    if (!isLeader && reason !== 'read_only') return;
+    if (!isLeader && !isDenial) return;
     this.options.wake(group.name);
     this.#tell(group, member, suspicionReason(reason));
   }
@@ -108,5 +115,5 @@
 
 function suspicionReason(reason: string): SuspicionReason {
   if (reason === 'silent') return 'silent';
-  return reason === 'read_only' ? 'denied' : 'refused';
+  return DENIALS.has(reason) ? 'denied' : 'refused';
 }
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -356,7 +356,7 @@
         job.statement,
         job.requestId,
         job.values,
-        floor?.position ?? null,
+        asLeader ? job.group.heldByLeader : (floor?.position ?? null),
         () => {
           if (this.#isSettled) return ANSWERED;
           if (asLeader && job.group.leader(context.now()) !== member) return UNPROVEN;
@@ -391,7 +391,9 @@
     const members = [member];
     member.trust(this.context.now());
     recordReplica(member, floor, reply, this.context.now());
-    if (asLeader && reply.position !== null) group.recordLed(sentAtMs, reply.position);
+    const hasLostLog = asLeader && !reply.result.isComplete && reply.result.code === 'behind';
+    if (hasLostLog) this.context.suspect(group, member, 'lost_log');
+    else if (asLeader && reply.position !== null) group.recordLed(sentAtMs, reply.position);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
       member.recordLatency(answerMs);
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -259,10 +259,12 @@
       leader: isLeader,
       floor: floor === null ? null : formatPosition(floor.position),
     });
-    const reply = await link.send({ kind: 'begin', isReadOnly, after: floor?.position ?? null });
+    const after = isLeader ? group.heldByLeader : (floor?.position ?? null);
+    const reply = await link.send({ kind: 'begin', isReadOnly, after });
     recordReplica(member, floor, reply, context.now());
     if (reply.result.isComplete) return reply.state === 'open' ? null : 'did not begin';
     if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
+    if (isLeader && reply.result.code === 'behind') context.suspect(group, member, 'lost_log');
     return reply.result.code;
   }
 
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -158,6 +158,8 @@
   readonly changed = new ChangeSignal();
   /** The latest position of a commit that this daemon has acknowledged. */
   #acknowledged: Position = ZERO_POSITION;
+  /** The latest position that the leader of a term gave. */
+  #led: { readonly term: number; readonly position: Position } | null = null;
   /** The first position of the proven leader that this daemon was given. */
   #firstLed: Position | null = null;
 
@@ -194,10 +196,25 @@
   recordLed(askedAtMs: number, position: Position): void {
     const wasKnown = this.positions.floorSince(askedAtMs - FLOOR_KNOWN_MS) !== null;
     this.#firstLed ??= position;
+    this.#noteLed(position);
     this.positions.record(askedAtMs, position);
     if (!wasKnown) this.changed.notify();
   }
 
+  #noteLed(position: Position): void {
+    const term = this.evidence.leader?.term ?? this.evidence.minimumTerm;
+    const known = this.#led?.term === term ? this.#led.position : ZERO_POSITION;
+    this.#led = { term, position: laterPosition(known, position) };
+  }
+
+  /**
+   * What the present leader has said that it holds, or `null` before it has said anything. A process that has started again under
+   * the leader's id lacks it, though evidence of the lead has not lapsed yet.
+   */
+  get heldByLeader(): Position | null {
+    return this.#led !== null && this.#led.term === this.evidence.leader?.term ? this.#led.position : null;
+  }
+
   /** For how long no leader has been proven, in milliseconds; 0 while one is. */
   leaderlessMs(nowMs: number): number {
     if (this.leaderlessSinceMs === null || this.evidence.current(nowMs) !== null) return 0;
