A promoted member is asked what it holds, and pauses are kept until it leads

Cause: an appointment looked at role and term alone. A member that started again, empty, between the last look and the platform's act led and was announced; one that had ended counted as never to lead, and the pauses were lifted, though the platform may act on its next life. Change: a member that leads with less than it had is not announced while a paused replica holds more: it is logged as an error and replaced at once, the pauses standing. After a named member has ended, another is named under the same pauses. While the platform acts, replicas that appear or have lost their pause are paused (each 100 ms).

--- a/src/leadership/appointment.test.ts
+++ b/src/leadership/appointment.test.ts
@@ -5,7 +5,8 @@
  */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, mock, test } from 'node:test';
-import { appoint } from './appointment.js';
+import type { Position } from '../position/position.js';
+import { appoint, type AppointmentOutcome } from './appointment.js';
 import type { ControlAnswer } from './member-control.js';
 
 const OLD_TERM = 3;
@@ -16,6 +17,8 @@
   readonly platform: (call: number) => Promise<boolean>;
   /** When the member leads. */
   readonly leadsAtMs: number;
+  /** What the member has received when it is asked. */
+  readonly received: Position;
   /** When the member ends. */
   readonly endsAtMs: number;
   /** Until when the duty is held. */
@@ -25,6 +28,7 @@
 const USUAL: World = {
   platform: () => Promise.resolve(true),
   leadsAtMs: 300,
+  received: { term: OLD_TERM, index: 1 },
   endsAtMs: Number.POSITIVE_INFINITY,
   heldUntilMs: Number.POSITIVE_INFINITY,
 };
@@ -34,6 +38,7 @@
 
 async function play(changes: Partial<World>): Promise<{
   readonly leads: boolean;
+  readonly kind: AppointmentOutcome['kind'];
   readonly ms: number;
   readonly calls: number;
   readonly questions: number;
@@ -48,7 +53,7 @@
     questions += 1;
     if (now >= world.endsAtMs) return Promise.resolve({ kind: 'refused' });
     const isPrimary = now >= world.leadsAtMs;
-    const received = { term: OLD_TERM, index: 1 };
+    const { received } = world;
     const term = isPrimary ? OLD_TERM + 1 : OLD_TERM;
     return Promise.resolve({
       kind: 'answered',
@@ -62,14 +67,16 @@
     return world.platform(calls);
   };
   let outcome: { readonly leads: boolean } | null = null;
-  const running = appoint({ call, status, letGo: () => (orders += 1), now: () => now }, OLD_TERM);
-  void running.then((answer) => (outcome = { leads: answer !== null }));
+  const ports = { call, status, letGo: () => (orders += 1), keepPaused: () => undefined, now: () => now };
+  const running = appoint(ports, { oldTerm: OLD_TERM, received: { term: OLD_TERM, index: 1 } });
+  void running.then(({ kind }) => (outcome = { leads: kind === 'leads' }));
   while (outcome === null && now < 20_000) {
     await new Promise((resolve) => setImmediate(resolve));
     now += STEP_MS;
     mock.timers.tick(STEP_MS);
   }
-  return { leads: (await running) !== null, ms: now, calls, questions, orders };
+  const { kind } = await running;
+  return { leads: kind === 'leads', kind, ms: now, calls, questions, orders };
 }
 
 /**
@@ -119,6 +126,13 @@
 });
 
 test('a member that has ended is not waited for', async () => {
-  const { leads, ms } = await play({ leadsAtMs: Number.POSITIVE_INFINITY, endsAtMs: 600 });
+  const { leads, ms, kind } = await play({ leadsAtMs: Number.POSITIVE_INFINITY, endsAtMs: 600 });
   assert.ok(!leads && ms < 700, `${ms} ms`);
+  assert.equal(kind, 'ended', 'it may be started again and made to lead');
+});
+
+/** Users would see confirmed changes undone: the member had started again, empty, and was announced as the leader. */
+test('a member that leads with less than it had received is told apart', async () => {
+  const { kind } = await play({ received: { term: 0, index: 0 } });
+  assert.equal(kind, 'lacks');
 });
--- a/src/leadership/appointment.ts
+++ b/src/leadership/appointment.ts
@@ -7,6 +7,7 @@
  * @packageDocumentation
  */
 import { delay } from '../common/signal.js';
+import { hasReached, type Position } from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { ControlAnswer } from './member-control.js';
 
@@ -40,26 +41,45 @@
   status(): Promise<ControlAnswer>;
   /** Asks all daemons again to let go of the old leader. */
   letGo(): void;
+  /** Sees that the other replicas stay paused; called with each question to the member. */
+  keepPaused(): void;
   now(): number;
 }
 
 /**
- * Has a member lead a term after `oldTerm`.
- *
- * @returns the member's status once it leads; `null` when it does not, and no call is left that may still make it lead
+ * How an appointment ended. `leads`: the member leads with all that it had received; `lacks`: it leads with less, so another life goes
+ * by its id; `ended`: its process has ended while a call is open, and may be started again and made to lead; `not_done`: it does
+ * not lead, and no call is left that may still make it lead.
  */
-export async function appoint(ports: AppointmentPorts, oldTerm: number): Promise<MemberStatus | null> {
-  const appointment = new Appointment(ports, oldTerm);
+export type AppointmentOutcome =
+  | { readonly kind: 'leads' | 'lacks'; readonly status: MemberStatus }
+  | { readonly kind: 'ended' }
+  | { readonly kind: 'not_done' };
+
+/** Whom to appoint over whom. */
+export interface Appointee {
+  /** Term of the leader that is replaced. */
+  readonly oldTerm: number;
+  /** What the member had received when it was chosen. */
+  readonly received: Position;
+}
+
+/** Has a member lead a term after the old one. */
+export async function appoint(ports: AppointmentPorts, appointee: Appointee): Promise<AppointmentOutcome> {
+  const appointment = new Appointment(ports, appointee);
   const untilMs = ports.now() + RETRIED_MS;
   for (let number = 1; appointment.mayCall; number += 1) {
-    const status = await appointment.attempt();
-    if (status !== null || !appointment.isOpen) return status;
+    const outcome = await appointment.attempt();
+    if (outcome !== null) return outcome;
+    if (!appointment.isOpen) return NOT_DONE;
     const isRetried = appointment.isUnanswered && ports.now() < untilMs;
     if (number >= CALLS && !isRetried) break;
   }
   return appointment.awaitLate();
 }
 
+const NOT_DONE: AppointmentOutcome = { kind: 'not_done' };
+
 class Appointment {
   /** A call has been made that the platform has not refused. */
   isOpen = false;
@@ -72,11 +92,11 @@
 
   constructor(
     private readonly ports: AppointmentPorts,
-    private readonly oldTerm: number,
+    private readonly appointee: Appointee,
   ) {}
 
   /** One call, and the usual wait for its effect. */
-  async attempt(): Promise<MemberStatus | null> {
+  async attempt(): Promise<AppointmentOutcome | null> {
     const { ports } = this;
     const call = ports.call(CALL_MS);
     if (call === null) {
@@ -98,8 +118,8 @@
     });
     await Promise.race([refusal, delay(LEAST_MS)]);
     while (!isRefused && ports.now() - this.#calledAtMs < this.#spacingMs) {
-      const status = await this.#look();
-      if (status !== null || !this.isOpen) return status;
+      const outcome = await this.#look();
+      if (outcome !== null) return outcome;
       await Promise.race([refusal, delay(LOOK_MS)]);
     }
     if (isRefused) this.isOpen = wasOpen;
@@ -111,26 +131,28 @@
   }
 
   /** Waits until the platform can act on no call any more. */
-  async awaitLate(): Promise<MemberStatus | null> {
+  async awaitLate(): Promise<AppointmentOutcome> {
     while (this.ports.now() - this.#calledAtMs < LATE_CALL_MS) {
-      const status = await this.#look();
-      if (status !== null || !this.isOpen) return status;
+      const outcome = await this.#look();
+      if (outcome !== null) return outcome;
       await delay(LATE_LOOK_MS);
     }
-    return null;
+    return NOT_DONE;
   }
 
-  /** The member's status if it leads. */
-  async #look(): Promise<MemberStatus | null> {
+  /** What has become of the member, or `null` while it neither leads nor has ended. */
+  async #look(): Promise<AppointmentOutcome | null> {
     const { ports } = this;
     if (ports.now() - this.#letGoAtMs > LET_GO_MS) {
       this.#letGoAtMs = ports.now();
       ports.letGo();
     }
+    ports.keepPaused();
     const answer = await ports.status();
-    // A member that has ended cannot be made to lead.
-    if (answer.kind === 'refused') this.isOpen = false;
+    if (answer.kind === 'refused') return { kind: 'ended' };
     if (answer.kind !== 'answered') return null;
-    return answer.status.isPrimary && answer.status.term > this.oldTerm ? answer.status : null;
+    const { status } = answer;
+    if (!status.isPrimary || status.term <= this.appointee.oldTerm) return null;
+    return { kind: hasReached(status.received, this.appointee.received) ? 'leads' : 'lacks', status };
   }
 }
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -66,6 +66,8 @@
 const STALL_WITNESSES = 2;
 /** Time that replicas have to receive what the leader has, in milliseconds. */
 const STALL_LOOK_MS = 120;
+/** Promotions that follow one another at once, the replicas being paused still. */
+const REPEATS = 3;
 /** Time after a promotion was given up in which none is begun, in milliseconds. */
 const GIVEN_UP_REST_MS = 100;
 
@@ -301,20 +303,30 @@
   async #promote(leader: Member | null, reason: string): Promise<void> {
     if (this.#others(leader).length === 0) return;
     this.#doubts.clear();
+    /** Whoever led: what they hold was received by others, or is of no use. */
+    const deposed = new Set<Member>(leader === null ? [] : [leader]);
+    let outcome = await this.#promotion(leader, reason, deposed).run();
+    for (let repeat = 0; outcome.kind === 'again' && repeat < REPEATS; repeat += 1) {
+      if (outcome.leader !== null) deposed.add(outcome.leader);
+      outcome = await this.#promotion(outcome.leader, outcome.reason, deposed).run();
+    }
+    if (outcome.kind !== 'led') {
+      await delay(GIVEN_UP_REST_MS);
+      return;
+    }
+    // A former member leads only until another has its log: no daemon gives it work.
+    if (!this.group.members.has(outcome.leader.entry.memberId)) this.#suspected = true;
+  }
+
+  #promotion(leader: Member | null, reason: string, deposed: ReadonlySet<Member>): Promotion {
     const ports = {
       group: this.group,
       pauses: this.#pauses,
       options: this.options,
-      others: () => this.#others(leader),
+      others: () => this.#others(leader).filter((member) => !deposed.has(member)),
       fence: (reserveMs: number) => this.#fence(reserveMs),
     };
-    const outcome = await new Promotion(ports, leader, reason).run();
-    if (outcome.kind === 'given_up') {
-      await delay(GIVEN_UP_REST_MS);
-      return;
-    }
-    // A former member leads only until another has its log: no daemon gives it work.
-    if (!this.group.members.has(outcome.leader.entry.memberId)) this.#suspected = true;
+    return new Promotion(ports, leader, reason);
   }
 
   /** The fence while this supervision acts under the duty; one that was stopped acts no more, though the duty may be back. */
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -11,11 +11,12 @@
  */
 import { delay } from '../common/signal.js';
 import type { HolderOrder, OrderOutcome } from '../cluster/peer-mesh.js';
-import { formatPosition } from '../position/position.js';
+import { formatPosition, hasReached } from '../position/position.js';
+import type { MemberStatus } from '../relay/member-link.js';
 import { formatIncarnation, type Incarnation } from '../topology/incarnation.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
-import { appoint } from './appointment.js';
+import { appoint, type AppointmentOutcome } from './appointment.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { GroupSupervisorOptions } from './group-supervisor.js';
@@ -37,6 +38,8 @@
 const HANDOVER_REST_MS = 60;
 /** Time between two orders to let go while evidence is waited out, in milliseconds: one holds for less than the whole wait. */
 const REVOKE_AGAIN_MS = 700;
+/** Time between two looks at the other replicas while the platform acts, in milliseconds. */
+const KEEP_PAUSED_MS = 100;
 /** A promotion is called for only when the duty is held this much longer, in milliseconds. */
 export const DUTY_RESERVE_MS = 400;
 
@@ -56,7 +59,10 @@
 
 /** How a promotion went. */
 export type PromotionOutcome =
-  { readonly kind: 'led'; readonly leader: Member } | { readonly kind: 'given_up' };
+  | { readonly kind: 'led'; readonly leader: Member }
+  | { readonly kind: 'given_up' }
+  /** To be followed by another at once, over this leader; the replicas are paused still. */
+  | { readonly kind: 'again'; readonly leader: Member | null; readonly reason: string };
 
 /** What is known at the last moment before the choice. */
 interface LastLook {
@@ -71,6 +77,11 @@
   readonly #startedAtMs: number;
   readonly #term: number;
   readonly #isAlive: boolean;
+  /** Replicas whose pause is being looked at. */
+  readonly #lookedAt = new Set<Member>();
+  #keptAtMs = Number.NEGATIVE_INFINITY;
+  /** No pause is taken any more. */
+  #isOver = false;
   /** All members that were asked to pause. */
   readonly #asked = new Set<Member>();
   /** All members that were paused. */
@@ -107,9 +118,20 @@
     const successor = this.#choose(look, acknowledged, unheard(outcomes));
     if (successor === null) return this.#giveUp(look);
     if (this.#isAlive) await this.#demoteLeader();
-    const isDone = await this.#appoint(successor);
-    if (!isDone) return this.#giveUp(look, successor);
-    return this.#end(successor);
+    const outcome = await this.#appoint(successor);
+    switch (outcome.kind) {
+      case 'leads':
+        this.#announce(successor.memberId, outcome.status.term);
+        return this.#end(successor);
+      case 'lacks':
+        return this.#replaceShort(successor, outcome.status, look);
+      case 'ended':
+        // The platform may start the member again and have it lead: the pauses stay until another does.
+        if (this.ports.fence(0) === null) return this.#giveUp(look, successor);
+        return { kind: 'again', leader: this.leader, reason: 'the named member has ended' };
+      case 'not_done':
+        return this.#giveUp(look, successor);
+    }
   }
 
   /**
@@ -227,7 +249,7 @@
   }
 
   /** Asks the platform for the promotion and waits until the member leads. */
-  async #appoint(successor: SuccessorCandidate): Promise<boolean> {
+  async #appoint(successor: SuccessorCandidate): Promise<AppointmentOutcome> {
     const { options, group } = this.ports;
     const member = this.#memberOf(successor);
     const call = (timeoutMs: number): Promise<boolean> | null => {
@@ -245,19 +267,82 @@
       call,
       status: () => options.control.ask(member, { kind: 'status' }, STATUS_MS),
       letGo: () => this.#sealAgain(),
+      keepPaused: () => this.#keepPaused(member),
       now: options.now,
     };
-    const status = await appoint(ports, this.#term);
-    if (status === null) return false;
-    options.log('promoted_member_leads', {
+    const outcome = await appoint(ports, { oldTerm: this.#term, received: successor.received });
+    if ('status' in outcome)
+      options.log('promoted_member_leads', {
+        group: group.name,
+        member: formatIncarnation(member.entry),
+        term: outcome.status.term,
+        received: formatPosition(outcome.status.received),
+        expected: formatPosition(successor.received),
+      });
+    return outcome;
+  }
+
+  /**
+   * The member that leads holds less than it had: it started again after the last look at it. It is not announced while another
+   * replica, which is paused still, holds more.
+   */
+  #replaceShort(
+    successor: SuccessorCandidate,
+    status: MemberStatus,
+    look: LastLook,
+  ): Promise<PromotionOutcome> | PromotionOutcome {
+    const { options, group } = this.ports;
+    const { memberId } = successor;
+    const others = look.paused.filter(({ member }) => member.entry.memberId !== memberId);
+    const isReplaced =
+      this.ports.fence(0) !== null &&
+      others.some((other) => !hasReached(status.received, other.status.received));
+    options.log('promoted_member_lacks_log', {
+      level: 'error',
       group: group.name,
-      member: formatIncarnation(member.entry),
+      member: memberId,
       term: status.term,
       received: formatPosition(status.received),
       expected: formatPosition(successor.received),
+      replaced: isReplaced,
     });
-    this.#announce(successor.memberId, status.term);
-    return true;
+    if (isReplaced) {
+      group.evidence.believe({ memberId, term: status.term });
+      return {
+        kind: 'again',
+        leader: this.#memberOf(successor),
+        reason: 'leads without what it had received',
+      };
+    }
+    this.#announce(memberId, status.term);
+    return this.#end(successor);
+  }
+
+  /** Pauses replicas that have appeared or lost their pause while the platform acts: what they receive nobody counts. */
+  #keepPaused(named: Member): void {
+    const { options } = this.ports;
+    if (options.now() - this.#keptAtMs < KEEP_PAUSED_MS) return;
+    this.#keptAtMs = options.now();
+    const others = this.ports.others().filter((member) => member !== named && !member.hasEnded);
+    for (const member of others) if (!this.#lookedAt.has(member)) void this.#keepOnePaused(member);
+  }
+
+  async #keepOnePaused(member: Member): Promise<void> {
+    this.#lookedAt.add(member);
+    await this.#pauseAgain(member);
+    this.#lookedAt.delete(member);
+  }
+
+  async #pauseAgain(member: Member): Promise<void> {
+    const { options, group } = this.ports;
+    const answer = await options.control.ask(member, { kind: 'status' }, STATUS_MS);
+    const { term } = this.#order('seal');
+    if (answer.kind !== 'answered' || answer.status.term > term) return;
+    if (answer.status.isPrimary || answer.status.pausedForTerm > term || this.#isOver) return;
+    options.log('replica_paused_again', { group: group.name, member: formatIncarnation(member.entry) });
+    this.#asked.add(member);
+    this.#paused.add(member);
+    await options.control.ask(member, { kind: 'pause', term: term + 1 }, STATUS_MS);
   }
 
   /** An order lasts for a while only; daemons that have started since are given it, too. */
@@ -278,6 +363,7 @@
   async #end(successor: SuccessorCandidate): Promise<PromotionOutcome> {
     const { options, group } = this.ports;
     const leader = this.#memberOf(successor);
+    this.#isOver = true;
     options.log('promotion_ends', {
       group: group.name,
       leader: successor.memberId,
@@ -290,6 +376,7 @@
 
   async #giveUp(look: LastLook, successor: SuccessorCandidate | null = null): Promise<PromotionOutcome> {
     const { options, group } = this.ports;
+    this.#isOver = true;
     options.log('promotion_given_up', {
       group: group.name,
       reason: givenUpReason(look, successor),
