What an earlier life of a member had received counts as missing until another holds it

Cause: a replica that starts again under its id answers the pause with an empty or shorter log and counts as one that was asked; the commit that only its earlier life had received is forgotten, and a replica without it is named. Ruled out: taking an empty log for a new member (an id alone does not tell the two apart); a look at all replicas each second (priced). Members that have ended are kept by life; the next life at the same address covers nothing of the former. Tests: 'is missing when it was the only replica that had a commit and one daemon is silent' failed, passes.

--- a/src/leadership/ended-members.ts
+++ b/src/leadership/ended-members.ts
@@ -8,6 +8,7 @@
  * @packageDocumentation
  */
 import { hasReached, type Position } from '../position/position.js';
+import { formatIncarnation, type Incarnation } from '../topology/incarnation.js';
 import type { MemberEntry } from '../topology/member-group.js';
 
 /** A member that was paused for a promotion, with what it has received. */
@@ -21,18 +22,18 @@
   readonly #limits = new Map<string, Position>();
 
   /** True when it is known how far the log had come after the member had ended. */
-  has(memberId: string): boolean {
-    return this.#limits.has(memberId);
+  has(member: Incarnation): boolean {
+    return this.#limits.has(formatIncarnation(member));
   }
 
   /** The proven leader gave a position when it was asked after the member had refused a connection. */
-  record(memberId: string, position: Position): void {
-    this.#limits.set(memberId, position);
+  record(member: Incarnation, position: Position): void {
+    this.#limits.set(formatIncarnation(member), position);
   }
 
-  /** Forgets all members but these. */
-  retain(memberIds: ReadonlyMap<string, unknown>): void {
-    for (const memberId of this.#limits.keys()) if (!memberIds.has(memberId)) this.#limits.delete(memberId);
+  /** Forgets all lives but these, by incarnation. */
+  retain(incarnations: ReadonlyMap<string, unknown>): void {
+    for (const key of this.#limits.keys()) if (!incarnations.has(key)) this.#limits.delete(key);
   }
 
   /** Those of the members that refuse connections which may have received more than every paused one. */
@@ -41,8 +42,10 @@
   }
 
   #covers(member: PausedMember, ended: MemberEntry): boolean {
-    if (member.entry.host === ended.host && member.entry.port === ended.port) return true;
-    const limit = this.#limits.get(ended.memberId);
+    const isSuccessor = member.entry.host === ended.host && member.entry.port === ended.port;
+    // The next life of the same member is given nothing of what the former had.
+    if (isSuccessor && member.entry.memberId !== ended.memberId) return true;
+    const limit = this.#limits.get(formatIncarnation(ended));
     return limit !== undefined && hasReached(member.received, limit);
   }
 }
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -12,7 +12,8 @@
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { Doubts } from './doubts.js';
 import { EndedMembers } from './ended-members.js';
-import type { MemberControl } from './member-control.js';
+import { LostLives } from './lost-lives.js';
+import type { ControlAnswer, MemberControl } from './member-control.js';
 import { DUTY_RESERVE_MS, Promotion } from './promotion.js';
 import { ReplicaPauses } from './replica-pauses.js';
 
@@ -79,6 +80,7 @@
   #isStopped = false;
   readonly #doubts = new Doubts();
   readonly #ended = new EndedMembers();
+  readonly #lost = new LostLives();
   readonly #pauses: ReplicaPauses;
   #isNotingEnded = false;
   /** No look has been taken yet at what an earlier holder may have left paused. */
@@ -90,7 +92,7 @@
     private readonly group: MemberGroup,
     private readonly options: GroupSupervisorOptions,
   ) {
-    this.#pauses = new ReplicaPauses(options.control, group, this.#ended);
+    this.#pauses = new ReplicaPauses(options.control, group, this.#ended, this.#lost, options.now);
   }
 
   /** Supervises until {@link GroupSupervisor.stop}. */
@@ -157,16 +159,24 @@
   async #noteEnded(leader: Member): Promise<void> {
     const { former } = this.group;
     this.#ended.retain(former);
-    const unknown = [...former.values()].filter(({ entry }) => !this.#ended.has(entry.memberId));
-    if (unknown.length === 0 || this.#isNotingEnded) return;
+    const unknown = [...former.values()].filter(({ entry }) => !this.#ended.has(entry));
+    if ((unknown.length === 0 && !this.#lost.isLimitOpen) || this.#isNotingEnded) return;
     this.#isNotingEnded = true;
-    const answers = await Promise.all(unknown.map((member) => this.#status(member)));
-    const ended = unknown.filter((_, index) => answers[index]?.kind === 'refused');
-    const position = ended.length === 0 ? null : await this.#logPosition(leader);
-    if (position !== null) for (const { entry } of ended) this.#ended.record(entry.memberId, position);
+    const areEnded = await Promise.all(unknown.map((member) => this.#hasEnded(member)));
+    const ended = unknown.filter((_, index) => areEnded[index]);
+    const isAsked = ended.length > 0 || this.#lost.isLimitOpen;
+    const position = isAsked ? await this.#logPosition(leader) : null;
+    if (position !== null) {
+      for (const { entry } of ended) this.#ended.record(entry, position);
+      this.#lost.record(position);
+    }
     this.#isNotingEnded = false;
   }
 
+  async #hasEnded(member: Member): Promise<boolean> {
+    return member.hasEnded || (await this.#status(member)).kind === 'refused';
+  }
+
   /** How far the log has come, if the leader answers and is proven to lead; else `null`. */
   async #logPosition(leader: Member): Promise<Position | null> {
     const answer = await this.#status(leader);
@@ -334,12 +344,18 @@
     return this.#isStopped ? null : this.options.heldFence(reserveMs);
   }
 
-  #status(member: Member): ReturnType<MemberControl['ask']> {
-    return this.options.control.ask(member, { kind: 'status' }, STATUS_MS);
+  async #status(member: Member): Promise<ControlAnswer> {
+    const answer = await this.options.control.ask(member, { kind: 'status' }, STATUS_MS);
+    if (answer.kind === 'answered' && !answer.status.isPrimary)
+      this.#lost.heard(member, answer.status, this.options.now());
+    return answer;
   }
 
   #memberOf(memberId: string): Member | null {
-    return this.group.members.get(memberId) ?? this.group.former.get(memberId) ?? null;
+    const former = [...this.group.former.values()].filter(({ hasEnded }) => !hasEnded);
+    return (
+      this.group.members.get(memberId) ?? former.find(({ entry }) => entry.memberId === memberId) ?? null
+    );
   }
 
   #others(leader: Member | null): readonly Member[] {
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -224,7 +224,7 @@
     const looked = await this.ports.pauses.lookAt([...pauses.paused, ...late.paused], this.#term + 1);
     return {
       paused: looked.standing,
-      missing: [...pauses.missing, ...late.missing, ...looked.silent],
+      missing: [...pauses.missing, ...late.missing, ...looked.missing],
       stands: looked.lost.length === 0,
     };
   }
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -7,6 +7,7 @@
 import type { Incarnation } from '../topology/incarnation.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import type { EndedMembers } from './ended-members.js';
+import type { LostLives } from './lost-lives.js';
 import type { MemberControl } from './member-control.js';
 
 /** Longest wait for a pause, in milliseconds. */
@@ -31,7 +32,8 @@
   /** With what they have received by now. */
   readonly standing: readonly Paused[];
   readonly lost: readonly Incarnation[];
-  readonly silent: readonly Incarnation[];
+  /** Those that did not answer, and those whose earlier life may have received more. */
+  readonly missing: readonly Incarnation[];
 }
 
 /** Pauses members, looks whether the pauses stand, and lifts them. */
@@ -40,6 +42,8 @@
     private readonly control: MemberControl,
     private readonly group: MemberGroup,
     private readonly ended: EndedMembers,
+    private readonly lost: LostLives,
+    private readonly now: () => number,
   ) {}
 
   /**
@@ -65,14 +69,15 @@
   /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
   async #pause(member: Member, term: number): Promise<Paused | 'missing' | 'gone'> {
     const { control } = this;
+    if (member.hasEnded) return 'gone';
     for (let attempt = 0; attempt < 2; attempt += 1) {
       let answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       if (answer.kind === 'answered' && answer.status.isPrimary) {
         await control.ask(member, { kind: 'demote', term }, PAUSE_MS);
         answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       }
-      if (answer.kind === 'answered') return toPaused(member, answer.status, term);
-      if (answer.kind === 'refused') return this.group.former.has(member.entry.memberId) ? 'gone' : 'missing';
+      if (answer.kind === 'answered') return this.#take(member, answer.status, term);
+      if (answer.kind === 'refused') return this.#isFormer(member) ? 'gone' : 'missing';
     }
     return 'missing';
   }
@@ -90,12 +95,22 @@
     const silent: Incarnation[] = [];
     paused.forEach(({ member }, index) => {
       const answer = answers[index];
-      const now = answer?.kind === 'answered' ? toPaused(member, answer.status, term) : null;
+      const now = answer?.kind === 'answered' ? this.#take(member, answer.status, term) : null;
       if (now === null) silent.push(member.entry);
       else if (now === 'missing') lost.push(member.entry);
       else standing.push(now);
     });
-    return { standing, lost, silent };
+    const received = standing.map(({ status }) => status.received);
+    return { standing, lost, missing: [...silent, ...this.lost.uncovered(received, this.now())] };
+  }
+
+  #isFormer(member: Member): boolean {
+    return [...this.group.former.values()].includes(member);
+  }
+
+  #take(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
+    if (!status.isPrimary) this.lost.heard(member, status, this.now());
+    return toPaused(member, status, term);
   }
 
   /** Lets members receive again. */
