--- /dev/null
+++ b/test/support/listed-members.ts
@@ -0,0 +1,148 @@
+/**
+ * A directory of members with real pools, whose entries, clock and connections a test sets.
+ *
+ * @packageDocumentation
+ */
+import { GatewayClient } from '../../src/gateway/gateway-client.js';
+import { MemberConnections } from '../../src/gateway/member-connections.js';
+import { LinkPool } from '../../src/relay/link-pool.js';
+import type { SessionLink } from '../../src/relay/session-link.js';
+import { MemberDirectory } from '../../src/topology/member-directory.js';
+import { Member, MemberGroup, type MemberEntry } from '../../src/topology/member-group.js';
+import { FakeLink } from './fake-link.js';
+
+/** How long a member that leaves may still be given work, in milliseconds. */
+export const LEAVE_MS = 4000;
+/** Time between two signs of life of a member, in milliseconds. */
+export const HEARTBEAT_MS = 500;
+/** Longest wait for a connection, in milliseconds: the dialer answers at once. */
+const ACQUIRE_MS = 1000;
+
+const ENTRY: MemberEntry = {
+  memberId: 'm',
+  groupName: 'g',
+  host: 'h',
+  port: 1,
+  zone: 'a',
+  slots: 2,
+  isDraining: false,
+  saysPrimary: false,
+  bornMs: 1000,
+};
+
+/** An entry of a directory: member `m` of group `g`, but for what is given. */
+export function entryOf(given: Partial<MemberEntry> = {}): MemberEntry {
+  return { ...ENTRY, ...given };
+}
+
+/** A connection that was opened, and the address that it was opened to. */
+export interface Opened {
+  readonly link: FakeLink;
+  readonly port: number;
+}
+
+/** A directory and the groups that it fills. */
+export class ListedMembers {
+  readonly directory: MemberDirectory;
+  readonly groups: ReadonlyMap<string, MemberGroup>;
+  /** Every member that was ever given work, oldest first. */
+  readonly created: Member[] = [];
+  readonly opened: Opened[] = [];
+  /** Ids whose own connections of the daemon were to be ended. */
+  readonly forgotten: string[] = [];
+  /** Groups whose leader was in doubt. */
+  readonly doubted: string[] = [];
+  readonly events: { readonly event: string; readonly details: Readonly<Record<string, unknown>> }[] = [];
+  now = 0;
+
+  constructor(groupNames: readonly string[] = ['g', 'other']) {
+    this.groups = new Map(groupNames.map((name) => [name, new MemberGroup(name)]));
+    this.directory = new MemberDirectory({
+      leaveMs: LEAVE_MS,
+      heartbeatMs: HEARTBEAT_MS,
+      lagMs: () => 0,
+      group: (name) => this.groups.get(name) ?? null,
+      create: (entry) => this.#create(entry),
+      changed: () => undefined,
+      leaderInDoubt: ({ name }) => void this.doubted.push(name),
+      forgotten: (memberId) => void this.forgotten.push(memberId),
+      log: (event, details) => void this.events.push({ event, details }),
+      now: () => this.now,
+    });
+    this.directory.loaded();
+    this.now = 10 * HEARTBEAT_MS;
+  }
+
+  /** A group by its name. */
+  group(name = 'g'): MemberGroup {
+    const group = this.groups.get(name);
+    if (group === undefined) throw new Error(`no group ${name}`);
+    return group;
+  }
+
+  /** A member that is given work. */
+  member(memberId = 'm', groupName = 'g'): Member {
+    const member = this.group(groupName).members.get(memberId);
+    if (member === undefined) throw new Error(`${memberId} is not in ${groupName}`);
+    return member;
+  }
+
+  /** Lets time pass, and looks at all groups after it. */
+  pass(ms: number): void {
+    this.now += ms;
+    for (const group of this.groups.values()) this.directory.check(group);
+  }
+
+  /** Takes a connection of a member for use. */
+  async use(member: Member): Promise<SessionLink> {
+    const demand = {
+      tenantName: null,
+      values: new Map<string, string>(),
+      isWrite: false,
+      priority: 1,
+      dueAtMs: Number.POSITIVE_INFINITY,
+    };
+    return member.pool.acquire(demand, ACQUIRE_MS);
+  }
+
+  /** What was logged under a name. */
+  logged(event: string): readonly Readonly<Record<string, unknown>>[] {
+    return this.events.filter((line) => line.event === event).map(({ details }) => details);
+  }
+
+  #create(entry: MemberEntry): Member {
+    const { groupName, memberId } = entry;
+    const now = (): number => this.now;
+    const pool = new LinkPool({
+      dialer: {
+        dial: ({ port, tenantName }) => {
+          const link = new FakeLink(tenantName);
+          this.opened.push({ link, port });
+          return Promise.resolve(link);
+        },
+      },
+      address: entry,
+      budget: () => 4,
+      dialTimeoutMs: 50,
+      limitBackoffMs: 5,
+      idleMs: 60_000,
+      serviceMs: () => 5,
+      onTrouble: () => undefined,
+      random: () => 0.5,
+      now,
+    });
+    const connections = new MemberConnections({
+      groupName,
+      memberId,
+      pool,
+      gateways: new GatewayClient('h', now, () => 0.5),
+      assignment: () => ({ gateways: null, standbys: [], budget: 4 }),
+      tenantShare: () => 1,
+      others: () => [],
+      ownName: 'd',
+    });
+    const member = new Member(entry, connections);
+    this.created.push(member);
+    return member;
+  }
+}
