A younger start under a known id ends one member and brings another

Cause: the directory keyed everything by the id. A member that started again went on as the member that it was: what the earlier life had said (position, lag, latency, lead, retirement) was taken as said by the new one, its pool stayed bound to the earlier address, connections of the earlier life that were in use or silent went on.

Change: the directory keeps one record per id, that of the youngest life, also for 30 s after it was unlisted. A younger start ends the earlier life in its group, whether it was used, leaving, retired, missing or former: `hasEnded`, all connections and loans end at once, own connections too (also one that is being opened), a belief that it leads is dropped; it stands among the former members under its life for 30 s. The new life is created from nothing. An older start changes nothing. The same life at another address gets new connections. A former member that is listed again is the same member, with its connections: a new one in its place left those in use to nobody. An entry that became unreadable takes its member out of use, not out of mind. `member_in`, `member_out`, `member_role`, `member_leaves` carry `born`, `member_out` the reason; `member_reborn` is new.

Members whose entries do not say when they started: another group, or another address, is another process.

A loan now says which life it means, and a gateway that knows another one answers that nothing was sent (`busy`). The member itself refuses a wrong id but not a wrong life. A transaction never goes on over another connection, so an open one is safe either way; what would be wrong is a first request: a borrower that still believes that the earlier life leads would read there as at the leader, without a floor, and would take a status of the new life for one of the earlier. While views differ, such requests go to other members or wait; a borrower or gateway that does not know the start (an older daemon, or a member that does not say) gets any life. A gateway that hears of the new life tells borrowers with a connection at once.

Ruled out: keeping the earlier member for the new life and clearing its fields, since requests, promotions and questions under way hold the object and would write what the earlier life said into it; they now find `hasEnded`.

Not done here: the promotions (`former` is keyed by life now, `replica-pauses` and `EndedMembers` look it up by id).

--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -21,7 +21,7 @@
   configuration: () => ({ proof: null, item: null }),
   grant: () => Promise.resolve(null),
 };
-const TERMS = { groupName: 'g', memberId: 'm', tenantName: null, priority: 1, waitMs: 100 };
+const TERMS = { groupName: 'g', memberId: 'm', bornMs: null, tenantName: null, priority: 1, waitMs: 100 };
 
 let running: GatewayServer;
 const alive = recordOf('alive', 23_871);
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -28,6 +28,8 @@
 export interface LoanTerms {
   readonly groupName: string;
   readonly memberId: string;
+  /** When the member's process started, as the borrower knows it, in milliseconds of the Unix epoch; `null` where it does not. */
+  readonly bornMs: number | null;
   readonly tenantName: string | null;
   readonly priority: number;
   /** Longest wait for a connection, in milliseconds. */
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -20,6 +20,8 @@
   readonly loan: number;
   readonly groupName: string;
   readonly memberId: string;
+  /** Start of the life of the member that is meant, in milliseconds of the Unix epoch; any will do where it is not given. */
+  readonly bornMs?: number | null;
   /** Name of the tenant that the connection has to belong to; `null` where any will do. */
   readonly tenantName: string | null;
   readonly priority: number;
--- a/src/gateway/gateway-server.test.ts
+++ b/src/gateway/gateway-server.test.ts
@@ -23,7 +23,7 @@
 /** An address of this process's own, so that two runs do not meet. */
 const HOST = `127.78.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
 const RECORD = daemonRecord('gateway', { host: HOST, gatewayPort: 23_881 });
-const TERMS = { groupName: 'g', memberId: 'm', tenantName: null, priority: 1, waitMs: 60_000 };
+const TERMS = { groupName: 'g', memberId: 'm', bornMs: null, tenantName: null, priority: 1, waitMs: 60_000 };
 const BEGIN = { kind: 'begin', isReadOnly: false, after: null } as const;
 const WRITE = { kind: 'statement', requestId: 'w', payload: 'WRITE t d', after: null } as const;
 const COMMIT = { kind: 'statement', requestId: 'c', payload: 'COMMIT', after: null } as const;
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -11,13 +11,14 @@
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import { MAX_GATEWAY_MESSAGE_BYTES, type BorrowMessage, type GatewayMessage } from './gateway-messages.js';
+import type { Incarnation } from '../topology/incarnation.js';
 import { Loan, type LendingStage } from './loan.js';
 import { StatusQuestions } from './status-questions.js';
 
 /** What the server asks of its daemon. */
 export interface GatewayServerPorts {
-  /** The pool of a member to which this daemon may connect, or `null`. */
-  pool(groupName: string, memberId: string): LinkPool | null;
+  /** The pool of a member, in the life that is meant, to which this daemon may connect, or `null`. */
+  pool(groupName: string, life: Incarnation): LinkPool | null;
   /** What this daemon can prove, for one who has been sent a version of the leaders. */
   ownEvidence(knownVersion: number): EvidenceAnswer;
   /** Changes of the store as this daemon has heard of them. */
@@ -83,6 +84,11 @@
     await Promise.all(ends);
   }
 
+  /** The life of a member has ended: loans of its connections end with it. */
+  endLoans(pool: LinkPool): void {
+    for (const loan of this.#loans()) loan.memberEnded(pool);
+  }
+
   /** Ends everything at once. */
   close(): void {
     this.#server.close();
@@ -100,9 +106,10 @@
   }
 
   #lend(channel: MessageChannel<GatewayMessage>, loans: Map<number, Loan>, terms: BorrowMessage): void {
+    const { groupName, memberId, bornMs = null } = terms;
     const loan = new Loan({
       terms,
-      pool: this.ports.pool(terms.groupName, terms.memberId),
+      pool: this.ports.pool(groupName, { memberId, bornMs }),
       statusQuestions: this.#statusQuestions,
       stage: () => this.#stage,
       answer: (message) => channel.send(message),
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -31,6 +31,7 @@
 }
 
 const STOPPING = 'the gateway is about to stop';
+const MEMBER_ENDED = 'the member has ended';
 const NO_GATEWAY = 'not a gateway of the member';
 
 /** An answer that says that nothing was sent to the member. */
@@ -77,6 +78,11 @@
     if (!this.#isWorking) this.#endIfResting();
   }
 
+  /** The life of the member behind a pool has ended. Whoever only waits is told by the pool. */
+  memberEnded(pool: LinkPool): void {
+    if (this.options.pool === pool && this.#link !== null) this.#lose(MEMBER_ENDED, !this.#isAtMember);
+  }
+
   /** Ends the loan at the last moment, whatever is under way. */
   finish(): void {
     this.#lose(STOPPING, !this.#isAtMember);
--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -46,6 +46,7 @@
   const connections = new MemberConnections({
     groupName: 'g',
     memberId: 'm',
+    bornMs: () => null,
     pool,
     gateways: gateways as unknown as GatewayClient,
     assignment: () => ({ gateways: null, standbys: [], budget: 2 }),
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -17,6 +17,8 @@
 export interface MemberConnectionsOptions {
   readonly groupName: string;
   readonly memberId: string;
+  /** When the member's process started, in milliseconds of the Unix epoch; `null` where that is not known. */
+  bornMs(): number | null;
   /** Connections of this daemon's own. */
   readonly pool: LinkPool;
   readonly gateways: GatewayClient;
@@ -52,6 +54,7 @@
 /** Hands out connections to one member. */
 export class MemberConnections {
   readonly #borrowed = new Set<SessionLink>();
+  #hasEnded = false;
 
   constructor(private readonly options: MemberConnectionsOptions) {}
 
@@ -104,13 +107,15 @@
    * @throws PoolTimeoutError: nothing was sent
    */
   borrow({ tenantName, priority }: LinkDemand, waitMs: number): SessionLink {
+    if (this.#hasEnded) throw new PoolTimeoutError('the member has ended');
     const { gateways, groupName, memberId } = this.options;
     const { gateways: lenders, standbys } = this.options.assignment();
     const gateway = this.isAssigned
       ? gateways.choose(this.options.others())
       : this.#chooseFor(tenantName, lenders ?? [], standbys);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
-    const terms = { groupName, memberId, tenantName, priority, waitMs: gatewayWaitMs(waitMs) };
+    const bornMs = this.options.bornMs();
+    const terms = { groupName, memberId, bornMs, tenantName, priority, waitMs: gatewayWaitMs(waitMs) };
     const link = gateways.borrow(gateway, terms);
     this.#borrowed.add(link);
     return link;
@@ -128,6 +133,13 @@
     return gateways.choose(own, own === lenders ? standbys : lenders) ?? gateways.choose(lenders, standbys);
   }
 
+  /** The member's life has ended: all connections end now, own ones and loans, also those in use. */
+  end(): void {
+    this.#hasEnded = true;
+    this.options.pool.end();
+    for (const link of [...this.#borrowed]) this.release(link);
+  }
+
   /** Takes a connection back. */
   release(link: SessionLink): void {
     if (link instanceof PooledLink) {
--- a/src/gateway/waiting-loan.test.ts
+++ b/src/gateway/waiting-loan.test.ts
@@ -51,6 +51,7 @@
   const connections = new MemberConnections({
     groupName: 'g',
     memberId: 'm',
+    bornMs: () => null,
     pool,
     gateways: client,
     assignment: () => ({ gateways: [RECORD], standbys: [], budget: 0 }),
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -50,6 +50,7 @@
  */
 const THROUGH_GATEWAY_MS = 60;
 
+const REFUSED: ControlAnswer = { kind: 'refused' };
 const SILENT: ControlAnswer = { kind: 'silent' };
 const BUSY: ControlAnswer = { kind: 'busy' };
 
@@ -77,6 +78,18 @@
     request: MemberRequest,
     timeoutMs: number,
     opensPool = false,
+  ): Promise<ControlAnswer> {
+    // Whoever answers at its address, or over a connection that goes by its id, is another life.
+    if (member.hasEnded) return REFUSED;
+    const answer = await this.#askLiving(member, request, timeoutMs, opensPool);
+    return member.hasEnded ? REFUSED : answer;
+  }
+
+  async #askLiving(
+    member: Member,
+    request: MemberRequest,
+    timeoutMs: number,
+    opensPool: boolean,
   ): Promise<ControlAnswer> {
     const deadlineMs = this.options.now() + timeoutMs;
     const pooled =
@@ -90,17 +103,28 @@
       if (answer.kind === 'answered' || !mayConnect) return answer;
     }
     if (!mayConnect) return BUSY;
+    if (member.hasEnded) return REFUSED;
     const ownDeadlineMs = this.options.now() + timeoutMs;
     const link = await this.#ownLink(member, timeoutMs);
     if ('kind' in link) return link;
     const answer = await this.#send(link, request, ownDeadlineMs - this.options.now());
-    if (!link.isOpen) this.#ownLinks.delete(member.entry.memberId);
+    if (!link.isOpen) this.#dropOwnLink(member.entry.memberId, link);
     if (answer.kind === 'answered') member.trust(this.options.now());
     return answer;
   }
 
-  /** Ends the own connection to a member that has left. */
+  /** Ends the own connection to a member that has ended, also one that is being opened. */
   forget(memberId: string): void {
+    this.#dials.delete(memberId);
+    this.#endOwnLink(memberId);
+  }
+
+  /** A connection is of no use any more; one that has taken its place is kept. */
+  #dropOwnLink(memberId: string, link: MemberLink): void {
+    if (this.#ownLinks.get(memberId) === link) this.#ownLinks.delete(memberId);
+  }
+
+  #endOwnLink(memberId: string): void {
     this.#ownLinks.get(memberId)?.close();
     this.#ownLinks.delete(memberId);
     this.#usedAtMs.delete(memberId);
@@ -109,7 +133,8 @@
   /** Ends own connections that were not used for a while: they count against the members' limits. */
   trim(): void {
     const unusedSinceMs = this.options.now() - OWN_LINK_IDLE_MS;
-    for (const [memberId, usedAtMs] of this.#usedAtMs) if (usedAtMs < unusedSinceMs) this.forget(memberId);
+    for (const [memberId, usedAtMs] of this.#usedAtMs)
+      if (usedAtMs < unusedSinceMs) this.#endOwnLink(memberId);
   }
 
   /**
@@ -162,20 +187,39 @@
     this.#usedAtMs.set(memberId, this.options.now());
     const known = this.#ownLinks.get(memberId);
     if (known !== undefined && known.isOpen) return known;
-    let dial = this.#dials.get(memberId);
-    if (dial === undefined) {
-      dial = this.#dialOwn(member, timeoutMs).finally(() => this.#dials.delete(memberId));
-      this.#dials.set(memberId, dial);
-    }
+    return this.#dials.get(memberId) ?? this.#openOwn(member, timeoutMs);
+  }
+
+  #openOwn(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
+    const { memberId } = member.entry;
+    const dial: Promise<MemberLink | ControlAnswer> = this.#dialOwn(member, timeoutMs)
+      .then((outcome) => this.#opened(memberId, outcome, this.#dials.get(memberId) === dial))
+      .finally(() => {
+        if (this.#dials.get(memberId) === dial) this.#dials.delete(memberId);
+      });
+    this.#dials.set(memberId, dial);
     return dial;
   }
 
+  /** Keeps a connection that was opened, unless the member was forgotten meanwhile. */
+  #opened(
+    memberId: string,
+    outcome: MemberLink | ControlAnswer,
+    isWanted: boolean,
+  ): MemberLink | ControlAnswer {
+    if ('kind' in outcome) return outcome;
+    if (isWanted) {
+      this.#ownLinks.set(memberId, outcome);
+      return outcome;
+    }
+    outcome.close();
+    return SILENT;
+  }
+
   async #dialOwn(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
     try {
       const target = { ...member.address, tenantName: NO_TENANT };
-      const link = await this.options.dialer.dial(target, timeoutMs);
-      this.#ownLinks.set(member.entry.memberId, link);
-      return link;
+      return await this.options.dialer.dial(target, timeoutMs);
     } catch (error) {
       if (!(error instanceof DialError)) throw error;
       return answerOf(error);
--- a/src/relay/leader-doubts.ts
+++ b/src/relay/leader-doubts.ts
@@ -47,6 +47,8 @@
 
   /** A member went silent, refused or ended connections, or denied its lead (`read_only`). */
   suspect(group: MemberGroup, member: Member, reason: string): void {
+    // Its connections were ended on purpose, and another life goes by its id.
+    if (member.hasEnded) return;
     const isLeader = isLeaderOf(group, member);
     if (reason === 'read_only') {
       if (isLeader) group.evidence.loseLeader();
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -80,6 +80,8 @@
   #warmedAtMs = Number.NEGATIVE_INFINITY;
   #keptIdle = KEPT_IDLE;
   #isClosed = false;
+  /** The process behind the connections is no more. */
+  #hasEnded = false;
 
   constructor(private readonly options: LinkPoolOptions) {}
 
@@ -264,6 +266,18 @@
     this.failWaiters('the member has left');
   }
 
+  /** Connections are handed out again after {@link LinkPool.close}. */
+  reopen(): void {
+    this.#isClosed = this.#hasEnded;
+  }
+
+  /** Ends all connections now, also those in use: the process behind them is no more. Tells of no trouble from now on. */
+  end(): void {
+    this.#hasEnded = true;
+    this.close();
+    this.dropAll();
+  }
+
   /** True while no connection is opened, whatever the budget says. */
   #isPaused(): boolean {
     return this.#dialing.length >= MAX_DIALING || this.options.now() < this.#limitedUntilMs;
@@ -331,13 +345,14 @@
 
   #lost(link: PooledLink, isByPeer: boolean): void {
     if (!this.#links.delete(link)) return;
-    if (isByPeer) this.options.onTrouble('lost');
+    if (isByPeer && !this.#hasEnded) this.options.onTrouble('lost');
     const index = this.#idle.findIndex((idle) => idle.link === link);
     if (index >= 0) this.#idle.splice(index, 1);
     this.#openForWaiters();
   }
 
   #dialFailed(tenantName: string, error: DialError): void {
+    if (this.#hasEnded) return;
     const { limitBackoffMs } = this.options;
     switch (error.reason) {
       case 'too_many_connections':
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -34,6 +34,7 @@
 import type { KeyDigest } from '../tenancy/key-digest.js';
 import { LeaseRenewal, type PassedConfiguration } from '../tenancy/lease-renewal.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
+import { compareIncarnations, type Incarnation } from '../topology/incarnation.js';
 import { MemberDirectory } from '../topology/member-directory.js';
 import { Member, MemberGroup, type MemberEntry } from '../topology/member-group.js';
 import { LeaderDoubts } from './leader-doubts.js';
@@ -170,6 +171,7 @@
         this.#groups.get(group.name)?.watcher.wake();
       },
       leaderInDoubt: (group) => this.#supervision.suspect(group.name),
+      ended: (member) => this.#gatewayServer.endLoans(member.pool.own),
       forgotten: (memberId) => this.#control.forget(memberId),
       log: options.log,
       now,
@@ -235,7 +237,7 @@
       random,
     });
     this.#gatewayServer = new GatewayServer({
-      pool: (groupName, memberId) => this.#lendablePool(groupName, memberId),
+      pool: (groupName, life) => this.#lendablePool(groupName, life),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       changes: (afterRevision, waitMs) => changeRelay.ask(afterRevision, waitMs),
       configuration: (heldRevision) => this.#passedConfiguration(heldRevision),
@@ -477,6 +479,7 @@
     const connections = new MemberConnections({
       groupName: entry.groupName,
       memberId: entry.memberId,
+      bornMs: () => member.entry.bornMs,
       pool,
       gateways: this.#gatewayClient,
       assignment: () => this.#assignments.of(member.entry),
@@ -488,10 +491,10 @@
     return member;
   }
 
-  /** The pool of a member from which other daemons may borrow, or `null`. */
-  #lendablePool(groupName: string, memberId: string): LinkPool | null {
-    const member = this.#groups.get(groupName)?.group.members.get(memberId);
-    if (member === undefined) return null;
+  /** The pool of a member from which other daemons may borrow, or `null`, also when another life is meant. */
+  #lendablePool(groupName: string, life: Incarnation): LinkPool | null {
+    const member = this.#groups.get(groupName)?.group.members.get(life.memberId);
+    if (member === undefined || compareIncarnations(member.entry, life) !== 'same') return null;
     return this.#assignments.connects(member.entry) ? member.pool.own : null;
   }
 
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -63,6 +63,7 @@
   const connections = new MemberConnections({
     groupName: 'g',
     memberId: 'm',
+    bornMs: () => null,
     pool,
     gateways: new GatewayClient(
       '127.0.0.1',
--- a/src/topology/member-directory.test.ts
+++ b/src/topology/member-directory.test.ts
@@ -8,7 +8,7 @@
 import { ListedMembers, LEAVE_MS, entryOf } from '../../test/support/listed-members.js';
 import type { PreparedShape } from '../relay/statement.js';
 import { formatIncarnation } from './incarnation.js';
-import { MemberGroup, type Member, type MemberEntry } from './member-group.js';
+import type { Member, MemberEntry } from './member-group.js';
 
 const FIRST = entryOf();
 const SECOND = entryOf({ bornMs: 2000 });
@@ -250,16 +250,111 @@
     assert.deepEqual(scene.forgotten, ['m']);
   });
 
-  test('takes in again what was gone for long', () => {
+  test('takes in again what was gone for long, with the connections that were in use', async () => {
     const scene = new ListedMembers();
     scene.directory.listed(FIRST);
+    const member = scene.member();
+    const used = await scene.use(member);
     scene.directory.unlisted('m');
     scene.pass(LEAVE_MS);
     scene.pass(LEAVE_MS);
     assert.equal(scene.group().members.size, 0);
     scene.directory.listed(FIRST);
-    assert.equal(scene.member().hasEnded, false);
+    assert.equal(scene.member(), member);
+    assert.equal(member.hasEnded, false);
     assert.equal(scene.group().former.size, 0);
+    assert.equal(used.isOpen, true);
+    await scene.use(member);
+    scene.directory.listed(SECOND);
+    assert.deepEqual(
+      scene.opened.map(({ link }) => link.isOpen),
+      [false, false],
+    );
+  });
+
+  test('has no more time to serve when it is read again while it leaves', () => {
+    const scene = new ListedMembers();
+    const draining = { ...FIRST, isDraining: true };
+    scene.directory.listed(draining);
+    scene.pass(LEAVE_MS / 2);
+    scene.directory.unreadable('m');
+    scene.directory.listed(draining);
+    scene.pass(LEAVE_MS / 2);
+    assert.equal(scene.group().members.size, 0);
+    assert.equal(scene.logged('member_leaves').length, 1);
+  });
+
+  test('stays retired though its entry was unreadable for a while', () => {
+    const scene = new ListedMembers();
+    const draining = { ...FIRST, isDraining: true };
+    scene.directory.listed(draining);
+    scene.pass(LEAVE_MS);
+    scene.directory.unreadable('m');
+    scene.directory.listed(draining);
+    assert.equal(scene.group().members.size, 0);
+  });
+});
+
+describe('an entry that was good and is unreadable', () => {
+  test('names no member to use until it is good again', () => {
+    const scene = new ListedMembers();
+    scene.directory.listed(FIRST);
+    const member = scene.member();
+    scene.group().evidence.believe({ memberId: 'm', term: 3 });
+    scene.directory.unreadable('m');
+    assert.equal(scene.group().members.size, 0);
+    assert.equal(scene.group().formerOf('m'), member, 'it may still run');
+    assert.equal(scene.group().evidence.leader, null);
+    assert.deepEqual(scene.doubted, ['g']);
+    assert.deepEqual(scene.logged('member_out'), [
+      { group: 'g', member: 'm', born: 1000, reason: 'unreadable' },
+    ]);
+    scene.directory.listed(FIRST);
+    assert.equal(scene.member(), member);
+    assert.equal(scene.group().former.size, 0);
+  });
+
+  test('is kept in mind while it stands, and for a while after', () => {
+    const scene = new ListedMembers();
+    scene.directory.listed(FIRST);
+    scene.directory.unreadable('m');
+    scene.pass(2 * FORMER_MS);
+    assert.equal(scene.group().former.size, 1);
+    scene.directory.unlisted('m');
+    scene.pass(FORMER_MS - 1);
+    assert.equal(scene.group().former.size, 1);
+    scene.pass(1);
+    assert.equal(scene.group().former.size, 0);
+    assert.deepEqual(scene.forgotten, ['m']);
+  });
+
+  test('says nothing against a younger life, and for no older one', () => {
+    const scene = new ListedMembers();
+    scene.directory.listed(SECOND);
+    const old = scene.member();
+    scene.directory.unreadable('m');
+    scene.directory.listed(FIRST);
+    assert.equal(scene.group().members.size, 0);
+    scene.directory.listed({ ...FIRST, bornMs: 3000 });
+    assert.equal(scene.member().entry.bornMs, 3000);
+    assertEnded(scene, old);
+  });
+
+  test('is nothing where no member is known by the id', () => {
+    const scene = new ListedMembers();
+    scene.directory.unreadable('m');
+    scene.directory.unlisted('m');
+    assert.deepEqual(scene.events, []);
+  });
+
+  test('fills no group that is watched from then on', () => {
+    const scene = new ListedMembers([]);
+    scene.directory.listed(FIRST);
+    scene.directory.unreadable('m');
+    scene.watch('g');
+    assert.equal(scene.group().members.size, 0);
+    scene.directory.listed(FIRST);
+    assert.equal(scene.member().entry.bornMs, 1000);
   });
 });
 
@@ -305,8 +400,7 @@
     const scene = new ListedMembers([]);
     scene.directory.listed(SECOND);
     scene.directory.listed(FIRST);
-    const group = new MemberGroup('g');
-    scene.directory.fill(group);
-    assert.equal(group.members.get('m')?.entry.bornMs, 2000);
+    scene.watch('g');
+    assert.equal(scene.member().entry.bornMs, 2000);
   });
 });
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -8,7 +8,7 @@
 import { CommitWatch } from '../leadership/commit-watch.js';
 import { LeadershipEvidence } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
-import type { Incarnation } from './incarnation.js';
+import { formatIncarnation, type Incarnation } from './incarnation.js';
 import { ReplicaLag } from './replica-lag.js';
 import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
 import type { MemberConnections } from '../gateway/member-connections.js';
@@ -198,6 +198,30 @@
     if (!wasKnown) this.changed.notify();
   }
 
+  /** The former member of an id whose life has not ended, or `null`. */
+  formerOf(memberId: string): Member | null {
+    for (const member of this.former.values())
+      if (member.entry.memberId === memberId && !member.hasEnded) return member;
+    return null;
+  }
+
+  /** Keeps a member in mind that gets no more work. */
+  keepFormer(member: Member): void {
+    this.dropFormer(member);
+    this.former.set(this.#formerKey(member), member);
+  }
+
+  /** A former member is one no longer. */
+  dropFormer(member: Member): void {
+    for (const [key, former] of this.former) if (former === member) this.former.delete(key);
+  }
+
+  /** Lives that do not say when they started go by one name, and by their address where two of them stand side by side. */
+  #formerKey({ entry }: Member): string {
+    const key = formatIncarnation(entry);
+    return this.former.has(key) ? `${key}@${entry.host}:${entry.port}` : key;
+  }
+
   /** For how long no leader has been proven, in milliseconds; 0 while one is. */
   leaderlessMs(nowMs: number): number {
     if (this.leaderlessSinceMs === null || this.evidence.current(nowMs) !== null) return 0;
--- a/test/integration/connection-congestion.test.ts
+++ b/test/integration/connection-congestion.test.ts
@@ -137,6 +137,7 @@
     const connections = new MemberConnections({
       groupName: ENTRY.groupName,
       memberId: ENTRY.memberId,
+      bornMs: () => null,
       pool,
       gateways: lend as unknown as GatewayClient,
       assignment: () => ({ gateways: this.#gateways, standbys: [], budget: CONNECTIONS_EACH }),
--- a/test/support/listed-members.ts
+++ b/test/support/listed-members.ts
@@ -44,7 +44,7 @@
 /** A directory and the groups that it fills. */
 export class ListedMembers {
   readonly directory: MemberDirectory;
-  readonly groups: ReadonlyMap<string, MemberGroup>;
+  readonly groups = new Map<string, MemberGroup>();
   /** Every member that was ever given work, oldest first. */
   readonly created: Member[] = [];
   readonly opened: Opened[] = [];
@@ -56,7 +56,7 @@
   now = 0;
 
   constructor(groupNames: readonly string[] = ['g', 'other']) {
-    this.groups = new Map(groupNames.map((name) => [name, new MemberGroup(name)]));
+    for (const name of groupNames) this.groups.set(name, new MemberGroup(name));
     this.directory = new MemberDirectory({
       leaveMs: LEAVE_MS,
       heartbeatMs: HEARTBEAT_MS,
@@ -65,6 +65,7 @@
       create: (entry) => this.#create(entry),
       changed: () => undefined,
       leaderInDoubt: ({ name }) => void this.doubted.push(name),
+      ended: () => undefined,
       forgotten: (memberId) => void this.forgotten.push(memberId),
       log: (event, details) => void this.events.push({ event, details }),
       now: () => this.now,
@@ -73,6 +74,13 @@
     this.now = 10 * HEARTBEAT_MS;
   }
 
+  /** Watches a group from now on. */
+  watch(name: string): void {
+    const group = new MemberGroup(name);
+    this.groups.set(name, group);
+    this.directory.fill(group);
+  }
+
   /** A group by its name. */
   group(name = 'g'): MemberGroup {
     const group = this.groups.get(name);
@@ -134,6 +142,7 @@
     const connections = new MemberConnections({
       groupName,
       memberId,
+      bornMs: () => member.entry.bornMs,
       pool,
       gateways: new GatewayClient('h', now, () => 0.5),
       assignment: () => ({ gateways: null, standbys: [], budget: 4 }),
@@ -141,7 +150,7 @@
       others: () => [],
       ownName: 'd',
     });
-    const member = new Member(entry, connections);
+    const member: Member = new Member(entry, connections);
     this.created.push(member);
     return member;
   }
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -39,6 +39,7 @@
   const connections = new MemberConnections({
     groupName: GROUP,
     memberId,
+    bornMs: () => null,
     pool,
     gateways: new GatewayClient('h', now, Math.random),
     assignment: () => ({ gateways: null, standbys: [], budget: 1 }),
