--- a/src/topology/member-directory.test.ts
+++ b/src/topology/member-directory.test.ts
@@ -403,4 +403,17 @@
     scene.watch('g');
     assert.equal(scene.member().entry.bornMs, 2000);
   });
+
+  test('is not taken in either where nobody watches the group, until the younger one is long gone', () => {
+    const scene = new ListedMembers([]);
+    scene.directory.listed(SECOND);
+    scene.directory.unlisted('m');
+    scene.pass(FORMER_MS - 1);
+    scene.directory.listed(FIRST);
+    scene.watch('g');
+    assert.equal(scene.group().members.size, 0);
+    scene.pass(1);
+    scene.directory.listed(FIRST);
+    assert.equal(scene.member().entry.bornMs, 1000);
+  });
 });
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -24,6 +24,7 @@
 const CONFIGURATION = 'test/integration/configuration.test.js';
 
 const TENANCY = 'src/tenancy/tenancy.test.js';
+const LIVES = 'src/topology/member-lives.property.test.js';
 const QUOTA = 'src/quota/quota.test.js';
 
 /** All mutations. */
@@ -212,4 +213,76 @@
     testFile: PAUSED,
     testName: 'waited in a paused daemon',
   },
+  {
+    property: 'lives: an older life that is told late changes nothing',
+    file: 'src/topology/incarnation.js',
+    search: "? 'younger' : 'older'",
+    replacement: "? 'younger' : 'same'",
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
+  {
+    property: 'lives: a younger start is another member',
+    file: 'src/topology/incarnation.js',
+    search: "? 'younger' : 'older'",
+    replacement: "? 'same' : 'older'",
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
+  {
+    property: 'lives: connections in use end with the life',
+    file: 'src/topology/member-directory.js',
+    search: 'member.pool.end();',
+    replacement: 'member.pool.own.close();',
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
+  {
+    property: 'lives: who holds a member learns that its life has ended',
+    file: 'src/topology/member-directory.js',
+    search: 'member.hasEnded = true;',
+    replacement: '',
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
+  {
+    property: 'lives: a life that ended is kept in mind',
+    file: 'src/topology/member-directory.js',
+    search: 'member.missingSinceMs = this.options.now();\n            this.#cutOff(member);',
+    replacement: 'group.dropFormer(member);\n            this.#cutOff(member);',
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
+  {
+    property: 'lives: what was unlisted is remembered',
+    file: 'src/topology/member-directory.js',
+    search: 'this.options.now() - unlistedSinceMs < FORMER_MS',
+    replacement: 'false',
+    testFile: 'src/topology/member-directory.test.js',
+    testName: 'where nobody watches the group',
+  },
+  {
+    property: 'lives: the lead of an earlier life ends',
+    file: 'src/topology/member-directory.js',
+    search: 'if (group.evidence.leader?.memberId !== memberId)\n            return;',
+    replacement: 'return;',
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
+  {
+    property: 'lives: a retired life does not stand in the way of the next',
+    file: 'src/topology/member-directory.js',
+    search: 'isReadable: true, isRetired: false };',
+    replacement: 'isReadable: true, isRetired: this.#known.get(entry.memberId)?.isRetired ?? false };',
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
+  {
+    property: 'lives: a former member that comes back keeps its connections',
+    file: 'src/topology/member-directory.js',
+    search: 'member.pool.own.reopen();',
+    replacement: '',
+    testFile: LIVES,
+    testName: 'one living member at most',
+  },
 ];
