--- a/src/gateway/assignments.test.ts
+++ b/src/gateway/assignments.test.ts
@@ -32,7 +32,7 @@
   return new Assignments({
     ownName,
     daemons: (isYoung) => (isYoung ? expected : live),
-    connectionLimit: () => 27,
+    connectionLimit: (groupName) => (groupName === 'g' ? 27 : 9),
     hasTenants: () => false,
     startedAtMs: () => 0,
     now: () => ageMs,
@@ -59,3 +59,16 @@
   const assignments = assignmentsOf('d0', fleet.slice(0, 6), fleet, 10_000);
   for (const member of MEMBERS) assert.equal(assignments.budget(member), 4);
 });
+
+test('an id whose next life has other slots, another zone or another group is assigned anew', () => {
+  const fleet = fleetOf(60);
+  const [member] = MEMBERS;
+  assert.ok(member !== undefined);
+  for (const change of [{ slots: 1 }, { zone: 'b' }, { groupName: 'other' }]) {
+    const known = assignmentsOf('d0', fleet, fleet, 10_000);
+    known.of(member);
+    const fresh = assignmentsOf('d0', fleet, fleet, 10_000);
+    const next: MemberEntry = { ...member, ...change, bornMs: 1 };
+    assert.deepEqual(known.of(next), fresh.of(next), JSON.stringify(change));
+  }
+});
