Assignments follow the entry of a member, not its id alone

A new life in another zone or group, or with other slots, was connected to by the gateways of the earlier one, with its number of connections. Change: an assignment is kept while group, zone and slots of the entry are those for which it was computed.

--- a/src/gateway/assignments.ts
+++ b/src/gateway/assignments.ts
@@ -39,9 +39,15 @@
   now(): number;
 }
 
+/** An assignment, and the entry for which it was computed. */
+interface Known {
+  readonly entry: MemberEntry;
+  readonly assignment: Assignment;
+}
+
 /** The assignments of all members, until something changes that they depend on. */
 export class Assignments {
-  readonly #known = new Map<string, Assignment>();
+  readonly #known = new Map<string, Known>();
 
   constructor(private readonly options: AssignmentsOptions) {}
 
@@ -52,11 +58,10 @@
 
   /** Who connects to a member. */
   of(entry: MemberEntry): Assignment {
-    let assignment = this.#known.get(entry.memberId);
-    if (assignment === undefined) {
-      assignment = this.#assign(entry);
-      this.#known.set(entry.memberId, assignment);
-    }
+    const known = this.#known.get(entry.memberId);
+    if (known !== undefined && isAssignedAlike(known.entry, entry)) return known.assignment;
+    const assignment = this.#assign(entry);
+    this.#known.set(entry.memberId, { entry, assignment });
     return assignment;
   }
 
@@ -91,3 +96,8 @@
     return assignGateways(daemons, { memberId, zone, connections, hasTenants });
   }
 }
+
+/** True when two entries of one id are assigned alike. */
+function isAssignedAlike(one: MemberEntry, other: MemberEntry): boolean {
+  return one.groupName === other.groupName && one.zone === other.zone && one.slots === other.slots;
+}
