Tests of what ends with a member's life: pool, loans, own links, doubts

Cause: the mend of lives had its tests at the directory only.

The gateway test stands in for the wiring of `RelayDaemon` (which life is lent); the daemon's own line for that has no test of its own.

--- a/src/gateway/gateway-server.test.ts
+++ b/src/gateway/gateway-server.test.ts
@@ -10,12 +10,13 @@
  * handed to the gateway.
  */
 import assert from 'node:assert/strict';
-import { afterEach, beforeEach, test } from 'node:test';
+import { afterEach, beforeEach, describe, test } from 'node:test';
 import { daemonRecord } from '../../test/support/daemon-records.js';
 import { SlowLink } from '../../test/support/slow-link.js';
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import { LinkPool } from '../relay/link-pool.js';
 import { LinkLostError, NotSentError, type MemberReply } from '../relay/member-link.js';
+import { compareIncarnations } from '../topology/incarnation.js';
 import type { BorrowedLink } from './borrowed-link.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
@@ -32,10 +33,14 @@
 let client: GatewayClient;
 /** The connections that the member has accepted. */
 let links: SlowLink[];
+let pool: LinkPool;
+/** When the member that the gateway knows started. */
+let bornMs: number | null;
 
 beforeEach(async () => {
   links = [];
-  const pool = new LinkPool({
+  bornMs = null;
+  pool = new LinkPool({
     dialer: {
       dial: () => {
         const link = new SlowLink();
@@ -54,7 +59,7 @@
     random: () => 0.5,
   });
   server = new GatewayServer({
-    pool: () => pool,
+    pool: (_group, life) => (compareIncarnations({ memberId: 'm', bornMs }, life) === 'same' ? pool : null),
     ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
     changes: () => new Promise<never>(() => undefined),
     configuration: () => ({ proof: null, item: null }),
@@ -188,3 +193,57 @@
   assert.equal(await answer, null);
   assert.ok(performance.now() - startMs < 10_000);
 });
+
+describe('a member whose life has ended', () => {
+  test('ends a loan that rests inside a transaction, before its next request', async () => {
+    const loan = await resting();
+    server.endLoans(pool);
+    pool.end();
+    await waitUntil('the borrower to be told', () => !loan.isOpen);
+    assert.equal(memberLink().isOpen, false);
+    assert.equal(await fateOf(loan.send(COMMIT)), 'not sent');
+    assert.equal(server.openLoans, 0);
+  });
+
+  test('leaves open what became of a request that it had been sent', async () => {
+    const loan = await resting();
+    const fate = fateOf(loan.send(COMMIT));
+    await waitUntil('the member to be asked', () => memberLink().isAsked);
+    server.endLoans(pool);
+    pool.end();
+    assert.equal(await fate, 'lost');
+  });
+
+  test('is waited for no longer', async () => {
+    const holder = await resting();
+    const fate = fateOf(client.borrow(RECORD, TERMS).send(WRITE));
+    await waitUntil('the request to wait', () => server.openLoans === 2);
+    server.endLoans(pool);
+    pool.end();
+    assert.equal(await fate, 'refused');
+    await waitUntil('the borrower to be told', () => !holder.isOpen);
+  });
+
+  test('has no part in the loans of other members', async () => {
+    const loan = await resting();
+    server.endLoans(new LinkPool({} as ConstructorParameters<typeof LinkPool>[0]));
+    const fate = fateOf(loan.send(COMMIT));
+    await answerNext();
+    assert.equal(await fate, 'answered');
+  });
+
+  test('is not taken for the one that a loan means, nor the other way round', async () => {
+    for (const [known, meant, expected] of [
+      [2000, 1000, 'refused'],
+      [1000, 2000, 'refused'],
+      [2000, 2000, 'answered'],
+      [2000, null, 'answered'],
+      [null, 1000, 'answered'],
+    ] as const) {
+      bornMs = known;
+      const fate = fateOf(client.borrow(RECORD, { ...TERMS, bornMs: meant }).send(WRITE));
+      if (expected === 'answered') await answerNext();
+      assert.equal(await fate, expected, `${known} ${meant}`);
+    }
+  });
+});
--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -8,22 +8,28 @@
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { LinkPool } from '../relay/link-pool.js';
 import type { LinkDemand } from '../relay/link-queue.js';
+import { PoolTimeoutError } from '../relay/link-wait.js';
 import { DialError } from '../relay/member-link.js';
 import type { SessionLink } from '../relay/session-link.js';
-import type { GatewayClient } from './gateway-client.js';
+import type { GatewayClient, LoanTerms } from './gateway-client.js';
 import { MemberConnections } from './member-connections.js';
 
 const DEMAND: LinkDemand = { tenantName: null, values: new Map(), isWrite: false, priority: 1, dueAtMs: 0 };
-const LENT = { isOpen: true } as SessionLink;
+const LENT = { isOpen: true, close: () => undefined } as SessionLink;
 
 /** Connections to a member that refuses them all since it has too many. */
-function scene(others: readonly string[]): {
+function scene(
+  others: readonly string[],
+  lent = LENT,
+): {
   connections: MemberConnections;
   borrowed: string[];
+  terms: LoanTerms[];
   clock: { now: number };
 } {
   const clock = { now: 0 };
   const borrowed: string[] = [];
+  const terms: LoanTerms[] = [];
   const pool = new LinkPool({
     dialer: { dial: () => Promise.reject(new DialError('too_many_connections', 'full')) },
     address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
@@ -38,15 +44,16 @@
   });
   const gateways = {
     choose: (records: readonly DaemonRecord[]) => records[0] ?? null,
-    borrow: ({ name }: DaemonRecord) => {
+    borrow: ({ name }: DaemonRecord, given: LoanTerms) => {
       borrowed.push(name);
-      return LENT;
+      terms.push(given);
+      return lent;
     },
   };
   const connections = new MemberConnections({
     groupName: 'g',
     memberId: 'm',
-    bornMs: () => null,
+    bornMs: () => 1000,
     pool,
     gateways: gateways as unknown as GatewayClient,
     assignment: () => ({ gateways: null, standbys: [], budget: 2 }),
@@ -54,7 +61,7 @@
     others: () => others.map((name) => ({ name }) as DaemonRecord),
     ownName: 'd1',
   });
-  return { connections, borrowed, clock };
+  return { connections, borrowed, terms, clock };
 }
 
 test('a daemon to which the member gives none borrows one, and asks the member again later', async () => {
@@ -73,3 +80,29 @@
   await assert.rejects(connections.acquire(DEMAND, 1000), DialError);
   assert.equal(connections.isDirect, true);
 });
+
+test('the end of the member ends its loans, and nothing is borrowed for it any more', async () => {
+  const { connections, borrowed } = scene(['d2']);
+  const closed: SessionLink[] = [];
+  const lent = { isOpen: true, close: () => void closed.push(lent) } as unknown as SessionLink;
+  const lending = scene(['d2'], lent);
+  await assert.rejects(lending.connections.acquire(DEMAND, 1000), DialError);
+  assert.equal(await lending.connections.acquire(DEMAND, 1000), lent);
+  lending.connections.end();
+  assert.deepEqual(closed, [lent]);
+  assert.equal(lending.connections.load, 0);
+  assert.throws(() => lending.connections.borrow(DEMAND, 1000), PoolTimeoutError);
+  await assert.rejects(lending.connections.acquire(DEMAND, 1000), PoolTimeoutError);
+  connections.end();
+  await assert.rejects(connections.acquire(DEMAND, 1000), PoolTimeoutError);
+  assert.deepEqual(borrowed, []);
+});
+
+test('a loan says which life of the member is meant', () => {
+  const { connections, terms } = scene(['d2']);
+  connections.borrow(DEMAND, 1000);
+  assert.deepEqual(
+    terms.map(({ memberId, bornMs }) => [memberId, bornMs]),
+    [['m', 1000]],
+  );
+});
--- a/src/leadership/member-control.test.ts
+++ b/src/leadership/member-control.test.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
+import { describe, test } from 'node:test';
+import { FakeLink } from '../../test/support/fake-link.js';
 import { DialError, type MemberLink, type MemberReply } from '../relay/member-link.js';
 import type { Member } from '../topology/member-group.js';
 import { MemberControl } from './member-control.js';
@@ -108,3 +109,53 @@
   assert.deepEqual(new Set((await Promise.all(asked)).map(({ kind }) => kind)), new Set(['slow']));
   assert.equal(dials, 1);
 });
+
+describe('a member whose life has ended', () => {
+  /** A control whose connections are opened when the test says so. */
+  function dialing(): { control: MemberControl; opened: ((link: FakeLink) => void)[] } {
+    const opened: ((link: FakeLink) => void)[] = [];
+    const control = new MemberControl({
+      dialer: { dial: () => new Promise<MemberLink>((resolve) => opened.push(resolve)) },
+      readStatus: () => STATUS,
+      mayConnect: () => true,
+      now: () => performance.now(),
+    });
+    return { control, opened };
+  }
+
+  test('is asked nothing, since another may answer for it', async () => {
+    const { control, member, steps } = scene(true, 'answers');
+    member.hasEnded = true;
+    for (const request of [{ kind: 'status' }, { kind: 'pause', term: 2 }] as const)
+      assert.deepEqual(await control.ask(member, request, 100), { kind: 'refused' });
+    assert.deepEqual(steps, []);
+  });
+
+  test('has said nothing by an answer that comes after its end', async () => {
+    const { member } = scene(true, 'answers');
+    const { control, opened } = dialing();
+    const asked = control.ask(member, { kind: 'pause', term: 2 }, 100);
+    member.hasEnded = true;
+    opened[0]?.(new FakeLink());
+    assert.deepEqual(await asked, { kind: 'refused' });
+  });
+
+  test('leaves no own connection to the next life, also not one that was being opened', async () => {
+    const { member: old } = scene(true, 'answers');
+    const { member: next } = scene(true, 'answers');
+    const { control, opened } = dialing();
+    const [early, late] = [new FakeLink(), new FakeLink()];
+    const first = control.ask(old, { kind: 'pause', term: 2 }, 100);
+    control.forget('m');
+    const second = control.ask(next, { kind: 'pause', term: 2 }, 100);
+    assert.equal(opened.length, 2, 'the next life is connected to anew');
+    opened[0]?.(early);
+    opened[1]?.(late);
+    assert.deepEqual(await first, { kind: 'silent' });
+    assert.equal((await second).kind, 'answered');
+    assert.deepEqual([early.isOpen, early.sent.length], [false, 0]);
+    assert.deepEqual([late.isOpen, late.sent.length], [true, 1]);
+    control.forget('m');
+    assert.equal(late.isOpen, false);
+  });
+});
--- /dev/null
+++ b/src/relay/leader-doubts.test.ts
@@ -0,0 +1,35 @@
+/**
+ * Of which members this daemon tells that something is wrong.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Suspicion } from '../cluster/peer-mesh.js';
+import { ListedMembers, entryOf } from '../../test/support/listed-members.js';
+import { LeaderDoubts } from './leader-doubts.js';
+
+test('trouble with a life that has ended says nothing of the next one, which may lead', () => {
+  const scene = new ListedMembers();
+  const told: Suspicion[] = [];
+  const woken: string[] = [];
+  const doubts = new LeaderDoubts({
+    ownName: 'd',
+    tickMs: 50,
+    tell: (suspicion) => void told.push(suspicion),
+    wake: (groupName) => void woken.push(groupName),
+    log: () => undefined,
+    now: () => scene.now,
+  });
+  const group = scene.group();
+  scene.directory.listed(entryOf());
+  const old = scene.member();
+  scene.directory.listed(entryOf({ bornMs: 2000 }));
+  group.evidence.believe({ memberId: 'm', term: 4 });
+  for (const reason of ['lost', 'silent', 'refused', 'read_only']) doubts.suspect(group, old, reason);
+  assert.deepEqual(group.evidence.leader, { memberId: 'm', term: 4 });
+  assert.deepEqual([told, woken], [[], []]);
+  assert.equal(scene.member().isAvoided(scene.now), false);
+  doubts.suspect(group, scene.member(), 'lost');
+  assert.equal(told.length, 1);
+});
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -4,10 +4,11 @@
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
+import { describe, test } from 'node:test';
 import { FakeLink } from '../../test/support/fake-link.js';
 import { LinkPool } from './link-pool.js';
 import type { LinkDemand } from './link-queue.js';
+import { PoolTimeoutError } from './link-wait.js';
 import { DialError, LinkLostError, type MemberLink } from './member-link.js';
 
 const ADDRESS = { memberId: 'm', groupName: 'g', host: 'h', port: 1 };
@@ -20,7 +21,12 @@
   dueAtMs: Number.POSITIVE_INFINITY,
 };
 
-function poolOf(budget: number, dial: () => Promise<MemberLink>, clock = { now: 0 }): LinkPool {
+function poolOf(
+  budget: number,
+  dial: () => Promise<MemberLink>,
+  clock = { now: 0 },
+  onTrouble: (reason: string) => void = () => undefined,
+): LinkPool {
   return new LinkPool({
     dialer: { dial },
     address: ADDRESS,
@@ -29,7 +35,7 @@
     limitBackoffMs: 10,
     idleMs: 1000,
     serviceMs: () => 10,
-    onTrouble: () => undefined,
+    onTrouble,
     random: () => 0.5,
     now: () => clock.now,
   });
@@ -233,3 +239,79 @@
   for (const [index, pause] of pauses.slice(1).entries())
     assert.ok(pause >= 1.8 * (pauses[index] ?? 0), `connections begun: ${begun.join(', ')}`);
 });
+
+describe('a pool whose member has ended', () => {
+  /** A pool whose trouble is noted, with a connection in use, an idle one, and what its dialer is asked. */
+  async function endedPool(): Promise<{
+    pool: LinkPool;
+    links: FakeLink[];
+    troubles: string[];
+    dials: ((link: MemberLink | DialError) => void)[];
+  }> {
+    const links: FakeLink[] = [];
+    const troubles: string[] = [];
+    const dials: ((link: MemberLink | DialError) => void)[] = [];
+    const dial = (): Promise<MemberLink> => {
+      if (links.length < 2) {
+        const link = new FakeLink();
+        links.push(link);
+        return Promise.resolve(link);
+      }
+      return new Promise((resolve, reject) =>
+        dials.push((outcome) => (outcome instanceof DialError ? reject(outcome) : resolve(outcome))),
+      );
+    };
+    const pool = poolOf(4, dial, { now: 0 }, (reason) => void troubles.push(reason));
+    await pool.acquire(DEMAND, 1000);
+    pool.release(await pool.acquire(DEMAND, 1000));
+    return { pool, links, troubles, dials };
+  }
+
+  test('ends its connections at once, also those in use, and hands out no more', async () => {
+    const { pool, links } = await endedPool();
+    pool.end();
+    assert.deepEqual(
+      links.map(({ isOpen }) => isOpen),
+      [false, false],
+    );
+    assert.equal(pool.size, 0);
+    await assert.rejects(pool.acquire(DEMAND, 1000), PoolTimeoutError);
+    pool.reopen();
+    await assert.rejects(pool.acquire(DEMAND, 1000), PoolTimeoutError, 'its end is for good');
+  });
+
+  test('tells those who wait, and of no trouble, whatever comes of the connections that it was opening', async () => {
+    const { pool, troubles, dials } = await endedPool();
+    await pool.acquire(DEMAND, 1000);
+    const waiting = [pool.acquire(DEMAND, 1000), pool.acquire(DEMAND, 1000)];
+    assert.equal(dials.length, 2);
+    const outcomes = Promise.allSettled(waiting);
+    pool.end();
+    assert.deepEqual(
+      (await outcomes).map(({ status }) => status),
+      ['rejected', 'rejected'],
+    );
+    const late = new FakeLink();
+    dials[0]?.(late);
+    dials[1]?.(new DialError('refused', 'nothing listens'));
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.equal(late.isOpen, false);
+    assert.equal(pool.size, 0);
+    assert.deepEqual(troubles, []);
+  });
+});
+
+test('a pool that was closed and is opened again hands out the connections that it has', async () => {
+  const links: FakeLink[] = [];
+  const pool = poolOf(1, () => {
+    links.push(new FakeLink());
+    return Promise.resolve(links[0] as FakeLink);
+  });
+  const link = await pool.acquire(DEMAND, 1000);
+  pool.close();
+  await assert.rejects(pool.acquire(DEMAND, 1000), PoolTimeoutError);
+  pool.reopen();
+  pool.release(link);
+  assert.equal(await pool.acquire(DEMAND, 1000), link);
+  assert.equal(links.length, 1);
+});
