--- a/src/observability/explain-request.ts
+++ b/src/observability/explain-request.ts
@@ -12,6 +12,7 @@
   'member_in',
   'member_leaves',
   'member_out',
+  'member_reborn',
   'member_role',
   'member_suspected',
   'order',
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -44,7 +44,10 @@
   missingSinceMs: number | null = null;
   /** Since when it has been known to leave, in monotonic milliseconds; `null` while it stays. */
   leavingSinceMs: number | null = null;
-  /** Its process has ended: another life goes by its id, and whoever answers at its address is not this one. */
+  /**
+   * Its process has ended: another life goes by its id, and whoever answers at its address is not this one. Set too where the
+   * same life is reached at another address: another object stands for it then.
+   */
   hasEnded = false;
   #avoidUntilMs = Number.NEGATIVE_INFINITY;
   /** Smoothed time of its answers, in milliseconds. */
