--- a/src/leadership/ended-members.ts
+++ b/src/leadership/ended-members.ts
@@ -8,8 +8,7 @@
  * @packageDocumentation
  */
 import { hasReached, type Position } from '../position/position.js';
-import { formatIncarnation, type Incarnation } from '../topology/incarnation.js';
-import type { MemberEntry } from '../topology/member-group.js';
+import type { Member, MemberEntry } from '../topology/member-group.js';
 
 /** A member that was paused for a promotion, with what it has received. */
 export interface PausedMember {
@@ -17,35 +16,36 @@
   readonly received: Position;
 }
 
-/** What one supervisor knows of the members of its group that have ended. */
+/** What one supervisor knows of the lives of its group that have ended. */
 export class EndedMembers {
-  readonly #limits = new Map<string, Position>();
+  readonly #limits = new Map<Member, Position>();
 
   /** True when it is known how far the log had come after the member had ended. */
-  has(member: Incarnation): boolean {
-    return this.#limits.has(formatIncarnation(member));
+  has(member: Member): boolean {
+    return this.#limits.has(member);
   }
 
   /** The proven leader gave a position when it was asked after the member had refused a connection. */
-  record(member: Incarnation, position: Position): void {
-    this.#limits.set(formatIncarnation(member), position);
+  record(member: Member, position: Position): void {
+    this.#limits.set(member, position);
   }
 
-  /** Forgets all lives but these, by incarnation. */
-  retain(incarnations: ReadonlyMap<string, unknown>): void {
-    for (const key of this.#limits.keys()) if (!incarnations.has(key)) this.#limits.delete(key);
+  /** Forgets all members but these. */
+  retain(members: Iterable<Member>): void {
+    const kept = new Set(members);
+    for (const member of this.#limits.keys()) if (!kept.has(member)) this.#limits.delete(member);
   }
 
   /** Those of the members that refuse connections which may have received more than every paused one. */
-  uncovered(refusing: readonly MemberEntry[], paused: readonly PausedMember[]): readonly MemberEntry[] {
-    return refusing.filter((entry) => !paused.some((member) => this.#covers(member, entry)));
+  uncovered(refusing: readonly Member[], paused: readonly PausedMember[]): readonly Member[] {
+    return refusing.filter((ended) => !paused.some((member) => this.#covers(member, ended)));
   }
 
-  #covers(member: PausedMember, ended: MemberEntry): boolean {
-    const isSuccessor = member.entry.host === ended.host && member.entry.port === ended.port;
+  #covers({ entry, received }: PausedMember, ended: Member): boolean {
+    const isSuccessor = entry.host === ended.entry.host && entry.port === ended.entry.port;
     // The next life of the same member is given nothing of what the former had.
-    if (isSuccessor && member.entry.memberId !== ended.memberId) return true;
-    const limit = this.#limits.get(formatIncarnation(ended));
-    return limit !== undefined && hasReached(member.received, limit);
+    if (isSuccessor && entry.memberId !== ended.entry.memberId) return true;
+    const limit = this.#limits.get(ended);
+    return limit !== undefined && hasReached(received, limit);
   }
 }
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -158,8 +158,8 @@
   /** Finds out which former members have ended, and asks the leader then how far the log has come. */
   async #noteEnded(leader: Member): Promise<void> {
     const { former } = this.group;
-    this.#ended.retain(former);
-    const unknown = [...former.values()].filter(({ entry }) => !this.#ended.has(entry));
+    this.#ended.retain(former.values());
+    const unknown = [...former.values()].filter((member) => !this.#ended.has(member));
     if ((unknown.length === 0 && !this.#lost.isLimitOpen) || this.#isNotingEnded) return;
     this.#isNotingEnded = true;
     const areEnded = await Promise.all(unknown.map((member) => this.#hasEnded(member)));
@@ -167,7 +167,7 @@
     const isAsked = ended.length > 0 || this.#lost.isLimitOpen;
     const position = isAsked ? await this.#logPosition(leader) : null;
     if (position !== null) {
-      for (const { entry } of ended) this.#ended.record(entry, position);
+      for (const member of ended) this.#ended.record(member, position);
       this.#lost.record(position);
     }
     this.#isNotingEnded = false;
@@ -352,10 +352,7 @@
   }
 
   #memberOf(memberId: string): Member | null {
-    const former = [...this.group.former.values()].filter(({ hasEnded }) => !hasEnded);
-    return (
-      this.group.members.get(memberId) ?? former.find(({ entry }) => entry.memberId === memberId) ?? null
-    );
+    return this.group.members.get(memberId) ?? this.group.formerOf(memberId);
   }
 
   #others(leader: Member | null): readonly Member[] {
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -54,7 +54,7 @@
   async pauseAll(members: readonly Member[], term: number, pausedBefore: readonly Paused[]): Promise<Pauses> {
     const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
     const paused = results.filter((result) => typeof result !== 'string');
-    const gone = members.filter((_, index) => results[index] === 'gone').map(({ entry }) => entry);
+    const gone = members.filter((_, index) => results[index] === 'gone');
     const uncovered = this.ended.uncovered(
       gone,
       [...pausedBefore, ...paused].map(({ member, status }) => ({
@@ -63,7 +63,7 @@
       })),
     );
     const silent = members.filter((_, index) => results[index] === 'missing').map(({ entry }) => entry);
-    return { paused, missing: [...silent, ...uncovered] };
+    return { paused, missing: [...silent, ...uncovered.map(({ entry }) => entry)] };
   }
 
   /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
--- a/src/relay/leader-doubts.ts
+++ b/src/relay/leader-doubts.ts
@@ -53,6 +53,8 @@
    * holds (`lost_log`): another life goes by its id.
    */
   suspect(group: MemberGroup, member: Member, reason: string): void {
+    // Its connections were ended on purpose, and another life goes by its id.
+    if (member.hasEnded) return;
     const isLeader = isLeaderOf(group, member);
     const isDenial = DENIALS.has(reason);
     if (isDenial) {
