--- /dev/null
+++ b/src/coordination/foreign-keys.test.ts
@@ -0,0 +1,229 @@
+/**
+ * The project's own keys in the store, written by somebody else.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { after, describe, test } from 'node:test';
+import fc from 'fast-check';
+import { MemoryStore, settle } from '../../test/support/memory-store.js';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { StoredItem } from './coordination-store.js';
+import { Duty, listLeasedDaemons, readDaemons } from './duty.js';
+
+/** Runs of each property: more by hand, as `FUZZ_RUNS=10000`; with other seeds, as `FUZZ_SEED=4`. */
+const FUZZ = {
+  seed: Number(process.env['FUZZ_SEED'] ?? 20_261_203),
+  numRuns: Number(process.env['FUZZ_RUNS'] ?? 300),
+};
+const DUTY_KEY = 'sorrelladder/duty';
+const FENCE_KEY = 'sorrelladder/fence';
+const RECORD: DaemonRecord = {
+  name: 'd1',
+  life: 'd1-life',
+  host: '10.0.0.1',
+  port: 7000,
+  gatewayPort: 7001,
+  zone: 'a',
+  capacity: 0.7,
+};
+
+function json(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+function itemsOf(entries: readonly (readonly [string, Buffer])[]): ReadonlyMap<string, StoredItem> {
+  return new Map(entries.map(([key, value], index) => [key, { key, value, revision: index + 1 }]));
+}
+
+const BAD_RECORDS: readonly (readonly [string, Buffer])[] = [
+  ['bytes that are no JSON', Buffer.from('{"name":"d2"')],
+  ['bytes that are no UTF-8', Buffer.from([0xff, 0x80])],
+  ['an empty value', Buffer.alloc(0)],
+  ['null', json(null)],
+  ['a list', json([RECORD])],
+  ['1 MiB of text', json({ ...RECORD, name: 'd2', more: 'x'.repeat(1024 * 1024) })],
+  ['no life', json({ ...RECORD, name: 'd2', life: undefined })],
+  ['the name of another daemon', json({ ...RECORD, host: '10.6.6.6' })],
+  ['a host that is a number', json({ ...RECORD, name: 'd2', host: 1 })],
+  ['a port that is a text', json({ ...RECORD, name: 'd2', port: '7000' })],
+  ['a port out of range', json({ ...RECORD, name: 'd2', port: 70_000 })],
+  ['no port to lend at', json({ ...RECORD, name: 'd2', gatewayPort: undefined })],
+  ['a zone that is null', json({ ...RECORD, name: 'd2', zone: null })],
+  ['a negative capacity', json({ ...RECORD, name: 'd2', capacity: -1 })],
+];
+
+describe('the record of a daemon', () => {
+  for (const [what, value] of BAD_RECORDS) {
+    test(`with ${what} is left out, and the others hold`, () => {
+      const { registered, leased } = readDaemons(
+        itemsOf([
+          ['sorrelladder/daemons/d1', json(RECORD)],
+          ['sorrelladder/daemons/d2', value],
+          ['sorrelladder/daemons/d3', json({ ...RECORD, name: 'd3' })],
+          ['sorrelladder/daemons/', json({ ...RECORD, name: '' })],
+          ['sorrelladder/live/d1', Buffer.from('d1-life')],
+          ['sorrelladder/live/', Buffer.from('x')],
+        ]),
+      );
+      assert.deepEqual([...registered.keys()], ['d1', 'd3']);
+      assert.deepEqual(registered.get('d1'), RECORD);
+      assert.deepEqual([...leased], ['d1']);
+    });
+  }
+
+  test('that cannot be read spoils no listing of those whose lease runs', async () => {
+    const store = new MemoryStore();
+    for (const [key, value] of [
+      ['sorrelladder/daemons/d0', json(null)],
+      ['sorrelladder/live/d0', Buffer.from('x')],
+      ['sorrelladder/daemons/d1', json(RECORD)],
+      ['sorrelladder/live/d1', Buffer.from('d1-life')],
+    ] as const)
+      store.items.set(key, { key, value, revision: 2, leaseId: 0 });
+    assert.deepEqual(await listLeasedDaemons(store), [RECORD]);
+  });
+
+  test('of this daemon is written again when somebody has spoilt it', async () => {
+    const { store, duty } = await running();
+    const key = 'sorrelladder/daemons/d1';
+    overwrite(store, key, json(null));
+    await duty.keysChanged();
+    const deadlineMs = performance.now() + 1500;
+    while (store.items.get(key)?.value.toString() !== JSON.stringify(RECORD)) {
+      assert.ok(performance.now() < deadlineMs, 'the record is still spoilt');
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+  });
+});
+
+interface Running {
+  readonly store: MemoryStore;
+  readonly duty: Duty;
+  readonly events: string[];
+  readonly clock: { now: number };
+}
+
+const started: Duty[] = [];
+after(async () => {
+  for (const duty of started) await duty.stop();
+});
+
+/** A daemon that has registered and, where it is free, taken the duty. */
+async function running(store = new MemoryStore(), clock = { now: 0 }): Promise<Running> {
+  const events: string[] = [];
+  const duty = new Duty(
+    store,
+    RECORD,
+    () => store,
+    {
+      registered: () => undefined,
+      taken: (fence) => events.push(`taken ${fence}`),
+      lost: (reason) => events.push(reason),
+    },
+    () => Promise.resolve(false),
+    () => clock.now,
+    () => 0.5,
+  );
+  started.push(duty);
+  await duty.keysChanged();
+  void duty.run();
+  await settle();
+  return { store, duty, events, clock };
+}
+
+function overwrite(store: MemoryStore, key: string, value: Buffer): void {
+  store.revision += 1;
+  store.items.set(key, { key, value, revision: store.revision, leaseId: 0 });
+}
+
+const BAD_DUTIES: readonly (readonly [string, Buffer])[] = [
+  ['bytes that are no JSON', Buffer.from('{')],
+  ['null', json(null)],
+  ['a state that is not named', json({ state: 'wanted', fence: 9 })],
+  [
+    'a holder that is a number',
+    json({ state: 'held', holder: 1, life: 'x', fence: 9, leaseId: 1, actsInMs: 0 }),
+  ],
+  ['no life', json({ state: 'held', holder: 'x', fence: 9, leaseId: 1, actsInMs: 0 })],
+  ['a fractional fence', json({ state: 'released', fence: 1.5 })],
+  ['a negative fence', json({ state: 'released', fence: -1 })],
+  [
+    'a wait that is a text',
+    json({ state: 'held', holder: 'x', life: 'x', fence: 9, leaseId: 1, actsInMs: 'soon' }),
+  ],
+];
+
+describe('the record of the duty', () => {
+  for (const [what, value] of BAD_DUTIES) {
+    test(`with ${what} ends the duty, which is taken again with a higher fence and acted on after the wait`, async () => {
+      const { store, duty, events, clock } = await running();
+      overwrite(store, DUTY_KEY, value);
+      await duty.keysChanged();
+      assert.deepEqual(events, ['taken 1', 'the record is gone', 'taken 2']);
+      assert.equal(duty.isHolder, true);
+      await duty.stop();
+
+      const other = new MemoryStore();
+      overwrite(other, FENCE_KEY, Buffer.from('7'));
+      overwrite(other, DUTY_KEY, value);
+      const next = await running(other, clock);
+      assert.deepEqual(next.events, ['taken 8']);
+      assert.equal(next.duty.heldFence(0), null, 'whoever held it may still act');
+    });
+  }
+});
+
+describe('the fence', () => {
+  const BAD = ['', 'x', 'NaN', '-3', '1.5', '1e3', ' 7 ', 'null', '9'.repeat(400), '\u0000', '{"fence":4}'];
+  for (const text of BAD) {
+    test(`that is ${JSON.stringify(text.slice(0, 12))} rises all the same`, async () => {
+      const { store, duty, events } = await running();
+      overwrite(store, FENCE_KEY, Buffer.from(text));
+      await duty.stop();
+      await settle();
+      const { events: later } = await running(store);
+      const [first, second] = [events[0], later[0]].map((event) => Number(event?.replace('taken ', '')));
+      assert.equal(first, 1);
+      assert.ok(second !== undefined && Number.isSafeInteger(second) && second > 1, String(second));
+      assert.equal(store.items.get(FENCE_KEY)?.value.toString(), String(second));
+    });
+  }
+
+  test('that is lower than that of the last holder still rises', async () => {
+    const store = new MemoryStore();
+    overwrite(store, FENCE_KEY, Buffer.from('2'));
+    overwrite(store, DUTY_KEY, json({ state: 'released', fence: 12 }));
+    const { events } = await running(store);
+    assert.deepEqual(events, ['taken 13']);
+  });
+});
+
+test('whatever stands under the project’s own keys, nothing is thrown and good records are read', async () => {
+  const anyValue = fc.oneof(
+    fc.uint8Array({ maxLength: 100 }).map((bytes) => Buffer.from(bytes)),
+    fc.jsonValue().map(json),
+    fc.constantFrom(...[...BAD_RECORDS, ...BAD_DUTIES].map(([, value]) => value)),
+    fc
+      .dictionary(fc.constantFrom(...Object.keys(RECORD)), fc.jsonValue())
+      .map((fields) => json({ ...RECORD, ...fields })),
+  );
+  const anyKey = fc.oneof(
+    fc.constantFrom('daemons/x', 'daemons/', 'live/x', 'live/', 'duty', 'fence', 'other'),
+    fc.string({ maxLength: 20 }).map((name) => `daemons/${name}`),
+  );
+  await fc.assert(
+    fc.asyncProperty(fc.array(fc.tuple(anyKey, anyValue), { maxLength: 8 }), async (foreign) => {
+      const store = new MemoryStore();
+      for (const [key, value] of foreign) overwrite(store, `sorrelladder/${key}`, value);
+      overwrite(store, 'sorrelladder/daemons/d9', json({ ...RECORD, name: 'd9' }));
+      const { registered } = readDaemons(store.items);
+      assert.equal(registered.get('d9')?.port, 7000);
+      for (const [name, record] of registered) assert.equal(name, record.name);
+      const { duty } = await running(store);
+      await duty.keysChanged();
+      await duty.stop();
+    }),
+    FUZZ,
+  );
+});
--- a/src/coordination/watched-store.test.ts
+++ b/src/coordination/watched-store.test.ts
@@ -9,6 +9,14 @@
 import { StoreError } from './coordination-store.js';
 import { WatchedStore } from './watched-store.js';
 
+async function until(condition: () => boolean): Promise<void> {
+  const deadlineMs = performance.now() + 2000;
+  while (!condition()) {
+    assert.ok(performance.now() < deadlineMs, 'it has not come about');
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
+
 describe('the copy of the store', () => {
   function follow(store: MemoryStore): { watched: WatchedStore; told: string[]; rests: number[] } {
     const told: string[] = [];
@@ -143,4 +151,85 @@
     assert.equal(early.lists, 1);
     prefetched.stop();
   });
+
+  test('goes on when listeners throw: the others are told, and the store is not called away', async () => {
+    const lines: string[] = [];
+    const told: string[] = [];
+    const fail = (): never => {
+      throw new Error('hush');
+    };
+    const store = new MemoryStore();
+    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
+    store.watchAnswers = [6, 7, 8].map((revision) => ({
+      kind: 'events',
+      events: [
+        { key: 'a/2', value, revision },
+        { key: 'a/1', value: null, revision },
+      ],
+      revision,
+    }));
+    const watched = new WatchedStore({
+      feed: {
+        list: () => store.list(),
+        watch: async () => ({ ...(await store.watch()), isPassedOn: false }),
+      },
+      log: (event, details) => lines.push(`${event} ${JSON.stringify(details)}`),
+      now: () => 0,
+      random: () => 0.5,
+      rest: () => Promise.resolve(),
+    });
+    watched.subscribe('a/', { changed: fail, removed: fail, settled: fail, availability: fail });
+    watched.subscribe('a/', {
+      changed: ({ key, revision }) => told.push(`${key}@${revision}`),
+      removed: (key) => told.push(`-${key}`),
+      settled: () => told.push('settled'),
+      availability: (isAvailable) => told.push(isAvailable ? 'up' : 'down'),
+    });
+    void watched.run();
+    await settle();
+    assert.deepEqual(told.slice(0, 2), ['a/1@5', 'settled']);
+    assert.deepEqual(told.slice(2, 5), ['a/2@6', '-a/1', 'settled']);
+    assert.deepEqual(told.slice(5), ['a/2@7', 'settled', 'a/2@8', 'settled']);
+    watched.offer({ key: 'a/3', value, revision: 9 });
+    assert.equal(told.at(-1), 'a/3@9');
+    assert.ok(lines.length > 0 && lines.length <= 6, lines.join('\n'));
+    assert.ok(lines.every((line) => line.startsWith('listener_failed') && !line.includes('hush')));
+    watched.stop();
+  });
+
+  test('tells all listeners of a store that is away and back, also when the first throws', async () => {
+    const store = new MemoryStore();
+    const told: boolean[] = [];
+    let isDown = false;
+    const watched = new WatchedStore({
+      feed: {
+        list: () => store.list(),
+        watch: async () => {
+          if (isDown) throw new StoreError('down', false);
+          return { ...(await store.watch()), isPassedOn: false };
+        },
+      },
+      log: () => undefined,
+      now: () => 0,
+      random: () => 0.5,
+      rest: () => settle(),
+    });
+    const quiet = { changed: () => undefined, removed: () => undefined, settled: () => undefined };
+    watched.subscribe('', {
+      ...quiet,
+      availability: () => {
+        throw new Error('hush');
+      },
+    });
+    watched.subscribe('', { ...quiet, availability: (isAvailable) => told.push(isAvailable) });
+    const ended = watched.run().catch((error: unknown) => error);
+    await settle();
+    isDown = true;
+    await until(() => told.length === 1);
+    isDown = false;
+    await until(() => told.length === 2);
+    assert.deepEqual(told, [false, true]);
+    watched.stop();
+    assert.equal(await ended, undefined);
+  });
 });
