Listeners that throw don't break the copy of the store

Cause: an exception of a listener went through the loop that follows the store. It counted as an answer that the store failed to give: store_lost, all listeners were told that the store is away, a pause; and one thrown while listeners were told so ended the loop for good.

Each call of a listener is now caught by itself: the others are told, the revision goes on, and the line listener_failed names the prefix and the call. The line holds the name of the exception only, since messages may quote values.

--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -5,11 +5,12 @@
  * @packageDocumentation
  */
 import { delay } from '../common/signal.js';
+import { FaultLog, nameFault } from '../observability/fault-log.js';
 import type { ChangeFeed } from './change-feed.js';
 import { ChangeLog } from './change-log.js';
 import type { StoredItem, StoreEvent } from './coordination-store.js';
 
-/** Who is told. */
+/** Who is told. One that throws is told of the next change all the same, and keeps nobody else from being told. */
 export interface WatchedPrefixListener {
   /** A key has a value; also told for every key after each full read. */
   changed(item: StoredItem): void;
@@ -69,13 +70,16 @@
   watchers = 1;
   readonly #items = new Map<string, StoredItem>();
   readonly #listeners: { readonly prefix: string; readonly listener: WatchedPrefixListener }[] = [];
+  readonly #faults: FaultLog;
   #prefetched: ReturnType<ChangeFeed['list']> | null = null;
   #revision: number | null = null;
   #isStopped = false;
   #isAvailable = true;
   #failures = 0;
 
-  constructor(private readonly options: WatchedStoreOptions) {}
+  constructor(private readonly options: WatchedStoreOptions) {
+    this.#faults = new FaultLog(options.log, options.now);
+  }
 
   /** Tells a listener of the keys under a prefix; to be called before {@link WatchedStore.run}. */
   subscribe(prefix: string, listener: WatchedPrefixListener): void {
@@ -132,7 +136,8 @@
     for (const item of items) this.#put(item);
     this.#revision = revision;
     this.changes.restart(revision, this.options.now());
-    for (const { listener } of this.#listeners) listener.settled();
+    for (const { prefix, listener } of this.#listeners)
+      this.#tell(prefix, 'settled', () => listener.settled());
   }
 
   /** One watch; false when everything has to be read again. */
@@ -166,7 +171,8 @@
 
   #settle(events: readonly StoreEvent[]): void {
     for (const { prefix, listener } of this.#listeners)
-      if (events.some(({ key }) => key.startsWith(prefix))) listener.settled();
+      if (events.some(({ key }) => key.startsWith(prefix)))
+        this.#tell(prefix, 'settled', () => listener.settled());
   }
 
   #put(item: StoredItem): void {
@@ -174,14 +180,15 @@
     if (known !== undefined && known.revision >= item.revision) return;
     this.#items.set(item.key, item);
     for (const { prefix, listener } of this.#listeners)
-      if (item.key.startsWith(prefix)) listener.changed(item);
+      if (item.key.startsWith(prefix)) this.#tell(prefix, 'changed', () => listener.changed(item));
   }
 
   #remove(key: string, revision: number): void {
     const known = this.#items.get(key);
     if (known === undefined || known.revision > revision) return;
     this.#items.delete(key);
-    for (const { prefix, listener } of this.#listeners) if (key.startsWith(prefix)) listener.removed(key);
+    for (const { prefix, listener } of this.#listeners)
+      if (key.startsWith(prefix)) this.#tell(prefix, 'removed', () => listener.removed(key));
   }
 
   #succeeded(): void {
@@ -193,7 +200,17 @@
 
   #tellAvailability(reason: string): void {
     this.options.log(this.#isAvailable ? 'store_regained' : 'store_lost', { reason });
-    for (const { listener } of this.#listeners) listener.availability(this.#isAvailable);
+    for (const { prefix, listener } of this.#listeners)
+      this.#tell(prefix, 'availability', () => listener.availability(this.#isAvailable));
+  }
+
+  /** A fault of a listener is not one of the store. */
+  #tell(prefix: string, call: keyof WatchedPrefixListener, telling: () => void): void {
+    try {
+      telling();
+    } catch (error) {
+      this.#faults.tell('listener_failed', `${prefix} ${call}`, nameFault(error), { prefix, call });
+    }
   }
 
   async #failed(reason: string): Promise<void> {
