Another writer in the store of a fleet of processes; mutations of entries

A test of a fence and a duty that can't be read at once is new, since without the rule for it the others passed. Seven mutations: each test is red without its mechanism (run-mutations '^entries').

--- a/src/coordination/foreign-keys.test.ts
+++ b/src/coordination/foreign-keys.test.ts
@@ -197,6 +197,23 @@
     });
   }
 
+  test('rises also where neither it nor the record of the duty can be read, again and again', async () => {
+    const store = new MemoryStore();
+    const fences: number[] = [];
+    for (let turn = 0; turn < 5; turn += 1) {
+      const { duty, events } = await running(store);
+      fences.push(...events.map((event) => Number(event.replace('taken ', ''))));
+      await duty.stop();
+      overwrite(store, FENCE_KEY, json(null));
+      overwrite(store, DUTY_KEY, json(null));
+    }
+    assert.equal(fences.length, 5);
+    assert.deepEqual(
+      fences,
+      [...new Set(fences)].sort((left, right) => left - right),
+    );
+  });
+
   test('that is lower than that of the last holder still rises', async () => {
     const store = new MemoryStore();
     overwrite(store, FENCE_KEY, Buffer.from('2'));
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -26,8 +26,67 @@
 const TENANCY = 'src/tenancy/tenancy.test.js';
 const QUOTA = 'src/quota/quota.test.js';
 
+const FOREIGN_ENTRIES = 'platform/test/foreign-entries.test.js';
+const FOREIGN_KEYS = 'src/coordination/foreign-keys.test.js';
+
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    property: 'entries: a member whose entry cannot be read is out of use',
+    file: 'platform/directory.js',
+    search: 'this.directory.unreadable(memberId.value);',
+    replacement: '',
+    testFile: FOREIGN_ENTRIES,
+    testName: 'no member to use until it is good again',
+  },
+  {
+    property: 'entries: a member that goes over to another service is out of use in the first',
+    file: 'platform/directory.js',
+    search: 'if (isElsewhere)',
+    replacement: 'if (false)',
+    testFile: FOREIGN_ENTRIES,
+    testName: 'goes over to another service',
+  },
+  {
+    property: 'entries: a start is a whole number',
+    file: 'platform/wire-schemas.js',
+    search: 'born: z.optional(count)',
+    replacement: 'born: z.optional(z.number())',
+    testFile: FOREIGN_ENTRIES,
+    testName: 'fractional start',
+  },
+  {
+    property: 'entries: a member that was gone and whose entry cannot be read is out of use',
+    file: 'src/topology/member-directory.js',
+    search: 'this.#lastEntries.set(memberId, entry);\n        }',
+    replacement: '}',
+    testFile: FOREIGN_ENTRIES,
+    testName: 'good entries are listed, bad ones never',
+  },
+  {
+    property: 'entries: a listener that throws keeps nobody from being told',
+    file: 'src/coordination/watched-store.js',
+    search: "this.#faults.tell('listener_failed'",
+    replacement: "throw error; this.#faults.tell('listener_failed'",
+    testFile: 'src/coordination/watched-store.test.js',
+    testName: 'listeners throw',
+  },
+  {
+    property: 'entries: the fence rises also where it cannot be read',
+    file: 'src/coordination/duty-record.js',
+    search: 'item?.revision ?? 0',
+    replacement: '0',
+    testFile: FOREIGN_KEYS,
+    testName: 'neither it nor the record',
+  },
+  {
+    property: 'entries: nobody speaks for another daemon',
+    file: 'src/cluster/daemon-record.js',
+    search: 'reading.value.name !== name',
+    replacement: 'false',
+    testFile: FOREIGN_KEYS,
+    testName: 'the name of another daemon',
+  },
   {
     property: 'keys: a proof of a configuration that has not come renews nothing',
     file: 'src/tenancy/configuration-lease.js',
