--- a/src/leadership/promotion-time.test.ts
+++ b/src/leadership/promotion-time.test.ts
@@ -57,3 +57,47 @@
     assert.ok(!scene.events.includes('allow'), scene.events.join(', '));
   });
 });
+
+describe('the duty is about to end', () => {
+  /**
+   * Users see a service without a leader for 2 to 11 s, once for the rest of a day. A leader leaves while the store is slow: the duty is held for
+   * less time than a call of the platform needs. The leader steps down, and then no call is made.
+   * Evidence: `promotion_candidates`, `leader_demoted`, `promotion_given_up reason="the platform did not do it"`, no `promotion_call`.
+   */
+  test('a leader that lives is not told to step down when the platform cannot be called', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'other']);
+    const leader = scene.group.members.get('old');
+    assert.ok(leader);
+    leader.leavingSinceMs = performance.now();
+    void scene.reached('revoke').then(() => (scene.heldForMs = 300));
+    await scene.until('promotion_given_up');
+    assert.ok(scene.member('old').isPrimary, scene.events.join(', '));
+  });
+
+  /**
+   * The same, once the leader has stepped down; then the daemons that knew what they had acknowledged start again, and a replica is away. What
+   * the leader had received when it stepped down is all that can have been acknowledged.
+   * Evidence: `limit=null missing=1` for as long as the group is without a leader, while the others hold all that the leader held.
+   */
+  test('what a leader held when it stepped down bounds what was acknowledged, also when nobody remembers', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'other']);
+    const leader = scene.group.members.get('old');
+    assert.ok(leader);
+    leader.leavingSinceMs = performance.now();
+    let calls = 0;
+    scene.platform = (memberId) => {
+      calls += 1;
+      if (calls > 1) {
+        setTimeout(() => scene.lead(memberId), 20);
+        return Promise.resolve(true);
+      }
+      scene.daemons.set('d2', { kind: 'gone' });
+      scene.member('old').state = 'ended';
+      scene.member('other').state = 'dark';
+      return Promise.resolve(false);
+    };
+    const running = scene.until('leads one');
+    await running;
+    assert.equal(calls, 2, scene.events.join(', '));
+  });
+});
--- a/test/support/modelled-group.ts
+++ b/test/support/modelled-group.ts
@@ -58,6 +58,8 @@
     return Promise.resolve(true);
   };
   isDutyHeld = true;
+  /** For how long the duty is held at any time, in milliseconds. */
+  heldForMs = Number.POSITIVE_INFINITY;
 
   constructor(memberIds: readonly string[]) {
     memberIds.forEach((memberId, index) => this.add(memberId, index));
@@ -74,7 +76,7 @@
           return this.platform(memberId);
         },
       },
-      heldFence: () => (this.isDutyHeld ? 1 : null),
+      heldFence: (reserveMs) => (this.isDutyHeld && reserveMs < this.heldForMs ? 1 : null),
       order: (order, _timeoutMs, again) => this.#order(order, again),
       callerCount: () => 2,
       isLent: () => false,
