A leader steps down only for a call that can be made, and what it held then bounds what was acknowledged

Cause: the leader was told to step down before the reserve of the duty was looked at; without it no call follows and the group has no leader. The next promotions ask daemons that may have started again since, and count members that are away as missing: nothing can be shown any more. Ruled out: forgetting missing members sooner (they may hold more); lifting the rule where all that answer agree (silence proves nothing). Change: the duty must be held for the call and the step down beforehand; the log of a leader that has stepped down is the limit of what was acknowledged in its term, for every later promotion over that term by the same supervisor. Not covered: a limit that only an earlier holder of the duty has settled.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -16,6 +16,7 @@
 import type { ControlAnswer, MemberControl } from './member-control.js';
 import { DUTY_RESERVE_MS, Promotion } from './promotion.js';
 import { ReplicaPauses } from './replica-pauses.js';
+import { StepDowns } from './step-downs.js';
 
 /** Asks the platform to make a member lead. Rejects when it may or may not have been heard. */
 export interface PromotionPort {
@@ -81,6 +82,7 @@
   readonly #doubts = new Doubts();
   readonly #ended = new EndedMembers();
   readonly #lost = new LostLives();
+  readonly #stepDowns = new StepDowns();
   readonly #pauses: ReplicaPauses;
   #isNotingEnded = false;
   /** No look has been taken yet at what an earlier holder may have left paused. */
@@ -333,6 +335,7 @@
       group: this.group,
       pauses: this.#pauses,
       options: this.options,
+      stepDowns: this.#stepDowns,
       others: () => this.#others(leader).filter((member) => !deposed.has(member)),
       fence: (reserveMs: number) => this.#fence(reserveMs),
     };
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -20,6 +20,7 @@
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { GroupSupervisorOptions } from './group-supervisor.js';
+import type { StepDowns } from './step-downs.js';
 import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
 import type { Paused, Pauses, ReplicaPauses } from './replica-pauses.js';
 
@@ -51,6 +52,7 @@
   readonly group: MemberGroup;
   readonly pauses: ReplicaPauses;
   readonly options: GroupSupervisorOptions;
+  readonly stepDowns: StepDowns;
   /** The members to be asked as they are known now: all but the leader. */
   others(): readonly Member[];
   /** The fence while the supervision acts under the duty for so many milliseconds more, or `null`. */
@@ -114,10 +116,15 @@
     const { pauses, outcomes } = await this.#letGo(others);
     const words = await this.#takeLastWords(outcomes);
     const look = await this.#lastLook(pauses);
-    const acknowledged = joinAcknowledged([group.acknowledged, ...words.map(acknowledgedBy)]);
+    const told = joinAcknowledged([group.acknowledged, ...words.map(acknowledgedBy)]);
+    const acknowledged = this.ports.stepDowns.bound(this.#term, told);
     const successor = this.#choose(look, acknowledged, unheard(outcomes));
     if (successor === null) return this.#giveUp(look);
-    if (this.#isAlive) await this.#demoteLeader();
+    if (this.#isAlive) {
+      // A leader that steps down for a call that cannot be made leaves the group without one.
+      if (this.ports.fence(DUTY_RESERVE_MS + STATUS_MS) === null) return this.#giveUp(look, successor);
+      await this.#demoteLeader();
+    }
     const outcome = await this.#appoint(successor);
     switch (outcome.kind) {
       case 'leads':
@@ -406,6 +413,8 @@
     if (this.leader === null) return;
     const request = { kind: 'demote', term: this.#term + 1 } as const;
     const answer = await options.control.ask(this.leader, request, STATUS_MS);
+    if (answer.kind === 'answered' && !answer.status.isPrimary && !this.leader.hasEnded)
+      this.ports.stepDowns.record(this.#term, answer.status);
     options.log('leader_demoted', {
       group: group.name,
       member: formatIncarnation(this.leader.entry),
