An answer of a life that has ended says nothing of who leads

Cause: who asks several members at once takes their answers when all are there; meanwhile another life may go by an id. Change: such an answer is passed over, in the watcher and in the supervisor. No test of its own: the window is one question long. Ruled out: nothing measured.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -229,7 +229,7 @@
     let isLed = false;
     members.forEach((member, index) => {
       const answer = statuses[index];
-      if (answer?.kind !== 'answered' || !answer.status.isPrimary) return;
+      if (member.hasEnded || answer?.kind !== 'answered' || !answer.status.isPrimary) return;
       isLed = true;
       this.group.evidence.believe({ memberId: member.entry.memberId, term: answer.status.term });
     });
@@ -246,7 +246,7 @@
     let leader: Member | null = null;
     members.forEach((member, index) => {
       const answer = statuses[index];
-      if (answer?.kind !== 'answered' || !answer.status.isPrimary) return;
+      if (member.hasEnded || answer?.kind !== 'answered' || !answer.status.isPrimary) return;
       this.group.evidence.believe({ memberId: member.entry.memberId, term: answer.status.term });
       leader = this.#memberOf(this.group.evidence.leader?.memberId ?? '');
     });
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -140,7 +140,8 @@
   }
 
   #believe(member: Member, answer: ControlAnswer | undefined): void {
-    if (answer?.kind !== 'answered' || !answer.status.isPrimary) return;
+    // Another life may go by the id by the time at which all have answered.
+    if (member.hasEnded || answer?.kind !== 'answered' || !answer.status.isPrimary) return;
     const { memberId } = member.entry;
     if (this.group.evidence.believe({ memberId, term: answer.status.term })) this.group.changed.notify();
   }
