Calls that are open are outwaited, and positions go with who leads

Change: after a named member has ended its call is waited for, 5 s, and a leader that two calls were made for is replaced only once the second has lapsed; a promotion carries the paused member, not its id; orders, shared evidence and the watcher's questions carry what the leader holds; positions count only from completed answers and never back within a term; the log of the life that led the term is the limit. Ruled out: naming another at once and confirming nothing until the call has lapsed (the same wait for writes, one more promotion); doubting a leader that is merely late to apply what it holds (it would flap). Price: 5 s without a leader when a named member ends while the platform acts.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -8,6 +8,7 @@
 import type { DaemonRecord } from './daemon-record.js';
 import { EvidenceReader, type EvidenceAnswer, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import { MessageChannel } from '../peer/message-channel.js';
+import type { Position } from '../position/position.js';
 import type { Acknowledged } from '../leadership/acknowledged.js';
 
 /** What the holder asks of the others. */
@@ -24,6 +25,8 @@
       readonly groupName: string;
       readonly memberId: string;
       readonly term: number;
+      /** What it has received: a process that lacks it goes by the same id, and does not lead. */
+      readonly held: Position;
     };
 
 /** What a daemon answers to an order: what it has acknowledged to clients. */
--- a/src/leadership/appointment.ts
+++ b/src/leadership/appointment.ts
@@ -48,11 +48,16 @@
 
 /**
  * How an appointment ended. `leads`: the member leads with all that it had received; `lacks`: it leads with less, so another life goes
- * by its id; `ended`: its process has ended while a call is open, and may be started again and made to lead; `not_done`: it does
- * not lead, and no call is left that may still make it lead.
+ * by its id; `ended`: its process had ended, and no call is left that could have made its next life lead; `not_done`: it does not
+ * lead, and no call is left that may still make it lead.
  */
 export type AppointmentOutcome =
-  | { readonly kind: 'leads' | 'lacks'; readonly status: MemberStatus }
+  | {
+      readonly kind: 'leads' | 'lacks';
+      readonly status: MemberStatus;
+      /** Until when a further call may make the member lead again, in monotonic milliseconds; `null` when there was one call. */
+      readonly openUntilMs: number | null;
+    }
   | { readonly kind: 'ended' }
   | { readonly kind: 'not_done' };
 
@@ -72,6 +77,7 @@
     const outcome = await appointment.attempt();
     if (outcome !== null) return outcome;
     if (!appointment.isOpen) return NOT_DONE;
+    if (appointment.hasEnded) break;
     const isRetried = appointment.isUnanswered && ports.now() < untilMs;
     if (number >= CALLS && !isRetried) break;
   }
@@ -83,11 +89,15 @@
 class Appointment {
   /** A call has been made that the platform has not refused. */
   isOpen = false;
+  /** The member's process has ended: it is not named again, but its next life may be made to lead. */
+  hasEnded = false;
   /** False once the duty is not held for long enough any more. */
   mayCall = true;
   /** The last call got no answer. */
   isUnanswered = false;
   #calledAtMs = Number.NEGATIVE_INFINITY;
+  /** Calls that the platform has not refused. */
+  #openCalls = 0;
   #letGoAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -105,6 +115,7 @@
     }
     const wasOpen = this.isOpen;
     this.isOpen = true;
+    this.#openCalls += 1;
     this.#calledAtMs = ports.now();
     this.#letGoAtMs = this.#calledAtMs;
     let isRefused = false;
@@ -117,12 +128,15 @@
       call.then(told, () => (this.isUnanswered = true));
     });
     await Promise.race([refusal, delay(LEAST_MS)]);
-    while (!isRefused && ports.now() - this.#calledAtMs < this.#spacingMs) {
+    while (!isRefused && !this.hasEnded && ports.now() - this.#calledAtMs < this.#spacingMs) {
       const outcome = await this.#look();
       if (outcome !== null) return outcome;
       await Promise.race([refusal, delay(LOOK_MS)]);
     }
-    if (isRefused) this.isOpen = wasOpen;
+    if (isRefused) {
+      this.isOpen = wasOpen;
+      this.#openCalls -= 1;
+    }
     return null;
   }
 
@@ -137,7 +151,7 @@
       if (outcome !== null) return outcome;
       await delay(LATE_LOOK_MS);
     }
-    return NOT_DONE;
+    return this.hasEnded ? { kind: 'ended' } : NOT_DONE;
   }
 
   /** What has become of the member, or `null` while it neither leads nor has ended. */
@@ -149,10 +163,13 @@
     }
     ports.keepPaused();
     const answer = await ports.status();
-    if (answer.kind === 'refused') return { kind: 'ended' };
+    // The platform may start it again, and act on the next life: the call stays open.
+    if (answer.kind === 'refused') this.hasEnded = true;
     if (answer.kind !== 'answered') return null;
     const { status } = answer;
     if (!status.isPrimary || status.term <= this.appointee.oldTerm) return null;
-    return { kind: hasReached(status.received, this.appointee.received) ? 'leads' : 'lacks', status };
+    const holdsAll = hasReached(status.received, this.appointee.received);
+    const openUntilMs = this.#openCalls > 1 ? this.#calledAtMs + LATE_CALL_MS : null;
+    return { kind: holdsAll ? 'leads' : 'lacks', status, openUntilMs };
   }
 }
--- a/src/leadership/evidence-exchange.ts
+++ b/src/leadership/evidence-exchange.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import type { Position } from '../position/position.js';
 import type { Leader } from './leadership-evidence.js';
 
 /** Evidence that a daemon has, with its age when the answer was made. */
@@ -11,6 +12,8 @@
   readonly groupName: string;
   readonly memberId: string;
   readonly term: number;
+  /** What the leader has said that it holds, as far as the daemon knew when it listed the leaders. */
+  readonly held: Position | null;
   /** Time since the witness was asked, in milliseconds. */
   readonly ageMs: number;
 }
@@ -18,6 +21,7 @@
 /** The leader of a group. */
 interface GroupLeader extends Leader {
   readonly groupName: string;
+  readonly held: Position | null;
 }
 
 /** Evidence as it is sent. */
@@ -46,7 +50,12 @@
     const entries = this.evidence();
     if (this.#version === NO_VERSION || !this.#isListed(entries)) {
       this.#version += 1;
-      this.#leaders = entries.map(({ groupName, memberId, term }) => ({ groupName, memberId, term }));
+      this.#leaders = entries.map(({ groupName, memberId, term, held }) => ({
+        groupName,
+        memberId,
+        term,
+        held,
+      }));
     }
     const leaders = knownVersion === this.#version ? null : this.#leaders;
     return { version: this.#version, leaders, agesMs: entries.map(({ ageMs }) => ageMs) };
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -81,11 +81,11 @@
   ownEvidence(): readonly SharedEvidence[] {
     const now = this.options.now();
     const entries: SharedEvidence[] = [];
-    for (const { evidence, name } of this.options.groups()) {
+    for (const { evidence, name, heldByLeader: held } of this.options.groups()) {
       const leader = evidence.current(now);
       if (leader === null) continue;
       const ageMs = Math.ceil(now - (evidence.validUntilMs - EVIDENCE_MS));
-      entries.push({ groupName: name, memberId: leader.memberId, term: leader.term, ageMs });
+      entries.push({ groupName: name, memberId: leader.memberId, term: leader.term, held, ageMs });
     }
     return entries;
   }
@@ -143,11 +143,11 @@
     for (const entry of entries ?? []) this.#adopt(entry, askedAtMs);
   }
 
-  #adopt({ groupName, memberId, term, ageMs }: SharedEvidence, askedAtMs: number): void {
+  #adopt({ groupName, memberId, term, held, ageMs }: SharedEvidence, askedAtMs: number): void {
     const group = this.options.groups().find(({ name }) => name === groupName);
     if (group === undefined) return;
     const hadEvidence = group.evidence.current(this.options.now()) !== null;
-    group.evidence.believe({ memberId, term });
+    group.learnLeader({ memberId, term }, held);
     if (group.evidence.leader?.memberId !== memberId) return;
     const isEvidence = group.evidence.witness(term, 0, askedAtMs - ageMs);
     if (isEvidence && !hadEvidence) this.options.gained(group);
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -14,6 +14,7 @@
 import { EndedMembers } from './ended-members.js';
 import { LostLives } from './lost-lives.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
+import { OpenCalls } from './open-calls.js';
 import { DUTY_RESERVE_MS, Promotion } from './promotion.js';
 import { ReplicaPauses } from './replica-pauses.js';
 import { StepDowns } from './step-downs.js';
@@ -83,6 +84,9 @@
   readonly #ended = new EndedMembers();
   readonly #lost = new LostLives();
   readonly #stepDowns = new StepDowns();
+  readonly #openCalls = new OpenCalls();
+  /** The member that was last believed to lead, and its term. */
+  #led: { readonly member: Member; readonly term: number } | null = null;
   readonly #pauses: ReplicaPauses;
   #isNotingEnded = false;
   /** No look has been taken yet at what an earlier holder may have left paused. */
@@ -124,6 +128,7 @@
     const leader = await this.#findLeader();
     if (this.#isStopped) return;
     if (leader === null) return;
+    this.#noteLed(leader);
     if (leader.isLeaving) {
       await this.#promote(leader, 'leader leaves');
       return;
@@ -137,6 +142,11 @@
     else await this.#lookCloser(leader);
   }
 
+  #noteLed(member: Member): void {
+    const believed = this.group.evidence.leader;
+    if (believed?.memberId === member.entry.memberId) this.#led = { member, term: believed.term };
+  }
+
   /** The leader answers this daemon: it may still be of no use to others, or to itself. */
   async #lookCloser(leader: Member): Promise<void> {
     if (this.#isNew) {
@@ -231,7 +241,10 @@
       const answer = statuses[index];
       if (member.hasEnded || answer?.kind !== 'answered' || !answer.status.isPrimary) return;
       isLed = true;
-      this.group.evidence.believe({ memberId: member.entry.memberId, term: answer.status.term });
+      this.group.learnLeader(
+        { memberId: member.entry.memberId, term: answer.status.term },
+        answer.status.received,
+      );
     });
     this.group.changed.notify();
     if (!isLed && members.length > 0) await this.#promote(null, 'no member leads');
@@ -247,7 +260,10 @@
     members.forEach((member, index) => {
       const answer = statuses[index];
       if (member.hasEnded || answer?.kind !== 'answered' || !answer.status.isPrimary) return;
-      this.group.evidence.believe({ memberId: member.entry.memberId, term: answer.status.term });
+      this.group.learnLeader(
+        { memberId: member.entry.memberId, term: answer.status.term },
+        answer.status.received,
+      );
       leader = this.#memberOf(this.group.evidence.leader?.memberId ?? '');
     });
     if (leader !== null) return leader;
@@ -336,6 +352,8 @@
       pauses: this.#pauses,
       options: this.options,
       stepDowns: this.#stepDowns,
+      openCalls: this.#openCalls,
+      hasLed: (member: Member, term: number) => this.#led?.member === member && this.#led.term === term,
       others: () => this.#others(leader).filter((member) => !deposed.has(member)),
       fence: (reserveMs: number) => this.#fence(reserveMs),
     };
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -143,7 +143,8 @@
     // Another life may go by the id by the time at which all have answered.
     if (member.hasEnded || answer?.kind !== 'answered' || !answer.status.isPrimary) return;
     const { memberId } = member.entry;
-    if (this.group.evidence.believe({ memberId, term: answer.status.term })) this.group.changed.notify();
+    const { term, received } = answer.status;
+    if (this.group.learnLeader({ memberId, term }, received)) this.group.changed.notify();
   }
 
   /** Members other than the leader: those in the zone first, then in turn. */
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -20,6 +20,7 @@
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { GroupSupervisorOptions } from './group-supervisor.js';
+import type { OpenCalls } from './open-calls.js';
 import type { StepDowns } from './step-downs.js';
 import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
 import type { Paused, Pauses, ReplicaPauses } from './replica-pauses.js';
@@ -53,8 +54,11 @@
   readonly pauses: ReplicaPauses;
   readonly options: GroupSupervisorOptions;
   readonly stepDowns: StepDowns;
+  readonly openCalls: OpenCalls;
   /** The members to be asked as they are known now: all but the leader. */
   others(): readonly Member[];
+  /** True when this life of the member is known to have led the term. */
+  hasLed(member: Member, term: number): boolean;
   /** The fence while the supervision acts under the duty for so many milliseconds more, or `null`. */
   fence(reserveMs: number): number | null;
 }
@@ -115,7 +119,9 @@
     });
     const { pauses, outcomes } = await this.#letGo(others);
     const words = await this.#takeLastWords(outcomes);
+    await this.#awaitOpenCalls();
     const look = await this.#lastLook(pauses);
+    this.#noteOwnLife(look);
     const told = joinAcknowledged([group.acknowledged, ...words.map(acknowledgedBy)]);
     const acknowledged = this.ports.stepDowns.bound(this.#term, told);
     const successor = this.#choose(look, acknowledged, unheard(outcomes));
@@ -126,9 +132,10 @@
       await this.#demoteLeader();
     }
     const outcome = await this.#appoint(successor);
+    if ('status' in outcome) this.ports.openCalls.record(outcome.openUntilMs);
     switch (outcome.kind) {
       case 'leads':
-        this.#announce(successor.memberId, outcome.status.term);
+        this.#announce(successor.member, outcome.status);
         return this.#end(successor);
       case 'lacks':
         return this.#replaceShort(successor, outcome.status, look);
@@ -224,6 +231,17 @@
     return [...words.values(), ...silent.map(asUnheardSince)];
   }
 
+  /** While the platform may act on an earlier call, whoever is named instead may be replaced by a member without its commits. */
+  async #awaitOpenCalls(): Promise<void> {
+    const { now } = this.ports.options;
+    for (;;) {
+      const leftMs = this.ports.openCalls.untilMs - now();
+      if (leftMs <= 0) return;
+      await delay(Math.min(leftMs, REVOKE_AGAIN_MS));
+      this.#sealAgain();
+    }
+  }
+
   /** Looks at all replicas that are known by now; those that were not known before are paused first. */
   async #lastLook(pauses: Pauses): Promise<LastLook> {
     const unknown = this.ports.others().filter((member) => !this.#asked.has(member));
@@ -236,7 +254,13 @@
     };
   }
 
-  #choose(look: LastLook, acknowledged: Acknowledged, silentDaemons: string): SuccessorCandidate | null {
+  /** The life that led the term is paused as well: all that was acknowledged in the term is in its log. */
+  #noteOwnLife({ paused }: LastLook): void {
+    const own = paused.find(({ member }) => this.ports.hasLed(member, this.#term));
+    if (own !== undefined) this.ports.stepDowns.record(this.#term, own.status);
+  }
+
+  #choose(look: LastLook, acknowledged: Acknowledged, silentDaemons: string): Paused | null {
     const { options, group } = this.ports;
     const candidates = look.paused.map(toCandidate);
     const question = { candidates, missing: look.missing.length, acknowledged };
@@ -252,23 +276,25 @@
       limit: acknowledged.limit === null ? null : formatPosition(acknowledged.limit),
       unheard: silentDaemons,
     });
-    return look.stands ? chooseSuccessor(question) : null;
+    const chosen = look.stands ? chooseSuccessor(question) : null;
+    return chosen === null ? null : (look.paused[candidates.indexOf(chosen)] ?? null);
   }
 
   /** Asks the platform for the promotion and waits until the member leads. */
-  async #appoint(successor: SuccessorCandidate): Promise<AppointmentOutcome> {
+  async #appoint(successor: Paused): Promise<AppointmentOutcome> {
     const { options, group } = this.ports;
-    const member = this.#memberOf(successor);
+    const { member } = successor;
+    const { memberId } = member.entry;
     const call = (timeoutMs: number): Promise<boolean> | null => {
       const fence = this.ports.fence(DUTY_RESERVE_MS);
       if (fence === null) return null;
       options.log('promotion_call', {
         group: group.name,
-        member: successor.memberId,
+        member: memberId,
         fence,
         reason: this.reason,
       });
-      return options.promotion.promote(group.name, successor.memberId, fence, timeoutMs);
+      return options.promotion.promote(group.name, memberId, fence, timeoutMs);
     };
     const ports = {
       call,
@@ -277,14 +303,14 @@
       keepPaused: () => this.#keepPaused(member),
       now: options.now,
     };
-    const outcome = await appoint(ports, { oldTerm: this.#term, received: successor.received });
+    const outcome = await appoint(ports, { oldTerm: this.#term, received: successor.status.received });
     if ('status' in outcome)
       options.log('promoted_member_leads', {
         group: group.name,
         member: formatIncarnation(member.entry),
         term: outcome.status.term,
         received: formatPosition(outcome.status.received),
-        expected: formatPosition(successor.received),
+        expected: formatPosition(successor.status.received),
       });
     return outcome;
   }
@@ -294,13 +320,13 @@
    * replica, which is paused still, holds more.
    */
   #replaceShort(
-    successor: SuccessorCandidate,
+    successor: Paused,
     status: MemberStatus,
     look: LastLook,
   ): Promise<PromotionOutcome> | PromotionOutcome {
     const { options, group } = this.ports;
-    const { memberId } = successor;
-    const others = look.paused.filter(({ member }) => member.entry.memberId !== memberId);
+    const { memberId } = successor.member.entry;
+    const others = look.paused.filter(({ member }) => member !== successor.member);
     const isReplaced =
       this.ports.fence(0) !== null &&
       others.some((other) => !hasReached(status.received, other.status.received));
@@ -310,18 +336,18 @@
       member: memberId,
       term: status.term,
       received: formatPosition(status.received),
-      expected: formatPosition(successor.received),
+      expected: formatPosition(successor.status.received),
       replaced: isReplaced,
     });
     if (isReplaced) {
       group.evidence.believe({ memberId, term: status.term });
       return {
         kind: 'again',
-        leader: this.#memberOf(successor),
+        leader: successor.member,
         reason: 'leads without what it had received',
       };
     }
-    this.#announce(memberId, status.term);
+    this.#announce(successor.member, status);
     return this.#end(successor);
   }
 
@@ -359,21 +385,20 @@
     void options.order(this.#order('seal'), ORDER_MS);
   }
 
-  #announce(memberId: string, term: number): void {
+  #announce({ entry: { memberId } }: Member, { term, received }: MemberStatus): void {
     const { options, group } = this.ports;
-    group.evidence.believe({ memberId, term });
+    group.learnLeader({ memberId, term }, received);
     options.confirmLeader();
-    const order: HolderOrder = { kind: 'leader', groupName: group.name, memberId, term };
-    void options.order(order, ORDER_MS);
+    void options.order({ kind: 'leader', groupName: group.name, memberId, term, held: received }, ORDER_MS);
   }
 
-  async #end(successor: SuccessorCandidate): Promise<PromotionOutcome> {
+  async #end(successor: Paused): Promise<PromotionOutcome> {
     const { options, group } = this.ports;
-    const leader = this.#memberOf(successor);
+    const leader = successor.member;
     this.#isOver = true;
     options.log('promotion_ends', {
       group: group.name,
-      leader: successor.memberId,
+      leader: leader.entry.memberId,
       ms: Math.round(options.now() - this.#startedAtMs),
     });
     await this.#resume([...this.#paused].filter((member) => member !== leader));
@@ -381,7 +406,7 @@
     return { kind: 'led', leader };
   }
 
-  async #giveUp(look: LastLook, successor: SuccessorCandidate | null = null): Promise<PromotionOutcome> {
+  async #giveUp(look: LastLook, successor: Paused | null = null): Promise<PromotionOutcome> {
     const { options, group } = this.ports;
     this.#isOver = true;
     options.log('promotion_given_up', {
@@ -422,13 +447,6 @@
       received: answer.kind === 'answered' ? formatPosition(answer.status.received) : null,
     });
   }
-
-  /** The member of a candidate: the one that was paused, not another of its id. */
-  #memberOf({ memberId }: SuccessorCandidate): Member {
-    const member = [...this.#paused].find(({ entry }) => entry.memberId === memberId);
-    if (member === undefined) throw new Error(`no candidate ${memberId}`);
-    return member;
-  }
 }
 
 /** What a daemon said that was not asked for its last word, or did not say it: it may have acknowledged more since. */
@@ -437,7 +455,7 @@
   return { kind: 'answered', answer: { latest: outcome.answer.latest, limit: null } };
 }
 
-function givenUpReason({ stands }: LastLook, successor: SuccessorCandidate | null): string {
+function givenUpReason({ stands }: LastLook, successor: Paused | null): string {
   if (!stands) return 'a replica has lost its pause';
   return successor === null ? 'no member is shown to hold all commits' : 'the platform did not do it';
 }
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -143,3 +143,12 @@
 
 /** Reads the status out of a reply, or `null` when the member refused. */
 export type StatusReader = (reply: MemberReply) => MemberStatus | null;
+
+/**
+ * True when a member lacks what a statement asked for because it holds nothing at all: the process that did goes by its id no more. One
+ * that holds something may only be late to apply it.
+ */
+export function hasLostLog({ result, position }: MemberReply): boolean {
+  const holdsNothing = position === null || position.index === 0;
+  return !result.isComplete && result.code === 'behind' && holdsNothing;
+}
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -12,7 +12,13 @@
 import { alternatives, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import { LinkWait, type Grant, type WaitingPlace } from './link-wait.js';
-import { DialError, NotSentError, type MemberErrorCode, type MemberReply } from './member-link.js';
+import {
+  DialError,
+  hasLostLog,
+  NotSentError,
+  type MemberErrorCode,
+  type MemberReply,
+} from './member-link.js';
 import { shouldAskElsewhere } from './patience.js';
 import { Refusal } from './refusal.js';
 import { LATE_ANSWER_MS, RETRY_AFTER_MS, RETRY_PAUSE_MS, type RelayContext } from './relay-context.js';
@@ -391,9 +397,9 @@
     const members = [member];
     member.trust(this.context.now());
     recordReplica(member, floor, reply, this.context.now());
-    const hasLostLog = asLeader && !reply.result.isComplete && reply.result.code === 'behind';
-    if (hasLostLog) this.context.suspect(group, member, 'lost_log');
-    else if (asLeader && reply.position !== null) group.recordLed(sentAtMs, reply.position);
+    if (asLeader && hasLostLog(reply)) this.context.suspect(group, member, 'lost_log');
+    if (asLeader && reply.result.isComplete && reply.position !== null)
+      group.recordLed(sentAtMs, reply.position);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
       member.recordLatency(answerMs);
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -582,7 +582,7 @@
         group.evidence.allowAgain();
         break;
       case 'leader':
-        group.evidence.believe({ memberId: order.memberId, term: order.term });
+        group.learnLeader({ memberId: order.memberId, term: order.term }, order.held);
         break;
     }
     group.changed.notify();
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -10,7 +10,7 @@
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { proveCommit } from './commit-proof.js';
 import { dueAt } from './link-queue.js';
-import { DialError, NotSentError, type MemberReply } from './member-link.js';
+import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { readCandidates, readFloor, recordReplica } from './read-runner.js';
 import { Refusal, type RefusalInputs } from './refusal.js';
@@ -264,7 +264,7 @@
     recordReplica(member, floor, reply, context.now());
     if (reply.result.isComplete) return reply.state === 'open' ? null : 'did not begin';
     if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
-    if (isLeader && reply.result.code === 'behind') context.suspect(group, member, 'lost_log');
+    if (isLeader && hasLostLog(reply)) context.suspect(group, member, 'lost_log');
     return reply.result.code;
   }
 
@@ -315,7 +315,7 @@
     const { reply, sentAtMs } = sent;
     member.trust(this.context.now());
     context.observer.memberAnswered(step.kind, isLeader, context.now() - sentAtMs);
-    if (isLeader && reply.position !== null && group.leader(sentAtMs) === member)
+    if (isLeader && reply.result.isComplete && reply.position !== null && group.leader(sentAtMs) === member)
       group.recordLed(sentAtMs, reply.position);
     if (!reply.result.isComplete && reply.result.code === 'read_only' && isLeader)
       context.suspect(group, member, 'read_only');
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -6,7 +6,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import type { Acknowledged } from '../leadership/acknowledged.js';
 import { CommitWatch } from '../leadership/commit-watch.js';
-import { LeadershipEvidence, type CommitStanding } from '../leadership/leadership-evidence.js';
+import { LeadershipEvidence, type CommitStanding, type Leader } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
 import { formatIncarnation, type Incarnation } from './incarnation.js';
 import { ReplicaLag } from './replica-lag.js';
@@ -197,14 +197,30 @@
    * wait: reads that only the leader could serve may go to others now.
    */
   recordLed(askedAtMs: number, position: Position): void {
+    // A position that has gone back is of another life, or of an older question.
+    const held = this.heldByLeader;
+    if (held !== null && !hasReached(position, held)) return;
     const wasKnown = this.positions.floorSince(askedAtMs - FLOOR_KNOWN_MS) !== null;
     this.#firstLed ??= position;
-    this.#noteLed(position);
+    this.#noteHeld(position);
     this.positions.record(askedAtMs, position);
     if (!wasKnown) this.changed.notify();
   }
 
-  #noteLed(position: Position): void {
+  /**
+   * A member leads a term, and holds this much. True when the lead is news.
+   *
+   * @param held - what it has received, or `null` where that is not known
+   */
+  learnLeader(leader: Leader, held: Position | null): boolean {
+    const isNews = this.evidence.believe(leader);
+    const { leader: believed } = this.evidence;
+    if (held !== null && believed?.memberId === leader.memberId && believed.term === leader.term)
+      this.#noteHeld(held);
+    return isNews;
+  }
+
+  #noteHeld(position: Position): void {
     const term = this.evidence.leader?.term ?? this.evidence.minimumTerm;
     const known = this.#led?.term === term ? this.#led.position : ZERO_POSITION;
     this.#led = { term, position: laterPosition(known, position) };
