A promotion ends when a later term is followed, keeps all words, and counts neither the leader's own former life nor a guess

Change: as the subject says; also, daemons are sealed again right before the call, a witness's position is a lower bound of what the leader holds, a limit bounds only losses noticed before it was asked for, and a pause that comes after the end is lifted. Ruled out: taking an empty member that is new for harmless (a life that started again looks the same). Without tests of their own: the reset, the second seal, the late pause that is lifted.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -126,7 +126,8 @@
       }, DIAL_MS);
       socket.once('error', (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
-        resolve(error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET' ? 'refused' : 'silent');
+        // A reset says nothing of the process: one that lives gives it, too.
+        resolve(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
       });
       socket.once('connect', () => {
         clearTimeout(timer);
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -137,8 +137,10 @@
     void this.#noteEnded(leader);
     if (!isSuspected && !this.#isNew && this.#isWell(leader)) return;
     const trouble = await this.#trouble(leader);
+    // Who is taken for the leader only because nobody is known to lead may hold what the others lack.
+    const isGuess = this.group.evidence.leader === null && !leader.entry.saysPrimary;
     if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
-    else if (trouble !== null) await this.#promote(leader, trouble);
+    else if (trouble !== null) await this.#promote(isGuess ? null : leader, trouble);
     else await this.#lookCloser(leader);
   }
 
@@ -176,11 +178,12 @@
     this.#isNotingEnded = true;
     const areEnded = await Promise.all(unknown.map((member) => this.#hasEnded(member)));
     const ended = unknown.filter((_, index) => areEnded[index]);
+    const askedAtMs = this.options.now();
     const isAsked = ended.length > 0 || this.#lost.isLimitOpen;
     const position = isAsked ? await this.#logPosition(leader) : null;
     if (position !== null) {
       for (const member of ended) this.#ended.record(member, position);
-      this.#lost.record(position);
+      this.#lost.record(position, askedAtMs);
     }
     this.#isNotingEnded = false;
   }
@@ -353,13 +356,21 @@
       options: this.options,
       stepDowns: this.#stepDowns,
       openCalls: this.#openCalls,
-      hasLed: (member: Member, term: number) => this.#led?.member === member && this.#led.term === term,
-      others: () => this.#others(leader).filter((member) => !deposed.has(member)),
+      ledBy: (term: number) => (this.#led?.term === term ? this.#led.member : null),
+      others: () =>
+        this.#others(leader).filter((member) => !deposed.has(member) && !this.#isEndedLeader(member)),
       fence: (reserveMs: number) => this.#fence(reserveMs),
     };
     return new Promotion(ports, leader, reason);
   }
 
+  /** The life that led last, and has ended: what it had acknowledged was received by another. */
+  #isEndedLeader(member: Member): boolean {
+    return (
+      member.hasEnded && member === this.#led?.member && this.#led.term >= this.group.evidence.minimumTerm
+    );
+  }
+
   /** The fence while this supervision acts under the duty; one that was stopped acts no more, though the duty may be back. */
   #fence(reserveMs: number): number | null {
     return this.#isStopped ? null : this.options.heldFence(reserveMs);
--- a/src/leadership/last-moment.test.ts
+++ b/src/leadership/last-moment.test.ts
@@ -12,8 +12,9 @@
 import type { MemberConnections } from '../gateway/member-connections.js';
 import { FIRST_TERM, ModelledGroup, type GroupMember } from '../../test/support/modelled-group.js';
 import type { Position } from '../position/position.js';
-import { Member } from '../topology/member-group.js';
+import { Member, MemberGroup } from '../topology/member-group.js';
 import { EVIDENCE_MS } from './leadership-evidence.js';
+import { LostLives } from './lost-lives.js';
 
 const EMPTY: Position = { term: 0, index: 0 };
 /** When a replica starts, after the first pauses, in milliseconds: while silent daemons are waited for. */
@@ -131,6 +132,18 @@
     assert.ok(!scene.events.includes('promote other'), scene.events.join(', '));
     assert.ok(one.isPrimary);
   });
+
+  test('has a leader whose late answer is no floor of reads at the next one', () => {
+    const group = new MemberGroup('g');
+    const old = { memberId: 'old', term: 3 };
+    group.evidence.believe(old);
+    group.evidence.witness(3, 0, 1000);
+    group.recordLed(1000, { term: 3, index: 10 }, old);
+    group.evidence.believe({ memberId: 'new', term: 4 });
+    group.evidence.witness(4, 0, 1500);
+    group.recordLed(1100, { term: 3, index: 12 }, old);
+    assert.equal(group.heldByLeader, null);
+  });
 });
 
 describe('members of which nothing is known', () => {
@@ -150,4 +163,14 @@
     assert.equal(other.isPrimary, false);
     assert.ok(!scene.events.includes('promote other'), scene.events.join(', '));
   });
+
+  test('are not bounded by a position that was asked for before the loss was noticed', () => {
+    const lost = new LostLives();
+    const member = { entry: { memberId: 'x', bornMs: null } } as unknown as Member;
+    const status = { isPrimary: false, term: 3, pausedForTerm: 0 };
+    lost.heard(member, { ...status, received: { term: 3, index: 5 } }, 0);
+    lost.heard(member, { ...status, received: EMPTY }, 20);
+    lost.record({ term: 3, index: 100 }, 10);
+    assert.equal(lost.uncovered([{ term: 3, index: 100 }], null, 30).length, 1);
+  });
 });
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -137,6 +137,13 @@
     return true;
   }
 
+  /** A member follows this term: no earlier one leads any more. */
+  noteTerm(term: number): void {
+    if (term <= this.#minimumTerm) return;
+    this.#minimumTerm = term;
+    if (this.#leader !== null && this.#leader.term < term) this.loseLeader();
+  }
+
   /**
    * A promotion over `term` is about to begin: evidence is dropped, and not gathered again for a while. What is under way may
    * still end well: it is acknowledged for as long as the evidence would have lasted, unless the term is sealed.
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -171,6 +171,8 @@
     const { evidence } = this.group;
     const isEvidence = evidence.witness(status.term, status.pausedForTerm, askedAtMs);
     if (!isEvidence) return false;
+    // What a replica has received in the term, the leader holds.
+    if (evidence.leader !== null) this.group.learnLeader(evidence.leader, status.received);
     const duty = this.heldDuty();
     if (duty !== null && askedAtMs > duty.takenAtMs + DUTY_SETTLE_MS) this.confirm();
     this.group.changed.notify();
--- a/src/leadership/lost-lives.ts
+++ b/src/leadership/lost-lives.ts
@@ -49,13 +49,17 @@
     return [...this.#losses.values()].some(({ limit }) => limit === null);
   }
 
-  /** The proven leader gave a position after the losses were noticed. */
-  record(position: Position): void {
-    for (const loss of this.#losses.values()) loss.limit ??= position;
+  /** The proven leader, asked at `askedAtMs`, gave a position: it bounds what was lost before. */
+  record(position: Position, askedAtMs: number): void {
+    for (const loss of this.#losses.values()) if (loss.sinceMs <= askedAtMs) loss.limit ??= position;
   }
 
-  /** Members whose earlier life may have received more than all that are given with what they have received. */
-  uncovered(received: readonly Position[], nowMs: number): readonly Incarnation[] {
+  /**
+   * Members whose earlier life may have received more than all that are given with what they have received.
+   *
+   * @param leaderId - who led: what its earlier life had acknowledged was received by another
+   */
+  uncovered(received: readonly Position[], leaderId: string | null, nowMs: number): readonly Incarnation[] {
     const furthest = received.reduce<Position | null>(
       (best, position) => (best === null ? position : laterPosition(best, position)),
       null,
@@ -66,7 +70,8 @@
       const isOver = nowMs - sinceMs >= COUNTED_MS;
       if (isOver || (limit !== null && hasReached(furthest, limit))) this.#losses.delete(memberId);
     }
-    return [...this.#losses.values()].map(({ member }) => member);
+    const lost = [...this.#losses.values()].map(({ member }) => member);
+    return lost.filter(({ memberId }) => memberId !== leaderId);
   }
 }
 
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -57,8 +57,8 @@
   readonly openCalls: OpenCalls;
   /** The members to be asked as they are known now: all but the leader. */
   others(): readonly Member[];
-  /** True when this life of the member is known to have led the term. */
-  hasLed(member: Member, term: number): boolean;
+  /** The life that is known to have led the term, or `null`. */
+  ledBy(term: number): Member | null;
   /** The fence while the supervision acts under the duty for so many milliseconds more, or `null`. */
   fence(reserveMs: number): number | null;
 }
@@ -86,6 +86,10 @@
   /** Replicas whose pause is being looked at. */
   readonly #lookedAt = new Set<Member>();
   #keptAtMs = Number.NEGATIVE_INFINITY;
+  /** When the daemons had let go that did. */
+  #letGoAtMs = Number.NEGATIVE_INFINITY;
+  /** A daemon did not say that it let go: it may hold evidence for as long as that lasts. */
+  #isOneSilent = false;
   /** No pause is taken any more. */
   #isOver = false;
   /** All members that were asked to pause. */
@@ -121,6 +125,7 @@
     const words = await this.#takeLastWords(outcomes);
     await this.#awaitOpenCalls();
     const look = await this.#lastLook(pauses);
+    if (this.#isSuperseded()) return this.#giveUp(look);
     this.#noteOwnLife(look);
     const told = joinAcknowledged([group.acknowledged, ...words.map(acknowledgedBy)]);
     const acknowledged = this.ports.stepDowns.bound(this.#term, told);
@@ -164,9 +169,11 @@
     const pauses = await this.#pause(others, []);
     const pausedAtMs = options.now();
     const first = await revoking;
+    this.#letGoAtMs = options.now();
     const areLate = pausedAtMs - this.#startedAtMs > REGISTRATION_SETTLE_MS - REGISTER_MARGIN_MS;
     const outcomes = new Map([...first, ...(await this.#revokeStarted(first))]);
-    if (hasSilent(outcomes) || areLate) await this.#waitRevoked(pausedAtMs + EVIDENCE_MS);
+    this.#isOneSilent = hasSilent(outcomes);
+    if (this.#isOneSilent || areLate) await this.#waitRevoked(pausedAtMs + EVIDENCE_MS);
     return { pauses, outcomes };
   }
 
@@ -225,10 +232,13 @@
         ? new Map<string, OrderOutcome>()
         : await options.order(this.#order('seal'), ORDER_MS, new Set(asked));
     const areAllHeard = asked.every((name) => (words.get(name)?.kind ?? 'silent') !== 'silent');
-    // What a daemon had when it was first asked lasts no longer than this.
-    if (!areAllHeard) await this.#waitRevoked(this.#startedAtMs + EVIDENCE_MS);
-    const silent = [...outcomes].filter(([name]) => !words.has(name)).map(([, outcome]) => outcome);
-    return [...words.values(), ...silent.map(asUnheardSince)];
+    // What a daemon had when it let go lasts no longer than this.
+    if (!areAllHeard) this.#isOneSilent = true;
+    if (!areAllHeard) await this.#waitRevoked(this.#letGoAtMs + EVIDENCE_MS);
+    return [...outcomes].map(([name, outcome]) => {
+      const word = words.get(name);
+      return word?.kind === 'answered' ? word : asUnheardSince(outcome);
+    });
   }
 
   /** While the platform may act on an earlier call, whoever is named instead may be replaced by a member without its commits. */
@@ -246,7 +256,14 @@
   async #lastLook(pauses: Pauses): Promise<LastLook> {
     const unknown = this.ports.others().filter((member) => !this.#asked.has(member));
     const late = await this.#pause(unknown, pauses.paused);
-    const looked = await this.ports.pauses.lookAt([...pauses.paused, ...late.paused], this.#term + 1);
+    // A replica that was late may have given evidence to a daemon that is silent.
+    if (late.paused.length > 0 && this.#isOneSilent)
+      await this.#waitRevoked(this.ports.options.now() + EVIDENCE_MS);
+    const looked = await this.ports.pauses.lookAt(
+      [...pauses.paused, ...late.paused],
+      this.#term + 1,
+      this.ports.ledBy(this.#term)?.entry.memberId ?? null,
+    );
     return {
       paused: looked.standing,
       missing: [...pauses.missing, ...late.missing, ...looked.missing],
@@ -254,9 +271,17 @@
     };
   }
 
+  /** A later term is followed by somebody: whoever leads it may not be among those that were asked, and daemons confirm what it answers. */
+  #isSuperseded(): boolean {
+    const { group, pauses } = this.ports;
+    group.evidence.noteTerm(pauses.latestTerm);
+    return group.evidence.minimumTerm > this.#term;
+  }
+
   /** The life that led the term is paused as well: all that was acknowledged in the term is in its log. */
   #noteOwnLife({ paused }: LastLook): void {
-    const own = paused.find(({ member }) => this.ports.hasLed(member, this.#term));
+    const ledBy = this.ports.ledBy(this.#term);
+    const own = paused.find(({ member }) => member === ledBy);
     if (own !== undefined) this.ports.stepDowns.record(this.#term, own.status);
   }
 
@@ -286,7 +311,7 @@
     const { member } = successor;
     const { memberId } = member.entry;
     const call = (timeoutMs: number): Promise<boolean> | null => {
-      const fence = this.ports.fence(DUTY_RESERVE_MS);
+      const fence = this.#isSuperseded() ? null : this.ports.fence(DUTY_RESERVE_MS);
       if (fence === null) return null;
       options.log('promotion_call', {
         group: group.name,
@@ -303,6 +328,7 @@
       keepPaused: () => this.#keepPaused(member),
       now: options.now,
     };
+    this.#sealAgain();
     const outcome = await appoint(ports, { oldTerm: this.#term, received: successor.status.received });
     if ('status' in outcome)
       options.log('promoted_member_leads', {
@@ -363,6 +389,7 @@
   async #keepOnePaused(member: Member): Promise<void> {
     this.#lookedAt.add(member);
     await this.#pauseAgain(member);
+    if (this.#isOver) await this.#resume([member]);
     this.#lookedAt.delete(member);
   }
 
@@ -373,7 +400,6 @@
     if (answer.kind !== 'answered' || answer.status.term > term) return;
     if (answer.status.isPrimary || answer.status.pausedForTerm > term || this.#isOver) return;
     options.log('replica_paused_again', { group: group.name, member: formatIncarnation(member.entry) });
-    this.#asked.add(member);
     this.#paused.add(member);
     await options.control.ask(member, { kind: 'pause', term: term + 1 }, STATUS_MS);
   }
@@ -411,7 +437,7 @@
     this.#isOver = true;
     options.log('promotion_given_up', {
       group: group.name,
-      reason: givenUpReason(look, successor),
+      reason: this.#isSuperseded() ? 'a later term is followed' : givenUpReason(look, successor),
       paused: look.paused.length,
       missing: look.missing.length,
     });
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -38,6 +38,10 @@
 
 /** Pauses members, looks whether the pauses stand, and lifts them. */
 export class ReplicaPauses {
+  /** Members that were told to step down: the term that they name may be the one of that order. */
+  readonly #demoted = new WeakSet<Member>();
+  #latestTerm = 0;
+
   constructor(
     private readonly control: MemberControl,
     private readonly group: MemberGroup,
@@ -46,6 +50,11 @@
     private readonly now: () => number,
   ) {}
 
+  /** The latest term that a member was seen to follow. */
+  get latestTerm(): number {
+    return this.#latestTerm;
+  }
+
   /**
    * Pauses members. One that has ended is missing unless another is known to hold what it had.
    *
@@ -73,6 +82,7 @@
     for (let attempt = 0; attempt < 2; attempt += 1) {
       let answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       if (answer.kind === 'answered' && answer.status.isPrimary) {
+        if (answer.status.term < term) this.#demoted.add(member);
         await control.ask(member, { kind: 'demote', term }, PAUSE_MS);
         answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       }
@@ -85,8 +95,10 @@
   /**
    * Looks at paused replicas once more. One that has lost its pause, by a restart, may have received commits since, and have given
    * evidence to a daemon that was not asked to let go; one that does not answer may have, too.
+   *
+   * @param leaderId - who led the term
    */
-  async lookAt(paused: readonly Paused[], term: number): Promise<SecondLook> {
+  async lookAt(paused: readonly Paused[], term: number, leaderId: string | null): Promise<SecondLook> {
     const answers = await Promise.all(
       paused.map(({ member }) => this.control.ask(member, { kind: 'status' }, STATUS_MS)),
     );
@@ -101,7 +113,7 @@
       else standing.push(now);
     });
     const received = standing.map(({ status }) => status.received);
-    return { standing, lost, missing: [...silent, ...this.lost.uncovered(received, this.now())] };
+    return { standing, lost, missing: [...silent, ...this.lost.uncovered(received, leaderId, this.now())] };
   }
 
   #isFormer(member: Member): boolean {
@@ -109,6 +121,7 @@
   }
 
   #take(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
+    if (!this.#demoted.has(member)) this.#latestTerm = Math.max(this.#latestTerm, status.term);
     if (!status.isPrimary) this.lost.heard(member, status, this.now());
     return toPaused(member, status, term);
   }
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -6,6 +6,7 @@
  */
 import { ChangeSignal } from '../common/signal.js';
 import { formatPosition } from '../position/position.js';
+import type { Leader } from '../leadership/leadership-evidence.js';
 import { laterFloor, type ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
@@ -344,6 +345,7 @@
     const members = [member];
     if (this.#isSettled) return { kind: 'not_run', reason: ANSWERED, members };
     const asLeader = job.group.leader(context.now()) === member;
+    const leader = asLeader ? job.group.evidence.leader : null;
     const floor = asLeader ? null : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
     if (!asLeader && floor === null) return { kind: 'not_run', reason: 'no position of the leader', members };
     context.observer.routine({
@@ -373,7 +375,7 @@
         },
       );
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
-      const attempt = this.#judge(member, asLeader, floor, reply.reply, reply.sentAtMs);
+      const attempt = this.#judge(member, leader, floor, reply.reply, reply.sentAtMs);
       if (attempt.kind === 'not_run') this.#mayHaveRun -= 1;
       return attempt;
     } catch (error) {
@@ -387,19 +389,20 @@
 
   #judge(
     member: Member,
-    asLeader: boolean,
+    leader: Leader | null,
     floor: ReadFloor | null,
     reply: MemberReply,
     sentAtMs: number,
   ): Attempt {
     const { group } = this.job;
+    const asLeader = leader !== null;
     const answerMs = this.context.now() - sentAtMs;
     const members = [member];
     member.trust(this.context.now());
     recordReplica(member, floor, reply, this.context.now());
     if (asLeader && hasLostLog(reply)) this.context.suspect(group, member, 'lost_log');
     if (asLeader && reply.result.isComplete && reply.position !== null)
-      group.recordLed(sentAtMs, reply.position);
+      group.recordLed(sentAtMs, reply.position, leader);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
       member.recordLatency(answerMs);
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { Leader } from '../leadership/leadership-evidence.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { proveCommit } from './commit-proof.js';
@@ -157,6 +158,7 @@
       return null;
     }
     let sentAtMs = 0;
+    const { leader: led } = job.group.evidence;
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now());
     const commit = job.group.commits.sent(context.now());
     let isAnswered = false;
@@ -173,7 +175,7 @@
         return null;
       }
       isAnswered = true;
-      const reply = this.#judge(leader, sent.reply, sent.sentAtMs);
+      const reply = this.#judge(leader, sent.reply, sent.sentAtMs, led);
       if (reply === null) this.#wasSent = false;
       return reply;
     } catch (error) {
@@ -213,13 +215,14 @@
     return { group: this.job.group.name, ...this.job.group.describeLeadership(this.context.now()) };
   }
 
-  #judge(leader: Member, reply: MemberReply, sentAtMs: number): MemberReply | null {
+  /** @param led - who was believed to lead when the write was about to be sent */
+  #judge(leader: Member, reply: MemberReply, sentAtMs: number, led: Leader | null): MemberReply | null {
     const { context, job } = this;
     leader.trust(context.now());
     leader.recordOutcome(!reply.result.isComplete && reply.result.code === 'failed', context.now());
     if (reply.result.isComplete) {
       context.observer.memberAnswered('write', true, context.now() - sentAtMs);
-      if (reply.position !== null) job.group.recordLed(sentAtMs, reply.position);
+      if (reply.position !== null) job.group.recordLed(sentAtMs, reply.position, led);
       return reply;
     }
     const { code } = reply.result;
