Mutations of the mended promotion: last word, lives that were lost, proof at the answer, step downs, a leader's lost log

Cause: nothing showed that the tests of the new mechanisms fail without them. Change: 14 entries, each with an existing test that fails: the last word; a step down only for a call that can be made; what a leader held then as a bound; a member that leads with less than it had (told apart, and replaced); an empty log is a lost life, and missing; evidence at the answer (proof, waiting, evidence, after the last word, in writes, in COMMIT); a leader that has lost its log is not read.

--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -27,6 +27,11 @@
 const LIVES = 'src/topology/member-lives.property.test.js';
 const QUOTA = 'src/quota/quota.test.js';
 
+const REBORN_MEMBERS = 'src/leadership/reborn-members.test.js';
+const PROMOTION_TIME = 'src/leadership/promotion-time.test.js';
+const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
+const REBORN = 'platform/test/reborn.test.js';
+
 const FOREIGN_ENTRIES = 'platform/test/foreign-entries.test.js';
 const FOREIGN_KEYS = 'src/coordination/foreign-keys.test.js';
 
@@ -400,4 +405,116 @@
     testFile: 'src/gateway/assignments.test.js',
     testName: 'assigned anew',
   },
+  {
+    property: 'promotions: every daemon says its last word',
+    file: 'src/leadership/promotion.js',
+    search: "await options.order(this.#order('seal'), ORDER_MS, new Set(asked))",
+    replacement: 'new Map()',
+    testFile: REBORN_MEMBERS,
+    testName: 'are kept though a replica starts',
+  },
+  {
+    property: 'promotions: a leader steps down only for a call that can be made',
+    file: 'src/leadership/promotion.js',
+    search: 'this.ports.fence(DUTY_RESERVE_MS + STATUS_MS) === null',
+    replacement: 'false',
+    testFile: PROMOTION_TIME,
+    testName: 'is not told to step down',
+  },
+  {
+    property: 'promotions: what a leader held when it stepped down is a bound',
+    file: 'src/leadership/step-downs.js',
+    search: 'bound(term, told) {',
+    replacement: 'bound(term, told) {\n        return told;',
+    testFile: PROMOTION_TIME,
+    testName: 'bounds what was acknowledged',
+  },
+  {
+    property: 'promotions: a member that leads with less than it had is told apart',
+    file: 'src/leadership/appointment.js',
+    search: "? 'leads' : 'lacks'",
+    replacement: "? 'leads' : 'leads'",
+    testFile: 'src/leadership/appointment.test.js',
+    testName: 'is told apart',
+  },
+  {
+    property: 'promotions: a member that leads with less than another holds is replaced',
+    file: 'src/leadership/promotion.js',
+    search: 'if (isReplaced) {',
+    replacement: 'if (false) {',
+    testFile: REBORN_MEMBERS,
+    testName: 'taken from another replica',
+  },
+  {
+    property: 'lost lives: an empty log is one',
+    file: 'src/leadership/lost-lives.js',
+    search: 'return isEmpty(received);',
+    replacement: 'return false;',
+    testFile: REBORN_MEMBERS,
+    testName: 'only replica that had a commit',
+  },
+  {
+    property: 'lost lives: one is missing',
+    file: 'src/leadership/replica-pauses.js',
+    search: ', ...this.lost.uncovered(received, this.now())]',
+    replacement: ']',
+    testFile: REBORN_MEMBERS,
+    testName: 'only replica that had a commit',
+  },
+  {
+    property: 'commits: an answer without evidence is not acknowledged',
+    file: 'src/relay/commit-proof.js',
+    search: "return standing === 'proven';",
+    replacement: 'return true;',
+    testFile: COMMIT_PROOF,
+    testName: 'is in doubt',
+  },
+  {
+    property: 'commits: an answer without evidence waits for it',
+    file: 'src/relay/commit-proof.js',
+    search: "const isOver = standing !== 'unproven' || now >= deadlineMs;",
+    replacement: 'const isOver = true;',
+    testFile: COMMIT_PROOF,
+    testName: 'once there is evidence again',
+  },
+  {
+    property: 'commits: evidence holds at the answer',
+    file: 'src/leadership/leadership-evidence.js',
+    search: 'if (this.#leader?.term === term && nowMs < this.#validUntilMs)',
+    replacement: 'if (this.#leader?.term === term)',
+    testFile: 'src/leadership/leadership.test.js',
+    testName: 'evidence at the time of its answer',
+  },
+  {
+    property: 'commits: nothing is acknowledged after the last word',
+    file: 'src/leadership/leadership-evidence.js',
+    search: 'this.#yielded = null;',
+    replacement: '',
+    testFile: 'src/leadership/leadership.test.js',
+    testName: 'after its last word',
+  },
+  {
+    property: 'commits: the answer to a write is proven',
+    file: 'src/relay/write-runner.js',
+    search: 'if (!(await proveCommit(context, { ...job, position })))',
+    replacement: 'if (false)',
+    testFile: 'src/relay/write-runner.test.js',
+    testName: 'after a promotion was told',
+  },
+  {
+    property: 'commits: the answer to a COMMIT is proven',
+    file: 'src/relay/transaction.js',
+    search: 'await this.#prove(step, reply);',
+    replacement: 'void 0;',
+    testFile: REBORN,
+    testName: 'a replica that starts anew receives it',
+  },
+  {
+    property: 'reads: a leader that has lost its log is not read',
+    file: 'src/relay/read-runner.js',
+    search: 'asLeader ? job.group.heldByLeader : ',
+    replacement: 'asLeader ? null : ',
+    testFile: REBORN,
+    testName: 'not read from as if it led',
+  },
 ];
