--- a/src/leadership/last-moment.test.ts
+++ b/src/leadership/last-moment.test.ts
@@ -19,6 +19,8 @@
 const EMPTY: Position = { term: 0, index: 0 };
 /** When a replica starts, after the first pauses, in milliseconds: while silent daemons are waited for. */
 const LATE_MS = 1000;
+/** How long the platform takes, in milliseconds. */
+const ACTS_MS = 400;
 /** Time that a timer may be early by, in milliseconds. */
 const TIMER_MS = 50;
 /** Time in which a group whose replicas have everything is led again, in milliseconds. */
@@ -72,6 +74,51 @@
     const isCalled = scene.events.includes('promote named');
     assert.ok(!isCalled || waitedMs >= EVIDENCE_MS - TIMER_MS, `called after ${Math.round(waitedMs)} ms`);
   });
+
+  /** Nobody knows what a daemon had acknowledged that is gone; the replica that is silent may have received more since its pause was lost. */
+  test('a replica that is silent at the last look counts as missing', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'far']);
+    scene.member('old').state = 'ended';
+    scene.daemons.set('d2', { kind: 'gone' });
+    onFirst(scene, 'seal', () => (scene.member('far').state = 'dark'));
+    await Promise.race([scene.until('promotion_given_up'), scene.reached('promote named')]);
+    scene.supervisor.stop();
+    assert.ok(!scene.events.includes('promote named'), scene.events.join(', '));
+  });
+
+  test('what a daemon said when it let go is no limit of what it has acknowledged since', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'far']);
+    scene.member('old').state = 'ended';
+    scene.member('far').state = 'dark';
+    scene.daemons.set('d2', knows({ term: FIRST_TERM, index: 1 }));
+    onFirst(scene, 'seal', () => scene.daemons.set('d2', { kind: 'silent' }));
+    await Promise.race([scene.until('promotion_given_up'), scene.reached('promote named')]);
+    scene.supervisor.stop();
+    assert.ok(!scene.events.includes('promote named'), scene.events.join(', '));
+  });
+
+  test('a replica that appears before the last look is paused before the platform is called', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'other']);
+    scene.member('old').state = 'ended';
+    onFirst(scene, 'seal', () => void scene.add('new', 9));
+    await scene.until('promote named');
+    const pausedAt = scene.events.indexOf('pause new');
+    assert.ok(pausedAt >= 0 && pausedAt < scene.events.indexOf('promote named'), scene.events.join(', '));
+  });
+
+  test('a replica that appears while the platform acts is paused, and follows once the named one leads', async () => {
+    const scene = new ModelledGroup(['old', 'named', 'other']);
+    scene.member('old').state = 'ended';
+    scene.platform = (memberId) => {
+      scene.add('new', 9);
+      setTimeout(() => scene.lead(memberId), ACTS_MS);
+      return Promise.resolve(true);
+    };
+    const running = scene.until('resume new');
+    await scene.reached('leads named');
+    assert.ok(scene.events.includes('pause new'), scene.events.join(', '));
+    await running;
+  });
 });
 
 describe('a leader whose next life is empty', () => {
