--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -27,6 +27,8 @@
 const LIVES = 'src/topology/member-lives.property.test.js';
 const QUOTA = 'src/quota/quota.test.js';
 
+const LAST_MOMENT = 'src/leadership/last-moment.test.js';
+const PAST_LIVES = 'src/leadership/past-lives.test.js';
 const REBORN_MEMBERS = 'src/leadership/reborn-members.test.js';
 const PROMOTION_TIME = 'src/leadership/promotion-time.test.js';
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
@@ -408,10 +410,90 @@
   {
     property: 'promotions: every daemon says its last word',
     file: 'src/leadership/promotion.js',
-    search: "await options.order(this.#order('seal'), ORDER_MS, new Set(asked))",
+    search: "await options.order(this.#order('seal'), ORDER_MS, { except: silent })",
     replacement: 'new Map()',
+    testFile: 'src/leadership/promotion-loss.test.js',
+    testName: 'does not keep a replica from the lead',
+  },
+  {
+    property: 'promotions: a replica that is silent at the last look is missing',
+    file: 'src/leadership/replica-pauses.js',
+    search: 'silent.push(member.entry);',
+    replacement: 'standing.push(paused[index]);',
+    testFile: LAST_MOMENT,
+    testName: 'silent at the last look',
+  },
+  {
+    property: 'promotions: a replica that has appeared is paused before the last look',
+    file: 'src/leadership/promotion.js',
+    search: 'const late = await this.#pause(unknown, pauses.paused);',
+    replacement: 'const late = { paused: [], missing: [] };',
+    testFile: LAST_MOMENT,
+    testName: 'appears before the last look',
+  },
+  {
+    property: 'promotions: replicas stay paused while the platform acts',
+    file: 'src/leadership/appointment.js',
+    search: 'ports.keepPaused();',
+    replacement: '',
+    testFile: LAST_MOMENT,
+    testName: 'appears while the platform acts',
+  },
+  {
+    property: 'promotions: what was said before the last word is no limit',
+    file: 'src/leadership/promotion.js',
+    search: 'asUnheardSince(outcome)',
+    replacement: 'outcome',
+    testFile: LAST_MOMENT,
+    testName: 'no limit of what',
+  },
+  {
+    property: 'promotions: late pauses are waited out',
+    file: 'src/leadership/promotion.js',
+    search: 'await this.#waitForLatePause();',
+    replacement: '',
+    testFile: LAST_MOMENT,
+    testName: 'waited for again',
+  },
+  {
+    property: 'promotions: a later term ends a promotion',
+    file: 'src/leadership/promotion.js',
+    search: 'return group.evidence.minimumTerm > this.#term;',
+    replacement: 'return false;',
+    testFile: LAST_MOMENT,
+    testName: 'promoted over by nobody',
+  },
+  {
+    property: 'promotions: a shorter log is a lost life',
+    file: 'src/leadership/lost-lives.js',
+    search: 'return isEmpty(received) || term <= known.term;',
+    replacement: 'return isEmpty(received);',
+    testFile: PAST_LIVES,
+    testName: 'though it is not empty',
+  },
+  {
+    property: 'promotions: a lost life is covered',
+    file: 'src/leadership/lost-lives.js',
+    search: 'loss.limit ??= position;',
+    replacement: ';',
+    testFile: PAST_LIVES,
+    testName: 'is covered by a replica',
+  },
+  {
+    property: 'promotions: a step down below what is known bounds nothing',
+    file: 'src/leadership/step-downs.js',
+    search: '!hasReached(this.#last.held, told.latest)',
+    replacement: 'false',
+    testFile: PAST_LIVES,
+    testName: 'it is another life',
+  },
+  {
+    property: 'promotions: a call that is open is outwaited',
+    file: 'src/leadership/promotion.js',
+    search: 'await this.#awaitOpenCalls();',
+    replacement: '',
     testFile: REBORN_MEMBERS,
-    testName: 'are kept though a replica starts',
+    testName: 'a second time keeps',
   },
   {
     property: 'promotions: a leader steps down only for a call that can be made',
