--- a/src/leadership/appointment.test.ts
+++ b/src/leadership/appointment.test.ts
@@ -43,12 +43,13 @@
   readonly calls: number;
   readonly questions: number;
   readonly orders: number;
+  readonly orderedAtMs: readonly number[];
 }> {
   const world = { ...USUAL, ...changes };
   let now = 0;
   let calls = 0;
   let questions = 0;
-  let orders = 0;
+  const orderedAtMs: number[] = [];
   const status = (): Promise<ControlAnswer> => {
     questions += 1;
     if (now >= world.endsAtMs) return Promise.resolve({ kind: 'refused' });
@@ -67,7 +68,13 @@
     return world.platform(calls);
   };
   let outcome: { readonly leads: boolean } | null = null;
-  const ports = { call, status, letGo: () => (orders += 1), keepPaused: () => undefined, now: () => now };
+  const ports = {
+    call,
+    status,
+    letGo: () => void orderedAtMs.push(now),
+    keepPaused: () => undefined,
+    now: () => now,
+  };
   const running = appoint(ports, { oldTerm: OLD_TERM, received: { term: OLD_TERM, index: 1 } });
   void running.then(({ kind }) => (outcome = { leads: kind === 'leads' }));
   while (outcome === null && now < 20_000) {
@@ -76,7 +83,8 @@
     mock.timers.tick(STEP_MS);
   }
   const { kind } = await running;
-  return { leads: kind === 'leads', kind, ms: now, calls, questions, orders };
+  const orders = orderedAtMs.length;
+  return { leads: kind === 'leads', kind, ms: now, calls, questions, orders, orderedAtMs };
 }
 
 /**
@@ -136,3 +144,15 @@
   const { kind } = await play({ received: { term: 0, index: 0 } });
   assert.equal(kind, 'lacks');
 });
+
+/**
+ * Users saw 57 confirmed commits undone. The platform was slow, and was called each 0.5 s; each call put off the next order to the daemons, which had let go
+ * for 1.5 s. The old leader came back with its log, a replica out of the holder's reach was its witness, and daemons confirmed what it
+ * answered, until the platform acted. Evidence: no `order kind=seal` for 1.6 s beside three `promotion_call`.
+ */
+test('daemons are asked to let go again in time, however often the platform is called', async () => {
+  const platform = (): Promise<boolean> => Promise.reject(new Error('no answer'));
+  const { orderedAtMs, ms } = await play({ platform, leadsAtMs: Number.POSITIVE_INFINITY });
+  const gaps = [...orderedAtMs, ms].map((atMs, index) => atMs - (orderedAtMs[index - 1] ?? 0));
+  assert.ok(Math.max(...gaps) < 1000, `${Math.max(...gaps)} ms between two orders`);
+});
