Orders to let go keep their time, however often the platform is called

Cause: the time of the last order was set by each call; calls that are repeated each 0.5 to 0.7 s kept the next order from ever being due, and the daemons' promise to let go wears off after 1.5 s. Change: only orders set it. Ruled out: a longer promise of the daemons (it also holds after a holder has died).

--- a/src/leadership/appointment.ts
+++ b/src/leadership/appointment.ts
@@ -98,12 +98,15 @@
   #calledAtMs = Number.NEGATIVE_INFINITY;
   /** Calls that the platform has not refused. */
   #openCalls = 0;
-  #letGoAtMs = Number.NEGATIVE_INFINITY;
+  /** When daemons were last asked to let go. Calls do not count: they may follow each other faster than orders. */
+  #letGoAtMs: number;
 
   constructor(
     private readonly ports: AppointmentPorts,
     private readonly appointee: Appointee,
-  ) {}
+  ) {
+    this.#letGoAtMs = ports.now();
+  }
 
   /** One call, and the usual wait for its effect. */
   async attempt(): Promise<AppointmentOutcome | null> {
@@ -117,7 +120,6 @@
     this.isOpen = true;
     this.#openCalls += 1;
     this.#calledAtMs = ports.now();
-    this.#letGoAtMs = this.#calledAtMs;
     let isRefused = false;
     this.isUnanswered = false;
     const refusal = new Promise<void>((resolve) => {
