A commit that is answered with evidence leaves no line

Cause: a commit counted as held when the clock had moved between two looks, so each commit of a daemon wrote a line of a commit that had been held 0 ms. Change: told only when the answer waited.

--- a/src/relay/commit-proof.test.ts
+++ b/src/relay/commit-proof.test.ts
@@ -21,35 +21,51 @@
 /** Time of a request, in milliseconds. */
 const TIMEOUT_MS = 150;
 
-/** A group whose evidence lapsed a moment ago, and the answer to a commit. */
-function answered(): { readonly group: MemberGroup; readonly proven: Promise<boolean> } {
+interface Scene {
+  readonly group: MemberGroup;
+  readonly proven: Promise<boolean>;
+  /** Decisions that were told. */
+  readonly told: string[];
+}
+
+/** A group whose evidence was gathered so long ago, and the answer to a commit. */
+function answered(evidenceAgeMs = EVIDENCE_MS): Scene {
   const group = new MemberGroup('g');
   const now = performance.now();
+  const told: string[] = [];
   group.evidence.believe({ memberId: 'm', term: TERM });
-  group.evidence.witness(TERM, 0, now - EVIDENCE_MS);
+  group.evidence.witness(TERM, 0, now - evidenceAgeMs);
   const context: RelayContext = {
     catalog: new Catalog(),
     configurationLease: ALWAYS_PROVEN,
     quotas: NO_QUOTAS,
     zone: 'a',
-    observer: QUIET_OBSERVER,
+    observer: { ...QUIET_OBSERVER, notable: ({ decision }) => void told.push(decision) },
     group: () => group,
     now: () => performance.now(),
     plannedStop: () => null,
     suspect: () => undefined,
   };
   const commit = { requestId: 'x', group, position: POSITION, deadlineMs: now + TIMEOUT_MS };
-  return { group, proven: proveCommit(context, commit) };
+  return { group, proven: proveCommit(context, commit), told };
 }
 
+test('a commit that is answered with evidence is acknowledged at once, and nothing is told of it', async () => {
+  const { group, proven, told } = answered(0);
+  assert.ok(await proven);
+  assert.deepEqual(group.acknowledged.latest, POSITION);
+  assert.deepEqual(told, []);
+});
+
 describe('a commit that is answered without evidence of the leader', () => {
   test('is acknowledged once there is evidence again', async () => {
-    const { group, proven } = answered();
+    const { group, proven, told } = answered();
     assert.deepEqual(group.acknowledged.latest.index, 0);
     group.evidence.witness(TERM, 0, performance.now());
     group.changed.notify();
     assert.ok(await proven);
     assert.deepEqual(group.acknowledged.latest, POSITION);
+    assert.deepEqual(told, ['commit_held']);
   });
 
   test('is in doubt as soon as a later term leads', async () => {
--- a/src/relay/commit-proof.ts
+++ b/src/relay/commit-proof.ts
@@ -8,6 +8,7 @@
  * @packageDocumentation
  */
 import { formatPosition, type Position } from '../position/position.js';
+import type { CommitStanding } from '../leadership/leadership-evidence.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import type { RelayContext } from './relay-context.js';
 
@@ -26,20 +27,20 @@
 export async function proveCommit(context: RelayContext, commit: AnsweredCommit): Promise<boolean> {
   const { group, position, deadlineMs } = commit;
   const answeredAtMs = context.now();
-  for (;;) {
-    const now = context.now();
-    const standing = group.acknowledge(position, now);
-    const isOver = standing !== 'unproven' || now >= deadlineMs;
-    if (isOver && now > answeredAtMs) tellHeld(context, commit, standing, now - answeredAtMs);
-    if (isOver) return standing === 'proven';
+  let standing = group.acknowledge(position, answeredAtMs);
+  if (standing === 'proven') return true;
+  for (let now = answeredAtMs; standing === 'unproven' && now < deadlineMs; now = context.now()) {
     await group.changed.wait(Math.min(LOOK_MS, deadlineMs - now));
+    standing = group.acknowledge(position, context.now());
   }
+  tellHeld(context, commit, standing, context.now() - answeredAtMs);
+  return standing === 'proven';
 }
 
 function tellHeld(
   context: RelayContext,
   { requestId, group, position }: AnsweredCommit,
-  standing: string,
+  standing: CommitStanding,
   heldMs: number,
 ): void {
   context.observer.notable({
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -554,8 +554,8 @@
   {
     property: 'commits: an answer without evidence waits for it',
     file: 'src/relay/commit-proof.js',
-    search: "const isOver = standing !== 'unproven' || now >= deadlineMs;",
-    replacement: 'const isOver = true;',
+    search: 'let standing = group.acknowledge(position, answeredAtMs);',
+    replacement: "let standing = 'proven';",
     testFile: COMMIT_PROOF,
     testName: 'once there is evidence again',
   },
