The group knows who led last, whoever holds the duty of promotion

Cause: who led was noted by the supervisor of the duty's holder alone, at its first look; the next holder, whose look came after the leader had left, did not know it, so the leader's own log bounded nothing (limit=null). Change: each daemon keeps the life that it last heard to lead, with its term, also after the lead is lost.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -86,8 +86,6 @@
   readonly #lost = new LostLives();
   readonly #stepDowns = new StepDowns();
   readonly #openCalls = new OpenCalls();
-  /** The member that was last believed to lead, and its term. */
-  #led: { readonly member: Member; readonly term: number } | null = null;
   readonly #pauses: ReplicaPauses;
   #isNotingEnded = false;
   /** No look has been taken yet at what an earlier holder may have left paused. */
@@ -129,7 +127,8 @@
     const leader = await this.#findLeader();
     if (this.#isStopped) return;
     if (leader === null) return;
-    this.#noteLed(leader);
+    const believed = this.group.evidence.leader;
+    if (believed !== null) this.group.learnLeader(believed, null);
     if (leader.isLeaving) {
       await this.#promote(leader, 'leader leaves');
       return;
@@ -145,11 +144,6 @@
     else await this.#lookCloser(leader);
   }
 
-  #noteLed(member: Member): void {
-    const believed = this.group.evidence.leader;
-    if (believed?.memberId === member.entry.memberId) this.#led = { member, term: believed.term };
-  }
-
   /** The leader answers this daemon: it may still be of no use to others, or to itself. */
   async #lookCloser(leader: Member): Promise<void> {
     if (this.#isNew) {
@@ -357,7 +351,6 @@
       options: this.options,
       stepDowns: this.#stepDowns,
       openCalls: this.#openCalls,
-      ledBy: (term: number) => (this.#led?.term === term ? this.#led.member : null),
       others: () =>
         this.#others(leader).filter((member) => !deposed.has(member) && !this.#isEndedLeader(member)),
       fence: (reserveMs: number) => this.#fence(reserveMs),
@@ -367,9 +360,7 @@
 
   /** The life that led last, and has ended: what it had acknowledged was received by another. */
   #isEndedLeader(member: Member): boolean {
-    return (
-      member.hasEnded && member === this.#led?.member && this.#led.term >= this.group.evidence.minimumTerm
-    );
+    return member.hasEnded && member === this.group.ledBy(this.group.evidence.minimumTerm);
   }
 
   /** The fence while this supervision acts under the duty; one that was stopped acts no more, though the duty may be back. */
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -57,8 +57,6 @@
   readonly openCalls: OpenCalls;
   /** The members to be asked as they are known now: all but the leader. */
   others(): readonly Member[];
-  /** The life that is known to have led the term, or `null`. */
-  ledBy(term: number): Member | null;
   /** The fence while the supervision acts under the duty for so many milliseconds more, or `null`. */
   fence(reserveMs: number): number | null;
 }
@@ -259,7 +257,7 @@
     const looked = await this.ports.pauses.lookAt(
       [...pauses.paused, ...late.paused],
       this.#term + 1,
-      this.ports.ledBy(this.#term)?.entry.memberId ?? null,
+      this.ports.group.ledBy(this.#term)?.entry.memberId ?? null,
     );
     return {
       paused: looked.standing,
@@ -288,7 +286,7 @@
 
   /** The life that led the term is paused as well: all that was acknowledged in the term is in its log. */
   #noteOwnLife({ paused }: LastLook): void {
-    const ledBy = this.ports.ledBy(this.#term);
+    const ledBy = this.ports.group.ledBy(this.#term);
     const own = paused.find(({ member }) => member === ledBy);
     if (own !== undefined) this.ports.stepDowns.record(this.#term, own.status);
   }
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -165,6 +165,8 @@
   #led: { readonly term: number; readonly position: Position } | null = null;
   /** The first position of the proven leader that this daemon was given. */
   #firstLed: Position | null = null;
+  /** The last term that a known member was said to lead, and the life that did. */
+  #lastLed: { readonly term: number; readonly member: Member } | null = null;
 
   /**
    * @param countsFromMs - from when on answers of witnesses count as evidence, in monotonic milliseconds
@@ -219,11 +221,21 @@
   learnLeader(leader: Leader, held: Position | null): boolean {
     const isNews = this.evidence.believe(leader);
     const { leader: believed } = this.evidence;
-    if (held !== null && believed?.memberId === leader.memberId && believed.term === leader.term)
-      this.#noteHeld(held);
+    if (believed?.memberId !== leader.memberId || believed.term !== leader.term) return isNews;
+    const member = this.members.get(leader.memberId) ?? this.formerOf(leader.memberId);
+    if (member !== null) this.#lastLed = { term: leader.term, member };
+    if (held !== null) this.#noteHeld(held);
     return isNews;
   }
 
+  /**
+   * The life that led a term, as far as this daemon has heard, or `null`. Kept when the lead is lost: whoever takes over the duty
+   * of promotion then has to know whose log holds all that was acknowledged.
+   */
+  ledBy(term: number): Member | null {
+    return this.#lastLed?.term === term ? this.#lastLed.member : null;
+  }
+
   #noteHeld(position: Position): void {
     const term = this.evidence.leader?.term ?? this.evidence.minimumTerm;
     const known = this.#led?.term === term ? this.#led.position : ZERO_POSITION;
