Lives that have ended are missing only while the log of the last leader may come back

Cause: each life that had ended was counted for 30 s from its own end. What it had received is with its next life, which is asked, with the leader, or nowhere; so the count waited for nothing once the leader's log was there, and began anew with each start. Change: lives whose next life is known, and logs that became shorter, count only while the log of whoever led last may come back: not once its next life (or it itself) is among those looked at, the directory has forgotten it, or it has refused for 30 s (one wait for the group). Silent members, and those that refuse without a known next life, count as before.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -13,6 +13,7 @@
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { Doubts } from './doubts.js';
 import { EndedMembers } from './ended-members.js';
+import { LeaderLoss } from './leader-loss.js';
 import { LostLives } from './lost-lives.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
 import { OpenCalls } from './open-calls.js';
@@ -86,6 +87,7 @@
   readonly #lost = new LostLives();
   readonly #stepDowns = new StepDowns();
   readonly #openCalls = new OpenCalls();
+  readonly #leaderLoss = new LeaderLoss();
   readonly #pauses: ReplicaPauses;
   #isNotingEnded = false;
   /** No look has been taken yet at what an earlier holder may have left paused. */
@@ -146,6 +148,7 @@
 
   /** The leader answers this daemon: it may still be of no use to others, or to itself. */
   async #lookCloser(leader: Member): Promise<void> {
+    this.#leaderLoss.answered(leader);
     if (this.#isNew) {
       this.#isNew = false;
       // The platform may still act on the earlier holder's call: resumed replicas would let commits pass by that member.
@@ -166,9 +169,9 @@
 
   /** Finds out which former members have ended, and asks the leader then how far the log has come. */
   async #noteEnded(leader: Member): Promise<void> {
-    const { former } = this.group;
-    this.#ended.retain(former.values());
-    const unknown = [...former.values()].filter((member) => !this.#ended.has(member));
+    const parting = this.#parting(leader);
+    this.#ended.retain(parting);
+    const unknown = parting.filter((member) => !this.#ended.has(member));
     if ((unknown.length === 0 && !this.#lost.isLimitOpen) || this.#isNotingEnded) return;
     this.#isNotingEnded = true;
     const areEnded = await Promise.all(unknown.map((member) => this.#hasEnded(member)));
@@ -183,6 +186,15 @@
     this.#isNotingEnded = false;
   }
 
+  /** Former members, and those whose entry is gone: a life that is told from the next one and refuses has ended for good. */
+  #parting(leader: Member): readonly Member[] {
+    const { members, former } = this.group;
+    const unlisted = [...members.values()].filter(
+      ({ entry, missingSinceMs }) => missingSinceMs !== null && entry.bornMs !== null,
+    );
+    return [...former.values(), ...unlisted.filter((member) => member !== leader)];
+  }
+
   async #hasEnded(member: Member): Promise<boolean> {
     return member.hasEnded || (await this.#status(member)).kind === 'refused';
   }
@@ -284,7 +296,8 @@
       if (answer.kind === 'busy' || leader.answeredAtMs > askedAtMs) return null;
       kind = answer.kind;
     }
-    if (kind !== 'refused' && this.#isAloneInDoubt(leader, kind)) return null;
+    if (kind === 'refused') this.#leaderLoss.refused(leader, askedAtMs);
+    else if (this.#isAloneInDoubt(leader, kind)) return null;
     return `leader is ${kind}`;
   }
 
@@ -331,10 +344,12 @@
     this.#doubts.clear();
     /** Whoever led: what they hold was received by others, or is of no use. */
     const deposed = new Set<Member>(leader === null ? [] : [leader]);
-    let outcome = await this.#promotion(leader, reason, deposed).run();
+    const { evidence } = this.group;
+    const lastLed = this.group.ledBy(evidence.leader?.term ?? evidence.minimumTerm);
+    let outcome = await this.#promotion(leader, reason, deposed, lastLed).run();
     for (let repeat = 0; outcome.kind === 'again' && repeat < REPEATS; repeat += 1) {
       if (outcome.leader !== null) deposed.add(outcome.leader);
-      outcome = await this.#promotion(outcome.leader, outcome.reason, deposed).run();
+      outcome = await this.#promotion(outcome.leader, outcome.reason, deposed, lastLed).run();
     }
     if (outcome.kind !== 'led') {
       await delay(GIVEN_UP_REST_MS);
@@ -344,13 +359,20 @@
     if (!this.group.members.has(outcome.leader.entry.memberId)) this.#suspected = true;
   }
 
-  #promotion(leader: Member | null, reason: string, deposed: ReadonlySet<Member>): Promotion {
+  #promotion(
+    leader: Member | null,
+    reason: string,
+    deposed: ReadonlySet<Member>,
+    lastLed: Member | null,
+  ): Promotion {
     const ports = {
       group: this.group,
       pauses: this.#pauses,
       options: this.options,
       stepDowns: this.#stepDowns,
       openCalls: this.#openCalls,
+      leaderLoss: this.#leaderLoss,
+      lastLed,
       others: () =>
         this.#others(leader).filter((member) => !deposed.has(member) && !this.#isEndedLeader(member)),
       fence: (reserveMs: number) => this.#fence(reserveMs),
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -20,6 +20,7 @@
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { GroupSupervisorOptions } from './group-supervisor.js';
+import type { LeaderLoss } from './leader-loss.js';
 import type { OpenCalls } from './open-calls.js';
 import type { StepDowns } from './step-downs.js';
 import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
@@ -55,6 +56,9 @@
   readonly options: GroupSupervisorOptions;
   readonly stepDowns: StepDowns;
   readonly openCalls: OpenCalls;
+  readonly leaderLoss: LeaderLoss;
+  /** The life that led when the first of the promotions that follow each other began, or `null` where that is not known. */
+  readonly lastLed: Member | null;
   /** The members to be asked as they are known now: all but the leader. */
   others(): readonly Member[];
   /** The fence while the supervision acts under the duty for so many milliseconds more, or `null`. */
@@ -259,13 +263,30 @@
       this.#term + 1,
       this.ports.group.ledBy(this.#term)?.entry.memberId ?? null,
     );
+    const ended = [...pauses.ended, ...late.ended, ...looked.ended];
+    const counted = this.#mayLastLeaderComeBack(looked.standing) ? ended : [];
     return {
       paused: looked.standing,
-      missing: [...pauses.missing, ...late.missing, ...looked.missing],
+      missing: [...pauses.missing, ...late.missing, ...looked.missing, ...counted],
       stands: looked.lost.length === 0,
     };
   }
 
+  /**
+   * True while the log of whoever led last may be there and is not among those that are looked at. What a life that has ended had
+   * received is with its next life, which is asked, with the leader, or nowhere: once the leader's log is there, too, or will not come
+   * back, nothing is to be waited for. Guards against a group that is led by nobody for 30 s after the last of its members has
+   * started again.
+   */
+  #mayLastLeaderComeBack(standing: readonly Paused[]): boolean {
+    const { group, options, lastLed, leaderLoss } = this.ports;
+    if (lastLed === null) return true;
+    const { memberId } = lastLed.entry;
+    if (standing.some(({ member }) => member.entry.memberId === memberId)) return false;
+    const isForgotten = !group.members.has(memberId) && group.formerOf(memberId) === null;
+    return !isForgotten && !leaderLoss.isOver(lastLed, options.now());
+  }
+
   /** A replica that was paused late may have given evidence to a daemon that is silent, or has registered since the beginning. */
   async #waitForLatePause(): Promise<void> {
     const pausedAtMs = this.ports.options.now();
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -21,10 +21,13 @@
   readonly status: MemberStatus;
 }
 
-/** How the pauses went. `missing`: members that may hold more than the paused ones. */
+/** How the pauses went. */
 export interface Pauses {
   readonly paused: readonly Paused[];
+  /** Members that may come back with more than the paused ones hold. */
   readonly missing: readonly Incarnation[];
+  /** Lives that have ended, and may have received more: the next life of each has what is left of it. */
+  readonly ended: readonly Incarnation[];
 }
 
 /** What a second look at paused replicas has found. */
@@ -32,10 +35,15 @@
   /** With what they have received by now. */
   readonly standing: readonly Paused[];
   readonly lost: readonly Incarnation[];
-  /** Those that did not answer, and those whose earlier life may have received more. */
+  /** Those that did not answer. */
   readonly missing: readonly Incarnation[];
+  /** Those whose earlier life may have received more. */
+  readonly ended: readonly Incarnation[];
 }
 
+/** How the pause of one member went. `gone`: its process has ended, and may come back; `replaced`: its next life is known. */
+type PauseResult = Paused | 'missing' | 'gone' | 'replaced';
+
 /** Pauses members, looks whether the pauses stand, and lifts them. */
 export class ReplicaPauses {
   /** Members that were told to step down: the term that they name may be the one of that order. */
@@ -63,22 +71,22 @@
   async pauseAll(members: readonly Member[], term: number, pausedBefore: readonly Paused[]): Promise<Pauses> {
     const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
     const paused = results.filter((result) => typeof result !== 'string');
-    const gone = members.filter((_, index) => results[index] === 'gone');
-    const uncovered = this.ended.uncovered(
-      gone,
-      [...pausedBefore, ...paused].map(({ member, status }) => ({
-        entry: member.entry,
-        received: status.received,
-      })),
-    );
-    const silent = members.filter((_, index) => results[index] === 'missing').map(({ entry }) => entry);
-    return { paused, missing: [...silent, ...uncovered.map(({ entry }) => entry)] };
+    const covering = [...pausedBefore, ...paused].map(({ member, status }) => ({
+      entry: member.entry,
+      received: status.received,
+    }));
+    const having = (wanted: PauseResult): readonly Member[] =>
+      members.filter((_, index) => results[index] === wanted);
+    const uncovered = (result: PauseResult): readonly Incarnation[] =>
+      this.ended.uncovered(having(result), covering).map(({ entry }) => entry);
+    const silent = having('missing').map(({ entry }) => entry);
+    return { paused, missing: [...silent, ...uncovered('gone')], ended: uncovered('replaced') };
   }
 
   /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
-  async #pause(member: Member, term: number): Promise<Paused | 'missing' | 'gone'> {
+  async #pause(member: Member, term: number): Promise<PauseResult> {
     const { control } = this;
-    if (member.hasEnded) return 'gone';
+    if (member.hasEnded) return 'replaced';
     for (let attempt = 0; attempt < 2; attempt += 1) {
       let answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       if (answer.kind === 'answered' && answer.status.isPrimary) {
@@ -87,7 +95,7 @@
         answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       }
       if (answer.kind === 'answered') return this.#take(member, answer.status, term);
-      if (answer.kind === 'refused') return this.#isFormer(member) ? 'gone' : 'missing';
+      if (answer.kind === 'refused') return this.#isKnownToEnd(member) ? 'gone' : 'missing';
     }
     return 'missing';
   }
@@ -113,11 +121,13 @@
       else standing.push(now);
     });
     const received = standing.map(({ status }) => status.received);
-    return { standing, lost, missing: [...silent, ...this.lost.uncovered(received, leaderId, this.now())] };
+    const ended = this.lost.uncovered(received, leaderId, this.now());
+    return { standing, lost, missing: silent, ended };
   }
 
-  #isFormer(member: Member): boolean {
-    return [...this.group.former.values()].includes(member);
+  /** True for a former member, and for one that was found to have ended while the leader could say how far the log had come. */
+  #isKnownToEnd(member: Member): boolean {
+    return this.ended.has(member) || [...this.group.former.values()].includes(member);
   }
 
   #take(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
