A member that leaves is no leader for standing first, and a life that ends during the last look is settled only by its next one

And a paused member that started again before the last look was missing though its next life was looked at. Cause: where no leader is known the first member in the list is taken for it; the guard against that stood on one of the two ways to a promotion only. A life's end was told apart at the pause only. Change: the guard stands before both ways. A life that has ended is settled by the look at the next life of its id, never by its end alone. Tests: two, which fail without (named `two` before the next life of `one` was looked at; promoted over the member that leaves).

--- a/src/leadership/doubts-that-end.test.ts
+++ b/src/leadership/doubts-that-end.test.ts
@@ -92,6 +92,23 @@
     assert.ok(hasReached(heldByLeader(scene), COMMIT), scene.events.join(', '));
   });
 
+  /**
+   * Found in the logs of seed 5001: with no leader known, the member that stood first in the list left, was taken for the leader that leaves, and
+   * what it may hold was not counted.
+   */
+  test('are not promoted over by leaving out a member that leaves and that nobody knows to lead', async () => {
+    const scene = new ModelledGroup(['far', 'old', 'other']);
+    scene.group.evidence.loseLeader();
+    const far = scene.group.members.get('far');
+    assert.ok(far);
+    far.leavingSinceMs = performance.now();
+    Object.assign(scene.member('far'), { isPrimary: false, received: COMMIT, state: 'dark' });
+    scene.member('old').state = 'ended';
+    scene.group.members.delete('old');
+    scene.daemons.set('d2', GONE);
+    assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
+  });
+
   /** The only copy that is left may be that of the leader, which is down and may come back with its log. */
   test('are missing while the leader is down', async () => {
     const scene = new ModelledGroup(['old', 'one', 'two']);
@@ -103,6 +120,29 @@
     assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
   });
 
+  /** The life that had the only copy was looked at, ended, and its next one was not asked yet. */
+  test('are missing while their next life has not been looked at', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'two']);
+    scene.group.learnLeader({ memberId: 'old', term: FIRST_TERM }, null);
+    scene.member('two').isDeaf = true;
+    assert.ok(scene.commit(scene.member('old')));
+    scene.daemons.set('d2', GONE);
+    startNextLife(scene, 'old', 'nothing');
+    let isReplaced = false;
+    Object.defineProperty(scene.member('two'), 'statuses', {
+      get: () => 0,
+      set: () => {
+        if (isReplaced || !scene.events.includes('seal')) return;
+        isReplaced = true;
+        startNextLife(scene, 'one', 'log');
+      },
+    });
+    assert.ok(await isLedWithin(scene, SOON_MS), scene.events.join(', '));
+    assert.ok(isReplaced);
+    assert.ok(!scene.events.includes('promote two'), scene.events.join(', '));
+    assert.ok(hasReached(heldByLeader(scene), COMMIT), scene.events.join(', '));
+  });
+
   test('are missing while the next life of one of them is silent: it may have the log', async () => {
     const scene = new ModelledGroup(['old', 'one', 'two']);
     scene.group.learnLeader({ memberId: 'old', term: FIRST_TERM }, null);
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -77,6 +77,7 @@
 const GIVEN_UP_REST_MS = 100;
 
 const LEADS_NO_LONGER = 'leader leads no longer';
+const NO_MEMBER_LEADS = 'no member leads';
 
 /** Supervises one group while this daemon holds the duty. */
 export class GroupSupervisor {
@@ -131,16 +132,16 @@
     if (leader === null) return;
     const believed = this.group.evidence.leader;
     if (believed !== null) this.group.learnLeader(believed, null);
+    // Who is taken for the leader only because nobody is known to lead may hold what the others lack.
+    const isGuess = this.group.evidence.leader === null && !leader.entry.saysPrimary;
     if (leader.isLeaving) {
-      await this.#promote(leader, 'leader leaves');
+      await this.#promote(isGuess ? null : leader, isGuess ? NO_MEMBER_LEADS : 'leader leaves');
       return;
     }
     // Not awaited: a former member that is dark must not hold up a promotion.
     void this.#noteEnded(leader);
     if (!isSuspected && !this.#isNew && this.#isWell(leader)) return;
     const trouble = await this.#trouble(leader);
-    // Who is taken for the leader only because nobody is known to lead may hold what the others lack.
-    const isGuess = this.group.evidence.leader === null && !leader.entry.saysPrimary;
     if (trouble === LEADS_NO_LONGER) await this.#replaceLost();
     else if (trouble !== null) await this.#promote(isGuess ? null : leader, trouble);
     else await this.#lookCloser(leader);
@@ -257,7 +258,7 @@
       );
     });
     this.group.changed.notify();
-    if (!isLed && members.length > 0) await this.#promote(null, 'no member leads');
+    if (!isLed && members.length > 0) await this.#promote(null, NO_MEMBER_LEADS);
   }
 
   /** The member that leads or led last; asks all members when nothing is known. */
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -264,7 +264,10 @@
       this.ports.group.ledBy(this.#term)?.entry.memberId ?? null,
     );
     const ended = [...pauses.ended, ...late.ended, ...looked.ended];
-    const counted = this.#mayLastLeaderComeBack(looked.standing) ? ended : [];
+    const heard = new Set(looked.standing.map(({ member }) => member.entry.memberId));
+    const counted = this.#mayLastLeaderComeBack(heard)
+      ? ended
+      : ended.filter(({ memberId }) => !heard.has(memberId));
     return {
       paused: looked.standing,
       missing: [...pauses.missing, ...late.missing, ...looked.missing, ...counted],
@@ -278,11 +281,11 @@
    * back, nothing is to be waited for. Guards against a group that is led by nobody for 30 s after the last of its members has
    * started again.
    */
-  #mayLastLeaderComeBack(standing: readonly Paused[]): boolean {
+  #mayLastLeaderComeBack(heard: ReadonlySet<string>): boolean {
     const { group, options, lastLed, leaderLoss } = this.ports;
     if (lastLed === null) return true;
     const { memberId } = lastLed.entry;
-    if (standing.some(({ member }) => member.entry.memberId === memberId)) return false;
+    if (heard.has(memberId)) return false;
     const isForgotten = !group.members.has(memberId) && group.formerOf(memberId) === null;
     return !isForgotten && !leaderLoss.isOver(lastLed, options.now());
   }
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -113,15 +113,18 @@
     const standing: Paused[] = [];
     const lost: Incarnation[] = [];
     const silent: Incarnation[] = [];
+    const replaced: Incarnation[] = [];
     paused.forEach(({ member }, index) => {
       const answer = answers[index];
+      // Whoever answers in its place is another life, which is asked for itself.
+      if (member.hasEnded) return void replaced.push(member.entry);
       const now = answer?.kind === 'answered' ? this.#take(member, answer.status, term) : null;
       if (now === null) silent.push(member.entry);
       else if (now === 'missing') lost.push(member.entry);
       else standing.push(now);
     });
     const received = standing.map(({ status }) => status.received);
-    const ended = this.lost.uncovered(received, leaderId, this.now());
+    const ended = [...replaced, ...this.lost.uncovered(received, leaderId, this.now())];
     return { standing, lost, missing: silent, ended };
   }
 
