A member is a witness only once its life has been known for longer than a promotion lasts

Cause: the daemon's evidence is waited out before the last look; a replica that starts later is paused only some 0.1 s after it is listed, and its word counts for 1.6 s. Change: the answer of a member whose life this daemon has known for less than 2 s is no evidence (its term is noted all the same). What was listed when the directory was first read counts at once: at a start all would wait for nothing. Left: a member that starts again and does not say when; it is known by its id alone.

--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -36,6 +36,14 @@
  */
 export const REGISTRATION_SETTLE_MS = 1000;
 
+/**
+ * Time for which a daemon has to have known the life of a member before its answers count, in milliseconds. Who promotes looks for members that
+ * have started until the platform is called, at most 1.3 s before (as long as its duty is trusted), and from then on each 0.1 s; the platform
+ * acts 0.3 s after the call or later. A member that started after the last look, and is not paused, would be evidence for the old leader at a
+ * daemon that the holder does not reach: 1.6 s of reads and commits at a leader that has been replaced.
+ */
+export const WITNESS_KNOWN_MS = 2000;
+
 /** How long a revocation keeps a daemon from gathering evidence of the same term, in milliseconds. */
 export const REVOCATION_MS = 1500;
 
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -5,7 +5,13 @@
  */
 import { ChangeSignal } from '../common/signal.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
-import { DUTY_SETTLE_MS, EVIDENCE_MS, HOLDER_RENEWAL_MS, OWN_RENEWAL_MS } from './leadership-evidence.js';
+import {
+  DUTY_SETTLE_MS,
+  EVIDENCE_MS,
+  HOLDER_RENEWAL_MS,
+  OWN_RENEWAL_MS,
+  WITNESS_KNOWN_MS,
+} from './leadership-evidence.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
 
 /** Longest wait for a status, in milliseconds. */
@@ -136,7 +142,7 @@
       asked.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_MS, true)),
     );
     asked.forEach((member, index) => this.#believe(member, answers[index]));
-    return answers.some((answer) => this.#takeWitness(answer));
+    return asked.some((member, index) => this.#takeWitness(member, answers[index]));
   }
 
   #believe(member: Member, answer: ControlAnswer | undefined): void {
@@ -161,14 +167,18 @@
   async #askWitness(witness: Member): Promise<boolean> {
     const answer = await this.control.ask(witness, { kind: 'status' }, STATUS_MS, true);
     this.#believe(witness, answer);
-    return this.#takeWitness(answer);
+    return this.#takeWitness(witness, answer);
   }
 
   /** True when the answer is evidence for the leader. */
-  #takeWitness(answer: ControlAnswer): boolean {
-    if (answer.kind !== 'answered' || answer.status.isPrimary) return false;
+  #takeWitness(member: Member, answer: ControlAnswer | undefined): boolean {
+    if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return false;
     const { status, askedAtMs } = answer;
     const { evidence } = this.group;
+    if (askedAtMs < member.knownSinceMs + WITNESS_KNOWN_MS) {
+      evidence.noteTerm(status.term);
+      return false;
+    }
     const isEvidence = evidence.witness(status.term, status.pausedForTerm, askedAtMs);
     if (!isEvidence) return false;
     // What a replica has received in the term, the leader holds.
--- a/src/topology/member-directory.ts
+++ b/src/topology/member-directory.ts
@@ -52,6 +52,8 @@
 interface Known {
   /** That of its youngest life. */
   entry: MemberEntry;
+  /** Since when that life has been known, in monotonic milliseconds; see {@link Member.knownSinceMs}. */
+  readonly sinceMs: number;
   /** Since when no entry has stood under the id, in monotonic milliseconds; `null` while one does. */
   unlistedSinceMs: number | null;
   /** False while what stands under the id is no entry. */
@@ -188,7 +190,8 @@
   }
 
   #arrives(entry: MemberEntry): void {
-    const known = { entry, unlistedSinceMs: null, isReadable: true, isRetired: false };
+    const sinceMs = this.#isLoaded ? this.options.now() : Number.NEGATIVE_INFINITY;
+    const known = { entry, sinceMs, unlistedSinceMs: null, isReadable: true, isRetired: false };
     this.#known.set(entry.memberId, known);
     this.#unlisted.delete(entry.memberId);
     this.#place(known);
@@ -238,16 +241,18 @@
     const member = this.#memberOf(entry);
     const isUsed = group.members.has(entry.memberId);
     if (!isUsed && known.isRetired) return;
-    if (member === null) this.#add(group, entry);
-    else if (!isAtSameAddress(member.entry, entry)) this.#move(group, member, entry);
+    if (member === null) this.#add(group, known);
+    else if (!isAtSameAddress(member.entry, entry)) this.#move(group, member, known);
     else if (isUsed) this.#update(group, member, entry);
     else this.#takeBack(group, member, entry);
     if (entry.isDraining) this.#leaves(group, group.members.get(entry.memberId), 'draining');
     this.options.changed(group);
   }
 
-  #add(group: MemberGroup, entry: MemberEntry): void {
-    group.members.set(entry.memberId, this.options.create(entry));
+  #add(group: MemberGroup, { entry, sinceMs }: Known): void {
+    const member = this.options.create(entry);
+    member.knownSinceMs = sinceMs;
+    group.members.set(entry.memberId, member);
     this.#logIn(group, entry);
   }
 
@@ -268,11 +273,12 @@
   }
 
   /** The same life is reached elsewhere: connections are bound to an address. */
-  #move(group: MemberGroup, member: Member, entry: MemberEntry): void {
+  #move(group: MemberGroup, member: Member, known: Known): void {
+    const { entry } = known;
     this.#cutOff(member);
     group.dropFormer(member);
     if (group.members.delete(entry.memberId)) this.#logOut(group, member, 'moved');
-    this.#add(group, entry);
+    this.#add(group, known);
     const moved = group.members.get(entry.memberId);
     if (moved !== undefined && entry.isDraining) moved.leavingSinceMs = member.leavingSinceMs;
     if (member.entry.saysPrimary !== entry.saysPrimary) this.#roleChanged(group, entry);
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -49,6 +49,11 @@
    * same life is reached at another address: another object stands for it then.
    */
   hasEnded = false;
+  /**
+   * Since when its life has been known to this daemon, in monotonic milliseconds; without a beginning where it was listed when the
+   * directory was first read.
+   */
+  knownSinceMs = Number.NEGATIVE_INFINITY;
   #avoidUntilMs = Number.NEGATIVE_INFINITY;
   /** Smoothed time of its answers, in milliseconds. */
   #latencyMs = 0;
--- a/test/model/promotion-model.test.ts
+++ b/test/model/promotion-model.test.ts
@@ -29,6 +29,7 @@
   EVIDENCE_MS,
   LeadershipEvidence,
   REGISTRATION_SETTLE_MS,
+  WITNESS_KNOWN_MS,
 } from '../../src/leadership/leadership-evidence.js';
 import { LostLives } from '../../src/leadership/lost-lives.js';
 import { hasReached, ZERO_POSITION, type Position } from '../../src/position/position.js';
@@ -50,6 +51,7 @@
   'an empty log counts as missing',
   'what a daemon without a last word may have acknowledged is open',
   'a replica that appears is paused before the last look',
+  'a witness has been known for longer than a promotion lasts',
 ] as const;
 type Mechanism = (typeof MECHANISMS)[number];
 
@@ -132,6 +134,8 @@
   isPaused = false;
   isDeaf = false;
   isPrimary = false;
+  /** When its life began; before the run for one that has not started again. */
+  bornAtMs = Number.NEGATIVE_INFINITY;
   /** Started while the promotion ran, and not paused since. */
   bornAfter: 'nothing' | 'begin' | 'look' = 'nothing';
   term = OLD_TERM;
@@ -148,15 +152,7 @@
    * Nothing keeps the process of the member that was named from starting again, empty, before the platform acts: by then the choice is
    * made. That it leads is not prevented; it is told by what it holds, and is replaced where another holds more.
    */
-  | 'the member that was named starts again, empty, before it leads'
-  /**
-   * The holder does not reach a daemon, which reaches the old primary, and waits its evidence out. Then a replica starts, or starts again,
-   * between the last look and the effect: it is not paused, says so to that daemon, and is evidence for 1.6 s.
-   */
-  | 'a silent daemon asks a replica that starts after the last look';
-
-/** When a witness was paused, or started without a pause. */
-type Witnessed = 'paused in time' | 'at the last look' | 'after the last look';
+  'the member that was named starts again, empty, before it leads';
 
 /** How a run went. */
 type Outcome =
@@ -178,10 +174,9 @@
     readonly atMs: number;
     readonly isPaused: boolean;
     readonly term: number;
-    readonly witnessed: Witnessed;
+    /** The daemon has known the life that it asks for long enough. */
+    readonly isKnown: boolean;
   } | null = null;
-  /** The replica by whose word the other daemon has evidence. */
-  #witnessed: Witnessed = 'paused in time';
   /** The register had the other daemon when the promotion began. */
   #wasAsked = false;
   #startedAtMs = 0;
@@ -264,19 +259,19 @@
   #ask(): void {
     const replica = this.#replicas[this.scene.witness];
     if (replica === undefined) return;
-    const { isPaused, term, bornAfter } = replica;
-    const isLate = replica === this.#replicas[2];
-    const witnessed =
-      bornAfter === 'look' ? 'after the last look' : isLate ? 'at the last look' : 'paused in time';
-    this.#asked = { atMs: this.#now, isPaused, term, witnessed };
+    const { isPaused, term, bornAtMs } = replica;
+    const isKnown = this.#now >= bornAtMs + WITNESS_KNOWN_MS;
+    this.#asked = { atMs: this.#now, isPaused, term, isKnown };
   }
 
   #answer(): void {
     const asked = this.#asked;
     if (asked === null) return;
     const countsFrom = this.without === 'evidence counts from the question' ? this.#now : asked.atMs;
-    const isEvidence = this.#evidence.witness(asked.term, asked.isPaused ? OLD_TERM + 1 : 0, countsFrom);
-    if (isEvidence) this.#witnessed = asked.witnessed;
+    const isTaken =
+      asked.isKnown || this.without === 'a witness has been known for longer than a promotion lasts';
+    if (isTaken) this.#evidence.witness(asked.term, asked.isPaused ? OLD_TERM + 1 : 0, countsFrom);
+    else this.#evidence.noteTerm(asked.term);
     this.#lookForEvidence();
   }
 
@@ -449,6 +444,7 @@
       if (member === undefined) return;
       const replica = new Replica(member, ZERO_POSITION);
       replica.bornAfter = bornAfter;
+      replica.bornAtMs = this.#now;
       this.#replicas.push(replica);
       return;
     }
@@ -456,25 +452,12 @@
     if (replica === undefined) return;
     replica.isPaused = false;
     replica.bornAfter = bornAfter;
+    replica.bornAtMs = this.#now;
     if (birth.isEmpty) replica.received = ZERO_POSITION;
   }
 
   #violates(what: string): void {
-    const known = this.#whyUntold();
-    if (known !== null) this.#isKnown(known, what);
-    else if (this.outcome.kind !== 'violated') this.outcome = { kind: 'violated', what };
-  }
-
-  /** Why the other daemon was free to hold evidence that nobody waited out; `null` when it was not. */
-  #whyUntold(): Known | null {
-    if (this.#wasAsked && this.scene.silentTo === 'none') return null;
-    switch (this.#witnessed) {
-      case 'paused in time':
-      case 'at the last look':
-        return null;
-      case 'after the last look':
-        return this.#wasAsked ? 'a silent daemon asks a replica that starts after the last look' : null;
-    }
+    if (this.outcome.kind !== 'violated') this.outcome = { kind: 'violated', what };
   }
 
   #isKnown(why: Known, what: string): void {
