A daemon that started again is bounded by what the leader has said since, also to others

Cause: only what the new process itself had seen of a leader bounded what the former one had acknowledged; it has evidence some 0.5 to 1 s after its start. Change: a daemon tells for how long it has taken orders at an address where its former process did; that one acknowledged nothing since, so the first position that the leader gave the holder of the duty after that time is a limit. Ruled out: counting from the start of the process (a former one may still run; two cannot take orders at one address), and from a refused connection to the former one (a further process may have come and gone without a record).

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -30,7 +30,13 @@
     };
 
 /** What a daemon answers to an order: what it has acknowledged to clients. */
-export type OrderAnswer = Acknowledged;
+export interface OrderAnswer extends Acknowledged {
+  /**
+   * For how long this process has kept count, in milliseconds: what it does not know of was acknowledged before. Not told where that is
+   * not certain, and by daemons of earlier versions.
+   */
+  readonly countedMs?: number;
+}
 
 /**
  * Why a leader is doubted. `silent`: it does not answer this daemon; `refused`: it refuses or ends connections;
--- a/src/cluster/registration.ts
+++ b/src/cluster/registration.ts
@@ -10,6 +10,7 @@
 export class Registration {
   #countsFromMs = Number.POSITIVE_INFINITY;
   #hasPredecessor = true;
+  #isAtFormerAddress = false;
 
   constructor(private readonly self: DaemonRecord) {}
 
@@ -23,6 +24,11 @@
     return this.#hasPredecessor;
   }
 
+  /** True when the earlier process is known to have taken orders at this one's address: it has ended, since two cannot. */
+  get isAtFormerAddress(): boolean {
+    return this.#isAtFormerAddress;
+  }
+
   /**
    * Takes the records that the store had before this process registered. Orders to an earlier process at the same address
    * reach this one, so its own record need not be awaited.
@@ -37,7 +43,8 @@
     const { name } = this.self;
     const earlier = registered.get(name);
     this.#hasPredecessor = earlier !== undefined || unreadable.has(name);
-    if (earlier !== undefined && hasSameAddress(earlier, this.self)) this.#countsFromMs = nowMs;
+    this.#isAtFormerAddress = earlier !== undefined && hasSameAddress(earlier, this.self);
+    if (this.#isAtFormerAddress) this.#countsFromMs = nowMs;
   }
 
   /** The store has taken the record. */
--- a/src/leadership/doubts-that-end.test.ts
+++ b/src/leadership/doubts-that-end.test.ts
@@ -156,6 +156,61 @@
   });
 });
 
+/**
+ * Seeds 5001 and 6008: a daemon was killed and started again while the leader led, the holder of the duty went on asking that leader, and
+ * yet `limit=null` once the leader was lost: only what the killed daemon had itself seen of a leader since counted.
+ */
+describe('a daemon that started again while the leader led', () => {
+  const FORGOTTEN = { latest: { term: FIRST_TERM, index: 0 }, limit: null };
+  const SOME_MS = 300;
+
+  /** The leader says how far its log is, `afterMs` after the daemon began to count; then it ends, and a replica is silent. */
+  function ledOnce(afterMs: number): ModelledGroup {
+    const scene = new ModelledGroup(['old', 'one', 'two']);
+    assert.ok(scene.commit(scene.member('old')));
+    const askedAtMs = performance.now();
+    const countsFromMs = askedAtMs - afterMs;
+    const answer = {
+      ...FORGOTTEN,
+      get countedMs(): number {
+        return performance.now() - countsFromMs;
+      },
+    };
+    scene.daemons.set('d2', { kind: 'answered', answer });
+    scene.group.recordLed(askedAtMs, COMMIT);
+    scene.member('old').state = 'ended';
+    scene.member('two').state = 'dark';
+    return scene;
+  }
+
+  test('is bounded by what the leader said since, though a replica is silent', async () => {
+    const scene = ledOnce(SOME_MS);
+    assert.ok(await isLedWithin(scene, SOON_MS), scene.events.join(', '));
+    assert.ok(hasReached(heldByLeader(scene), COMMIT), scene.events.join(', '));
+  });
+
+  test('is not bounded by what the leader said before', async () => {
+    const scene = ledOnce(-SOME_MS);
+    assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
+  });
+
+  test('is not bounded where it does not say since when it counts', async () => {
+    const scene = ledOnce(SOME_MS);
+    scene.daemons.set('d2', { kind: 'answered', answer: FORGOTTEN });
+    assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
+  });
+
+  test('is not bounded when it did not say its last word', async () => {
+    const scene = ledOnce(SOME_MS);
+    const push = scene.events.push.bind(scene.events);
+    scene.events.push = (...items: string[]): number => {
+      if (items.includes('seal')) scene.daemons.set('d2', { kind: 'silent' });
+      return push(...items);
+    };
+    assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
+  });
+});
+
 describe('a member that starts again all the time, with a leader that is down for good', () => {
   /** For how long a life that has ended is known by the directory, in milliseconds, and between two starts. */
   const KNOWN_MS = 30_000;
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -11,7 +11,7 @@
  */
 import { delay } from '../common/signal.js';
 import type { HolderOrder, OrderOutcome } from '../cluster/peer-mesh.js';
-import { formatPosition, hasReached } from '../position/position.js';
+import { formatPosition, hasReached, type Position } from '../position/position.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import { formatIncarnation, type Incarnation } from '../topology/incarnation.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
@@ -129,7 +129,7 @@
     const look = await this.#lastLook(pauses);
     if (this.#isSuperseded()) return this.#giveUp(look);
     this.#noteOwnLife(look);
-    const told = joinAcknowledged([group.acknowledged, ...words.map(acknowledgedBy)]);
+    const told = joinAcknowledged([group.acknowledged, ...words]);
     // A daemon that is silent may still hold evidence of a replica that is missing.
     const acknowledged = this.#isOneSilent ? told : this.ports.stepDowns.bound(this.#term, told);
     const successor = this.#choose(look, acknowledged, unheard(outcomes));
@@ -225,12 +225,13 @@
    * What the daemons have acknowledged, for good: they acknowledge nothing of the term after they have said it, and those that do not say
    * it have no evidence left when this returns. A write that was under way when they let go may have been acknowledged since.
    */
-  async #takeLastWords(outcomes: ReadonlyMap<string, OrderOutcome>): Promise<readonly OrderOutcome[]> {
+  async #takeLastWords(outcomes: ReadonlyMap<string, OrderOutcome>): Promise<readonly Acknowledged[]> {
     const { options, group } = this.ports;
     group.evidence.seal(this.#term, options.now());
     const silent = new Set([...outcomes].filter(([, { kind }]) => kind === 'silent').map(([name]) => name));
     // Also those that have registered since: their evidence counts from some time after that, and a promotion may take longer.
     const words = await options.order(this.#order('seal'), ORDER_MS, { except: silent });
+    const heardAtMs = options.now();
     const areAllHeard = [...words].every(([name, { kind }]) => silent.has(name) || kind !== 'silent');
     if (!areAllHeard) this.#isOneSilent = true;
     if (!areAllHeard) await this.#waitRevoked(this.#letGoAtMs + EVIDENCE_MS);
@@ -239,7 +240,8 @@
       return word?.kind === 'answered' ? word : asUnheardSince(outcome);
     });
     const registeredSince = [...words].filter(([name]) => !outcomes.has(name)).map(([, outcome]) => outcome);
-    return [...told, ...registeredSince];
+    const ledSince = (ms: number): Position | null => group.positions.floorSince(ms)?.position ?? null;
+    return [...told, ...registeredSince].map((word) => acknowledgedBy(word, heardAtMs, ledSince));
   }
 
   /** While the platform may act on an earlier call, whoever is named instead may be replaced by a member without its commits. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -113,6 +113,8 @@
   readonly #doubts: LeaderDoubts;
   readonly #control: MemberControl;
   readonly #mesh: PeerMesh;
+  /** Since when this process takes orders, in monotonic milliseconds. */
+  #listensFromMs = Number.POSITIVE_INFINITY;
   readonly #duty: Duty;
   readonly #context: RelayContext;
   readonly #daemons = new DaemonDirectory();
@@ -326,6 +328,7 @@
     this.#startedAtMs = this.options.now();
     const { host, port, gatewayPort } = this.options.self;
     await this.#mesh.listen(host, port);
+    this.#listensFromMs = this.options.now();
     await this.#gatewayServer.listen(host, gatewayPort);
     this.#duty.prepare();
     this.#runForever(this.#sharing.run());
@@ -587,7 +590,16 @@
     }
     group.changed.notify();
     watcher.wake();
-    return group.acknowledged;
+    return { ...group.acknowledged, ...this.#counted(group.name) };
+  }
+
+  /**
+   * For how long this process has kept count: the earlier one at its address had let go of the port on which this one takes orders.
+   * What runs on at a group that was dropped is counted nowhere.
+   */
+  #counted(groupName: string): Pick<OrderAnswer, 'countedMs'> {
+    const isKnown = this.#registration.isAtFormerAddress && !this.#droppedGroups.has(groupName);
+    return isKnown ? { countedMs: this.options.now() - this.#listensFromMs } : {};
   }
 
   /** True when this daemon may have acknowledged commits of a group before it last began to watch it. */
