Daemons tell the holder of the duty who led last

Cause: who led was known by each daemon for itself. Change: daemons that let go tell who led last, with the term; the youngest life that led the very term in question counts.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -8,6 +8,7 @@
 import type { DaemonRecord } from './daemon-record.js';
 import { EvidenceReader, type EvidenceAnswer, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import { MessageChannel } from '../peer/message-channel.js';
+import type { LastLed } from '../leadership/last-led.js';
 import type { Position } from '../position/position.js';
 import type { Acknowledged } from '../leadership/acknowledged.js';
 
@@ -36,6 +37,8 @@
    * not certain, and by daemons of earlier versions.
    */
   readonly countedMs?: number;
+  /** Who led last, as far as it has heard: a holder of the duty that has just started has heard of nobody. */
+  readonly lastLed?: LastLed;
 }
 
 /**
--- a/src/leadership/doubts-that-end.test.ts
+++ b/src/leadership/doubts-that-end.test.ts
@@ -69,6 +69,35 @@
     assert.ok(hasReached(heldByLeader(scene), COMMIT), scene.events.join(', '));
   });
 
+  /** The logs of seed 6021, run again: the holder of the duty was the daemon that had been killed. Others had heard who led. */
+  test('are missing no more where another daemon knows who led', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'two']);
+    assert.ok(scene.commit(scene.member('old')));
+    scene.group.evidence.loseLeader();
+    scene.daemons.set('d2', GONE);
+    startNextLife(scene, 'old', 'nothing');
+    startNextLife(scene, 'one', 'log');
+    startNextLife(scene, 'two', 'log');
+    const lastLed = { term: FIRST_TERM, life: { memberId: 'old', bornMs: null } };
+    const answer = { latest: COMMIT, limit: COMMIT, lastLed };
+    scene.daemons.set('d3', { kind: 'answered', answer });
+    assert.ok(await isLedWithin(scene, SOON_MS), scene.events.join(', '));
+    assert.ok(hasReached(heldByLeader(scene), COMMIT), scene.events.join(', '));
+  });
+
+  test('are missing where nobody knows who led', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'two']);
+    assert.ok(scene.commit(scene.member('old')));
+    scene.group.evidence.loseLeader();
+    scene.daemons.set('d2', GONE);
+    startNextLife(scene, 'one', 'nothing');
+    startNextLife(scene, 'two', 'log');
+    scene.group.members.delete('old');
+    const lastLed = { term: FIRST_TERM - 1, life: { memberId: 'two', bornMs: null } };
+    scene.daemons.set('d3', { kind: 'answered', answer: { latest: COMMIT, limit: COMMIT, lastLed } });
+    assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
+  });
+
   /** The logs of seed 5001: a spare had parted 1.4 s before the leader was lost, and was missing ever after. */
   test('are covered when they ended, and were listed no more, while the leader led', async () => {
     const scene = new ModelledGroup(['old', 'one', 'spare']);
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -17,7 +17,7 @@
 import { LostLives } from './lost-lives.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
 import { OpenCalls } from './open-calls.js';
-import { DUTY_RESERVE_MS, Promotion } from './promotion.js';
+import { DUTY_RESERVE_MS, Promotion, type PromotionPorts } from './promotion.js';
 import { ReplicaPauses } from './replica-pauses.js';
 import { StepDowns } from './step-downs.js';
 
@@ -149,7 +149,7 @@
 
   /** The leader answers this daemon: it may still be of no use to others, or to itself. */
   async #lookCloser(leader: Member): Promise<void> {
-    this.#leaderLoss.answered(leader);
+    this.#leaderLoss.answered(leader.entry);
     if (this.#isNew) {
       this.#isNew = false;
       // The platform may still act on the earlier holder's call: resumed replicas would let commits pass by that member.
@@ -297,7 +297,7 @@
       if (answer.kind === 'busy' || leader.answeredAtMs > askedAtMs) return null;
       kind = answer.kind;
     }
-    if (kind === 'refused') this.#leaderLoss.refused(leader, askedAtMs);
+    if (kind === 'refused') this.#leaderLoss.refused(leader.entry, askedAtMs);
     else if (this.#isAloneInDoubt(leader, kind)) return null;
     return `leader is ${kind}`;
   }
@@ -346,11 +346,12 @@
     /** Whoever led: what they hold was received by others, or is of no use. */
     const deposed = new Set<Member>(leader === null ? [] : [leader]);
     const { evidence } = this.group;
-    const lastLed = this.group.ledBy(evidence.leader?.term ?? evidence.minimumTerm);
-    let outcome = await this.#promotion(leader, reason, deposed, lastLed).run();
+    const { lastLed } = this.group;
+    const led = { lastTerm: evidence.leader?.term ?? evidence.minimumTerm, lastLed };
+    let outcome = await this.#promotion(leader, reason, deposed, led).run();
     for (let repeat = 0; outcome.kind === 'again' && repeat < REPEATS; repeat += 1) {
       if (outcome.leader !== null) deposed.add(outcome.leader);
-      outcome = await this.#promotion(outcome.leader, outcome.reason, deposed, lastLed).run();
+      outcome = await this.#promotion(outcome.leader, outcome.reason, deposed, led).run();
     }
     if (outcome.kind !== 'led') {
       await delay(GIVEN_UP_REST_MS);
@@ -364,7 +365,7 @@
     leader: Member | null,
     reason: string,
     deposed: ReadonlySet<Member>,
-    lastLed: Member | null,
+    led: Pick<PromotionPorts, 'lastTerm' | 'lastLed'>,
   ): Promotion {
     const ports = {
       group: this.group,
@@ -373,7 +374,7 @@
       stepDowns: this.#stepDowns,
       openCalls: this.#openCalls,
       leaderLoss: this.#leaderLoss,
-      lastLed,
+      ...led,
       others: () =>
         this.#others(leader).filter((member) => !deposed.has(member) && !this.#isEndedLeader(member)),
       fence: (reserveMs: number) => this.#fence(reserveMs),
--- a/src/leadership/leader-loss.ts
+++ b/src/leadership/leader-loss.ts
@@ -6,27 +6,28 @@
  *
  * @packageDocumentation
  */
-import type { Member } from '../topology/member-group.js';
+import { formatIncarnation, type Incarnation } from '../topology/incarnation.js';
 
 /** For how long a leader that does not run is waited for, in milliseconds: as long as a member whose entry is gone. */
 export const AWAITED_MS = 30_000;
 
 /** The last leader that one supervisor found not to run. */
 export class LeaderLoss {
-  #last: { readonly member: Member; readonly sinceMs: number } | null = null;
+  #last: { readonly life: string; readonly sinceMs: number } | null = null;
 
   /** The life refused a connection that was asked for at `nowMs`. */
-  refused(member: Member, nowMs: number): void {
-    if (this.#last?.member !== member) this.#last = { member, sinceMs: nowMs };
+  refused(incarnation: Incarnation, nowMs: number): void {
+    const life = formatIncarnation(incarnation);
+    if (this.#last?.life !== life) this.#last = { life, sinceMs: nowMs };
   }
 
-  /** The member answers after all. */
-  answered(member: Member): void {
-    if (this.#last?.member === member) this.#last = null;
+  /** The life answers after all. */
+  answered(incarnation: Incarnation): void {
+    if (this.#last?.life === formatIncarnation(incarnation)) this.#last = null;
   }
 
   /** True when the life has been waited for long enough. */
-  isOver(member: Member, nowMs: number): boolean {
-    return this.#last?.member === member && nowMs - this.#last.sinceMs >= AWAITED_MS;
+  isOver(incarnation: Incarnation, nowMs: number): boolean {
+    return this.#last?.life === formatIncarnation(incarnation) && nowMs - this.#last.sinceMs >= AWAITED_MS;
   }
 }
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -20,6 +20,7 @@
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { GroupSupervisorOptions } from './group-supervisor.js';
+import { lifeThatLed, type LastLed } from './last-led.js';
 import type { LeaderLoss } from './leader-loss.js';
 import type { OpenCalls } from './open-calls.js';
 import type { StepDowns } from './step-downs.js';
@@ -57,8 +58,10 @@
   readonly stepDowns: StepDowns;
   readonly openCalls: OpenCalls;
   readonly leaderLoss: LeaderLoss;
-  /** The life that led when the first of the promotions that follow each other began, or `null` where that is not known. */
-  readonly lastLed: Member | null;
+  /** The term in which something may have been acknowledged last: the first of the promotions that follow each other is over it. */
+  readonly lastTerm: number;
+  /** Who led last when that one began, as far as this daemon had heard. */
+  readonly lastLed: LastLed | null;
   /** The members to be asked as they are known now: all but the leader. */
   others(): readonly Member[];
   /** The fence while the supervision acts under the duty for so many milliseconds more, or `null`. */
@@ -94,6 +97,8 @@
   #isOneSilent = false;
   /** No pause is taken any more. */
   #isOver = false;
+  /** The life that led the last term in which something may have been acknowledged; `null` while nobody is known to know. */
+  #ledBy: Incarnation | null = null;
   /** All members that were asked to pause. */
   readonly #asked = new Set<Member>();
   /** All members that were paused. */
@@ -240,10 +245,18 @@
       return word?.kind === 'answered' ? word : asUnheardSince(outcome);
     });
     const registeredSince = [...words].filter(([name]) => !outcomes.has(name)).map(([, outcome]) => outcome);
+    this.#learnLastLed([...outcomes.values(), ...words.values()]);
     const ledSince = (ms: number): Position | null => group.positions.floorSince(ms)?.position ?? null;
     return [...told, ...registeredSince].map((word) => acknowledgedBy(word, heardAtMs, ledSince));
   }
 
+  /** Others may know who led, where this daemon has just started. */
+  #learnLastLed(outcomes: readonly OrderOutcome[]): void {
+    const { lastLed, lastTerm } = this.ports;
+    const heard = outcomes.map((outcome) => (outcome.kind === 'answered' ? outcome.answer.lastLed : null));
+    this.#ledBy = lifeThatLed(lastTerm, [lastLed, ...heard]);
+  }
+
   /** While the platform may act on an earlier call, whoever is named instead may be replaced by a member without its commits. */
   async #awaitOpenCalls(): Promise<void> {
     const { now } = this.ports.options;
@@ -263,7 +276,7 @@
     const looked = await this.ports.pauses.lookAt(
       [...pauses.paused, ...late.paused],
       this.#term + 1,
-      this.ports.group.ledBy(this.#term)?.entry.memberId ?? null,
+      this.#ledBy?.memberId ?? null,
     );
     const ended = [...pauses.ended, ...late.ended, ...looked.ended];
     const heard = new Set(looked.standing.map(({ member }) => member.entry.memberId));
@@ -284,12 +297,12 @@
    * started again.
    */
   #mayLastLeaderComeBack(heard: ReadonlySet<string>): boolean {
-    const { group, options, lastLed, leaderLoss } = this.ports;
-    if (lastLed === null) return true;
-    const { memberId } = lastLed.entry;
-    if (heard.has(memberId)) return false;
-    const isForgotten = !group.members.has(memberId) && group.formerOf(memberId) === null;
-    return !isForgotten && !leaderLoss.isOver(lastLed, options.now());
+    const { group, options, leaderLoss } = this.ports;
+    const led = this.#ledBy;
+    if (led === null) return true;
+    if (heard.has(led.memberId)) return false;
+    const isForgotten = !group.members.has(led.memberId) && group.formerOf(led.memberId) === null;
+    return !isForgotten && !leaderLoss.isOver(led, options.now());
   }
 
   /** A replica that was paused late may have given evidence to a daemon that is silent, or has registered since the beginning. */
@@ -312,11 +325,18 @@
 
   /** The life that led the term is paused as well: all that was acknowledged in the term is in its log. */
   #noteOwnLife({ paused }: LastLook): void {
-    const ledBy = this.ports.group.ledBy(this.#term);
-    const own = paused.find(({ member }) => member === ledBy);
+    if (this.ports.lastTerm !== this.#term) return;
+    const known = this.ports.group.ledBy(this.#term);
+    const own = paused.find(({ member }) => member === known || this.#isLastLed(member));
     if (own !== undefined) this.ports.stepDowns.record(this.#term, own.status);
   }
 
+  /** True for the life that led, where lives are told from each other. */
+  #isLastLed({ entry }: Member): boolean {
+    const led = this.#ledBy;
+    return led !== null && led.bornMs !== null && formatIncarnation(led) === formatIncarnation(entry);
+  }
+
   #choose(look: LastLook, acknowledged: Acknowledged, silentDaemons: string): Paused | null {
     const { options, group } = this.ports;
     const candidates = look.paused.map(toCandidate);
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -590,7 +590,8 @@
     }
     group.changed.notify();
     watcher.wake();
-    return { ...group.acknowledged, ...this.#counted(group.name) };
+    const { acknowledged, lastLed } = group;
+    return { ...acknowledged, ...this.#counted(group.name), ...(lastLed === null ? {} : { lastLed }) };
   }
 
   /**
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -6,6 +6,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import type { Acknowledged } from '../leadership/acknowledged.js';
 import { CommitWatch } from '../leadership/commit-watch.js';
+import type { LastLed } from '../leadership/last-led.js';
 import { LeadershipEvidence, type CommitStanding, type Leader } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
 import { formatIncarnation, type Incarnation } from './incarnation.js';
@@ -279,6 +280,13 @@
     return this.former.has(key) ? `${key}@${entry.host}:${entry.port}` : key;
   }
 
+  /** Who led last, and which term, as far as this daemon has heard; `null` where it has heard of nobody. */
+  get lastLed(): LastLed | null {
+    if (this.#lastLed === null) return null;
+    const { memberId, bornMs } = this.#lastLed.member.entry;
+    return { term: this.#lastLed.term, life: { memberId, bornMs } };
+  }
+
   /** For how long no leader has been proven, in milliseconds; 0 while one is. */
   leaderlessMs(nowMs: number): number {
     if (this.leaderlessSinceMs === null || this.evidence.current(nowMs) !== null) return 0;
