A named member that starts again is followed to its next life; of equals, the longest-known life is named

Cause: once the directory has told of the next life, the appointment went on asking the former one, whose connections are ended, until the call had lapsed (5 s). Change: the appointment asks whoever goes by the id. Besides, of members that hold the same, the one whose life has been known for longest is named: one that has just started is the likeliest to start again.

--- a/src/leadership/choose-successor.ts
+++ b/src/leadership/choose-successor.ts
@@ -11,6 +11,8 @@
   readonly memberId: string;
   readonly received: Position;
   readonly isLeaving: boolean;
+  /** Since when its life has been known, in monotonic milliseconds. */
+  readonly knownSinceMs: number;
 }
 
 /** What is known at the time of the choice. */
@@ -44,5 +46,7 @@
 function isBetter(candidate: SuccessorCandidate, best: SuccessorCandidate): boolean {
   const order = comparePositions(candidate.received, best.received);
   if (order !== 0) return order > 0;
-  return best.isLeaving && !candidate.isLeaving;
+  if (best.isLeaving !== candidate.isLeaving) return best.isLeaving;
+  // One that has just started is the likeliest to start again, empty, before the platform acts: that cannot be taken back.
+  return candidate.knownSinceMs < best.knownSinceMs;
 }
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -164,17 +164,27 @@
 
   test('is the one that has received the most; of equals, one that stays', () => {
     const candidates = [
-      { memberId: 'a', received: at(5), isLeaving: true },
-      { memberId: 'b', received: at(5), isLeaving: false },
-      { memberId: 'c', received: at(9, 0), isLeaving: false },
+      { memberId: 'a', received: at(5), isLeaving: true, knownSinceMs: 0 },
+      { memberId: 'b', received: at(5), isLeaving: false, knownSinceMs: 0 },
+      { memberId: 'c', received: at(9, 0), isLeaving: false, knownSinceMs: 0 },
     ];
     assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: UNKNOWN })?.memberId, 'b');
-    const more = [...candidates, { memberId: 'd', received: at(6), isLeaving: true }];
+    const more = [...candidates, { memberId: 'd', received: at(6), isLeaving: true, knownSinceMs: 0 }];
     assert.equal(chooseSuccessor({ candidates: more, missing: 0, acknowledged: UNKNOWN })?.memberId, 'd');
   });
 
+  test('is, of equals that stay, the one whose life has been known for longest', () => {
+    const candidates = [30, 10, 20].map((knownSinceMs) => ({
+      memberId: String(knownSinceMs),
+      received: at(5),
+      isLeaving: false,
+      knownSinceMs,
+    }));
+    assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: UNKNOWN })?.memberId, '10');
+  });
+
   test('with replicas missing, every acknowledged commit has to be covered', () => {
-    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false, knownSinceMs: 0 }];
     assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: whole(at(5)) })?.memberId, 'a');
     assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: whole(at(6)) }), null);
     assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: UNKNOWN }), null);
@@ -182,20 +192,20 @@
   });
 
   test('what is known to be acknowledged has to be covered though no listed replica is missing', () => {
-    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false, knownSinceMs: 0 }];
     assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: whole(at(6)) }), null);
     assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: UNKNOWN })?.memberId, 'a');
   });
 
   test('what some daemons are known to have acknowledged has to be covered though others were not heard', () => {
-    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false, knownSinceMs: 0 }];
     assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: partial(at(6)) }), null);
     assert.equal(chooseSuccessor({ candidates, missing: 0, acknowledged: partial(at(5)) })?.memberId, 'a');
     assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: partial(at(5)) }), null);
   });
 
   test('what a daemon may have forgotten has to be covered only where a replica is missing', () => {
-    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false }];
+    const candidates = [{ memberId: 'a', received: at(5), isLeaving: false, knownSinceMs: 0 }];
     const forgetful = joinAcknowledged([whole(at(4)), { latest: at(2), limit: at(6) }]);
     assert.deepEqual(forgetful, { latest: at(4), limit: at(6) });
     assert.equal(chooseSuccessor({ candidates, missing: 1, acknowledged: forgetful }), null);
@@ -269,6 +279,7 @@
           memberId: `m${number}`,
           received: at(index),
           isLeaving: false,
+          knownSinceMs: 0,
         }));
         const missing = indexes.length - reachable.length;
         const chosen = chooseSuccessor({ candidates, missing, acknowledged: whole(acknowledged) });
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -375,7 +375,8 @@
     };
     const ports = {
       call,
-      status: () => options.control.ask(member, { kind: 'status' }, STATUS_MS),
+      // The platform acts on whoever goes by the id: the next life of a member that has started again is made to lead.
+      status: () => options.control.ask(group.members.get(memberId) ?? member, { kind: 'status' }, STATUS_MS),
       letGo: () => this.#sealAgain(),
       keepPaused: () => this.#keepPaused(member),
       now: options.now,
@@ -539,5 +540,6 @@
 }
 
 function toCandidate({ member, status }: Paused): SuccessorCandidate {
-  return { memberId: member.entry.memberId, received: status.received, isLeaving: member.isLeaving };
+  const { entry, isLeaving, knownSinceMs } = member;
+  return { memberId: entry.memberId, received: status.received, isLeaving, knownSinceMs };
 }
--- a/test/model/promotion-model.test.ts
+++ b/test/model/promotion-model.test.ts
@@ -387,6 +387,7 @@
       memberId: member.entry.memberId,
       received,
       isLeaving: false,
+      knownSinceMs: 0,
     }));
   }
 
