The next holder of the duty knows of the calls that the last one has made

Symptom: a holder that calls the platform and is lost is followed by one that names another member while the call may act (confirmed changes could be undone by the member that then comes to lead), or replaces the member that the call has just made to lead, since it finds replicas paused. Cause: calls were known to the supervisor that made them alone. Change: the order to seal that goes out before each call tells the daemons of it (whom, for how long, under which fence); they tell whoever asks them to let go. The next holder names nobody while such a call may act, unless its member leads; a leader that the call names, and that holds all that paused replicas do, leads on and the replicas are resumed. Ruled out: a record in the store (a call of it before each promotion; none while it is away). Price: none where no holder is lost; up to 5 s where a call came to nothing and its holder is gone.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -9,6 +9,7 @@
 import { EvidenceReader, type EvidenceAnswer, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LastLed } from '../leadership/last-led.js';
+import type { OpenCall } from '../leadership/open-calls.js';
 import type { Position } from '../position/position.js';
 import type { Acknowledged } from '../leadership/acknowledged.js';
 
@@ -17,7 +18,13 @@
   /** Evidence for terms up to this one is to be dropped: a promotion begins. */
   | { readonly kind: 'revoke'; readonly groupName: string; readonly term: number }
   /** The same; and commits of these terms that are answered after it are acknowledged no more. */
-  | { readonly kind: 'seal'; readonly groupName: string; readonly term: number }
+  | {
+      readonly kind: 'seal';
+      readonly groupName: string;
+      readonly term: number;
+      /** The platform is about to be called, or may act on a call still. */
+      readonly call?: OpenCall;
+    }
   /** The promotion was given up. */
   | { readonly kind: 'allow'; readonly groupName: string }
   /** A member leads. */
@@ -28,6 +35,8 @@
       readonly term: number;
       /** What it has received: a process that lacks it goes by the same id, and does not lead. */
       readonly held: Position;
+      /** A further call that may still act. */
+      readonly call?: OpenCall;
     };
 
 /** What a daemon answers to an order: what it has acknowledged to clients. */
@@ -39,6 +48,8 @@
   readonly countedMs?: number;
   /** Who led last, as far as it has heard: a holder of the duty that has just started has heard of nobody. */
   readonly lastLed?: LastLed;
+  /** A call of the platform that the daemon was told of, and that may still act. */
+  readonly openCall?: OpenCall;
 }
 
 /**
--- a/src/leadership/appointment.ts
+++ b/src/leadership/appointment.ts
@@ -23,7 +23,7 @@
 const RETRIED_MS = 4500;
 const RETRY_MS = 500;
 /** Time after a call in which the platform may act on it, in milliseconds: a slow one takes some seconds. */
-const LATE_CALL_MS = 5000;
+export const LATE_CALL_MS = 5000;
 /** How long the platform takes at least, in milliseconds: the member is not asked before. */
 const LEAST_MS = 100;
 /** Time between questions to the member, in milliseconds. */
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -152,8 +152,7 @@
     this.#leaderLoss.answered(leader.entry);
     if (this.#isNew) {
       this.#isNew = false;
-      // The platform may still act on the earlier holder's call: resumed replicas would let commits pass by that member.
-      if (await this.#isOnePaused(leader)) return this.#promote(leader, 'an earlier promotion was left');
+      if (await this.#isLeftUnfinished(leader)) return this.#promote(leader, 'an earlier promotion was left');
     }
     const now = this.options.now();
     const { memberId } = leader.entry;
@@ -321,10 +320,23 @@
     return isManyCallers ? CORROBORATING_CALLERS : 1;
   }
 
-  /** True when a replica is paused. */
-  async #isOnePaused(leader: Member): Promise<boolean> {
+  /**
+   * True when an earlier holder of the duty has left replicas paused: the platform may still act on its call, and resumed replicas would
+   * let commits pass by the member that it names. Not so where that is the leader, and it holds all that they do.
+   */
+  async #isLeftUnfinished(leader: Member): Promise<boolean> {
     const answers = await Promise.all(this.#others(leader).map((member) => this.#status(member)));
-    return answers.some((answer) => answer.kind === 'answered' && answer.status.pausedForTerm !== 0);
+    const paused = answers.flatMap((answer) =>
+      answer.kind === 'answered' && answer.status.pausedForTerm !== 0 ? [answer.status] : [],
+    );
+    if (paused.length === 0) return false;
+    const now = this.options.now();
+    const call = this.group.calls.open(now);
+    if (call?.memberId !== leader.entry.memberId) return true;
+    this.#openCalls.recordEarlier(call, now);
+    const lead = await this.#status(leader);
+    if (lead.kind !== 'answered' || !lead.status.isPrimary) return true;
+    return !paused.every(({ received }) => hasReached(lead.status.received, received));
   }
 
   /** Lets replicas go on that a promotion given up left paused. */
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -16,13 +16,13 @@
 import { formatIncarnation, type Incarnation } from '../topology/incarnation.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { joinAcknowledged, type Acknowledged } from './acknowledged.js';
-import { appoint, type AppointmentOutcome } from './appointment.js';
+import { appoint, LATE_CALL_MS, type AppointmentOutcome } from './appointment.js';
 import { chooseSuccessor, type SuccessorCandidate } from './choose-successor.js';
 import { EVIDENCE_MS, REGISTRATION_SETTLE_MS } from './leadership-evidence.js';
 import type { GroupSupervisorOptions } from './group-supervisor.js';
 import { lifeThatLed, type LastLed } from './last-led.js';
 import type { LeaderLoss } from './leader-loss.js';
-import type { OpenCalls } from './open-calls.js';
+import type { OpenCall, OpenCalls } from './open-calls.js';
 import type { StepDowns } from './step-downs.js';
 import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
 import type { Paused, Pauses, ReplicaPauses } from './replica-pauses.js';
@@ -40,6 +40,8 @@
 const ALIVE_MS = 100;
 /** How long requests under way at a leader that leaves may take to end, in milliseconds. */
 const HANDOVER_REST_MS = 60;
+/** Time between two questions to a member that an earlier holder has named, in milliseconds. */
+const AWAITED_LOOK_MS = 100;
 /** Time between two orders to let go while evidence is waited out, in milliseconds: one holds for less than the whole wait. */
 const REVOKE_AGAIN_MS = 700;
 /** Time between two looks at the other replicas while the platform acts, in milliseconds. */
@@ -99,6 +101,8 @@
   #isOver = false;
   /** The life that led the last term in which something may have been acknowledged; `null` while nobody is known to know. */
   #ledBy: Incarnation | null = null;
+  /** The last call of the platform, and until when it may act. */
+  #call: { readonly memberId: string; readonly fence: number; readonly untilMs: number } | null = null;
   /** All members that were asked to pause. */
   readonly #asked = new Set<Member>();
   /** All members that were paused. */
@@ -246,6 +250,7 @@
     });
     const registeredSince = [...words].filter(([name]) => !outcomes.has(name)).map(([, outcome]) => outcome);
     this.#learnLastLed([...outcomes.values(), ...words.values()]);
+    this.#learnOpenCalls([...outcomes.values(), ...words.values()], heardAtMs);
     const ledSince = (ms: number): Position | null => group.positions.floorSince(ms)?.position ?? null;
     return [...told, ...registeredSince].map((word) => acknowledgedBy(word, heardAtMs, ledSince));
   }
@@ -257,17 +262,41 @@
     this.#ledBy = lifeThatLed(lastTerm, [lastLed, ...heard]);
   }
 
+  /** Others, and this daemon, may have been told of a call of an earlier holder that can still act. */
+  #learnOpenCalls(outcomes: readonly OrderOutcome[], heardAtMs: number): void {
+    const { group, openCalls } = this.ports;
+    const told = outcomes.map((outcome) => (outcome.kind === 'answered' ? outcome.answer.openCall : null));
+    const fence = this.ports.fence(0);
+    for (const call of [group.calls.open(heardAtMs), ...told])
+      if (call != null && call.fence !== fence) openCalls.recordEarlier(call, heardAtMs);
+  }
+
   /** While the platform may act on an earlier call, whoever is named instead may be replaced by a member without its commits. */
   async #awaitOpenCalls(): Promise<void> {
     const { now } = this.ports.options;
+    let sealedAtMs = now();
     for (;;) {
       const leftMs = this.ports.openCalls.untilMs - now();
-      if (leftMs <= 0) return;
-      await delay(Math.min(leftMs, REVOKE_AGAIN_MS));
+      if (leftMs <= 0 || (await this.#isAwaitedLeading())) return;
+      await delay(Math.min(leftMs, AWAITED_LOOK_MS));
+      if (now() - sealedAtMs < REVOKE_AGAIN_MS) continue;
+      sealedAtMs = now();
       this.#sealAgain();
     }
   }
 
+  /** The member that an earlier holder has named leads by now: there is nobody to be replaced. */
+  async #isAwaitedLeading(): Promise<boolean> {
+    const { group, openCalls, options, pauses } = this.ports;
+    const awaited = openCalls.awaitedId === null ? undefined : group.members.get(openCalls.awaitedId);
+    if (awaited === undefined) return false;
+    const answer = await options.control.ask(awaited, { kind: 'status' }, STATUS_MS);
+    const isLeading =
+      answer.kind === 'answered' && answer.status.isPrimary && answer.status.term > this.#term;
+    if (isLeading) pauses.noteTerm(answer.status.term);
+    return isLeading;
+  }
+
   /** Looks at all replicas that are known by now; those that were not known before are paused first. */
   async #lastLook(pauses: Pauses): Promise<LastLook> {
     const unknown = this.ports.others().filter((member) => !this.#asked.has(member));
@@ -365,6 +394,8 @@
     const call = (timeoutMs: number): Promise<boolean> | null => {
       const fence = this.#isSuperseded() ? null : this.ports.fence(DUTY_RESERVE_MS);
       if (fence === null) return null;
+      this.#call = { memberId, fence, untilMs: options.now() + LATE_CALL_MS };
+      this.#sealAgain();
       options.log('promotion_call', {
         group: group.name,
         member: memberId,
@@ -381,7 +412,6 @@
       keepPaused: () => this.#keepPaused(member),
       now: options.now,
     };
-    this.#sealAgain();
     const outcome = await appoint(ports, { oldTerm: this.#term, received: successor.status.received });
     if ('status' in outcome)
       options.log('promoted_member_leads', {
@@ -461,14 +491,23 @@
   #sealAgain(): void {
     const { options, group } = this.ports;
     group.evidence.seal(this.#term, options.now());
-    void options.order(this.#order('seal'), ORDER_MS);
+    void options.order({ ...this.#order('seal'), ...this.#openCall() }, ORDER_MS);
+  }
+
+  /** The call that may act, for the daemons to tell a next holder of. */
+  #openCall(): { readonly call?: OpenCall } {
+    if (this.#call === null) return {};
+    const { untilMs, ...call } = this.#call;
+    return { call: { ...call, leftMs: Math.max(0, untilMs - this.ports.options.now()) } };
   }
 
   #announce({ entry: { memberId } }: Member, { term, received }: MemberStatus): void {
-    const { options, group } = this.ports;
+    const { options, group, openCalls } = this.ports;
     group.learnLeader({ memberId, term }, received);
     options.confirmLeader();
-    void options.order({ kind: 'leader', groupName: group.name, memberId, term, held: received }, ORDER_MS);
+    const furtherCall = openCalls.untilMs > options.now() ? this.#openCall() : {};
+    const news = { kind: 'leader', groupName: group.name, memberId, term, held: received } as const;
+    void options.order({ ...news, ...furtherCall }, ORDER_MS);
   }
 
   async #end(successor: Paused): Promise<PromotionOutcome> {
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -63,6 +63,11 @@
     return this.#latestTerm;
   }
 
+  /** A member was seen to follow, or lead, a term. */
+  noteTerm(term: number): void {
+    this.#latestTerm = Math.max(this.#latestTerm, term);
+  }
+
   /**
    * Pauses members. One that has ended is missing unless another is known to hold what it had.
    *
@@ -134,7 +139,7 @@
   }
 
   #take(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
-    if (!this.#demoted.has(member)) this.#latestTerm = Math.max(this.#latestTerm, status.term);
+    if (!this.#demoted.has(member)) this.noteTerm(status.term);
     if (!status.isPrimary) this.lost.heard(member, status, this.now());
     return toPaused(member, status, term);
   }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -580,18 +580,28 @@
         break;
       case 'seal':
         group.evidence.seal(order.term, this.options.now());
+        if (order.call !== undefined) group.calls.note(order.call, this.options.now());
         break;
       case 'allow':
         group.evidence.allowAgain();
+        group.calls.clear();
         break;
       case 'leader':
         group.learnLeader({ memberId: order.memberId, term: order.term }, order.held);
+        if (order.call === undefined) group.calls.clear();
+        else group.calls.note(order.call, this.options.now());
         break;
     }
     group.changed.notify();
     watcher.wake();
     const { acknowledged, lastLed } = group;
-    return { ...acknowledged, ...this.#counted(group.name), ...(lastLed === null ? {} : { lastLed }) };
+    const openCall = group.calls.open(this.options.now());
+    return {
+      ...acknowledged,
+      ...this.#counted(group.name),
+      ...(lastLed === null ? {} : { lastLed }),
+      ...(openCall === null ? {} : { openCall }),
+    };
   }
 
   /**
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -7,6 +7,7 @@
 import type { Acknowledged } from '../leadership/acknowledged.js';
 import { CommitWatch } from '../leadership/commit-watch.js';
 import type { LastLed } from '../leadership/last-led.js';
+import { CallNote } from '../leadership/open-calls.js';
 import { LeadershipEvidence, type CommitStanding, type Leader } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
 import { formatIncarnation, type Incarnation } from './incarnation.js';
@@ -161,6 +162,8 @@
   readonly evidence: LeadershipEvidence;
   readonly positions = new PositionHistory();
   readonly commits = new CommitWatch();
+  /** What the holder of the duty has told of its calls of the platform. */
+  readonly calls = new CallNote();
   /** Since when no leader has been proven, in monotonic milliseconds; `null` while one is. */
   leaderlessSinceMs: number | null = null;
   /** Wakes whoever waits for a leader or a member. */
