A leader whose entry this daemon never had is not taken for forgotten

A holder of the duty that has just started is told by others who led; that life is not in its list, which was taken for an entry that has been gone for 30 s: ended lives and shorter logs counted no more, and a member without a confirmed commit could be named while the leader's log may come back. Change: only a daemon that knew the life can have seen its entry go. Test: `doubts-that-end.test.ts`, _a holder that never knew the leader_; failed before.

--- a/src/leadership/doubts-that-end.test.ts
+++ b/src/leadership/doubts-that-end.test.ts
@@ -98,6 +98,21 @@
     assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
   });
 
+  /** Found by reading: a holder that has just started has not seen the entry of the leader go, so it has not been gone for 30 s. */
+  test('are missing where a holder that never knew the leader is told of it', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'two']);
+    scene.member('two').isDeaf = true;
+    assert.ok(scene.commit(scene.member('old')));
+    scene.group.evidence.loseLeader();
+    scene.group.members.delete('old');
+    scene.daemons.set('d2', GONE);
+    startNextLife(scene, 'one', 'nothing');
+    const lastLed = { term: FIRST_TERM, life: { memberId: 'old', bornMs: null } };
+    const answer = { latest: { term: FIRST_TERM, index: 1 }, limit: COMMIT, lastLed };
+    scene.daemons.set('d3', { kind: 'answered', answer });
+    assert.equal(await isLedWithin(scene, ATTEMPTS_MS), false, scene.events.join(', '));
+  });
+
   /** The logs of seed 5001: a spare had parted 1.4 s before the leader was lost, and was missing ever after. */
   test('are covered when they ended, and were listed no more, while the leader led', async () => {
     const scene = new ModelledGroup(['old', 'one', 'spare']);
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -357,8 +357,7 @@
     this.#doubts.clear();
     /** Whoever led: what they hold was received by others, or is of no use. */
     const deposed = new Set<Member>(leader === null ? [] : [leader]);
-    const { evidence } = this.group;
-    const { lastLed } = this.group;
+    const { evidence, lastLed } = this.group;
     const led = { lastTerm: evidence.leader?.term ?? evidence.minimumTerm, lastLed };
     let outcome = await this.#promotion(leader, reason, deposed, led).run();
     for (let repeat = 0; outcome.kind === 'again' && repeat < REPEATS; repeat += 1) {
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -330,7 +330,9 @@
     const led = this.#ledBy;
     if (led === null) return true;
     if (heard.has(led.memberId)) return false;
-    const isForgotten = !group.members.has(led.memberId) && group.formerOf(led.memberId) === null;
+    // A daemon that never knew the life has not seen its entry go either.
+    const wasKnown = group.ledBy(this.ports.lastTerm)?.entry.memberId === led.memberId;
+    const isForgotten = wasKnown && !group.members.has(led.memberId) && group.formerOf(led.memberId) === null;
     return !isForgotten && !leaderLoss.isOver(led, options.now());
   }
 
