The era of the store, its whole reads and items that are not taken leave lines and figures

On call: nothing told which era the store was in, what a whole read gave, or that a change was told and dropped, so the hypotheses of the incident could not be told apart. No decision changes.

--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -49,6 +49,9 @@
 const REST_MS_PER_WATCHER = 2;
 const LONGEST_REST_MS = 180;
 
+/** Characters of a key that a line shows. */
+const SHOWN_KEY_CHARACTERS = 100;
+
 /** Where changes are followed from. */
 const WHOLE_STORE = '';
 
@@ -56,6 +59,8 @@
 export interface WatchedStoreOptions {
   readonly feed: ChangeFeed;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
+  /** An item was not taken: a later one is held. */
+  itemNotNewer?(): void;
   now(): number;
   random(): number;
   /** Waits, in milliseconds. */
@@ -136,6 +141,7 @@
     for (const item of items) this.#put(item);
     this.#revision = revision;
     this.changes.restart(revision, this.options.now());
+    this.options.log('store_read', { revision, items: items.length });
     for (const { prefix, listener } of this.#listeners)
       this.#tell(prefix, 'settled', () => listener.settled());
   }
@@ -177,12 +183,20 @@
 
   #put(item: StoredItem): void {
     const known = this.#items.get(item.key);
-    if (known !== undefined && known.revision >= item.revision) return;
+    if (known !== undefined && known.revision >= item.revision) return this.#noteNotNewer(known, item);
     this.#items.set(item.key, item);
     for (const { prefix, listener } of this.#listeners)
       if (item.key.startsWith(prefix)) this.#tell(prefix, 'changed', () => listener.changed(item));
   }
 
+  /** An item that differs from the one held is not taken for its revision alone: nobody else would tell. */
+  #noteNotNewer(known: StoredItem, { key, value, revision }: StoredItem): void {
+    if (known.revision === revision && known.value.equals(value)) return;
+    this.options.itemNotNewer?.();
+    const details = { key: key.slice(0, SHOWN_KEY_CHARACTERS), revision, held: known.revision };
+    this.#faults.tell('item_not_newer', key, `revision ${revision}`, details);
+  }
+
   #remove(key: string, revision: number): void {
     const known = this.#items.get(key);
     if (known === undefined || known.revision > revision) return;
--- a/src/observability/deferred-metrics.test.ts
+++ b/src/observability/deferred-metrics.test.ts
@@ -10,6 +10,8 @@
 const STATE = {
   clientConnections: 0,
   configurationVersion: 1,
+  storeEra: 0,
+  storeRevision: 0,
   holdsDuty: false,
   liveDaemons: 1,
   openLoans: 0,
--- a/src/observability/deferred-metrics.ts
+++ b/src/observability/deferred-metrics.ts
@@ -12,7 +12,7 @@
 /** What is counted while requests are served. */
 export type MetricsRecorder = Pick<
   RelayMetrics,
-  'requestEnded' | 'memberAnswered' | 'decided' | 'happened' | 'entryLeftOut'
+  'requestEnded' | 'memberAnswered' | 'decided' | 'happened' | 'entryLeftOut' | 'itemNotNewer'
 >;
 
 /** Figures that are loaded late. */
@@ -46,6 +46,10 @@
     this.#record((metrics) => metrics.entryLeftOut(kind, fault));
   }
 
+  itemNotNewer(): void {
+    this.#record((metrics) => metrics.itemNotNewer());
+  }
+
   /** All figures as text. */
   async text(state: RelayState): Promise<string> {
     return (await this.#load()).text(state);
--- a/src/observability/relay-metrics.ts
+++ b/src/observability/relay-metrics.ts
@@ -12,6 +12,9 @@
 export interface RelayState {
   readonly clientConnections: number;
   readonly configurationVersion: number;
+  /** Era of the store, and revision as of which this daemon’s copy of it is. */
+  readonly storeEra: number;
+  readonly storeRevision: number;
   readonly holdsDuty: boolean;
   /** Daemons that take part in the work, this one included. */
   readonly liveDaemons: number;
@@ -39,6 +42,11 @@
     'kind',
     'fault',
   ]);
+  readonly #notNewer = this.#counter(
+    'items_not_newer_total',
+    'Items of the store that were not taken, since a later one was held',
+    [],
+  );
   readonly #requestSeconds = this.#histogram('request_seconds', 'Time to answer a request', ['statement']);
   readonly #memberSeconds = this.#histogram('member_answer_seconds', 'Time of a member’s answer', [
     'statement',
@@ -46,6 +54,12 @@
   ]);
   readonly #clients = this.#gauge('client_connections', 'Open client connections', []);
   readonly #version = this.#gauge('configuration_version', 'Version of the configuration in force', []);
+  readonly #storeEra = this.#gauge('store_era', 'How often the store has come back from a copy', []);
+  readonly #storeRevision = this.#gauge(
+    'store_revision',
+    'Revision as of which the copy of the store is',
+    [],
+  );
   readonly #duty = this.#gauge('promotion_duty_held', '1 while this daemon holds the promotion duty', []);
   readonly #daemons = this.#gauge('live_daemons', 'Daemons that take part in the work', []);
   readonly #loans = this.#gauge('open_loans', 'Member connections lent to other daemons', []);
@@ -79,10 +93,17 @@
     this.#leftOut.inc({ kind, fault });
   }
 
+  /** An item of the store was not taken: a later one was held. */
+  itemNotNewer(): void {
+    this.#notNewer.inc();
+  }
+
   /** All figures as text. */
   async text(state: RelayState): Promise<string> {
     this.#clients.set(state.clientConnections);
     this.#version.set(state.configurationVersion);
+    this.#storeEra.set(state.storeEra);
+    this.#storeRevision.set(state.storeRevision);
     this.#duty.set(state.holdsDuty ? 1 : 0);
     this.#daemons.set(state.liveDaemons);
     this.#loans.set(state.openLoans);
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -65,6 +65,8 @@
   readonly revocationMs: number | null;
   /** Told of what the store holds and this daemon cannot read. */
   readonly faults: EntryFaults;
+  /** An item of the store was not taken: a later one was held. */
+  itemNotNewer(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
   now(): number;
   random(): number;
@@ -205,7 +207,13 @@
       now,
       random,
     });
-    this.watched = new WatchedStore({ feed, log: options.log, now, random });
+    this.watched = new WatchedStore({
+      feed,
+      log: options.log,
+      itemNotNewer: options.itemNotNewer,
+      now,
+      random,
+    });
     const changeRelay = new ChangeRelay(this.watched.changes, now);
     this.watched.subscribe(COORDINATION_PREFIX, {
       changed: () => undefined,
