--- a/bench/experiment/tenancy-cost.ts
+++ b/bench/experiment/tenancy-cost.ts
@@ -9,6 +9,10 @@
 import { ConfigurationLease } from '../../src/tenancy/configuration-lease.js';
 import { digestKey, type KeyDigest } from '../../src/tenancy/key-digest.js';
 import { TenantRegister, type Tenant } from '../../src/tenancy/tenant-register.js';
+import type { Revision } from '../../src/coordination/revision.js';
+
+/** Revision of the only configuration. */
+const FIRST: Revision = { era: 0, number: 1 };
 
 /** Tenants, and keys of each: what the largest user has. */
 const TENANTS = 84;
@@ -38,8 +42,8 @@
   const register = new TenantRegister(entries);
   const keys = entries.flatMap((entry) => entry.keys);
   const lease = new ConfigurationLease(5000);
-  lease.adopt(1);
-  lease.prove({ revision: 1, provenAtMs: performance.now() + 1e9 });
+  lease.adopt(FIRST);
+  lease.prove({ revision: FIRST, provenAtMs: performance.now() + 1e9 });
   const quotas = new QuotaService({
     ownName: 'self',
     daemons: () => [daemonRecord('self')],
--- a/src/coordination/change-feed.test.ts
+++ b/src/coordination/change-feed.test.ts
@@ -18,11 +18,13 @@
   type WatchAnswer,
 } from './coordination-store.js';
 import { applyDelta, diffValues } from './value-delta.js';
+import { at } from '../../test/support/revisions.js';
+import type { Revision } from './revision.js';
 
 const VALUE = Buffer.from('x');
 
 function put(key: string, revision: number, value: Buffer = VALUE): StoreEvent {
-  return { key, revision, value };
+  return { key, revision: at(revision), value };
 }
 
 function daemon(name: string, zone = 'a'): DaemonRecord {
@@ -30,30 +32,30 @@
 }
 
 function revisionsOf(changes: ReturnType<ChangeLog['since']>): number[] | null {
-  return changes === null ? null : changes.map(({ revision }) => revision);
+  return changes === null ? null : changes.map(({ number }) => number);
 }
 
 describe('the log of changes', () => {
   test('holds what came after the store was read, and says so when it does not', () => {
     const log = new ChangeLog();
-    assert.equal(log.since(0), null);
-    log.restart(10, 0);
-    log.append(10, [put('a', 11), put('b', 12)], 12, 0);
-    assert.deepEqual(revisionsOf(log.since(10)), [11, 12]);
-    assert.deepEqual(revisionsOf(log.since(11)), [12]);
-    assert.deepEqual(revisionsOf(log.since(99)), []);
-    assert.equal(log.since(9), null);
+    assert.equal(log.since(at(0)), null);
+    log.restart(at(10), 0);
+    log.append(at(10), [put('a', 11), put('b', 12)], at(12), 0);
+    assert.deepEqual(revisionsOf(log.since(at(10))), [11, 12]);
+    assert.deepEqual(revisionsOf(log.since(at(11))), [12]);
+    assert.deepEqual(revisionsOf(log.since(at(99))), []);
+    assert.equal(log.since(at(9)), null);
   });
 
   test('begins anew after it was suspended: what was missed meanwhile is not passed over', () => {
     const log = new ChangeLog();
-    log.restart(10, 0);
-    log.append(10, [put('a', 11)], 11, 0);
+    log.restart(at(10), 0);
+    log.append(at(10), [put('a', 11)], at(11), 0);
     log.suspend();
-    assert.equal(log.since(11), null);
-    log.append(20, [put('a', 21)], 21, 0);
-    assert.equal(log.since(11), null);
-    assert.deepEqual(revisionsOf(log.since(20)), [21]);
+    assert.equal(log.since(at(11)), null);
+    log.append(at(20), [put('a', 21)], at(21), 0);
+    assert.equal(log.since(at(11)), null);
+    assert.deepEqual(revisionsOf(log.since(at(20))), [21]);
   });
 
   test('is bounded in number and bytes, and never has a hole that it does not know of', () => {
@@ -61,11 +63,11 @@
     fc.assert(
       fc.property(sizes, fc.nat(200), (bytes, after) => {
         const log = new ChangeLog();
-        log.restart(0, 0);
+        log.restart(at(0), 0);
         bytes.forEach((size, index) =>
-          log.append(index, [put('k', index + 1, Buffer.alloc(size))], index + 1, 0),
+          log.append(at(index), [put('k', index + 1, Buffer.alloc(size))], at(index + 1), 0),
         );
-        const since = log.since(after);
+        const since = log.since(at(after));
         const wanted = bytes.map((_size, index) => index + 1).filter((revision) => revision > after);
         assert.ok(since === null || revisionsOf(since)?.join() === wanted.join());
       }),
@@ -73,17 +75,30 @@
     );
   });
 
+  test('knows nothing of what lies between two eras of the store', async () => {
+    const log = new ChangeLog();
+    log.restart(at(10), 0);
+    log.append(at(10), [put('a', 11)], at(11), 0);
+    log.restart({ era: 1, number: 5 }, 0);
+    assert.equal(log.since(at(10)), null);
+    assert.equal(log.since(at(4)), null);
+    assert.deepEqual(revisionsOf(log.since({ era: 1, number: 5 })), []);
+    const relay = new ChangeRelay(log, () => 0);
+    assert.equal((await relay.ask(at(11), 1000)).kind, 'forgotten');
+    assert.equal((await relay.ask({ era: 2, number: 1 }, 1000)).kind, 'unavailable');
+  });
+
   test('passes a large value on by its key alone', () => {
     const log = new ChangeLog();
-    log.restart(0, 0);
+    log.restart(at(0), 0);
     log.append(
-      0,
-      [put('k', 1, Buffer.alloc(MAX_PASSED_BYTES + 1)), { key: 'g', revision: 2, value: null }],
-      2,
+      at(0),
+      [put('k', 1, Buffer.alloc(MAX_PASSED_BYTES + 1)), { key: 'g', revision: at(2), value: null }],
+      at(2),
       0,
     );
     assert.deepEqual(
-      log.since(0)?.map(({ content }) => content.kind),
+      log.since(at(0))?.map(({ content }) => content.kind),
       ['large', 'gone'],
     );
   });
@@ -93,26 +108,26 @@
   test('answers at once with what it has, and otherwise as soon as there is something', async () => {
     const log = new ChangeLog();
     const relay = new ChangeRelay(log, () => 0);
-    log.restart(5, 0);
-    const waiting = relay.ask(5, 1000);
-    log.append(5, [put('a', 6)], 6, 0);
+    log.restart(at(5), 0);
+    const waiting = relay.ask(at(5), 1000);
+    log.append(at(5), [put('a', 6)], at(6), 0);
     const answer = await waiting;
     assert.ok(answer.kind === 'changes' && answer.changes.length === 1);
-    assert.deepEqual(await relay.ask(5, 1000), answer);
+    assert.deepEqual(await relay.ask(at(5), 1000), answer);
   });
 
   test('says that it has not heard of the store, also to those who wait', async () => {
     const log = new ChangeLog();
     let now = 0;
     const relay = new ChangeRelay(log, () => now);
-    assert.equal((await relay.ask(0, 1000)).kind, 'unavailable');
-    log.restart(5, 0);
-    const waiting = relay.ask(5, 60_000);
+    assert.equal((await relay.ask(at(0), 1000)).kind, 'unavailable');
+    log.restart(at(5), 0);
+    const waiting = relay.ask(at(5), 60_000);
     log.suspend();
     assert.equal((await waiting).kind, 'unavailable');
-    log.restart(5, 0);
+    log.restart(at(5), 0);
     now = STALE_MS + 1;
-    assert.equal((await relay.ask(5, 1000)).kind, 'unavailable');
+    assert.equal((await relay.ask(at(5), 1000)).kind, 'unavailable');
   });
 });
 
@@ -132,9 +147,9 @@
   const answers = new Map<string, PassedChanges | null>();
   const store = {
     read,
-    watch: (_prefix: string, _after: number, waitMs: number): Promise<WatchAnswer> => {
+    watch: (_prefix: string, _after: Revision, waitMs: number): Promise<WatchAnswer> => {
       asked.push(`store ${waitMs}`);
-      return Promise.resolve({ kind: 'events', events: [], revision: 1 });
+      return Promise.resolve({ kind: 'events', events: [], revision: at(1) });
     },
   } as unknown as CoordinationStore;
   const feed = new DelegatedFeed({
@@ -157,15 +172,27 @@
 
 function changes(ageMs: number, list: readonly StoreEvent[] = []): PassedChanges {
   const log = new ChangeLog();
-  log.restart(0, 0);
-  log.append(0, list, 9, 0);
-  return { kind: 'changes', changes: log.since(0) ?? [], revision: 9, ageMs };
+  log.restart(at(0), 0);
+  log.append(at(0), list, at(9), 0);
+  return { kind: 'changes', changes: log.since(at(0)) ?? [], revision: at(9), ageMs };
 }
 
 describe('a large value of which little has changed', () => {
-  const before = { key: 'c', value: Buffer.from(`{"version":1,"parts":[${partsText(300)}]}`), revision: 4 };
-  const after = { ...before, value: Buffer.from(`{"version":2,"parts":[${partsText(299)}]}`), revision: 7 };
-  const later = { ...before, value: Buffer.from(`{"version":3,"parts":[${partsText(298)}]}`), revision: 8 };
+  const before = {
+    key: 'c',
+    value: Buffer.from(`{"version":1,"parts":[${partsText(300)}]}`),
+    revision: at(4),
+  };
+  const after = {
+    ...before,
+    value: Buffer.from(`{"version":2,"parts":[${partsText(299)}]}`),
+    revision: at(7),
+  };
+  const later = {
+    ...before,
+    value: Buffer.from(`{"version":3,"parts":[${partsText(298)}]}`),
+    revision: at(8),
+  };
 
   function partsText(count: number): string {
     return Array.from(
@@ -176,9 +203,9 @@
 
   function passed(): PassedChanges {
     const log = new ChangeLog();
-    log.restart(4, 0);
-    log.append(4, [after, later], 8, 0, [before, after]);
-    return { kind: 'changes', changes: log.since(4) ?? [], revision: 8, ageMs: 10 };
+    log.restart(at(4), 0);
+    log.append(at(4), [after, later], at(8), 0, [before, after]);
+    return { kind: 'changes', changes: log.since(at(4)) ?? [], revision: at(8), ageMs: 10 };
   }
 
   test('is passed on as the difference, and whole by whoever holds the value before', async () => {
@@ -187,15 +214,18 @@
     assert.ok(bytes < before.value.length / 20, `${bytes} bytes for two changes`);
     const { feed, answers } = rig(undefined, new Map([['c', before]]));
     answers.set('d1', answer);
-    const heard = await feed.watch(4, 2500);
+    const heard = await feed.watch(at(4), 2500);
     assert.ok(heard.kind === 'events');
     assert.deepEqual(heard.events, [after, later]);
   });
 
   test('is read from the store by whoever holds another', async () => {
-    const { feed, answers } = rig(() => Promise.resolve(later), new Map([['c', { ...before, revision: 3 }]]));
+    const { feed, answers } = rig(
+      () => Promise.resolve(later),
+      new Map([['c', { ...before, revision: at(3) }]]),
+    );
     answers.set('d1', passed());
-    const heard = await feed.watch(4, 2500);
+    const heard = await feed.watch(at(4), 2500);
     assert.ok(heard.kind === 'events' && heard.events.every(({ value }) => value === later.value));
   });
 
@@ -225,59 +255,59 @@
   test('asks one in its zone, and stays with it', async () => {
     const { feed, asked, answers } = rig();
     answers.set('d1', changes(10, [put('a', 3)]));
-    const answer = await feed.watch(0, 2500);
+    const answer = await feed.watch(at(0), 2500);
     assert.ok(answer.kind === 'events' && answer.isPassedOn && answer.events[0]?.key === 'a');
-    await feed.watch(9, 2500);
+    await feed.watch(at(9), 2500);
     assert.deepEqual(asked, ['d1', 'd1']);
   });
 
   test('asks the store when that one does not answer, then another; the first again after a while', async () => {
     const { feed, asked, answers, state } = rig();
     answers.set('d2', changes(10));
-    assert.equal((await feed.watch(0, 2500)).isPassedOn, false);
-    assert.equal((await feed.watch(0, 2500)).isPassedOn, true);
+    assert.equal((await feed.watch(at(0), 2500)).isPassedOn, false);
+    assert.equal((await feed.watch(at(0), 2500)).isPassedOn, true);
     answers.set('d2', { kind: 'unavailable' });
-    await feed.watch(0, 2500);
-    await feed.watch(0, 2500);
+    await feed.watch(at(0), 2500);
+    await feed.watch(at(0), 2500);
     state.now += 60_000;
     answers.set('d1', changes(10));
-    await feed.watch(0, 2500);
+    await feed.watch(at(0), 2500);
     assert.deepEqual(asked, ['d1', 'store 2500', 'd2', 'd2', 'store 2500', 'store 2500', 'd1']);
   });
 
   test('does not rely on one that has not heard of the store for long', async () => {
     const { feed, answers } = rig();
     answers.set('d1', changes(STALE_MS + 1, [put('a', 3)]));
-    assert.equal((await feed.watch(0, 2500)).isPassedOn, false);
+    assert.equal((await feed.watch(at(0), 2500)).isPassedOn, false);
   });
 
   test('reads everything again when the other does not keep what it needs', async () => {
     const { feed, answers } = rig();
     answers.set('d1', { kind: 'forgotten' });
-    assert.deepEqual(await feed.watch(0, 2500), { kind: 'compacted', isPassedOn: true });
+    assert.deepEqual(await feed.watch(at(0), 2500), { kind: 'compacted', isPassedOn: true });
   });
 
   test('reads large values from the store itself', async () => {
     const large = Buffer.alloc(MAX_PASSED_BYTES + 1, 7);
-    const { feed, answers } = rig((key) => Promise.resolve({ key, value: large, revision: 4 }));
+    const { feed, answers } = rig((key) => Promise.resolve({ key, value: large, revision: at(4) }));
     answers.set('d1', changes(10, [put('big', 3, large)]));
-    const answer = await feed.watch(0, 2500);
+    const answer = await feed.watch(at(0), 2500);
     assert.ok(answer.kind === 'events');
-    assert.deepEqual(answer.events, [{ key: 'big', value: large, revision: 4 }]);
+    assert.deepEqual(answer.events, [{ key: 'big', value: large, revision: at(4) }]);
     const broken = rig(() => Promise.reject(new StoreError('down', false)));
     broken.answers.set('d1', changes(10, [put('big', 3, large)]));
-    await assert.rejects(broken.feed.watch(0, 2500), StoreError);
+    await assert.rejects(broken.feed.watch(at(0), 2500), StoreError);
   });
 
   test('is direct where it works for the others, holds the duty, or the fleet is small', async () => {
     const { feed, asked, state } = rig();
     state.isDirect = true;
-    await feed.watch(0, 2500);
+    await feed.watch(at(0), 2500);
     state.isDirect = false;
     state.delegates = [daemon('me'), daemon('d1')];
-    await feed.watch(0, 2500);
+    await feed.watch(at(0), 2500);
     state.delegates = null;
-    await feed.watch(0, 2500);
+    await feed.watch(at(0), 2500);
     assert.deepEqual(asked, ['store 2500', 'store 1000', 'store 2500']);
   });
 });
--- a/src/coordination/change-feed.ts
+++ b/src/coordination/change-feed.ts
@@ -10,6 +10,7 @@
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { type PassedChanges, STALE_MS } from './change-relay.js';
 import type { PassedChange } from './change-log.js';
+import { isSameRevision, type Revision } from './revision.js';
 import { applyDelta } from './value-delta.js';
 import type { CoordinationStore, StoredItem, StoreEvent, WatchAnswer } from './coordination-store.js';
 
@@ -31,7 +32,7 @@
 export interface ChangeFeed {
   list(prefix: string): ReturnType<CoordinationStore['list']>;
   /** Changes of all keys after a revision; waits for one for at most `waitMs` milliseconds. Rejects with StoreError. */
-  watch(afterRevision: number, waitMs: number): Promise<FeedAnswer>;
+  watch(afterRevision: Revision, waitMs: number): Promise<FeedAnswer>;
 }
 
 /** What the feed needs. */
@@ -48,7 +49,7 @@
   /** Asks another daemon; `null` when it does not answer in time. */
   ask(
     record: DaemonRecord,
-    afterRevision: number,
+    afterRevision: Revision,
     waitMs: number,
     timeoutMs: number,
   ): Promise<PassedChanges | null>;
@@ -69,7 +70,7 @@
     return this.options.store.list(prefix);
   }
 
-  async watch(afterRevision: number, waitMs: number): Promise<FeedAnswer> {
+  async watch(afterRevision: Revision, waitMs: number): Promise<FeedAnswer> {
     const delegates = this.options.delegates();
     const source = this.#choose(delegates);
     this.#noteSource(source);
@@ -108,7 +109,7 @@
   }
 
   /** What another daemon tells, or `null` when it cannot serve. */
-  async #askOther(source: DaemonRecord, afterRevision: number, waitMs: number): Promise<FeedAnswer | null> {
+  async #askOther(source: DaemonRecord, afterRevision: Revision, waitMs: number): Promise<FeedAnswer | null> {
     const answer = await this.options.ask(source, afterRevision, waitMs, waitMs + ASK_SLACK_MS);
     if (answer === null) return null;
     switch (answer.kind) {
@@ -118,33 +119,42 @@
         return { kind: 'compacted', isPassedOn: true };
       case 'changes': {
         if (answer.ageMs > STALE_MS) return null;
-        const events = await this.#toEvents(answer.changes);
+        const events = await this.#toEvents(answer.changes, answer.revision.era);
         return { kind: 'events', events, revision: answer.revision, isPassedOn: true };
       }
     }
   }
 
   /** In order: a change may be told as the difference to the one before it. */
-  async #toEvents(changes: readonly PassedChange[]): Promise<readonly StoreEvent[]> {
+  async #toEvents(changes: readonly PassedChange[], era: number): Promise<readonly StoreEvent[]> {
     const events: StoreEvent[] = [];
     const latest = new Map<string, StoreEvent>();
     for (const change of changes) {
-      const event = await this.#toEvent(change, latest.get(change.key) ?? this.options.held(change.key));
+      const event = await this.#toEvent(change, era, latest.get(change.key) ?? this.options.held(change.key));
       latest.set(event.key, event);
       events.push(event);
     }
     return events;
   }
 
-  async #toEvent({ key, revision, content }: PassedChange, before: StoreEvent | null): Promise<StoreEvent> {
+  async #toEvent(
+    { key, number, content }: PassedChange,
+    era: number,
+    before: StoreEvent | null,
+  ): Promise<StoreEvent> {
+    const revision = { era, number };
     switch (content.kind) {
       case 'value':
         return { key, revision, value: content.value };
       case 'gone':
         return { key, revision, value: null };
       case 'delta': {
-        const { baseRevision, delta } = content;
-        if (before === null || before.value === null || before.revision !== baseRevision)
+        const { baseNumber, delta } = content;
+        if (
+          before === null ||
+          before.value === null ||
+          !isSameRevision(before.revision, { era, number: baseNumber })
+        )
           return this.#read(key, revision);
         return { key, revision, value: applyDelta(before.value, delta) };
       }
@@ -154,7 +164,7 @@
   }
 
   /** The newest value, from the store. */
-  async #read(key: string, revision: number): Promise<StoreEvent> {
+  async #read(key: string, revision: Revision): Promise<StoreEvent> {
     const item = await this.options.store.read(key);
     return item ?? { key, revision, value: null };
   }
--- a/src/coordination/change-log.ts
+++ b/src/coordination/change-log.ts
@@ -5,6 +5,7 @@
  */
 import { ChangeSignal } from '../common/signal.js';
 import type { StoredItem, StoreEvent } from './coordination-store.js';
+import { isLater, laterOf, NO_REVISION, type Revision } from './revision.js';
 import { diffValues, sizeOfDelta, type ValueDelta } from './value-delta.js';
 
 /** Most changes that are kept, and bytes of their values; who asks for older ones reads the store. */
@@ -23,8 +24,8 @@
 /** The value of a change as it is passed on. */
 export type PassedValue =
   | { readonly kind: 'value'; readonly value: Buffer }
-  /** The difference to the value that the key had at a revision. */
-  | { readonly kind: 'delta'; readonly baseRevision: number; readonly delta: ValueDelta }
+  /** The difference to the value that the key had at a revision of the same era. */
+  | { readonly kind: 'delta'; readonly baseNumber: number; readonly delta: ValueDelta }
   | { readonly kind: 'gone' }
   /** To be read from the store. */
   | { readonly kind: 'large' };
@@ -36,10 +37,11 @@
   passed: PassedChange | null;
 }
 
-/** A change as it is passed on. */
+/** A change as it is passed on, with all others of its era. */
 export interface PassedChange {
   readonly key: string;
-  readonly revision: number;
+  /** Number of its revision. */
+  readonly number: number;
   readonly content: PassedValue;
 }
 
@@ -50,12 +52,12 @@
   #changes: KeptChange[] = [];
   #bytes = 0;
   /** All changes after this revision are kept; `null` while the copy does not come from the store itself. */
-  #completeAfter: number | null = null;
-  #revision = 0;
+  #completeAfter: Revision | null = null;
+  #revision = NO_REVISION;
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Revision up to which changes are known. */
-  get revision(): number {
+  get revision(): Revision {
     return this.#revision;
   }
 
@@ -65,7 +67,7 @@
   }
 
   /** The store was read whole. */
-  restart(revision: number, nowMs: number): void {
+  restart(revision: Revision, nowMs: number): void {
     this.#clear(revision);
     this.#revision = revision;
     this.#confirmedAtMs = nowMs;
@@ -78,21 +80,21 @@
    * @param itemsBefore - the items that the changes replace, in the same order; `null` where there was none
    */
   append(
-    afterRevision: number,
+    afterRevision: Revision,
     events: readonly StoreEvent[],
-    revision: number,
+    revision: Revision,
     nowMs: number,
     itemsBefore: readonly (StoredItem | null)[] = [],
   ): void {
     if (this.#completeAfter === null) this.#clear(afterRevision);
     for (const [index, event] of events.entries())
       this.#keep({ event, before: itemsBefore[index] ?? null, passed: null });
-    this.#revision = Math.max(this.#revision, revision);
+    this.#revision = laterOf(this.#revision, revision);
     this.#confirmedAtMs = nowMs;
     if (events.length > 0) this.changed.notify();
   }
 
-  #clear(completeAfter: number): void {
+  #clear(completeAfter: Revision): void {
     this.#changes = [];
     this.#bytes = 0;
     this.#completeAfter = completeAfter;
@@ -105,7 +107,7 @@
       const oldest = this.#changes.shift();
       if (oldest === undefined) return;
       this.#bytes -= sizeOf(oldest);
-      this.#completeAfter = Math.max(this.#completeAfter ?? 0, oldest.event.revision);
+      this.#completeAfter = laterOf(this.#completeAfter ?? NO_REVISION, oldest.event.revision);
     }
   }
 
@@ -116,11 +118,11 @@
     this.changed.notify();
   }
 
-  /** The changes after a revision, or `null` when some of them are not kept. */
-  since(revision: number): readonly PassedChange[] | null {
-    if (this.#completeAfter === null || revision < this.#completeAfter) return null;
+  /** The changes after a revision, or `null` when some of them are not kept, as those between two eras never are. */
+  since(revision: Revision): readonly PassedChange[] | null {
+    if (this.#completeAfter === null || isLater(this.#completeAfter, revision)) return null;
     return this.#changes
-      .filter(({ event }) => event.revision > revision)
+      .filter(({ event }) => isLater(event.revision, revision))
       .map((change) => (change.passed ??= toPassed(change)));
   }
 }
@@ -131,7 +133,12 @@
 
 function toPassed({ event, before }: KeptChange): PassedChange {
   const { key, revision, value } = event;
-  return { key, revision, content: value === null ? { kind: 'gone' } : passValue(value, before) };
+  const base = before?.revision.era === revision.era ? before : null;
+  return {
+    key,
+    number: revision.number,
+    content: value === null ? { kind: 'gone' } : passValue(value, base),
+  };
 }
 
 function passValue(value: Buffer, before: StoredItem | null): PassedValue {
@@ -139,7 +146,7 @@
   if (before !== null) {
     const delta = diffValues(before.value, value);
     const isShort = sizeOfDelta(delta) <= Math.min(value.length / 2, MAX_PASSED_BYTES);
-    if (isShort) return { kind: 'delta', baseRevision: before.revision, delta };
+    if (isShort) return { kind: 'delta', baseNumber: before.revision.number, delta };
   }
   return value.length <= MAX_PASSED_BYTES ? { kind: 'value', value } : { kind: 'large' };
 }
--- a/src/coordination/change-relay.ts
+++ b/src/coordination/change-relay.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { ChangeLog, PassedChange } from './change-log.js';
+import type { Revision } from './revision.js';
 
 /**
  * What a daemon is told. `forgotten`: changes that it needs are not kept here; `unavailable`: this daemon does not hear from the
@@ -13,7 +14,7 @@
   | {
       readonly kind: 'changes';
       readonly changes: readonly PassedChange[];
-      readonly revision: number;
+      readonly revision: Revision;
       /** Time since the store answered this daemon, in milliseconds. */
       readonly ageMs: number;
     }
@@ -33,16 +34,18 @@
   ) {}
 
   /** The changes after a revision; waits for one for at most `waitMs` milliseconds. */
-  async ask(afterRevision: number, waitMs: number): Promise<PassedChanges> {
+  async ask(afterRevision: Revision, waitMs: number): Promise<PassedChanges> {
     const known = this.#answer(afterRevision);
     if (known.kind !== 'changes' || known.changes.length > 0) return known;
     await this.log.changed.wait(Math.min(waitMs, LONGEST_WAIT_MS));
     return this.#answer(afterRevision);
   }
 
-  #answer(afterRevision: number): PassedChanges {
+  #answer(afterRevision: Revision): PassedChanges {
     const ageMs = this.log.ageMs(this.now());
     if (ageMs > STALE_MS) return { kind: 'unavailable' };
+    // Whoever asks knows of a later era: what is kept here says nothing of it.
+    if (afterRevision.era > this.log.revision.era) return { kind: 'unavailable' };
     const changes = this.log.since(afterRevision);
     if (changes === null) return { kind: 'forgotten' };
     return { kind: 'changes', changes, revision: this.log.revision, ageMs };
--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -9,6 +9,7 @@
 import type { StoredItem } from './coordination-store.js';
 import { DUTY_LEASE, TAKEOVER_WAIT_MS } from './duty-record.js';
 import { Duty } from './duty.js';
+import { at } from '../../test/support/revisions.js';
 
 interface Holder {
   readonly duty: Duty;
@@ -53,7 +54,7 @@
   const { duty } = await running(holder(store, 'd1', clock));
   const key = 'sorrelladder/live/d1';
   assert.ok(store.items.delete(key));
-  store.revision += 1;
+  store.number += 1;
   await duty.keysChanged();
   const deadlineMs = performance.now() + 1500;
   while (!store.items.has(key)) {
@@ -186,7 +187,7 @@
     const clock = { now: 0 };
     const { duty, events } = await running(holder(store, 'd1', clock));
     store.items.delete(DUTY_KEY);
-    store.revision += 1;
+    store.number += 1;
     await duty.keysChanged();
     assert.deepEqual(events, ['taken 1', 'lost', 'taken 2'], 'it takes it again, with a higher fence');
     await duty.stop();
@@ -196,7 +197,7 @@
     const store = new MemoryStore();
     const clock = { now: 0 };
     const events: string[] = [];
-    const old = { items: new Map<string, StoredItem>(), revision: 0 };
+    const old = { items: new Map<string, StoredItem>(), revision: at(0) };
     const duty = new Duty(
       store,
       { name: 'd1', life: 'l', host: 'h', port: 1, gatewayPort: 2, zone: 'a', capacity: 1 },
--- a/src/coordination/duty-record.ts
+++ b/src/coordination/duty-record.ts
@@ -10,6 +10,7 @@
  */
 import * as z from 'zod/mini';
 import type { StoredItem } from './coordination-store.js';
+import { isSameRevision, NO_REVISION, type Revision } from './revision.js';
 import type { LeaseTimes } from './store-lease.js';
 import { amount, count, readJson, readShape, text, unreadable, type Reading } from './stored-json.js';
 
@@ -62,7 +63,7 @@
  */
 export function nextFence(item: StoredItem | null, record: DutyRecord | null): number {
   const told = item === null ? null : readFence(item.value);
-  const last = told?.kind === 'read' ? told.value : (item?.revision ?? 0);
+  const last = told?.kind === 'read' ? told.value : (item?.revision.number ?? 0);
   return Math.max(last, record?.fence ?? 0) + 1;
 }
 
@@ -80,7 +81,7 @@
 /** What one daemon has seen of holders of the duty. Monotonic times, in milliseconds. */
 export class DutyHistory {
   #hasLooked = false;
-  #revision = 0;
+  #revision = NO_REVISION;
   #holder: DutyHolder | null = null;
   #holderActsFromMs = Number.NEGATIVE_INFINITY;
   #vanishedAtMs = Number.NEGATIVE_INFINITY;
@@ -99,20 +100,20 @@
    * Takes what the store has now.
    *
    * @param record - `null` when there is none
-   * @param revision - revision of the record, 0 for none
+   * @param revision - revision of the record, {@link NO_REVISION} for none
    * @param hasBeenHeld - true when the duty has been held before, by whomever
    */
-  observe(record: DutyRecord | null, revision: number, hasBeenHeld: boolean, nowMs: number): void {
+  observe(record: DutyRecord | null, revision: Revision, hasBeenHeld: boolean, nowMs: number): void {
     const isFirstLook = !this.#hasLooked;
     this.#hasLooked = true;
     if (record === null) {
       // Gone without a word: a holder, seen or not, may still act.
-      const hasVanished = this.#revision !== 0 || (isFirstLook && hasBeenHeld);
+      const hasVanished = !isSameRevision(this.#revision, NO_REVISION) || (isFirstLook && hasBeenHeld);
       if (hasVanished) this.#vanishedAtMs = nowMs;
-      this.#revision = 0;
+      this.#revision = NO_REVISION;
       return;
     }
-    if (revision === this.#revision) return;
+    if (isSameRevision(revision, this.#revision)) return;
     this.#revision = revision;
     this.#vanishedAtMs = Number.NEGATIVE_INFINITY;
     this.#holder = record.state === 'held' ? { name: record.holder, life: record.life } : null;
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -25,6 +25,7 @@
 import { untoldFaults, type EntryFaults, type EntryKind } from './entry-faults.js';
 import { readName, type Reading } from './stored-json.js';
 import { type CoordinationStore, StoreError, type StoredItem } from './coordination-store.js';
+import { isLater, isSameRevision, laterOf, NO_REVISION, type Revision } from './revision.js';
 import { StoreLease, type LeaseTimes } from './store-lease.js';
 
 /** Keys in the store. */
@@ -124,7 +125,7 @@
 export interface StoreCopy {
   readonly items: ReadonlyMap<string, StoredItem>;
   /** Revision as of which the copy is. */
-  readonly revision: number;
+  readonly revision: Revision;
 }
 
 /** Who is told about the duty. */
@@ -145,9 +146,9 @@
   #actsFromMs = 0;
   /** Until when the record as last written counts, by this daemon's clock. */
   #dutyUntilMs = Number.NEGATIVE_INFINITY;
-  #dutyRevision = 0;
+  #dutyRevision = NO_REVISION;
   /** Revision of this daemon's last change: an older copy of the store says nothing of what it has. */
-  #ownRevision = 0;
+  #ownRevision = NO_REVISION;
   /** From when no earlier holder acts any more, as known when the duty was asked for. */
   #freeFromMs = Number.NEGATIVE_INFINITY;
   /** When the duty was last asked for. */
@@ -234,7 +235,7 @@
   }
 
   #retryMs(failures: number): number {
-    if (this.#ownRevision === 0) return RETRY_MS;
+    if (isSameRevision(this.#ownRevision, NO_REVISION)) return RETRY_MS;
     return Math.min(LAST_RETRY_MS, RETRY_MS * 2 ** Math.min(failures - 1, 8));
   }
 
@@ -242,8 +243,13 @@
   async keysChanged(): Promise<void> {
     const { items, revision } = this.copy();
     const duty = this.#dutyRecord();
-    this.#history.observe(duty?.record ?? null, duty?.revision ?? 0, items.has(FENCE_KEY), this.now());
-    if (revision < this.#ownRevision) return;
+    this.#history.observe(
+      duty?.record ?? null,
+      duty?.revision ?? NO_REVISION,
+      items.has(FENCE_KEY),
+      this.now(),
+    );
+    if (isLater(this.#ownRevision, revision)) return;
     const record = duty?.record ?? null;
     if (duty !== null && record !== null && this.#isOurs(record)) this.#take(record.fence, duty.revision);
     else this.#lose(record?.state === 'held' ? `held by ${record.holder}` : 'the record is gone');
@@ -312,7 +318,7 @@
     const answer = await this.store.transact({ conditions: [], puts, removes: [] });
     this.#isRegistered = answer.kind === 'done';
     if (answer.kind === 'done') {
-      this.#ownRevision = Math.max(this.#ownRevision, answer.revision);
+      this.#ownRevision = laterOf(this.#ownRevision, answer.revision);
       this.listener.registered();
     }
     return this.#isRegistered;
@@ -338,7 +344,7 @@
     this.#freeFromMs = this.#history.freeFromMs(endedLife);
     this.#isAcquiring = true;
     try {
-      await this.#tryAcquire(duty?.record ?? null, duty?.revision ?? 0);
+      await this.#tryAcquire(duty?.record ?? null, duty?.revision ?? NO_REVISION);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
     } finally {
@@ -353,7 +359,7 @@
     return record?.state !== 'held' || record.holder === this.self.name;
   }
 
-  async #tryAcquire(record: DutyRecord | null, dutyRevision: number): Promise<void> {
+  async #tryAcquire(record: DutyRecord | null, dutyRevision: Revision): Promise<void> {
     await this.#lease.grant();
     const leaseId = this.#lease.id;
     this.#askedAtMs = this.now();
@@ -363,7 +369,7 @@
     const answer = await this.store.transact({
       conditions: [
         { key: DUTY_KEY, revision: dutyRevision },
-        { key: FENCE_KEY, revision: fenceItem?.revision ?? 0 },
+        { key: FENCE_KEY, revision: fenceItem?.revision ?? NO_REVISION },
       ],
       puts: [
         { key: DUTY_KEY, value: formatDutyRecord(this.#heldRecord(fence)), leaseId },
@@ -421,7 +427,7 @@
   }
 
   /** The record with its revision; a record that cannot be read says as little as one that is gone. */
-  #dutyRecord(): { readonly record: DutyRecord | null; readonly revision: number } | null {
+  #dutyRecord(): { readonly record: DutyRecord | null; readonly revision: Revision } | null {
     const item = this.copy().items.get(DUTY_KEY);
     if (item === undefined) return null;
     return { record: this.#readDuty(item), revision: item.revision };
@@ -441,9 +447,9 @@
     return record.state === 'held' && record.life === this.self.life && record.leaseId === this.#lease.id;
   }
 
-  #take(fence: number, revision: number): void {
-    this.#dutyRevision = Math.max(this.#dutyRevision, revision);
-    this.#ownRevision = Math.max(this.#ownRevision, revision);
+  #take(fence: number, revision: Revision): void {
+    this.#dutyRevision = laterOf(this.#dutyRevision, revision);
+    this.#ownRevision = laterOf(this.#ownRevision, revision);
     if (this.#fence === fence || this.#isStopped) return;
     this.#dutyUntilMs = this.#lease.trustedUntilMs(this.#askedAtMs);
     if (this.now() >= this.#untilMs) return;
--- a/src/coordination/entry-faults.ts
+++ b/src/coordination/entry-faults.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { FaultLog } from '../observability/fault-log.js';
+import { formatRevision, isSameRevision, type Revision } from './revision.js';
 import type { EntryFault, FaultKind } from './stored-json.js';
 
 /** What an entry would have said, had it been readable. */
@@ -14,7 +15,7 @@
   readonly kind: EntryKind;
   readonly key: string;
   /** `null` where not even that can be read. */
-  readonly revision: number | null;
+  readonly revision: Revision | null;
 }
 
 /** What the faults are told to. */
@@ -33,7 +34,7 @@
 /** Counts and tells. */
 export class EntryFaults {
   readonly #lines: FaultLog;
-  readonly #revisions = new Map<string, number>();
+  readonly #revisions = new Map<string, Revision>();
 
   constructor(private readonly ports: EntryFaultsPorts) {
     this.#lines = new FaultLog(ports.log, ports.now);
@@ -43,7 +44,12 @@
   leftOut({ kind, key, revision }: LeftOutEntry, fault: EntryFault): void {
     if (revision !== null && !this.#isNew(key, revision)) return;
     this.ports.count(kind, fault.kind);
-    const details = { kind, key: key.slice(0, SHOWN_KEY_CHARACTERS), revision, fault: fault.kind };
+    const details = {
+      kind,
+      key: key.slice(0, SHOWN_KEY_CHARACTERS),
+      revision: revision && formatRevision(revision),
+      fault: fault.kind,
+    };
     this.#lines.tell(eventOf(kind), key, fault.reason, details);
   }
 
@@ -53,8 +59,9 @@
     this.#lines.clear(eventOf(kind), key);
   }
 
-  #isNew(key: string, revision: number): boolean {
-    if (this.#revisions.get(key) === revision) return false;
+  #isNew(key: string, revision: Revision): boolean {
+    const known = this.#revisions.get(key);
+    if (known !== undefined && isSameRevision(known, revision)) return false;
     this.#revisions.set(key, revision);
     if (this.#revisions.size > MAX_KEYS) this.#forgetOldest();
     return true;
--- a/src/coordination/foreign-keys.test.ts
+++ b/src/coordination/foreign-keys.test.ts
@@ -11,6 +11,7 @@
 import { Registration } from '../cluster/registration.js';
 import { StoreError, type StoredItem } from './coordination-store.js';
 import { Duty, listLeasedDaemons, readDaemons } from './duty.js';
+import { at } from '../../test/support/revisions.js';
 
 /** Runs of each property: more by hand, as `FUZZ_RUNS=10000`; with other seeds, as `FUZZ_SEED=4`. */
 const FUZZ = {
@@ -34,7 +35,7 @@
 }
 
 function itemsOf(entries: readonly (readonly [string, Buffer])[]): ReadonlyMap<string, StoredItem> {
-  return new Map(entries.map(([key, value], index) => [key, { key, value, revision: index + 1 }]));
+  return new Map(entries.map(([key, value], index) => [key, { key, value, revision: at(index + 1) }]));
 }
 
 const BAD_RECORDS: readonly (readonly [string, Buffer])[] = [
@@ -140,7 +141,7 @@
 }
 
 function overwrite(store: MemoryStore, key: string, value: Buffer): void {
-  store.revision += 1;
+  store.number += 1;
   store.items.set(key, { key, value, revision: store.revision, leaseId: 0 });
 }
 
--- a/src/coordination/store-lease.ts
+++ b/src/coordination/store-lease.ts
@@ -17,6 +17,8 @@
 export class StoreLease {
   /** Its number, 0 while there is none. */
   id = 0;
+  /** The store's era in which it was granted: it is gone with the end of that. */
+  #era = 0;
   #untilMs = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -25,9 +27,14 @@
     private readonly now: () => number,
   ) {}
 
+  /** True while there is one that the store may still know. */
+  get isHeld(): boolean {
+    return this.id !== 0 && this.#era === this.store.era.current;
+  }
+
   /** Until when it certainly runs, in monotonic milliseconds. */
   get untilMs(): number {
-    return this.#untilMs;
+    return this.isHeld ? this.#untilMs : Number.NEGATIVE_INFINITY;
   }
 
   /** Until when what was seen of the store at `seenAtMs` may be relied on. */
@@ -40,12 +47,13 @@
     const sentAtMs = this.now();
     const { leaseId, ttlMs } = await this.store.grantLease(this.times.lengthMs);
     this.id = leaseId;
+    this.#era = this.store.era.current;
     this.#untilMs = sentAtMs + Math.min(ttlMs, this.times.lengthMs) - this.times.safetyMs;
   }
 
   /** Renews it; false when there is none, or it is over. */
   async keep(): Promise<boolean> {
-    if (this.id === 0) return false;
+    if (!this.isHeld) return false;
     const sentAtMs = this.now();
     if (!(await this.store.keepLease(this.id))) return false;
     this.#untilMs = this.trustedUntilMs(sentAtMs);
@@ -60,8 +68,8 @@
 
   /** Ends it in the store. */
   async end(): Promise<void> {
-    const { id } = this;
+    const { id, isHeld } = this;
     this.drop();
-    if (id !== 0) await this.store.endLease(id);
+    if (isHeld) await this.store.endLease(id);
   }
 }
--- a/src/coordination/watched-store.test.ts
+++ b/src/coordination/watched-store.test.ts
@@ -8,6 +8,8 @@
 import { MemoryStore, settle } from '../../test/support/memory-store.js';
 import { StoreError } from './coordination-store.js';
 import { WatchedStore } from './watched-store.js';
+import { at } from '../../test/support/revisions.js';
+import { StoreEra } from './store-era.js';
 
 async function until(condition: () => boolean): Promise<void> {
   const deadlineMs = performance.now() + 2000;
@@ -26,6 +28,7 @@
         list: () => store.list(),
         watch: async () => ({ ...(await store.watch()), isPassedOn: false }),
       },
+      era: store.era,
       log: () => undefined,
       now: () => 0,
       random: () => 0.5,
@@ -35,7 +38,7 @@
       },
     });
     watched.subscribe('a/', {
-      changed: ({ key, revision }) => told.push(`${key}@${revision}`),
+      changed: ({ key, revision }) => told.push(`${key}@${revision.number}`),
       removed: (key) => told.push(`-${key}`),
       settled: () => told.push('settled'),
       availability: (isAvailable) => told.push(isAvailable ? 'up' : 'down'),
@@ -47,11 +50,11 @@
 
   test('tells what is there, then what changes, never an older revision', async () => {
     const store = new MemoryStore();
-    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
-    store.items.set('b/1', { key: 'b/1', value, revision: 5, leaseId: 0 });
+    store.items.set('a/1', { key: 'a/1', value, revision: at(5), leaseId: 0 });
+    store.items.set('b/1', { key: 'b/1', value, revision: at(5), leaseId: 0 });
     store.watchAnswers = [
-      { kind: 'events', events: [{ key: 'a/1', value, revision: 4 }], revision: 6 },
-      { kind: 'events', events: [{ key: 'a/1', value: null, revision: 7 }], revision: 7 },
+      { kind: 'events', events: [{ key: 'a/1', value, revision: at(4) }], revision: at(6) },
+      { kind: 'events', events: [{ key: 'a/1', value: null, revision: at(7) }], revision: at(7) },
     ];
     const { watched, told } = follow(store);
     await settle();
@@ -62,9 +65,9 @@
   test('rests after changes, so that those that follow come in one answer, and not without', async () => {
     const store = new MemoryStore();
     store.watchAnswers = [
-      { kind: 'events', events: [{ key: 'a/1', value, revision: 4 }], revision: 4 },
-      { kind: 'events', events: [], revision: 5 },
-      { kind: 'events', events: [{ key: 'b/1', value, revision: 6 }], revision: 6 },
+      { kind: 'events', events: [{ key: 'a/1', value, revision: at(4) }], revision: at(4) },
+      { kind: 'events', events: [], revision: at(5) },
+      { kind: 'events', events: [{ key: 'b/1', value, revision: at(6) }], revision: at(6) },
     ];
     const { watched, rests } = follow(store);
     await settle();
@@ -76,8 +79,8 @@
     const store = new MemoryStore();
     store.watchAnswers = [67, 900].map((revision) => ({
       kind: 'events',
-      events: [{ key: 'a/1', value, revision }],
-      revision,
+      events: [{ key: 'a/1', value, revision: at(revision) }],
+      revision: at(revision),
     }));
     const { watched, rests } = follow(store);
     watched.watchers = 30;
@@ -90,11 +93,11 @@
 
   test('reads everything again when the store has forgotten its history', async () => {
     const store = new MemoryStore();
-    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
+    store.items.set('a/1', { key: 'a/1', value, revision: at(5), leaseId: 0 });
     store.watchAnswers = [{ kind: 'compacted' }];
     const { watched, told } = follow(store);
     store.items.delete('a/1');
-    store.items.set('a/2', { key: 'a/2', value, revision: 9, leaseId: 0 });
+    store.items.set('a/2', { key: 'a/2', value, revision: at(9), leaseId: 0 });
     await settle();
     watched.stop();
     assert.ok(store.lists >= 2);
@@ -108,9 +111,10 @@
       const failing = (): Promise<never> => Promise.reject(new StoreError('turned away', false));
       const watched: WatchedStore = new WatchedStore({
         feed: {
-          list: () => (hasRead ? Promise.resolve({ items: [], revision: 3 }) : failing()),
+          list: () => (hasRead ? Promise.resolve({ items: [], revision: at(3) }) : failing()),
           watch: failing,
         },
+        era: new StoreEra(),
         log: () => undefined,
         now: () => 0,
         random: () => 1,
@@ -140,6 +144,7 @@
     const early = new MemoryStore();
     const prefetched = new WatchedStore({
       feed: { list: () => early.list(), watch: () => new Promise(() => undefined) },
+      era: store.era,
       log: () => undefined,
       now: () => 0,
       random: () => 0.5,
@@ -159,20 +164,21 @@
       throw new Error('hush');
     };
     const store = new MemoryStore();
-    store.items.set('a/1', { key: 'a/1', value, revision: 5, leaseId: 0 });
+    store.items.set('a/1', { key: 'a/1', value, revision: at(5), leaseId: 0 });
     store.watchAnswers = [6, 7, 8].map((revision) => ({
       kind: 'events',
       events: [
-        { key: 'a/2', value, revision },
-        { key: 'a/1', value: null, revision },
+        { key: 'a/2', value, revision: at(revision) },
+        { key: 'a/1', value: null, revision: at(revision) },
       ],
-      revision,
+      revision: at(revision),
     }));
     const watched = new WatchedStore({
       feed: {
         list: () => store.list(),
         watch: async () => ({ ...(await store.watch()), isPassedOn: false }),
       },
+      era: store.era,
       log: (event, details) => lines.push(`${event} ${JSON.stringify(details)}`),
       now: () => 0,
       random: () => 0.5,
@@ -180,7 +186,7 @@
     });
     watched.subscribe('a/', { changed: fail, removed: fail, settled: fail, availability: fail });
     watched.subscribe('a/', {
-      changed: ({ key, revision }) => told.push(`${key}@${revision}`),
+      changed: ({ key, revision }) => told.push(`${key}@${revision.number}`),
       removed: (key) => told.push(`-${key}`),
       settled: () => told.push('settled'),
       availability: (isAvailable) => told.push(isAvailable ? 'up' : 'down'),
@@ -190,7 +196,7 @@
     assert.deepEqual(told.slice(0, 2), ['a/1@5', 'settled']);
     assert.deepEqual(told.slice(2, 5), ['a/2@6', '-a/1', 'settled']);
     assert.deepEqual(told.slice(5), ['a/2@7', 'settled', 'a/2@8', 'settled']);
-    watched.offer({ key: 'a/3', value, revision: 9 });
+    watched.offer({ key: 'a/3', value, revision: at(9) });
     assert.equal(told.at(-1), 'a/3@9');
     assert.ok(lines.length > 0 && lines.length <= 6, lines.join('\n'));
     assert.ok(lines.every((line) => line.startsWith('listener_failed') && !line.includes('hush')));
@@ -209,6 +215,7 @@
           return { ...(await store.watch()), isPassedOn: false };
         },
       },
+      era: store.era,
       log: () => undefined,
       now: () => 0,
       random: () => 0.5,
@@ -232,4 +239,28 @@
     watched.stop();
     assert.equal(await ended, undefined);
   });
+
+  /**
+   * A store that came back from a copy told changes under revisions below those known, and the copy here kept what it had.
+   * Evidence: `item_not_newer` for each change after the return, in store-era.test.ts.
+   */
+  test('takes what the store holds after it came back, whatever the numbers, and says that it was away', async () => {
+    const store = new MemoryStore();
+    const put = (key: string, era: number, number: number): void =>
+      void store.items.set(key, { key, value, revision: { era, number }, leaseId: 0 });
+    put('a/1', 0, 50);
+    put('a/2', 0, 51);
+    store.number = 51;
+    store.era.hear(0);
+    const { watched, told } = follow(store);
+    await until(() => told.includes('a/1@50'));
+    told.length = 0;
+    store.items.clear();
+    put('a/1', 1, 9);
+    store.number = 9;
+    store.era.hear(1);
+    await until(() => told.includes('up'));
+    assert.deepEqual(told.slice(0, 4), ['down', '-a/2', 'a/1@9', 'settled']);
+    watched.stop();
+  });
 });
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -6,9 +6,11 @@
  */
 import { delay } from '../common/signal.js';
 import { FaultLog, nameFault } from '../observability/fault-log.js';
-import type { ChangeFeed } from './change-feed.js';
+import type { ChangeFeed, FeedAnswer } from './change-feed.js';
 import { ChangeLog } from './change-log.js';
 import type { StoredItem, StoreEvent } from './coordination-store.js';
+import { formatRevision, isLater, isSameRevision, laterOf, NO_REVISION, type Revision } from './revision.js';
+import type { StoreEra } from './store-era.js';
 
 /** Who is told. One that throws is told of the next change all the same, and keeps nobody else from being told. */
 export interface WatchedPrefixListener {
@@ -49,6 +51,12 @@
 const REST_MS_PER_WATCHER = 2;
 const LONGEST_REST_MS = 180;
 
+/**
+ * Time for each daemon within which all read the store whole again, in milliseconds: 195 of them some 200 KB each within a second,
+ * a third of what its link carries.
+ */
+const TURN_MS_PER_WATCHER = 5;
+
 /** Characters of a key that a line shows. */
 const SHOWN_KEY_CHARACTERS = 100;
 
@@ -58,6 +66,8 @@
 /** What a copy needs. */
 export interface WatchedStoreOptions {
   readonly feed: ChangeFeed;
+  /** The era of the store, which any of its answers may tell. */
+  readonly era: StoreEra;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
   /** An item was not taken: a later one is held. */
   itemNotNewer?(): void;
@@ -77,13 +87,16 @@
   readonly #listeners: { readonly prefix: string; readonly listener: WatchedPrefixListener }[] = [];
   readonly #faults: FaultLog;
   #prefetched: ReturnType<ChangeFeed['list']> | null = null;
-  #revision: number | null = null;
+  #revision: Revision | null = null;
+  /** Ends the present watch: the copy has to be read again. */
+  #endWatch: () => void = () => undefined;
   #isStopped = false;
   #isAvailable = true;
   #failures = 0;
 
   constructor(private readonly options: WatchedStoreOptions) {
     this.#faults = new FaultLog(options.log, options.now);
+    options.era.onRise(() => this.#endWatch());
   }
 
   /** Tells a listener of the keys under a prefix; to be called before {@link WatchedStore.run}. */
@@ -91,9 +104,9 @@
     this.#listeners.push({ prefix, listener });
   }
 
-  /** Revision as of which the copy is; 0 before it is loaded. */
-  get revision(): number {
-    return this.#revision ?? 0;
+  /** Revision as of which the copy is; {@link NO_REVISION} before it is loaded. */
+  get revision(): Revision {
+    return this.#revision ?? NO_REVISION;
   }
 
   /** The copy. */
@@ -113,7 +126,7 @@
     let mustLoad = true;
     while (!this.#isStopped) {
       try {
-        if (mustLoad) await this.#load();
+        if (mustLoad) await this.#loadInTurn();
         mustLoad = !(await this.#follow());
         this.#succeeded();
       } catch (error) {
@@ -132,25 +145,38 @@
     this.#isStopped = true;
   }
 
+  /** Reads the store; again, where it was read before: all daemons may have to then, and do so one after the other. */
+  async #loadInTurn(): Promise<void> {
+    const { rest = delay, random } = this.options;
+    if (this.#revision !== null) await rest(random() * TURN_MS_PER_WATCHER * this.watchers);
+    await this.#load();
+  }
+
   async #load(): Promise<void> {
     const listing = this.#prefetched ?? this.options.feed.list(WHOLE_STORE);
     this.#prefetched = null;
     const { items, revision } = await listing;
+    // What the copy of the store lacks is not gone: listeners are to take it as the first word after an outage.
+    if (this.#revision !== null) this.#noteReading(this.#revision, revision, items.length);
     const present = new Set(items.map((item) => item.key));
     for (const key of [...this.#items.keys()]) if (!present.has(key)) this.#remove(key, revision);
     for (const item of items) this.#put(item);
     this.#revision = revision;
     this.changes.restart(revision, this.options.now());
-    this.options.log('store_read', { revision, items: items.length });
     for (const { prefix, listener } of this.#listeners)
       this.#tell(prefix, 'settled', () => listener.settled());
   }
 
+  #noteReading(before: Revision, revision: Revision, count: number): void {
+    this.options.log('store_read', { revision: formatRevision(revision), items: count });
+    if (revision.era > before.era) this.#lose('came back from a copy');
+  }
+
   /** One watch; false when everything has to be read again. */
   async #follow(): Promise<boolean> {
     const waitMs = this.#failures > 0 ? FIRST_WATCH_MS : WATCH_MS;
-    const afterRevision = this.#revision ?? 0;
-    const answer = await this.options.feed.watch(afterRevision, waitMs);
+    const afterRevision = this.revision;
+    const answer = await this.#watch(afterRevision, waitMs);
     if (answer.kind === 'compacted') return false;
     const itemsBefore: (StoredItem | null)[] = [];
     for (const event of answer.events) {
@@ -158,7 +184,7 @@
       if (event.value === null) this.#remove(event.key, event.revision);
       else this.#put({ key: event.key, value: event.value, revision: event.revision });
     }
-    this.#revision = Math.max(afterRevision, answer.revision);
+    this.#revision = laterOf(afterRevision, answer.revision);
     if (answer.isPassedOn) this.changes.suspend();
     else this.changes.append(afterRevision, answer.events, answer.revision, this.options.now(), itemsBefore);
     this.#settle(answer.events);
@@ -167,6 +193,17 @@
     return true;
   }
 
+  /** A watch that waits while the store comes back may be told of it last. */
+  #watch(afterRevision: Revision, waitMs: number): Promise<FeedAnswer> {
+    const watching = this.options.feed.watch(afterRevision, waitMs);
+    // Nobody hears of a failure after the watch was given up.
+    watching.catch(() => undefined);
+    const givenUp = new Promise<FeedAnswer>((resolve) => {
+      this.#endWatch = () => resolve({ kind: 'compacted', isPassedOn: false });
+    });
+    return Promise.race([watching, givenUp]);
+  }
+
   #restMs(): number {
     return Math.min(LONGEST_REST_MS, LEAST_REST_MS + REST_MS_PER_WATCHER * (this.watchers - 1));
   }
@@ -183,7 +220,8 @@
 
   #put(item: StoredItem): void {
     const known = this.#items.get(item.key);
-    if (known !== undefined && known.revision >= item.revision) return this.#noteNotNewer(known, item);
+    if (known !== undefined && !isLater(item.revision, known.revision))
+      return this.#noteNotNewer(known, item);
     this.#items.set(item.key, item);
     for (const { prefix, listener } of this.#listeners)
       if (item.key.startsWith(prefix)) this.#tell(prefix, 'changed', () => listener.changed(item));
@@ -191,15 +229,15 @@
 
   /** An item that differs from the one held is not taken for its revision alone: nobody else would tell. */
   #noteNotNewer(known: StoredItem, { key, value, revision }: StoredItem): void {
-    if (known.revision === revision && known.value.equals(value)) return;
+    if (isSameRevision(known.revision, revision) && known.value.equals(value)) return;
     this.options.itemNotNewer?.();
-    const details = { key: key.slice(0, SHOWN_KEY_CHARACTERS), revision, held: known.revision };
-    this.#faults.tell('item_not_newer', key, `revision ${revision}`, details);
+    const details = { key: key.slice(0, SHOWN_KEY_CHARACTERS), held: formatRevision(known.revision) };
+    this.#faults.tell('item_not_newer', key, `revision ${formatRevision(revision)}`, details);
   }
 
-  #remove(key: string, revision: number): void {
+  #remove(key: string, revision: Revision): void {
     const known = this.#items.get(key);
-    if (known === undefined || known.revision > revision) return;
+    if (known === undefined || isLater(known.revision, revision)) return;
     this.#items.delete(key);
     for (const { prefix, listener } of this.#listeners)
       if (key.startsWith(prefix)) this.#tell(prefix, 'removed', () => listener.removed(key));
@@ -227,13 +265,16 @@
     }
   }
 
-  async #failed(reason: string): Promise<void> {
+  #lose(reason: string): void {
     this.#failures += 1;
     this.changes.suspend();
-    if (this.#isAvailable) {
-      this.#isAvailable = false;
-      this.#tellAvailability(reason);
-    }
+    if (!this.#isAvailable) return;
+    this.#isAvailable = false;
+    this.#tellAvailability(reason);
+  }
+
+  async #failed(reason: string): Promise<void> {
+    this.#lose(reason);
     const longest = this.#revision === null ? LONGEST_PAUSE_UNREAD_MS : this.#longestPauseMs();
     const ceiling = Math.min(longest, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures, 10));
     const { rest = delay } = this.options;
--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -11,6 +11,7 @@
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
+import { at } from '../../test/support/revisions.js';
 
 /** An address of this process's own, so that two runs do not meet. */
 const HOST = `127.77.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -109,7 +110,7 @@
   clock.now = 500;
   const startMs = performance.now();
   assert.equal(await client.askGrant(silent, request, 60_000), null);
-  assert.equal(await client.askConfiguration(silent, 0, 60_000), null);
+  assert.equal(await client.askConfiguration(silent, at(0), 60_000), null);
   assert.ok(performance.now() - startMs < 10_000);
   client.close();
   server.close();
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -9,6 +9,7 @@
 import type { Grant, GrantRequest } from '../quota/quota-home.js';
 import type { PassedConfiguration } from '../tenancy/lease-renewal.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
+import type { Revision } from '../coordination/revision.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import { BorrowedLink } from './borrowed-link.js';
 import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage } from './gateway-messages.js';
@@ -39,8 +40,8 @@
 /** A question to another daemon that is no loan. */
 type Question =
   | { readonly type: 'ask_evidence' }
-  | { readonly type: 'ask_changes'; readonly afterRevision: number; readonly waitMs: number }
-  | { readonly type: 'ask_configuration'; readonly heldRevision: number }
+  | { readonly type: 'ask_changes'; readonly afterRevision: Revision; readonly waitMs: number }
+  | { readonly type: 'ask_configuration'; readonly heldRevision: Revision }
   | { readonly type: 'ask_grant'; readonly request: GrantRequest };
 
 /** Its answer; `null` when none came in time. */
@@ -274,7 +275,7 @@
   /** What a daemon has heard of the store; `null` when it does not answer in time. */
   async askChanges(
     record: DaemonRecord,
-    afterRevision: number,
+    afterRevision: Revision,
     waitMs: number,
     timeoutMs: number,
   ): Promise<PassedChanges | null> {
@@ -285,7 +286,7 @@
   /** What a daemon knows of the newest configuration; `null` when it does not answer in time, or is silent. */
   async askConfiguration(
     record: DaemonRecord,
-    heldRevision: number,
+    heldRevision: Revision,
     timeoutMs: number,
   ): Promise<PassedConfiguration | null> {
     if (this.#isSilent(record)) return null;
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -9,6 +9,7 @@
  */
 import type { EvidenceAnswer } from '../leadership/evidence-exchange.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
+import type { Revision } from '../coordination/revision.js';
 import type { MemberReply, MemberRequest } from '../relay/member-link.js';
 import type { Grant, GrantRequest } from '../quota/quota-home.js';
 import type { PreparedShape } from '../relay/statement.js';
@@ -101,7 +102,7 @@
 export interface ChangesQuestionMessage {
   readonly type: 'ask_changes';
   readonly id: number;
-  readonly afterRevision: number;
+  readonly afterRevision: Revision;
   /** Longest wait for a change, in milliseconds. */
   readonly waitMs: number;
 }
@@ -117,7 +118,7 @@
 export interface ConfigurationQuestionMessage {
   readonly type: 'ask_configuration';
   readonly id: number;
-  readonly heldRevision: number;
+  readonly heldRevision: Revision;
 }
 
 /** What the daemon knows of the newest configuration. */
--- a/src/gateway/gateway-server.test.ts
+++ b/src/gateway/gateway-server.test.ts
@@ -20,6 +20,7 @@
 import type { BorrowedLink } from './borrowed-link.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
+import { at } from '../../test/support/revisions.js';
 
 /** An address of this process's own, so that two runs do not meet. */
 const HOST = `127.78.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -187,7 +188,7 @@
 
 test('a question that is open as the gateway finishes is not waited for', async () => {
   const startMs = performance.now();
-  const answer = client.askChanges(RECORD, 0, 60_000, 60_000);
+  const answer = client.askChanges(RECORD, at(0), 60_000, 60_000);
   await client.askEvidence(RECORD, 1000);
   await server.finish();
   assert.equal(await answer, null);
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -8,6 +8,7 @@
 import type { Grant, GrantRequest } from '../quota/quota-home.js';
 import type { PassedConfiguration } from '../tenancy/lease-renewal.js';
 import type { PassedChanges } from '../coordination/change-relay.js';
+import type { Revision } from '../coordination/revision.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import { MAX_GATEWAY_MESSAGE_BYTES, type BorrowMessage, type GatewayMessage } from './gateway-messages.js';
@@ -22,9 +23,9 @@
   /** What this daemon can prove, for one who has been sent a version of the leaders. */
   ownEvidence(knownVersion: number): EvidenceAnswer;
   /** Changes of the store as this daemon has heard of them. */
-  changes(afterRevision: number, waitMs: number): Promise<PassedChanges>;
+  changes(afterRevision: Revision, waitMs: number): Promise<PassedChanges>;
   /** What this daemon knows of the newest configuration, for one who holds a revision of it. */
-  configuration(heldRevision: number): PassedConfiguration;
+  configuration(heldRevision: Revision): PassedConfiguration;
   /** Operations of a tenant for another daemon; `null` when this daemon is not the one to ask. */
   grant(request: GrantRequest): Promise<Grant | null>;
 }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -17,6 +17,7 @@
 import { DelegatedFeed, WORST_LAG_MS } from '../coordination/change-feed.js';
 import { ChangeRelay } from '../coordination/change-relay.js';
 import type { EntryFaults } from '../coordination/entry-faults.js';
+import { isLater, type Revision } from '../coordination/revision.js';
 import { WatchedStore } from '../coordination/watched-store.js';
 import { Assignments } from '../gateway/assignments.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
@@ -209,6 +210,7 @@
     });
     this.watched = new WatchedStore({
       feed,
+      era: store.era,
       log: options.log,
       itemNotNewer: options.itemNotNewer,
       now,
@@ -399,7 +401,7 @@
   }
 
   /** Takes a configuration if it is newer; `revision` is that of its item in the store. */
-  offerCatalog(document: CatalogDocument, revision: number): boolean {
+  offerCatalog(document: CatalogDocument, revision: Revision): boolean {
     const isTaken = this.catalog.offer(document);
     if (document.version === this.catalog.document?.version) this.#configurationLease.adopt(revision);
     if (!isTaken) return false;
@@ -410,12 +412,12 @@
   }
 
   /** What this daemon knows of the newest configuration, for one who holds a revision of it. */
-  #passedConfiguration(heldRevision: number): PassedConfiguration {
+  #passedConfiguration(heldRevision: Revision): PassedConfiguration {
     const now = this.options.now();
     const proof = this.#configurationLease.handOn(now);
     const item = this.watched.items.get(this.options.configurationKey);
     const isOwed =
-      item !== undefined && item.revision > heldRevision && now - this.#catalogAtMs > CHANGES_COME_MS;
+      item !== undefined && isLater(item.revision, heldRevision) && now - this.#catalogAtMs > CHANGES_COME_MS;
     return { proof, item: isOwed ? item : null };
   }
 
--- a/src/tenancy/configuration-lease.ts
+++ b/src/tenancy/configuration-lease.ts
@@ -9,16 +9,18 @@
  * @packageDocumentation
  */
 
+import { isLater, NO_REVISION, type Revision } from '../coordination/revision.js';
+
 /** What somebody knows: at a moment, no configuration was newer than the one of this revision. */
 export interface ConfigurationProof {
-  readonly revision: number;
+  readonly revision: Revision;
   /** Monotonic milliseconds of this daemon. */
   readonly provenAtMs: number;
 }
 
 /** A proof as it is handed on: clocks of daemons have nothing in common but their pace. */
 export interface AgedProof {
-  readonly revision: number;
+  readonly revision: Revision;
   /** At least the time since the moment of the proof, in milliseconds. */
   readonly ageMs: number;
 }
@@ -28,7 +30,7 @@
 
 /** The lease of one daemon. */
 export class ConfigurationLease {
-  #heldRevision = 0;
+  #heldRevision = NO_REVISION;
   /** The latest proof, also of a configuration that has not come yet. */
   #latest: ConfigurationProof | null = null;
   /** The latest proof that what is held was the newest. */
@@ -42,22 +44,22 @@
     return this.boundMs !== null;
   }
 
-  /** Revision of the configuration in force; 0 before the first. */
-  get heldRevision(): number {
+  /** Revision of the configuration in force; {@link NO_REVISION} before the first. */
+  get heldRevision(): Revision {
     return this.#heldRevision;
   }
 
   /** The configuration of a revision is in force. */
-  adopt(revision: number): void {
-    if (revision < this.#heldRevision) return;
+  adopt(revision: Revision): void {
+    if (isLater(this.#heldRevision, revision)) return;
     this.#heldRevision = revision;
-    if (this.#latest !== null && this.#latest.revision <= revision) this.#held = this.#latest;
+    if (this.#latest !== null && !isLater(this.#latest.revision, revision)) this.#held = this.#latest;
   }
 
   /** Takes a proof. */
   prove(proof: ConfigurationProof): void {
     if (this.#latest === null || proof.provenAtMs > this.#latest.provenAtMs) this.#latest = proof;
-    if (proof.revision > this.#heldRevision) return;
+    if (isLater(proof.revision, this.#heldRevision)) return;
     if (this.#held === null || proof.provenAtMs > this.#held.provenAtMs) this.#held = proof;
   }
 
--- a/src/tenancy/lease-renewal.test.ts
+++ b/src/tenancy/lease-renewal.test.ts
@@ -10,12 +10,13 @@
 import type { StoredItem } from '../coordination/coordination-store.js';
 import { ConfigurationLease } from './configuration-lease.js';
 import { LeaseRenewal, type LeaseRenewalOptions, type PassedConfiguration } from './lease-renewal.js';
+import { at as revisionAt } from '../../test/support/revisions.js';
 
 const KEY = 'configuration';
 const BOUND_MS = 5000;
 const NEAR = daemonRecord('near', { zone: 'a' });
 const FAR = daemonRecord('far', { zone: 'b' });
-const ITEM: StoredItem = { key: KEY, value: Buffer.from('new'), revision: 9 };
+const ITEM: StoredItem = { key: KEY, value: Buffer.from('new'), revision: revisionAt(9) };
 
 /** A daemon that holds revision 7, its renewal, and whom it has asked. */
 function scene(overrides: Partial<LeaseRenewalOptions> = {}): {
@@ -28,9 +29,9 @@
 } {
   const clock = { now: 1000 };
   const lease = new ConfigurationLease(BOUND_MS);
-  lease.adopt(7);
+  lease.adopt(revisionAt(7));
   const store = new MemoryStore();
-  store.items.set(KEY, { key: KEY, value: Buffer.from('held'), revision: 7, leaseId: 0 });
+  store.items.set(KEY, { key: KEY, value: Buffer.from('held'), revision: revisionAt(7), leaseId: 0 });
   const asked: string[] = [];
   const offered: StoredItem[] = [];
   const { ask = () => Promise.resolve(null), ...others } = overrides;
@@ -59,7 +60,7 @@
 }
 
 function proofOf(revision: number, ageMs: number): Promise<PassedConfiguration> {
-  return Promise.resolve({ proof: { revision, ageMs }, item: null });
+  return Promise.resolve({ proof: { revision: revisionAt(revision), ageMs }, item: null });
 }
 
 test('a daemon that follows others asks one of its zone, and counts the age of the proof', async () => {
@@ -124,14 +125,16 @@
 });
 
 test('a newer configuration comes with the answer, from the store and from a daemon', async () => {
-  const fromDaemon = scene({ ask: () => Promise.resolve({ proof: { revision: 9, ageMs: 0 }, item: ITEM }) });
+  const fromDaemon = scene({
+    ask: () => Promise.resolve({ proof: { revision: revisionAt(9), ageMs: 0 }, item: ITEM }),
+  });
   assert.ok(await fromDaemon.renewal.renew());
   assert.deepEqual(fromDaemon.offered, [ITEM]);
   assert.ok(fromDaemon.lease.isProven(1000));
   const fromStore = scene({ delegates: () => null });
   fromStore.store.items.set(KEY, { ...ITEM, leaseId: 0 });
   assert.ok(await fromStore.renewal.renew());
-  assert.equal(fromStore.offered[0]?.revision, 9);
+  assert.equal(fromStore.offered[0]?.revision.number, 9);
   assert.ok(fromStore.lease.isProven(1000));
 });
 
--- a/src/tenancy/lease-renewal.ts
+++ b/src/tenancy/lease-renewal.ts
@@ -10,6 +10,7 @@
 import { delay } from '../common/signal.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { type CoordinationStore, StoreError, type StoredItem } from '../coordination/coordination-store.js';
+import { formatRevision, type Revision } from '../coordination/revision.js';
 import type { AgedProof, ConfigurationLease } from './configuration-lease.js';
 
 /**
@@ -50,7 +51,7 @@
   /** Daemons that take part in the work. */
   daemons(): readonly DaemonRecord[];
   /** Asks another daemon; `null` when it does not answer in time. */
-  ask(record: DaemonRecord, heldRevision: number, timeoutMs: number): Promise<PassedConfiguration | null>;
+  ask(record: DaemonRecord, heldRevision: Revision, timeoutMs: number): Promise<PassedConfiguration | null>;
   /** A configuration that is newer than the one held. */
   offer(item: StoredItem): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -166,7 +167,7 @@
     if (isProven === this.#wasProven) return;
     this.#wasProven = isProven;
     log(isProven ? 'configuration_proven' : 'configuration_unproven', {
-      revision: lease.heldRevision,
+      revision: formatRevision(lease.heldRevision),
       ageMs: Math.round(lease.ageMs(now()) ?? -1),
     });
   }
--- a/src/tenancy/tenancy.test.ts
+++ b/src/tenancy/tenancy.test.ts
@@ -10,6 +10,7 @@
 import { ConfigurationLease } from './configuration-lease.js';
 import { digestKey } from './key-digest.js';
 import { NO_TENANT, TenantRegister, type Tenant } from './tenant-register.js';
+import { at as revisionAt } from '../../test/support/revisions.js';
 
 const AMBER: Tenant = { name: 'amber', priority: 0, quota: null };
 const BIRCH: Tenant = { name: 'birch', priority: 0, quota: null };
@@ -63,21 +64,21 @@
 describe('the lease on the configuration', () => {
   test('holds for the bound from before the question, not from the answer', () => {
     const lease = new ConfigurationLease(5000);
-    lease.adopt(7);
+    lease.adopt(revisionAt(7));
     assert.equal(lease.isProven(0), false);
-    lease.prove({ revision: 7, provenAtMs: 1000 });
+    lease.prove({ revision: revisionAt(7), provenAtMs: 1000 });
     assert.equal(lease.isProven(5900), true);
     assert.equal(lease.isProven(6000), false);
   });
 
   test('is not renewed by a proof of a configuration that has not come', () => {
     const lease = new ConfigurationLease(5000);
-    lease.adopt(7);
-    lease.prove({ revision: 7, provenAtMs: 0 });
-    lease.prove({ revision: 9, provenAtMs: 3000 });
+    lease.adopt(revisionAt(7));
+    lease.prove({ revision: revisionAt(7), provenAtMs: 0 });
+    lease.prove({ revision: revisionAt(9), provenAtMs: 3000 });
     assert.equal(lease.isProven(4900), true);
     assert.equal(lease.isProven(5000), false);
-    lease.adopt(9);
+    lease.adopt(revisionAt(9));
     assert.equal(lease.isProven(5000), true);
   });
 
@@ -121,7 +122,7 @@
         };
         const check = (): void => {
           for (const lease of daemons) {
-            const replaced = replacedAtMs.get(lease.heldRevision);
+            const replaced = replacedAtMs.get(lease.heldRevision.number);
             if (replaced === undefined || !lease.isProven(nowMs)) continue;
             assert.ok(nowMs - replaced < BOUND_MS, `acted on ${nowMs - replaced} ms after it was replaced`);
           }
@@ -136,12 +137,14 @@
               revision += 1;
               break;
             case 'fetch':
-              lease.adopt(revision);
+              lease.adopt(revisionAt(revision));
               break;
             case 'ask_store':
               at(nowMs + there, () => {
                 const newest = revision;
-                at(nowMs + back + pause, () => lease.prove({ revision: newest, provenAtMs: askedAtMs }));
+                at(nowMs + back + pause, () =>
+                  lease.prove({ revision: revisionAt(newest), provenAtMs: askedAtMs }),
+                );
               });
               break;
             case 'ask_daemon':
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -12,18 +12,27 @@
   type TransactionAnswer,
   type WatchAnswer,
 } from '../../src/coordination/coordination-store.js';
+import { isSameRevision, NO_REVISION, type Revision } from '../../src/coordination/revision.js';
+import { StoreEra } from '../../src/coordination/store-era.js';
 
 /** A store in memory; a lease ends when the test says so. */
 export class MemoryStore implements CoordinationStore {
   readonly items = new Map<string, StoredItem & { leaseId: number }>();
   readonly leases = new Set<number>();
-  revision = 1;
+  readonly era = new StoreEra();
+  /** Number of the present revision. */
+  number = 1;
   isDown = false;
   watchAnswers: WatchAnswer[] = [];
   lists = 0;
   reads = 0;
 
-  list(): Promise<{ items: readonly StoredItem[]; revision: number }> {
+  /** The present revision. */
+  get revision(): Revision {
+    return { era: this.era.current, number: this.number };
+  }
+
+  list(): Promise<{ items: readonly StoredItem[]; revision: Revision }> {
     this.lists += 1;
     return Promise.resolve({ items: [...this.items.values()], revision: this.revision });
   }
@@ -34,9 +43,11 @@
     return Promise.resolve(this.items.get(key) ?? null);
   }
 
-  async readIfChanged(key: string, knownRevision: number): Promise<ConditionalRead> {
+  async readIfChanged(key: string, known: Revision): Promise<ConditionalRead> {
     const item = await this.read(key);
-    return (item?.revision ?? 0) === knownRevision ? { kind: 'unchanged' } : { kind: 'changed', item };
+    return isSameRevision(item?.revision ?? NO_REVISION, known)
+      ? { kind: 'unchanged' }
+      : { kind: 'changed', item };
   }
 
   async watch(): Promise<WatchAnswer> {
@@ -48,11 +59,13 @@
 
   transact({ conditions, puts }: StoreTransaction): Promise<TransactionAnswer> {
     if (this.isDown) return Promise.reject(new StoreError('down', true));
-    const isMet = conditions.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision);
+    const isMet = conditions.every(({ key, revision }) =>
+      isSameRevision(this.items.get(key)?.revision ?? NO_REVISION, revision),
+    );
     if (!isMet) return Promise.resolve({ kind: 'conflict' });
     if (puts.some(({ leaseId }) => leaseId !== 0 && !this.leases.has(leaseId)))
       return Promise.resolve({ kind: 'no_lease' });
-    this.revision += 1;
+    this.number += 1;
     for (const { key, value, leaseId } of puts)
       this.items.set(key, { key, value, revision: this.revision, leaseId });
     return Promise.resolve({ kind: 'done', revision: this.revision });
--- /dev/null
+++ b/test/support/revisions.ts
@@ -0,0 +1,11 @@
+/**
+ * Revisions for tests in which the store has one history only.
+ *
+ * @packageDocumentation
+ */
+import type { Revision } from '../../src/coordination/revision.js';
+
+/** A revision of the first era. */
+export function at(number: number): Revision {
+  return { era: 0, number };
+}
