The promotion duty outlives the store's memory: fences rise with the era, and nobody acts while a lost holder may

Callers: two daemons could promote under one fence, at the same time (front-3#2 front-1#2 on the code before). Cause: the next fence counted from what the store holds, which had gone back, and a daemon that had just started took a record of the copy for the present one, so it waited for nobody.

--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -6,9 +6,10 @@
 import assert from 'node:assert/strict';
 import { after, describe, test } from 'node:test';
 import { MemoryStore, settle } from '../../test/support/memory-store.js';
-import type { StoredItem } from './coordination-store.js';
+import type { CoordinationStore, StoredItem } from './coordination-store.js';
 import { DUTY_LEASE, TAKEOVER_WAIT_MS } from './duty-record.js';
-import { Duty } from './duty.js';
+import { Duty, type StoreCopy } from './duty.js';
+import { SeenStore } from '../../test/support/seen-store.js';
 import { at } from '../../test/support/revisions.js';
 
 interface Holder {
@@ -16,7 +17,12 @@
   readonly events: string[];
 }
 
-function holder(store: MemoryStore, name: string, clock: { now: number }, isEnded = false): Holder {
+function holder(
+  store: CoordinationStore & StoreCopy,
+  name: string,
+  clock: { now: number },
+  isEnded = false,
+): Holder {
   const events: string[] = [];
   const duty = new Duty(
     store,
@@ -245,3 +251,110 @@
     await second.duty.stop();
   });
 });
+
+/**
+ * The store came back from a copy that lacks the last holder's record, and its fence. Two daemons promoted under one fence, and could
+ * do so at the same time: the copy showed a holder that had let go, so whoever had just started waited for nobody, and counted on from
+ * the older fence. Evidence: on the code before, `two holders under one fence: front-3#2 front-1#2` in store-era.test.ts.
+ */
+describe('the duty of a store that has come back from a copy', () => {
+  interface Scene {
+    readonly store: MemoryStore;
+    readonly clock: { now: number };
+    readonly last: Seen;
+    readonly next: Seen;
+  }
+
+  interface Seen extends Holder {
+    readonly view: SeenStore;
+  }
+
+  function seen(store: MemoryStore, name: string, clock: { now: number }): Seen {
+    const view = new SeenStore(store);
+    return { view, ...holder(view, name, clock) };
+  }
+
+  async function look({ view, duty }: Seen): Promise<void> {
+    view.look();
+    await duty.keysChanged();
+    await settle();
+  }
+
+  /** One holder lets go, a copy is made, another holds; the store comes back, and a third takes the duty. */
+  async function comeBack(isLastCut: boolean): Promise<Scene> {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    const first = seen(store, 'd1', clock);
+    await look(first);
+    await running(first);
+    await first.duty.stop();
+    const copy = store.copy();
+    const last = seen(store, 'd2', clock);
+    await look(last);
+    await running(last);
+    assert.equal(last.duty.heldFence(0), 2);
+    last.view.isCut = isLastCut;
+    store.comeBackFrom(copy);
+    const next = seen(store, 'd3', clock);
+    await look(next);
+    await running(next);
+    await look(next);
+    assert.equal(next.duty.isHolder, true);
+    return { store, clock, last, next };
+  }
+
+  test('is not acted on while the last holder, cut off, may still trust its lease', async () => {
+    const { clock, last, next } = await comeBack(true);
+    for (; clock.now < TAKEOVER_WAIT_MS; clock.now += 50) {
+      assert.equal(next.duty.heldFence(0), null, `acted on at ${clock.now}`);
+      if (clock.now >= DUTY_LEASE.lengthMs) assert.equal(last.duty.heldFence(0), null);
+      if (clock.now % DUTY_LEASE.renewalMs === 0) await renewed(next);
+    }
+    assert.ok((next.duty.heldFence(0) ?? 0) > 2);
+  });
+
+  test('has a fence above all that were given out, though the store has forgotten them', async () => {
+    const { clock, next } = await comeBack(true);
+    for (; clock.now < TAKEOVER_WAIT_MS; clock.now += DUTY_LEASE.renewalMs) await renewed(next);
+    assert.ok((next.duty.heldFence(0) ?? 0) > 2);
+  });
+
+  test('is lost by its holder as soon as any answer tells of the return', async () => {
+    const { last } = await comeBack(false);
+    assert.equal(last.duty.isHolder, true);
+    await last.view.read('anything');
+    assert.equal(last.duty.isHolder, false);
+    assert.equal(last.events.at(-1), 'lost');
+  });
+
+  test('is taken only by what the store holds since: an older copy of it shows who held it before', async () => {
+    const store = new MemoryStore();
+    const daemon = seen(store, 'd1', { now: 0 });
+    await look(daemon);
+    await running(daemon);
+    assert.equal(daemon.duty.isHolder, true);
+    store.comeBackFrom({ items: new Map(), number: 1 });
+    await daemon.view.read('anything');
+    await daemon.duty.keysChanged();
+    assert.equal(daemon.duty.isHolder, false);
+    assert.equal(store.items.has('sorrelladder/duty'), false);
+    await look(daemon);
+    await waitFor(() => store.items.has('sorrelladder/live/d1'), 'it registers again');
+    await look(daemon);
+    await waitFor(() => daemon.duty.isHolder, 'it takes the duty again');
+  });
+
+  async function renewed({ view }: Seen): Promise<void> {
+    const { reads } = view;
+    await waitFor(() => view.reads > reads, 'the lease is renewed');
+    await settle();
+  }
+});
+
+async function waitFor(condition: () => boolean, what: string): Promise<void> {
+  const deadlineMs = performance.now() + 3000;
+  while (!condition()) {
+    assert.ok(performance.now() < deadlineMs, `not in time: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
--- a/src/coordination/duty-record.ts
+++ b/src/coordination/duty-record.ts
@@ -26,6 +26,9 @@
 /** Digits of a fence at most: more are no number that counts exactly. */
 const MAX_FENCE_DIGITS = 16;
 
+/** Era of the store in which the record was written: one of an earlier era came back with a copy, and says nothing of the present. */
+const eraField = z._default(count, 0);
+
 const heldSchema = z.object({
   state: z.literal('held'),
   holder: text,
@@ -35,8 +38,9 @@
   leaseId: count,
   /** Time from the writing until the holder may act, in milliseconds: an earlier one may still do so. */
   actsInMs: amount,
+  era: eraField,
 });
-const releasedSchema = z.object({ state: z.literal('released'), fence: count });
+const releasedSchema = z.object({ state: z.literal('released'), fence: count, era: eraField });
 const recordSchema = z.discriminatedUnion('state', [heldSchema, releasedSchema]);
 
 /** What the record says. */
@@ -55,16 +59,25 @@
 }
 
 /**
- * The fence of the next holder: above every earlier one, also where the last cannot be read. Each fence is one more than some
- * earlier fence, or than some earlier revision, and is written at a later revision: so none is above the revision of its item.
+ * Fences that one era of the store can give out: the first one of an era is above all of the eras before it, though the store has
+ * forgotten the last of those. Fences of an era without so many holders rise by themselves.
+ */
+const FENCES_PER_ERA = 1_000_000;
+
+/**
+ * The fence of the next holder: above every earlier one, also where the last cannot be read or is lost. Each fence is one more than
+ * the first of its era, some earlier fence, or that first and some earlier revision, and is written at a later revision: so within
+ * its era none is above the revision of its item.
  *
  * @param item - the item of the fence, or `null` when the duty was never held
  * @param record - the record of the duty, or `null` when there is none that can be read
+ * @param era - the era of the store
  */
-export function nextFence(item: StoredItem | null, record: DutyRecord | null): number {
+export function nextFence(item: StoredItem | null, record: DutyRecord | null, era: number): number {
+  const first = era * FENCES_PER_ERA;
   const told = item === null ? null : readFence(item.value);
-  const last = told?.kind === 'read' ? told.value : (item?.revision.number ?? 0);
-  return Math.max(last, record?.fence ?? 0) + 1;
+  const last = told?.kind === 'read' ? told.value : first + (item?.revision.number ?? 0);
+  return Math.max(first, last, record?.fence ?? 0) + 1;
 }
 
 /** Writes a record. */
@@ -78,9 +91,27 @@
   readonly life: string;
 }
 
+/** What a daemon sees of the duty in its copy of the store. */
+export interface DutySight {
+  /** Era of the store. */
+  readonly era: number;
+  /** `null` when there is none that can be read. */
+  readonly record: DutyRecord | null;
+  /** Revision of the record, {@link NO_REVISION} for none. */
+  readonly revision: Revision;
+  /** The last fence, 0 when the duty was never held; `null` where it cannot be read. */
+  readonly fence: number | null;
+}
+
+/** The record, where it was written in the present era. */
+export function presentRecord({ era, record }: Pick<DutySight, 'era' | 'record'>): DutyRecord | null {
+  return record?.era === era ? record : null;
+}
+
 /** What one daemon has seen of holders of the duty. Monotonic times, in milliseconds. */
 export class DutyHistory {
-  #hasLooked = false;
+  /** Era of the last look; `null` before the first. */
+  #era: number | null = null;
   #revision = NO_REVISION;
   #holder: DutyHolder | null = null;
   #holderActsFromMs = Number.NEGATIVE_INFINITY;
@@ -96,30 +127,36 @@
     return this.#holderActsFromMs;
   }
 
-  /**
-   * Takes what the store has now.
-   *
-   * @param record - `null` when there is none
-   * @param revision - revision of the record, {@link NO_REVISION} for none
-   * @param hasBeenHeld - true when the duty has been held before, by whomever
-   */
-  observe(record: DutyRecord | null, revision: Revision, hasBeenHeld: boolean, nowMs: number): void {
-    const isFirstLook = !this.#hasLooked;
-    this.#hasLooked = true;
+  /** Takes what the store has now. */
+  observe(sight: DutySight, nowMs: number): void {
+    if (this.#era !== sight.era) this.#beginEra(sight, nowMs);
+    const record = presentRecord(sight);
     if (record === null) {
-      // Gone without a word: a holder, seen or not, may still act.
-      const hasVanished = !isSameRevision(this.#revision, NO_REVISION) || (isFirstLook && hasBeenHeld);
-      if (hasVanished) this.#vanishedAtMs = nowMs;
+      // Gone without a word: the holder may still act.
+      if (!isSameRevision(this.#revision, NO_REVISION)) this.#vanishedAtMs = nowMs;
       this.#revision = NO_REVISION;
       return;
     }
-    if (isSameRevision(revision, this.#revision)) return;
-    this.#revision = revision;
+    if (isSameRevision(sight.revision, this.#revision)) return;
+    this.#revision = sight.revision;
     this.#vanishedAtMs = Number.NEGATIVE_INFINITY;
     this.#holder = record.state === 'held' ? { name: record.holder, life: record.life } : null;
     this.#holderActsFromMs = record.state === 'held' ? nowMs + record.actsInMs : Number.NEGATIVE_INFINITY;
   }
 
+  /**
+   * The first look at an era. Unless a record of it stands, somebody may still act: the last holder of the era before, whose record
+   * the copy may lack, or one that was never seen here.
+   */
+  #beginEra(sight: DutySight, nowMs: number): void {
+    const wasNeverHeld = this.#era === null && sight.record === null && sight.fence === 0;
+    this.#era = sight.era;
+    this.#revision = NO_REVISION;
+    this.#holder = null;
+    this.#holderActsFromMs = Number.NEGATIVE_INFINITY;
+    this.#vanishedAtMs = wasNeverHeld ? Number.NEGATIVE_INFINITY : nowMs;
+  }
+
   /**
    * Time from which a new holder may act.
    *
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -15,9 +15,11 @@
 import {
   DutyHistory,
   type DutyHolder,
+  type DutySight,
   formatDutyRecord,
   DUTY_LEASE,
   nextFence,
+  presentRecord,
   readDutyRecord,
   readFence,
   type DutyRecord,
@@ -179,6 +181,7 @@
   ) {
     this.#life = new StoreLease(store, LIFE_LEASE, now);
     this.#lease = new StoreLease(store, DUTY_LEASE, now);
+    store.era.onRise(() => this.#eraHasRisen());
   }
 
   /**
@@ -241,17 +244,13 @@
 
   /** The coordination keys have changed. */
   async keysChanged(): Promise<void> {
+    if (!this.#isCopyOfThisEra()) return;
     const { items, revision } = this.copy();
-    const duty = this.#dutyRecord();
-    this.#history.observe(
-      duty?.record ?? null,
-      duty?.revision ?? NO_REVISION,
-      items.has(FENCE_KEY),
-      this.now(),
-    );
+    const sight = this.#sight();
+    this.#history.observe(sight, this.now());
     if (isLater(this.#ownRevision, revision)) return;
-    const record = duty?.record ?? null;
-    if (duty !== null && record !== null && this.#isOurs(record)) this.#take(record.fence, duty.revision);
+    const record = presentRecord(sight);
+    if (record !== null && this.#isOurs(record)) this.#take(record.fence, sight.revision);
     else this.#lose(record?.state === 'held' ? `held by ${record.holder}` : 'the record is gone');
     if (!items.has(LIVE_PREFIX + this.self.name) || this.#isRecordSpoilt()) {
       this.#isRegistered = false;
@@ -339,12 +338,13 @@
   /** Takes the duty if nobody holds it, or if an earlier life of this very daemon did. */
   async #acquire(): Promise<void> {
     if (this.#isAcquiring || !this.#mayAcquire()) return;
-    const duty = this.#dutyRecord();
-    const endedLife = duty?.record?.state === 'held' ? duty.record.life : this.self.life;
+    const sight = this.#sight();
+    const record = presentRecord(sight);
+    const endedLife = record?.state === 'held' ? record.life : this.self.life;
     this.#freeFromMs = this.#history.freeFromMs(endedLife);
     this.#isAcquiring = true;
     try {
-      await this.#tryAcquire(duty?.record ?? null, duty?.revision ?? NO_REVISION);
+      await this.#tryAcquire(sight);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
     } finally {
@@ -355,20 +355,21 @@
   /** True when this daemon does not hold the duty and, as far as it knows, nobody else does. */
   #mayAcquire(): boolean {
     if (this.#isStopped || this.#fence !== null || !this.#isRegistered) return false;
-    const record = this.#dutyRecord()?.record ?? null;
+    if (!this.#isCopyOfThisEra()) return false;
+    const record = presentRecord(this.#sight());
     return record?.state !== 'held' || record.holder === this.self.name;
   }
 
-  async #tryAcquire(record: DutyRecord | null, dutyRevision: Revision): Promise<void> {
+  async #tryAcquire(sight: DutySight): Promise<void> {
     await this.#lease.grant();
     const leaseId = this.#lease.id;
     this.#askedAtMs = this.now();
+    if (!this.#isCopyOfThisEra()) return;
     const fenceItem = this.copy().items.get(FENCE_KEY) ?? null;
-    if (fenceItem !== null) accept('fence', fenceItem, readFence(fenceItem.value), this.faults);
-    const fence = nextFence(fenceItem, record);
+    const fence = nextFence(fenceItem, sight.record, this.#era);
     const answer = await this.store.transact({
       conditions: [
-        { key: DUTY_KEY, revision: dutyRevision },
+        { key: DUTY_KEY, revision: sight.revision },
         { key: FENCE_KEY, revision: fenceItem?.revision ?? NO_REVISION },
       ],
       puts: [
@@ -378,7 +379,7 @@
       removes: [],
     });
     if (answer.kind !== 'done') this.#lease.drop();
-    if (answer.kind !== 'done' || leaseId !== this.#lease.id) return;
+    if (answer.kind !== 'done' || leaseId !== this.#lease.id || !this.#lease.isHeld) return;
     this.#take(fence, answer.revision);
   }
 
@@ -403,7 +404,9 @@
   async #release(fence: number): Promise<void> {
     await this.store.transact({
       conditions: [{ key: DUTY_KEY, revision: this.#dutyRevision }],
-      puts: [{ key: DUTY_KEY, value: formatDutyRecord({ state: 'released', fence }), leaseId: 0 }],
+      puts: [
+        { key: DUTY_KEY, value: formatDutyRecord({ state: 'released', fence, era: this.#era }), leaseId: 0 },
+      ],
       removes: [],
     });
   }
@@ -419,6 +422,7 @@
       fence,
       leaseId: this.#lease.id,
       actsInMs,
+      era: this.#era,
     };
   }
 
@@ -426,11 +430,34 @@
     return Math.min(this.#lease.untilMs, this.#dutyUntilMs);
   }
 
-  /** The record with its revision; a record that cannot be read says as little as one that is gone. */
-  #dutyRecord(): { readonly record: DutyRecord | null; readonly revision: Revision } | null {
-    const item = this.copy().items.get(DUTY_KEY);
-    if (item === undefined) return null;
-    return { record: this.#readDuty(item), revision: item.revision };
+  /** The era of the copy. */
+  get #era(): number {
+    return this.copy().revision.era;
+  }
+
+  /** False while the store is known to have come back, and the copy has not been read again. */
+  #isCopyOfThisEra(): boolean {
+    return this.#era === this.store.era.current;
+  }
+
+  /** The store has come back from a copy: what was written since is gone, leases too, whose numbers may be given to others. */
+  #eraHasRisen(): void {
+    this.#lose('the store came back from a copy');
+    this.#isRegistered = false;
+    this.#askToKeepSoon();
+  }
+
+  /** A record that cannot be read says as little as one that is gone. */
+  #sight(): DutySight {
+    const { items } = this.copy();
+    const duty = items.get(DUTY_KEY) ?? null;
+    const fence = items.get(FENCE_KEY) ?? null;
+    return {
+      era: this.#era,
+      record: duty === null ? null : this.#readDuty(duty),
+      revision: duty?.revision ?? NO_REVISION,
+      fence: fence === null ? 0 : accept('fence', fence, readFence(fence.value), this.faults),
+    };
   }
 
   #readDuty(item: StoredItem): DutyRecord | null {
@@ -444,7 +471,8 @@
   }
 
   #isOurs(record: DutyRecord): boolean {
-    return record.state === 'held' && record.life === this.self.life && record.leaseId === this.#lease.id;
+    if (record.state !== 'held' || record.era !== this.#era || !this.#lease.isHeld) return false;
+    return record.life === this.self.life && record.leaseId === this.#lease.id;
   }
 
   #take(fence: number, revision: Revision): void {
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -15,11 +15,17 @@
 import { isSameRevision, NO_REVISION, type Revision } from '../../src/coordination/revision.js';
 import { StoreEra } from '../../src/coordination/store-era.js';
 
+function firstEra(): StoreEra {
+  const era = new StoreEra();
+  era.hear(0);
+  return era;
+}
+
 /** A store in memory; a lease ends when the test says so. */
 export class MemoryStore implements CoordinationStore {
   readonly items = new Map<string, StoredItem & { leaseId: number }>();
   readonly leases = new Set<number>();
-  readonly era = new StoreEra();
+  readonly era = firstEra();
   /** Number of the present revision. */
   number = 1;
   isDown = false;
@@ -71,6 +77,23 @@
     return Promise.resolve({ kind: 'done', revision: this.revision });
   }
 
+  /** What the store holds, for {@link MemoryStore.comeBackFrom}. */
+  copy(): { readonly items: ReadonlyMap<string, StoredItem & { leaseId: number }>; readonly number: number } {
+    return { items: new Map(this.items), number: this.number };
+  }
+
+  /** Comes back from a copy: the era rises, the revisions go back, and no lease is left. */
+  comeBackFrom(copy: ReturnType<MemoryStore['copy']>): void {
+    const era = this.era.current + 1;
+    this.items.clear();
+    for (const [key, item] of copy.items)
+      if (item.leaseId === 0)
+        this.items.set(key, { ...item, revision: { era, number: item.revision.number } });
+    this.leases.clear();
+    this.number = copy.number;
+    this.era.hear(era);
+  }
+
   grantLease(ttlMs: number): Promise<{ leaseId: number; ttlMs: number }> {
     if (this.isDown) return Promise.reject(new StoreError('down', true));
     const leaseId = 100 + this.leases.size;
--- /dev/null
+++ b/test/support/seen-store.ts
@@ -0,0 +1,79 @@
+/**
+ * A store in memory as one daemon sees it: its own word of the era, its own copy, and cut off when the test says so.
+ *
+ * @packageDocumentation
+ */
+import {
+  StoreError,
+  type ConditionalRead,
+  type CoordinationStore,
+  type GrantedLease,
+  type StoredItem,
+  type StoreTransaction,
+  type TransactionAnswer,
+  type WatchAnswer,
+} from '../../src/coordination/coordination-store.js';
+import { NO_REVISION, type Revision } from '../../src/coordination/revision.js';
+import { StoreEra } from '../../src/coordination/store-era.js';
+import type { MemoryStore } from './memory-store.js';
+
+/** One daemon's view of a store. */
+export class SeenStore implements CoordinationStore {
+  readonly era = new StoreEra();
+  isCut = false;
+  reads = 0;
+  items: ReadonlyMap<string, StoredItem> = new Map();
+  revision: Revision = NO_REVISION;
+
+  constructor(private readonly store: MemoryStore) {}
+
+  /** Reads the copy anew. */
+  look(): void {
+    this.#reach();
+    this.items = new Map(this.store.items);
+    this.revision = this.store.revision;
+  }
+
+  list(): Promise<{ items: readonly StoredItem[]; revision: Revision }> {
+    return this.#ask(() => this.store.list());
+  }
+
+  read(key: string): Promise<StoredItem | null> {
+    this.reads += 1;
+    return this.#ask(() => this.store.read(key));
+  }
+
+  readIfChanged(key: string, known: Revision): Promise<ConditionalRead> {
+    return this.#ask(() => this.store.readIfChanged(key, known));
+  }
+
+  watch(): Promise<WatchAnswer> {
+    return this.#ask(() => this.store.watch());
+  }
+
+  transact(transaction: StoreTransaction): Promise<TransactionAnswer> {
+    return this.#ask(() => this.store.transact(transaction));
+  }
+
+  grantLease(ttlMs: number): Promise<GrantedLease> {
+    return this.#ask(() => this.store.grantLease(ttlMs));
+  }
+
+  keepLease(leaseId: number): Promise<boolean> {
+    return this.#ask(() => this.store.keepLease(leaseId));
+  }
+
+  endLease(leaseId: number): Promise<void> {
+    return this.#ask(() => this.store.endLease(leaseId));
+  }
+
+  async #ask<T>(call: () => Promise<T>): Promise<T> {
+    this.#reach();
+    return call();
+  }
+
+  #reach(): void {
+    if (this.isCut) throw new StoreError('cut off', false);
+    this.era.hear(this.store.era.current);
+  }
+}
