--- a/src/topology/member-directory.test.ts
+++ b/src/topology/member-directory.test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { ListedMembers, LEAVE_MS, entryOf } from '../../test/support/listed-members.js';
+import { HEARTBEAT_MS, ListedMembers, LEAVE_MS, entryOf } from '../../test/support/listed-members.js';
 import type { PreparedShape } from '../relay/statement.js';
 import { formatIncarnation } from './incarnation.js';
 import type { Member, MemberEntry } from './member-group.js';
@@ -417,3 +417,55 @@
     assert.equal(scene.member().entry.bornMs, 1000);
   });
 });
+
+/**
+ * A store that comes back from a copy shows for a moment what members said some seconds ago, until they have written again. A member
+ * that was leaving was given its whole time once more, and one that had left was given work again: requests reached members for longer
+ * after they had said that they leave than is allowed. Evidence: on the code before, `leavingSinceMs` is cleared by the older entry.
+ */
+describe('an older entry after the directory was away', () => {
+  function away(scene: ListedMembers, ...listed: readonly MemberEntry[]): void {
+    scene.directory.availability(false);
+    for (const entry of listed) scene.directory.listed(entry);
+    scene.directory.loaded();
+  }
+
+  test('gives a member that leaves no more time', () => {
+    const scene = new ListedMembers();
+    scene.directory.listed(FIRST);
+    scene.directory.listed({ ...FIRST, isDraining: true });
+    const { leavingSinceMs } = scene.member();
+    away(scene, FIRST);
+    scene.pass(HEARTBEAT_MS);
+    scene.directory.listed({ ...FIRST, isDraining: true });
+    assert.equal(scene.member().leavingSinceMs, leavingSinceMs);
+    scene.pass(LEAVE_MS - HEARTBEAT_MS);
+    assert.equal(scene.group().members.size, 0);
+  });
+
+  test('gives a member that has left no work', () => {
+    const scene = new ListedMembers();
+    scene.directory.listed(FIRST);
+    scene.directory.unlisted('m');
+    scene.pass(2 * HEARTBEAT_MS);
+    scene.pass(LEAVE_MS);
+    assert.equal(scene.group().members.size, 0);
+    away(scene, FIRST);
+    scene.pass(HEARTBEAT_MS);
+    assert.equal(scene.group().members.size, 0);
+    scene.directory.unlisted('m');
+    scene.pass(10 * HEARTBEAT_MS);
+    assert.equal(scene.group().members.size, 0);
+  });
+
+  test('counts once it still stands after its members have had time to write again', () => {
+    const scene = new ListedMembers();
+    scene.directory.listed(FIRST);
+    scene.directory.unlisted('m');
+    scene.pass(2 * HEARTBEAT_MS);
+    scene.pass(LEAVE_MS);
+    away(scene, FIRST);
+    scene.pass(5 * HEARTBEAT_MS);
+    assert.equal(scene.member().isLeaving, false);
+  });
+});
