An older entry of a directory that was away undoes no departure before its members have written again

Callers: a member that had said it leaves, or had left, could be given requests for longer than allowed after a return of the store. Cause: an entry of the copy, some seconds old, cleared the time since which the member leaves, and took one that had left back. Now such a word is taken once it still stands 4 heartbeats after the directory is back; entries lapsed by an outage alone are not concerned.

--- a/src/topology/member-directory.ts
+++ b/src/topology/member-directory.ts
@@ -70,6 +70,8 @@
   readonly #known = new Map<string, Known>();
   /** Ids under which no entry stands, those first that were unlisted first. */
   readonly #unlisted = new Set<string>();
+  /** Ids whose entry says that a member which was leaving leaves no more, told while the directory may be behind. */
+  readonly #unsettled = new Set<string>();
   #isLoaded = false;
   #isAvailable = false;
   #trustedFromMs = Number.POSITIVE_INFINITY;
@@ -154,10 +156,28 @@
   /** Looks who has left; to be called every some ten milliseconds. */
   check(group: MemberGroup): void {
     const now = this.options.now();
+    if (this.#isSettled) this.#placeUnsettled();
     for (const member of [...group.members.values()]) this.#checkDeparture(group, member, now);
     this.#forgetFormer(group, now);
   }
 
+  /**
+   * False while the directory is away, and until its members have had time to write again: a directory that comes back from a copy
+   * shows older entries meanwhile, by which a member that leaves would be given its time anew.
+   */
+  get #isSettled(): boolean {
+    return this.options.now() >= this.#trustedFromMs;
+  }
+
+  /** Takes at their word the entries that still stand. */
+  #placeUnsettled(): void {
+    for (const memberId of this.#unsettled) {
+      const known = this.#known.get(memberId);
+      if (known !== undefined && isListed(known)) this.#place(known);
+    }
+    this.#unsettled.clear();
+  }
+
   /** What is known of an id; `null` when that was long ago. */
   #remembered(memberId: string): Known | null {
     const known = this.#known.get(memberId);
@@ -244,6 +264,7 @@
     if (member === null) this.#add(group, known);
     else if (!isAtSameAddress(member.entry, entry)) this.#move(group, member, known);
     else if (isUsed) this.#update(group, member, entry);
+    else if (!this.#isSettled && member.isLeaving) this.#unsettled.add(entry.memberId);
     else this.#takeBack(group, member, entry);
     if (entry.isDraining) this.#leaves(group, group.members.get(entry.memberId), 'draining');
     this.options.changed(group);
@@ -269,7 +290,9 @@
     member.missingSinceMs = null;
     if (member.entry.saysPrimary !== entry.saysPrimary) this.#roleChanged(group, entry);
     member.entry = entry;
-    if (!entry.isDraining) member.leavingSinceMs = null;
+    if (entry.isDraining || !member.isLeaving) return;
+    if (this.#isSettled) member.leavingSinceMs = null;
+    else this.#unsettled.add(entry.memberId);
   }
 
   /** The same life is reached elsewhere: connections are bound to an address. */
@@ -304,7 +327,7 @@
   #checkDeparture(group: MemberGroup, member: Member, now: number): void {
     const isGone =
       member.missingSinceMs !== null &&
-      now >= this.#trustedFromMs &&
+      this.#isSettled &&
       now - member.missingSinceMs > GONE_HEARTBEATS * this.options.heartbeatMs;
     if (isGone) this.#leaves(group, member, 'unlisted');
     if (member.leavingSinceMs === null || now - member.leavingSinceMs < this.#serveLeavingMs()) return;
