Daemons that the store has forgotten are known: their records are written again, and a young register counts as one that lacks some

Callers: an acknowledged commit could be lost by a promotion that did not ask a daemon which had registered since the copy (read, not seen). Cause: whoever promotes learns of daemons from the store alone where it started after the return; a daemon that is cut off never registers again.

--- a/src/cluster/order-delivery.test.ts
+++ b/src/cluster/order-delivery.test.ts
@@ -30,6 +30,7 @@
     ports: {
       known: () => [daemon('d1'), daemon('d2')],
       readRegister: register,
+      isRegisterBehind: () => false,
       send: (records) => {
         sent.push(...records.map(({ host }) => host));
         return Promise.resolve(new Map(records.map(({ name }) => [name, ANSWERED])));
@@ -52,6 +53,17 @@
     assert.deepEqual(sent, ['d1', 'd2', 'elsewhere']);
   });
 
+  /**
+   * A daemon that had registered since the copy from which the store came back was in no register, and could acknowledge by evidence that
+   * a promotion did not know of. Found by reading; before, such an order counted as heard by all.
+   */
+  test('counts as unheard by somebody while the register may lack some', async () => {
+    const { ports: given, sent } = ports(() => Promise.resolve([daemon('new')]));
+    const outcomes = await deliverOrder({ ...given, isRegisterBehind: () => true }, REVOKE, 200);
+    assert.deepEqual(sent, ['d1', 'd2', 'new'], 'those that it has are asked all the same');
+    assert.ok([...outcomes.values()].some(({ kind }) => kind === 'silent'));
+  });
+
   test('counts as unheard by somebody when the register cannot be read', async () => {
     const { ports: given } = ports(() => Promise.reject(new Error('down')));
     const outcomes = await deliverOrder(given, REVOKE, 200);
@@ -67,6 +79,14 @@
 });
 
 describe('a daemon that registers', () => {
+  test('that starts while the store may lack its record may have had an earlier process', () => {
+    const registration = new Registration(daemon('d1'));
+    registration.firstLook(new Map(), 0, { unreadable: new Set(), isBehind: true });
+    assert.equal(registration.hasPredecessor, true);
+    registration.firstLook(new Map(), 0);
+    assert.equal(registration.hasPredecessor, false);
+  });
+
   test('counts evidence only once whoever promotes has certainly heard of it', () => {
     const registration = new Registration(daemon('d1'));
     registration.firstLook(new Map(), 0);
--- a/src/cluster/order-delivery.ts
+++ b/src/cluster/order-delivery.ts
@@ -29,10 +29,12 @@
   known(): readonly DaemonRecord[];
   /** Daemons whose lease runs, read from the store itself. */
   readRegister(): Promise<readonly DaemonRecord[]>;
+  /** True while the store may lack some that run: it has come back from a copy a moment ago. */
+  isRegisterBehind(): boolean;
   send(records: readonly DaemonRecord[], order: HolderOrder, timeoutMs: number): Promise<OrderOutcomes>;
 }
 
-/** Gives an order to all other daemons. A register that cannot be read counts as a daemon that is silent. */
+/** Gives an order to all other daemons. A register that cannot be read, or lacks some, counts as a daemon that is silent. */
 export async function deliverOrder(
   ports: OrderPorts,
   order: HolderOrder,
@@ -55,5 +57,6 @@
   const register = await Promise.race([reading, delay(REGISTER_MS).then(() => null)]);
   if (register === null) return new Map([[UNREAD, { kind: 'silent' }]]);
   const unknown = register.filter((record) => !known.some((other) => hasSameAddress(record, other)));
-  return ports.send(unknown, order, timeoutMs);
+  const outcomes = await ports.send(unknown, order, timeoutMs);
+  return ports.isRegisterBehind() ? new Map([...outcomes, [UNREAD, { kind: 'silent' }]]) : outcomes;
 }
--- a/src/cluster/registration.ts
+++ b/src/cluster/registration.ts
@@ -6,6 +6,16 @@
 import type { DaemonRecord } from './daemon-record.js';
 import { REGISTRATION_SETTLE_MS } from '../leadership/leadership-evidence.js';
 
+/** What the records of the store leave open. */
+export interface RegisterGaps {
+  /** Names of daemons whose records cannot be read. */
+  readonly unreadable: ReadonlySet<string>;
+  /** True while the store may lack some: it has come back from a copy a moment ago. */
+  readonly isBehind: boolean;
+}
+
+const NO_GAPS: RegisterGaps = { unreadable: new Set(), isBehind: false };
+
 /** What one daemon knows of its own record in the store. */
 export class Registration {
   #countsFromMs = Number.POSITIVE_INFINITY;
@@ -33,16 +43,16 @@
    * Takes the records that the store had before this process registered. Orders to an earlier process at the same address
    * reach this one, so its own record need not be awaited.
    *
-   * @param unreadable - names of daemons whose records cannot be read
+   * @param gaps - what the records leave open
    */
   firstLook(
     registered: ReadonlyMap<string, DaemonRecord>,
     nowMs: number,
-    unreadable: ReadonlySet<string> = new Set(),
+    { unreadable, isBehind }: RegisterGaps = NO_GAPS,
   ): void {
     const { name } = this.self;
     const earlier = registered.get(name);
-    this.#hasPredecessor = earlier !== undefined || unreadable.has(name);
+    this.#hasPredecessor = earlier !== undefined || unreadable.has(name) || isBehind;
     this.#isAtFormerAddress = earlier !== undefined && hasSameAddress(earlier, this.self);
     if (this.#isAtFormerAddress) this.#countsFromMs = nowMs;
   }
--- a/src/coordination/duty-record.ts
+++ b/src/coordination/duty-record.ts
@@ -64,6 +64,11 @@
  */
 const FENCES_PER_ERA = 1_000_000;
 
+/** Below all fences of an era, and above those of the eras before it. */
+function firstFenceOf(era: number): number {
+  return era * FENCES_PER_ERA;
+}
+
 /**
  * The fence of the next holder: above every earlier one, also where the last cannot be read or is lost. Each fence is one more than
  * the first of its era, some earlier fence, or that first and some earlier revision, and is written at a later revision: so within
@@ -74,7 +79,7 @@
  * @param era - the era of the store
  */
 export function nextFence(item: StoredItem | null, record: DutyRecord | null, era: number): number {
-  const first = era * FENCES_PER_ERA;
+  const first = firstFenceOf(era);
   const told = item === null ? null : readFence(item.value);
   const last = told?.kind === 'read' ? told.value : first + (item?.revision.number ?? 0);
   return Math.max(first, last, record?.fence ?? 0) + 1;
@@ -116,6 +121,8 @@
   #holder: DutyHolder | null = null;
   #holderActsFromMs = Number.NEGATIVE_INFINITY;
   #vanishedAtMs = Number.NEGATIVE_INFINITY;
+  /** When an era was first seen in which nobody had held the duty; minus infinity for others. */
+  #newEraSeenAtMs = Number.NEGATIVE_INFINITY;
 
   /** The last holder that was seen and has not let go, or `null`. */
   get holder(): DutyHolder | null {
@@ -127,6 +134,11 @@
     return this.#holderActsFromMs;
   }
 
+  /** Time since an era was first seen that had just begun, as far as the store tells, in milliseconds. */
+  sinceNewEraMs(nowMs: number): number {
+    return nowMs - this.#newEraSeenAtMs;
+  }
+
   /** Takes what the store has now. */
   observe(sight: DutySight, nowMs: number): void {
     if (this.#era !== sight.era) this.#beginEra(sight, nowMs);
@@ -155,6 +167,9 @@
     this.#holder = null;
     this.#holderActsFromMs = Number.NEGATIVE_INFINITY;
     this.#vanishedAtMs = wasNeverHeld ? Number.NEGATIVE_INFINITY : nowMs;
+    const wasHeldInIt = sight.fence !== null && sight.fence > firstFenceOf(sight.era);
+    const isNew = !wasNeverHeld && !wasHeldInIt;
+    this.#newEraSeenAtMs = isNew ? nowMs : Number.NEGATIVE_INFINITY;
   }
 
   /**
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -53,6 +53,11 @@
 const LEAST_REST_MS = 200;
 /** Longest wait for the sight of the duty's record, in milliseconds: an answer that is lost must not use up the lease. */
 const CONFIRM_MS = 400;
+/**
+ * Time from the first sight of a new era of the store until all daemons that reach it have registered again, in milliseconds: a renewal
+ * and its longest spread, the longest pause before the next attempt, and the two calls.
+ */
+const REGISTERED_AGAIN_MS = 5000;
 /** Time between attempts of the holder of the duty, in milliseconds. */
 const HOLDER_RETRY_MS = 60;
 
@@ -203,6 +208,14 @@
     return { takenAtMs: this.#actsFromMs, untilMs: this.#untilMs };
   }
 
+  /**
+   * True while the store may lack records of daemons that run: it has come back from a copy, and not all of them have had time to
+   * register again.
+   */
+  get isRegisterBehind(): boolean {
+    return this.#history.sinceNewEraMs(this.now()) < REGISTERED_AGAIN_MS;
+  }
+
   /** Asks for a lease, so that it is there when {@link Duty.run} registers. */
   prepare(): void {
     this.#granting = this.#life.grant().catch(() => undefined);
@@ -242,12 +255,17 @@
     return Math.min(LAST_RETRY_MS, RETRY_MS * 2 ** Math.min(failures - 1, 8));
   }
 
+  /** Takes what the copy shows of the duty, before anything is decided by it. */
+  look(): void {
+    if (this.#isCopyOfThisEra()) this.#history.observe(this.#sight(), this.now());
+  }
+
   /** The coordination keys have changed. */
   async keysChanged(): Promise<void> {
     if (!this.#isCopyOfThisEra()) return;
+    this.look();
     const { items, revision } = this.copy();
     const sight = this.#sight();
-    this.#history.observe(sight, this.now());
     if (isLater(this.#ownRevision, revision)) return;
     const record = presentRecord(sight);
     if (record !== null && this.#isOurs(record)) this.#take(record.fence, sight.revision);
--- a/src/coordination/foreign-keys.test.ts
+++ b/src/coordination/foreign-keys.test.ts
@@ -87,7 +87,7 @@
   test('that cannot be read shows that there was an earlier process, which may have acknowledged commits', () => {
     const { registered, unreadable } = readDaemons(itemsOf([['sorrelladder/daemons/d1', json(null)]]));
     const registration = new Registration(RECORD);
-    registration.firstLook(registered, 0, unreadable);
+    registration.firstLook(registered, 0, { unreadable, isBehind: false });
     assert.equal(registration.hasPredecessor, true);
     assert.equal(registration.countsFromMs, Number.POSITIVE_INFINITY);
   });
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -9,11 +9,18 @@
 import { Delegations } from '../cluster/delegates.js';
 import { dutyTurnMs } from '../cluster/duty-turn.js';
 import { deliverOrder, type OrderOutcomes, type Recipients } from '../cluster/order-delivery.js';
+import { LostRecords } from '../cluster/lost-records.js';
 import { Registration } from '../cluster/registration.js';
 import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import type { DutyHolder } from '../coordination/duty-record.js';
-import { COORDINATION_PREFIX, Duty, listLeasedDaemons, readDaemons } from '../coordination/duty.js';
+import {
+  COORDINATION_PREFIX,
+  DAEMON_PREFIX,
+  Duty,
+  listLeasedDaemons,
+  readDaemons,
+} from '../coordination/duty.js';
 import { DelegatedFeed, WORST_LAG_MS } from '../coordination/change-feed.js';
 import { ChangeRelay } from '../coordination/change-relay.js';
 import type { EntryFaults } from '../coordination/entry-faults.js';
@@ -122,6 +129,9 @@
   readonly #context: RelayContext;
   readonly #daemons = new DaemonDirectory();
   readonly #registration: Registration;
+  readonly #lostRecords: LostRecords;
+  /** Era of the store in which this daemon last looked at the records. */
+  #recordsEra: number | null = null;
   #isDutyStarted = false;
   readonly #delegations = new Delegations(() => this.#daemons.live);
   readonly #supervision = new Supervision({
@@ -152,6 +162,15 @@
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
     this.#registration = new Registration(self);
+    this.#lostRecords = new LostRecords({
+      store,
+      ownName: self.name,
+      known: () => this.#daemons.known(now()),
+      stands: (name) => this.watched.items.has(DAEMON_PREFIX + name),
+      keyOf: (name) => DAEMON_PREFIX + name,
+      random,
+      log: options.log,
+    });
     this.#assignments = new Assignments({
       ownName: self.name,
       daemons: (isYoung) => (isYoung ? this.#daemons.expected(now()) : this.#daemons.live),
@@ -641,14 +660,28 @@
   #keysChanged(): void {
     const { registered, leased, unreadable } = readDaemons(this.watched.items, this.options.faults);
     if (this.#daemons.update(registered, leased, this.options.now())) this.#daemonsChanged();
+    this.#duty.look();
     if (!this.#isDutyStarted) this.#startDuty(registered, unreadable);
+    this.#lookForLostRecords();
     this.#runForever(this.#duty.keysChanged());
   }
 
+  /** In each later era of the store; in a large fleet only those who follow it for the others. */
+  #lookForLostRecords(): void {
+    const { era } = this.watched.revision;
+    const before = this.#recordsEra;
+    this.#recordsEra = era;
+    if (before === null || before === era) return;
+    const delegates = this.#delegations.of('store');
+    const isCalled = delegates === null || delegates.some(({ name }) => name === this.options.self.name);
+    if (isCalled) this.#runForever(this.#lostRecords.restore());
+  }
+
   /** Registers once it is known what the store has of this daemon from before. */
   #startDuty(registered: ReadonlyMap<string, DaemonRecord>, unreadable: ReadonlySet<string>): void {
     this.#isDutyStarted = true;
-    this.#registration.firstLook(registered, this.options.now(), unreadable);
+    const isBehind = this.#duty.isRegisterBehind;
+    this.#registration.firstLook(registered, this.options.now(), { unreadable, isBehind });
     this.#runForever(this.#duty.run());
   }
 
@@ -705,6 +738,7 @@
     const ports = {
       known: () => known.filter(isMeant),
       readRegister: async () => (await listLeasedDaemons(this.options.store)).filter(isMeant),
+      isRegisterBehind: () => this.#duty.isRegisterBehind,
       send: this.#mesh.order.bind(this.#mesh),
     };
     return deliverOrder(ports, order, timeoutMs);
