PostgreSQL daemon: a configuration that the store has lost is written again by a daemon that has it in force

Operators: after the store had come back from an older copy, a publication was accepted under a version that the daemons had passed, and came into force nowhere. Left: a publication before that is written under a version with another content (configuration_conflict). Without the mechanism the test times out waiting for the newer one in the store; with it, it passes (one run each).

--- a/src/configuration/configuration-store.ts
+++ b/src/configuration/configuration-store.ts
@@ -9,12 +9,19 @@
 import { Policy } from '../policy/policy.js';
 import { backoffDelayMs } from '../retry/backoff.js';
 import { JsonHttpError } from '../store/json-http.js';
-import type { StoreClient } from '../store/store-client.js';
+import type { StoreClient, StoredValue } from '../store/store-client.js';
 import { configurationSchema, type Configuration } from './configuration.js';
 
 /** What a publication changes. */
 export type ConfigurationChange = Partial<Pick<Configuration, 'databases' | 'policy'>>;
 
+/** A configuration as it stands in the store. */
+export interface StoredConfiguration {
+  readonly configuration: Configuration;
+  /** Revision at which it was written. */
+  readonly modRevision: number;
+}
+
 /** Why a publication did not take effect, or may not have. */
 export type PublishFailure =
   /** The change itself is not acceptable. */
@@ -51,8 +58,21 @@
 
   /** The current configuration; `null` when none was ever published. @throws JsonHttpError */
   async read(): Promise<Configuration | null> {
+    return (await this.readStored())?.configuration ?? null;
+  }
+
+  /** The current configuration as it stands in the store; `null` when there is none. @throws JsonHttpError */
+  async readStored(): Promise<StoredConfiguration | null> {
     const stored = await this.store.get(this.#currentKey);
-    return stored === null ? null : parseConfiguration(stored.value);
+    return stored === null ? null : toStored(stored);
+  }
+
+  /**
+   * Writes a configuration that had been accepted before, in place of an older one that stands under a revision; false when that has
+   * been replaced meanwhile. @throws JsonHttpError
+   */
+  restore(configuration: Configuration, modRevision: number): Promise<boolean> {
+    return this.#write(configuration, modRevision);
   }
 
   /** A past configuration; `null` when there is none of that version. @throws JsonHttpError */
@@ -62,10 +82,10 @@
   }
 
   /** Follows the current configuration; resolves when the watch has ended. */
-  watch(onConfiguration: (configuration: Configuration) => void, signal: AbortSignal): Promise<void> {
-    const onValue = ({ value }: { value: string }): void => {
-      const configuration = parseConfiguration(value);
-      if (configuration !== null) onConfiguration(configuration);
+  watch(onConfiguration: (stored: StoredConfiguration) => void, signal: AbortSignal): Promise<void> {
+    const onValue = (value: StoredValue): void => {
+      const stored = toStored(value);
+      if (stored !== null) onConfiguration(stored);
     };
     return this.store.watch(this.#currentKey, onValue, signal);
   }
@@ -105,23 +125,26 @@
     expectedModRevision: number,
     options: PublishOptions,
   ): Promise<Either<PublishFailure, Configuration>> {
-    const value = JSON.stringify(next);
     try {
-      const hasSucceeded = await this.store.compareAndSwap({
-        key: this.#currentKey,
-        expectedModRevision,
-        puts: [
-          { key: this.#currentKey, value },
-          { key: this.#historyKey(next.version), value },
-        ],
-      });
-      if (hasSucceeded) return Right(next);
+      if (await this.#write(next, expectedModRevision)) return Right(next);
     } catch (error) {
       if (!(error instanceof JsonHttpError)) throw error;
     }
     return this.#readBack(next, options);
   }
 
+  #write(configuration: Configuration, expectedModRevision: number): Promise<boolean> {
+    const value = JSON.stringify(configuration);
+    return this.store.compareAndSwap({
+      key: this.#currentKey,
+      expectedModRevision,
+      puts: [
+        { key: this.#currentKey, value },
+        { key: this.#historyKey(configuration.version), value },
+      ],
+    });
+  }
+
   /** After a refusal or a lost answer: whose is the version that we meant to write? */
   async #readBack(
     next: Configuration,
@@ -145,6 +168,11 @@
   }
 }
 
+function toStored({ value, modRevision }: StoredValue): StoredConfiguration | null {
+  const configuration = parseConfiguration(value);
+  return configuration === null ? null : { configuration, modRevision };
+}
+
 /** Reads a stored configuration; `null` when it is not one. */
 export function parseConfiguration(text: string): Configuration | null {
   try {
--- a/src/daemon/configuration-service.ts
+++ b/src/daemon/configuration-service.ts
@@ -6,7 +6,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Configuration } from '../configuration/configuration.js';
 import { ConfigurationHolder } from '../configuration/configuration-holder.js';
-import type { ConfigurationStore } from '../configuration/configuration-store.js';
+import type { ConfigurationStore, StoredConfiguration } from '../configuration/configuration-store.js';
 import { StartupGate } from '../configuration/startup-gate.js';
 import type { Logger } from '../observability/logger.js';
 import { backoffDelayMs } from '../retry/backoff.js';
@@ -116,6 +116,24 @@
     this.#offer(decision.configuration, source);
   }
 
+  /**
+   * A store that holds an older configuration than the one in force has lost its history, or answers from an old snapshot. It is given
+   * the newer one, which an operator has had accepted: the next publication has to build on that. A snapshot changes nothing: what was
+   * read there is compared.
+   */
+  #offerStored({ configuration, modRevision }: StoredConfiguration): void {
+    this.#offer(configuration, 'store');
+    const { current } = this.#holder;
+    if (current === null || configuration.version >= current.version) return;
+    this.store
+      .restore(current, modRevision)
+      .then((isRestored) => {
+        if (isRestored)
+          this.log.warn({ version: current.version, lost: configuration.version }, 'configuration_restored');
+      })
+      .catch((error: unknown) => this.log.warn({ error: (error as Error).message }, 'store_unavailable'));
+  }
+
   #offer(configuration: Configuration, source: string): void {
     const { version, identity } = configuration;
     const outcome = this.#holder.offer(configuration);
@@ -135,10 +153,10 @@
         continue;
       }
       try {
-        const configuration = await this.store.read();
-        if (configuration !== null) this.#offer(configuration, 'store');
+        const stored = await this.store.readStored();
+        if (stored !== null) this.#offerStored(stored);
         attempt = 0;
-        await this.store.watch((changed) => this.#offer(changed, 'store'), signal);
+        await this.store.watch((changed) => this.#offerStored(changed), signal);
       } catch (error) {
         if (!signal.aborted) this.log.warn({ error: (error as Error).message }, 'store_unavailable');
       }
--- a/test/integration/configuration.test.ts
+++ b/test/integration/configuration.test.ts
@@ -108,3 +108,21 @@
   deployment.startDaemon('zone-c-d1');
   await waitForVersion(version);
 });
+
+/**
+ * A store that came back from an older copy held a configuration before the one in force, and the next publication was built on that:
+ * it was accepted under a version that the daemons had seen, and came into force nowhere. Evidence: on the code before, the store keeps
+ * the older configuration for good. A revision of one history was taken for one of another here, too: only the daemons still knew.
+ */
+test('a configuration that the store has lost is written again by a daemon, and the next one comes into force', async () => {
+  const { configurationStore: store } = deployment;
+  const older = await deployment.publish({ policy: policy('older') });
+  const before = await store.readVersion(older);
+  const newer = await deployment.publish({ policy: policy('newer') });
+  await waitForVersion(newer);
+  assert.ok(before !== null);
+  const stored = await store.readStored();
+  assert.equal(await store.restore(before, stored?.modRevision ?? 0), true);
+  await waitUntil('the newer one in the store', async () => (await store.read())?.version === newer);
+  await waitForVersion(await deployment.publish({ policy: policy('next') }));
+});
