Model of the duty on a store that comes back; a holder that is seen by no record is waited for

Now a fence that has risen unseen counts as a holder that has vanished, and a released record says from when another may act.

--- a/src/coordination/duty-record.ts
+++ b/src/coordination/duty-record.ts
@@ -40,7 +40,13 @@
   actsInMs: amount,
   era: eraField,
 });
-const releasedSchema = z.object({ state: z.literal('released'), fence: count, era: eraField });
+const releasedSchema = z.object({
+  state: z.literal('released'),
+  fence: count,
+  /** Time from the writing until another may act, in milliseconds: whoever let go may not have acted yet itself. */
+  actsInMs: z._default(amount, 0),
+  era: eraField,
+});
 const recordSchema = z.discriminatedUnion('state', [heldSchema, releasedSchema]);
 
 /** What the record says. */
@@ -118,6 +124,7 @@
   /** Era of the last look; `null` before the first. */
   #era: number | null = null;
   #revision = NO_REVISION;
+  #fence: number | null = 0;
   #holder: DutyHolder | null = null;
   #holderActsFromMs = Number.NEGATIVE_INFINITY;
   #vanishedAtMs = Number.NEGATIVE_INFINITY;
@@ -129,7 +136,7 @@
     return this.#holder;
   }
 
-  /** Time from which the last holder acted, which it may owe to an earlier one. */
+  /** Time from which the last holder acted or would have, which it may owe to an earlier one. */
   get holderActsFromMs(): number {
     return this.#holderActsFromMs;
   }
@@ -143,9 +150,12 @@
   observe(sight: DutySight, nowMs: number): void {
     if (this.#era !== sight.era) this.#beginEra(sight, nowMs);
     const record = presentRecord(sight);
+    const isNextFence = sight.fence !== this.#fence;
+    this.#fence = sight.fence;
     if (record === null) {
-      // Gone without a word: the holder may still act.
-      if (!isSameRevision(this.#revision, NO_REVISION)) this.#vanishedAtMs = nowMs;
+      // Gone without a word: the holder may still act. One whose record has come and gone between two looks has left its fence.
+      if (isNextFence) this.#holder = null;
+      if (isNextFence || !isSameRevision(this.#revision, NO_REVISION)) this.#vanishedAtMs = nowMs;
       this.#revision = NO_REVISION;
       return;
     }
@@ -153,7 +163,7 @@
     this.#revision = sight.revision;
     this.#vanishedAtMs = Number.NEGATIVE_INFINITY;
     this.#holder = record.state === 'held' ? { name: record.holder, life: record.life } : null;
-    this.#holderActsFromMs = record.state === 'held' ? nowMs + record.actsInMs : Number.NEGATIVE_INFINITY;
+    this.#holderActsFromMs = nowMs + record.actsInMs;
   }
 
   /**
@@ -163,6 +173,7 @@
   #beginEra(sight: DutySight, nowMs: number): void {
     const wasNeverHeld = this.#era === null && sight.record === null && sight.fence === 0;
     this.#era = sight.era;
+    this.#fence = sight.fence;
     this.#revision = NO_REVISION;
     this.#holder = null;
     this.#holderActsFromMs = Number.NEGATIVE_INFINITY;
@@ -179,6 +190,7 @@
    */
   freeFromMs(endedLife: string | null): number {
     if (this.#holder !== null && this.#holder.life === endedLife) return this.#holderActsFromMs;
-    return this.#vanishedAtMs + TAKEOVER_WAIT_MS;
+    const vanishedFreeMs = this.#vanishedAtMs + TAKEOVER_WAIT_MS;
+    return this.#holder === null ? Math.max(vanishedFreeMs, this.#holderActsFromMs) : vanishedFreeMs;
   }
 }
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -422,13 +422,16 @@
   async #release(fence: number): Promise<void> {
     await this.store.transact({
       conditions: [{ key: DUTY_KEY, revision: this.#dutyRevision }],
-      puts: [
-        { key: DUTY_KEY, value: formatDutyRecord({ state: 'released', fence, era: this.#era }), leaseId: 0 },
-      ],
+      puts: [{ key: DUTY_KEY, value: formatDutyRecord(this.#releasedRecord(fence)), leaseId: 0 }],
       removes: [],
     });
   }
 
+  #releasedRecord(fence: number): DutyRecord {
+    const actsInMs = Math.max(0, Math.ceil(this.#actsFromMs - this.now()));
+    return { state: 'released', fence, actsInMs, era: this.#era };
+  }
+
   #heldRecord(fence: number): DutyRecord {
     const { name, life } = this.self;
     const actsFromMs = this.#fence === fence ? this.#actsFromMs : this.#freeFromMs;
