--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -11,7 +11,7 @@
  * @packageDocumentation
  */
 import { ChangeSignal, delay } from '../common/signal.js';
-import { readDaemonRecord, type DaemonRecord } from '../cluster/daemon-record.js';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
 import {
   DutyHistory,
   type DutyHolder,
@@ -24,16 +24,19 @@
   readFence,
   type DutyRecord,
 } from './duty-record.js';
-import { untoldFaults, type EntryFaults, type EntryKind } from './entry-faults.js';
-import { readName, type Reading } from './stored-json.js';
+import {
+  accept,
+  COORDINATION_PREFIX,
+  DAEMON_PREFIX,
+  LIVE_PREFIX,
+  readRegistration,
+} from './daemon-register.js';
+import { untoldFaults } from './entry-faults.js';
 import { type CoordinationStore, StoreError, type StoredItem } from './coordination-store.js';
 import { isLater, isSameRevision, laterOf, NO_REVISION, type Revision } from './revision.js';
 import { StoreLease, type LeaseTimes } from './store-lease.js';
 
 /** Keys in the store. */
-export const COORDINATION_PREFIX = 'sorrelladder/';
-export const DAEMON_PREFIX = `${COORDINATION_PREFIX}daemons/`;
-const LIVE_PREFIX = `${COORDINATION_PREFIX}live/`;
 const DUTY_KEY = `${COORDINATION_PREFIX}duty`;
 const FENCE_KEY = `${COORDINATION_PREFIX}fence`;
 
@@ -61,73 +64,6 @@
 /** Time between attempts of the holder of the duty, in milliseconds. */
 const HOLDER_RETRY_MS = 60;
 
-/** The daemons as the store has them. */
-export interface RegisteredDaemons {
-  readonly registered: ReadonlyMap<string, DaemonRecord>;
-  /** Names of those whose lease runs. */
-  readonly leased: ReadonlySet<string>;
-  /** Names of those that have a record which cannot be read. */
-  readonly unreadable: ReadonlySet<string>;
-}
-
-/** Reads the daemons out of the store's items; what cannot be read is left out, and told to `faults`. */
-export function readDaemons(
-  items: ReadonlyMap<string, StoredItem>,
-  faults = untoldFaults(),
-): RegisteredDaemons {
-  const registered = new Map<string, DaemonRecord>();
-  const leased = new Set<string>();
-  const unreadable = new Set<string>();
-  for (const item of items.values()) {
-    if (item.key.startsWith(LIVE_PREFIX)) {
-      const name = accept('lease', item, readName(item.key, LIVE_PREFIX), faults);
-      if (name !== null) leased.add(name);
-    } else if (item.key.startsWith(DAEMON_PREFIX)) {
-      const record = accept('registration', item, readRegistration(item), faults);
-      if (record === null) unreadable.add(item.key.slice(DAEMON_PREFIX.length));
-      else registered.set(record.name, record);
-    }
-  }
-  return { registered, leased, unreadable };
-}
-
-/** What was read before: the records of all daemons are looked at with each change of any. */
-const registrations = new WeakMap<StoredItem, Reading<DaemonRecord>>();
-
-function readRegistration(item: StoredItem): Reading<DaemonRecord> {
-  const known = registrations.get(item);
-  if (known !== undefined) return known;
-  const name = readName(item.key, DAEMON_PREFIX);
-  const reading = name.kind === 'read' ? readDaemonRecord(name.value, item.value) : name;
-  registrations.set(item, reading);
-  return reading;
-}
-
-/** What was read, or `null` where the entry is left out. */
-function accept<T>(kind: EntryKind, item: StoredItem, reading: Reading<T>, faults: EntryFaults): T | null {
-  if (reading.kind === 'read') {
-    faults.good(kind, item.key);
-    return reading.value;
-  }
-  faults.leftOut({ kind, key: item.key, revision: item.revision }, reading.fault);
-  return null;
-}
-
-/**
- * Reads the daemons whose lease runs from the store itself.
- *
- * @throws StoreError also when one of them has a record that cannot be read: it may hold evidence, and nobody could ask it
- */
-export async function listLeasedDaemons(
-  store: Pick<CoordinationStore, 'list'>,
-): Promise<readonly DaemonRecord[]> {
-  const { items } = await store.list(COORDINATION_PREFIX);
-  const { registered, leased, unreadable } = readDaemons(new Map(items.map((item) => [item.key, item])));
-  if ([...leased].some((name) => unreadable.has(name)))
-    throw new StoreError('the record of a daemon that lives cannot be read', false);
-  return [...registered.values()].filter(({ name }) => leased.has(name));
-}
-
 /** A copy of the store, which may be behind. */
 export interface StoreCopy {
   readonly items: ReadonlyMap<string, StoredItem>;
--- a/src/coordination/foreign-keys.test.ts
+++ b/src/coordination/foreign-keys.test.ts
@@ -10,7 +10,8 @@
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { Registration } from '../cluster/registration.js';
 import { StoreError, type StoredItem } from './coordination-store.js';
-import { Duty, listLeasedDaemons, readDaemons } from './duty.js';
+import { listLeasedDaemons, readDaemons } from './daemon-register.js';
+import { Duty } from './duty.js';
 import { at } from '../../test/support/revisions.js';
 
 /** Runs of each property: more by hand, as `FUZZ_RUNS=10000`; with other seeds, as `FUZZ_SEED=4`. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -17,10 +17,10 @@
 import {
   COORDINATION_PREFIX,
   DAEMON_PREFIX,
-  Duty,
   listLeasedDaemons,
   readDaemons,
-} from '../coordination/duty.js';
+} from '../coordination/daemon-register.js';
+import { Duty } from '../coordination/duty.js';
 import { DelegatedFeed, WORST_LAG_MS } from '../coordination/change-feed.js';
 import { ChangeRelay } from '../coordination/change-relay.js';
 import type { EntryFaults } from '../coordination/entry-faults.js';
