--- a/src/cluster/lost-records.ts
+++ b/src/cluster/lost-records.ts
@@ -36,8 +36,18 @@
 
 /** The records that a return of the store has taken away. */
 export class LostRecords {
+  /** Era of the store in which they were last looked at. */
+  #era: number | null = null;
+
   constructor(private readonly ports: LostRecordsPorts) {}
 
+  /** True when the copy of the store is of a later era than at the last look. */
+  isDue(era: number): boolean {
+    const before = this.#era;
+    this.#era = era;
+    return before !== null && era > before;
+  }
+
   /** Writes again, one after the other, what is still missing after a while. */
   async restore(): Promise<void> {
     const { store, random, rest = delay } = this.ports;
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -250,7 +250,7 @@
       if (this.#granting !== null) {
         await this.#granting;
         this.#granting = null;
-        if (this.#life.id !== 0) return await this.#register();
+        if (this.#life.isHeld) return await this.#register();
       }
       if (await this.#life.keep()) return this.#isRegistered || (await this.#register());
       this.#isRegistered = false;
@@ -263,6 +263,8 @@
   }
 
   async #register(): Promise<boolean> {
+    // Its number may be another's by now.
+    if (!this.#life.isHeld) return false;
     const { name, life } = this.self;
     const puts = [
       { key: DAEMON_PREFIX + name, value: Buffer.from(JSON.stringify(this.self)), leaseId: 0 },
@@ -318,7 +320,7 @@
     await this.#lease.grant();
     const leaseId = this.#lease.id;
     this.#askedAtMs = this.now();
-    if (!this.#isCopyOfThisEra()) return;
+    if (!this.#isCopyOfThisEra() || !this.#lease.isHeld) return;
     const fenceItem = this.copy().items.get(FENCE_KEY) ?? null;
     const fence = nextFence(fenceItem, sight.record, this.#era);
     const answer = await this.store.transact({
--- a/src/coordination/watched-store.test.ts
+++ b/src/coordination/watched-store.test.ts
@@ -263,4 +263,17 @@
     assert.deepEqual(told.slice(0, 4), ['down', '-a/2', 'a/1@9', 'settled']);
     watched.stop();
   });
+
+  test('reads again after a return that was heard of while nothing was watched', async () => {
+    const store = new MemoryStore();
+    store.items.set('a/1', { key: 'a/1', value, revision: at(5), leaseId: 0 });
+    const { watched, told } = follow(store);
+    store.watchAnswers = [
+      { kind: 'events', events: [{ key: 'a/1', value, revision: at(6) }], revision: at(6) },
+    ];
+    store.era.hear(1);
+    await until(() => store.lists >= 2);
+    watched.stop();
+    assert.ok(told.includes('down'));
+  });
 });
--- a/src/coordination/watched-store.ts
+++ b/src/coordination/watched-store.ts
@@ -173,6 +173,8 @@
   async #follow(): Promise<boolean> {
     const waitMs = this.#failures > 0 ? FIRST_WATCH_MS : WATCH_MS;
     const afterRevision = this.revision;
+    // The rise may have been heard of while nothing was watched, and a daemon that passes changes on may not know of it yet.
+    if (afterRevision.era < this.options.era.current) return false;
     const answer = await this.#watch(afterRevision, waitMs);
     if (answer.kind === 'compacted') return false;
     const itemsBefore: (StoredItem | null)[] = [];
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -130,8 +130,6 @@
   readonly #daemons = new DaemonDirectory();
   readonly #registration: Registration;
   readonly #lostRecords: LostRecords;
-  /** Era of the store in which this daemon last looked at the records. */
-  #recordsEra: number | null = null;
   #isDutyStarted = false;
   readonly #delegations = new Delegations(() => this.#daemons.live);
   readonly #supervision = new Supervision({
@@ -668,10 +666,7 @@
 
   /** In each later era of the store; in a large fleet only those who follow it for the others. */
   #lookForLostRecords(): void {
-    const { era } = this.watched.revision;
-    const before = this.#recordsEra;
-    this.#recordsEra = era;
-    if (before === null || before === era) return;
+    if (!this.#lostRecords.isDue(this.watched.revision.era)) return;
     const delegates = this.#delegations.of('store');
     const isCalled = delegates === null || delegates.some(({ name }) => name === this.options.self.name);
     if (isCalled) this.#runForever(this.#lostRecords.restore());
