--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -55,6 +55,14 @@
     testFile: STORE_ERA,
     testName: 'revisions are lower than those known',
   },
+  {
+    property: 'return of the store: the soak sees that changes are taken',
+    file: 'src/coordination/revision.js',
+    search: 'left.era - right.era || left.number - right.number',
+    replacement: 'left.number - right.number',
+    testFile: 'platform/test/soak/returns-soak.test.js',
+    testName: 'what was accepted stays in force',
+  },
   {
     property: 'return of the store: a watch of an earlier era is told to read everything',
     file: 'platform/metadata-store.js',
