The log says why a promotion misses a member, and how far the log had come when members ended

What could not be told: whether a missed member was gone, out of reach, silent or full. promotion_candidates now says of each one how its last question went and where on the way (pool, dial, answer, gateway), how long it has been silent, and who led; members_ended says which former members have ended and with which bound. Two tests of the control part compare whole answers: they name the stage now, which is stricter.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -9,7 +9,14 @@
 import { ChangeSignal, delay } from '../common/signal.js';
 import type { Recipients } from '../cluster/order-delivery.js';
 import type { HolderOrder, OrderOutcome, Suspicion } from '../cluster/peer-mesh.js';
-import { hasReached, laterPosition, ZERO_POSITION, type Position } from '../position/position.js';
+import {
+  formatPosition,
+  hasReached,
+  laterPosition,
+  ZERO_POSITION,
+  type Position,
+} from '../position/position.js';
+import { formatIncarnation } from '../topology/incarnation.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { Doubts } from './doubts.js';
 import { EndedMembers } from './ended-members.js';
@@ -183,9 +190,18 @@
       for (const member of ended) this.#ended.record(member, position);
       this.#lost.record(position, askedAtMs);
     }
+    if (isAsked) this.#tellEnded(ended, position);
     this.#isNotingEnded = false;
   }
 
+  #tellEnded(ended: readonly Member[], position: Position | null): void {
+    this.options.log('members_ended', {
+      group: this.group.name,
+      members: ended.map(({ entry }) => formatIncarnation(entry)).join(','),
+      limit: position === null ? null : formatPosition(position),
+    });
+  }
+
   /** Former members, and those whose entry is gone: a life that is told from the next one and refuses has ended for good. */
   #parting(leader: Member): readonly Member[] {
     const { members, former } = this.group;
--- a/src/leadership/member-control.test.ts
+++ b/src/leadership/member-control.test.ts
@@ -74,7 +74,7 @@
 for (const trouble of ['is silent', 'is out of reach'] as const) {
   test(`where a gateway ${trouble}, nothing is known of the member, and nobody connects beside it`, async () => {
     const { control, member, steps } = scene(false, trouble);
-    assert.deepEqual(await control.ask(member, { kind: 'status' }, 30), { kind: 'busy' });
+    assert.deepEqual(await control.ask(member, { kind: 'status' }, 30), { kind: 'busy', stage: 'gateway' });
     assert.ok(!steps.includes('dial'));
   });
 
@@ -151,7 +151,7 @@
     assert.equal(opened.length, 2, 'the next life is connected to anew');
     opened[0]?.(early);
     opened[1]?.(late);
-    assert.deepEqual(await first, { kind: 'silent' });
+    assert.deepEqual(await first, { kind: 'silent', stage: 'dial' });
     assert.equal((await second).kind, 'answered');
     assert.deepEqual([early.isOpen, early.sent.length], [false, 0]);
     assert.deepEqual([late.isOpen, late.sent.length], [true, 1]);
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -17,6 +17,9 @@
 import { NO_TENANT } from '../tenancy/tenant-register.js';
 import type { Member } from '../topology/member-group.js';
 
+/** What went wrong on the way to a member: no connection of a pool came free, none could be opened, or one that was open broke or was late. */
+export type ControlStage = 'pool' | 'dial' | 'answer' | 'gateway';
+
 /**
  * How a question went. `refused`: the member does not run there, or another has its address; `silent`: no answer in time, or the connection
  * broke; `slow`: the host took the connection, but the member did not accept it in time: it may have no slot free, or
@@ -25,9 +28,7 @@
 export type ControlAnswer =
   | { readonly kind: 'answered'; readonly status: MemberStatus; readonly askedAtMs: number }
   | { readonly kind: 'refused' }
-  | { readonly kind: 'silent' }
-  | { readonly kind: 'slow' }
-  | { readonly kind: 'busy' };
+  | { readonly kind: 'silent' | 'slow' | 'busy'; readonly stage?: ControlStage };
 
 /** What the control part needs. */
 export interface MemberControlOptions {
@@ -51,8 +52,11 @@
 const THROUGH_GATEWAY_MS = 60;
 
 const REFUSED: ControlAnswer = { kind: 'refused' };
-const SILENT: ControlAnswer = { kind: 'silent' };
-const BUSY: ControlAnswer = { kind: 'busy' };
+const GIVEN_UP: ControlAnswer = { kind: 'silent', stage: 'pool' };
+const UNANSWERED: ControlAnswer = { kind: 'silent', stage: 'answer' };
+const NOT_OPENED: ControlAnswer = { kind: 'silent', stage: 'dial' };
+const NO_GATEWAY: ControlAnswer = { kind: 'busy', stage: 'gateway' };
+const NO_CONNECTION: ControlAnswer = { kind: 'busy', stage: 'dial' };
 
 /**
  * Asks members over idle pooled connections, else through a gateway of the member, else over a connection of its own.
@@ -102,7 +106,7 @@
       // What a gateway cannot say may be the gateway's own trouble.
       if (answer.kind === 'answered' || !mayConnect) return answer;
     }
-    if (!mayConnect) return BUSY;
+    if (!mayConnect) return NO_CONNECTION;
     if (member.hasEnded) return REFUSED;
     const ownDeadlineMs = this.options.now() + timeoutMs;
     const link = await this.#ownLink(member, timeoutMs);
@@ -151,7 +155,7 @@
       return await own.acquire(demand, timeoutMs);
     } catch (error) {
       if (error instanceof DialError) return answerOf(error);
-      return SILENT;
+      return GIVEN_UP;
     }
   }
 
@@ -175,11 +179,11 @@
       link = member.pool.borrow(demand, timeoutMs);
     } catch {
       // No gateway is in reach: nothing is known of the member.
-      return BUSY;
+      return NO_GATEWAY;
     }
     const answer = await this.#send(link, { kind: 'status' }, timeoutMs);
     member.pool.release(link);
-    return answer.kind === 'answered' ? answer : BUSY;
+    return answer.kind === 'answered' ? answer : NO_GATEWAY;
   }
 
   async #ownLink(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
@@ -213,7 +217,7 @@
       return outcome;
     }
     outcome.close();
-    return SILENT;
+    return NOT_OPENED;
   }
 
   async #dialOwn(member: Member, timeoutMs: number): Promise<MemberLink | ControlAnswer> {
@@ -236,9 +240,9 @@
     try {
       const reply = await link.send(request);
       const status = this.options.readStatus(reply);
-      return status === null ? { kind: 'busy' } : { kind: 'answered', status, askedAtMs };
+      return status === null ? { kind: 'busy', stage: 'answer' } : { kind: 'answered', status, askedAtMs };
     } catch {
-      return SILENT;
+      return UNANSWERED;
     } finally {
       clearTimeout(timer);
     }
@@ -257,12 +261,12 @@
     case 'wrong_member':
       return { kind: 'refused' };
     case 'slow':
-      return { kind: 'slow' };
+      return { kind: 'slow', stage: 'dial' };
     case 'silent':
     case 'lost':
-      return SILENT;
+      return NOT_OPENED;
     case 'too_many_connections':
     case 'busy':
-      return { kind: 'busy' };
+      return NO_CONNECTION;
   }
 }
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -25,6 +25,7 @@
 import type { OpenCall, OpenCalls } from './open-calls.js';
 import type { StepDowns } from './step-downs.js';
 import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
+import { describeMissing, type MissingLife } from './missing-life.js';
 import type { Paused, Pauses, ReplicaPauses } from './replica-pauses.js';
 
 /**
@@ -80,7 +81,7 @@
 /** What is known at the last moment before the choice. */
 interface LastLook {
   readonly paused: readonly Paused[];
-  readonly missing: readonly Incarnation[];
+  readonly missing: readonly MissingLife[];
   /** No replica had lost its pause. */
   readonly stands: boolean;
 }
@@ -312,9 +313,10 @@
     const counted = this.#mayLastLeaderComeBack(heard)
       ? ended
       : ended.filter(({ memberId }) => !heard.has(memberId));
+    const replaced = counted.map((life) => ({ ...life, reason: 'replaced', silentMs: null }));
     return {
       paused: looked.standing,
-      missing: [...pauses.missing, ...late.missing, ...looked.missing, ...counted],
+      missing: [...pauses.missing, ...late.missing, ...looked.missing, ...replaced],
       stands: looked.lost.length === 0,
     };
   }
@@ -378,6 +380,8 @@
         .map(({ member, status }) => `${formatIncarnation(member.entry)}:${formatPosition(status.received)}`)
         .join(','),
       missed: look.missing.map(formatIncarnation).join(','),
+      why: describeMissing(look.missing),
+      led: this.#ledBy === null ? null : formatIncarnation(this.#ledBy),
       former: [...group.former.keys()].join(','),
       missing: look.missing.length,
       acknowledged: formatPosition(acknowledged.latest),
--- a/src/leadership/replica-pauses.ts
+++ b/src/leadership/replica-pauses.ts
@@ -9,6 +9,7 @@
 import type { EndedMembers } from './ended-members.js';
 import type { LostLives } from './lost-lives.js';
 import type { MemberControl } from './member-control.js';
+import { describeAnswer, type MissingLife } from './missing-life.js';
 
 /** Longest wait for a pause, in milliseconds. */
 const PAUSE_MS = 300;
@@ -25,7 +26,7 @@
 export interface Pauses {
   readonly paused: readonly Paused[];
   /** Members that may come back with more than the paused ones hold. */
-  readonly missing: readonly Incarnation[];
+  readonly missing: readonly MissingLife[];
   /** Lives that have ended, and may have received more: the next life of each has what is left of it. */
   readonly ended: readonly Incarnation[];
 }
@@ -36,13 +37,17 @@
   readonly standing: readonly Paused[];
   readonly lost: readonly Incarnation[];
   /** Those that did not answer. */
-  readonly missing: readonly Incarnation[];
+  readonly missing: readonly MissingLife[];
   /** Those whose earlier life may have received more. */
   readonly ended: readonly Incarnation[];
 }
 
 /** How the pause of one member went. `gone`: its process has ended, and may come back; `replaced`: its next life is known. */
-type PauseResult = Paused | 'missing' | 'gone' | 'replaced';
+type PauseResult =
+  | { readonly kind: 'paused'; readonly paused: Paused }
+  | { readonly kind: 'missing'; readonly reason: string }
+  | { readonly kind: 'gone' }
+  | { readonly kind: 'replaced' };
 
 /** Pauses members, looks whether the pauses stand, and lifts them. */
 export class ReplicaPauses {
@@ -75,23 +80,32 @@
    */
   async pauseAll(members: readonly Member[], term: number, pausedBefore: readonly Paused[]): Promise<Pauses> {
     const results = await Promise.all(members.map((member) => this.#pause(member, term + 1)));
-    const paused = results.filter((result) => typeof result !== 'string');
+    const paused = results.flatMap((result) => (result.kind === 'paused' ? [result.paused] : []));
     const covering = [...pausedBefore, ...paused].map(({ member, status }) => ({
       entry: member.entry,
       received: status.received,
     }));
-    const having = (wanted: PauseResult): readonly Member[] =>
-      members.filter((_, index) => results[index] === wanted);
-    const uncovered = (result: PauseResult): readonly Incarnation[] =>
-      this.ended.uncovered(having(result), covering).map(({ entry }) => entry);
-    const silent = having('missing').map(({ entry }) => entry);
-    return { paused, missing: [...silent, ...uncovered('gone')], ended: uncovered('replaced') };
+    const uncovered = (kind: 'gone' | 'replaced'): readonly Member[] => {
+      const ended = members.filter((_, index) => results[index]?.kind === kind);
+      return this.ended.uncovered(ended, covering);
+    };
+    const missing = members.flatMap((member, index) => {
+      const result = results[index];
+      return result?.kind === 'missing' ? [this.#missingLife(member, result.reason)] : [];
+    });
+    const gone = uncovered('gone').map((member) => this.#missingLife(member, this.#whyGone(member)));
+    return {
+      paused,
+      missing: [...missing, ...gone],
+      ended: uncovered('replaced').map(({ entry }) => entry),
+    };
   }
 
   /** Pauses one member; one that still leads is demoted. A former member that does not run is gone. */
   async #pause(member: Member, term: number): Promise<PauseResult> {
     const { control } = this;
-    if (member.hasEnded) return 'replaced';
+    if (member.hasEnded) return { kind: 'replaced' };
+    let reason = '';
     for (let attempt = 0; attempt < 2; attempt += 1) {
       let answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       if (answer.kind === 'answered' && answer.status.isPrimary) {
@@ -99,10 +113,17 @@
         await control.ask(member, { kind: 'demote', term }, PAUSE_MS);
         answer = await control.ask(member, { kind: 'pause', term }, PAUSE_MS);
       }
-      if (answer.kind === 'answered') return this.#take(member, answer.status, term);
-      if (answer.kind === 'refused') return this.#isKnownToEnd(member) ? 'gone' : 'missing';
+      if (answer.kind === 'answered') {
+        const paused = this.#take(member, answer.status, term);
+        return paused === null
+          ? { kind: 'missing', reason: describeAnswer(answer) }
+          : { kind: 'paused', paused };
+      }
+      reason = describeAnswer(answer);
+      if (answer.kind !== 'refused') continue;
+      return this.#isKnownToEnd(member) ? { kind: 'gone' } : { kind: 'missing', reason };
     }
-    return 'missing';
+    return { kind: 'missing', reason };
   }
 
   /**
@@ -117,15 +138,18 @@
     );
     const standing: Paused[] = [];
     const lost: Incarnation[] = [];
-    const silent: Incarnation[] = [];
+    const silent: MissingLife[] = [];
     const replaced: Incarnation[] = [];
     paused.forEach(({ member }, index) => {
       const answer = answers[index];
       // Whoever answers in its place is another life, which is asked for itself.
       if (member.hasEnded) return void replaced.push(member.entry);
-      const now = answer?.kind === 'answered' ? this.#take(member, answer.status, term) : null;
-      if (now === null) silent.push(member.entry);
-      else if (now === 'missing') lost.push(member.entry);
+      if (answer?.kind !== 'answered') {
+        const reason = answer === undefined ? 'not asked' : describeAnswer(answer);
+        return void silent.push(this.#missingLife(member, reason));
+      }
+      const now = this.#take(member, answer.status, term);
+      if (now === null) lost.push(member.entry);
       else standing.push(now);
     });
     const received = standing.map(({ status }) => status.received);
@@ -133,12 +157,24 @@
     return { standing, lost, missing: silent, ended };
   }
 
+  #missingLife({ entry, answeredAtMs }: Member, reason: string): MissingLife {
+    const { memberId, bornMs } = entry;
+    const silentMs = Number.isFinite(answeredAtMs) ? this.now() - answeredAtMs : null;
+    return { memberId, bornMs, reason, silentMs };
+  }
+
+  /** Why one that does not run is not covered by those that were paused. */
+  #whyGone(member: Member): string {
+    return this.ended.has(member) ? 'ended, and nobody has come as far' : 'ended, unknown how far';
+  }
+
   /** True for a former member, and for one that was found to have ended while the leader could say how far the log had come. */
   #isKnownToEnd(member: Member): boolean {
     return this.ended.has(member) || [...this.group.former.values()].includes(member);
   }
 
-  #take(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
+  /** `null` for one that is not paused. */
+  #take(member: Member, status: MemberStatus, term: number): Paused | null {
     if (!this.#demoted.has(member)) this.noteTerm(status.term);
     if (!status.isPrimary) this.lost.heard(member, status, this.now());
     return toPaused(member, status, term);
@@ -150,7 +186,7 @@
   }
 }
 
-function toPaused(member: Member, status: MemberStatus, term: number): Paused | 'missing' {
+function toPaused(member: Member, status: MemberStatus, term: number): Paused | null {
   const isStopped = !status.isPrimary && (status.pausedForTerm >= term || status.term >= term);
-  return isStopped ? { member, status } : 'missing';
+  return isStopped ? { member, status } : null;
 }
