A process that has started again, empty, under the leader's id answers no read and gives no floor

Cause: evidence of a lead names an id and a term, connections an address, and the directory tells of a next life some ms late. The guard is the position that a read asks for, which is what the leader has said that it holds. Besides, an answer that came after the next leader was announced was compared with nothing at all. The same floors bound what a promotion has to cover, so a commit could be lost by them as well.

Change: where nothing is known that tells the lives apart, an answer counts only with evidence of the lead when it comes (nobody was promoted, so a next life has received nothing), and only if it holds something; with an empty log the role is asked for over that very connection. Floors need the evidence at the answer everywhere, and are dropped once another leads. Weighed: no answer at all from an empty group (nothing is served before the first write); evidence that carries lives (the directory is late, which is the fault). Cost: one question for each read of a group that holds nothing, none otherwise.

--- a/src/relay/commit-proof.test.ts
+++ b/src/relay/commit-proof.test.ts
@@ -44,6 +44,7 @@
     group: () => group,
     now: () => performance.now(),
     plannedStop: () => null,
+    readStatus: () => null,
     suspect: () => undefined,
   };
   const commit = { requestId: 'x', group, position: POSITION, deadlineMs: now + TIMEOUT_MS };
--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -90,6 +90,7 @@
     group: () => group,
     now: () => clock.now,
     plannedStop: () => null,
+    readStatus: () => null,
     suspect: () => undefined,
   };
   const read = (requestId: string): Promise<MemberReply> =>
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -12,6 +12,7 @@
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { alternatives, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
+import { isLeadersLife, recordFloor, tellsLife } from './lead-proof.js';
 import { LinkWait, type Grant, type WaitingPlace } from './link-wait.js';
 import {
   DialError,
@@ -358,23 +359,22 @@
     });
     const overdue = setTimeout(() => link.close(), job.deadlineMs - context.now() + LATE_ANSWER_MS);
     let isSent = false;
+    const after = asLeader ? job.group.heldByLeader : (floor?.position ?? null);
     try {
-      const reply = await sendStatement(
-        link,
-        job.statement,
-        job.requestId,
-        job.values,
-        asLeader ? job.group.heldByLeader : (floor?.position ?? null),
-        () => {
-          if (this.#isSettled) return ANSWERED;
-          if (asLeader && job.group.leader(context.now()) !== member) return UNPROVEN;
-          isSent = true;
-          this.#mayHaveRun += 1;
-          asking.sentAtMs = context.now();
-          return null;
-        },
-      );
+      const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
+        if (this.#isSettled) return ANSWERED;
+        if (asLeader && job.group.leader(context.now()) !== member) return UNPROVEN;
+        isSent = true;
+        this.#mayHaveRun += 1;
+        asking.sentAtMs = context.now();
+        return null;
+      });
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
+      const { result, position } = reply.reply;
+      if (leader !== null && result.isComplete && !tellsLife(after)) {
+        const isLeaders = await isLeadersLife(context, job.group, leader, link, position);
+        if (!isLeaders) return { kind: 'lost', reason: 'perhaps another life of the leader', members };
+      }
       const attempt = this.#judge(member, leader, floor, reply.reply, reply.sentAtMs);
       if (attempt.kind === 'not_run') this.#mayHaveRun -= 1;
       return attempt;
@@ -401,8 +401,8 @@
     member.trust(this.context.now());
     recordReplica(member, floor, reply, this.context.now());
     if (asLeader && hasLostLog(reply)) this.context.suspect(group, member, 'lost_log');
-    if (asLeader && reply.result.isComplete && reply.position !== null)
-      group.recordLed(sentAtMs, reply.position, leader);
+    if (asLeader && reply.result.isComplete)
+      recordFloor(this.context, group, leader, sentAtMs, reply.position);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
       member.recordLatency(answerMs);
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { Catalog } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { StatusReader } from './member-link.js';
 import type { PlannedStop } from './planned-stop.js';
 
 /** One decision that touches a request. */
@@ -43,6 +44,8 @@
   plannedStop(): PlannedStop | null;
   /** Monotonic time, in milliseconds. */
   now(): number;
+  /** Reads what a member says of itself. */
+  readonly readStatus: StatusReader;
   /** A member went silent, refused connections or denied its lead. */
   suspect(group: MemberGroup, member: Member, reason: string): void;
 }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -320,6 +320,7 @@
       group: (name) => this.#groups.get(name)?.group ?? null,
       plannedStop: () => this.#plannedStop,
       now,
+      readStatus,
       suspect: (group, member, reason) => this.#doubts.suspect(group, member, reason),
     };
   }
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -88,6 +88,7 @@
     group: () => group,
     now: () => 0,
     plannedStop: () => null,
+    readStatus: () => null,
     suspect: () => undefined,
   };
   const options = {
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -9,6 +9,7 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { proveCommit } from './commit-proof.js';
+import { isLeadersLife, recordFloor, tellsLife } from './lead-proof.js';
 import { dueAt } from './link-queue.js';
 import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
@@ -260,9 +261,16 @@
       floor: floor === null ? null : formatPosition(floor.position),
     });
     const after = isLeader ? group.heldByLeader : (floor?.position ?? null);
+    const { leader } = group.evidence;
     const reply = await link.send({ kind: 'begin', isReadOnly, after });
     recordReplica(member, floor, reply, context.now());
-    if (reply.result.isComplete) return reply.state === 'open' ? null : 'did not begin';
+    if (reply.result.isComplete) {
+      if (reply.state !== 'open') return 'did not begin';
+      // Only a primary begins anything else than a transaction that reads.
+      if (!isLeader || !isReadOnly || tellsLife(after) || leader === null) return null;
+      const isLeaders = await isLeadersLife(context, group, leader, link, reply.position);
+      return isLeaders ? null : 'perhaps another life of the leader';
+    }
     if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
     if (isLeader && hasLostLog(reply)) context.suspect(group, member, 'lost_log');
     return reply.result.code;
@@ -315,8 +323,9 @@
     const { reply, sentAtMs } = sent;
     member.trust(this.context.now());
     context.observer.memberAnswered(step.kind, isLeader, context.now() - sentAtMs);
-    if (isLeader && reply.result.isComplete && reply.position !== null && group.leader(sentAtMs) === member)
-      group.recordLed(sentAtMs, reply.position);
+    const { leader } = group.evidence;
+    if (isLeader && reply.result.isComplete && leader !== null && group.leader(sentAtMs) === member)
+      recordFloor(context, group, leader, sentAtMs, reply.position);
     if (!reply.result.isComplete && reply.result.code === 'read_only' && isLeader)
       context.suspect(group, member, 'read_only');
     return reply;
--- a/src/relay/verdicts.test.ts
+++ b/src/relay/verdicts.test.ts
@@ -145,6 +145,7 @@
     group: () => group,
     now,
     plannedStop: () => null,
+    readStatus: () => null,
     suspect: () => undefined,
   };
   return { script, context, group };
--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -49,6 +49,7 @@
     group: () => group,
     now: () => (now += STEP_MS),
     plannedStop: () => null,
+    readStatus: () => null,
     suspect: () => undefined,
   };
   const commit = group.commits.sent(now - 400);
@@ -106,6 +107,7 @@
     group: () => group,
     now: () => performance.now(),
     plannedStop: () => null,
+    readStatus: () => null,
     suspect: () => undefined,
   };
   const runner = new WriteRunner(context, {
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -7,6 +7,7 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { proveCommit } from './commit-proof.js';
+import { recordFloor } from './lead-proof.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import { DialError, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
@@ -222,7 +223,7 @@
     leader.recordOutcome(!reply.result.isComplete && reply.result.code === 'failed', context.now());
     if (reply.result.isComplete) {
       context.observer.memberAnswered('write', true, context.now() - sentAtMs);
-      if (reply.position !== null) job.group.recordLed(sentAtMs, reply.position, led);
+      if (led !== null) recordFloor(context, job.group, led, sentAtMs, reply.position);
       return reply;
     }
     const { code } = reply.result;
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -207,17 +207,18 @@
    * Takes a position that the proven leader gave when it was asked at `askedAtMs`. The first for a while wakes those who
    * wait: reads that only the leader could serve may go to others now.
    *
-   * @param leader - who was proven to lead when it was asked; another may lead by now
+   * @param leader - who was proven to lead when it was asked. When another leads by now, the answer may be of a next life of it, and
+   * nothing is known any more that it would have to hold: it counts for nothing.
    */
   recordLed(askedAtMs: number, position: Position, leader: Leader | null = this.evidence.leader): void {
     const believed = this.evidence.leader;
-    const isPresent = leader?.memberId === believed?.memberId && leader?.term === believed?.term;
+    if (leader?.memberId !== believed?.memberId || leader?.term !== believed?.term) return;
     // A position that has gone back is of another life, or of an older question.
-    const held = isPresent ? this.heldByLeader : null;
+    const held = this.heldByLeader;
     if (held !== null && !hasReached(position, held)) return;
     const wasKnown = this.positions.floorSince(askedAtMs - FLOOR_KNOWN_MS) !== null;
     this.#firstLed ??= position;
-    if (isPresent) this.#noteHeld(position);
+    this.#noteHeld(position);
     this.positions.record(askedAtMs, position);
     if (!wasKnown) this.changed.notify();
   }
