A promotion does not wait for the next life of the leader that was lost

Cause: whoever goes by the id of the leader that was lost was waited for like any member. Evidence: both replicas that had lived under the leader answered, paused, with 1.6; nobody was unheard; the one missing was a life that began after the leader had ended.

Why it holds: what was acknowledged in the term was received by another member than the leader, and all of those are heard, or counted as missing, with the lives of them that have ended. Commits of earlier terms may have been received by the one alone that led this one: so a replica has to hold an entry of the term, or what its leader itself first said that it holds. What replicas or other daemons say is less than that and does not count.

Eight new mutations of this and the change before are seen red; one of them was green first, since its test asked too little, and the test is mended.

--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -147,8 +147,10 @@
     const group = this.options.groups().find(({ name }) => name === groupName);
     if (group === undefined) return;
     const hadEvidence = group.evidence.current(this.options.now()) !== null;
-    group.learnLeader({ memberId, term }, held);
-    if (group.evidence.leader?.memberId !== memberId) return;
+    group.learnLeader({ memberId, term }, null);
+    const { leader } = group.evidence;
+    if (leader?.memberId !== memberId) return;
+    if (held !== null && leader.term === term) group.noteReceived(held);
     const isEvidence = group.evidence.witness(term, 0, askedAtMs - ageMs);
     if (isEvidence && !hadEvidence) this.options.gained(group);
   }
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -188,7 +188,10 @@
     const isEvidence = evidence.witness(status.term, status.pausedForTerm, askedAtMs);
     if (!isEvidence) return false;
     // What a replica has received in the term, the leader holds.
-    if (evidence.leader !== null) this.group.learnLeader(evidence.leader, status.received);
+    if (evidence.leader !== null) {
+      this.group.learnLeader(evidence.leader, null);
+      this.group.noteReceived(status.received);
+    }
     const duty = this.heldDuty();
     if (duty !== null && askedAtMs > duty.takenAtMs + DUTY_SETTLE_MS) this.confirm();
     this.group.changed.notify();
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -314,9 +314,13 @@
       ? ended
       : ended.filter(({ memberId }) => !heard.has(memberId));
     const replaced = counted.map((life) => ({ ...life, reason: 'replaced', silentMs: null }));
+    const silent = [...pauses.missing, ...late.missing, ...looked.missing];
+    const doubted = this.#isLogOfTerm(looked.standing)
+      ? silent.filter((life) => !this.#followsLeader(life))
+      : silent;
     return {
       paused: looked.standing,
-      missing: [...pauses.missing, ...late.missing, ...looked.missing, ...replaced],
+      missing: [...doubted, ...replaced],
       stands: looked.lost.length === 0,
     };
   }
@@ -338,6 +342,29 @@
     return !isForgotten && !leaderLoss.isOver(led, options.now());
   }
 
+  /**
+   * True for a later life of the leader that was lost. What was acknowledged in the term was received by another member than the leader, so
+   * with all of those heard, also the lives of them that have ended, nothing is to be waited for from whoever goes by the leader's id now.
+   */
+  #followsLeader({ memberId, bornMs }: Incarnation): boolean {
+    const led = this.#ledBy;
+    if (led?.memberId !== memberId || led.bornMs === null || bornMs === null) return false;
+    return bornMs > led.bornMs;
+  }
+
+  /**
+   * True when a replica has what the leader began the term with: what was acknowledged in earlier terms may have been received by the member
+   * alone that led this one.
+   */
+  #isLogOfTerm(paused: readonly Paused[]): boolean {
+    const { group, lastTerm } = this.ports;
+    const opened = group.openedWith(lastTerm);
+    return paused.some(
+      ({ status: { received } }) =>
+        received.term >= lastTerm || (opened !== null && hasReached(received, opened)),
+    );
+  }
+
   /** A replica that was paused late may have given evidence to a daemon that is silent, or has registered since the beginning. */
   async #waitForLatePause(): Promise<void> {
     const pausedAtMs = this.ports.options.now();
--- a/src/relay/next-life.test.ts
+++ b/src/relay/next-life.test.ts
@@ -202,7 +202,7 @@
   /** An answer of the next life that comes after the next leader was announced was compared with nothing. */
   test('is no floor once another leads', () => {
     const { group } = scene(new FakeProcess(COMMIT, true), COMMIT);
-    group.learnLeader({ memberId: 'other', term: TERM + 1 }, COMMIT);
+    group.learnLeader({ memberId: 'other', term: TERM + 1 }, null);
     group.recordLed(performance.now(), ZERO_POSITION, LEADER);
     assert.equal(group.positions.floorSince(0), null);
   });
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -172,6 +172,8 @@
   #acknowledged: Position = ZERO_POSITION;
   /** The latest position that the leader of a term gave. */
   #led: { readonly term: number; readonly position: Position } | null = null;
+  /** The first position that the leader of the latest term has given as its own. */
+  #opened: { readonly term: number; readonly position: Position } | null = null;
   /** The first position of the proven leader that this daemon was given. */
   #firstLed: Position | null = null;
   /** The last term that a known member was said to lead, and the life that did. */
@@ -219,6 +221,7 @@
     const wasKnown = this.positions.floorSince(askedAtMs - FLOOR_KNOWN_MS) !== null;
     this.#firstLed ??= position;
     this.#noteHeld(position);
+    this.#noteOpened(position);
     this.positions.record(askedAtMs, position);
     if (!wasKnown) this.changed.notify();
   }
@@ -226,7 +229,7 @@
   /**
    * A member leads a term, and holds this much. True when the lead is news.
    *
-   * @param held - what it has received, or `null` where that is not known
+   * @param held - what it says itself that it has received, or `null` where that is not known
    */
   learnLeader(leader: Leader, held: Position | null): boolean {
     const isNews = this.evidence.believe(leader);
@@ -234,10 +237,31 @@
     if (believed?.memberId !== leader.memberId || believed.term !== leader.term) return isNews;
     const member = this.members.get(leader.memberId) ?? this.formerOf(leader.memberId);
     if (member !== null) this.#lastLed = { term: leader.term, member };
-    if (held !== null) this.#noteHeld(held);
+    if (held !== null) {
+      this.#noteHeld(held);
+      this.#noteOpened(held);
+    }
     return isNews;
   }
 
+  /** Another member has received this much in the present term: the leader holds it, too. */
+  noteReceived(position: Position): void {
+    this.#noteHeld(position);
+  }
+
+  /**
+   * The first position that the leader of a term gave as its own, or `null`. All that was acknowledged in earlier terms is at or before it:
+   * whoever is made to lead holds that.
+   */
+  openedWith(term: number): Position | null {
+    return this.#opened?.term === term ? this.#opened.position : null;
+  }
+
+  #noteOpened(position: Position): void {
+    const term = this.evidence.leader?.term ?? this.evidence.minimumTerm;
+    if (this.#opened?.term !== term) this.#opened = { term, position };
+  }
+
   /**
    * The life that led a term, as far as this daemon has heard, or `null`. Kept when the lead is lost: whoever takes over the duty
    * of promotion then has to know whose log holds all that was acknowledged.
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -35,6 +35,8 @@
 const PROMOTION_TIME = 'src/leadership/promotion-time.test.js';
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
 const REBORN = 'platform/test/reborn.test.js';
+const NEXT_LIFE = 'src/relay/next-life.test.js';
+const LEADER_NEXT_LIFE = 'src/leadership/leader-next-life.test.js';
 
 const FOREIGN_ENTRIES = 'platform/test/foreign-entries.test.js';
 const FOREIGN_KEYS = 'src/coordination/foreign-keys.test.js';
@@ -807,4 +809,68 @@
     testFile: REBORN,
     testName: 'is replaced at once',
   },
+  {
+    property: 'reads: an answer that tells no life is of the leader',
+    file: 'src/relay/read-runner.js',
+    search: '!tellsLife(after)',
+    replacement: 'false',
+    testFile: NEXT_LIFE,
+    testName: 'answers no read',
+  },
+  {
+    property: 'reads: an empty member says that it leads',
+    file: 'src/relay/lead-proof.js',
+    search: 'return leads && isStillLed(context, group, leader);',
+    replacement: 'return true;',
+    testFile: NEXT_LIFE,
+    testName: 'answers no read',
+  },
+  {
+    property: 'reads: nobody was promoted before an answer that tells no life',
+    file: 'src/relay/lead-proof.js',
+    search: 'if (!isStillLed(context, group, leader))',
+    replacement: 'if (false)',
+    testFile: NEXT_LIFE,
+    testName: 'when it may have been replaced',
+  },
+  {
+    property: 'reads: a transaction begins at the life that leads',
+    file: 'src/relay/transaction.js',
+    search: 'return isLeaders ? null',
+    replacement: 'return true ? null',
+    testFile: NEXT_LIFE,
+    testName: 'no read of a transaction',
+  },
+  {
+    property: 'floors: of the present leader',
+    file: 'src/topology/member-group.js',
+    search: 'if (leader?.memberId !== believed?.memberId || leader?.term !== believed?.term)',
+    replacement: 'if (false)',
+    testFile: NEXT_LIFE,
+    testName: 'no floor once another leads',
+  },
+  {
+    property: 'promotions: the next life of the leader is not waited for',
+    file: 'src/leadership/promotion.js',
+    search: 'return bornMs > led.bornMs;',
+    replacement: 'return false;',
+    testFile: LEADER_NEXT_LIFE,
+    testName: 'is not waited for',
+  },
+  {
+    property: 'promotions: but what the term began with is',
+    file: 'src/leadership/promotion.js',
+    search: 'const doubted = this.#isLogOfTerm(looked.standing)',
+    replacement: 'const doubted = true',
+    testFile: LEADER_NEXT_LIFE,
+    testName: 'lack what the term began with',
+  },
+  {
+    property: 'promotions: what a term began with is the word of its leader',
+    file: 'src/topology/member-group.js',
+    search: 'noteReceived(position) {',
+    replacement: 'noteReceived(position) { this.#noteOpened(position);',
+    testFile: LEADER_NEXT_LIFE,
+    testName: 'known from a replica alone',
+  },
 ];
