Rig: a cut way takes no new connection, and delivers an end that it held up once it heals

Cause, in the rig: the fault proxy connected on to the member though the way was cut, and took a connection whose caller had closed out of what heal delivers. So connections of a daemon that had long given up counted at the member for ever.

--- a/standin/rig/fault-proxy.ts
+++ b/standin/rig/fault-proxy.ts
@@ -6,7 +6,7 @@
  *
  * @packageDocumentation
  */
-import { connect, createServer, type Server, type Socket } from 'node:net';
+import { createServer, Socket, type Server } from 'node:net';
 
 /** One forwarded address. */
 export interface Route {
@@ -18,9 +18,11 @@
   readonly targetPort?: number;
 }
 
-/** Bytes on their way; `null` is the end of the connection. */
+/** Bytes on their way, or the end of the connection. */
+type Content = Buffer | 'end' | 'reset';
+
 interface Chunk {
-  readonly data: Buffer | null;
+  readonly content: Content;
   readonly dueMs: number;
 }
 
@@ -29,6 +31,8 @@
   readonly #queue: Chunk[] = [];
   #timer: NodeJS.Timeout | null = null;
   #hasEnded = false;
+  #isDelivered = false;
+  #isHeld = true;
 
   constructor(
     private readonly proxy: FaultProxy,
@@ -45,36 +49,60 @@
   end(): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
-    this.#take(null);
+    this.#take('end');
+  }
+
+  /** Bytes that are still on their way are lost. */
+  reset(): void {
+    this.#hasEnded = true;
+    this.#queue.length = 0;
+    this.#take('reset');
+  }
+
+  /** The connection onwards has been asked for: bytes may go. */
+  release(): void {
+    this.#isHeld = false;
+    this.pump();
+  }
+
+  /** True once the end has been delivered. */
+  get isDelivered(): boolean {
+    return this.#isDelivered;
   }
 
   /** Delivers what is due, unless the way is cut. */
   pump(): void {
     if (this.#timer !== null) clearTimeout(this.#timer);
     this.#timer = null;
-    if (this.proxy.isCut(this.fromZone, this.toZone)) return;
+    if (this.#isStopped) return;
     const nowMs = performance.now();
     while (this.#queue[0] !== undefined && this.#queue[0].dueMs <= nowMs) {
       const chunk = this.#queue.shift();
-      if (chunk !== undefined) this.#deliver(chunk.data);
+      if (chunk !== undefined) this.#deliver(chunk.content);
     }
     const next = this.#queue[0];
     if (next !== undefined) this.#timer = setTimeout(() => this.pump(), Math.max(1, next.dueMs - nowMs));
   }
 
-  #take(data: Buffer | null): void {
+  get #isStopped(): boolean {
+    return this.#isHeld || this.proxy.isCut(this.fromZone, this.toZone);
+  }
+
+  #take(content: Content): void {
     const delayMs = this.proxy.delayMs(this.fromZone, this.toZone);
-    if (delayMs === 0 && this.#queue.length === 0 && !this.proxy.isCut(this.fromZone, this.toZone)) {
-      this.#deliver(data);
+    if (delayMs === 0 && this.#queue.length === 0 && !this.#isStopped) {
+      this.#deliver(content);
       return;
     }
-    this.#queue.push({ data, dueMs: performance.now() + delayMs });
+    this.#queue.push({ content, dueMs: performance.now() + delayMs });
     this.pump();
   }
 
-  #deliver(data: Buffer | null): void {
-    if (data === null) this.sink.end();
-    else this.sink.write(data);
+  #deliver(content: Content): void {
+    this.#isDelivered = typeof content === 'string';
+    if (content === 'end') this.sink.end();
+    else if (content === 'reset') this.sink.destroy();
+    else this.sink.write(content);
   }
 }
 
@@ -82,7 +110,10 @@
 export class FaultProxy {
   readonly #servers: Server[] = [];
   readonly #sockets = new Set<Socket>();
+  /** Those whose end has not been delivered: a cut holds it like all that came before. */
   readonly #flows = new Set<Flow>();
+  /** Connections that wait for a way. */
+  readonly #unopened = new Set<() => boolean>();
   readonly #zones = new Map<string, string>();
   readonly #cuts = new Set<string>();
   readonly #delays = new Map<string, number>();
@@ -131,7 +162,8 @@
   heal(): void {
     this.#cuts.clear();
     this.#delays.clear();
-    for (const flow of [...this.#flows]) flow.pump();
+    for (const open of [...this.#unopened]) if (open()) this.#unopened.delete(open);
+    for (const flow of [...this.#flows]) this.#pump(flow);
   }
 
   /** True when traffic between the zones is held. */
@@ -154,11 +186,27 @@
 
   #accept(incoming: Socket, route: Route): void {
     const fromZone = this.#zones.get(incoming.remoteAddress ?? '') ?? 'client';
-    const outgoing = connect({ host: route.targetHost, port: route.targetPort ?? route.port });
+    const outgoing = new Socket();
     const requests = new Flow(this, fromZone, route.zone, outgoing);
     const replies = new Flow(this, route.zone, fromZone, incoming);
     this.#join(incoming, outgoing, requests);
     this.#join(outgoing, incoming, replies);
+    replies.release();
+    const open = (): boolean => this.#open(incoming, outgoing, requests, route, fromZone);
+    if (!open()) this.#unopened.add(open);
+  }
+
+  /** The target takes a connection once both ways are open, and hears of none whose caller has given it up before; false to try again. */
+  #open(incoming: Socket, outgoing: Socket, requests: Flow, route: Route, fromZone: string): boolean {
+    if (incoming.destroyed) {
+      outgoing.destroy();
+      this.#flows.delete(requests);
+      return true;
+    }
+    if (this.isCut(fromZone, route.zone) || this.isCut(route.zone, fromZone)) return false;
+    outgoing.connect({ host: route.targetHost, port: route.targetPort ?? route.port });
+    requests.release();
+    return true;
   }
 
   #join(source: Socket, sink: Socket, flow: Flow): void {
@@ -170,9 +218,15 @@
     source.on('error', () => source.destroy());
     source.on('close', () => {
       this.#sockets.delete(source);
-      flow.end();
-      this.#flows.delete(flow);
-      if (source.errored !== null) sink.destroy();
+      if (source.errored === null) flow.end();
+      else flow.reset();
+      this.#pump(flow);
     });
+    sink.on('close', () => this.#flows.delete(flow));
+  }
+
+  #pump(flow: Flow): void {
+    flow.pump();
+    if (flow.isDelivered) this.#flows.delete(flow);
   }
 }
