What a daemon had acknowledged that has ended is bounded by what the leader tells anybody after its end

Cause: what its former process had acknowledged was bounded only by what the leader told the holder of the duty after the next process had begun to count, 1 s and more after the end.

Change: a broken connection between daemons is dialled again at once, and each 0.3 s while the host refuses; what a refusal shows goes with the outcome of an order. Daemons tell the newest position that the proven leader has given them. Weighed: a word of the ended daemon itself (a killed one says none); a write to the store for each commit (priced, and the store may be down).

Why it holds: no process stands at an address that refuses, and one that stands there for less than the second in which its evidence does not count has acknowledged nothing, so refusals less than 0.7 s apart are one absence. All that was acknowledged before is in the log that the proven leader tells the position of afterwards.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -5,6 +5,8 @@
  * @packageDocumentation
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
+import { delay } from '../common/signal.js';
+import { DaemonEnds, END_DIAL_MS, type Absence } from './daemon-ends.js';
 import type { DaemonRecord } from './daemon-record.js';
 import { EvidenceReader, type EvidenceAnswer, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import { MessageChannel } from '../peer/message-channel.js';
@@ -50,6 +52,15 @@
   readonly lastLed?: LastLed;
   /** A call of the platform that the daemon was told of, and that may still act. */
   readonly openCall?: OpenCall;
+  /** The newest position that the proven leader has given it: bounds what daemons had acknowledged that have ended before. */
+  readonly led?: LedPosition;
+}
+
+/** A position that the proven leader gave. */
+export interface LedPosition {
+  readonly position: Position;
+  /** Time since the leader was asked, in milliseconds. */
+  readonly ageMs: number;
 }
 
 /**
@@ -70,11 +81,11 @@
 
 /**
  * How an order went at one daemon. `gone`: its process does not run; `silent`: unknown, it may still act on old
- * evidence.
+ * evidence. With the last time in which no process was seen at its address.
  */
 export type OrderOutcome =
-  | { readonly kind: 'answered'; readonly answer: OrderAnswer }
-  | { readonly kind: 'gone' }
+  | { readonly kind: 'answered'; readonly answer: OrderAnswer; readonly absence?: Absence }
+  | { readonly kind: 'gone'; readonly absence?: Absence }
   | { readonly kind: 'silent' };
 
 type MeshMessage =
@@ -93,23 +104,29 @@
 }
 
 const MAX_MESSAGE_BYTES = 64 * 1024;
-const DIAL_MS = 250;
+/** Time between two looks at whether a process stands again where one has ended, in milliseconds, and how many there are. */
+const LOOK_MS = 300;
+const MOST_LOOKS = 12;
+/** For how long an end is of interest, in milliseconds: longer than a promotion takes. */
+const END_KNOWN_MS = 60_000;
 
 /** A connection that the holder has opened. */
 class HolderLink {
   #channel: MessageChannel<MeshMessage> | null = null;
   #dialing: Promise<'open' | 'refused' | 'silent'> | null = null;
+  #isClosedByUs = false;
   readonly #waiting = new Map<number, (outcome: OrderOutcome) => void>();
 
   constructor(
     private readonly record: DaemonRecord,
     private readonly localAddress: string,
     private readonly listener: MeshListener,
+    private readonly ends: DaemonEnds,
   ) {}
 
   async send(id: number, order: HolderOrder, timeoutMs: number): Promise<OrderOutcome> {
     const state = await this.open();
-    if (state === 'refused') return { kind: 'gone' };
+    if (state === 'refused') return { kind: 'gone', ...this.#absence() };
     const channel = this.#channel;
     if (state === 'silent' || channel === null) return { kind: 'silent' };
     return new Promise((resolve) => {
@@ -133,9 +150,23 @@
   }
 
   close(): void {
+    this.#isClosedByUs = true;
     this.#channel?.destroy();
   }
 
+  #absence(): { readonly absence?: Absence } {
+    const absence = this.ends.of(addressOf(this.record));
+    return absence === null ? {} : { absence };
+  }
+
+  /** A connection has broken: looks at once whether its process has ended, and until another stands there. */
+  async #lookForEnd(): Promise<void> {
+    for (let look = 0; look < MOST_LOOKS && !this.#isClosedByUs; look += 1) {
+      if ((await this.open()) !== 'refused') return;
+      await delay(LOOK_MS);
+    }
+  }
+
   #dial(): Promise<'open' | 'refused' | 'silent'> {
     return new Promise((resolve) => {
       const { host, port } = this.record;
@@ -143,11 +174,13 @@
       const timer = setTimeout(() => {
         resolve('silent');
         socket.destroy();
-      }, DIAL_MS);
+      }, END_DIAL_MS);
       socket.once('error', (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
         // A reset says nothing of the process: one that lives gives it, too.
-        resolve(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
+        const isRefused = error.code === 'ECONNREFUSED';
+        if (isRefused) this.ends.refused(addressOf(this.record), performance.now());
+        resolve(isRefused ? 'refused' : 'silent');
       });
       socket.once('connect', () => {
         clearTimeout(timer);
@@ -164,6 +197,7 @@
         if (this.#channel === channel) this.#channel = null;
         for (const settle of this.#waiting.values()) settle({ kind: 'silent' });
         this.#waiting.clear();
+        if (!this.#isClosedByUs) void this.#lookForEnd();
       },
     });
     this.#channel = channel;
@@ -178,7 +212,7 @@
         answer: this.listener.ownEvidence(message.knownVersion),
       });
     if (message.type !== 'answer') return;
-    this.#waiting.get(message.id)?.({ kind: 'answered', answer: message.answer });
+    this.#waiting.get(message.id)?.({ kind: 'answered', answer: message.answer, ...this.#absence() });
     this.#waiting.delete(message.id);
   }
 }
@@ -189,6 +223,7 @@
   /** Connections that holders of the duty have opened, with what is known of their evidence. */
   readonly #inbound = new Map<MessageChannel<MeshMessage>, EvidenceReader>();
   readonly #links = new Map<string, HolderLink>();
+  readonly #ends = new DaemonEnds();
   readonly #questions = new Map<number, (entries: readonly SharedEvidence[] | null) => void>();
   #nextId = 1;
 
@@ -210,6 +245,7 @@
   /** Opens connections to all daemons, so that they can tell what they suspect. */
   connectAll(records: readonly DaemonRecord[]): void {
     for (const record of this.#others(records)) void this.#link(record).open();
+    this.#ends.trim(performance.now() - END_KNOWN_MS);
     const names = new Set(records.map(linkKey));
     for (const [key, link] of this.#links) {
       if (names.has(key)) continue;
@@ -226,7 +262,7 @@
 
   /** True when the host of a daemon answers that its process does not run. */
   async isGone(record: DaemonRecord): Promise<boolean> {
-    const link = new HolderLink(record, this.self.host, this.listener);
+    const link = new HolderLink(record, this.self.host, this.listener, this.#ends);
     const state = await link.open();
     link.close();
     return state === 'refused';
@@ -293,7 +329,7 @@
     const key = linkKey(record);
     let link = this.#links.get(key);
     if (link === undefined) {
-      link = new HolderLink(record, this.self.host, this.listener);
+      link = new HolderLink(record, this.self.host, this.listener, this.#ends);
       this.#links.set(key, link);
     }
     return link;
@@ -313,6 +349,10 @@
   }
 }
 
+function addressOf({ host, port }: DaemonRecord): string {
+  return `${host}:${port}`;
+}
+
 function linkKey(record: DaemonRecord): string {
   return `${record.name} ${record.life}`;
 }
--- a/src/leadership/position-history.ts
+++ b/src/leadership/position-history.ts
@@ -7,7 +7,9 @@
  */
 import { comparePositions, type Position } from '../position/position.js';
 
-interface Sample {
+/** A position that the proven leader gave. */
+export interface LedSample {
+  /** Monotonic time at which it was asked, in milliseconds. */
   readonly askedAtMs: number;
   readonly position: Position;
 }
@@ -32,7 +34,7 @@
 
 /** The positions of one group's leader over the last seconds. */
 export class PositionHistory {
-  #samples: Sample[] = [];
+  #samples: LedSample[] = [];
 
   /** Takes a position that the leader gave when it was asked at `askedAtMs` under valid evidence. */
   record(askedAtMs: number, position: Position): void {
@@ -44,6 +46,11 @@
     if (keepFrom > 64) this.#samples = this.#samples.slice(keepFrom);
   }
 
+  /** The newest position, with the time at which the leader was asked; `null` before the first. */
+  get newest(): LedSample | null {
+    return this.#samples.at(-1) ?? null;
+  }
+
   /**
    * The lowest known floor that holds every commit acknowledged before `sinceMs`, or `null` when the leader
    * was not asked since.
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -24,7 +24,7 @@
 import type { LeaderLoss } from './leader-loss.js';
 import type { OpenCall, OpenCalls } from './open-calls.js';
 import type { StepDowns } from './step-downs.js';
-import { acknowledgedBy, hasSilent, unheard } from './order-outcomes.js';
+import { acknowledgedBy, hasSilent, ledSinceOf, unheard } from './order-outcomes.js';
 import { describeMissing, type MissingLife } from './missing-life.js';
 import type { Paused, Pauses, ReplicaPauses } from './replica-pauses.js';
 
@@ -238,6 +238,7 @@
   async #takeLastWords(outcomes: ReadonlyMap<string, OrderOutcome>): Promise<readonly Acknowledged[]> {
     const { options, group } = this.ports;
     group.evidence.seal(this.#term, options.now());
+    const sealedAtMs = options.now();
     const silent = new Set([...outcomes].filter(([, { kind }]) => kind === 'silent').map(([name]) => name));
     // Also those that have registered since: their evidence counts from some time after that, and a promotion may take longer.
     const words = await options.order(this.#order('seal'), ORDER_MS, { except: silent });
@@ -252,7 +253,8 @@
     const registeredSince = [...words].filter(([name]) => !outcomes.has(name)).map(([, outcome]) => outcome);
     this.#learnLastLed([...outcomes.values(), ...words.values()]);
     this.#learnOpenCalls([...outcomes.values(), ...words.values()], heardAtMs);
-    const ledSince = (ms: number): Position | null => group.positions.floorSince(ms)?.position ?? null;
+    const ownLedSince = (ms: number): Position | null => group.positions.floorSince(ms)?.position ?? null;
+    const ledSince = ledSinceOf(ownLedSince, words.values(), sealedAtMs);
     return [...told, ...registeredSince].map((word) => acknowledgedBy(word, heardAtMs, ledSince));
   }
 
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -628,12 +628,16 @@
     group.changed.notify();
     watcher.wake();
     const { acknowledged, lastLed } = group;
+    const { newest } = group.positions;
     const openCall = group.calls.open(this.options.now());
     return {
       ...acknowledged,
       ...this.#counted(group.name),
       ...(lastLed === null ? {} : { lastLed }),
       ...(openCall === null ? {} : { openCall }),
+      ...(newest === null
+        ? {}
+        : { led: { position: newest.position, ageMs: this.options.now() - newest.askedAtMs } }),
     };
   }
 
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -36,6 +36,8 @@
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
 const REBORN = 'platform/test/reborn.test.js';
 const NEXT_LIFE = 'src/relay/next-life.test.js';
+const ENDED_DAEMON = 'src/leadership/ended-daemon.test.js';
+const DAEMON_ENDS = 'src/cluster/daemon-ends.test.js';
 const LEADER_NEXT_LIFE = 'src/leadership/leader-next-life.test.js';
 
 const FOREIGN_ENTRIES = 'platform/test/foreign-entries.test.js';
@@ -873,4 +875,44 @@
     testFile: LEADER_NEXT_LIFE,
     testName: 'known from a replica alone',
   },
+  {
+    property: 'ended daemons: bounded by what the leader told others since',
+    file: 'src/leadership/order-outcomes.js',
+    search: 'const told = [...outcomes]',
+    replacement: 'const told = []',
+    testFile: ENDED_DAEMON,
+    testName: 'told another daemon after',
+  },
+  {
+    property: 'ended daemons: not by what it told before',
+    file: 'src/leadership/order-outcomes.js',
+    search: 'askedAtMs - ageMs >= ms',
+    replacement: 'true',
+    testFile: ENDED_DAEMON,
+    testName: 'told before',
+  },
+  {
+    property: 'ended daemons: no process stood there unseen',
+    file: 'src/cluster/daemon-ends.js',
+    search: 'return beganMs - lastMs < UNSEEN_MS ? sinceMs : null;',
+    replacement: 'return sinceMs;',
+    testFile: ENDED_DAEMON,
+    testName: 'began long after',
+  },
+  {
+    property: 'ended daemons: refusals far apart are two absences',
+    file: 'src/cluster/daemon-ends.js',
+    search: 'nowMs - known.lastMs < UNSEEN_MS',
+    replacement: 'true',
+    testFile: DAEMON_ENDS,
+    testName: 'between two refusals',
+  },
+  {
+    property: 'ended daemons: an end is looked for when it comes',
+    file: 'src/cluster/peer-mesh.js',
+    search: 'if (!this.#isClosedByUs)\n                    void this.#lookForEnd();',
+    replacement: '',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'is seen when it comes',
+  },
 ];
