The leader is asked where its log stands when a daemon has ended and no request asks it

Cause: the daemon that was killed was the only gateway of the leader, so that no request reached it for the second until it was lost ('no gateway in reach', in all daemons), and nothing bounded what the killed one had acknowledged. Change: the holder of the duty, which sees the end, asks the proven leader 0.15 s later unless an ordinary answer has told by then, up to four times. Cost: a question for each group without traffic, for each end of a daemon.

ended-daemon.test.ts: fails before; a mutation is seen red.

--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -12,7 +12,9 @@
 import { PeerMesh, type OrderOutcome } from './peer-mesh.js';
 
 const HOST = '127.0.0.1';
+const ended: string[] = [];
 const LISTENER = {
+  daemonEnded: (name: string) => void ended.push(name),
   order: () => ({ latest: { term: 0, index: 0 }, limit: null }),
   suspicion: () => undefined,
   ownEvidence: () => ({ version: 0, leaders: null, agesMs: [] }),
@@ -47,6 +49,7 @@
   server.close();
   for (const socket of sockets) socket.destroy();
   await waitUntil('the end', () => sockets.size === 0);
+  await waitUntil('the word of it', () => ended.length === 1);
   const REST_MS = 900;
   await new Promise((resolve) => setTimeout(resolve, REST_MS));
   const orderedAtMs = performance.now();
@@ -60,5 +63,6 @@
   assert.ok(outcome.absence);
   assert.ok(outcome.absence.sinceMs > endedAtMs && outcome.absence.sinceMs < orderedAtMs - REST_MS / 2);
   assert.ok(outcome.absence.lastMs >= orderedAtMs);
+  assert.deepEqual(ended, ['other']);
   mesh.close();
 });
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -101,6 +101,8 @@
   suspicion(suspicion: Suspicion): void;
   /** The evidence that this daemon has gathered itself, for one who has been sent a version of the leaders. */
   ownEvidence(knownVersion: number): EvidenceAnswer;
+  /** The process of a daemon that this one gives orders to has just been seen to have ended. */
+  daemonEnded(name: string): void;
 }
 
 const MAX_MESSAGE_BYTES = 64 * 1024;
@@ -163,6 +165,7 @@
   async #lookForEnd(): Promise<void> {
     for (let look = 0; look < MOST_LOOKS && !this.#isClosedByUs; look += 1) {
       if ((await this.open()) !== 'refused') return;
+      if (look === 0) this.listener.daemonEnded(this.record.name);
       await delay(LOOK_MS);
     }
   }
--- a/src/leadership/ended-daemon.test.ts
+++ b/src/leadership/ended-daemon.test.ts
@@ -129,4 +129,26 @@
     daemon.tellOf(STEP_MS);
     assert.equal(await daemon.isLed(), false, daemon.scene.events.join(', '));
   });
+
+  /**
+   * The ended daemon was the only gateway of the leader, so that no request reached it any more. Evidence: 5001 with 4 daemons, `no gateway in reach`
+   * from the end of the daemon on, and `limit=null` 1 s later. Before: not led within the time.
+   */
+  test('is bounded by a question to the leader where nobody else asks it', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'two']);
+    scene.group.learnLeader({ memberId: 'old', term: FIRST_TERM }, null);
+    scene.group.evidence.witness(FIRST_TERM, 0, performance.now());
+    assert.ok(scene.commit(scene.member('old')));
+    const endedAtMs = performance.now();
+    const running = scene.supervisor.daemonEnded();
+    await delay(DOWN_MS);
+    const absence = { sinceMs: endedAtMs, lastMs: performance.now() };
+    await running;
+    scene.member('old').state = 'ended';
+    scene.member('two').state = 'dark';
+    scene.daemons.set('d2', { kind: 'gone', absence });
+    await Promise.race([scene.until('promotion_ends'), scene.reached('promotion_given_up')]);
+    scene.supervisor.stop();
+    assert.ok(scene.events.includes('promotion_ends'), scene.events.join(', '));
+  });
 });
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -60,6 +60,12 @@
   now(): number;
 }
 
+/**
+ * Time in which the answers to requests usually tell where the log of the leader stands, in milliseconds; how often it is asked where
+ * they do not.
+ */
+const TRAFFIC_MS = 150;
+const LOG_QUESTIONS = 4;
 /** Time between looks at a group that seems well, in milliseconds. */
 const LOOK_MS = 1000;
 /** Longest wait for a member's status, in milliseconds. */
@@ -127,6 +133,28 @@
     this.#wake.notify();
   }
 
+  /**
+   * A daemon has ended. What it had acknowledged is bounded by where the log of the leader stands from now on: that has to be known before the
+   * leader is lost, also where no request asks it, as after the end of its only gateway.
+   */
+  async daemonEnded(): Promise<void> {
+    const endedAtMs = this.options.now();
+    for (let question = 0; question < LOG_QUESTIONS; question += 1) {
+      await delay(TRAFFIC_MS);
+      if (this.#isStopped || this.group.positions.floorSince(endedAtMs) !== null) return;
+      await this.#askLog();
+    }
+  }
+
+  /** Asks the proven leader where its log stands. */
+  async #askLog(): Promise<void> {
+    const leader = this.group.leader(this.options.now());
+    if (leader === null) return;
+    const askedAtMs = this.options.now();
+    const position = await this.#logPosition(leader);
+    if (position !== null) this.group.recordLed(askedAtMs, position);
+  }
+
   /** Stops after what is under way. */
   stop(): void {
     this.#isStopped = true;
--- a/src/leadership/supervision.ts
+++ b/src/leadership/supervision.ts
@@ -40,6 +40,11 @@
     for (const name of [...this.#supervisors.keys()]) this.end(name);
   }
 
+  /** A daemon has ended, and has forgotten what it acknowledged in any group. */
+  daemonEnded(): void {
+    for (const supervisor of this.#supervisors.values()) void supervisor.daemonEnded();
+  }
+
   /** Somebody doubts the leader of a group, or its members have changed. */
   suspect(groupName: string, suspicion?: Suspicion): void {
     this.#supervisors.get(groupName)?.suspect(suspicion);
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -211,6 +211,10 @@
       order: (order) => this.#obey(order),
       suspicion: (suspicion) => this.#heed(suspicion),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
+      daemonEnded: (name) => {
+        options.log('daemon_ended', { name });
+        this.#supervision.daemonEnded();
+      },
     });
     this.#gatewayClient = new GatewayClient(self.host, now, random);
     const feed = new DelegatedFeed({
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -915,4 +915,12 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'is seen when it comes',
   },
+  {
+    property: 'ended daemons: the leader is asked where nobody else does',
+    file: 'src/leadership/group-supervisor.js',
+    search: 'await this.#askLog();',
+    replacement: ';',
+    testFile: ENDED_DAEMON,
+    testName: 'nobody else asks it',
+  },
 ];
