The next holder of the duty hears of the ends of daemons that the last one has seen

Cause: the holder that had seen the end of a killed daemon was frozen when the leader was lost, and the next one knew of no end. Evidence: 'daemon_ended name=front-3' at front-4, frozen 1.8 s later; 'duty_taken' by front-1, then limit=null 15 times though three daemons had asked the leader for 1.2 s after the end. Change: a daemon tells the absences that it has seen with its answers to orders, as ages; what is heard counts as short as the way of the answer allows, and is joined with what the asker saw itself only if no process can have acknowledged in between.

peer-mesh.test.ts: fails without; its mutation was green at first, since the test let the next holder find the absence itself, and is red now.

--- a/src/cluster/daemon-ends.ts
+++ b/src/cluster/daemon-ends.ts
@@ -22,6 +22,14 @@
   readonly lastMs: number;
 }
 
+/** An absence as one daemon tells another of it. */
+export interface ToldAbsence {
+  readonly address: string;
+  /** Time since its first and its last refusal, in milliseconds. */
+  readonly sinceAgoMs: number;
+  readonly lastAgoMs: number;
+}
+
 /** The absences at some addresses. */
 export class DaemonEnds {
   readonly #absences = new Map<string, Absence>();
@@ -33,6 +41,25 @@
     this.#absences.set(address, { sinceMs: goesOn ? known.sinceMs : nowMs, lastMs: nowMs });
   }
 
+  /** Another daemon has seen an absence; the one that is known is kept where it is the later of two. */
+  learn(address: string, told: Absence): void {
+    const known = this.#absences.get(address);
+    if (known === undefined) return void this.#absences.set(address, told);
+    const [earlier, later] = known.sinceMs <= told.sinceMs ? [known, told] : [told, known];
+    const goesOn = later.sinceMs - earlier.lastMs < UNSEEN_MS;
+    const lastMs = Math.max(earlier.lastMs, later.lastMs);
+    this.#absences.set(address, goesOn ? { sinceMs: earlier.sinceMs, lastMs } : later);
+  }
+
+  /** All that are known, as ages. */
+  tell(nowMs: number): readonly ToldAbsence[] {
+    return [...this.#absences].map(([address, { sinceMs, lastMs }]) => ({
+      address,
+      sinceAgoMs: nowMs - sinceMs,
+      lastAgoMs: nowMs - lastMs,
+    }));
+  }
+
   /** The last absence at an address, or `null`. */
   of(address: string): Absence | null {
     return this.#absences.get(address) ?? null;
@@ -44,6 +71,21 @@
   }
 }
 
+/**
+ * An absence that was told in an answer, by this daemon's clock: as short as it may have been.
+ *
+ * @param askedAtMs - when the question was sent
+ * @param heardAtMs - when its answer was there
+ */
+export function absenceOf(
+  { sinceAgoMs, lastAgoMs }: ToldAbsence,
+  askedAtMs: number,
+  heardAtMs: number,
+): Absence {
+  const sinceMs = heardAtMs - sinceAgoMs;
+  return { sinceMs, lastMs: Math.max(sinceMs, askedAtMs - lastAgoMs) };
+}
+
 /**
  * When the processes at an address had ended that stood there before the present one, or `null` where that was not seen.
  *
--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -66,3 +66,44 @@
   assert.deepEqual(ended, ['other']);
   mesh.close();
 });
+
+/**
+ * The holder that had seen the end was frozen when the leader was lost; the next holder knew of none. Evidence: soak reborn 6002, `daemon_ended` at the
+ * first one, `limit=null` at the next for as long as the run lasted.
+ */
+test('the next holder hears of the ends that the last one has seen', async () => {
+  const sockets = new Set<Socket>();
+  const server = await listen(0, sockets);
+  const other = record('other', (server.address() as AddressInfo).port);
+  const [formerPort, nextPort] = [await freePort(), await freePort()];
+  const former = new PeerMesh(record('former', formerPort), LISTENER);
+  await former.listen(HOST, formerPort);
+  former.connectAll([other]);
+  await waitUntil('the connection', () => sockets.size === 1);
+  ended.length = 0;
+  server.close();
+  for (const socket of sockets) socket.destroy();
+  await waitUntil('the end', () => ended.length === 1);
+  const seenAtMs = performance.now();
+  const LATER_MS = 500;
+  await new Promise((resolve) => setTimeout(resolve, LATER_MS));
+  const next = new PeerMesh(record('next', nextPort), LISTENER);
+  const records = [record('former', formerPort), other];
+  const order = { kind: 'revoke', groupName: 'g', term: 1 } as const;
+  await next.order(records, order, 1000);
+  const outcome = (await next.order(records, order, 1000)).get('other');
+  assert.equal(outcome?.kind, 'gone');
+  assert.ok(outcome.absence && outcome.absence.sinceMs < seenAtMs + LATER_MS / 2);
+  former.close();
+  next.close();
+});
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  server.listen(0, HOST);
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -6,7 +6,7 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { delay } from '../common/signal.js';
-import { DaemonEnds, END_DIAL_MS, type Absence } from './daemon-ends.js';
+import { absenceOf, DaemonEnds, END_DIAL_MS, type Absence, type ToldAbsence } from './daemon-ends.js';
 import type { DaemonRecord } from './daemon-record.js';
 import { EvidenceReader, type EvidenceAnswer, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import { MessageChannel } from '../peer/message-channel.js';
@@ -52,6 +52,8 @@
   readonly lastLed?: LastLed;
   /** A call of the platform that the daemon was told of, and that may still act. */
   readonly openCall?: OpenCall;
+  /** Daemons that this one has seen to have ended, while it held the duty: the next holder has not. */
+  readonly absences?: readonly ToldAbsence[];
   /** The newest position that the proven leader has given it: bounds what daemons had acknowledged that have ended before. */
   readonly led?: LedPosition;
 }
@@ -128,7 +130,7 @@
 
   async send(id: number, order: HolderOrder, timeoutMs: number): Promise<OrderOutcome> {
     const state = await this.open();
-    if (state === 'refused') return { kind: 'gone', ...this.#absence() };
+    if (state === 'refused') return { kind: 'gone' };
     const channel = this.#channel;
     if (state === 'silent' || channel === null) return { kind: 'silent' };
     return new Promise((resolve) => {
@@ -156,11 +158,6 @@
     this.#channel?.destroy();
   }
 
-  #absence(): { readonly absence?: Absence } {
-    const absence = this.ends.of(addressOf(this.record));
-    return absence === null ? {} : { absence };
-  }
-
   /** A connection has broken: looks at once whether its process has ended, and until another stands there. */
   async #lookForEnd(): Promise<void> {
     for (let look = 0; look < MOST_LOOKS && !this.#isClosedByUs; look += 1) {
@@ -215,7 +212,7 @@
         answer: this.listener.ownEvidence(message.knownVersion),
       });
     if (message.type !== 'answer') return;
-    this.#waiting.get(message.id)?.({ kind: 'answered', answer: message.answer, ...this.#absence() });
+    this.#waiting.get(message.id)?.({ kind: 'answered', answer: message.answer });
     this.#waiting.delete(message.id);
   }
 }
@@ -278,14 +275,32 @@
     timeoutMs: number,
   ): Promise<ReadonlyMap<string, OrderOutcome>> {
     const outcomes = new Map<string, OrderOutcome>();
-    const sends = this.#others(records).map(async (record) => {
+    const others = this.#others(records);
+    const sends = others.map(async (record) => {
       this.#nextId += 1;
-      outcomes.set(record.name, await this.#link(record).send(this.#nextId, order, timeoutMs));
+      const askedAtMs = performance.now();
+      const outcome = await this.#link(record).send(this.#nextId, order, timeoutMs);
+      this.#learnAbsences(outcome, askedAtMs);
+      outcomes.set(record.name, outcome);
     });
     await Promise.all(sends);
+    for (const record of others)
+      outcomes.set(record.name, this.#withAbsence(record, outcomes.get(record.name)));
     return outcomes;
   }
 
+  #learnAbsences(outcome: OrderOutcome, askedAtMs: number): void {
+    if (outcome.kind !== 'answered') return;
+    const heardAtMs = performance.now();
+    for (const told of outcome.answer.absences ?? [])
+      this.#ends.learn(told.address, absenceOf(told, askedAtMs, heardAtMs));
+  }
+
+  #withAbsence(record: DaemonRecord, outcome: OrderOutcome = { kind: 'silent' }): OrderOutcome {
+    const absence = this.#ends.of(addressOf(record));
+    return outcome.kind === 'silent' || absence === null ? outcome : { ...outcome, absence };
+  }
+
   /** Tells the holder of a doubt. */
   suspect(suspicion: Suspicion): void {
     for (const channel of this.#inbound.keys()) channel.send({ type: 'suspicion', suspicion });
@@ -318,6 +333,13 @@
     this.#server.close();
   }
 
+  #toldAbsences(): { readonly absences?: readonly ToldAbsence[] } {
+    const nowMs = performance.now();
+    this.#ends.trim(nowMs - END_KNOWN_MS);
+    const absences = this.#ends.tell(nowMs);
+    return absences.length === 0 ? {} : { absences };
+  }
+
   #settleQuestion(id: number, entries: readonly SharedEvidence[] | null): void {
     const settle = this.#questions.get(id);
     this.#questions.delete(id);
@@ -344,7 +366,8 @@
       message: (message) => {
         if (message.type === 'evidence') this.#settleQuestion(message.id, reader.read(message.answer));
         if (message.type !== 'order') return;
-        channel.send({ type: 'answer', id: message.id, answer: this.listener.order(message.order) });
+        const answer = { ...this.listener.order(message.order), ...this.#toldAbsences() };
+        channel.send({ type: 'answer', id: message.id, answer });
       },
       closed: () => this.#inbound.delete(channel),
     });
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -923,4 +923,20 @@
     testFile: ENDED_DAEMON,
     testName: 'nobody else asks it',
   },
+  {
+    property: 'ended daemons: the next holder is told of ends',
+    file: 'src/cluster/peer-mesh.js',
+    search: 'return absences.length === 0 ? {} : { absences };',
+    replacement: 'return {};',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'hears of the ends',
+  },
+  {
+    property: 'ended daemons: absences that lie apart are not joined',
+    file: 'src/cluster/daemon-ends.js',
+    search: 'later.sinceMs - earlier.lastMs < UNSEEN_MS',
+    replacement: 'true',
+    testFile: DAEMON_ENDS,
+    testName: 'another daemon tells of',
+  },
 ];
