The end of the holder itself is seen by daemons that it gave orders to

Cause: the daemon that was killed a moment before the leader was lost was the holder of the duty, and nobody else looks at connections between daemons. Evidence: killed at 18.00, 'duty_taken' by another at 19.03, the leader lost at 19.06, limit=null to the end. Change: three daemons, the same for all, look at a holder's address when its connection ends, and tell the next one. A connection over which no order came is no holder's: without that two daemons would look at each other without end (test and mutation).

peer-mesh.test.ts: two tests, each with a mutation that is seen red.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -105,6 +105,8 @@
   ownEvidence(knownVersion: number): EvidenceAnswer;
   /** The process of a daemon that this one gives orders to has just been seen to have ended. */
   daemonEnded(name: string): void;
+  /** A daemon that gave orders to this one has ended its connection. */
+  holderLeft(host: string): void;
 }
 
 const MAX_MESSAGE_BYTES = 64 * 1024;
@@ -159,7 +161,7 @@
   }
 
   /** A connection has broken: looks at once whether its process has ended, and until another stands there. */
-  async #lookForEnd(): Promise<void> {
+  async lookForEnd(): Promise<void> {
     for (let look = 0; look < MOST_LOOKS && !this.#isClosedByUs; look += 1) {
       if ((await this.open()) !== 'refused') return;
       if (look === 0) this.listener.daemonEnded(this.record.name);
@@ -197,7 +199,7 @@
         if (this.#channel === channel) this.#channel = null;
         for (const settle of this.#waiting.values()) settle({ kind: 'silent' });
         this.#waiting.clear();
-        if (!this.#isClosedByUs) void this.#lookForEnd();
+        if (!this.#isClosedByUs) void this.lookForEnd();
       },
     });
     this.#channel = channel;
@@ -224,6 +226,7 @@
   readonly #inbound = new Map<MessageChannel<MeshMessage>, EvidenceReader>();
   readonly #links = new Map<string, HolderLink>();
   readonly #ends = new DaemonEnds();
+  #isClosed = false;
   readonly #questions = new Map<number, (entries: readonly SharedEvidence[] | null) => void>();
   #nextId = 1;
 
@@ -268,6 +271,13 @@
     return state === 'refused';
   }
 
+  /** Looks whether the process of a daemon has ended, and until another stands there: whoever holds the duty next asks for it. */
+  async lookForEnd(record: DaemonRecord): Promise<void> {
+    const link = new HolderLink(record, this.self.host, this.listener, this.#ends);
+    await link.lookForEnd();
+    link.close();
+  }
+
   /** Gives an order to all other daemons and collects how it went. */
   async order(
     records: readonly DaemonRecord[],
@@ -328,6 +338,7 @@
 
   /** Ends everything. */
   close(): void {
+    this.#isClosed = true;
     this.disconnectAll();
     for (const channel of this.#inbound.keys()) channel.destroy();
     this.#server.close();
@@ -362,14 +373,21 @@
 
   #accept(socket: Socket): void {
     const reader = new EvidenceReader();
+    const host = socket.remoteAddress ?? '';
+    let hasOrdered = false;
     const channel: MessageChannel<MeshMessage> = new MessageChannel<MeshMessage>(socket, MAX_MESSAGE_BYTES, {
       message: (message) => {
         if (message.type === 'evidence') this.#settleQuestion(message.id, reader.read(message.answer));
         if (message.type !== 'order') return;
+        hasOrdered = true;
         const answer = { ...this.listener.order(message.order), ...this.#toldAbsences() };
         channel.send({ type: 'answer', id: message.id, answer });
       },
-      closed: () => this.#inbound.delete(channel),
+      closed: () => {
+        this.#inbound.delete(channel);
+        // A connection that only asked whether this daemon stands here is no holder's.
+        if (hasOrdered && !this.#isClosed) this.listener.holderLeft(host);
+      },
     });
     this.#inbound.set(channel, reader);
   }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -11,6 +11,7 @@
 import { deliverOrder, type OrderOutcomes, type Recipients } from '../cluster/order-delivery.js';
 import { LostRecords } from '../cluster/lost-records.js';
 import { Registration } from '../cluster/registration.js';
+import { preferredDaemons } from '../cluster/rank-by-capacity.js';
 import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import type { DutyHolder } from '../coordination/duty-record.js';
@@ -98,6 +99,8 @@
 const IDLE_MS = 800;
 /** Time between two looks of the holder of the duty at its connections to the other daemons, in milliseconds. */
 const RECONNECT_MS = 500;
+/** Daemons that look whether a holder of the duty has ended. */
+const END_WATCHERS = 3;
 /** For how long a former holder of the duty ends what it has begun at members, in milliseconds: as long as a promotion. */
 const DUTY_WIND_UP_MS = 2500;
 /**
@@ -215,6 +218,7 @@
         options.log('daemon_ended', { name });
         this.#supervision.daemonEnded();
       },
+      holderLeft: (host) => this.#lookForEndOf(host),
     });
     this.#gatewayClient = new GatewayClient(self.host, now, random);
     const feed = new DelegatedFeed({
@@ -659,6 +663,17 @@
     return this.#registration.hasPredecessor || this.#droppedGroups.has(groupName);
   }
 
+  /** Some daemons look whether the one that gave them orders has ended: the next holder of the duty has to know since when. */
+  #lookForEndOf(host: string): void {
+    if (this.#isStopped) return;
+    const holder = this.#daemons.live.find((record) => record.host === host);
+    if (holder === undefined) return;
+    const others = this.#daemons.live.filter((record) => record !== holder);
+    const looking = preferredDaemons(holder.name, others, END_WATCHERS);
+    if (looking.some(({ name }) => name === this.options.self.name))
+      this.#runForever(this.#mesh.lookForEnd(holder));
+  }
+
   /** Another daemon doubts a leader. */
   #heed(suspicion: Suspicion): void {
     this.#supervision.suspect(suspicion.groupName, suspicion);
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -939,4 +939,20 @@
     testFile: DAEMON_ENDS,
     testName: 'another daemon tells of',
   },
+  {
+    property: 'ended daemons: only one that gave orders has left as a holder',
+    file: 'src/cluster/peer-mesh.js',
+    search: 'if (hasOrdered && !this.#isClosed)',
+    replacement: 'if (!this.#isClosed)',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'only looked whether another stands',
+  },
+  {
+    property: 'ended daemons: the end of a holder is told',
+    file: 'src/cluster/peer-mesh.js',
+    search: 'if (hasOrdered && !this.#isClosed)',
+    replacement: 'if (false)',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'end of the holder is seen',
+  },
 ];
