--- a/src/leadership/ended-daemon.test.ts
+++ b/src/leadership/ended-daemon.test.ts
@@ -151,4 +151,21 @@
     scene.supervisor.stop();
     assert.ok(scene.events.includes('promotion_ends'), scene.events.join(', '));
   });
+
+  /** Found by reading: a herd of daemons that ends asked the leader once for each, at the same moment, in each group without traffic. */
+  test('is asked for once where many have ended', async () => {
+    const scene = new ModelledGroup(['old', 'one', 'two']);
+    scene.group.learnLeader({ memberId: 'old', term: FIRST_TERM }, null);
+    scene.group.evidence.witness(FIRST_TERM, 0, performance.now());
+    scene.member('old').isCutFromHolder = true;
+    const ENDS = 20;
+    await Promise.all(Array.from({ length: ENDS }, () => scene.supervisor.daemonEnded()));
+    const { statuses } = scene.member('old');
+    assert.ok(statuses > 0 && statuses < ENDS / 2, `asked ${statuses} times`);
+    scene.member('old').isCutFromHolder = false;
+    const laterMs = performance.now();
+    await scene.supervisor.daemonEnded();
+    assert.equal(scene.member('old').statuses, statuses + 1);
+    assert.ok(scene.group.positions.floorSince(laterMs));
+  });
 });
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -104,6 +104,9 @@
   readonly #leaderLoss = new LeaderLoss();
   readonly #pauses: ReplicaPauses;
   #isNotingEnded = false;
+  /** When a daemon was last seen to have ended, in monotonic milliseconds. */
+  #daemonEndedAtMs = Number.NEGATIVE_INFINITY;
+  #isBoundingEnds = false;
   /** No look has been taken yet at what an earlier holder may have left paused. */
   #isNew = true;
   #suspected = false;
@@ -138,12 +141,19 @@
    * leader is lost, also where no request asks it, as after the end of its only gateway.
    */
   async daemonEnded(): Promise<void> {
-    const endedAtMs = this.options.now();
+    this.#daemonEndedAtMs = this.options.now();
+    // One question covers all that have ended before it.
+    if (this.#isBoundingEnds) return;
+    this.#isBoundingEnds = true;
+    let endedAtMs = this.#daemonEndedAtMs;
     for (let question = 0; question < LOG_QUESTIONS; question += 1) {
       await delay(TRAFFIC_MS);
-      if (this.#isStopped || this.group.positions.floorSince(endedAtMs) !== null) return;
+      if (this.#isStopped || this.group.positions.floorSince(this.#daemonEndedAtMs) !== null) break;
+      if (endedAtMs !== this.#daemonEndedAtMs) question = 0;
+      endedAtMs = this.#daemonEndedAtMs;
       await this.#askLog();
     }
+    this.#isBoundingEnds = false;
   }
 
   /** Asks the proven leader where its log stands. */
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -955,4 +955,12 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'end of the holder is seen',
   },
+  {
+    property: 'ended daemons: one question covers a herd',
+    file: 'src/leadership/group-supervisor.js',
+    search: 'if (this.#isBoundingEnds)',
+    replacement: 'if (false)',
+    testFile: ENDED_DAEMON,
+    testName: 'where many have ended',
+  },
 ];
