--- a/src/leadership/ended-daemon.test.ts
+++ b/src/leadership/ended-daemon.test.ts
@@ -21,7 +21,6 @@
 const DOWN_MS = 300;
 const STEP_MS = 100;
 const ATTEMPTS_MS = 1500;
-const LOOK_MS = 10;
 
 /** The leader has ended, a replica is silent, and a daemon has ended `DOWN_MS` before now. */
 class EndedDaemon {
@@ -67,17 +66,8 @@
     this.scene.daemons.set('d3', { kind: 'answered', answer: { latest: COMMIT, limit: COMMIT, led } });
   }
 
-  async isLed(): Promise<boolean> {
-    const { scene } = this;
-    const running = scene.supervisor.run();
-    const untilMs = performance.now() + ATTEMPTS_MS;
-    while (!scene.events.includes('promotion_ends') && performance.now() < untilMs) {
-      scene.supervisor.suspect();
-      await delay(LOOK_MS);
-    }
-    scene.supervisor.stop();
-    await running;
-    return scene.events.includes('promotion_ends');
+  isLed(): Promise<boolean> {
+    return this.scene.isLedWithin(ATTEMPTS_MS);
   }
 }
 
--- a/src/leadership/leader-next-life.test.ts
+++ b/src/leadership/leader-next-life.test.ts
@@ -11,13 +11,11 @@
 import { describe, test } from 'node:test';
 import { FIRST_TERM, ModelledGroup } from '../../test/support/modelled-group.js';
 import { startNextLife, type Kept } from '../../test/support/next-life.js';
-import { delay } from '../common/signal.js';
 import { hasReached, type Position } from '../position/position.js';
 
 const COMMIT: Position = { term: FIRST_TERM, index: 2 };
 /** Time for some attempts of a promotion, in milliseconds. */
 const ATTEMPTS_MS = 1500;
-const LOOK_MS = 10;
 
 /** A group in which lives are told from each other, led by `old`; a daemon has forgotten what it acknowledged. */
 function groupOfLives(): ModelledGroup {
@@ -36,18 +34,6 @@
   scene.member('old').isCutFromHolder = true;
 }
 
-async function isLed(scene: ModelledGroup): Promise<boolean> {
-  const running = scene.supervisor.run();
-  const untilMs = performance.now() + ATTEMPTS_MS;
-  while (!scene.events.includes('promotion_ends') && performance.now() < untilMs) {
-    scene.supervisor.suspect();
-    await delay(LOOK_MS);
-  }
-  scene.supervisor.stop();
-  await running;
-  return scene.events.includes('promotion_ends');
-}
-
 describe('the silent next life of a leader', () => {
   for (const kept of ['nothing', 'log'] as const) {
     /** Before: not led within the time; each attempt was given up. */
@@ -55,7 +41,7 @@
       const scene = groupOfLives();
       assert.ok(scene.commit(scene.member('old')));
       loseLeader(scene, kept);
-      assert.ok(await isLed(scene), scene.events.join(', '));
+      assert.ok(await scene.isLedWithin(ATTEMPTS_MS), scene.events.join(', '));
       const leader = ['one', 'two'].map((id) => scene.member(id)).find(({ isPrimary }) => isPrimary);
       assert.ok(leader !== undefined && hasReached(leader.received, COMMIT), scene.events.join(', '));
     });
@@ -64,7 +50,7 @@
   test('is not waited for in a group in which nothing was committed', async () => {
     const scene = groupOfLives();
     loseLeader(scene, 'nothing');
-    assert.ok(await isLed(scene), scene.events.join(', '));
+    assert.ok(await scene.isLedWithin(ATTEMPTS_MS), scene.events.join(', '));
   });
 
   /** The commit was received by the replica that is silent, and is in the log that the next life has kept. */
@@ -74,7 +60,7 @@
     assert.ok(scene.commit(scene.member('old')));
     scene.member('one').isCutFromHolder = true;
     loseLeader(scene, 'log');
-    assert.equal(await isLed(scene), false, scene.events.join(', '));
+    assert.equal(await scene.isLedWithin(ATTEMPTS_MS), false, scene.events.join(', '));
   });
 
   test('is waited for while a replica is silent that leaves', async () => {
@@ -86,7 +72,7 @@
     leaving.leavingSinceMs = performance.now();
     scene.member('one').isCutFromHolder = true;
     loseLeader(scene, 'log');
-    assert.equal(await isLed(scene), false, scene.events.join(', '));
+    assert.equal(await scene.isLedWithin(ATTEMPTS_MS), false, scene.events.join(', '));
   });
 
   test('is waited for while nobody knows what a replica had received that has gone', async () => {
@@ -96,7 +82,7 @@
     scene.retire('one');
     scene.member('one').state = 'ended';
     loseLeader(scene, 'log');
-    assert.equal(await isLed(scene), false, scene.events.join(', '));
+    assert.equal(await scene.isLedWithin(ATTEMPTS_MS), false, scene.events.join(', '));
   });
 
   test('is waited for when the life of a replica has ended that had received the commit alone', async () => {
@@ -105,7 +91,7 @@
     assert.ok(scene.commit(scene.member('old')));
     startNextLife(scene, 'one', 'nothing');
     loseLeader(scene, 'log');
-    assert.equal(await isLed(scene), false, scene.events.join(', '));
+    assert.equal(await scene.isLedWithin(ATTEMPTS_MS), false, scene.events.join(', '));
   });
 
   /** The commit was acknowledged in an earlier term, when the leader of this one was the replica that received it. */
@@ -120,7 +106,7 @@
     for (const memberId of ['one', 'two']) scene.member(memberId).term = before + 1;
     scene.group.learnLeader({ memberId: 'old', term: before + 1 }, old.received);
     loseLeader(scene, 'log');
-    assert.equal(await isLed(scene), false, scene.events.join(', '));
+    assert.equal(await scene.isLedWithin(ATTEMPTS_MS), false, scene.events.join(', '));
   });
 
   /** A replica has said that it follows the term: that is less than what the term began with. */
@@ -131,6 +117,6 @@
     scene.group.noteReceived(scene.member('two').received);
     scene.member('old').received = COMMIT;
     loseLeader(scene, 'log');
-    assert.equal(await isLed(scene), false, scene.events.join(', '));
+    assert.equal(await scene.isLedWithin(ATTEMPTS_MS), false, scene.events.join(', '));
   });
 });
--- a/test/support/modelled-group.ts
+++ b/test/support/modelled-group.ts
@@ -155,6 +155,19 @@
     await running;
   }
 
+  /** Supervises, with the leader doubted all the time; true when a promotion ends well within the time, in milliseconds. */
+  async isLedWithin(ms: number): Promise<boolean> {
+    const running = this.supervisor.run();
+    const untilMs = performance.now() + ms;
+    while (!this.events.includes('promotion_ends') && performance.now() < untilMs) {
+      this.supervisor.suspect();
+      await delay(LOOK_MS);
+    }
+    this.supervisor.stop();
+    await running;
+    return this.events.includes('promotion_ends');
+  }
+
   /** Waits for an event. */
   async reached(event: string): Promise<void> {
     const deadlineMs = performance.now() + LONGEST_MS;
