The last notice of a planned stop leaves its clients a round trip

Cause: two bounds that contradicted each other. A session that was still open at 0.85 of the grace period (5.1 s of 6) got the shutdown notice then, and the connection was to stay for 1 s after it, so that a request that crosses the notice gets its state line. The process exited at 0.94 (5.64 s), 540 ms after the notice. A request that its client had sent before the notice arrived, on a link whose round trip is longer than 540 ms, reached a process that was gone. A statement refused after 0.7 led to it too: the client answers with ROLLBACK.

Change: the round trip (1 s) is one constant of the schedule, and the notice deadline is the exit less that time, but not before 0.55 of the grace period (4.64 s of 6; 1.82 of 3). From then on a session closes as soon as no request of it is handled. A transaction that has failed can only be rolled back, so while the daemon drains it gets the notice with the refusal. Reply and notice are one piece: a client that received the reply alone sent its next request into the notice. Each notice starts the round trip anew; the first one's timer cut clients that went on. The longer time after the notice is taken from open transactions without a request in hand: 4.64 instead of 5.1 s to end.

Why it holds: a client has one request in hand. Either the daemon is handling it at the notice deadline: then the notice comes with the reply. Or it is not: then what the client sends before it has the notice arrives within a round trip, while the process still runs.

--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -46,6 +46,9 @@
 const FOREIGN_ENTRIES = 'platform/test/foreign-entries.test.js';
 const FOREIGN_KEYS = 'src/coordination/foreign-keys.test.js';
 
+const LAST_NOTICE = 'platform/test/last-notice.test.js';
+const SHUTDOWN_NOTICE = 'platform/test/shutdown-notice.test.js';
+
 const STORE_ERA = 'platform/test/store-era.test.js';
 const METADATA_STORE = 'platform/test/metadata-store.test.js';
 const DUTY_MODEL = 'test/model/duty-model.test.js';
@@ -967,4 +970,36 @@
     testFile: ENDED_DAEMON,
     testName: 'where many have ended',
   },
+  {
+    property: 'planned stop: the last notice leaves a round trip before the exit',
+    file: 'src/relay/shutdown-schedule.js',
+    search: 'Math.min(lastNoticeMs, replyDeadlineMs)',
+    replacement: 'replyDeadlineMs',
+    testFile: LAST_NOTICE,
+    testName: 'link of 300 ms',
+  },
+  {
+    property: 'planned stop: a failed transaction gets the notice with its refusal',
+    file: 'platform/client-connection.js',
+    search: "this.#session?.state !== 'open'",
+    replacement: "this.#session?.state === 'idle'",
+    testFile: SHUTDOWN_NOTICE,
+    testName: 'a transaction that has failed',
+  },
+  {
+    property: 'planned stop: a reply and the notice behind it are one piece',
+    file: 'platform/client-connection.js',
+    search: 'this.socket.cork();',
+    replacement: '',
+    testFile: SHUTDOWN_NOTICE,
+    testName: 'in one piece',
+  },
+  {
+    property: 'planned stop: each notice leaves a round trip',
+    file: 'platform/client-connection.js',
+    search: 'this.#closeTimer.refresh()',
+    replacement: 'undefined',
+    testFile: SHUTDOWN_NOTICE,
+    testName: 'goes on a round trip',
+  },
 ];
