A query for the leader's log position after the end of a daemon says what came of it

The queries move from the supervisor into a class of their own, which daemons without the duty can use as well, and each logs `log_position`: what the leader answered, its position, and whether that bounds the daemon. Nothing else changes.

--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -21,6 +21,7 @@
 import { EndedMembers } from './ended-members.js';
 import { LeaderLoss } from './leader-loss.js';
 import { LeaderSuspicions } from './leader-suspicions.js';
+import { LogPositionQuery } from './log-position-query.js';
 import { LostIncarnations } from './lost-incarnations.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
 import { OpenCalls } from './open-calls.js';
@@ -67,12 +68,6 @@
   now(): number;
 }
 
-/**
- * After a daemon has ended: time in which replies to ordinary requests usually carry the leader's log
- * position, and the most explicit queries for it where they do not.
- */
-const LOG_QUERY_DELAY_MS = 150;
-const MAX_LOG_QUERIES = 4;
 /** Time between two checks of a group that seems healthy, in milliseconds. */
 const CHECK_INTERVAL_MS = 1000;
 /** Timeout of a status request to a member, in milliseconds. */
@@ -112,10 +107,8 @@
   readonly #openCalls = new OpenCalls();
   readonly #leaderLoss = new LeaderLoss();
   readonly #pauses: ReplicaPauses;
+  readonly #logPosition: LogPositionQuery;
   #isRecordingEnded = false;
-  /** When the process of a daemon was last seen to have ended, in monotonic milliseconds. */
-  #daemonEndedAtMs = Number.NEGATIVE_INFINITY;
-  #isQueryingLogPosition = false;
   /** True until the first check for replicas that an earlier holder of the duty may have left paused. */
   #isFirstCheck = true;
   #isCheckRequested = false;
@@ -132,6 +125,13 @@
       this.#lostIncarnations,
       options.now,
     );
+    this.#logPosition = new LogPositionQuery({
+      group,
+      queryStatus: (member) => this.#queryStatus(member),
+      isStopped: () => this.#isStopped,
+      log: options.log,
+      now: options.now,
+    });
   }
 
   /** Supervises the group until {@link GroupSupervisor.stop}. */
@@ -151,34 +151,9 @@
     this.#wake.notify();
   }
 
-  /**
-   * The process of a daemon has ended. Everything that it acknowledged is at or before the leader's log
-   * position from now on. That position has to be known before the leader is lost, even if no request carries
-   * it, as after the end of the leader's only gateway.
-   */
-  async daemonEnded(): Promise<void> {
-    this.#daemonEndedAtMs = this.options.now();
-    // One query covers all daemons that have ended before it.
-    if (this.#isQueryingLogPosition) return;
-    this.#isQueryingLogPosition = true;
-    let endedAtMs = this.#daemonEndedAtMs;
-    for (let attempt = 0; attempt < MAX_LOG_QUERIES; attempt += 1) {
-      await delay(LOG_QUERY_DELAY_MS);
-      if (this.#isStopped || this.group.positions.floorSince(this.#daemonEndedAtMs) !== null) break;
-      if (endedAtMs !== this.#daemonEndedAtMs) attempt = 0;
-      endedAtMs = this.#daemonEndedAtMs;
-      await this.#recordLogPosition();
-    }
-    this.#isQueryingLogPosition = false;
-  }
-
-  /** Queries the log position of the proven leader and records it. */
-  async #recordLogPosition(): Promise<void> {
-    const leader = this.group.leader(this.options.now());
-    if (leader === null) return;
-    const askedAtMs = this.options.now();
-    const position = await this.#queryLogPosition(leader);
-    if (position !== null) this.group.recordLeaderPosition(askedAtMs, position);
+  /** The process of a daemon has ended. */
+  daemonEnded(): Promise<void> {
+    return this.#logPosition.daemonEnded();
   }
 
   /** Stops after the current check. */
@@ -254,7 +229,7 @@
     const ended = unknown.filter((_, index) => areEnded[index]);
     const askedAtMs = this.options.now();
     const needsPosition = ended.length > 0 || this.#lostIncarnations.needsLeaderPosition;
-    const position = needsPosition ? await this.#queryLogPosition(leader) : null;
+    const position = needsPosition ? await this.#logPosition.ask(leader) : null;
     if (position !== null) {
       for (const member of ended) this.#endedMembers.record(member, position);
       this.#lostIncarnations.recordLeaderPosition(position, askedAtMs);
@@ -287,18 +262,6 @@
     return member.hasEnded || (await this.#queryStatus(member)).kind === 'refused';
   }
 
-  /** The log position of the leader, if it answers and is proven to lead; else `null`. */
-  async #queryLogPosition(leader: Member): Promise<Position | null> {
-    const answer = await this.#queryStatus(leader);
-    const proven = this.group.evidence.current(this.options.now());
-    const isProven =
-      answer.kind === 'answered' &&
-      answer.status.isPrimary &&
-      proven?.memberId === leader.entry.memberId &&
-      proven.term === answer.status.term;
-    return isProven ? answer.status.received : null;
-  }
-
   async #transferLeadership(leader: Member, reason: string): Promise<void> {
     this.#lastTransferMs = this.options.now();
     await this.#promote(leader, reason);
