The end of a holder that is the only gateway is bounded: the daemons that see it ask the leader

Nothing bounded that: the holder asks the leader for its log position after the end of another daemon, but nobody does after its own, and where it is the only gateway of the leader no other may connect.

Found on the way by the new test: a holder that had not had to give an order was not known as one, so that its end was not looked for at all.

Change: a holder says on each connection that it holds the duty. The three daemons that see its end ask the leaders of all groups; what they learn reaches the next holder with their answers to its orders, as before. The first of the three may open one connection to a member for it, for 1.5 s: members keep three connections that are assigned to nobody, and the one of the holder has ended with it.

Why it holds: all that the killed daemon acknowledged precedes its end; the position that the proven leader reports after it covers it.

Two daemons that probe each other are still no holders (its test is unchanged).

--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -143,6 +143,25 @@
   assert.ok(outcome.absence && outcome.absence.sinceMs < seenAtMs + LATER_MS / 2);
 });
 
+/**
+ * Guards against the exit of a holder that nobody sees. Only a connection that had carried an order counted as
+ * the holder's, so the exit of one that had not had to give any went unnoticed.
+ */
+test('the end of a holder that has given no order yet is seen', async () => {
+  const ports = [await freePort(), await freePort()];
+  const [holder, watcher] = ports.map((port, index) => record(`d${index}`, port));
+  assert.ok(holder && watcher);
+  const holderMesh = meshOf(holder);
+  const watcherMesh = meshOf(watcher);
+  await watcherMesh.listen(HOST, watcher.port);
+  disconnectedHosts.length = 0;
+  holderMesh.connectAll([watcher]);
+  await waitUntil('the holder to be connected', () => watcherMesh.holderConnections === 1);
+  holderMesh.close();
+  await waitUntil('the end of the connection', () => disconnectedHosts.length === 1);
+  assert.deepEqual(disconnectedHosts, [HOST]);
+});
+
 /** Otherwise two daemons would probe each other endlessly. */
 test('a daemon that only looked whether another stands is no holder that has left', async () => {
   const ports = [await freePort(), await freePort()];
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -108,6 +108,8 @@
   | { readonly kind: 'silent' };
 
 type MeshMessage =
+  /** Sent first by the duty holder, so that the other daemons check on it when its connection ends. */
+  | { readonly type: 'holder' }
   | { readonly type: 'ask_evidence'; readonly id: number; readonly knownVersion: number }
   | { readonly type: 'evidence'; readonly id: number; readonly answer: EvidenceReply }
   | { readonly type: 'order'; readonly id: number; readonly order: HolderOrder }
@@ -125,7 +127,7 @@
   ownEvidence(knownVersion: number): EvidenceReply;
   /** The process of a daemon that receives orders from this one was just observed to have exited. */
   daemonEnded(name: string): void;
-  /** A daemon that has sent orders to this one has closed its connection. */
+  /** The connection from a duty holder has ended. */
   holderDisconnected(host: string): void;
 }
 
@@ -151,6 +153,7 @@
     private readonly localAddress: string,
     private readonly listener: MeshListener,
     private readonly absences: AbsenceTracker,
+    private readonly role: 'holder' | 'probe',
   ) {}
 
   async send(id: number, order: HolderOrder, timeoutMs: number): Promise<OrderOutcome> {
@@ -229,6 +232,7 @@
       },
     });
     this.#channel = channel;
+    if (this.role === 'holder') channel.send({ type: 'holder' });
   }
 
   #receive(message: MeshMessage): void {
@@ -248,8 +252,10 @@
 /** One daemon's end of the mesh. */
 export class PeerMesh {
   readonly #server: Server;
-  /** Incoming connections from duty holders, with the reader of the evidence that each one shares. */
+  /** Incoming connections, with the reader of the evidence that each one shares. */
   readonly #inbound = new Map<MessageChannel<MeshMessage>, EvidenceReader>();
+  /** Those of the incoming connections that come from a duty holder. */
+  readonly #holderChannels = new Set<MessageChannel<MeshMessage>>();
   readonly #connections = new Map<string, PeerConnection>();
   readonly #absences = new AbsenceTracker();
   #isClosed = false;
@@ -263,6 +269,11 @@
     this.#server = createServer((socket) => this.#accept(socket));
   }
 
+  /** Number of connections from duty holders. */
+  get holderConnections(): number {
+    return this.#holderChannels.size;
+  }
+
   listen(host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
@@ -293,7 +304,7 @@
 
   /** True when the daemon's host refuses the connection, so that its process does not run. */
   async isGone(record: DaemonRecord): Promise<boolean> {
-    const connection = new PeerConnection(record, this.self.host, this.listener, this.#absences);
+    const connection = new PeerConnection(record, this.self.host, this.listener, this.#absences, 'probe');
     const state = await connection.open();
     connection.close();
     return state === 'refused';
@@ -304,7 +315,7 @@
    * for the result.
    */
   async probeForEnd(record: DaemonRecord): Promise<void> {
-    const connection = new PeerConnection(record, this.self.host, this.listener, this.#absences);
+    const connection = new PeerConnection(record, this.self.host, this.listener, this.#absences, 'probe');
     await connection.probeForEnd();
     connection.close();
   }
@@ -396,7 +407,7 @@
     const key = connectionKey(record);
     let connection = this.#connections.get(key);
     if (connection === undefined) {
-      connection = new PeerConnection(record, this.self.host, this.listener, this.#absences);
+      connection = new PeerConnection(record, this.self.host, this.listener, this.#absences, 'holder');
       this.#connections.set(key, connection);
     }
     return connection;
@@ -405,23 +416,29 @@
   #accept(socket: Socket): void {
     const reader = new EvidenceReader();
     const host = socket.remoteAddress ?? '';
-    let hasOrdered = false;
     const channel: MessageChannel<MeshMessage> = new MessageChannel<MeshMessage>(socket, MAX_MESSAGE_BYTES, {
-      message: (message) => {
-        if (message.type === 'evidence') this.#settleEvidenceRequest(message.id, reader.read(message.answer));
-        if (message.type !== 'order') return;
-        hasOrdered = true;
-        const answer = { ...this.listener.handleOrder(message.order), ...this.#reportAbsences() };
-        channel.send({ type: 'answer', id: message.id, answer });
-      },
+      message: (message) => this.#receiveFromHolder(channel, reader, message),
       closed: () => {
         this.#inbound.delete(channel);
-        // A connection without orders was only a probe whether this daemon runs, and not from a duty holder.
-        if (hasOrdered && !this.#isClosed) this.listener.holderDisconnected(host);
+        // Any other connection was only a probe whether this daemon runs.
+        if (this.#holderChannels.delete(channel) && !this.#isClosed) this.listener.holderDisconnected(host);
       },
     });
     this.#inbound.set(channel, reader);
   }
+
+  #receiveFromHolder(
+    channel: MessageChannel<MeshMessage>,
+    reader: EvidenceReader,
+    message: MeshMessage,
+  ): void {
+    if (message.type === 'evidence') this.#settleEvidenceRequest(message.id, reader.read(message.answer));
+    if (message.type === 'holder') this.#holderChannels.add(channel);
+    if (message.type !== 'order') return;
+    this.#holderChannels.add(channel);
+    const answer = { ...this.listener.handleOrder(message.order), ...this.#reportAbsences() };
+    channel.send({ type: 'answer', id: message.id, answer });
+  }
 }
 
 function addressOf({ host, port }: DaemonRecord): string {
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -12,7 +12,6 @@
 import { deliverOrder, type OrderOutcomes, type Recipients } from '../cluster/order-delivery.js';
 import { LostRecords } from '../cluster/lost-records.js';
 import { Registration } from '../cluster/registration.js';
-import { preferredDaemons } from '../cluster/rank-by-capacity.js';
 import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import type { DutyHolder } from '../coordination/duty-record.js';
@@ -34,8 +33,10 @@
 import { MemberConnections } from '../gateway/member-connections.js';
 import type { GroupSupervisorOptions, PromotionPort } from '../leadership/group-supervisor.js';
 import { EvidenceResponder } from '../leadership/evidence-exchange.js';
+import { DaemonExits } from '../leadership/daemon-exits.js';
 import { EvidenceSharing } from '../leadership/evidence-sharing.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
+import { LogPositionQuery } from '../leadership/log-position-query.js';
 import { MemberControl } from '../leadership/member-control.js';
 import { GroupSupervisors } from '../leadership/group-supervisors.js';
 import type { RelayState } from '../observability/relay-metrics.js';
@@ -107,8 +108,6 @@
 const IDLE_TIMEOUT_MS = 800;
 /** Interval at which the duty holder reopens lost connections to the other daemons, in milliseconds. */
 const RECONNECT_INTERVAL_MS = 500;
-/** Number of daemons that check whether the process of a disconnected duty holder has exited. */
-const HOLDER_EXIT_CHECKERS = 3;
 /**
  * How long a former duty holder may still open connections to members to complete what it has started there,
  * in milliseconds: as long as a promotion takes.
@@ -120,9 +119,13 @@
  */
 const CHANGE_PROPAGATION_MS = 1500;
 
+/** Time limit for a leader to report its log position, in milliseconds. */
+const LOG_POSITION_TIMEOUT_MS = 200;
+
 interface WatchedGroup {
   readonly group: MemberGroup;
   readonly watcher: LeadershipWatcher;
+  readonly logPosition: LogPositionQuery;
 }
 
 /** A relay daemon without its client-facing sockets. */
@@ -138,6 +141,7 @@
   readonly #failureDetector: FailureDetector;
   readonly #control: MemberControl;
   readonly #mesh: PeerMesh;
+  readonly #daemonExits: DaemonExits;
   /** When this process began to accept orders, in monotonic milliseconds. */
   #listeningSinceMs = Number.POSITIVE_INFINITY;
   readonly #duty: Duty;
@@ -221,18 +225,26 @@
     this.#control = new MemberControl({
       dialer,
       readStatus,
-      mayConnect: () => this.isDutyHolder || now() < this.#dutyHandoverUntilMs,
+      mayConnect: () =>
+        this.isDutyHolder || now() < this.#dutyHandoverUntilMs || this.#daemonExits.mayConnect,
       now,
     });
     this.#mesh = new PeerMesh(self, {
       handleOrder: (order) => this.#applyOrder(order),
       handleSuspicion: (suspicion) => this.#handleSuspicion(suspicion),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
-      daemonEnded: (name) => {
-        options.log('daemon_ended', { name });
-        this.#supervision.daemonEnded();
-      },
-      holderDisconnected: (host) => this.#checkHolderExit(host),
+      daemonEnded: (name) => this.#daemonExits.daemonEnded(name),
+      holderDisconnected: (host) => this.#daemonExits.holderDisconnected(host),
+    });
+    this.#daemonExits = new DaemonExits({
+      ownName: self.name,
+      isDutyHolder: () => this.isDutyHolder,
+      liveDaemons: () => this.#daemons.live,
+      logPositionQueries: () => [...this.#groups.values()].map(({ logPosition }) => logPosition),
+      probe: (record) => this.#runLoop(this.#mesh.probeForEnd(record)),
+      daemonEndedUnderDuty: () => this.#supervision.daemonEnded(),
+      log: options.log,
+      now,
     });
     this.#gatewayClient = new GatewayClient(self.host, now, random);
     const feed = new DelegatedFeed({
@@ -522,7 +534,14 @@
       () => this.#evidenceSharing.suppliesEvidence,
       options.now,
     );
-    const watched: WatchedGroup = { group, watcher };
+    const logPosition = new LogPositionQuery({
+      group,
+      queryStatus: (member) => this.#control.ask(member, { kind: 'status' }, LOG_POSITION_TIMEOUT_MS),
+      isStopped: () => this.#isStopped || !this.#groups.has(name),
+      log: options.log,
+      now: options.now,
+    });
+    const watched: WatchedGroup = { group, watcher, logPosition };
     this.#groups.set(name, watched);
     this.directory.addListedMembers(group);
     this.#runLoop(watcher.run());
@@ -704,20 +723,6 @@
     return this.#registration.hasPredecessor || this.#droppedGroups.has(groupName);
   }
 
-  /**
-   * Checks on a few daemons whether a disconnected duty holder has exited: the next holder needs the time
-   * since which it is known to be gone.
-   */
-  #checkHolderExit(host: string): void {
-    if (this.#isStopped) return;
-    const holder = this.#daemons.live.find((record) => record.host === host);
-    if (holder === undefined) return;
-    const others = this.#daemons.live.filter((record) => record !== holder);
-    const checkers = preferredDaemons(holder.name, others, HOLDER_EXIT_CHECKERS);
-    if (checkers.some(({ name }) => name === this.options.self.name))
-      this.#runLoop(this.#mesh.probeForEnd(holder));
-  }
-
   /** Handles the suspicion of any daemon, this one included, against a leader. */
   #handleSuspicion(suspicion: Suspicion): void {
     this.#supervision.suspect(suspicion.groupName, suspicion);
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -46,6 +46,7 @@
 const FOREIGN_ENTRIES = 'platform/test/foreign-entries.test.js';
 const FOREIGN_KEYS = 'src/coordination/foreign-keys.test.js';
 
+const HOLDER_IS_ONLY_GATEWAY = 'platform/test/holder-is-only-gateway.test.js';
 const LAST_NOTICE = 'platform/test/last-notice.test.js';
 const SHUTDOWN_NOTICE = 'platform/test/shutdown-notice.test.js';
 
@@ -924,8 +925,8 @@
   },
   {
     property: 'ended daemons: the leader is asked for its position if nobody else asks',
-    file: 'src/leadership/group-supervisor.js',
-    search: 'await this.#recordLogPosition();',
+    file: 'src/leadership/log-position-query.js',
+    search: 'await this.#record();',
     replacement: ';',
     testFile: ENDED_DAEMON,
     testName: 'nobody else asks it',
@@ -949,7 +950,7 @@
   {
     property: 'ended daemons: only a daemon that has sent orders counts as a holder',
     file: 'src/cluster/peer-mesh.js',
-    search: 'if (hasOrdered && !this.#isClosed)',
+    search: 'if (this.#holderChannels.delete(channel) && !this.#isClosed)',
     replacement: 'if (!this.#isClosed)',
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'only looked whether another stands',
@@ -957,15 +958,15 @@
   {
     property: 'ended daemons: the end of a holder is reported',
     file: 'src/cluster/peer-mesh.js',
-    search: 'if (hasOrdered && !this.#isClosed)',
+    search: 'if (this.#holderChannels.delete(channel) && !this.#isClosed)',
     replacement: 'if (false)',
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'end of the holder is seen',
   },
   {
     property: 'ended daemons: one query covers many exits',
-    file: 'src/leadership/group-supervisor.js',
-    search: 'if (this.#isQueryingLogPosition)',
+    file: 'src/leadership/log-position-query.js',
+    search: 'if (this.#isRunning)',
     replacement: 'if (false)',
     testFile: ENDED_DAEMON,
     testName: 'where many have ended',
@@ -976,7 +977,7 @@
     search: 'Math.min(lastNoticeMs, replyDeadlineMs)',
     replacement: 'replyDeadlineMs',
     testFile: LAST_NOTICE,
-    testName: 'link of 300 ms',
+    testName: 'is lost in a stop on a link of',
   },
   {
     property: 'planned stop: a failed transaction gets the notice with its refusal',
@@ -1002,4 +1003,28 @@
     testFile: SHUTDOWN_NOTICE,
     testName: 'goes on a round trip',
   },
+  {
+    property: 'ended daemons: a holder tells that it holds the duty',
+    file: 'src/cluster/peer-mesh.js',
+    search: "if (this.role === 'holder')",
+    replacement: 'if (false)',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'has given no order yet',
+  },
+  {
+    property: 'ended daemons: the leader is asked after the end of the holder',
+    file: 'src/leadership/daemon-exits.js',
+    search: 'for (const query of ports.logPositionQueries())',
+    replacement: 'for (const query of [])',
+    testFile: HOLDER_IS_ONLY_GATEWAY,
+    testName: 'the holder of the duty, is replaced',
+  },
+  {
+    property: 'ended daemons: one daemon connects to a leader whose only gateway has ended',
+    file: 'src/leadership/daemon-exits.js',
+    search: 'return this.ports.now() < this.#mayConnectUntilMs',
+    replacement: 'return false',
+    testFile: HOLDER_IS_ONLY_GATEWAY,
+    testName: 'the holder of the duty, is replaced',
+  },
 ];
