All positions of an empty log are the same, in replies as in status rows

Cause: a member with an empty log gives index 0 with any term. The status row was read so (`2.0` is position 0.0), the position of a reply was not. After a read at the leader the daemon knew 2.0; the leader's status, 0.0, then passed for the answer of an earlier process with a shorter log and was left out.

Why it holds, and elsewhere: numbers go on over the terms, so index 0 is an empty log in any (docs/questions.md has said so of the status).

--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1027,4 +1027,12 @@
     testFile: HOLDER_IS_ONLY_GATEWAY,
     testName: 'the holder of the duty, is replaced',
   },
+  {
+    property: 'empty logs: all positions of an empty log are the same',
+    file: 'platform/member-dialer.js',
+    search: 'index === 0 ? ZERO_POSITION',
+    replacement: 'index < 0 ? ZERO_POSITION',
+    testFile: HOLDER_IS_ONLY_GATEWAY,
+    testName: 'with an empty log',
+  },
 ];
