Deployments of the test rig have addresses of their own

Two test runs on one machine failed each other: the deployments of the integration tests had fixed addresses.

Change: a deployment claims one of 25 blocks of addresses in its network and listens on a guard address while it has it, so that a second run takes the next block. The store of the command-line test has an address by process, as the gateway tests have.

--- a/standin/rig/deployment.ts
+++ b/standin/rig/deployment.ts
@@ -16,13 +16,14 @@
 import { StoreClient } from '../../src/store/store-client.js';
 import type { MemberServerOptions } from '../member/member-server.js';
 import type { StoreFaults } from '../store/store-server.js';
+import { AddressBlock } from './address-block.js';
 import { Child } from './child.js';
 import { FaultProxy } from './fault-proxy.js';
 import { waitUntil } from './wait-until.js';
 
 /** Size, settings and network delays of a deployment. */
 export interface DeploymentOptions {
-  /** Second octet of all addresses, 1 to 250; must differ between deployments that run concurrently. */
+  /** Second octet of all addresses, 1 to 250. */
   readonly networkId: number;
   readonly zones: readonly string[];
   readonly databases: readonly string[];
@@ -108,6 +109,7 @@
   readonly children = new Map<string, Child>();
   readonly #directory = mkdtempSync(join(tmpdir(), 'sorrelladder-rig-'));
   #machines: Machine[] = [];
+  #addresses: AddressBlock | null = null;
 
   constructor(options: Partial<DeploymentOptions>) {
     this.options = { ...DEFAULT_DEPLOYMENT, ...options };
@@ -243,6 +245,7 @@
   async stop(): Promise<void> {
     await Promise.all([...this.children.values()].map((child) => child.kill()));
     this.proxy.close();
+    this.#addresses?.release();
     rmSync(this.#directory, { recursive: true, force: true });
   }
 
@@ -251,6 +254,7 @@
   }
 
   async #start(): Promise<void> {
+    this.#addresses = await AddressBlock.claim(this.options.networkId);
     this.#assignAddresses();
     await this.#startPlatform();
     await this.#startMembers();
@@ -274,7 +278,8 @@
 
   /** Address in one of the deployment's networks: per zone, an even one for processes, the next for proxies. */
   #host(network: number, hostNumber: number): string {
-    return `127.${this.options.networkId}.${network}.${hostNumber}`;
+    if (this.#addresses === null) throw new Error('the deployment has not been started');
+    return this.#addresses.host(network, hostNumber);
   }
 
   #assignAddresses(): void {
--- a/test/integration/command-line.test.ts
+++ b/test/integration/command-line.test.ts
@@ -12,7 +12,8 @@
 import { Child } from '../../standin/rig/child.js';
 import { StoreServer } from '../../standin/store/store-server.js';
 
-const STORE_HOST = '127.19.0.1';
+/** Differs between test runs on one machine. */
+const STORE_HOST = `127.80.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
 const STORE_PORT = 2379;
 const STORE = ['--store', `http://${STORE_HOST}:${STORE_PORT}`];
 
