--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -491,7 +491,7 @@
   },
   {
     property: 'promotions: every daemon is sent the seal order',
-    file: 'src/leadership/promotion.js',
+    file: 'src/leadership/promotion-orders.js',
     search: "await options.order(this.#order('seal'), ORDER_TIMEOUT_MS, { except: unanswered })",
     replacement: 'new Map()',
     testFile: 'src/leadership/promotion-loss.test.js',
@@ -508,7 +508,7 @@
   {
     property: 'promotions: a replica that has appeared is paused before the final check',
     file: 'src/leadership/promotion.js',
-    search: 'const late = await this.#pause(unknown, pauses.paused);',
+    search: 'const late = await this.#pauses.pause(this.#pauses.notRequested(), pauses.paused);',
     replacement: 'const late = { paused: [], missing: [], ended: [] };',
     testFile: FINAL_CHECK,
     testName: 'appears before the last look',
@@ -523,7 +523,7 @@
   },
   {
     property: 'promotions: an answer from before the seal order is no limit',
-    file: 'src/leadership/promotion.js',
+    file: 'src/leadership/promotion-orders.js',
     search: 'withoutLimit(outcome)',
     replacement: 'outcome',
     testFile: FINAL_CHECK,
@@ -532,7 +532,7 @@
   {
     property: 'promotions: late pauses are waited out',
     file: 'src/leadership/promotion.js',
-    search: 'await this.#waitForLatePause();',
+    search: 'await this.#orders.awaitExpiry(options.now());',
     replacement: ';',
     testFile: FINAL_CHECK,
     testName: 'waited for again',
@@ -572,7 +572,7 @@
   {
     property: 'promotions: an open call is waited for',
     file: 'src/leadership/promotion.js',
-    search: 'await this.#awaitOpenCalls();',
+    search: 'await this.#earlierCalls.wait();',
     replacement: '',
     testFile: PROMOTION_MEMBER_RESTARTS,
     testName: 'a second time keeps',
@@ -683,7 +683,7 @@
   },
   {
     property: 'promotions after restarts: ended incarnations are not missing once the leader answers',
-    file: 'src/leadership/promotion.js',
+    file: 'src/leadership/final-check.js',
     search: 'if (respondingIds.has(led.memberId))',
     replacement: 'if (false)',
     testFile: PROMOTION_AFTER_RESTARTS,
@@ -691,23 +691,23 @@
   },
   {
     property: 'promotions after restarts: a leader that is down is waited for',
-    file: 'src/leadership/promotion.js',
-    search: 'return !isForgotten && !leaderLoss.isOver(led, options.now());',
+    file: 'src/leadership/final-check.js',
+    search: 'return !isForgotten && !leaderLoss.isOver(led, nowMs);',
     replacement: 'return false;',
     testFile: PROMOTION_AFTER_RESTARTS,
     testName: 'are missing while the leader is down',
   },
   {
     property: 'promotions after restarts: there is one wait for each group',
-    file: 'src/leadership/promotion.js',
-    search: '!leaderLoss.isOver(led, options.now())',
+    file: 'src/leadership/final-check.js',
+    search: '!leaderLoss.isOver(led, nowMs)',
     replacement: 'true',
     testFile: PROMOTION_AFTER_RESTARTS,
     testName: 'does not keep the group without a leader',
   },
   {
     property: 'promotions after restarts: an ended incarnation is missing until the next one answers',
-    file: 'src/leadership/promotion.js',
+    file: 'src/leadership/final-check.js',
     search: ': ended.filter(({ memberId }) => !respondingIds.has(memberId))',
     replacement: ': []',
     testFile: PROMOTION_AFTER_RESTARTS,
@@ -772,7 +772,7 @@
   },
   {
     property: 'calls: an earlier call is waited for',
-    file: 'src/leadership/promotion.js',
+    file: 'src/leadership/earlier-calls.js',
     search: 'openCalls.recordEarlier(call, answeredAtMs);',
     replacement: ';',
     testFile: EARLIER_DUTY_HOLDER,
@@ -780,7 +780,7 @@
   },
   {
     property: 'calls: those of the current holder are not waited for',
-    file: 'src/leadership/promotion.js',
+    file: 'src/leadership/earlier-calls.js',
     search: 'call.fence !== fence',
     replacement: 'true',
     testFile: EARLIER_DUTY_HOLDER,
@@ -804,8 +804,8 @@
   },
   {
     property: 'calls: daemons are informed of a call before it is made',
-    file: 'src/leadership/promotion.js',
-    search: 'return { call: { ...call, leftMs: Math.max(0, untilMs - this.ports.options.now()) } };',
+    file: 'src/leadership/promotion-orders.js',
+    search: 'return { call: { ...call, leftMs: Math.max(0, untilMs - this.options.now()) } };',
     replacement: 'return {};',
     testFile: MEMBER_RESTARTS,
     testName: 'waits for the call of the last one',
@@ -860,7 +860,7 @@
   },
   {
     property: 'promotions: the next incarnation of the leader is not waited for',
-    file: 'src/leadership/promotion.js',
+    file: 'src/leadership/final-check.js',
     search: 'return bornMs > led.bornMs;',
     replacement: 'return false;',
     testFile: LEADER_RESTART,
@@ -869,8 +869,8 @@
   {
     property:
       'promotions: the next incarnation of the leader is waited for while the log at the start of the term is missing',
-    file: 'src/leadership/promotion.js',
-    search: 'const relevantUnanswered = this.#hasTermStart(rechecked.stillPaused)',
+    file: 'src/leadership/final-check.js',
+    search: 'const relevantUnanswered = hasTermStart(paused, leadership)',
     replacement: 'const relevantUnanswered = true',
     testFile: LEADER_RESTART,
     testName: 'lack what the term began with',
