The relay daemon's groups, members and orders are parts of their own

relay-daemon.ts held some 870 lines: it wired the parts, and also kept the watched groups, created members with their pools, and applied the orders of the holder of the duty. These are WatchedGroups, MemberFactory and OrderHandler now; what is left (765 lines) wires them, runs the tick and acts on the duty.

--- /dev/null
+++ b/src/relay/order-handler.ts
@@ -0,0 +1,94 @@
+/**
+ * Applies the orders of the promotion duty's holder to this daemon's evidence of leaders.
+ *
+ * @packageDocumentation
+ */
+import type { HolderOrder, OrderAnswer } from '../cluster/peer-mesh.js';
+import type { Registration } from '../cluster/registration.js';
+import { ZERO_POSITION } from '../position/position.js';
+import type { MemberGroup } from '../topology/member-group.js';
+import type { WatchedGroups } from './watched-groups.js';
+
+/** Dependencies of {@link OrderHandler}. */
+export interface OrderHandlerPorts {
+  readonly groups: WatchedGroups;
+  readonly registration: Registration;
+  /** When this process began to accept orders, in monotonic milliseconds. */
+  listeningSinceMs(): number;
+  log(event: string, details: Readonly<Record<string, unknown>>): void;
+  now(): number;
+}
+
+/** Applies orders, and answers what this daemon has acknowledged. */
+export class OrderHandler {
+  constructor(private readonly ports: OrderHandlerPorts) {}
+
+  /** Applies an order of the duty holder and answers what this daemon has acknowledged so far. */
+  apply(order: HolderOrder): OrderAnswer {
+    const watched = this.ports.groups.find(order.groupName);
+    if (watched === null)
+      return {
+        latest: ZERO_POSITION,
+        limit: this.mayHaveAcknowledgedEarlier(order.groupName) ? null : ZERO_POSITION,
+      };
+    const { group, watcher } = watched;
+    this.ports.log('order', { ...order });
+    this.#applyTo(group, order);
+    group.changed.notify();
+    watcher.wake();
+    return this.#answer(group);
+  }
+
+  /** True when this daemon may have acknowledged commits of a group before it last began to watch it. */
+  mayHaveAcknowledgedEarlier(groupName: string): boolean {
+    return this.ports.registration.hasPredecessor || this.ports.groups.wasDropped(groupName);
+  }
+
+  #applyTo(group: MemberGroup, order: HolderOrder): void {
+    const { now } = this.ports;
+    switch (order.kind) {
+      case 'revoke':
+        group.evidence.revoke(order.term, now());
+        break;
+      case 'seal':
+        group.evidence.seal(order.term, now());
+        if (order.call !== undefined) group.calls.record(order.call, now());
+        break;
+      case 'allow':
+        group.evidence.liftRevocation();
+        group.calls.clear();
+        break;
+      case 'leader':
+        group.recordLeader({ memberId: order.memberId, term: order.term }, order.held);
+        if (order.call === undefined) group.calls.clear();
+        else group.calls.record(order.call, now());
+        break;
+    }
+  }
+
+  #answer(group: MemberGroup): OrderAnswer {
+    const { now } = this.ports;
+    const { acknowledged, lastLed } = group;
+    const { newest } = group.positions;
+    const openCall = group.calls.open(now());
+    return {
+      ...acknowledged,
+      ...this.#countingTime(group.name),
+      ...(lastLed === null ? {} : { lastLed }),
+      ...(openCall === null ? {} : { openCall }),
+      ...(newest === null ? {} : { led: { position: newest.position, ageMs: now() - newest.askedAtMs } }),
+    };
+  }
+
+  /**
+   * For how long this process has recorded the commits that its daemon acknowledges. Given only if the
+   * previous process used the same address: it must have released the port on which this one accepts orders.
+   * Left out for a group that was dropped earlier, since commits still in flight there at that time are
+   * recorded nowhere.
+   */
+  #countingTime(groupName: string): Pick<OrderAnswer, 'countedMs'> {
+    const { groups, registration, listeningSinceMs, now } = this.ports;
+    const isKnown = registration.isAtFormerAddress && !groups.wasDropped(groupName);
+    return isKnown ? { countedMs: now() - listeningSinceMs() } : {};
+  }
+}
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -12,7 +12,7 @@
 import { deliverOrder, type OrderOutcomes, type Recipients } from '../cluster/order-delivery.js';
 import { LostRecords } from '../cluster/lost-records.js';
 import { Registration } from '../cluster/registration.js';
-import { PeerMesh, type HolderOrder, type OrderAnswer, type Suspicion } from '../cluster/peer-mesh.js';
+import { PeerMesh, type HolderOrder, type Suspicion } from '../cluster/peer-mesh.js';
 import type { CoordinationStore } from '../coordination/coordination-store.js';
 import type { DutyHolder } from '../coordination/duty-record.js';
 import {
@@ -30,7 +30,6 @@
 import { Assignments } from '../gateway/assignments.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { GatewayServer } from '../gateway/gateway-server.js';
-import { MemberConnections } from '../gateway/member-connections.js';
 import type { GroupSupervisorOptions, PromotionPort } from '../leadership/group-supervisor.js';
 import { EvidenceResponder } from '../leadership/evidence-exchange.js';
 import { DaemonExits } from '../leadership/daemon-exits.js';
@@ -40,7 +39,6 @@
 import { MemberControl } from '../leadership/member-control.js';
 import { GroupSupervisors } from '../leadership/group-supervisors.js';
 import type { RelayState } from '../observability/relay-metrics.js';
-import { ZERO_POSITION } from '../position/position.js';
 import { QuotaService } from '../quota/quota-service.js';
 import { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { KeyDigest } from '../tenancy/key-digest.js';
@@ -48,14 +46,17 @@
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
 import { compareIncarnations, type Incarnation } from '../topology/incarnation.js';
 import { MemberDirectory } from '../topology/member-directory.js';
-import { Member, MemberGroup, type MemberEntry } from '../topology/member-group.js';
+import { MemberGroup, type Member } from '../topology/member-group.js';
 import { FailureDetector } from './failure-detector.js';
-import { LinkPool } from './link-pool.js';
+import type { LinkPool } from './link-pool.js';
+import { MemberFactory } from './member-factory.js';
 import type { MemberDialer, StatusReader } from './member-link.js';
+import { OrderHandler } from './order-handler.js';
 import type { RelayContext, RelayObserver } from './relay-context.js';
 import type { ShutdownSchedule } from './shutdown-schedule.js';
 import { Readiness } from './readiness.js';
 import { Session } from './session.js';
+import { WatchedGroups, type WatchedGroup } from './watched-groups.js';
 
 /** Dependencies and settings of a relay daemon. */
 export interface RelayDaemonOptions {
@@ -102,10 +103,6 @@
  * threshold.
  */
 const IDLE_TICK_MS = 100;
-const DIAL_TIMEOUT_MS = 400;
-const LIMIT_BACKOFF_MS = 100;
-/** Idle time after which a connection above the minimum is closed, in milliseconds. */
-const IDLE_TIMEOUT_MS = 800;
 /** Interval at which the duty holder reopens lost connections to the other daemons, in milliseconds. */
 const RECONNECT_INTERVAL_MS = 500;
 /**
@@ -122,20 +119,18 @@
 /** Time limit for a leader to report its log position, in milliseconds. */
 const LOG_POSITION_TIMEOUT_MS = 200;
 
-interface WatchedGroup {
-  readonly group: MemberGroup;
-  readonly watcher: LeadershipWatcher;
-  readonly logPosition: LogPositionQuery;
-}
-
 /** A relay daemon without its client-facing sockets. */
 export class RelayDaemon {
   readonly catalog = new Catalog();
   /** Local copy of the coordination store. The creator of the daemon has to run it. */
   readonly watched: WatchedStore;
-  readonly #groups = new Map<string, WatchedGroup>();
-  /** Groups that were watched earlier: the record of commits acknowledged for them has been discarded. */
-  readonly #droppedGroups = new Set<string>();
+  readonly #groups = new WatchedGroups({
+    create: (name) => this.#createGroup(name),
+    opened: (watched) => this.#onGroupOpened(watched),
+    closed: (watched) => this.#onGroupClosed(watched),
+  });
+  readonly #orderHandler: OrderHandler;
+  readonly #memberFactory: MemberFactory;
   /** The members that the platform lists. */
   readonly directory: MemberDirectory;
   readonly #failureDetector: FailureDetector;
@@ -181,6 +176,13 @@
   constructor(private readonly options: RelayDaemonOptions) {
     const { self, store, dialer, readStatus, now, random } = options;
     this.#registration = new Registration(self);
+    this.#orderHandler = new OrderHandler({
+      groups: this.#groups,
+      registration: this.#registration,
+      listeningSinceMs: () => this.#listeningSinceMs,
+      log: options.log,
+      now,
+    });
     this.#lostRecords = new LostRecords({
       store,
       ownName: self.name,
@@ -202,7 +204,7 @@
       ownName: self.name,
       tickMs: TICK_MS,
       report: (suspicion) => this.#reportSuspicion(suspicion),
-      wakeWatcher: (groupName) => this.#groups.get(groupName)?.watcher.wake(),
+      wakeWatcher: (groupName) => this.#groups.wake(groupName),
       log: options.log,
       now,
     });
@@ -210,11 +212,11 @@
       leaveMs: options.leaveMs,
       heartbeatMs: options.heartbeatMs,
       lagMs: () => (this.#delegations.of('store') === null ? 0 : MAX_RELAY_LAG_MS),
-      group: (name) => this.#groups.get(name)?.group ?? null,
-      create: (entry) => this.#createMember(entry),
+      group: (name) => this.#groups.group(name),
+      create: (entry) => this.#memberFactory.create(entry),
       changed: (group) => {
         group.changed.notify();
-        this.#groups.get(group.name)?.watcher.wake();
+        this.#groups.wake(group.name);
       },
       leaderInDoubt: (group) => this.#supervision.suspect(group.name),
       incarnationEnded: (member) => this.#gatewayServer.endLoans(member.pool.ownPool),
@@ -230,7 +232,7 @@
       now,
     });
     this.#mesh = new PeerMesh(self, {
-      handleOrder: (order) => this.#applyOrder(order),
+      handleOrder: (order) => this.#orderHandler.apply(order),
       handleSuspicion: (suspicion) => this.#handleSuspicion(suspicion),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       daemonEnded: (name) => this.#daemonExits.daemonEnded(name),
@@ -240,13 +242,24 @@
       ownName: self.name,
       isDutyHolder: () => this.isDutyHolder,
       liveDaemons: () => this.#daemons.live,
-      logPositionQueries: () => [...this.#groups.values()].map(({ logPosition }) => logPosition),
+      logPositionQueries: () => this.#groups.all.map(({ logPosition }) => logPosition),
       probe: (record) => this.#runLoop(this.#mesh.probeForEnd(record)),
       daemonEndedUnderDuty: () => this.#supervision.daemonEnded(),
       log: options.log,
       now,
     });
     this.#gatewayClient = new GatewayClient(self.host, now, random);
+    this.#memberFactory = new MemberFactory({
+      ownName: self.name,
+      dialer,
+      assignments: this.#assignments,
+      gatewayClient: this.#gatewayClient,
+      catalog: this.catalog,
+      liveDaemons: () => this.#daemons.live,
+      memberFailed: (groupName, member, reason) => this.#onMemberFailure(groupName, member, reason),
+      now,
+      random,
+    });
     const feed = new DelegatedFeed({
       store,
       ownName: self.name,
@@ -321,7 +334,7 @@
       askDaemon: (record, timeoutMs) => this.#gatewayClient.requestEvidence(record, timeoutMs),
       evidenceGained: (group) => {
         group.changed.notify();
-        this.#groups.get(group.name)?.watcher.wake();
+        this.#groups.wake(group.name);
       },
       now,
       random,
@@ -329,7 +342,7 @@
     const listener = {
       registered: () => {
         this.#registration.markRegistered(now());
-        for (const { watcher } of this.#groups.values()) watcher.wake();
+        for (const { watcher } of this.#groups.all) watcher.wake();
       },
       taken: (fence: number) => this.#onDutyTaken(fence),
       lost: (reason: string) => this.#onDutyLost(reason),
@@ -351,7 +364,7 @@
       quotas: this.#quotas,
       zone: options.zone,
       observer: options.observer,
-      group: (name) => this.#groups.get(name)?.group ?? null,
+      group: (name) => this.#groups.group(name),
       shutdownSchedule: () => this.#shutdownSchedule,
       now,
       readStatus,
@@ -367,7 +380,7 @@
 
   /** All watched groups. */
   get groups(): readonly MemberGroup[] {
-    return [...this.#groups.values()].map(({ group }) => group);
+    return this.#groups.groups;
   }
 
   /** True while this daemon holds the promotion duty: it alone may promote members. */
@@ -454,7 +467,7 @@
     this.#mesh.close();
     this.#gatewayServer.close();
     this.#gatewayClient.close();
-    for (const watched of this.#groups.values()) this.#closeGroup(watched);
+    this.#groups.closeAll();
   }
 
   /** Opens a session on a database, authenticated by an API key if there is one. */
@@ -472,7 +485,7 @@
     if (!isTaken) return false;
     this.#catalogReceivedAtMs = this.options.now();
     this.#assignments.clear();
-    this.#syncGroups(document);
+    this.#groups.sync(new Set([...document.routes.values()].map(({ groupName }) => groupName)));
     return true;
   }
 
@@ -496,24 +509,12 @@
     this.#readiness.update(groupsWithLeader.length, this.groups.length, now);
   }
 
-  /** Watches exactly the groups that a route of the configuration refers to. */
-  #syncGroups(document: CatalogDocument): void {
-    const wanted = new Set([...document.routes.values()].map((route) => route.groupName));
-    for (const name of wanted) if (!this.#groups.has(name)) this.#addGroup(name);
-    for (const [name, watched] of this.#groups) {
-      if (wanted.has(name)) continue;
-      this.#groups.delete(name);
-      this.#droppedGroups.add(name);
-      this.#closeGroup(watched);
-    }
-  }
-
-  #addGroup(name: string): void {
+  #createGroup(name: string): WatchedGroup {
     const { options } = this;
     const group = new MemberGroup(
       name,
       () => this.#registration.countsFromMs,
-      () => this.#mayHaveAcknowledgedEarlier(name),
+      () => this.#orderHandler.mayHaveAcknowledgedEarlier(name),
     );
     const listener = {
       evidenceChanged: (_group: MemberGroup, memberId: string | null, reason: string) =>
@@ -537,50 +538,23 @@
     const logPosition = new LogPositionQuery({
       group,
       queryStatus: (member) => this.#control.ask(member, { kind: 'status' }, LOG_POSITION_TIMEOUT_MS),
-      isStopped: () => this.#isStopped || !this.#groups.has(name),
+      isStopped: () => this.#isStopped || this.#groups.group(name) !== group,
       log: options.log,
       now: options.now,
     });
-    const watched: WatchedGroup = { group, watcher, logPosition };
-    this.#groups.set(name, watched);
+    return { group, watcher, logPosition };
+  }
+
+  #onGroupOpened({ group, watcher }: WatchedGroup): void {
     this.directory.addListedMembers(group);
     this.#runLoop(watcher.run());
     if (this.isDutyHolder) this.#supervision.begin(group);
   }
 
-  #closeGroup(watched: WatchedGroup): void {
-    watched.watcher.stop();
-    this.#supervision.end(watched.group.name);
-    for (const member of watched.group.members.values()) member.pool.ownPool.close();
-  }
-
-  #createMember(entry: MemberEntry): Member {
-    const { options } = this;
-    const pool: LinkPool = new LinkPool({
-      dialer: options.dialer,
-      address: entry,
-      budget: () => this.#assignments.budget(member.entry),
-      dialTimeoutMs: DIAL_TIMEOUT_MS,
-      limitBackoffMs: LIMIT_BACKOFF_MS,
-      idleTimeoutMs: IDLE_TIMEOUT_MS,
-      random: options.random,
-      serviceMs: () => member.latencyMs,
-      onFailure: (reason) => this.#onMemberFailure(entry.groupName, member, reason),
-      now: options.now,
-    });
-    const connections = new MemberConnections({
-      groupName: entry.groupName,
-      memberId: entry.memberId,
-      bornMs: () => member.entry.bornMs,
-      pool,
-      gatewayClient: this.#gatewayClient,
-      assignment: () => this.#assignments.of(member.entry),
-      fallbackLenders: () => this.#daemons.live.filter(({ name }) => name !== options.self.name),
-      tenantShare: (tenantName) => this.catalog.tenants.rateShareOf(tenantName),
-      ownName: options.self.name,
-    });
-    const member: Member = new Member(entry, connections);
-    return member;
+  #onGroupClosed({ group, watcher }: WatchedGroup): void {
+    watcher.stop();
+    this.#supervision.end(group.name);
+    for (const member of group.members.values()) member.pool.ownPool.close();
   }
 
   /**
@@ -588,7 +562,7 @@
    * incarnation is not the current one.
    */
   #lendablePool(groupName: string, life: Incarnation): LinkPool | null {
-    const member = this.#groups.get(groupName)?.group.members.get(life.memberId);
+    const member = this.#groups.group(groupName)?.members.get(life.memberId);
     if (member === undefined || compareIncarnations(member.entry, life) !== 'same') return null;
     return this.#assignments.isAssigned(member.entry) ? member.pool.ownPool : null;
   }
@@ -611,7 +585,7 @@
   }
 
   #tick(): void {
-    for (const { group } of this.#groups.values()) {
+    for (const group of this.groups) {
       this.#failureDetector.check(group);
       this.directory.check(group);
       for (const member of group.members.values()) {
@@ -652,8 +626,8 @@
   }
 
   #onMemberFailure(groupName: string, member: Member, reason: string): void {
-    const group = this.#groups.get(groupName)?.group;
-    if (group === undefined) member.avoid(this.options.now());
+    const group = this.#groups.group(groupName);
+    if (group === null) member.avoid(this.options.now());
     else this.#failureDetector.suspect(group, member, reason);
   }
 
@@ -663,66 +637,6 @@
     else this.#mesh.reportSuspicion(suspicion);
   }
 
-  /** Applies an order of the duty holder and answers what this daemon has acknowledged so far. */
-  #applyOrder(order: HolderOrder): OrderAnswer {
-    const watched = this.#groups.get(order.groupName);
-    if (watched === undefined)
-      return {
-        latest: ZERO_POSITION,
-        limit: this.#mayHaveAcknowledgedEarlier(order.groupName) ? null : ZERO_POSITION,
-      };
-    const { group, watcher } = watched;
-    this.options.log('order', { ...order });
-    switch (order.kind) {
-      case 'revoke':
-        group.evidence.revoke(order.term, this.options.now());
-        break;
-      case 'seal':
-        group.evidence.seal(order.term, this.options.now());
-        if (order.call !== undefined) group.calls.record(order.call, this.options.now());
-        break;
-      case 'allow':
-        group.evidence.liftRevocation();
-        group.calls.clear();
-        break;
-      case 'leader':
-        group.recordLeader({ memberId: order.memberId, term: order.term }, order.held);
-        if (order.call === undefined) group.calls.clear();
-        else group.calls.record(order.call, this.options.now());
-        break;
-    }
-    group.changed.notify();
-    watcher.wake();
-    const { acknowledged, lastLed } = group;
-    const { newest } = group.positions;
-    const openCall = group.calls.open(this.options.now());
-    return {
-      ...acknowledged,
-      ...this.#countingTime(group.name),
-      ...(lastLed === null ? {} : { lastLed }),
-      ...(openCall === null ? {} : { openCall }),
-      ...(newest === null
-        ? {}
-        : { led: { position: newest.position, ageMs: this.options.now() - newest.askedAtMs } }),
-    };
-  }
-
-  /**
-   * For how long this process has recorded the commits that its daemon acknowledges. Given only if the
-   * previous process used the same address: it must have released the port on which this one accepts orders.
-   * Left out for a group that was dropped earlier, since commits still in flight there at that time are
-   * recorded nowhere.
-   */
-  #countingTime(groupName: string): Pick<OrderAnswer, 'countedMs'> {
-    const isKnown = this.#registration.isAtFormerAddress && !this.#droppedGroups.has(groupName);
-    return isKnown ? { countedMs: this.options.now() - this.#listeningSinceMs } : {};
-  }
-
-  /** True when this daemon may have acknowledged commits of a group before it last began to watch it. */
-  #mayHaveAcknowledgedEarlier(groupName: string): boolean {
-    return this.#registration.hasPredecessor || this.#droppedGroups.has(groupName);
-  }
-
   /** Handles the suspicion of any daemon, this one included, against a leader. */
   #handleSuspicion(suspicion: Suspicion): void {
     this.#supervision.suspect(suspicion.groupName, suspicion);
@@ -778,7 +692,7 @@
   #onDutyTaken(fence: number): void {
     this.options.log('duty_taken', { fence });
     this.#mesh.connectAll(this.#daemons.live);
-    for (const { group } of this.#groups.values()) {
+    for (const group of this.groups) {
       group.evidence.clearConfirmation();
       this.#supervision.begin(group);
     }
@@ -789,7 +703,7 @@
     this.#dutyHandoverUntilMs = this.options.now() + DUTY_HANDOVER_MS;
     this.#mesh.disconnectAll();
     this.#supervision.endAll();
-    for (const { group } of this.#groups.values()) group.evidence.clearConfirmation();
+    for (const group of this.groups) group.evidence.clearConfirmation();
   }
 
   /** Number of daemons that connect directly to a member and can therefore detect that it is unreachable. */
@@ -828,7 +742,7 @@
       connectedDaemonCount: (memberId) => this.#callerCount(group, memberId),
       usesGateways: (memberId) => group.members.get(memberId)?.pool.hasGateways ?? false,
       leaderPromoted: () => {
-        const watcher = this.#groups.get(group.name)?.watcher;
+        const watcher = this.#groups.find(group.name)?.watcher;
         watcher?.confirm();
         watcher?.wake();
       },
