--- a/src/coordination/change-feed.ts
+++ b/src/coordination/change-feed.ts
@@ -51,7 +51,7 @@
   readonly zone: string;
   /** The daemons that watch the store for the others; `null` if all daemons watch it. */
   delegates(): readonly DaemonRecord[] | null;
-  /** True if this daemon has to watch the store itself, whoever the delegates are. */
+  /** True if this daemon has to watch the store itself, regardless of who the delegates are. */
   mustWatchStore(): boolean;
   /** An item of this daemon's local copy, or `null`. */
   localItem(key: string): StoredItem | null;
