--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -28,6 +28,7 @@
 const disconnectedHosts: string[] = [];
 const LISTENER = {
   daemonEnded: (name: string) => void endedDaemons.push(name),
+  probed: () => undefined,
   holderDisconnected: (host: string) => void disconnectedHosts.push(host),
   handleOrder: () => ({ latest: { term: 0, index: 0 }, limit: null }),
   handleSuspicion: () => undefined,
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -127,6 +127,8 @@
   ownEvidence(knownVersion: number): EvidenceReply;
   /** The process of a daemon that receives orders from this one was just observed to have exited. */
   daemonEnded(name: string): void;
+  /** A daemon whose connection had ended was dialled. */
+  probed(name: string, state: 'open' | 'refused' | 'silent'): void;
   /** The connection from a duty holder has ended. */
   holderDisconnected(host: string): void;
 }
@@ -192,7 +194,9 @@
    */
   async probeForEnd(): Promise<void> {
     for (let probe = 0; probe < MAX_PROBES && !this.#isClosedByUs; probe += 1) {
-      if ((await this.open()) !== 'refused') return;
+      const state = await this.open();
+      this.listener.probed(this.record.name, state);
+      if (state !== 'refused') return;
       if (probe === 0) this.listener.daemonEnded(this.record.name);
       await delay(PROBE_INTERVAL_MS);
     }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -236,7 +236,11 @@
       handleSuspicion: (suspicion) => this.#handleSuspicion(suspicion),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       daemonEnded: (name) => this.#daemonExits.daemonEnded(name),
-      holderDisconnected: (host) => this.#daemonExits.holderDisconnected(host),
+      probed: (name, state) => options.log('daemon_probed', { name, outcome: state }),
+      holderDisconnected: (host) => {
+        options.log('holder_disconnected', { host });
+        this.#daemonExits.holderDisconnected(host);
+      },
     });
     this.#daemonExits = new DaemonExits({
       ownName: self.name,
