The exit of a daemon is seen though the daemon that looks for it is held up

What callers would see: no leader for 30 s, since nobody bounds what a killed daemon had acknowledged.

Cause of one way to it: a dial is given up after 250 ms. Where the event loop is held up for longer, the time-out fires before the refusal is read; the answer was `silent`, and probing stopped at the first answer that was not a refusal.

Change: only a process that listens ends the search; a probe without an answer is repeated, up to the twelve probes as before.

--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -163,6 +163,23 @@
   assert.deepEqual(disconnectedHosts, [HOST]);
 });
 
+/**
+ * Guards against an exit that nobody sees on a busy machine. Where the prober's event loop is held up for longer than the
+ * dial may take, the time-out fires before the refusal is read, and probing stopped at that.
+ */
+test('an exit is seen though the prober is held up while it dials', async () => {
+  const ports = [await freePort(), await freePort()];
+  const [prober, ended] = ports.map((port, index) => record(`d${index}`, port));
+  assert.ok(prober && ended);
+  endedDaemons.length = 0;
+  const HELD_UP_MS = 300;
+  void meshOf(prober).probeForEnd(ended);
+  const heldUpUntilMs = performance.now() + HELD_UP_MS;
+  while (performance.now() < heldUpUntilMs);
+  await waitUntil('the exit to be seen', () => endedDaemons.length > 0);
+  assert.deepEqual(endedDaemons, [ended.name]);
+});
+
 /** Otherwise two daemons would probe each other endlessly. */
 test('a daemon that only looked whether another stands is no holder that has left', async () => {
   const ports = [await freePort(), await freePort()];
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -190,14 +190,16 @@
 
   /**
    * Probes immediately after the connection broke whether the process has exited; repeats until a process
-   * listens there again.
+   * listens there again. A probe without an answer proves nothing: this process may have been held up.
    */
   async probeForEnd(): Promise<void> {
+    let hasEnded = false;
     for (let probe = 0; probe < MAX_PROBES && !this.#isClosedByUs; probe += 1) {
       const state = await this.open();
       this.listener.probed(this.record.name, state);
-      if (state !== 'refused') return;
-      if (probe === 0) this.listener.daemonEnded(this.record.name);
+      if (state === 'open') return;
+      if (state === 'refused' && !hasEnded) this.listener.daemonEnded(this.record.name);
+      hasEnded ||= state === 'refused';
       await delay(PROBE_INTERVAL_MS);
     }
   }
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1035,4 +1035,12 @@
     testFile: HOLDER_IS_ONLY_GATEWAY,
     testName: 'with an empty log',
   },
+  {
+    property: 'ended daemons: a probe without an answer is repeated',
+    file: 'src/cluster/peer-mesh.js',
+    search: "if (state === 'open')",
+    replacement: "if (state !== 'refused')",
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'held up while it dials',
+  },
 ];
