The exit of a daemon is seen though its process still accepts a connection while it ends

A killed process closes its connections before its listening socket; a dial in between is accepted, and the search ended at that.

One search runs at a time on a connection.

--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -180,6 +180,25 @@
   assert.deepEqual(endedDaemons, [ended.name]);
 });
 
+/**
+ * Guards against an exit that the first probe misses. On a busy machine the listening socket of a killed process closes after
+ * its connections, so that a dial at once is accepted; probing stopped at that.
+ */
+test('an exit is seen though the process still accepts a connection while it ends', async () => {
+  const ports = [await freePort(), await freePort()];
+  const [prober, ended] = ports.map((port, index) => record(`d${index}`, port));
+  assert.ok(prober && ended);
+  const sockets = new Set<Socket>();
+  const server = await startServer(ended.port, sockets);
+  endedDaemons.length = 0;
+  void meshOf(prober).probeForEnd(ended);
+  await waitUntil('the dial to be accepted', () => sockets.size > 0);
+  server.close();
+  for (const socket of sockets) socket.destroy();
+  await waitUntil('the exit to be seen', () => endedDaemons.length > 0);
+  assert.deepEqual(endedDaemons, [ended.name]);
+});
+
 /** Otherwise two daemons would probe each other endlessly. */
 test('a daemon that only looked whether another stands is no holder that has left', async () => {
   const ports = [await freePort(), await freePort()];
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -148,6 +148,7 @@
   #channel: MessageChannel<MeshMessage> | null = null;
   #dialing: Promise<'open' | 'refused' | 'silent'> | null = null;
   #isClosedByUs = false;
+  #isProbing = false;
   readonly #pendingOrders = new Map<number, (outcome: OrderOutcome) => void>();
 
   constructor(
@@ -178,7 +179,7 @@
   }
 
   open(): Promise<'open' | 'refused' | 'silent'> {
-    if (this.#channel !== null && !this.#channel.isClosed) return Promise.resolve('open');
+    if (this.#isOpen) return Promise.resolve('open');
     this.#dialing ??= this.#dial().finally(() => (this.#dialing = null));
     return this.#dialing;
   }
@@ -190,18 +191,26 @@
 
   /**
    * Probes immediately after the connection broke whether the process has exited; repeats until a process
-   * listens there again. A probe without an answer proves nothing: this process may have been held up.
+   * listens there again. A probe without an answer proves nothing: this process may have been held up. Nor does
+   * a connection that breaks at once: the listening socket of a killed process may close after the others.
    */
   async probeForEnd(): Promise<void> {
+    if (this.#isProbing) return;
+    this.#isProbing = true;
     let hasEnded = false;
     for (let probe = 0; probe < MAX_PROBES && !this.#isClosedByUs; probe += 1) {
       const state = await this.open();
       this.listener.probed(this.record.name, state);
-      if (state === 'open') return;
       if (state === 'refused' && !hasEnded) this.listener.daemonEnded(this.record.name);
       hasEnded ||= state === 'refused';
       await delay(PROBE_INTERVAL_MS);
+      if (state === 'open' && this.#isOpen) break;
     }
+    this.#isProbing = false;
+  }
+
+  get #isOpen(): boolean {
+    return this.#channel !== null && !this.#channel.isClosed;
   }
 
   #dial(): Promise<'open' | 'refused' | 'silent'> {
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1038,9 +1038,17 @@
   {
     property: 'ended daemons: a probe without an answer is repeated',
     file: 'src/cluster/peer-mesh.js',
-    search: "if (state === 'open')",
-    replacement: "if (state !== 'refused')",
+    search: "if (state === 'open' && this.#isOpen)",
+    replacement: "if (state === 'silent' || (state === 'open' && this.#isOpen))",
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'held up while it dials',
   },
+  {
+    property: 'ended daemons: a connection that breaks at once is no sign of a process',
+    file: 'src/cluster/peer-mesh.js',
+    search: "if (state === 'open' && this.#isOpen)",
+    replacement: "if (state === 'open')",
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'still accepts a connection',
+  },
 ];
