Log lines of a read tell by what evidence the leader was read, and what it answered

read_at and begin_at say the position that the member is asked to hold; read_at also the evidence of the leader, its source (a member, another daemon, the duty) and the time since a promotion last revoked it; evidence_gained says the same. A new line, read_answered, is written for a read at the leader whose answer may come from another process under its id: it named no log entry, or the leader was not proven any more when the answer came.

No decision has changed.

--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -162,7 +162,7 @@
     const { leader } = group.evidence;
     if (leader?.memberId !== memberId) return;
     if (held !== null && leader.term === term) group.recordReplicaPosition(held);
-    const isEvidence = group.evidence.recordWitness(term, 0, askedAtMs - ageMs);
+    const isEvidence = group.evidence.recordWitness(term, 0, askedAtMs - ageMs, { kind: 'daemon' });
     if (isEvidence && !hadEvidence) this.options.evidenceGained(group);
   }
 }
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -68,12 +68,34 @@
  */
 export type CommitStatus = 'proven' | 'unproven' | 'replaced';
 
+/**
+ * What evidence rests on: the answer of a member, the evidence of another daemon, or the promotion duty that
+ * this daemon holds.
+ */
+export type EvidenceSource =
+  | { readonly kind: 'member'; readonly memberId: string }
+  | { readonly kind: 'daemon' }
+  | { readonly kind: 'duty' };
+
+/** A short form of the source of evidence, for the log. */
+export function formatEvidenceSource(source: EvidenceSource): string {
+  switch (source.kind) {
+    case 'member':
+      return source.memberId;
+    case 'daemon':
+    case 'duty':
+      return source.kind;
+  }
+}
+
 /** What one daemon knows about the leadership of one group. */
 export class LeadershipEvidence {
   #leader: Leader | null = null;
   #validUntilMs = Number.NEGATIVE_INFINITY;
   #revokedUpToTerm = -1;
   #revokedUntilMs = Number.NEGATIVE_INFINITY;
+  #revokedAtMs = Number.NEGATIVE_INFINITY;
+  #source: EvidenceSource | null = null;
   /**
    * The term of the last revocation, and until when its commits are acknowledged: for as long as the revoked
    * evidence was valid.
@@ -104,6 +126,16 @@
     return this.#validUntilMs;
   }
 
+  /** What the latest evidence rests on; `null` before the first. */
+  get source(): EvidenceSource | null {
+    return this.#source;
+  }
+
+  /** When evidence was last revoked, in monotonic milliseconds; negative infinity if it never was. */
+  get revokedAtMs(): number {
+    return this.#revokedAtMs;
+  }
+
   /** True when the leader was confirmed since this daemon holds the duty. */
   get isConfirmed(): boolean {
     return this.#isConfirmed;
@@ -125,7 +157,7 @@
    */
   renewUnderDuty(untilMs: number, nowMs: number): void {
     if (!this.#isConfirmed) return;
-    this.#validUntilMs = Math.max(this.#validUntilMs, Math.min(untilMs, nowMs + EVIDENCE_VALIDITY_MS));
+    this.#extend(Math.min(untilMs, nowMs + EVIDENCE_VALIDITY_MS), { kind: 'duty' });
   }
 
   /** The leader, if there is valid evidence at `nowMs`. */
@@ -153,9 +185,15 @@
    * Records that a witness, queried at `askedAtMs`, follows `term` and is paused for `pausedForTerm` (0: not
    * paused).
    *
+   * @param source - the witness, or how its answer came to this daemon
    * @returns true when that is evidence for the leader
    */
-  recordWitness(term: number, pausedForTerm: number, askedAtMs: number): boolean {
+  recordWitness(
+    term: number,
+    pausedForTerm: number,
+    askedAtMs: number,
+    source: EvidenceSource | null = null,
+  ): boolean {
     const leader = this.#leader;
     if (term > this.#minimumTerm) this.#minimumTerm = term;
     if (leader === null || leader.term !== term) {
@@ -164,10 +202,16 @@
     }
     if (pausedForTerm > term || askedAtMs < this.countsFromMs()) return false;
     if (term <= this.#revokedUpToTerm && askedAtMs < this.#revokedUntilMs) return false;
-    this.#validUntilMs = Math.max(this.#validUntilMs, askedAtMs + EVIDENCE_VALIDITY_MS);
+    this.#extend(askedAtMs + EVIDENCE_VALIDITY_MS, source);
     return true;
   }
 
+  #extend(untilMs: number, source: EvidenceSource | null): void {
+    if (untilMs <= this.#validUntilMs) return;
+    this.#validUntilMs = untilMs;
+    this.#source = source;
+  }
+
   /** Records that a member follows this term: no earlier term has a leader any more. */
   observeTerm(term: number): void {
     if (term <= this.#minimumTerm) return;
@@ -191,6 +235,7 @@
     this.#validUntilMs = Number.NEGATIVE_INFINITY;
     this.#revokedUpToTerm = Math.max(this.#revokedUpToTerm, term);
     this.#revokedUntilMs = nowMs + REVOCATION_MS;
+    this.#revokedAtMs = nowMs;
   }
 
   /**
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -191,7 +191,8 @@
       evidence.observeTerm(status.term);
       return false;
     }
-    const isEvidence = evidence.recordWitness(status.term, status.pausedForTerm, askedAtMs);
+    const source = { kind: 'member', memberId: member.entry.memberId } as const;
+    const isEvidence = evidence.recordWitness(status.term, status.pausedForTerm, askedAtMs, source);
     if (!isEvidence) return false;
     // The leader holds whatever a replica has received in the term.
     if (evidence.leader !== null) {
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -48,6 +48,24 @@
     assert.ok(evidence.observeLeader({ memberId: 'b', term: 4 }));
   });
 
+  test('names the source that it rests on, and when it was revoked', () => {
+    const group = ledGroup();
+    const { evidence } = group;
+    evidence.recordWitness(1, 0, 1000, { kind: 'member', memberId: 'b' });
+    evidence.recordWitness(1, 0, 900, { kind: 'daemon' });
+    const latest = group.describeLeadership(1100);
+    assert.equal(latest.evidenceFrom, 'b');
+    assert.equal(latest.sinceRevokedMs, null);
+    evidence.seal(1, 1200);
+    evidence.recordWitness(1, 0, 1200 + REVOCATION_MS, { kind: 'daemon' });
+    const regained = group.describeLeadership(1300 + REVOCATION_MS);
+    assert.equal(regained.evidenceFrom, 'daemon');
+    assert.equal(regained.sinceRevokedMs, 100 + REVOCATION_MS);
+    evidence.confirm();
+    evidence.renewUnderDuty(9000, 4000);
+    assert.equal(group.describeLeadership(4000).evidenceFrom, 'duty');
+  });
+
   test('is not valid before a promotion can know this daemon', () => {
     let countsFromMs = Number.POSITIVE_INFINITY;
     const evidence = new LeadershipEvidence(() => countsFromMs);
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -5,14 +5,19 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
-import { formatPosition } from '../position/position.js';
+import { formatPosition, type Position } from '../position/position.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import { laterFloor, type ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
-import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { LeadershipSummary, Member, MemberGroup } from '../topology/member-group.js';
 import { alternativeCandidates, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
-import { verifyLeaderIncarnation, recordLeaderPosition, isNonEmptyLog } from './leader-identity.js';
+import {
+  isNonEmptyLog,
+  isStillLeader,
+  recordLeaderPosition,
+  verifyLeaderIncarnation,
+} from './leader-identity.js';
 import { LinkAcquisition, type GrantedLink, type LinkSource } from './link-acquisition.js';
 import {
   DialError,
@@ -357,20 +362,22 @@
     const leader = asLeader ? job.group.evidence.leader : null;
     const floor = asLeader ? null : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
     if (!asLeader && floor === null) return { kind: 'not_run', reason: 'no position of the leader', members };
+    const after = asLeader ? job.group.leaderPosition : (floor?.position ?? null);
     context.observer.routine({
       requestId: job.requestId,
       decision: 'read_at',
       member: member.entry.memberId,
       leader: asLeader,
       floor: floor === null ? null : formatPosition(floor.position),
+      after: after === null ? null : formatPosition(after),
       second: this.#pending.size > 1,
+      ...describeEvidence(context, job.group),
     });
     const deadlineTimer = setTimeout(
       () => link.close(),
       job.deadlineMs - context.now() + LATE_REPLY_TIMEOUT_MS,
     );
     let isSent = false;
-    const after = asLeader ? job.group.leaderPosition : (floor?.position ?? null);
     try {
       const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
         if (this.#isSettled) return ANSWERED_ELSEWHERE;
@@ -382,6 +389,7 @@
       });
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
       const { result, position } = reply.reply;
+      if (leader !== null) this.#logAnswerInDoubt(member, leader, after, reply.reply);
       if (leader !== null && result.isComplete && !isNonEmptyLog(after)) {
         const isVerified = await verifyLeaderIncarnation(context, job.group, leader, link, position);
         if (!isVerified) return { kind: 'lost', reason: 'perhaps another life of the leader', members };
@@ -398,6 +406,26 @@
     }
   }
 
+  /**
+   * Logs an answer of the leader that may come from another process under its id: one to a read that named no
+   * log entry, or one that came when the leader was not proven any more.
+   */
+  #logAnswerInDoubt(member: Member, leader: Leader, after: Position | null, reply: MemberReply): void {
+    const { context, job } = this;
+    const isProven = isStillLeader(context, job.group, leader);
+    if (isProven && isNonEmptyLog(after)) return;
+    context.observer.notable({
+      requestId: job.requestId,
+      decision: 'read_answered',
+      member: member.entry.memberId,
+      after: after === null ? null : formatPosition(after),
+      position: reply.position === null ? null : formatPosition(reply.position),
+      outcome: reply.result.isComplete ? 'complete' : reply.result.code,
+      proven: isProven,
+      ...describeEvidence(context, job.group),
+    });
+  }
+
   #classifyReply(
     member: Member,
     leader: Leader | null,
@@ -434,6 +462,15 @@
   }
 }
 
+/** The evidence for the leader of a group, for a log line about a read. */
+function describeEvidence(
+  context: RelayContext,
+  group: MemberGroup,
+): Pick<LeadershipSummary, 'term' | 'evidenceLeftMs' | 'evidenceFrom' | 'sinceRevokedMs'> {
+  const { term, evidenceLeftMs, evidenceFrom, sinceRevokedMs } = group.describeLeadership(context.now());
+  return { term, evidenceLeftMs, evidenceFrom, sinceRevokedMs };
+}
+
 /** The pools in which a request can queue: those of members to which this daemon connects directly. */
 function directQueuesOf(
   members: readonly Member[],
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -524,8 +524,7 @@
       evidenceChanged: (_group: MemberGroup, memberId: string | null, reason: string) =>
         options.log(memberId === null ? 'evidence_lapsed' : 'evidence_gained', {
           group: name,
-          leader: memberId ?? group.evidence.leader?.memberId,
-          term: group.evidence.leader?.term,
+          ...group.describeLeadership(options.now()),
           reason,
         }),
     };
--- a/src/relay/restarted-leader.test.ts
+++ b/src/relay/restarted-leader.test.ts
@@ -21,7 +21,7 @@
 import type { MemberGroup } from '../topology/member-group.js';
 import type { MemberLink, MemberReply, MemberRequest, MemberStatus } from './member-link.js';
 import { ReadRunner } from './read-runner.js';
-import type { RelayContext } from './relay-context.js';
+import type { Decision, RelayContext } from './relay-context.js';
 import { Transaction } from './transaction.js';
 
 const TERM = 1;
@@ -162,6 +162,18 @@
       assert.equal(process.statements, 0);
     });
 
+    /** Without the line, the log does not tell such a read from one at the leader. */
+    test('is logged with the position that it answered', async () => {
+      const target = scene(new FakeProcess(ZERO_POSITION, false), held);
+      const decisions: Decision[] = [];
+      const observer = { ...NOOP_OBSERVER, notable: (decision: Decision) => void decisions.push(decision) };
+      await read({ ...target, context: { ...target.context, observer } }).catch(() => undefined);
+      const answered = decisions.find(({ decision }) => decision === 'read_answered');
+      assert.equal(answered?.['after'], held === null ? null : '0.0');
+      assert.equal(answered?.['position'], '0.0');
+      assert.equal(answered?.['proven'], true);
+    });
+
     /** Guards against 0.0 as the floor of reads at replicas. */
     test('gives no floor', async () => {
       const target = scene(new FakeProcess(ZERO_POSITION, false), held);
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -270,14 +270,15 @@
     if (isLeader && group.leader(context.now()) !== member) return 'no evidence of the leader';
     const floor = isLeader ? null : readFloor(group, route, options.sessionFloor, options.receivedAtMs);
     if (!isLeader && floor === null) return 'no position of the leader';
+    const after = isLeader ? group.leaderPosition : (floor?.position ?? null);
     context.observer.routine({
       requestId: step.requestId,
       decision: 'begin_at',
       member: member.entry.memberId,
       leader: isLeader,
       floor: floor === null ? null : formatPosition(floor.position),
+      after: after === null ? null : formatPosition(after),
     });
-    const after = isLeader ? group.leaderPosition : (floor?.position ?? null);
     const { leader } = group.evidence;
     const reply = await link.send({ kind: 'begin', isReadOnly, after });
     recordReplicaProgress(member, floor, reply, context.now());
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -8,7 +8,12 @@
 import { CommitTracker } from '../leadership/commit-tracker.js';
 import type { LastLeader } from '../leadership/last-leader.js';
 import { OpenCallRecord } from '../leadership/open-calls.js';
-import { LeadershipEvidence, type CommitStatus, type Leader } from '../leadership/leadership-evidence.js';
+import {
+  formatEvidenceSource,
+  LeadershipEvidence,
+  type CommitStatus,
+  type Leader,
+} from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
 import { formatIncarnation, type Incarnation } from './incarnation.js';
 import { ReplicaLag } from './replica-lag.js';
@@ -162,6 +167,18 @@
  */
 const FLOOR_VALIDITY_MS = 500;
 
+/** What is known of a leader, for the log; times in milliseconds. */
+export interface LeadershipSummary {
+  readonly leader: string | null;
+  readonly term: number;
+  /** Remaining validity of the evidence. */
+  readonly evidenceLeftMs: number;
+  /** The witness, `daemon` or `duty`; see {@link EvidenceSource}. */
+  readonly evidenceFrom: string | null;
+  /** Time since a promotion last revoked the evidence of this daemon; `null` if none has. */
+  readonly sinceRevokedMs: number | null;
+}
+
 /** State of one group. */
 export class MemberGroup {
   readonly members = new Map<string, Member>();
@@ -353,15 +370,16 @@
     return nowMs - this.leaderlessSinceMs;
   }
 
-  /** The believed leader, its term and the remaining validity of the evidence at `nowMs`, for the log. */
-  describeLeadership(nowMs: number): {
-    readonly leader: string | null;
-    readonly term: number;
-    readonly evidenceLeftMs: number;
-  } {
-    const { leader, minimumTerm, validUntilMs } = this.evidence;
-    const evidenceLeftMs = Number.isFinite(validUntilMs) ? Math.round(validUntilMs - nowMs) : 0;
-    return { leader: leader?.memberId ?? null, term: leader?.term ?? minimumTerm, evidenceLeftMs };
+  /** The believed leader, its term and the evidence for it at `nowMs`, for the log. */
+  describeLeadership(nowMs: number): LeadershipSummary {
+    const { leader, minimumTerm, validUntilMs, source, revokedAtMs } = this.evidence;
+    return {
+      leader: leader?.memberId ?? null,
+      term: leader?.term ?? minimumTerm,
+      evidenceLeftMs: Number.isFinite(validUntilMs) ? Math.round(validUntilMs - nowMs) : 0,
+      evidenceFrom: source === null ? null : formatEvidenceSource(source),
+      sinceRevokedMs: Number.isFinite(revokedAtMs) ? Math.round(nowMs - revokedAtMs) : null,
+    };
   }
 
   /** The leader by evidence that is valid at `nowMs`, or `null`. */
