A session remembers its commits at each group, not only at the latest

What callers saw: on a read_your_writes route that moves to another group and back while a session is open, a replica of the first group that was behind answered the session without the session's own commit, if the session had committed at the other group meanwhile.

Cause: a session kept one read floor, that of its latest commit, with the group it belongs to. A commit at another group replaced it.

Each group at which a session has committed now has a floor of its own (session-commits.ts). At most 8 are kept. A group that is dropped beyond that is read at its leader, or under a floor for which the leader was queried after the session's last commit there: one point in time covers all dropped groups, and a query of the proven leader after an acknowledgement covers the commit, as for the staleness bound. So no floor is dropped by its age, whatever staleness bound the route has or gets, and whatever the history of positions keeps.

The new test against the code before: 5 of its 11 cases red, each `expected '6', actual '5'`:

The other 6 were green before: nothing or a read at the other group, a route that is removed and added again, a route whose consistency changes, a group that is added again with the same log, and a replica that has caught up serves reads. After: 11 of 11; src/relay 100 passed. Three mutations, each seen red.

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -7,7 +7,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import { formatPosition, type Position } from '../position/position.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
-import { laterFloor, type ReadFloor } from '../leadership/position-history.js';
+import type { ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { LeadershipSummary, Member, MemberGroup } from '../topology/member-group.js';
 import { alternativeCandidates, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
@@ -29,6 +29,7 @@
 import { shouldRefuseEarly } from './early-refusal.js';
 import { Refusal } from './refusal.js';
 import { LATE_REPLY_TIMEOUT_MS, RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
+import { floorWithOwnCommits, type SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 
@@ -41,8 +42,8 @@
   /** Tenant name that is passed to members. */
   readonly tenantName: string;
   readonly values: SessionValues;
-  /** Read floor set by the session's own commits, or `null`. */
-  readonly sessionFloor: ReadFloor | null;
+  /** What the session's own commits require, or `null`. */
+  readonly sessionFloor: SessionFloor | null;
   /** Latest time at which the first byte of the request may have been sent, in monotonic milliseconds. */
   readonly receivedAtMs: number;
   readonly deadlineMs: number;
@@ -99,14 +100,12 @@
 export function readFloor(
   group: MemberGroup,
   route: Route,
-  sessionFloor: ReadFloor | null,
+  sessionFloor: SessionFloor | null,
   receivedAtMs: number,
 ): ReadFloor | null {
   if (route.consistency === 'primary') return null;
   const since = receivedAtMs - route.maxStalenessMs + STALENESS_MARGIN_MS;
-  const floor = group.positions.floorSince(since);
-  if (floor === null) return null;
-  return sessionFloor === null ? floor : laterFloor(floor, sessionFloor);
+  return floorWithOwnCommits(group.positions, since, sessionFloor);
 }
 
 /**
--- /dev/null
+++ b/src/relay/session-commits.ts
@@ -0,0 +1,92 @@
+/**
+ * What a session's own commits require of its reads, for each group at which it has committed: a route may move
+ * a database to another group and back while the session is open. Pure: times are passed in.
+ *
+ * @packageDocumentation
+ */
+import { laterFloor, type PositionHistory, type ReadFloor } from '../leadership/position-history.js';
+import { laterPosition, type Position } from '../position/position.js';
+
+/** What a session's own commits at one group require of a read. */
+export type SessionFloor =
+  /** The log of the member has to hold the position of the latest of these commits. */
+  | { readonly kind: 'position'; readonly floor: ReadFloor }
+  /**
+   * The positions of these commits are not known. The floor of the read has to be a position for which the
+   * leader was queried after they were acknowledged; that covers them.
+   */
+  | { readonly kind: 'since'; readonly acknowledgedAtMs: number };
+
+/** The commits of a session at one group. */
+interface GroupCommits {
+  readonly groupName: string;
+  /** Position of the latest commit, or a later one. */
+  readonly position: Position;
+  /** When the latest commit was acknowledged, in monotonic milliseconds. */
+  readonly acknowledgedAtMs: number;
+}
+
+/** Maximum number of groups whose commits a session remembers one by one. */
+export const MAX_GROUPS = 8;
+
+/** The commits of one session, by group. */
+export class SessionCommits {
+  /** Ordered by the time of the latest commit, the oldest first. */
+  #groups: readonly GroupCommits[] = [];
+  /** Latest commit at a group that is no longer in the list, in monotonic milliseconds. */
+  #forgottenUpToMs: number | null = null;
+
+  /** Records a commit that is being acknowledged to the client. */
+  record(groupName: string, position: Position, nowMs: number): void {
+    const previous = this.#find(groupName);
+    const commits: GroupCommits = {
+      groupName,
+      position: previous === undefined ? position : laterPosition(previous.position, position),
+      acknowledgedAtMs: nowMs,
+    };
+    this.#groups = [...this.#groups.filter((other) => other !== previous), commits];
+    if (this.#groups.length > MAX_GROUPS) this.#forgetOldest();
+  }
+
+  /** What the session's commits require of a read at a group; `null` if nothing. */
+  floorFor(groupName: string): SessionFloor | null {
+    const commits = this.#find(groupName);
+    if (commits !== undefined) {
+      const { position, acknowledgedAtMs } = commits;
+      return { kind: 'position', floor: { position, reachedAtMs: acknowledgedAtMs } };
+    }
+    const acknowledgedAtMs = this.#forgottenUpToMs;
+    return acknowledgedAtMs === null ? null : { kind: 'since', acknowledgedAtMs };
+  }
+
+  #find(name: string): GroupCommits | undefined {
+    return this.#groups.find(({ groupName }) => groupName === name);
+  }
+
+  #forgetOldest(): void {
+    const [oldest, ...rest] = this.#groups;
+    this.#groups = rest;
+    if (oldest !== undefined) this.#forgottenUpToMs = oldest.acknowledgedAtMs;
+  }
+}
+
+/**
+ * The floor of a read that may lack only commits acknowledged after `sinceMs`, and none of the session's own;
+ * `null` when the leader has not been queried late enough.
+ */
+export function floorWithOwnCommits(
+  positions: PositionHistory,
+  sinceMs: number,
+  sessionFloor: SessionFloor | null,
+): ReadFloor | null {
+  switch (sessionFloor?.kind) {
+    case undefined:
+      return positions.floorSince(sinceMs);
+    case 'since':
+      return positions.floorSince(Math.max(sinceMs, sessionFloor.acknowledgedAtMs));
+    case 'position': {
+      const floor = positions.floorSince(sinceMs);
+      return floor === null ? null : laterFloor(floor, sessionFloor.floor);
+    }
+  }
+}
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -5,7 +5,6 @@
  * @packageDocumentation
  */
 import type { Position } from '../position/position.js';
-import { laterFloor, type ReadFloor } from '../leadership/position-history.js';
 import { authorize, type Caller } from '../tenancy/authorize.js';
 import type { KeyDigest } from '../tenancy/key-digest.js';
 import type { Route } from '../topology/catalog.js';
@@ -15,6 +14,7 @@
 import { OTHER_DAEMON_RETRY_AFTER_MS, refusalOfInterrupted } from './interrupted-request.js';
 import { Refusal, type RefusalCode } from './refusal.js';
 import { RETRY_AFTER_MS, UNPROVEN_RETRY_AFTER_MS, type RelayContext } from './relay-context.js';
+import { SessionCommits } from './session-commits.js';
 import type { SessionStatement } from './send-statement.js';
 import type { ClientRequest, PreparedStatement, Statement, TransactionState } from './statement.js';
 import { Transaction, type TransactionStep } from './transaction.js';
@@ -37,12 +37,6 @@
 
 const EMPTY_SUCCESS: SessionResult = { isComplete: true, rows: [], signature: null };
 
-/** Read floor set by the session's own writes and commits, and the group whose log it belongs to. */
-interface LastCommit {
-  readonly groupName: string;
-  readonly floor: ReadFloor;
-}
-
 /** A statement outside a transaction. */
 interface StandaloneOperation {
   readonly request: ClientRequest;
@@ -74,10 +68,10 @@
 export class Session {
   readonly #values = new Map<string, string>();
   readonly #prepared = new Map<string, PreparedStatement>();
+  readonly #commits = new SessionCommits();
   #state: TransactionState = 'idle';
   #transaction: Transaction | null = null;
   #beginRequest: BeginRequest | null = null;
-  #lastCommit: LastCommit | null = null;
   #idleTimer: NodeJS.Timeout | null = null;
   #isHandling = false;
   /** Runs the current statement; `null` while none is running. */
@@ -338,7 +332,7 @@
       route,
       group,
       values: this.#values,
-      sessionFloor: this.#sessionFloorFor(group),
+      sessionFloor: this.#commits.floorFor(group.name),
       receivedAtMs,
       deadlineMs: this.#deadlineOf(request, route),
     };
@@ -393,7 +387,7 @@
     if (begin === null) throw new Refusal('aborted', 'not_run', 'the transaction was ended', RETRY_AFTER_MS);
     this.#transaction = new Transaction(this.context, {
       ...begin,
-      sessionFloor: this.#sessionFloorFor(begin.group),
+      sessionFloor: this.#commits.floorFor(begin.group.name),
     });
     return this.#transaction;
   }
@@ -471,18 +465,8 @@
     }
   }
 
-  #sessionFloorFor(group: MemberGroup): ReadFloor | null {
-    return this.#lastCommit?.groupName === group.name ? this.#lastCommit.floor : null;
-  }
-
-  #recordCommit(group: MemberGroup, position: Position | null): void {
-    if (position === null) return;
-    const before = this.#sessionFloorFor(group);
-    const floor = { position, reachedAtMs: this.context.now() };
-    this.#lastCommit = {
-      groupName: group.name,
-      floor: before === null ? floor : laterFloor(before, floor),
-    };
+  #recordCommit({ name }: MemberGroup, position: Position | null): void {
+    if (position !== null) this.#commits.record(name, position, this.context.now());
   }
 
   /**
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -5,13 +5,13 @@
  */
 import { selectReadMember } from '../topology/select-member.js';
 import { formatPosition } from '../position/position.js';
-import type { ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { proveCommit } from './commit-proof.js';
 import { verifyLeaderIncarnation, recordLeaderPosition, isNonEmptyLog } from './leader-identity.js';
 import { dueAt } from './link-queue.js';
 import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
+import type { SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { readCandidates, readFloor, recordReplicaProgress } from './read-runner.js';
 import { Refusal, type RefusalDetails } from './refusal.js';
@@ -33,7 +33,8 @@
   readonly receivedAtMs: number;
   /** Tenant name that is passed to members. */
   readonly tenantName: string;
-  readonly sessionFloor: ReadFloor | null;
+  /** What the session's own commits require, or `null`. */
+  readonly sessionFloor: SessionFloor | null;
 }
 
 /** A statement or commit inside a transaction. */
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -38,6 +38,7 @@
 const PROMOTION_TIME = 'src/leadership/promotion-time.test.js';
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
 const MEMBER_RESTARTS = 'platform/test/reborn.test.js';
+const SESSION_OWN_COMMITS = 'src/relay/session-own-commits.test.js';
 const RESTARTED_LEADER = 'src/relay/restarted-leader.test.js';
 const ENDED_DAEMON = 'src/leadership/ended-daemon.test.js';
 const ABSENCE_TRACKER = 'src/cluster/absence-tracker.test.js';
@@ -850,6 +851,30 @@
     testFile: RESTARTED_LEADER,
     testName: 'no read of a transaction',
   },
+  {
+    property: 'read your writes: a session remembers its commits at each group',
+    file: 'src/relay/session-commits.js',
+    search: '[...this.#groups.filter((other) => other !== previous), commits]',
+    replacement: '[commits]',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'to another group and back',
+  },
+  {
+    property: 'read your writes: commits that a session has forgotten are still covered',
+    file: 'src/relay/session-commits.js',
+    search: 'this.#forgottenUpToMs = oldest.acknowledgedAtMs',
+    replacement: ';',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'more groups than it remembers',
+  },
+  {
+    property: 'read your writes: the own commits of a session at the group of a read',
+    file: 'src/relay/session-commits.js',
+    search: 'laterFloor(floor, sessionFloor.floor)',
+    replacement: 'floor',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'to another group and back',
+  },
   {
     property: 'floors: only the current leader reports them',
     file: 'src/topology/member-group.js',
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -9,13 +9,11 @@
 import type { MemberDialer } from '../../src/relay/member-link.js';
 import { Member, MemberGroup } from '../../src/topology/member-group.js';
 
-const GROUP = 'g';
-
 /** Creates a member with a pool of at most one connection. */
-function createMember(memberId: string, dialer: MemberDialer, now: () => number): Member {
+function createMember(groupName: string, memberId: string, dialer: MemberDialer, now: () => number): Member {
   const entry = {
     memberId,
-    groupName: GROUP,
+    groupName,
     host: 'h',
     port: 1,
     zone: 'a',
@@ -37,7 +35,7 @@
     now,
   });
   const connections = new MemberConnections({
-    groupName: GROUP,
+    groupName,
     memberId,
     bornMs: () => null,
     pool,
@@ -54,10 +52,11 @@
 export function createTestGroup(
   dialers: Readonly<Record<string, MemberDialer>>,
   now: () => number,
+  name = 'g',
 ): MemberGroup {
-  const group = new MemberGroup(GROUP);
+  const group = new MemberGroup(name);
   for (const [memberId, dialer] of Object.entries(dialers))
-    group.members.set(memberId, createMember(memberId, dialer, now));
+    group.members.set(memberId, createMember(name, memberId, dialer, now));
   group.evidence.observeLeader({ memberId: 'leader', term: 1 });
   return group;
 }
