A session's commit whose position is not told binds its later reads too

What callers saw, if a member answers a commit with the position `-`: the next read of the session on a read_your_writes route could be served by a replica without that commit.

Cause: a commit without a position left the session's floor as it was.

Such a commit is now kept with the time of its acknowledgement: until the session commits again at that group, the floor of its reads there is a position for which the leader was queried after that time.

--- a/src/relay/session-commits.test.ts
+++ b/src/relay/session-commits.test.ts
@@ -49,6 +49,18 @@
     });
   });
 
+  test('a later query of the leader while the position of the latest commit is not known', () => {
+    const commits = new SessionCommits();
+    commits.record(A, at(6), 100);
+    commits.record(A, null, 200);
+    assert.deepEqual(commits.floorFor(A), { kind: 'since', acknowledgedAtMs: 200 });
+    commits.record(A, at(8), 300);
+    assert.deepEqual(commits.floorFor(A), {
+      kind: 'position',
+      floor: { position: at(8), reachedAtMs: 300 },
+    });
+  });
+
   test('a later query of the leader at a group of which the commits are forgotten', () => {
     const commits = new SessionCommits();
     commits.record(A, at(6), 100);
--- a/src/relay/session-commits.ts
+++ b/src/relay/session-commits.ts
@@ -20,8 +20,8 @@
 /** The commits of a session at one group. */
 interface GroupCommits {
   readonly groupName: string;
-  /** Position of the latest commit, or a later one. */
-  readonly position: Position;
+  /** Position of the latest commit, or a later one; `null` if the member did not tell it. */
+  readonly position: Position | null;
   /** When the latest commit was acknowledged, in monotonic milliseconds. */
   readonly acknowledgedAtMs: number;
 }
@@ -36,12 +36,16 @@
   /** Latest commit at a group that is no longer in the list, in monotonic milliseconds. */
   #forgottenUpToMs: number | null = null;
 
-  /** Records a commit that is being acknowledged to the client. */
-  record(groupName: string, position: Position, nowMs: number): void {
+  /**
+   * Records a commit that is being acknowledged to the client.
+   *
+   * @param position - its position in the log of the group, or `null` if the member did not tell it
+   */
+  record(groupName: string, position: Position | null, nowMs: number): void {
     const previous = this.#find(groupName);
     const commits: GroupCommits = {
       groupName,
-      position: previous === undefined ? position : laterPosition(previous.position, position),
+      position: laterKnown(previous?.position ?? null, position),
       acknowledgedAtMs: nowMs,
     };
     this.#groups = [...this.#groups.filter((other) => other !== previous), commits];
@@ -51,12 +55,11 @@
   /** What the session's commits require of a read at a group; `null` if nothing. */
   floorFor(groupName: string): SessionFloor | null {
     const commits = this.#find(groupName);
-    if (commits !== undefined) {
-      const { position, acknowledgedAtMs } = commits;
-      return { kind: 'position', floor: { position, reachedAtMs: acknowledgedAtMs } };
-    }
-    const acknowledgedAtMs = this.#forgottenUpToMs;
-    return acknowledgedAtMs === null ? null : { kind: 'since', acknowledgedAtMs };
+    const acknowledgedAtMs = commits?.acknowledgedAtMs ?? this.#forgottenUpToMs;
+    if (acknowledgedAtMs === null) return null;
+    const position = commits?.position ?? null;
+    if (position === null) return { kind: 'since', acknowledgedAtMs };
+    return { kind: 'position', floor: { position, reachedAtMs: acknowledgedAtMs } };
   }
 
   #find(name: string): GroupCommits | undefined {
@@ -70,6 +73,11 @@
   }
 }
 
+/** A position that covers the latest commit and those before it; `null` if that commit's is not known. */
+function laterKnown(previous: Position | null, latest: Position | null): Position | null {
+  return previous === null || latest === null ? latest : laterPosition(previous, latest);
+}
+
 /**
  * The floor of a read that may lack only commits acknowledged after `sinceMs`, and none of the session's own;
  * `null` when the leader has not been queried late enough.
--- a/src/relay/session-own-commits.test.ts
+++ b/src/relay/session-own-commits.test.ts
@@ -27,6 +27,9 @@
 
 /** A member that answers at once: statements with the index of its log, which a write outside a transaction or a commit advances. */
 class FakeMember {
+  /** False if its answers tell no position. */
+  tellsPosition = true;
+
   constructor(public index: number) {}
 
   get #position(): Position {
@@ -46,7 +49,7 @@
         const isBehind = after !== null && comparePositions(after, this.#position) > 0;
         if (!isBehind) state = this.#run(request, state);
         const result = isBehind ? BEHIND : COMPLETE;
-        const position = this.#position;
+        const position = this.tellsPosition ? this.#position : null;
         return Promise.resolve({ rows: [String(this.index)], result, state, position });
       },
       close: (): void => void (isOpen = false),
@@ -277,6 +280,16 @@
     await assertReads(scene, '7');
   });
 
+  test('whose position the member did not tell', async () => {
+    const scene = new Scene();
+    const a = scene.addGroup('a');
+    scene.route('a');
+    a.leader.tellsPosition = false;
+    assert.equal(await scene.write(), '6');
+    a.leader.tellsPosition = true;
+    await assertReads(scene, '6');
+  });
+
   test('when its group was removed and added again with the same log', async () => {
     const scene = new Scene();
     scene.addGroup('a');
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -466,7 +466,7 @@
   }
 
   #recordCommit({ name }: MemberGroup, position: Position | null): void {
-    if (position !== null) this.#commits.record(name, position, this.context.now());
+    this.#commits.record(name, position, this.context.now());
   }
 
   /**
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -867,6 +867,14 @@
     testFile: SESSION_OWN_COMMITS,
     testName: 'more groups than it remembers',
   },
+  {
+    property: 'read your writes: an own commit without a position',
+    file: 'src/relay/session-commits.js',
+    search: 'if (position === null)',
+    replacement: 'if (commits !== undefined && position === null) return null; if (position === null)',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'did not tell',
+  },
   {
     property: 'read your writes: the own commits of a session at the group of a read',
     file: 'src/relay/session-commits.js',
