Commits at a group that is added again under its name bind by time, not by position

A group that is removed from the configuration and added again may have another log: its terms and numbers may start again. A session that had committed at the former one kept the position that its commit had there. What callers saw: no replica of the group as it is now could serve a read of such a session until the new log had passed that position; each read was refused by the replicas first (behind) and then served by the leader alone. A read without the own commit was not seen: a position by name is too strict here, never too weak.

A session now keeps which group a position belongs to (weakly, so that it does not keep the members of a removed group). At another group of that name, a read's floor is a position for which the leader was queried after the session's last commit under that name. If the log is the same one, that covers the commit; if it is another, no more than that log holds is asked for. A transaction that is still open at the former group when the group is added again is covered by the time of its commit.

The new test was red before (expected '3', the replica's, actual '4', the leader's). Mutation seen red.

--- a/src/relay/session-commits.test.ts
+++ b/src/relay/session-commits.test.ts
@@ -4,8 +4,8 @@
 import type { Position } from '../position/position.js';
 import { floorWithOwnCommits, MAX_GROUPS, SessionCommits } from './session-commits.js';
 
-const A = 'a';
-const B = 'b';
+const A = { name: 'a' };
+const B = { name: 'b' };
 
 const at = (index: number, term = 1): Position => ({ term, index });
 
@@ -61,12 +61,25 @@
     });
   });
 
+  test('a later query of the leader when the group was removed and added again', () => {
+    const commits = new SessionCommits();
+    commits.record(A, at(60), 100);
+    const again = { name: 'a' };
+    assert.deepEqual(commits.floorFor(again), { kind: 'since', acknowledgedAtMs: 100 });
+    commits.record(again, at(4), 200);
+    assert.deepEqual(commits.floorFor(again), {
+      kind: 'position',
+      floor: { position: at(4), reachedAtMs: 200 },
+    });
+  });
+
   test('a later query of the leader at a group of which the commits are forgotten', () => {
     const commits = new SessionCommits();
     commits.record(A, at(6), 100);
     commits.record(B, at(3), 200);
     commits.record(A, at(7), 300);
-    for (let count = 0; count < MAX_GROUPS - 1; count += 1) commits.record(`c${count}`, at(1), 400 + count);
+    for (let count = 0; count < MAX_GROUPS - 1; count += 1)
+      commits.record({ name: `c${count}` }, at(1), 400 + count);
     assert.deepEqual(commits.floorFor(B), { kind: 'since', acknowledgedAtMs: 200 });
     assert.deepEqual(commits.floorFor(A), {
       kind: 'position',
--- a/src/relay/session-commits.ts
+++ b/src/relay/session-commits.ts
@@ -12,14 +12,22 @@
   /** The log of the member has to hold the position of the latest of these commits. */
   | { readonly kind: 'position'; readonly floor: ReadFloor }
   /**
-   * The positions of these commits are not known. The floor of the read has to be a position for which the
-   * leader was queried after they were acknowledged; that covers them.
+   * The positions of these commits are not known, or belong to an earlier group of that name, which may have
+   * had another log. The floor of the read has to be a position for which the leader was queried after they
+   * were acknowledged; that covers them.
    */
   | { readonly kind: 'since'; readonly acknowledgedAtMs: number };
 
+/** A group. One that is removed from the configuration and added again is another object of that name. */
+export interface CommitGroup {
+  readonly name: string;
+}
+
 /** The commits of a session at one group. */
 interface GroupCommits {
   readonly groupName: string;
+  /** Weak, so that no session keeps the members of a removed group. */
+  readonly group: WeakRef<CommitGroup>;
   /** Position of the latest commit, or a later one; `null` if the member did not tell it. */
   readonly position: Position | null;
   /** When the latest commit was acknowledged, in monotonic milliseconds. */
@@ -41,11 +49,12 @@
    *
    * @param position - its position in the log of the group, or `null` if the member did not tell it
    */
-  record(groupName: string, position: Position | null, nowMs: number): void {
-    const previous = this.#find(groupName);
-    const commits: GroupCommits = {
-      groupName,
-      position: laterKnown(previous?.position ?? null, position),
+  record(group: CommitGroup, position: Position | null, nowMs: number): void {
+    const previous = this.#find(group);
+    const commits = {
+      groupName: group.name,
+      group: new WeakRef(group),
+      position: laterKnown(positionAt(group, previous), position),
       acknowledgedAtMs: nowMs,
     };
     this.#groups = [...this.#groups.filter((other) => other !== previous), commits];
@@ -53,16 +62,16 @@
   }
 
   /** What the session's commits require of a read at a group; `null` if nothing. */
-  floorFor(groupName: string): SessionFloor | null {
-    const commits = this.#find(groupName);
+  floorFor(group: CommitGroup): SessionFloor | null {
+    const commits = this.#find(group);
     const acknowledgedAtMs = commits?.acknowledgedAtMs ?? this.#forgottenUpToMs;
     if (acknowledgedAtMs === null) return null;
-    const position = commits?.position ?? null;
+    const position = positionAt(group, commits);
     if (position === null) return { kind: 'since', acknowledgedAtMs };
     return { kind: 'position', floor: { position, reachedAtMs: acknowledgedAtMs } };
   }
 
-  #find(name: string): GroupCommits | undefined {
+  #find({ name }: CommitGroup): GroupCommits | undefined {
     return this.#groups.find(({ groupName }) => groupName === name);
   }
 
@@ -73,6 +82,11 @@
   }
 }
 
+/** Position of commits in the log of a group; `null` if it is not known, or was in an earlier group's. */
+function positionAt(group: CommitGroup, commits: GroupCommits | undefined): Position | null {
+  return commits?.group.deref() === group ? commits.position : null;
+}
+
 /** A position that covers the latest commit and those before it; `null` if that commit's is not known. */
 function laterKnown(previous: Position | null, latest: Position | null): Position | null {
   return previous === null || latest === null ? latest : laterPosition(previous, latest);
--- a/src/relay/session-own-commits.test.ts
+++ b/src/relay/session-own-commits.test.ts
@@ -315,4 +315,15 @@
     a.leader.index = 100;
     assert.equal(await scene.read(), '6');
   });
+
+  test('when its group was removed and added again with another log', async () => {
+    const scene = new Scene();
+    scene.addGroup('a', 50);
+    scene.route('a');
+    assert.equal(await scene.write(), '51');
+    scene.advance(100);
+    const again = scene.addGroup('a', 3);
+    again.leader.index = 4;
+    assert.equal(await scene.read(), '3');
+  });
 });
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -4,7 +4,6 @@
  *
  * @packageDocumentation
  */
-import type { Position } from '../position/position.js';
 import { authorize, type Caller } from '../tenancy/authorize.js';
 import type { KeyDigest } from '../tenancy/key-digest.js';
 import type { Route } from '../topology/catalog.js';
@@ -332,7 +331,7 @@
       route,
       group,
       values: this.#values,
-      sessionFloor: this.#commits.floorFor(group.name),
+      sessionFloor: this.#commits.floorFor(group),
       receivedAtMs,
       deadlineMs: this.#deadlineOf(request, route),
     };
@@ -354,7 +353,7 @@
     const runner = new WriteRunner(this.context, job);
     this.#runner = runner;
     const reply = await runner.run();
-    if (reply.result.isComplete) this.#recordCommit(group, reply.position);
+    if (reply.result.isComplete) this.#commits.record(group, reply.position, this.context.now());
     return toResult(reply, false);
   }
 
@@ -370,7 +369,7 @@
     const reply = await transaction.run({ requestId, statement, kind, values: this.#values, deadlineMs });
     const result = toResult(reply, kind !== 'commit' || !transaction.hasWritten);
     if (kind === 'commit' && reply.result.isComplete && transaction.hasWritten)
-      this.#recordCommit(transaction.options.group, reply.position);
+      this.#commits.record(transaction.options.group, reply.position, this.context.now());
     return result;
   }
 
@@ -387,7 +386,7 @@
     if (begin === null) throw new Refusal('aborted', 'not_run', 'the transaction was ended', RETRY_AFTER_MS);
     this.#transaction = new Transaction(this.context, {
       ...begin,
-      sessionFloor: this.#commits.floorFor(begin.group.name),
+      sessionFloor: this.#commits.floorFor(begin.group),
     });
     return this.#transaction;
   }
@@ -465,10 +464,6 @@
     }
   }
 
-  #recordCommit({ name }: MemberGroup, position: Position | null): void {
-    this.#commits.record(name, position, this.context.now());
-  }
-
   /**
    * Ends a transaction that stays idle too long, so that its connection is returned to the pool. The client
    * is told with its next request.
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -875,6 +875,14 @@
     testFile: SESSION_OWN_COMMITS,
     testName: 'did not tell',
   },
+  {
+    property: 'read your writes: a group that was added again may have another log',
+    file: 'src/relay/session-commits.js',
+    search: 'commits?.group.deref() === group ? commits.position : null',
+    replacement: 'commits?.position ?? null',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'added again with another log',
+  },
   {
     property: 'read your writes: the own commits of a session at the group of a read',
     file: 'src/relay/session-commits.js',
