Session positions: a write that every member has applied stays required

The owner of a PostgreSQL database dropped the position of a session's write once every member had applied it, since any member could serve the session then. A member that starts again with nothing, or from an older copy, has not applied it any more: as a replica of the term it could serve the session's reads without the write, until the session wrote again.

The position that every member had applied becomes the floor of all sessions. It excludes no member that has kept its log.

The property test of the required position had allowed for this (a write counted as covered if it had been applied everywhere); without that exception, so stricter, it was red before, for a write at 1.0 that is then applied everywhere, and is green now. Mutation seen red.

--- a/src/coordination.property.test.ts
+++ b/src/coordination.property.test.ts
@@ -30,7 +30,7 @@
   return { version, identity, publishedBy: 'o', publishedAt: '', databases: [], policy: '' };
 }
 
-test('session positions: a required position is never below an acknowledged write, whatever is evicted', () => {
+test('session positions: a required position is never below an acknowledged write, whatever is evicted or applied', () => {
   const event = fc.oneof(
     fc.record({ kind: fc.constant('write' as const), session: fc.nat(5), position }),
     fc.record({ kind: fc.constant('floor' as const), position }),
@@ -55,8 +55,7 @@
             written.set(session, step.position);
         }
         for (const [session, last] of written) {
-          const isCovered = hasReached(positions.required(session), last) || hasReached(applied, last);
-          assert.ok(isCovered, `session ${session}`);
+          assert.ok(hasReached(positions.required(session), last), `session ${session}`);
         }
         assert.ok(positions.size <= maxSessions);
       }
--- a/src/session/session-positions.ts
+++ b/src/session/session-positions.ts
@@ -15,8 +15,9 @@
  * Position of the last write of each session, and a floor: a lower bound that applies to all sessions.
  *
  * The floor covers writes without an entry: those acknowledged by an earlier owner of the database, and those
- * whose entries were evicted. Raising the floor is always safe; it only sends more reads to the primary until
- * replicas have caught up.
+ * whose entries were evicted, or removed because every member had applied them: a member may lose its log
+ * later. Raising the floor is always safe; it only sends more reads to the primary until replicas have caught
+ * up.
  *
  * @public
  */
@@ -55,8 +56,9 @@
     return laterPosition(this.#floor, this.#positions.get(session) ?? ZERO_POSITION);
   }
 
-  /** Removes entries that every member has applied: any member can serve those sessions. */
+  /** Raises the floor to a position that every member has applied, and removes the entries that it covers. */
   forgetApplied(appliedEverywhere: Position): void {
+    this.raiseFloor(appliedEverywhere);
     for (const [session, position] of this.#positions) {
       if (hasReached(appliedEverywhere, position)) this.#positions.delete(session);
     }
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -258,6 +258,14 @@
     testFile: FAULTS,
     testName: 'replicas behind',
   },
+  {
+    property: 'read your writes: writes that every member had applied, after a member has lost its log',
+    file: 'src/session/session-positions.js',
+    search: 'this.raiseFloor(appliedEverywhere);',
+    replacement: '',
+    testFile: 'src/coordination.property.test.js',
+    testName: 'session positions',
+  },
   {
     property: 'read your writes: floor of a new owner',
     file: 'src/ownership/database-controller.js',
