--- a/src/relay/session-own-commits.test.ts
+++ b/src/relay/session-own-commits.test.ts
@@ -12,7 +12,7 @@
 import { comparePositions, type Position } from '../position/position.js';
 import { NO_TENANTS } from '../tenancy/tenant-registry.js';
 import { Catalog, type Consistency } from '../topology/catalog.js';
-import type { MemberGroup } from '../topology/member-group.js';
+import { MemberGroup } from '../topology/member-group.js';
 import type { MemberLink, MemberReply, MemberRequest, MemberResult } from './member-link.js';
 import type { RelayContext } from './relay-context.js';
 import { MAX_GROUPS } from './session-commits.js';
@@ -81,7 +81,10 @@
   ) {
     this.leader = new FakeMember(index);
     this.replica = new FakeMember(index);
-    this.group = createTestGroup({ leader: this.leader, replica: this.replica }, now, name);
+    this.group = new MemberGroup(name);
+    const { members } = createTestGroup({ leader: this.leader, replica: this.replica }, now);
+    for (const [memberId, member] of members) this.group.members.set(memberId, member);
+    this.group.evidence.observeLeader({ memberId: 'leader', term: TERM });
     this.observeLeader();
   }
 
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -9,11 +9,13 @@
 import type { MemberDialer } from '../../src/relay/member-link.js';
 import { Member, MemberGroup } from '../../src/topology/member-group.js';
 
+const GROUP = 'g';
+
 /** Creates a member with a pool of at most one connection. */
-function createMember(groupName: string, memberId: string, dialer: MemberDialer, now: () => number): Member {
+function createMember(memberId: string, dialer: MemberDialer, now: () => number): Member {
   const entry = {
     memberId,
-    groupName,
+    groupName: GROUP,
     host: 'h',
     port: 1,
     zone: 'a',
@@ -35,7 +37,7 @@
     now,
   });
   const connections = new MemberConnections({
-    groupName,
+    groupName: GROUP,
     memberId,
     bornMs: () => null,
     pool,
@@ -52,11 +54,10 @@
 export function createTestGroup(
   dialers: Readonly<Record<string, MemberDialer>>,
   now: () => number,
-  name = 'g',
 ): MemberGroup {
-  const group = new MemberGroup(name);
+  const group = new MemberGroup(GROUP);
   for (const [memberId, dialer] of Object.entries(dialers))
-    group.members.set(memberId, createMember(name, memberId, dialer, now));
+    group.members.set(memberId, createMember(memberId, dialer, now));
   group.evidence.observeLeader({ memberId: 'leader', term: 1 });
   return group;
 }
