--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -38,6 +38,7 @@
 const PROMOTION_TIME = 'src/leadership/promotion-time.test.js';
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
 const MEMBER_RESTARTS = 'platform/test/reborn.test.js';
+const SESSION_OWN_COMMITS = 'src/relay/session-own-commits.test.js';
 const RESTARTED_LEADER = 'src/relay/restarted-leader.test.js';
 const ENDED_DAEMON = 'src/leadership/ended-daemon.test.js';
 const ABSENCE_TRACKER = 'src/cluster/absence-tracker.test.js';
@@ -257,6 +258,14 @@
     testFile: FAULTS,
     testName: 'replicas behind',
   },
+  {
+    property: 'read your writes: writes that every member had applied, after a member has lost its log',
+    file: 'src/session/session-positions.js',
+    search: 'this.raiseFloor(appliedEverywhere);',
+    replacement: '',
+    testFile: 'src/coordination.property.test.js',
+    testName: 'session positions',
+  },
   {
     property: 'read your writes: floor of a new owner',
     file: 'src/ownership/database-controller.js',
@@ -850,6 +859,46 @@
     testFile: RESTARTED_LEADER,
     testName: 'no read of a transaction',
   },
+  {
+    property: 'read your writes: a session remembers its commits at each group',
+    file: 'src/relay/session-commits.js',
+    search: '[...this.#groups.filter((other) => other !== previous), commits]',
+    replacement: '[commits]',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'to another group and back',
+  },
+  {
+    property: 'read your writes: commits that a session has forgotten are still covered',
+    file: 'src/relay/session-commits.js',
+    search: 'this.#forgottenUpToMs = oldest.acknowledgedAtMs',
+    replacement: ';',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'more groups than it remembers',
+  },
+  {
+    property: 'read your writes: an own commit without a position',
+    file: 'src/relay/session-commits.js',
+    search: 'if (position === null)',
+    replacement: 'if (commits !== undefined && position === null) return null; if (position === null)',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'did not tell',
+  },
+  {
+    property: 'read your writes: a group that was added again may have another log',
+    file: 'src/relay/session-commits.js',
+    search: 'commits?.group.deref() === group ? commits.position : null',
+    replacement: 'commits?.position ?? null',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'added again with another log',
+  },
+  {
+    property: 'read your writes: the own commits of a session at the group of a read',
+    file: 'src/relay/session-commits.js',
+    search: 'laterFloor(floor, sessionFloor.floor)',
+    replacement: 'floor',
+    testFile: SESSION_OWN_COMMITS,
+    testName: 'to another group and back',
+  },
   {
     property: 'floors: only the current leader reports them',
     file: 'src/topology/member-group.js',
