After a seal, evidence of the same term takes the answers of all members

What callers saw, by construction: a read at a leader that had been replaced, and a commit acknowledged by it that the next leader lacks. A daemon answers the seal order of a promotion, is then cut from the holder and from the successor, and never hears the announcement.

Cause: a revocation ended 1.5 s after the last order, whatever became of the promotion. The holder does not wait for a daemon that has answered, and may promote without a replica that it does not reach, if the successor covers what all daemons have acknowledged. That replica is not paused and does not follow the new leader. Asked by the daemon, it was evidence for the replaced leader for as long as the cut lasted.

Change: a revocation is open until the holder says `allow`, gives evidence of the term itself, or a later term is known. While it is open, evidence takes the answers of all other members, listed or not listed any more but possibly running, in one round: each follows the term, is not paused and has been known for long enough, and no call to the platform is known that may still take effect. The successor is paused until it leads, and tells a later term after that. A holder that has heard all members once its duty is settled needs one of them again, since no other promotion can follow.

Ways weighed: (1) as it was; (2) all members; (3) nothing but the holder's evidence or `allow`. (3) alone leaves a healthy leader unused for as long as a daemon does not reach the holder. (2) until (3) costs that only while a member does not answer, for 30 s at most after its entry is gone.

The failing tests come with the fix.

leadership.test.ts expected evidence from one witness as soon as 1.5 s are over, which is the fault. It now expects none from one witness, none from all members 1 ms earlier, and evidence from all members at that time.

--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -139,7 +139,10 @@
     const askedAtMs = this.options.now();
     const entries = await this.options.askHolder(SHARING_TIMEOUT_MS);
     this.#isHolderUnresponsive = entries === null;
-    for (const entry of entries ?? []) this.#recordEvidence(entry, askedAtMs);
+    for (const entry of entries ?? []) {
+      // The holder has no evidence of a leader that it is replacing or has replaced.
+      if (this.#recordEvidence(entry, askedAtMs)) this.#findGroup(entry.groupName)?.evidence.liftRevocation();
+    }
   }
 
   async #askCollector(): Promise<void> {
@@ -154,15 +157,21 @@
     for (const entry of entries ?? []) this.#recordEvidence(entry, askedAtMs);
   }
 
-  #recordEvidence({ groupName, memberId, term, held, ageMs }: SharedEvidence, askedAtMs: number): void {
-    const group = this.options.groups().find(({ name }) => name === groupName);
-    if (group === undefined) return;
+  #findGroup(groupName: string): MemberGroup | undefined {
+    return this.options.groups().find(({ name }) => name === groupName);
+  }
+
+  /** True when the entry is evidence for the leader. */
+  #recordEvidence({ groupName, memberId, term, held, ageMs }: SharedEvidence, askedAtMs: number): boolean {
+    const group = this.#findGroup(groupName);
+    if (group === undefined) return false;
     const hadEvidence = group.evidence.current(this.options.now()) !== null;
     group.recordLeader({ memberId, term }, null);
     const { leader } = group.evidence;
-    if (leader?.memberId !== memberId) return;
+    if (leader?.memberId !== memberId) return false;
     if (held !== null && leader.term === term) group.recordReplicaPosition(held);
     const isEvidence = group.evidence.recordWitness(term, 0, askedAtMs - ageMs, { kind: 'daemon' });
     if (isEvidence && !hadEvidence) this.options.evidenceGained(group);
+    return isEvidence;
   }
 }
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -7,6 +7,11 @@
  * After its pauses, a promotion waits that long for every daemon that has not confirmed that it revoked its
  * evidence.
  *
+ * A promotion does not wait for a daemon that has confirmed, and may succeed without replicas that it does not
+ * reach. Such a replica, which is not paused, proves nothing to that daemon until the holder of the duty has
+ * abandoned the promotion. Without word from the holder, the daemon needs the answers of all members: the
+ * successor is paused until it leads.
+ *
  * The holder of the promotion duty needs no witness for a leader that it has confirmed while holding the
  * duty, by a witness or by its own promotion: no other daemon can promote while its lease is valid.
  *
@@ -51,7 +56,8 @@
 export const WITNESS_KNOWN_MS = 2000;
 
 /**
- * Time for which a revocation prevents a daemon from gathering evidence of the same term, in milliseconds.
+ * Time for which a revocation prevents a daemon from gathering evidence of the same term, in milliseconds. The
+ * promotion has paused the replicas that it reaches by then, or waits until later evidence has expired.
  */
 export const REVOCATION_MS = 1500;
 
@@ -69,11 +75,12 @@
 export type CommitStatus = 'proven' | 'unproven' | 'replaced';
 
 /**
- * What evidence rests on: the answer of a member, the evidence of another daemon, or the promotion duty that
- * this daemon holds.
+ * What evidence rests on: the answer of a member, the answers of every member but the leader, the evidence of
+ * another daemon, or the promotion duty that this daemon holds.
  */
 export type EvidenceSource =
   | { readonly kind: 'member'; readonly memberId: string }
+  | { readonly kind: 'members' }
   | { readonly kind: 'daemon' }
   | { readonly kind: 'duty' };
 
@@ -82,6 +89,7 @@
   switch (source.kind) {
     case 'member':
       return source.memberId;
+    case 'members':
     case 'daemon':
     case 'duty':
       return source.kind;
@@ -95,6 +103,8 @@
   #revokedUpToTerm = -1;
   #revokedUntilMs = Number.NEGATIVE_INFINITY;
   #revokedAtMs = Number.NEGATIVE_INFINITY;
+  /** The promotion for which the evidence was revoked is not known to have been abandoned. */
+  #mayBeReplaced = false;
   #source: EvidenceSource | null = null;
   /**
    * The term of the last revocation, and until when its commits are acknowledged: for as long as the revoked
@@ -185,7 +195,8 @@
    * Records that a witness, queried at `askedAtMs`, follows `term` and is paused for `pausedForTerm` (0: not
    * paused).
    *
-   * @param source - the witness, or how its answer came to this daemon
+   * @param source - the witness (`null`: a single unnamed one), or how its answer came to this daemon; with
+   * `members`, `term` and `pausedForTerm` are those of every member but the leader
    * @returns true when that is evidence for the leader
    */
   recordWitness(
@@ -202,10 +213,24 @@
     }
     if (pausedForTerm > term || askedAtMs < this.countsFromMs()) return false;
     if (term <= this.#revokedUpToTerm && askedAtMs < this.#revokedUntilMs) return false;
+    if (this.#isOpenPromotion(term) && (source === null || source.kind === 'member')) return false;
     this.#extend(askedAtMs + EVIDENCE_VALIDITY_MS, source);
     return true;
   }
 
+  /**
+   * True when evidence of the known leader takes the answers of all other members: this daemon has revoked it
+   * for a promotion that may have succeeded without its knowledge.
+   */
+  needsEveryMember(nowMs: number): boolean {
+    return this.#leader !== null && nowMs >= this.#revokedUntilMs && this.#isOpenPromotion(this.#leader.term);
+  }
+
+  /** True when a promotion over this term may have succeeded, or may still succeed. */
+  #isOpenPromotion(term: number): boolean {
+    return this.#mayBeReplaced && term <= this.#revokedUpToTerm;
+  }
+
   #extend(untilMs: number, source: EvidenceSource | null): void {
     if (untilMs <= this.#validUntilMs) return;
     this.#validUntilMs = untilMs;
@@ -221,7 +246,8 @@
 
   /**
    * Revokes the evidence because a promotion over `term` is about to begin, and prevents new evidence for
-   * {@link REVOCATION_MS}. Commits under way are still acknowledged until the revoked evidence would have
+   * {@link REVOCATION_MS}, after that evidence from a single witness until {@link
+   * LeadershipEvidence.liftRevocation}. Commits under way are still acknowledged until the revoked evidence would have
    * expired, unless the term is sealed.
    */
   revoke(term: number, nowMs: number): void {
@@ -236,6 +262,7 @@
     this.#revokedUpToTerm = Math.max(this.#revokedUpToTerm, term);
     this.#revokedUntilMs = nowMs + REVOCATION_MS;
     this.#revokedAtMs = nowMs;
+    this.#mayBeReplaced = true;
   }
 
   /**
@@ -264,6 +291,7 @@
   /** The promotion was abandoned, and its pauses are lifted: evidence may be gathered again. */
   liftRevocation(): void {
     this.#revokedUntilMs = Number.NEGATIVE_INFINITY;
+    this.#mayBeReplaced = false;
   }
 
   /** The leader has reported, or another member has shown, that it no longer leads. */
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
+import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import {
   DUTY_SETTLE_MS,
@@ -112,6 +113,7 @@
       if (await this.#findLeader()) return true;
       if (this.group.evidence.leader === null) return false;
     }
+    if (this.#mayAskEveryMember()) return this.#askEveryMember();
     for (const witness of this.#witnesses()) {
       if (await this.#askWitness(witness)) return true;
       if (this.#isStopped || this.group.evidence.leader === null) return false;
@@ -182,6 +184,51 @@
     return this.#recordWitness(witness, answer);
   }
 
+  /** True when all members but the leader may be asked for evidence, and no answer of one alone suffices. */
+  #mayAskEveryMember(): boolean {
+    const { evidence, calls } = this.group;
+    const now = this.now();
+    return evidence.needsEveryMember(now) && calls.open(now) === null;
+  }
+
+  /** Queries all members but the leader at the same time; true when their answers are evidence for it. */
+  async #askEveryMember(): Promise<boolean> {
+    const leaderId = this.group.evidence.leader?.memberId;
+    const members = this.#runningMembers().filter(({ entry }) => entry.memberId !== leaderId);
+    const answers = await Promise.all(
+      members.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true)),
+    );
+    members.forEach((member, index) => this.#observeLeader(member, answers[index]));
+    return this.#recordEveryMember(members, answers);
+  }
+
+  /** The listed members, and those that are not listed any more but may still run. */
+  #runningMembers(): readonly Member[] {
+    const { members, former } = this.group;
+    return [...members.values(), ...former.values()].filter((member) => !member.hasEnded);
+  }
+
+  /** True when every member has answered that it follows the leader and is not paused. */
+  #recordEveryMember(members: readonly Member[], answers: readonly ControlAnswer[]): boolean {
+    const { evidence } = this.group;
+    const followers = members.flatMap((member, index) => {
+      const answer = answers[index];
+      if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return [];
+      evidence.observeTerm(answer.status.term);
+      return isWitnessAt(member, answer.askedAtMs) ? [answer] : [];
+    });
+    const [first, ...others] = followers;
+    const isComplete = followers.length === members.length && this.#mayAskEveryMember();
+    if (first === undefined || !isComplete) return false;
+    if (others.some(({ status }) => status.term !== first.status.term)) return false;
+    const pausedForTerm = Math.max(...followers.map(({ status }) => status.pausedForTerm));
+    const askedAtMs = Math.min(...followers.map((follower) => follower.askedAtMs));
+    const source = { kind: 'members' } as const;
+    if (!evidence.recordWitness(first.status.term, pausedForTerm, askedAtMs, source)) return false;
+    for (const { status } of followers) this.#recordFollower(status, askedAtMs);
+    return true;
+  }
+
   /** True when the answer is evidence for the leader. */
   #recordWitness(member: Member, answer: ControlAnswer | undefined): boolean {
     if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return false;
@@ -193,16 +240,25 @@
     }
     const source = { kind: 'member', memberId: member.entry.memberId } as const;
     const isEvidence = evidence.recordWitness(status.term, status.pausedForTerm, askedAtMs, source);
-    if (!isEvidence) return false;
+    if (isEvidence) this.#recordFollower(status, askedAtMs);
+    return isEvidence;
+  }
+
+  /** Records what a replica has answered whose answer is evidence for the leader. */
+  #recordFollower(status: MemberStatus, askedAtMs: number): void {
+    const { evidence } = this.group;
     // The leader holds whatever a replica has received in the term.
     if (evidence.leader !== null) {
       this.group.recordLeader(evidence.leader, null);
       this.group.recordReplicaPosition(status.received);
     }
     const duty = this.heldDuty();
-    if (duty !== null && askedAtMs > duty.takenAtMs + DUTY_SETTLE_MS) this.confirm();
+    if (duty !== null && askedAtMs > duty.takenAtMs + DUTY_SETTLE_MS) {
+      this.confirm();
+      // No promotion by an earlier holder can take effect any more.
+      evidence.liftRevocation();
+    }
     this.group.changed.notify();
-    return true;
   }
 
   #reportChange(reason: string): void {
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -83,7 +83,9 @@
     assert.equal(evidence.current(1101), null);
     assert.ok(!evidence.recordWitness(3, 0, 1099));
     assert.ok(!evidence.recordWitness(3, 0, 1100 + REVOCATION_MS - 1));
-    assert.ok(evidence.recordWitness(3, 0, 1100 + REVOCATION_MS));
+    assert.ok(!evidence.recordWitness(3, 0, 1100 + REVOCATION_MS), 'one witness does not know how it ended');
+    assert.ok(!evidence.recordWitness(3, 0, 1100 + REVOCATION_MS - 1, { kind: 'members' }));
+    assert.ok(evidence.recordWitness(3, 0, 1100 + REVOCATION_MS, { kind: 'members' }));
     evidence.revoke(3, 3000);
     evidence.liftRevocation();
     assert.ok(evidence.recordWitness(3, 0, 3001));
--- /dev/null
+++ b/src/leadership/unresolved-promotion.test.ts
@@ -0,0 +1,190 @@
+/**
+ * Evidence at a daemon that has revoked it for a promotion and does not hear how the promotion ended.
+ *
+ * Guards against reads of old data: a daemon answered the seal order and was then disconnected from the
+ * holder of the duty and from the successor. 1.5 s later, a replica that the holder had not reached, and that
+ * did not follow the new leader, was evidence for the replaced one.
+ *
+ * @packageDocumentation
+ */
+import assert from 'node:assert/strict';
+import { describe, test, type TestContext } from 'node:test';
+import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { delay } from '../common/signal.js';
+import type { MemberConnections } from '../gateway/member-connections.js';
+import type { MemberStatus } from '../relay/member-link.js';
+import { Member, MemberGroup } from '../topology/member-group.js';
+import { EvidenceSharing } from './evidence-sharing.js';
+import { DUTY_SETTLE_MS, REVOCATION_MS, WITNESS_KNOWN_MS } from './leadership-evidence.js';
+import { LeadershipWatcher, type HeldDuty } from './leadership-watcher.js';
+import type { ControlAnswer, MemberControl } from './member-control.js';
+
+const TERM = 3;
+/** Time in which a watcher completes several rounds, in milliseconds. */
+const ROUNDS_MS = 150;
+const FOLLOWS: MemberStatus = {
+  isPrimary: false,
+  term: TERM,
+  pausedForTerm: 0,
+  received: { term: TERM, index: 1 },
+};
+const SILENT: ControlAnswer = { kind: 'silent' };
+
+function member(memberId: string, port: number): Member {
+  const place = { groupName: 'g', host: 'h', port, zone: 'a', slots: 1 };
+  const entry = { ...place, memberId, isDraining: false, saysPrimary: false, bornMs: null };
+  return new Member(entry, {} as MemberConnections);
+}
+
+/** A daemon that has sealed the term of a leader with two replicas and has heard nothing of the holder since. */
+class SealedDaemon {
+  readonly group = new MemberGroup('g');
+  readonly #watcher: LeadershipWatcher;
+  /** The promotion duty, if the daemon holds it. */
+  duty: HeldDuty | null = null;
+  /** Status of each replica; one without status does not answer. */
+  readonly statuses = new Map<string, MemberStatus>([
+    ['unreached', FOLLOWS],
+    ['successor', FOLLOWS],
+  ]);
+
+  constructor() {
+    this.group.members.set('leader', member('leader', 1));
+    this.group.members.set('unreached', member('unreached', 2));
+    this.group.members.set('successor', member('successor', 3));
+    this.group.recordLeader({ memberId: 'leader', term: TERM }, null);
+    this.group.evidence.seal(TERM, performance.now() - REVOCATION_MS - 1);
+    const control = { ask: ({ entry }: Member) => Promise.resolve(this.#answer(entry.memberId)) };
+    this.#watcher = new LeadershipWatcher(
+      this.group,
+      'a',
+      control as unknown as MemberControl,
+      { evidenceChanged: () => undefined },
+      () => this.duty,
+      () => true,
+      () => false,
+      () => performance.now(),
+    );
+  }
+
+  /** The leader for which the daemon has evidence after some rounds of queries. */
+  async provenLeader(): Promise<string | null> {
+    const running = this.#watcher.run();
+    await delay(ROUNDS_MS);
+    this.#watcher.stop();
+    await running;
+    return this.group.evidence.current(performance.now())?.memberId ?? null;
+  }
+
+  #answer(memberId: string): ControlAnswer {
+    const status = this.statuses.get(memberId);
+    return status === undefined ? SILENT : { kind: 'answered', status, askedAtMs: performance.now() };
+  }
+}
+
+describe('a daemon that does not hear how a promotion ended', () => {
+  test('has no evidence from one replica while another one, which may lead, does not answer', async () => {
+    const daemon = new SealedDaemon();
+    daemon.statuses.delete('successor');
+    assert.equal(await daemon.provenLeader(), null);
+  });
+
+  test('has no evidence from one replica while another one is paused', async () => {
+    const daemon = new SealedDaemon();
+    daemon.statuses.set('successor', { ...FOLLOWS, pausedForTerm: TERM + 1 });
+    assert.equal(await daemon.provenLeader(), null);
+  });
+
+  test('has no evidence from a replica while a member that is not listed any more does not answer', async () => {
+    const daemon = new SealedDaemon();
+    const successor = daemon.group.members.get('successor');
+    assert.ok(successor !== undefined);
+    daemon.group.members.delete('successor');
+    daemon.group.addFormer(successor);
+    daemon.statuses.delete('successor');
+    assert.equal(await daemon.provenLeader(), null);
+  });
+
+  test('has no evidence while one of the replicas has been known for less than a promotion may last', async () => {
+    const daemon = new SealedDaemon();
+    const successor = daemon.group.members.get('successor');
+    assert.ok(successor !== undefined);
+    successor.knownSinceMs = performance.now() - WITNESS_KNOWN_MS / 2;
+    assert.equal(await daemon.provenLeader(), null);
+  });
+
+  test('has no evidence while the platform may still execute a call of which it was informed', async () => {
+    const daemon = new SealedDaemon();
+    daemon.group.calls.record({ memberId: 'successor', fence: 1, leftMs: 5000 }, performance.now());
+    assert.equal(await daemon.provenLeader(), null);
+  });
+
+  test('finds the leader of a later term', async () => {
+    const daemon = new SealedDaemon();
+    daemon.statuses.set('successor', { ...FOLLOWS, isPrimary: true, term: TERM + 1 });
+    await daemon.provenLeader();
+    assert.deepEqual(daemon.group.evidence.leader, { memberId: 'successor', term: TERM + 1 });
+  });
+
+  test('has evidence when all other members answer that they follow the leader and are not paused', async () => {
+    const daemon = new SealedDaemon();
+    assert.equal(await daemon.provenLeader(), 'leader');
+    assert.equal(daemon.group.describeLeadership(performance.now()).evidenceFrom, 'members');
+  });
+
+  test('has evidence from one replica once the holder has abandoned the promotion', async () => {
+    const daemon = new SealedDaemon();
+    daemon.group.evidence.liftRevocation();
+    daemon.statuses.delete('successor');
+    assert.equal(await daemon.provenLeader(), 'leader');
+  });
+
+  test('needs one replica again once it holds the duty and all have answered', async () => {
+    const daemon = new SealedDaemon();
+    daemon.duty = { takenAtMs: performance.now() - DUTY_SETTLE_MS - 1, untilMs: Number.POSITIVE_INFINITY };
+    assert.equal(await daemon.provenLeader(), 'leader');
+    assert.equal(daemon.group.evidence.needsEveryMember(performance.now()), false);
+  });
+
+  test('needs all replicas though it holds the duty, since the promotion may have ended before', async () => {
+    const daemon = new SealedDaemon();
+    daemon.duty = { takenAtMs: performance.now() - DUTY_SETTLE_MS - 1, untilMs: Number.POSITIVE_INFINITY };
+    daemon.statuses.delete('successor');
+    assert.equal(await daemon.provenLeader(), null);
+  });
+
+  test('has evidence from one replica after evidence of the holder, but not after that of a collector', async (context) => {
+    for (const hasHolder of [true, false]) {
+      const daemon = new SealedDaemon();
+      await obtainEvidence(context, daemon.group, hasHolder);
+      const { evidence } = daemon.group;
+      assert.equal(evidence.current(performance.now())?.memberId, 'leader');
+      assert.equal(evidence.needsEveryMember(performance.now()), !hasHolder);
+    }
+  });
+});
+
+/** Lets a daemon obtain evidence from the holder of the duty or, if that does not answer, from a collector. */
+async function obtainEvidence(context: TestContext, group: MemberGroup, hasHolder: boolean): Promise<void> {
+  const shared = [{ groupName: 'g', memberId: 'leader', term: TERM, held: null, ageMs: 0 }];
+  let gained = (): void => undefined;
+  const isGained = new Promise<void>((resolve) => (gained = resolve));
+  const sharing = new EvidenceSharing({
+    ownName: 'd1',
+    zone: 'a',
+    groups: () => [group],
+    fleetSize: () => 1,
+    collectors: () => [{ name: 'd2', zone: 'a' } as DaemonRecord],
+    holdsDuty: () => false,
+    askHolder: () => Promise.resolve(hasHolder ? shared : null),
+    askDaemon: () => Promise.resolve(shared),
+    evidenceGained: () => gained(),
+    now: () => performance.now(),
+    random: () => 0.5,
+  });
+  context.after(() => sharing.stop());
+  const running = sharing.run();
+  await isGained;
+  sharing.stop();
+  await running;
+}
--- a/test/model/promotion-model.test.ts
+++ b/test/model/promotion-model.test.ts
@@ -1,7 +1,9 @@
 /**
  * Bounded model check of a promotion. It explores every order of the steps of the holder of the duty, of one
  * other daemon that acknowledges a commit, and of the start of a replica: a restart with its log, a restart
- * without it, or the start of a new replica; with one long pause at any step.
+ * without it, or the start of a new replica; with one long pause at any step. In some scenarios the other
+ * daemon, the primary and a replica that the holder does not reach are disconnected from all others once the
+ * daemon has sealed the term.
  *
  * The decisions are made by the code of the product (evidence, registration, lost incarnations, choice of the
  * successor); members, time and the order of steps are modelled. A violation is valid evidence for a replaced
@@ -34,6 +36,7 @@
   LeadershipEvidence,
   REGISTRATION_SETTLE_MS,
   WITNESS_KNOWN_MS,
+  type EvidenceSource,
 } from '../../src/leadership/leadership-evidence.js';
 import { LostIncarnations } from '../../src/leadership/lost-incarnations.js';
 import { hasReached, ZERO_POSITION, type Position } from '../../src/position/position.js';
@@ -56,6 +59,7 @@
   'the acknowledged limit of a daemon that did not seal is unknown',
   'a replica that appears is paused in the final check',
   'a witness has been known for longer than a promotion lasts',
+  'a revoked term needs the answer of every member',
 ] as const;
 type Mechanism = (typeof MECHANISMS)[number];
 
@@ -73,6 +77,11 @@
   readonly registersDuringPromotion: boolean;
   /** The second replica receives no commits. */
   readonly isReplicationStopped: boolean;
+  /**
+   * The holder does not reach the second replica. Once the other daemon has sealed the term, it reaches only
+   * the primary and that replica, which do not learn of a new primary.
+   */
+  readonly isPartitioned: boolean;
   /** The replica that the other daemon queries as a witness. */
   readonly witness: 0 | 1 | 2;
   readonly replicaStart: ReplicaStart;
@@ -150,6 +159,14 @@
   ) {}
 }
 
+/** Status of a replica as the other daemon queried it. */
+interface WitnessStatus {
+  readonly isPaused: boolean;
+  readonly term: number;
+  /** The daemon has known the queried incarnation for long enough. */
+  readonly isKnown: boolean;
+}
+
 /** Violations that do not fail the check: they cannot be prevented, or are known to be open. */
 type AcceptedViolation =
   /**
@@ -175,13 +192,14 @@
   readonly #evidence: LeadershipEvidence;
   readonly #lostIncarnations = new LostIncarnations();
   #isRegistered = false;
+  /** What the other daemon queried: one witness, or every replica. */
   #witnessQuery: {
     readonly atMs: number;
-    readonly isPaused: boolean;
-    readonly term: number;
-    /** The daemon has known the queried incarnation for long enough. */
-    readonly isKnown: boolean;
+    readonly source: EvidenceSource;
+    readonly statuses: readonly WitnessStatus[];
   } | null = null;
+  /** The other daemon is disconnected from the holder and from all replicas but the second. */
+  #isDisconnected = false;
   /** The other daemon was registered when the orders were sent, and receives them. */
   #isOrderRecipient = false;
   #startedAtMs = 0;
@@ -267,9 +285,27 @@
   #ask(): void {
     const replica = this.#replicas[this.scenario.witness];
     if (replica === undefined) return;
-    const { isPaused, term, startedAtMs } = replica;
-    const isKnown = this.#now >= startedAtMs + WITNESS_KNOWN_MS;
-    this.#witnessQuery = { atMs: this.#now, isPaused, term, isKnown };
+    const isEveryNeeded =
+      this.#evidence.needsEveryMember(this.#now) &&
+      this.disabled !== 'a revoked term needs the answer of every member';
+    const queried = isEveryNeeded ? this.#replicas : [replica];
+    if (!queried.every((one) => this.#isReachable(one))) return;
+    const isOneEnough = this.disabled === 'a revoked term needs the answer of every member';
+    const source =
+      isEveryNeeded || isOneEnough
+        ? ({ kind: 'members' } as const)
+        : ({ kind: 'member', memberId: replica.member.entry.memberId } as const);
+    const statuses = queried.map(({ isPaused, term, startedAtMs }) => ({
+      isPaused,
+      term,
+      isKnown: this.#now >= startedAtMs + WITNESS_KNOWN_MS,
+    }));
+    this.#witnessQuery = { atMs: this.#now, source, statuses };
+  }
+
+  /** True when the other daemon reaches a replica. */
+  #isReachable(replica: Replica): boolean {
+    return !this.#isDisconnected || replica === this.#replicas[1];
   }
 
   #answer(): void {
@@ -277,10 +313,13 @@
     if (query === null) return;
     const countsFrom =
       this.disabled === 'evidence is valid from the time of the query' ? this.#now : query.atMs;
-    const isTaken =
-      query.isKnown || this.disabled === 'a witness has been known for longer than a promotion lasts';
-    if (isTaken) this.#evidence.recordWitness(query.term, query.isPaused ? OLD_TERM + 1 : 0, countsFrom);
-    else this.#evidence.observeTerm(query.term);
+    for (const { term } of query.statuses) this.#evidence.observeTerm(term);
+    const areKnown =
+      query.statuses.every(({ isKnown }) => isKnown) ||
+      this.disabled === 'a witness has been known for longer than a promotion lasts';
+    const isPaused = query.statuses.some((status) => status.isPaused);
+    const term = Math.max(...query.statuses.map((status) => status.term));
+    if (areKnown) this.#evidence.recordWitness(term, isPaused ? OLD_TERM + 1 : 0, countsFrom, query.source);
     this.#checkEvidence();
   }
 
@@ -324,7 +363,7 @@
 
   /** A pause may take long even while the duty is held. */
   #pause(replica: Replica | undefined): void {
-    if (replica === undefined) return;
+    if (replica === undefined || this.#isMissing(replica)) return;
     this.#lastHolderStepMs = this.#now;
     this.#pausedAtMs = this.#now;
     replica.isPaused = true;
@@ -333,6 +372,11 @@
     this.#recordStatus(replica);
   }
 
+  /** True for a replica that the holder does not reach. */
+  #isMissing(replica: Replica): boolean {
+    return this.scenario.isPartitioned && replica === this.#replicas[1];
+  }
+
   #recordStatus({ member, received }: Replica): void {
     const status = { isPrimary: false, term: OLD_TERM, received, pausedForTerm: OLD_TERM + 1 };
     this.#lostIncarnations.recordStatus(member, status, this.#now);
@@ -384,6 +428,7 @@
       return;
     }
     this.#evidence.seal(OLD_TERM, this.#now);
+    this.#isDisconnected = this.scenario.isPartitioned;
     this.#reportedAcknowledged = this.#ownAcknowledged();
     if (this.disabled === 'revoked evidence is not renewed') this.#evidence.liftRevocation();
   }
@@ -403,7 +448,9 @@
     for (const replica of this.#pausedReplicas) this.#recordStatus(replica);
     const positions = this.#pausedReplicas.map(({ received }) => received);
     const isCounted = this.disabled !== 'a lost incarnation counts as missing';
-    this.#missing = isCounted ? this.#lostIncarnations.uncovered(positions, null, this.#now).length : 0;
+    const unreachable = this.scenario.isPartitioned ? 1 : 0;
+    const lost = isCounted ? this.#lostIncarnations.uncovered(positions, null, this.#now).length : 0;
+    this.#missing = unreachable + lost;
     this.#candidates = this.#pausedReplicas.map(({ member, received }) => ({
       memberId: member.entry.memberId,
       received,
@@ -442,7 +489,8 @@
     this.#isEffective = true;
     successor.isPrimary = true;
     successor.isPaused = false;
-    for (const replica of this.#replicas) if (!replica.isPaused) replica.term = OLD_TERM + 1;
+    for (const replica of this.#replicas)
+      if (!replica.isPaused && !this.#isMissing(replica)) replica.term = OLD_TERM + 1;
     const needed = this.#isAcknowledged ? COMMIT : BASE;
     const hasSuccessorRestarted = successor.startedAfter === 'look' && successor.received.index === 0;
     if (!hasReached(successor.received, needed)) this.#recordLoss(hasSuccessorRestarted);
@@ -543,7 +591,7 @@
 ];
 
 function scenariosOf(
-  daemon: Pick<Scenario, 'unansweredOrders' | 'registersDuringPromotion'>,
+  daemon: Pick<Scenario, 'unansweredOrders' | 'registersDuringPromotion' | 'isPartitioned'>,
   replicationStates: readonly boolean[],
 ): readonly Scenario[] {
   return replicationStates.flatMap((isReplicationStopped) =>
@@ -558,8 +606,18 @@
 const KNOWN_DAEMON = (['none', 'all', 'seal'] as const).map((unansweredOrders) => ({
   unansweredOrders,
   registersDuringPromotion: false,
+  isPartitioned: false,
 }));
-const NEW_DAEMON = { unansweredOrders: 'none', registersDuringPromotion: true } as const;
+const PARTITIONED_DAEMON = {
+  unansweredOrders: 'none',
+  registersDuringPromotion: false,
+  isPartitioned: true,
+} as const;
+const NEW_DAEMON = {
+  unansweredOrders: 'none',
+  registersDuringPromotion: true,
+  isPartitioned: false,
+} as const;
 
 /**
  * Steps of the other daemon, and the scenarios for them. A daemon that registers during the promotion and
@@ -571,7 +629,10 @@
   [
     {
       steps: ['ask', 'answer', 'receive', 'acknowledge'],
-      scenarios: KNOWN_DAEMON.flatMap((daemon) => scenariosOf(daemon, BOOLEANS)),
+      scenarios: [
+        ...KNOWN_DAEMON.flatMap((daemon) => scenariosOf(daemon, BOOLEANS)),
+        ...scenariosOf(PARTITIONED_DAEMON, [false]),
+      ],
     },
     {
       steps: ['register', 'ask', 'answer', 'receive', 'acknowledge'],
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -33,6 +33,8 @@
 const FINAL_CHECK = 'src/leadership/promotion-final-check.test.js';
 const PROMOTION_AFTER_RESTARTS = 'src/leadership/promotion-after-restarts.test.js';
 const EARLIER_DUTY_HOLDER = 'src/leadership/earlier-duty-holder.test.js';
+const UNRESOLVED_PROMOTION = 'src/leadership/unresolved-promotion.test.js';
+const PROMOTION_MODEL = 'test/model/promotion-model.test.js';
 const LOST_INCARNATIONS = 'src/leadership/lost-incarnations.test.js';
 const PROMOTION_MEMBER_RESTARTS = 'src/leadership/promotion-member-restarts.test.js';
 const PROMOTION_TIME = 'src/leadership/promotion-time.test.js';
@@ -1051,4 +1053,60 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'still accepts a connection',
   },
+  {
+    property: 'evidence: one witness of a revoked term is not enough while the promotion may have succeeded',
+    file: 'src/leadership/leadership-evidence.js',
+    search: 'if (this.#isOpenPromotion(term) &&',
+    replacement: 'if (false &&',
+    testFile: 'src/leadership/leadership.test.js',
+    testName: 'is not gathered for a revoked term for a while',
+  },
+  {
+    property: 'evidence: a revocation does not end by time while its promotion may have succeeded',
+    file: 'src/leadership/leadership-evidence.js',
+    search: 'return this.#mayBeReplaced && term',
+    replacement: 'return false && term',
+    testFile: PROMOTION_MODEL,
+    testName: 'leaves no evidence for the replaced primary',
+  },
+  {
+    property: 'evidence: of a revoked term takes the answers of all other members',
+    file: 'src/leadership/leadership-watcher.js',
+    search: 'followers.length === members.length',
+    replacement: 'true',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'which may lead, does not answer',
+  },
+  {
+    property: 'evidence: members that are not listed any more are asked, too',
+    file: 'src/leadership/leadership-watcher.js',
+    search: '...members.values(), ...former.values()',
+    replacement: '...members.values()',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'a member that is not listed any more does not answer',
+  },
+  {
+    property: 'evidence: none of a revoked term while the platform may execute a call',
+    file: 'src/leadership/leadership-watcher.js',
+    search: '&& calls.open(now) === null',
+    replacement: '',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'while the platform may still execute a call',
+  },
+  {
+    property: 'evidence: that of the holder shows that it has abandoned a promotion',
+    file: 'src/leadership/evidence-sharing.js',
+    search: '?.evidence.liftRevocation()',
+    replacement: '',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'after evidence of the holder',
+  },
+  {
+    property: 'evidence: a holder that has heard all members needs one of them after that',
+    file: 'src/leadership/leadership-watcher.js',
+    search: 'evidence.liftRevocation();',
+    replacement: '',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'needs one replica again once it holds the duty',
+  },
 ];
