A read without a position is sent only to a process that is verified to lead

Callers saw nothing: the answers were dropped. But reads had run on an empty log that lacked acknowledged commits. Where no position tells the leader from a process that has restarted under its id (none known, or 0.0), the read was sent and the process verified after its answer.

Such a read is now sent over a connection only once the process at its other end is verified: it has given a position with a log (on accepting the connection, or in an answer) while the leader is proven, or it reports over this connection that it leads the term. This holds since a connection ends with its process, and since a process that has restarted has nothing to copy while no later leader exists. Three reads of a healthy empty group over one connection took three status requests before, and one now.

A borrowed connection names the leader in its requests, and the gateway verifies the connection that serves each of them.

The test of the log line about a read answered by the empty process is replaced, as there is no such answer any more: the line that says why the read was not sent is checked, and the line about an answer in doubt where the leader may have been replaced meanwhile. The mutation of the position named by reads at the leader is caught by a test of its own, since the restart that it was played with is now caught by the verification, too.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { Leader } from '../leadership/leadership-evidence.js';
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { preparedStatementName } from '../relay/pooled-link.js';
 import type { SessionLink, SessionValues } from '../relay/session-link.js';
@@ -21,6 +22,9 @@
   #values: SessionValues = new Map();
   #state: TransactionState = 'idle';
   #isAnnounced = false;
+  /** The leader that requests have to reach; `null` if any process of the member may run them. */
+  #requiredLeader: Leader | null = null;
+  #isReplyOfLeader = false;
   #isOpen = true;
 
   /**
@@ -64,13 +68,30 @@
     return name;
   }
 
+  verifyLeader(leader: Leader): Promise<boolean> {
+    this.#requiredLeader = leader;
+    return Promise.resolve(true);
+  }
+
+  isVerifiedLeader({ memberId, term }: Leader): boolean {
+    const required = this.#requiredLeader;
+    return this.#isReplyOfLeader && required?.memberId === memberId && required.term === term;
+  }
+
   send(request: MemberRequest): Promise<MemberReply> {
     if (!this.#isOpen) return Promise.reject(new NotSentError('not open'));
     this.#announce();
     const prepared = request.kind === 'execute' ? (this.#prepared.get(request.name) ?? null) : null;
     return new Promise((resolve, reject) => {
       this.#pending.push({ resolve, reject });
-      this.transmit({ type: 'request', loan: this.terms.loan, request, prepared });
+      const leader = request.kind === 'status' ? null : this.#requiredLeader;
+      this.transmit({
+        type: 'request',
+        loan: this.terms.loan,
+        request,
+        prepared,
+        ...(leader === null ? {} : { leader }),
+      });
     });
   }
 
@@ -81,8 +102,9 @@
   }
 
   /** Handles a reply of the member that the gateway forwards. */
-  handleReply(reply: MemberReply): void {
+  handleReply(reply: MemberReply, isLeader = false): void {
     this.#state = reply.state;
+    this.#isReplyOfLeader = isLeader;
     this.#pending.shift()?.resolve(reply);
   }
 
--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -16,6 +16,7 @@
 const HOST = `127.77.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
 const ports = {
   pool: () => null,
+  leaderCheck: () => null,
   ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
   changes: () => new Promise<never>(() => undefined),
   configuration: () => ({ version: 0, proof: null, item: null }),
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -176,7 +176,7 @@
     this.#hasReplied = true;
     switch (message.type) {
       case 'reply':
-        this.loans.get(message.loan)?.handleReply(message.reply);
+        this.loans.get(message.loan)?.handleReply(message.reply, message.isLeader);
         break;
       case 'lost':
         this.loans.get(message.loan)?.fail(message.reason, message.isUnsent);
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -8,6 +8,7 @@
  * @packageDocumentation
  */
 import type { EvidenceReply } from '../leadership/evidence-exchange.js';
+import type { Leader } from '../leadership/leadership-evidence.js';
 import type { RelayResponse } from '../coordination/change-relay.js';
 import type { Revision } from '../coordination/revision.js';
 import type { MemberReply, MemberRequest } from '../relay/member-link.js';
@@ -47,6 +48,8 @@
   readonly request: MemberRequest;
   /** The statement to prepare before an `execute`. */
   readonly prepared: PreparedStatement | null;
+  /** The leader as which the member's process has to be verified before the request is sent to it. */
+  readonly leader?: Leader;
 }
 
 /** Ends a loan; an open transaction is rolled back. */
@@ -60,6 +63,8 @@
   readonly type: 'reply';
   readonly loan: number;
   readonly reply: MemberReply;
+  /** True if the process that replied was verified to be the leader that the request named. */
+  readonly isLeader?: true;
 }
 
 /**
--- a/src/gateway/gateway-server.test.ts
+++ b/src/gateway/gateway-server.test.ts
@@ -62,6 +62,7 @@
   server = new GatewayServer({
     pool: (_group, incarnation) =>
       compareIncarnations({ memberId: 'm', bornMs }, incarnation) === 'same' ? pool : null,
+    leaderCheck: () => null,
     ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
     changes: () => new Promise<never>(() => undefined),
     configuration: () => ({ version: 0, proof: null, item: null }),
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -11,6 +11,7 @@
 import type { Revision } from '../coordination/revision.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
+import type { LeaderCheck } from '../relay/session-link.js';
 import { MAX_GATEWAY_MESSAGE_BYTES, type BorrowMessage, type GatewayMessage } from './gateway-messages.js';
 import type { Incarnation } from '../topology/incarnation.js';
 import { Loan, type LendingStage } from './loan.js';
@@ -22,6 +23,8 @@
    * The pool of a member; `null` if this daemon may not connect to it, or knows another incarnation of it.
    */
   pool(groupName: string, incarnation: Incarnation): LinkPool | null;
+  /** What this daemon uses to verify the process of a group's leader; `null` for an unknown group. */
+  leaderCheck(groupName: string): LeaderCheck | null;
   /** The leadership evidence of this daemon, for a requester that already has a version of the leaders. */
   ownEvidence(knownVersion: number): EvidenceReply;
   /** The changes of the store after a revision that this daemon knows; waits up to `waitMs` for one. */
@@ -121,6 +124,7 @@
       terms,
       pool: this.ports.pool(groupName, { memberId, bornMs }),
       statusQuestions: this.#statusQuestions,
+      leaderCheck: this.ports.leaderCheck(groupName),
       stage: () => this.#stage,
       answer: (message) => channel.send(message),
       onLost: () => loans.delete(terms.loan),
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -3,11 +3,12 @@
  *
  * @packageDocumentation
  */
+import type { Leader } from '../leadership/leadership-evidence.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import { LinkAcquisition } from '../relay/link-acquisition.js';
 import { NotSentError, type MemberReply } from '../relay/member-link.js';
 import type { PooledLink } from '../relay/pooled-link.js';
-import type { SessionValues } from '../relay/session-link.js';
+import type { LeaderCheck, SessionValues } from '../relay/session-link.js';
 import type { BorrowMessage, GatewayMessage, LoanRequestMessage, ValuesMessage } from './gateway-messages.js';
 import type { StatusQuestions } from './status-questions.js';
 
@@ -23,6 +24,8 @@
   /** The pool of the member; `null` if this daemon does not connect to it. */
   readonly pool: LinkPool | null;
   readonly statusQuestions: StatusQuestions;
+  /** Verifies the process of the group's leader; `null` if this daemon does not know the group. */
+  readonly leaderCheck: LeaderCheck | null;
   /** The gateway's current stage. */
   stage(): LendingStage;
   answer(message: GatewayMessage): void;
@@ -32,6 +35,7 @@
 
 const GATEWAY_STOPPING = 'the gateway is about to stop';
 const MEMBER_ENDED = 'the member has ended';
+const OTHER_INCARNATION = 'perhaps another incarnation of the leader';
 const NOT_A_GATEWAY = 'not a gateway of the member';
 
 /** A reply stating that nothing was sent to the member. */
@@ -126,6 +130,7 @@
       await link.setSessionValues(this.#values);
       if (request.kind === 'execute' && message.prepared !== null)
         request = { ...request, name: await link.prepare(message.prepared) };
+      await this.#verifyLeader(link, message.leader);
     } catch (error) {
       this.#releaseLink();
       if (wasIdle) this.#reply(notSentReply(`gateway: ${String(error)}`));
@@ -137,7 +142,7 @@
       this.#isRequestInFlight = true;
       const reply = await link.send(request);
       if (link.isClean) this.#releaseLink();
-      this.#reply(reply);
+      this.#reply(reply, message.leader !== undefined && link.isVerifiedLeader(message.leader));
       this.#endIfIdle();
     } catch (error) {
       this.#endAsLost(error, error instanceof NotSentError);
@@ -146,6 +151,14 @@
     }
   }
 
+  /** Throws unless the process at the other end of a connection is the leader that the borrower requires. */
+  async #verifyLeader(link: PooledLink, leader: Leader | undefined): Promise<void> {
+    const { leaderCheck } = this.options;
+    if (leader === undefined) return;
+    if (leaderCheck === null || !(await link.verifyLeader(leader, leaderCheck)))
+      throw new NotSentError(OTHER_INCARNATION);
+  }
+
   /**
    * Acquires a connection for the following requests; replies that nothing was sent and returns `null` if
    * there is none.
@@ -205,8 +218,10 @@
     this.options.pool?.release(link);
   }
 
-  #reply(reply: MemberReply): void {
-    if (!this.#hasEnded) this.options.answer({ type: 'reply', loan: this.options.terms.loan, reply });
+  #reply(reply: MemberReply, isLeader = false): void {
+    if (this.#hasEnded) return;
+    const { loan } = this.options.terms;
+    this.options.answer({ type: 'reply', loan, reply, ...(isLeader ? { isLeader } : {}) });
   }
 
   /**
--- a/src/gateway/waiting-loan.test.ts
+++ b/src/gateway/waiting-loan.test.ts
@@ -36,6 +36,7 @@
 });
 const server = new GatewayServer({
   pool: () => pool,
+  leaderCheck: () => null,
   ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
   changes: () => new Promise<never>(() => undefined),
   configuration: () => ({ version: 0, proof: null, item: null }),
--- a/src/relay/leader-identity.ts
+++ b/src/relay/leader-identity.ts
@@ -1,6 +1,6 @@
 /**
- * Checks that an answer came from the leader itself, and not from a process that has restarted under the
- * leader's id.
+ * Checks that a request reaches, and an answer came from, the leader itself, and not a process that has
+ * restarted under the leader's id.
  *
  * Leadership evidence names a member id and a term, while connections are opened to an address. The directory
  * announces a restarted process (a new incarnation) some milliseconds after it accepts connections. A
@@ -13,7 +13,7 @@
 import type { Position } from '../position/position.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import type { RelayContext } from './relay-context.js';
-import type { SessionLink } from './session-link.js';
+import type { LeaderCheck, SessionLink } from './session-link.js';
 
 /** Time-out of the status request to a member with an empty log, in milliseconds. */
 const STATUS_TIMEOUT_MS = 200;
@@ -33,6 +33,14 @@
   return leader?.memberId === memberId && leader.term === term;
 }
 
+/** What this daemon uses to verify the process of a leader before it sends requests to it. */
+export function leaderCheck(context: RelayContext, group: MemberGroup): LeaderCheck {
+  return {
+    isProven: (leader) => isStillLeader(context, group, leader),
+    readStatus: context.readStatus,
+  };
+}
+
 /**
  * True when the process at the other end of a connection is the leader. Needed for answers to requests that
  * named no position which would distinguish the leader from a restarted process.
@@ -51,7 +59,7 @@
   position: Position | null,
 ): Promise<boolean> {
   if (!isStillLeader(context, group, leader)) return false;
-  if (isNonEmptyLog(position)) return true;
+  if (isNonEmptyLog(position) || link.isVerifiedLeader(leader)) return true;
   const statusTimer = setTimeout(() => link.close(), STATUS_TIMEOUT_MS);
   try {
     const status = context.readStatus(await link.send({ kind: 'status' }));
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -104,6 +104,8 @@
 /** A connection to a member. Replies arrive in the order of the requests. */
 export interface MemberLink {
   readonly isOpen: boolean;
+  /** Position in the member's log when it accepted the connection; `null` if it gave none. */
+  readonly openedAt: Position | null;
   /** When bytes were last received, in monotonic milliseconds. */
   readonly lastReceivedMs: number;
   /**
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -3,13 +3,19 @@
  *
  * @packageDocumentation
  */
+import type { Leader } from '../leadership/leadership-evidence.js';
+import type { Position } from '../position/position.js';
+import { isNonEmptyLog } from './leader-identity.js';
 import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
-import type { SessionLink, SessionValues } from './session-link.js';
+import type { LeaderCheck, SessionLink, SessionValues } from './session-link.js';
 import type { PreparedStatement, TransactionState } from './statement.js';
 
 /** Maximum number of prepared statements on a connection; a connection that would exceed it is closed. */
 const MAX_PREPARED_NAMES = 500;
 
+/** Timeout of the status request by which a process with an empty log is verified, in milliseconds. */
+const STATUS_TIMEOUT_MS = 200;
+
 /**
  * Name of a prepared statement at members. It depends only on the statement's shape, so all sessions share
  * it.
@@ -25,12 +31,17 @@
   #state: TransactionState = 'idle';
   #inFlight = 0;
   #awaitingReplySinceMs: number | null = null;
+  /** Latest log position that the process at the other end has reported over this connection. */
+  #position: Position | null;
+  #verifiedLeader: Leader | null = null;
 
   /** @param tenantName - the tenant that was sent to the member, fixed for the lifetime of the connection */
   constructor(
     private readonly link: MemberLink,
     readonly tenantName: string,
-  ) {}
+  ) {
+    this.#position = link.openedAt;
+  }
 
   get isOpen(): boolean {
     return this.link.isOpen;
@@ -70,6 +81,7 @@
     try {
       const reply = await this.link.send(request);
       this.#state = reply.state;
+      this.#position = reply.position ?? this.#position;
       return reply;
     } finally {
       this.#inFlight -= 1;
@@ -122,6 +134,35 @@
     return name;
   }
 
+  isVerifiedLeader({ memberId, term }: Leader): boolean {
+    return this.#verifiedLeader?.memberId === memberId && this.#verifiedLeader.term === term;
+  }
+
+  /**
+   * Verifies that the process at the other end is the leader; needed once, since a connection ends with its
+   * process.
+   *
+   * While the leader is proven, no later one has a log to copy, so a process that has restarted under its id
+   * is empty. One with a non-empty log is the leader; one with an empty log has to report that it leads.
+   */
+  async verifyLeader(leader: Leader, check: LeaderCheck): Promise<boolean> {
+    if (this.isVerifiedLeader(leader)) return true;
+    const isLeader =
+      (isNonEmptyLog(this.#position) && check.isProven(leader)) || (await this.#reportsToLead(leader, check));
+    if (isLeader) this.#verifiedLeader = leader;
+    return isLeader;
+  }
+
+  async #reportsToLead({ term }: Leader, { readStatus }: LeaderCheck): Promise<boolean> {
+    const timer = setTimeout(() => this.close(), STATUS_TIMEOUT_MS);
+    try {
+      const status = readStatus(await this.send({ kind: 'status' }));
+      return status?.isPrimary === true && status.term === term;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
   async #sendOrClose(request: MemberRequest): Promise<void> {
     const reply = await this.send(request);
     if (!reply.result.isComplete) throw this.#closeWithError(`${request.kind} refused: ${reply.result.code}`);
--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -23,6 +23,7 @@
   dial(): Promise<MemberLink> {
     return Promise.resolve({
       isOpen: true,
+      openedAt: { term: 1, index: 5 },
       lastReceivedMs: 0,
       send: (request: MemberRequest) => {
         this.requests.push(request);
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -15,6 +15,7 @@
 import {
   isNonEmptyLog,
   isStillLeader,
+  leaderCheck,
   recordLeaderPosition,
   verifyLeaderIncarnation,
 } from './leader-identity.js';
@@ -83,6 +84,7 @@
 
 const ANSWERED_ELSEWHERE = 'answered by another member';
 const NO_LEADER_EVIDENCE = 'no evidence of the leader';
+const OTHER_INCARNATION = 'perhaps another life of the leader';
 
 /** Limit on concurrent attempts of one read. */
 const MAX_PARALLEL = 2;
@@ -379,6 +381,10 @@
     );
     let isSent = false;
     try {
+      if (leader !== null && !isNonEmptyLog(after)) {
+        const mayRead = await link.verifyLeader(leader, leaderCheck(context, job.group));
+        if (!mayRead) return { kind: 'not_run', reason: OTHER_INCARNATION, members };
+      }
       const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
         if (this.#isSettled) return ANSWERED_ELSEWHERE;
         if (asLeader && job.group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
@@ -392,7 +398,7 @@
       if (leader !== null) this.#logAnswerInDoubt(member, leader, after, reply.reply);
       if (leader !== null && result.isComplete && !isNonEmptyLog(after)) {
         const isVerified = await verifyLeaderIncarnation(context, job.group, leader, link, position);
-        if (!isVerified) return { kind: 'lost', reason: 'perhaps another life of the leader', members };
+        if (!isVerified) return { kind: 'lost', reason: OTHER_INCARNATION, members };
       }
       const attempt = this.#classifyReply(member, leader, floor, reply.reply, reply.sentAtMs);
       if (attempt.kind === 'not_run') this.#possiblyRunCount -= 1;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -51,6 +51,7 @@
 import type { LinkPool } from './link-pool.js';
 import { MemberFactory } from './member-factory.js';
 import type { MemberDialer, StatusReader } from './member-link.js';
+import { leaderCheck } from './leader-identity.js';
 import { OrderHandler } from './order-handler.js';
 import type { RelayContext, RelayObserver } from './relay-context.js';
 import type { ShutdownSchedule } from './shutdown-schedule.js';
@@ -322,6 +323,10 @@
     });
     this.#gatewayServer = new GatewayServer({
       pool: (groupName, life) => this.#lendablePool(groupName, life),
+      leaderCheck: (groupName) => {
+        const group = this.#groups.group(groupName);
+        return group === null ? null : leaderCheck(this.#context, group);
+      },
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       changes: (afterRevision, waitMs) => changeRelay.changesAfter(afterRevision, waitMs),
       configuration: (heldVersion) => this.#configurationReply(heldVersion),
--- a/src/relay/restarted-leader.test.ts
+++ b/src/relay/restarted-leader.test.ts
@@ -14,70 +14,21 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
+import { FakeProcess, PROCESS_TERM as TERM, readFakeStatus } from '../../test/support/fake-process.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
 import { createTestGroup } from '../../test/support/relay-members.js';
 import { ZERO_POSITION, type Position } from '../position/position.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import type { MemberGroup } from '../topology/member-group.js';
-import type { MemberLink, MemberReply, MemberRequest, MemberStatus } from './member-link.js';
+import type { MemberReply } from './member-link.js';
 import { ReadRunner } from './read-runner.js';
 import type { Decision, RelayContext } from './relay-context.js';
 import { Transaction } from './transaction.js';
 
-const TERM = 1;
 const COMMIT: Position = { term: TERM, index: 9 };
 /** Time-out of a request, in milliseconds; long enough for several retries. */
 const TIMEOUT_MS = 120;
 
-/** A process that answers every request at once with its log position. */
-class FakeProcess {
-  readonly requests: MemberRequest[] = [];
-  /** Runs before each answer to a statement. */
-  beforeAnswer: () => void = () => undefined;
-
-  constructor(
-    public position: Position,
-    readonly isPrimary: boolean,
-  ) {}
-
-  get status(): MemberStatus {
-    return {
-      isPrimary: this.isPrimary,
-      term: this.isPrimary ? TERM : 0,
-      received: this.position,
-      pausedForTerm: 0,
-    };
-  }
-
-  get statements(): number {
-    return this.requests.filter(({ kind }) => kind === 'statement').length;
-  }
-
-  dial(): Promise<MemberLink> {
-    let isOpen = true;
-    const link = {
-      get isOpen(): boolean {
-        return isOpen;
-      },
-      lastReceivedMs: 0,
-      send: (request: MemberRequest): Promise<MemberReply> => {
-        this.requests.push(request);
-        if (request.kind === 'statement') this.beforeAnswer();
-        const state = request.kind === 'begin' || request.kind === 'statement' ? 'open' : 'idle';
-        return Promise.resolve({
-          rows: request.kind === 'status' ? [JSON.stringify(this.status)] : [],
-          result: { isComplete: true as const, signature: 's' },
-          state: this.requests.some(({ kind }) => kind === 'begin') ? state : ('idle' as const),
-          position: this.position,
-        });
-      },
-      close: (): void => void (isOpen = false),
-      onClosed: (): void => undefined,
-    };
-    return Promise.resolve(link);
-  }
-}
-
 const ROUTE: Route = {
   database: 'stock',
   groupName: 'g',
@@ -110,7 +61,7 @@
     now,
     shutdownSchedule: () => null,
     suspect: () => undefined,
-    readStatus: ({ rows }) => JSON.parse(rows[0] ?? 'null') as MemberStatus | null,
+    readStatus: readFakeStatus,
   };
   return { group, context };
 }
@@ -129,6 +80,14 @@
   }).run();
 }
 
+/** The notable decisions on a read. */
+async function decisionsOf(target: Scene): Promise<readonly Decision[]> {
+  const decisions: Decision[] = [];
+  const observer = { ...NOOP_OBSERVER, notable: (decision: Decision) => void decisions.push(decision) };
+  await read({ ...target, context: { ...target.context, observer } }).catch(() => undefined);
+  return decisions;
+}
+
 function begin({ group, context }: Scene): Promise<MemberReply> {
   const options = {
     route: ROUTE,
@@ -151,9 +110,11 @@
   const known = held === null ? 'that has reported no position' : 'that was announced with an empty log';
 
   describe(`a restarted, empty process under the id of a leader ${known}`, () => {
-    /** Guards against reads served from the empty log. */
-    test('answers no read', async () => {
-      await assert.rejects(read(scene(new FakeProcess(ZERO_POSITION, false), held)));
+    /** Guards against reads that run on the empty log, even if their answers are dropped. */
+    test('runs and answers no read', async () => {
+      const process = new FakeProcess(ZERO_POSITION, false);
+      await assert.rejects(read(scene(process, held)));
+      assert.equal(process.statements, 0);
     });
 
     test('answers no read of a transaction', async () => {
@@ -162,16 +123,13 @@
       assert.equal(process.statements, 0);
     });
 
-    /** Without the line, the log does not tell such a read from one at the leader. */
-    test('is logged with the position that it answered', async () => {
+    test('is logged as the reason for which a read was not sent', async () => {
       const target = scene(new FakeProcess(ZERO_POSITION, false), held);
-      const decisions: Decision[] = [];
-      const observer = { ...NOOP_OBSERVER, notable: (decision: Decision) => void decisions.push(decision) };
-      await read({ ...target, context: { ...target.context, observer } }).catch(() => undefined);
-      const answered = decisions.find(({ decision }) => decision === 'read_answered');
-      assert.equal(answered?.['after'], held === null ? null : '0.0');
-      assert.equal(answered?.['position'], '0.0');
-      assert.equal(answered?.['proven'], true);
+      const decisions = await decisionsOf(target);
+      const elsewhere = decisions.find(({ decision }) => decision === 'read_elsewhere');
+      assert.equal(elsewhere?.['member'], 'leader');
+      assert.equal(elsewhere['outcome'], 'not_run');
+      assert.equal(elsewhere['reason'], 'perhaps another life of the leader');
     });
 
     /** Guards against 0.0 as the floor of reads at replicas. */
@@ -191,6 +149,15 @@
       assert.deepEqual(target.group.positions.floorSince(0)?.position, ZERO_POSITION);
     });
 
+    /** A status request occupies a slot of the member and is charged. */
+    test('is asked for its status once for each connection', async () => {
+      const process = new FakeProcess(ZERO_POSITION, true);
+      const target = scene(process, held);
+      for (let count = 0; count < 3; count += 1) await read(target);
+      assert.equal(process.statements, 3);
+      assert.equal(process.statusRequests, 1);
+    });
+
     test('serves reads without a status request when its log is not empty', async () => {
       const process = new FakeProcess(COMMIT, true);
       const target = scene(process, held);
@@ -210,9 +177,28 @@
       await assert.rejects(read(target));
       assert.equal(target.group.positions.floorSince(0), null);
     });
+
+    /** Without the line, the log does not tell such an answer from one of the proven leader. */
+    test('is logged with the position of an answer that comes when it may have been replaced', async () => {
+      const process = new FakeProcess(COMMIT, true);
+      const target = scene(process, held);
+      process.beforeAnswer = () => target.group.evidence.revoke(TERM, performance.now());
+      const answered = (await decisionsOf(target)).find(({ decision }) => decision === 'read_answered');
+      assert.equal(answered?.['after'], held === null ? null : '0.0');
+      assert.equal(answered['position'], '1.9');
+      assert.equal(answered['proven'], false);
+    });
   });
 }
 
+/** Without the position, a primary that has restarted with a shorter log would be read. */
+test('a read at the leader names the position that it has reported', async () => {
+  const process = new FakeProcess(COMMIT, true);
+  await read(scene(process, COMMIT));
+  const sent = process.requests.find(({ kind }) => kind === 'statement');
+  assert.deepEqual(sent?.kind === 'statement' ? sent.after : null, COMMIT);
+});
+
 describe('a position reported by a leader', () => {
   const LEADER = { memberId: 'leader', term: TERM };
 
--- a/src/relay/session-link.ts
+++ b/src/relay/session-link.ts
@@ -4,12 +4,20 @@
  *
  * @packageDocumentation
  */
-import type { MemberReply, MemberRequest } from './member-link.js';
+import type { Leader } from '../leadership/leadership-evidence.js';
+import type { MemberReply, MemberRequest, StatusReader } from './member-link.js';
 import type { PreparedStatement, TransactionState } from './statement.js';
 
 /** Session values by name. */
 export type SessionValues = ReadonlyMap<string, string>;
 
+/** What the side that sends to a member uses to verify that its process is the leader. */
+export interface LeaderCheck {
+  /** True while there is valid evidence that the member leads the term. */
+  isProven(leader: Leader): boolean;
+  readonly readStatus: StatusReader;
+}
+
 /** A connection in exclusive use by a session. */
 export interface SessionLink {
   readonly isOpen: boolean;
@@ -29,6 +37,16 @@
    * @throws LinkLostError
    */
   prepare(prepared: PreparedStatement): Promise<string>;
+  /**
+   * Verifies that requests sent after this reach the process that leads, and no other one under its id. A
+   * borrowed connection leaves that to its gateway, which refuses requests as not run at any other process.
+   *
+   * @returns false if requests must not be sent to the member as the leader
+   * @throws LinkLostError
+   */
+  verifyLeader(leader: Leader, check: LeaderCheck): Promise<boolean>;
+  /** True if the process that gave the last reply was verified to be the leader. */
+  isVerifiedLeader(leader: Leader): boolean;
   /**
    * @throws LinkLostError; its subclass NotSentError if the request has certainly not been sent to the member
    */
--- a/src/relay/verdicts.test.ts
+++ b/src/relay/verdicts.test.ts
@@ -77,6 +77,7 @@
 
 class ScriptedLink implements MemberLink {
   isOpen = true;
+  readonly openedAt = { term: 1, index: 1 };
   readonly lastReceivedMs = 0;
   readonly #pendingRejections = new Set<(error: Error) => void>();
   #onClosed: (isByPeer: boolean) => void = () => undefined;
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -39,6 +39,7 @@
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
 const MEMBER_RESTARTS = 'platform/test/reborn.test.js';
 const RESTARTED_LEADER = 'src/relay/restarted-leader.test.js';
+const LENT_LEADER = 'src/gateway/lent-leader.test.js';
 const ENDED_DAEMON = 'src/leadership/ended-daemon.test.js';
 const ABSENCE_TRACKER = 'src/cluster/absence-tracker.test.js';
 const LEADER_RESTART = 'src/leadership/leader-restart.test.js';
@@ -674,12 +675,12 @@
     testName: 'a replica that starts anew receives it',
   },
   {
-    property: 'reads: a leader that has lost its log is not read',
+    property: 'reads: a read at the leader names the position that it has reported',
     file: 'src/relay/read-runner.js',
     search: 'asLeader ? job.group.leaderPosition : ',
     replacement: 'asLeader ? null : ',
-    testFile: MEMBER_RESTARTS,
-    testName: 'not read from as if it led',
+    testFile: RESTARTED_LEADER,
+    testName: 'names the position',
   },
   {
     property: 'promotions after restarts: ended incarnations are not missing once the leader answers',
@@ -819,20 +820,52 @@
     testName: 'is replaced at once',
   },
   {
-    property: 'reads: an answer with an empty log has to come from the leader',
+    property: 'reads: the process of the leader is verified before a read is sent to it',
     file: 'src/relay/read-runner.js',
-    search: '!isNonEmptyLog(after)',
-    replacement: 'false',
+    search: 'if (!mayRead)',
+    replacement: 'if (false)',
+    testFile: RESTARTED_LEADER,
+    testName: 'runs and answers no read',
+  },
+  {
+    property: 'reads: a process with an empty log has to report that it leads',
+    file: 'src/relay/pooled-link.js',
+    search: 'return status?.isPrimary === true && status.term === term;',
+    replacement: 'return true;',
+    testFile: RESTARTED_LEADER,
+    testName: 'runs and answers no read',
+  },
+  {
+    property: 'reads: the process at the end of a connection is verified once',
+    file: 'src/relay/pooled-link.js',
+    search: 'if (this.isVerifiedLeader(leader))',
+    replacement: 'if (false)',
     testFile: RESTARTED_LEADER,
-    testName: 'answers no read',
+    testName: 'once for each connection',
+  },
+  {
+    property: 'reads: a gateway verifies the process of the leader',
+    file: 'src/gateway/loan.js',
+    search: '!(await link.verifyLeader(leader, leaderCheck))',
+    replacement: 'false',
+    testFile: LENT_LEADER,
+    testName: 'does not run at an empty process',
   },
   {
-    property: 'reads: a member with an empty log has to report that it leads',
+    property: 'reads: a log identifies the leader only while that is proven',
+    file: 'src/relay/pooled-link.js',
+    search: 'check.isProven(leader)',
+    replacement: 'true',
+    testFile: LENT_LEADER,
+    testName: 'at a process with a log that does not lead',
+  },
+  {
+    property: 'transactions: a member with an empty log has to report that it leads',
     file: 'src/relay/leader-identity.js',
     search: 'return isLeader && isStillLeader(context, group, leader);',
     replacement: 'return true;',
     testFile: RESTARTED_LEADER,
-    testName: 'answers no read',
+    testName: 'no read of a transaction',
   },
   {
     property: 'reads: the leader must not have been replaced before an answer with an empty log',
--- a/test/support/fake-link.ts
+++ b/test/support/fake-link.ts
@@ -13,6 +13,7 @@
 /** A connection that answers at once and records the requests sent on it. */
 export class FakeLink implements MemberLink {
   isOpen = true;
+  readonly openedAt = null;
   lastReceivedMs = 0;
   readonly sent: MemberRequest[] = [];
   refuseNext = false;
--- a/test/support/modelled-member.ts
+++ b/test/support/modelled-member.ts
@@ -93,6 +93,7 @@
 
 class ModelledLink implements MemberLink {
   isOpen = true;
+  readonly openedAt = null;
   lastReceivedMs = 0;
   #onClosed: ((isByPeer: boolean) => void) | null = null;
 
--- a/test/support/slow-link.ts
+++ b/test/support/slow-link.ts
@@ -14,6 +14,7 @@
 /** A connection that answers requests in order, on demand, and tracks its transaction state. */
 export class SlowLink implements MemberLink {
   isOpen = true;
+  readonly openedAt = null;
   lastReceivedMs = 0;
   readonly executed: string[] = [];
   readonly #pending: {
