A read at the leader is sent only to the process that led, whatever position it names

The position that a read at the leader names is what this daemon knows; other daemons have acknowledged later commits. A process that has restarted under the leader's id and copies the log of the next leader reaches that position first. Two ways lead a read there, with valid evidence when it is sent: the connection was opened to the restarted, still empty process, and the read waits in the member's queue (if the member compares the position when it runs the read); or the read waits at a gateway, which opens a connection to the restarted process meanwhile. The second needs nothing of the member's order of checks.

The tests of both failed before with "Missing expected rejection": the read, and the read of a transaction, ran on a part of the log and were answered. Now the process is verified for each read and read-only transaction at the leader, not only where no position is known. With a log, and evidence when the connection is used, that costs nothing; a gateway uses its own evidence at that time, or asks over that connection. A process that is found empty is reported as before, when it refused by the position; a gateway answers for it with the same refusal.

The position is still named: by it, a primary that has restarted with less refuses.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -6,7 +6,7 @@
 import type { Leader } from '../leadership/leadership-evidence.js';
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { preparedStatementName } from '../relay/pooled-link.js';
-import type { SessionLink, SessionValues } from '../relay/session-link.js';
+import type { LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
 import type { BorrowMessage, GatewayMessage } from './gateway-messages.js';
 
@@ -68,9 +68,9 @@
     return name;
   }
 
-  verifyLeader(leader: Leader): Promise<boolean> {
+  verifyLeader(leader: Leader): Promise<LeaderVerdict> {
     this.#requiredLeader = leader;
-    return Promise.resolve(true);
+    return Promise.resolve('leader');
   }
 
   isVerifiedLeader({ memberId, term }: Leader): boolean {
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -5,10 +5,12 @@
  */
 import type { Leader } from '../leadership/leadership-evidence.js';
 import type { LinkPool } from '../relay/link-pool.js';
+import { isNonEmptyLog, OTHER_INCARNATION } from '../relay/leader-identity.js';
 import { LinkAcquisition } from '../relay/link-acquisition.js';
-import { NotSentError, type MemberReply } from '../relay/member-link.js';
+import { NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
+import { ZERO_POSITION } from '../position/position.js';
 import type { PooledLink } from '../relay/pooled-link.js';
-import type { LeaderCheck, SessionValues } from '../relay/session-link.js';
+import type { LeaderCheck, LeaderVerdict, SessionValues } from '../relay/session-link.js';
 import type { BorrowMessage, GatewayMessage, LoanRequestMessage, ValuesMessage } from './gateway-messages.js';
 import type { StatusQuestions } from './status-questions.js';
 
@@ -35,7 +37,6 @@
 
 const GATEWAY_STOPPING = 'the gateway is about to stop';
 const MEMBER_ENDED = 'the member has ended';
-const OTHER_INCARNATION = 'perhaps another incarnation of the leader';
 const NOT_A_GATEWAY = 'not a gateway of the member';
 
 /** A reply stating that nothing was sent to the member. */
@@ -48,6 +49,17 @@
   };
 }
 
+/**
+ * A reply stating that nothing was sent to a process that may not be the leader's. An empty process refuses
+ * what names a position, by which the borrower knows that the leader has lost its log.
+ */
+function wrongProcessReply(verdict: Exclude<LeaderVerdict, 'leader'>, request: MemberRequest): MemberReply {
+  const namesPosition = 'after' in request && isNonEmptyLog(request.after);
+  if (verdict !== 'empty' || !namesPosition) return notSentReply(`gateway: ${OTHER_INCARNATION}`);
+  const result = { isComplete: false, code: 'behind', text: OTHER_INCARNATION } as const;
+  return { rows: [], result, state: 'idle', position: ZERO_POSITION };
+}
+
 /** Processes the messages of one loan in order. */
 export class Loan {
   readonly #queue: (ValuesMessage | LoanRequestMessage)[] = [];
@@ -126,11 +138,12 @@
     if (link === null) return;
     const wasIdle = link.state === 'idle';
     let { request } = message;
+    let verdict: LeaderVerdict;
     try {
       await link.setSessionValues(this.#values);
       if (request.kind === 'execute' && message.prepared !== null)
         request = { ...request, name: await link.prepare(message.prepared) };
-      await this.#verifyLeader(link, message.leader);
+      verdict = await this.#verifyLeader(link, message.leader);
     } catch (error) {
       this.#releaseLink();
       if (wasIdle) this.#reply(notSentReply(`gateway: ${String(error)}`));
@@ -138,6 +151,11 @@
       return;
     }
     if (this.#link !== link) return;
+    if (verdict !== 'leader') {
+      this.#releaseLink();
+      this.#reply(wrongProcessReply(verdict, request));
+      return;
+    }
     try {
       this.#isRequestInFlight = true;
       const reply = await link.send(request);
@@ -151,12 +169,11 @@
     }
   }
 
-  /** Throws unless the process at the other end of a connection is the leader that the borrower requires. */
-  async #verifyLeader(link: PooledLink, leader: Leader | undefined): Promise<void> {
+  /** Whether the process at the other end of a connection is the leader that the borrower requires, if any. */
+  async #verifyLeader(link: PooledLink, leader: Leader | undefined): Promise<LeaderVerdict> {
     const { leaderCheck } = this.options;
-    if (leader === undefined) return;
-    if (leaderCheck === null || !(await link.verifyLeader(leader, leaderCheck)))
-      throw new NotSentError(OTHER_INCARNATION);
+    if (leader === undefined) return 'leader';
+    return leaderCheck === null ? 'unknown' : link.verifyLeader(leader, leaderCheck);
   }
 
   /**
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -7,7 +7,7 @@
 import type { Position } from '../position/position.js';
 import { isNonEmptyLog } from './leader-identity.js';
 import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
-import type { LeaderCheck, SessionLink, SessionValues } from './session-link.js';
+import type { LeaderCheck, LeaderVerdict, SessionLink, SessionValues } from './session-link.js';
 import type { PreparedStatement, TransactionState } from './statement.js';
 
 /** Maximum number of prepared statements on a connection; a connection that would exceed it is closed. */
@@ -145,19 +145,21 @@
    * While the leader is proven, no later one has a log to copy, so a process that has restarted under its id
    * is empty. One with a non-empty log is the leader; one with an empty log has to report that it leads.
    */
-  async verifyLeader(leader: Leader, check: LeaderCheck): Promise<boolean> {
-    if (this.isVerifiedLeader(leader)) return true;
-    const isLeader =
-      (isNonEmptyLog(this.#position) && check.isProven(leader)) || (await this.#reportsToLead(leader, check));
-    if (isLeader) this.#verifiedLeader = leader;
-    return isLeader;
+  async verifyLeader(leader: Leader, check: LeaderCheck): Promise<LeaderVerdict> {
+    if (this.isVerifiedLeader(leader)) return 'leader';
+    const hasWholeLog = isNonEmptyLog(this.#position) && check.isProven(leader);
+    const verdict = hasWholeLog ? 'leader' : await this.#askWhetherItLeads(leader, check);
+    if (verdict === 'leader') this.#verifiedLeader = leader;
+    return verdict;
   }
 
-  async #reportsToLead({ term }: Leader, { readStatus }: LeaderCheck): Promise<boolean> {
+  async #askWhetherItLeads({ term }: Leader, { readStatus }: LeaderCheck): Promise<LeaderVerdict> {
     const timer = setTimeout(() => this.close(), STATUS_TIMEOUT_MS);
     try {
       const status = readStatus(await this.send({ kind: 'status' }));
-      return status?.isPrimary === true && status.term === term;
+      if (status === null) return 'unknown';
+      if (status.isPrimary && status.term === term) return 'leader';
+      return isNonEmptyLog(status.received) ? 'unknown' : 'empty';
     } finally {
       clearTimeout(timer);
     }
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -15,7 +15,9 @@
 import {
   isNonEmptyLog,
   isStillLeader,
-  leaderCheck,
+  mayReadAsLeader,
+  NO_LEADER_EVIDENCE,
+  OTHER_INCARNATION,
   recordLeaderPosition,
   verifyLeaderIncarnation,
 } from './leader-identity.js';
@@ -83,8 +85,6 @@
 const NO_HEDGE_MS = 60_000;
 
 const ANSWERED_ELSEWHERE = 'answered by another member';
-const NO_LEADER_EVIDENCE = 'no evidence of the leader';
-const OTHER_INCARNATION = 'perhaps another life of the leader';
 
 /** Limit on concurrent attempts of one read. */
 const MAX_PARALLEL = 2;
@@ -381,10 +381,8 @@
     );
     let isSent = false;
     try {
-      if (leader !== null && !isNonEmptyLog(after)) {
-        const mayRead = await link.verifyLeader(leader, leaderCheck(context, job.group));
-        if (!mayRead) return { kind: 'not_run', reason: OTHER_INCARNATION, members };
-      }
+      if (leader !== null && !(await mayReadAsLeader(context, job.group, leader, link, after)))
+        return { kind: 'not_run', reason: OTHER_INCARNATION, members };
       const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
         if (this.#isSettled) return ANSWERED_ELSEWHERE;
         if (asLeader && job.group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
--- a/src/relay/restarted-leader.test.ts
+++ b/src/relay/restarted-leader.test.ts
@@ -13,99 +13,28 @@
  */
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
-import { FakeProcess, PROCESS_TERM as TERM, readFakeStatus } from '../../test/support/fake-process.js';
+import { FakeProcess, PROCESS_TERM as TERM } from '../../test/support/fake-process.js';
+import { begin, createLeaderScene, now, read, type LeaderScene } from '../../test/support/leader-scene.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
 import { createTestGroup } from '../../test/support/relay-members.js';
 import { ZERO_POSITION, type Position } from '../position/position.js';
-import { Catalog, type Route } from '../topology/catalog.js';
-import type { MemberGroup } from '../topology/member-group.js';
-import type { MemberReply } from './member-link.js';
-import { ReadRunner } from './read-runner.js';
-import type { Decision, RelayContext } from './relay-context.js';
-import { Transaction } from './transaction.js';
+import type { Decision } from './relay-context.js';
 
 const COMMIT: Position = { term: TERM, index: 9 };
-/** Time-out of a request, in milliseconds; long enough for several retries. */
-const TIMEOUT_MS = 120;
-
-const ROUTE: Route = {
-  database: 'stock',
-  groupName: 'g',
-  consistency: 'primary',
-  timeoutMs: TIMEOUT_MS,
-  targetLatencyMs: TIMEOUT_MS,
-  priority: 2,
-  maxStalenessMs: 1500,
-  isPublic: true,
-};
-
-interface Scene {
-  readonly group: MemberGroup;
-  readonly context: RelayContext;
-}
 
 /** A group with valid evidence for its leader, which has reported the position `held`, or none. */
-function scene(process: FakeProcess, held: Position | null): Scene {
-  const now = (): number => performance.now();
-  const group = createTestGroup({ leader: process }, now);
-  group.recordLeader({ memberId: 'leader', term: TERM }, held);
-  group.evidence.recordWitness(TERM, 0, now());
-  const context: RelayContext = {
-    catalog: new Catalog(),
-    configurationLease: ALWAYS_PROVEN,
-    quotas: NO_QUOTAS,
-    zone: 'a',
-    observer: NOOP_OBSERVER,
-    group: () => group,
-    now,
-    shutdownSchedule: () => null,
-    suspect: () => undefined,
-    readStatus: readFakeStatus,
-  };
-  return { group, context };
-}
-
-function read({ group, context }: Scene): Promise<MemberReply> {
-  return new ReadRunner(context, {
-    requestId: 'r',
-    statement: { kind: 'plain', payload: 'READ r' },
-    route: ROUTE,
-    group,
-    tenantName: 'one',
-    values: new Map(),
-    sessionFloor: null,
-    receivedAtMs: context.now(),
-    deadlineMs: context.now() + TIMEOUT_MS,
-  }).run();
+function scene(process: FakeProcess, held: Position | null): LeaderScene {
+  return createLeaderScene(createTestGroup({ leader: process }, now), held);
 }
 
 /** The notable decisions on a read. */
-async function decisionsOf(target: Scene): Promise<readonly Decision[]> {
+async function decisionsOf(target: LeaderScene): Promise<readonly Decision[]> {
   const decisions: Decision[] = [];
   const observer = { ...NOOP_OBSERVER, notable: (decision: Decision) => void decisions.push(decision) };
   await read({ ...target, context: { ...target.context, observer } }).catch(() => undefined);
   return decisions;
 }
 
-function begin({ group, context }: Scene): Promise<MemberReply> {
-  const options = {
-    route: ROUTE,
-    group,
-    isReadOnly: true,
-    receivedAtMs: context.now(),
-    tenantName: 'one',
-    sessionFloor: null,
-  };
-  return new Transaction(context, options).run({
-    requestId: 'r',
-    statement: { kind: 'plain', payload: 'READ r' },
-    kind: 'read',
-    values: new Map(),
-    deadlineMs: context.now() + TIMEOUT_MS,
-  });
-}
-
 for (const held of [null, ZERO_POSITION]) {
   const known = held === null ? 'that has reported no position' : 'that was announced with an empty log';
 
@@ -191,6 +120,31 @@
   });
 }
 
+/**
+ * The process copies the log of the next leader while the request waits in its queue, and holds the position
+ * that the request names before it holds later commits.
+ */
+for (const [kind, run] of [
+  ['read', read],
+  ['transaction', begin],
+] as const)
+  test(`a ${kind} that names an older position is not queued at an empty, restarted process`, async () => {
+    const process = new FakeProcess(ZERO_POSITION, false);
+    const target = scene(process, COMMIT);
+    process.beforeAnswer = () => (process.position = COMMIT);
+    await assert.rejects(run(target));
+    assert.equal(process.runs, 0);
+  });
+
+/** Without the report, the leader would be replaced only once it is noticed otherwise. */
+test('an empty, restarted process is reported when the leader has had a log', async () => {
+  const target = scene(new FakeProcess(ZERO_POSITION, false), COMMIT);
+  const reasons: string[] = [];
+  const suspect = (_group: unknown, _member: unknown, reason: string): void => void reasons.push(reason);
+  await assert.rejects(read({ ...target, context: { ...target.context, suspect } }));
+  assert.equal(reasons[0], 'lost_log');
+});
+
 /** Without the position, a primary that has restarted with a shorter log would be read. */
 test('a read at the leader names the position that it has reported', async () => {
   const process = new FakeProcess(COMMIT, true);
--- a/src/relay/session-link.ts
+++ b/src/relay/session-link.ts
@@ -18,6 +18,13 @@
   readonly readStatus: StatusReader;
 }
 
+/**
+ * What is known of the process at the other end of a connection. `leader`: it is the leader, or the gateway of
+ * the connection verifies that; `empty`: it does not lead, and its log is empty; `unknown`: it may not be the
+ * leader.
+ */
+export type LeaderVerdict = 'leader' | 'empty' | 'unknown';
+
 /** A connection in exclusive use by a session. */
 export interface SessionLink {
   readonly isOpen: boolean;
@@ -41,10 +48,9 @@
    * Verifies that requests sent after this reach the process that leads, and no other one under its id. A
    * borrowed connection leaves that to its gateway, which refuses requests as not run at any other process.
    *
-   * @returns false if requests must not be sent to the member as the leader
    * @throws LinkLostError
    */
-  verifyLeader(leader: Leader, check: LeaderCheck): Promise<boolean>;
+  verifyLeader(leader: Leader, check: LeaderCheck): Promise<LeaderVerdict>;
   /** True if the process that gave the last reply was verified to be the leader. */
   isVerifiedLeader(leader: Leader): boolean;
   /**
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -9,7 +9,14 @@
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
 import { proveCommit } from './commit-proof.js';
-import { verifyLeaderIncarnation, recordLeaderPosition, isNonEmptyLog } from './leader-identity.js';
+import {
+  isNonEmptyLog,
+  mayReadAsLeader,
+  NO_LEADER_EVIDENCE,
+  OTHER_INCARNATION,
+  recordLeaderPosition,
+  verifyLeaderIncarnation,
+} from './leader-identity.js';
 import { dueAt } from './link-queue.js';
 import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionLink, SessionValues } from './session-link.js';
@@ -267,7 +274,7 @@
     const { group, route, isReadOnly } = options;
     const { member, link, isLeader } = pinned;
     await link.setSessionValues(step.values);
-    if (isLeader && group.leader(context.now()) !== member) return 'no evidence of the leader';
+    if (isLeader && group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
     const floor = isLeader ? null : readFloor(group, route, options.sessionFloor, options.receivedAtMs);
     if (!isLeader && floor === null) return 'no position of the leader';
     const after = isLeader ? group.leaderPosition : (floor?.position ?? null);
@@ -280,6 +287,10 @@
       after: after === null ? null : formatPosition(after),
     });
     const { leader } = group.evidence;
+    if (isLeader && isReadOnly && leader !== null) {
+      if (!(await mayReadAsLeader(context, group, leader, link, after))) return OTHER_INCARNATION;
+      if (group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
+    }
     const reply = await link.send({ kind: 'begin', isReadOnly, after });
     recordReplicaProgress(member, floor, reply, context.now());
     if (reply.result.isComplete) {
@@ -287,7 +298,7 @@
       // Only a primary accepts a read-write transaction, so its incarnation needs no check.
       if (!isLeader || !isReadOnly || isNonEmptyLog(after) || leader === null) return null;
       const isVerified = await verifyLeaderIncarnation(context, group, leader, link, reply.position);
-      return isVerified ? null : 'perhaps another life of the leader';
+      return isVerified ? null : OTHER_INCARNATION;
     }
     if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
     if (isLeader && hasLostLog(reply)) context.suspect(group, member, 'lost_log');
--- a/test/support/fake-process.ts
+++ b/test/support/fake-process.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { Position } from '../../src/position/position.js';
+import { hasReached, type Position } from '../../src/position/position.js';
 import type {
   MemberDialer,
   MemberLink,
@@ -23,7 +23,9 @@
 /** A process that answers every request at once with its log position. */
 export class FakeProcess implements MemberDialer {
   readonly requests: MemberRequest[] = [];
-  /** Runs before each answer to a statement. */
+  /** Statements that have run. */
+  runs = 0;
+  /** Runs before each answer to a statement or the begin of a transaction. */
   beforeAnswer: () => void = () => undefined;
 
   constructor(
@@ -58,7 +60,12 @@
       lastReceivedMs: 0,
       send: (request: MemberRequest): Promise<MemberReply> => {
         this.requests.push(request);
-        if (request.kind === 'statement') this.beforeAnswer();
+        if (request.kind === 'statement' || request.kind === 'begin') {
+          this.beforeAnswer();
+          if (request.after !== null && !hasReached(this.position, request.after))
+            return Promise.resolve(this.#refuse());
+          if (request.kind === 'statement') this.runs += 1;
+        }
         const state = request.kind === 'begin' || request.kind === 'statement' ? 'open' : 'idle';
         return Promise.resolve({
           rows: request.kind === 'status' ? [JSON.stringify(this.status)] : [],
@@ -72,4 +79,9 @@
     };
     return Promise.resolve(link);
   }
+
+  #refuse(): MemberReply {
+    const result = { isComplete: false, code: 'behind', text: 'LAGGING' } as const;
+    return { rows: [], result, state: 'idle', position: this.position };
+  }
 }
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { DaemonRecord } from '../../src/cluster/daemon-record.js';
 import { GatewayClient } from '../../src/gateway/gateway-client.js';
 import { MemberConnections } from '../../src/gateway/member-connections.js';
 import { LinkPool } from '../../src/relay/link-pool.js';
@@ -11,8 +12,19 @@
 
 const GROUP = 'g';
 
-/** Creates a member with a pool of at most one connection. */
-function createMember(memberId: string, dialer: MemberDialer, now: () => number): Member {
+/** A gateway from which connections are borrowed. */
+export interface TestGateway {
+  readonly client: GatewayClient;
+  readonly record: DaemonRecord;
+}
+
+/** Creates a member with a pool of at most one connection, or with connections borrowed from a gateway. */
+function createMember(
+  memberId: string,
+  dialer: MemberDialer,
+  now: () => number,
+  gateway: TestGateway | null,
+): Member {
   const entry = {
     memberId,
     groupName: GROUP,
@@ -41,8 +53,8 @@
     memberId,
     bornMs: () => null,
     pool,
-    gatewayClient: new GatewayClient('h', now, Math.random),
-    assignment: () => ({ gateways: null, standbys: [], budget: 1 }),
+    gatewayClient: gateway?.client ?? new GatewayClient('h', now, Math.random),
+    assignment: () => ({ gateways: gateway === null ? null : [gateway.record], standbys: [], budget: 1 }),
     tenantShare: () => 1,
     fallbackLenders: () => [],
     ownName: 'd',
@@ -54,10 +66,11 @@
 export function createTestGroup(
   dialers: Readonly<Record<string, MemberDialer>>,
   now: () => number,
+  gateway: TestGateway | null = null,
 ): MemberGroup {
   const group = new MemberGroup(GROUP);
   for (const [memberId, dialer] of Object.entries(dialers))
-    group.members.set(memberId, createMember(memberId, dialer, now));
+    group.members.set(memberId, createMember(memberId, dialer, now, gateway));
   group.evidence.observeLeader({ memberId: 'leader', term: 1 });
   return group;
 }
