--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -42,6 +42,7 @@
 const MEMBER_RESTARTS = 'platform/test/reborn.test.js';
 const SESSION_OWN_COMMITS = 'src/relay/session-own-commits.test.js';
 const RESTARTED_LEADER = 'src/relay/restarted-leader.test.js';
+const LENT_LEADER = 'src/gateway/lent-leader.test.js';
 const ENDED_DAEMON = 'src/leadership/ended-daemon.test.js';
 const ABSENCE_TRACKER = 'src/cluster/absence-tracker.test.js';
 const LEADER_RESTART = 'src/leadership/leader-restart.test.js';
@@ -685,12 +686,12 @@
     testName: 'a replica that starts anew receives it',
   },
   {
-    property: 'reads: a leader that has lost its log is not read',
+    property: 'reads: a read at the leader names the position that it has reported',
     file: 'src/relay/read-runner.js',
     search: 'asLeader ? job.group.leaderPosition : ',
     replacement: 'asLeader ? null : ',
-    testFile: MEMBER_RESTARTS,
-    testName: 'not read from as if it led',
+    testFile: RESTARTED_LEADER,
+    testName: 'names the position',
   },
   {
     property: 'promotions after restarts: ended incarnations are not missing once the leader answers',
@@ -830,20 +831,94 @@
     testName: 'is replaced at once',
   },
   {
-    property: 'reads: an answer with an empty log has to come from the leader',
+    property: 'reads: the process of the leader is verified before a read is sent to it',
     file: 'src/relay/read-runner.js',
-    search: '!isNonEmptyLog(after)',
+    search: '!(await mayReadAsLeader(context, job.group, leader, link, after))',
+    replacement: 'false',
+    testFile: RESTARTED_LEADER,
+    testName: 'runs and answers no read',
+  },
+  {
+    property: 'reads: a process with an empty log has to report that it leads',
+    file: 'src/relay/pooled-link.js',
+    search: 'if (status.isPrimary && status.term === term)',
+    replacement: 'if (true)',
+    testFile: RESTARTED_LEADER,
+    testName: 'runs and answers no read',
+  },
+  {
+    property: 'reads: the process at the end of a connection is verified once',
+    file: 'src/relay/pooled-link.js',
+    search: 'if (this.isVerifiedLeader(leader))',
+    replacement: 'if (false)',
+    testFile: RESTARTED_LEADER,
+    testName: 'once for each connection',
+  },
+  {
+    property: 'reads: a gateway verifies the process of the leader',
+    file: 'src/gateway/loan.js',
+    search: "if (verdict !== 'leader')",
+    replacement: 'if (false)',
+    testFile: LENT_LEADER,
+    testName: 'does not run at an empty process',
+  },
+  {
+    property: 'reads: a log identifies the leader only while that is proven',
+    file: 'src/relay/pooled-link.js',
+    search: 'check.isProven(leader)',
+    replacement: 'true',
+    testFile: LENT_LEADER,
+    testName: 'at a process with a log that does not lead',
+  },
+  {
+    property: 'reads: a position does not replace the verification of the process',
+    file: 'src/relay/leader-identity.js',
+    search: 'await link.verifyLeader(leader, leaderCheck(context, group))',
+    replacement:
+      "isNonEmptyLog(after) ? 'leader' : await link.verifyLeader(leader, leaderCheck(context, group))",
+    testFile: RESTARTED_LEADER,
+    testName: 'names an older position is not queued',
+  },
+  {
+    property: 'reads: a position does not replace the verification at a gateway',
+    file: 'src/relay/leader-identity.js',
+    search: 'await link.verifyLeader(leader, leaderCheck(context, group))',
+    replacement:
+      "isNonEmptyLog(after) ? 'leader' : await link.verifyLeader(leader, leaderCheck(context, group))",
+    testFile: LENT_LEADER,
+    testName: 'restarted while the read waited',
+  },
+  {
+    property: 'reads: a leader without its log is reported',
+    file: 'src/relay/leader-identity.js',
+    search: "if (verdict === 'empty' && isNonEmptyLog(after) && member !== undefined)",
+    replacement: 'if (false)',
+    testFile: RESTARTED_LEADER,
+    testName: 'is reported when the leader has had a log',
+  },
+  {
+    property: 'reads: a gateway tells that a leader is without its log',
+    file: 'src/gateway/loan.js',
+    search: "if (verdict !== 'empty' || !namesPosition)",
+    replacement: 'if (true)',
+    testFile: LENT_LEADER,
+    testName: 'reports its lost log',
+  },
+  {
+    property: 'reads: the process of the leader is verified before a transaction begins',
+    file: 'src/relay/transaction.js',
+    search: '!(await mayReadAsLeader(context, group, leader, link, after))',
     replacement: 'false',
     testFile: RESTARTED_LEADER,
-    testName: 'answers no read',
+    testName: 'a transaction that names an older position',
   },
   {
-    property: 'reads: a member with an empty log has to report that it leads',
+    property: 'reads: an answer over a gateway of the build before is verified',
     file: 'src/relay/leader-identity.js',
     search: 'return isLeader && isStillLeader(context, group, leader);',
     replacement: 'return true;',
-    testFile: RESTARTED_LEADER,
-    testName: 'answers no read',
+    testFile: LENT_LEADER,
+    testName: 'answers no read at an empty process',
   },
   {
     property: 'reads: the leader must not have been replaced before an answer with an empty log',
@@ -858,8 +933,8 @@
     file: 'src/relay/transaction.js',
     search: 'return isVerified ? null',
     replacement: 'return true ? null',
-    testFile: RESTARTED_LEADER,
-    testName: 'no read of a transaction',
+    testFile: LENT_LEADER,
+    testName: 'begins no transaction',
   },
   {
     property: 'read your writes: a session remembers its commits at each group',
