--- a/src/relay/session-own-commits.test.ts
+++ b/src/relay/session-own-commits.test.ts
@@ -43,6 +43,7 @@
       get isOpen(): boolean {
         return isOpen;
       },
+      openedAt: this.#position,
       lastReceivedMs: 0,
       send: (request: MemberRequest): Promise<MemberReply> => {
         const after = 'after' in request ? request.after : null;
