--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1051,4 +1051,12 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'still accepts a connection',
   },
+  {
+    property: 'settings of the platform: an enforced bound of revocations is required',
+    file: 'platform/node-settings.js',
+    search: "values['isRevocationBounded'] === true ? boundedValuesSchema",
+    replacement: 'false ? boundedValuesSchema',
+    testFile: 'platform/test/codecs.test.js',
+    testName: 'settings refused',
+  },
 ];
