--- a/src/entry/owner-circuit-breaker.ts
+++ b/src/entry/owner-circuit-breaker.ts
@@ -6,8 +6,8 @@
  * @packageDocumentation
  */
 
-/** Settings; times in milliseconds. */
-export interface OwnerCircuitBreakerOptions {
+/** When requests are rejected and let through; times in milliseconds. */
+export interface BreakerTiming {
   /**
    * Time without a response after which requests are rejected immediately; longer than a change of owner
    * takes.
@@ -26,14 +26,14 @@
 export class OwnerCircuitBreaker {
   readonly #outages = new Map<string, Outage>();
 
-  constructor(private readonly options: OwnerCircuitBreakerOptions) {}
+  constructor(private readonly timing: BreakerTiming) {}
 
   /** True when a request may search for an owner: no long outage is known, or a probe is due. */
   allowRequest(database: string, nowMs: number): boolean {
     const outage = this.#outages.get(database);
     if (outage === undefined || !this.#isOpen(outage, nowMs)) return true;
     if (nowMs < outage.nextProbeMs) return false;
-    outage.nextProbeMs = nowMs + this.options.probeIntervalMs;
+    outage.nextProbeMs = nowMs + this.timing.probeIntervalMs;
     return true;
   }
 
@@ -50,6 +50,6 @@
   }
 
   #isOpen(outage: Outage, nowMs: number): boolean {
-    return nowMs - outage.sinceMs >= this.options.openAfterMs;
+    return nowMs - outage.sinceMs >= this.timing.openAfterMs;
   }
 }
--- a/src/entry/pause-detector.ts
+++ b/src/entry/pause-detector.ts
@@ -9,8 +9,8 @@
  * @packageDocumentation
  */
 
-/** Settings of a detector; times in milliseconds. */
-export interface PauseDetectorOptions {
+/** What counts as a pause, and for how long; in milliseconds. */
+export interface PauseTiming {
   /** Time between two calls of {@link PauseDetector.tick} that counts as a pause. */
   readonly thresholdMs: number;
   /** Time after a pause during which input may predate the pause. */
@@ -39,7 +39,7 @@
 
   /** @param nowMs - monotonic time, in milliseconds */
   constructor(
-    private readonly options: PauseDetectorOptions,
+    private readonly timing: PauseTiming,
     nowMs: number,
   ) {
     this.#lastTickMs = nowMs;
@@ -47,8 +47,8 @@
 
   /** Records the current time; returns true while input may have waited in its socket during a pause. */
   tick(nowMs: number): boolean {
-    if (nowMs - this.#lastTickMs >= this.options.thresholdMs) {
-      this.#windowEndMs = nowMs + this.options.windowMs;
+    if (nowMs - this.#lastTickMs >= this.timing.thresholdMs) {
+      this.#windowEndMs = nowMs + this.timing.windowMs;
       this.#lastPauseEndMs = nowMs;
       this.#iterationsLeft = ITERATIONS_AFTER_PAUSE;
     }
