Gateway: types of what a part is given are nouns without suffix

AssignmentsOptions is AssignmentBasis, MemberConnectionsOptions ConnectionSources, GatewayServerPorts GatewayResources; renamed by the compiler.

--- a/src/gateway/assignments.ts
+++ b/src/gateway/assignments.ts
@@ -21,8 +21,8 @@
 /** Assignment while no daemon is known: no daemon connects. */
 const UNASSIGNED: Assignment = { gateways: [], standbys: [], budget: 0 };
 
-/** Inputs of the assignments. */
-export interface AssignmentsOptions {
+/** What the assignments are computed from. */
+export interface AssignmentBasis {
   readonly ownName: string;
   /**
    * Daemons among which connections are assigned.
@@ -50,7 +50,7 @@
 export class Assignments {
   readonly #cache = new Map<string, CachedAssignment>();
 
-  constructor(private readonly options: AssignmentsOptions) {}
+  constructor(private readonly basis: AssignmentBasis) {}
 
   /** Discards all cached assignments, after a change of the daemons or of the connection limits. */
   clear(): void {
@@ -69,7 +69,7 @@
   /** Number of connections that this daemon may currently hold to a member. */
   budget(entry: MemberEntry): number {
     const assignment = this.of(entry);
-    if (!isAssigned(assignment, this.options.ownName)) return 0;
+    if (!isAssigned(assignment, this.basis.ownName)) return 0;
     return Math.max(
       1,
       Math.floor(this.isStartingUp ? assignment.budget * STARTUP_BUDGET_SHARE : assignment.budget),
@@ -78,12 +78,12 @@
 
   /** True during the startup period of this daemon. */
   get isStartingUp(): boolean {
-    return this.options.now() - this.options.startedAtMs() < STARTUP_PERIOD_MS;
+    return this.basis.now() - this.basis.startedAtMs() < STARTUP_PERIOD_MS;
   }
 
   /** True if this daemon is one of those that connect to a member. */
   isAssigned(entry: MemberEntry): boolean {
-    return isAssigned(this.of(entry), this.options.ownName);
+    return isAssigned(this.of(entry), this.basis.ownName);
   }
 
   /** True if this daemon lends connections to a member to other daemons. */
@@ -92,11 +92,11 @@
   }
 
   #assign({ memberId, groupName, zone, slots }: MemberEntry): Assignment {
-    const limit = this.options.connectionLimit(groupName);
+    const limit = this.basis.connectionLimit(groupName);
     const connections = Math.max(1, Math.min(limit - RESERVED_CONNECTIONS, slots * CONNECTIONS_PER_SLOT));
-    const daemons = this.options.daemons(this.isStartingUp);
+    const daemons = this.basis.daemons(this.isStartingUp);
     if (daemons.length === 0) return UNASSIGNED;
-    const hasTenants = this.options.hasTenants();
+    const hasTenants = this.basis.hasTenants();
     return assignGateways(daemons, { memberId, zone, connections, hasTenants });
   }
 }
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -16,8 +16,8 @@
 import { Loan, type LendingStage } from './loan.js';
 import { StatusQuestions } from './status-questions.js';
 
-/** Functions of the daemon that the server uses to handle requests. */
-export interface GatewayServerPorts {
+/** What this daemon provides to other daemons on request. */
+export interface GatewayResources {
   /**
    * The pool of a member; `null` if this daemon may not connect to it, or knows another incarnation of it.
    */
@@ -41,7 +41,7 @@
   /** True once incoming messages are ignored. */
   #isFinished = false;
 
-  constructor(private readonly ports: GatewayServerPorts) {
+  constructor(private readonly resources: GatewayResources) {
     this.#server = createServer((socket) => this.#accept(socket));
   }
 
@@ -119,7 +119,7 @@
     const { groupName, memberId, bornMs = null } = terms;
     const loan = new Loan({
       terms,
-      pool: this.ports.pool(groupName, { memberId, bornMs }),
+      pool: this.resources.pool(groupName, { memberId, bornMs }),
       statusQuestions: this.#statusQuestions,
       stage: () => this.#stage,
       answer: (message) => channel.send(message),
@@ -166,11 +166,11 @@
         channel.send({
           type: 'evidence',
           id: message.id,
-          answer: this.ports.ownEvidence(message.knownVersion),
+          answer: this.resources.ownEvidence(message.knownVersion),
         });
         break;
       case 'ask_changes':
-        void this.ports
+        void this.resources
           .changes(message.afterRevision, message.waitMs)
           .then((answer) => channel.send({ type: 'changes', id: message.id, answer }));
         break;
@@ -178,11 +178,11 @@
         channel.send({
           type: 'configuration',
           id: message.id,
-          answer: this.ports.configuration(message.heldVersion),
+          answer: this.resources.configuration(message.heldVersion),
         });
         break;
       case 'ask_grant':
-        void this.ports
+        void this.resources
           .grant(message.request)
           .then((grant) => channel.send({ type: 'grant', id: message.id, grant }));
         break;
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -13,8 +13,8 @@
 import { gatewaysOfTenant } from './tenant-gateways.js';
 import type { GatewayClient } from './gateway-client.js';
 
-/** Dependencies of {@link MemberConnections}. */
-export interface MemberConnectionsOptions {
+/** Where the connections to one member come from: the own pool, or other daemons. */
+export interface ConnectionSources {
   readonly groupName: string;
   readonly memberId: string;
   /** Start of the member's process, in milliseconds of the Unix epoch; `null` if unknown. */
@@ -56,33 +56,33 @@
   readonly #borrowed = new Set<SessionLink>();
   #hasEnded = false;
 
-  constructor(private readonly options: MemberConnectionsOptions) {}
+  constructor(private readonly sources: ConnectionSources) {}
 
   /** The pool of this daemon's own connections. */
   get ownPool(): LinkPool {
-    return this.options.pool;
+    return this.sources.pool;
   }
 
   /** Number of connections in use and of requests waiting for one. */
   get load(): number {
-    return this.options.pool.load + this.#borrowed.size;
+    return this.sources.pool.load + this.#borrowed.size;
   }
 
   /**
    * True if this daemon uses its own pool and a request would have to wait for a connection to be released.
    */
   get isExhausted(): boolean {
-    return this.usesOwnPool && this.options.pool.isExhausted;
+    return this.usesOwnPool && this.sources.pool.isExhausted;
   }
 
   /** True if this daemon is one of those that connect to the member. */
   get isAssigned(): boolean {
-    return isAssigned(this.options.assignment(), this.options.ownName);
+    return isAssigned(this.sources.assignment(), this.sources.ownName);
   }
 
   /** True if only gateways connect to the member. */
   get hasGateways(): boolean {
-    return this.options.assignment().gateways !== null;
+    return this.sources.assignment().gateways !== null;
   }
 
   /**
@@ -91,7 +91,7 @@
    * that no longer exist.
    */
   get usesOwnPool(): boolean {
-    return this.isAssigned && !(this.options.pool.isUnavailable && this.options.fallbackLenders().length > 0);
+    return this.isAssigned && !(this.sources.pool.isUnavailable && this.sources.fallbackLenders().length > 0);
   }
 
   /**
@@ -100,7 +100,7 @@
    * @throws PoolTimeoutError, DialError: nothing was sent
    */
   async acquire(demand: LinkDemand, waitMs: number): Promise<SessionLink> {
-    if (this.usesOwnPool) return this.options.pool.acquire(demand, waitMs);
+    if (this.usesOwnPool) return this.sources.pool.acquire(demand, waitMs);
     return this.borrow(demand, waitMs);
   }
 
@@ -111,13 +111,13 @@
    */
   borrow({ tenantName, priority }: LinkDemand, waitMs: number): SessionLink {
     if (this.#hasEnded) throw new PoolTimeoutError('the member has ended');
-    const { gatewayClient: gateways, groupName, memberId } = this.options;
-    const { gateways: lenders, standbys } = this.options.assignment();
+    const { gatewayClient: gateways, groupName, memberId } = this.sources;
+    const { gateways: lenders, standbys } = this.sources.assignment();
     const gateway = this.isAssigned
-      ? gateways.choose(this.options.fallbackLenders())
+      ? gateways.choose(this.sources.fallbackLenders())
       : this.#chooseGatewayFor(tenantName, lenders ?? [], standbys);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
-    const bornMs = this.options.bornMs();
+    const bornMs = this.sources.bornMs();
     const terms = { groupName, memberId, bornMs, tenantName, priority, waitMs: gatewayWaitMs(waitMs) };
     const link = gateways.borrow(gateway, terms);
     this.#borrowed.add(link);
@@ -130,7 +130,7 @@
     lenders: readonly DaemonRecord[],
     standbys: readonly DaemonRecord[],
   ): DaemonRecord | null {
-    const { gatewayClient: gateways, memberId, tenantShare } = this.options;
+    const { gatewayClient: gateways, memberId, tenantShare } = this.sources;
     if (tenantName === null) return gateways.choose(lenders, standbys);
     const tenantGateways = gatewaysOfTenant(tenantName, tenantShare(tenantName), memberId, lenders);
     return (
@@ -142,14 +142,14 @@
   /** Closes all connections, own and borrowed, even those in use: the member's incarnation has ended. */
   end(): void {
     this.#hasEnded = true;
-    this.options.pool.closePermanently();
+    this.sources.pool.closePermanently();
     for (const link of [...this.#borrowed]) this.release(link);
   }
 
   /** Releases an acquired or borrowed connection. */
   release(link: SessionLink): void {
     if (link instanceof PooledLink) {
-      this.options.pool.release(link);
+      this.sources.pool.release(link);
       return;
     }
     this.#borrowed.delete(link);
