Coordination: types of what a part is given are nouns without suffix

EntryFaultsPorts is FaultReporter, ChangeFeedOptions ChangeSources; renamed by the compiler. No behaviour has changed: unit tests of src/coordination pass (93), and as many mutations apply as before.

--- a/src/coordination/change-feed.ts
+++ b/src/coordination/change-feed.ts
@@ -45,7 +45,8 @@
   watch(afterRevision: Revision, waitMs: number): Promise<FeedResponse>;
 }
 
-export interface ChangeFeedOptions {
+/** The store and the delegates that a daemon receives changes from. */
+export interface ChangeSources {
   readonly store: CoordinationStore;
   readonly ownName: string;
   readonly zone: string;
@@ -73,23 +74,23 @@
   /** Process key of the delegate in use; `null` for the store. */
   #source: string | null = null;
 
-  constructor(private readonly options: ChangeFeedOptions) {}
+  constructor(private readonly sources: ChangeSources) {}
 
   list(prefix: string): ReturnType<CoordinationStore['list']> {
-    return this.options.store.list(prefix);
+    return this.sources.store.list(prefix);
   }
 
   async watch(afterRevision: Revision, waitMs: number): Promise<FeedResponse> {
-    const delegates = this.options.delegates();
+    const delegates = this.sources.delegates();
     const source = this.#chooseSource(delegates);
     this.#setSource(source);
     if (source !== null) {
       const answer = await this.#watchThrough(source, afterRevision, Math.min(waitMs, DELEGATE_WAIT_MS));
       if (answer !== null) return answer;
-      this.#backoffUntilMs.set(processKey(source), this.options.now() + DELEGATE_BACKOFF_MS);
+      this.#backoffUntilMs.set(processKey(source), this.sources.now() + DELEGATE_BACKOFF_MS);
     }
-    const isDelegate = delegates?.some(({ name }) => name === this.options.ownName) === true;
-    const answer = await this.options.store.watch(
+    const isDelegate = delegates?.some(({ name }) => name === this.sources.ownName) === true;
+    const answer = await this.sources.store.watch(
       '',
       afterRevision,
       isDelegate ? Math.min(waitMs, DELEGATE_MAX_WATCH_MS) : waitMs,
@@ -101,22 +102,22 @@
    * The delegate to ask, or `null` to watch the store itself. Keeps the current delegate while it is usable.
    */
   #chooseSource(delegates: readonly DaemonRecord[] | null): DaemonRecord | null {
-    const { options } = this;
-    if (delegates === null || options.mustWatchStore()) return null;
-    if (delegates.some(({ name }) => name === options.ownName)) return null;
-    const now = options.now();
+    const { sources } = this;
+    if (delegates === null || sources.mustWatchStore()) return null;
+    if (delegates.some(({ name }) => name === sources.ownName)) return null;
+    const now = sources.now();
     const usable = delegates.filter(
-      (record) => record.zone === options.zone && now >= (this.#backoffUntilMs.get(processKey(record)) ?? 0),
+      (record) => record.zone === sources.zone && now >= (this.#backoffUntilMs.get(processKey(record)) ?? 0),
     );
     const current = usable.find((record) => processKey(record) === this.#source);
-    return current ?? usable[Math.floor(options.random() * usable.length)] ?? null;
+    return current ?? usable[Math.floor(sources.random() * usable.length)] ?? null;
   }
 
   #setSource(source: DaemonRecord | null): void {
     const key = source === null ? null : processKey(source);
     if (key === this.#source) return;
     this.#source = key;
-    this.options.log('changes_from', { source: source === null ? 'store' : source.name });
+    this.sources.log('changes_from', { source: source === null ? 'store' : source.name });
   }
 
   /** The response of a delegate, or `null` if it cannot serve the request. */
@@ -125,7 +126,7 @@
     afterRevision: Revision,
     waitMs: number,
   ): Promise<FeedResponse | null> {
-    const answer = await this.options.askDelegate(
+    const answer = await this.sources.askDelegate(
       source,
       afterRevision,
       waitMs,
@@ -153,7 +154,7 @@
       const event = await this.#toEvent(
         change,
         era,
-        latest.get(change.key) ?? this.options.localItem(change.key),
+        latest.get(change.key) ?? this.sources.localItem(change.key),
       );
       latest.set(event.key, event);
       events.push(event);
@@ -189,7 +190,7 @@
 
   /** Reads the newest value from the store; it may be later than the relayed change. */
   async #readFromStore(key: string, revision: Revision): Promise<StoreEvent> {
-    const item = await this.options.store.read(key);
+    const item = await this.sources.store.read(key);
     return item ?? { key, revision, value: null };
   }
 }
--- a/src/coordination/entry-faults.ts
+++ b/src/coordination/entry-faults.ts
@@ -18,8 +18,8 @@
   readonly revision: Revision | null;
 }
 
-/** Outputs of the reports. */
-export interface EntryFaultsPorts {
+/** Writes reports to the log and counts them. */
+export interface FaultReporter {
   log(event: string, details: Readonly<Record<string, unknown>>): void;
   /** Counts an entry that was ignored. */
   count(kind: EntryKind, fault: FaultKind): void;
@@ -36,14 +36,14 @@
   readonly #faultLog: FaultLog;
   readonly #reportedRevisions = new Map<string, Revision>();
 
-  constructor(private readonly ports: EntryFaultsPorts) {
-    this.#faultLog = new FaultLog(ports.log, ports.now);
+  constructor(private readonly reporter: FaultReporter) {
+    this.#faultLog = new FaultLog(reporter.log, reporter.now);
   }
 
   /** Reports an ignored entry. A revision that was already reported for its key is not reported again. */
   reportUnreadable({ kind, key, revision }: UnreadableEntry, fault: EntryFault): void {
     if (revision !== null && !this.#markReported(key, revision)) return;
-    this.ports.count(kind, fault.kind);
+    this.reporter.count(kind, fault.kind);
     const details = {
       kind,
       key: key.slice(0, MAX_LOGGED_KEY_LENGTH),
