Daemon of the PostgreSQL wire: parts are constructed from the settings in one module

src/daemon/daemon.ts mapped the settings to what each part is given, and also ran the daemon. The mapping is in create-parts.ts; the daemon passes what the parts call and runs them. The order of construction is as before.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,33 +1,39 @@
 /**
- * One daemon: constructs its components and connects them.
+ * One daemon: connects its components and runs them.
  *
  * @packageDocumentation
  */
 import { digestDatabases, fromDocument, toDocument } from '../configuration/configuration-document.js';
 import type { Configuration, DatabaseConfiguration } from '../configuration/configuration.js';
-import { ConfigurationStore } from '../configuration/configuration-store.js';
 import type { ResponseSink, StatementRequest } from '../engine/statement-request.js';
 import { policySubject } from '../engine/policy-subject.js';
-import { ClientServer } from '../entry/client-server.js';
+import type { ClientServer } from '../entry/client-server.js';
 import { RequestRouter, type RequestTarget } from '../entry/request-router.js';
-import { MachineList } from '../machines/machine-list.js';
+import type { MachineList } from '../machines/machine-list.js';
 import { shuffle } from '../common/shuffle.js';
-import { Gossip } from '../membership/gossip.js';
-import { MembershipTable } from '../membership/membership-table.js';
+import type { Gossip } from '../membership/gossip.js';
+import type { MembershipTable } from '../membership/membership-table.js';
 import type { PeerRecord } from '../membership/peer-record.js';
 import { EngineMetrics } from '../observability/engine-metrics.js';
 import type { Logger } from '../observability/logger.js';
 import { CONTROL_TICK_INTERVAL_MS, DatabaseController } from '../ownership/database-controller.js';
 import { rankCandidates } from '../ownership/candidate-ranking.js';
 import { RankTable } from '../ownership/rank-table.js';
-import { PeerLinks } from '../peer/peer-links.js';
+import type { PeerLinks } from '../peer/peer-links.js';
 import type { PeerMessage } from '../peer/peer-messages.js';
 import { PeerServer } from '../peer/peer-server.js';
 import { Policy, type PolicyDecision } from '../policy/policy.js';
 import type { Settings } from '../settings/settings.js';
-import { StoreClient } from '../store/store-client.js';
 import { ConfigurationService } from './configuration-service.js';
 import { createControllerOptions } from './controller-options.js';
+import {
+  createClientServer,
+  createConfigurationStore,
+  createGossip,
+  createMachineList,
+  createMembershipTable,
+  createPeerLinks,
+} from './create-parts.js';
 import { describeDatabase, type DaemonStatus, type PeerStatus } from './daemon-status.js';
 import { LocalTarget, RemoteTarget } from './request-targets.js';
 
@@ -35,8 +41,6 @@
 const WATCHERS_PER_ZONE = 2;
 /** Maximum number of unknown daemons contacted at a time; their responses carry the records of the others. */
 const MAX_INITIAL_CONTACTS = 3;
-const FORGET_PEER_AFTER_MS = 60_000;
-const MAX_UPDATES_PER_MESSAGE = 8;
 
 /** A running daemon. */
 export class Daemon {
@@ -64,15 +68,10 @@
     /** Returns random numbers in the range from 0 to 1. */
     private readonly random: () => number = Math.random,
   ) {
-    const { timing } = settings;
-    this.#table = new MembershipTable(createOwnRecord(settings), {
-      suspicionTimeoutMs: timing.suspicionTimeoutMs,
-      forgetAfterMs: FORGET_PEER_AFTER_MS,
-      maxUpdatesPerMessage: MAX_UPDATES_PER_MESSAGE,
-    });
+    this.#table = createMembershipTable(settings);
     this.#links = this.#createLinks();
     this.#gossip = this.#createGossip();
-    this.#machines = this.#createMachineList();
+    this.#machines = createMachineList(settings, () => this.#contactListedDaemons());
     this.#configuration = this.#createConfigurationService();
     this.#peerServer = this.#createPeerServer();
     this.#clientServer = this.#createClientServer();
@@ -171,11 +170,7 @@
   // --- construction
 
   #createLinks(): PeerLinks {
-    const { timing, outboundAddress } = this.settings;
-    return new PeerLinks({
-      localAddress: outboundAddress,
-      silenceTimeoutMs: timing.linkSilenceTimeoutMs,
-      idleTimeoutMs: timing.linkIdleTimeoutMs,
+    return createPeerLinks(this.settings, {
       hello: () => this.#table.own,
       onMessage: (daemonId, message) => this.#handlePeerResponse(daemonId, message),
       onLost: (daemonId) => this.#gossip.probeNow(daemonId),
@@ -183,14 +178,9 @@
   }
 
   #createGossip(): Gossip {
-    const { timing } = this.settings;
-    return new Gossip({
+    return createGossip(this.settings, {
       table: this.#table,
       links: this.#links,
-      intervalMs: timing.gossipIntervalMs,
-      probeTimeoutMs: timing.probeTimeoutMs,
-      indirectProbes: 2,
-      syncIntervalMs: timing.syncIntervalMs,
       random: this.random,
       onChange: () => (this.#isRankingStale = true),
       configurationVersion: () => this.#configuration.current?.version ?? 0,
@@ -203,24 +193,9 @@
     });
   }
 
-  #createMachineList(): MachineList {
-    const { machineList, outboundAddress } = this.settings;
-    const http =
-      machineList === null
-        ? null
-        : { baseUrl: machineList.url, localAddress: outboundAddress, timeoutMs: machineList.timeoutMs };
-    return new MachineList(http, machineList?.intervalMs ?? 1000, () => this.#contactListedDaemons());
-  }
-
   #createConfigurationService(): ConfigurationService {
-    const { store, outboundAddress } = this.settings;
-    const client = new StoreClient({
-      baseUrl: store.url,
-      localAddress: outboundAddress,
-      timeoutMs: store.timeoutMs,
-    });
     return new ConfigurationService(
-      new ConfigurationStore(client, store.prefix),
+      createConfigurationStore(this.settings),
       {
         daemonCount: () => Math.max(this.#machines.daemonCount, this.settings.seeds.length + 1, 2),
         peerIds: () => shuffle(this.#table.others, this.random).map(({ daemonId }) => daemonId),
@@ -244,21 +219,14 @@
   }
 
   #createClientServer(): ClientServer {
-    const { settings } = this;
     const router = new RequestRouter({
       targets: (database) => this.#targets(database),
       evaluatePolicy: (request) => this.#decide(request),
       hasPausedSince: (sinceMs) => this.#clientServer.hasPausedSince(sinceMs),
       random: this.random,
     });
-    return new ClientServer({
-      daemonId: `${settings.daemon.id}/${Date.now().toString(36)}`,
-      zone: settings.daemon.zone,
+    return createClientServer(this.settings, {
       router,
-      maxConnections: settings.limits.maxClientConnections,
-      maxRequestBytes: settings.limits.maxRequestBytes,
-      maxUnreadBytes: settings.limits.maxUnreadBytes,
-      startupTimeoutMs: settings.timing.startupTimeoutMs,
       unavailable: () => this.unavailableReason(),
       hasDatabase: (name) => this.#controllers.has(name),
     });
@@ -433,17 +401,3 @@
 
 /** Time for the last messages to be sent before the links are closed. */
 const FINAL_SEND_DELAY_MS = 50;
-
-function createOwnRecord(settings: Settings): PeerRecord {
-  const { host, port } = settings.advertise?.peer ?? settings.listen.peer;
-  return {
-    daemonId: settings.daemon.id,
-    zone: settings.daemon.zone,
-    host,
-    port,
-    incarnation: Date.now(),
-    sequence: 1,
-    state: 'alive',
-    ownedDatabases: [],
-  };
-}
