--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1233,4 +1233,12 @@
     testFile: UNRESOLVED_PROMOTION,
     testName: 'needs one replica again once it holds the duty',
   },
+  {
+    property: 'settings of the platform: an enforced bound of revocations is required',
+    file: 'platform/node-settings.js',
+    search: "values['isRevocationBounded'] === true ? boundedValuesSchema",
+    replacement: 'false ? boundedValuesSchema',
+    testFile: 'platform/test/codecs.test.js',
+    testName: 'settings refused',
+  },
 ];
