A term that was revoked while its group was not watched gives no evidence later

A daemon answers the orders of a promotion for every group, also for one that no route of its configuration refers to: it has acknowledged nothing. The holder of the promotion duty counts it among the daemons that hold no evidence of the old leader any more. But the order was kept nowhere: when the configuration added the group, or added it again, the new record of the group took the answer of any unpaused replica of the old term as evidence for the old leader. So did a group that was removed and added again while it was revoked, or after it had followed a later leader: its record began without its terms.

What callers may see, where the holder does not reach a replica of the old term that this daemon does reach, and a route to the group comes meanwhile: reads on the log of a replaced leader, and commits acknowledged there after the answer to the order.

What was revoked for a group that is not watched is kept by its name (revoked-terms.ts) and applied when the group is watched: orders that came meanwhile, an announced leader (no earlier term has one), and, when a group is removed, its revocation and the terms below its lowest.

Three mutations seen red.

--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -136,6 +136,11 @@
     return this.#revokedAtMs;
   }
 
+  /** Latest term for which evidence has been revoked; `null` if it never was, or the revocation was lifted. */
+  get revokedUpToTerm(): number | null {
+    return this.#revokedUntilMs === Number.NEGATIVE_INFINITY ? null : this.#revokedUpToTerm;
+  }
+
   /** True when the leader was confirmed since this daemon holds the duty. */
   get isConfirmed(): boolean {
     return this.#isConfirmed;
--- /dev/null
+++ b/src/relay/order-handler.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { REVOCATION_MS } from '../leadership/leadership-evidence.js';
+import { MemberGroup } from '../topology/member-group.js';
+import { OrderHandler } from './order-handler.js';
+import { WatchedGroups, type WatchedGroup } from './watched-groups.js';
+
+const GROUP = 'g';
+const TERM = 3;
+
+/** A daemon's groups and its handler of orders, with a clock that the test sets. */
+class Scene {
+  nowMs = 1000;
+  readonly groups = new WatchedGroups({
+    create: (name) => ({
+      group: new MemberGroup(name),
+      watcher: { wake: () => undefined } as WatchedGroup['watcher'],
+      logPosition: {} as WatchedGroup['logPosition'],
+    }),
+    opened: () => undefined,
+    closed: () => undefined,
+  });
+  readonly orders = new OrderHandler({
+    groups: this.groups,
+    registration: { hasPredecessor: false, isAtFormerAddress: true },
+    listeningSinceMs: () => 0,
+    log: () => undefined,
+    now: () => this.nowMs,
+  });
+
+  /** The configuration refers to the group. */
+  watch(): void {
+    this.groups.sync(new Set([GROUP]), this.nowMs);
+  }
+
+  /** The configuration does not refer to the group any more. */
+  unwatch(): void {
+    this.groups.sync(new Set(), this.nowMs);
+  }
+
+  /** True when the answer of a replica that follows the leader of the term is evidence for it. */
+  gainsEvidence(term = TERM): boolean {
+    const group = this.groups.group(GROUP);
+    assert.ok(group !== null);
+    group.recordLeader({ memberId: 'm', term }, null);
+    return group.evidence.recordWitness(term, 0, this.nowMs, { kind: 'member', memberId: 'r' });
+  }
+}
+
+describe('a revoked term of a group gives no evidence', () => {
+  for (const kind of ['revoke', 'seal'] as const) {
+    test(`when the group is added after the order to ${kind} it`, () => {
+      const scene = new Scene();
+      scene.orders.apply({ kind, groupName: GROUP, term: TERM });
+      scene.nowMs += REVOCATION_MS - 1;
+      scene.watch();
+      assert.equal(scene.gainsEvidence(), false);
+    });
+
+    test(`when the group is removed and added again after the order to ${kind} it`, () => {
+      const scene = new Scene();
+      scene.watch();
+      scene.orders.apply({ kind, groupName: GROUP, term: TERM });
+      scene.unwatch();
+      scene.nowMs += REVOCATION_MS - 1;
+      scene.watch();
+      assert.equal(scene.gainsEvidence(), false);
+    });
+  }
+
+  test('when the group is added after another member was announced as the leader of a later term', () => {
+    const scene = new Scene();
+    const held = { term: TERM, index: 9 };
+    scene.orders.apply({ kind: 'leader', groupName: GROUP, memberId: 'n', term: TERM + 1, held });
+    scene.watch();
+    assert.equal(scene.gainsEvidence(TERM), false);
+    assert.equal(scene.gainsEvidence(TERM + 1), true);
+  });
+
+  test('when the group is removed and added again after a later term had a leader', () => {
+    const scene = new Scene();
+    scene.watch();
+    assert.equal(scene.gainsEvidence(TERM + 1), true);
+    scene.unwatch();
+    scene.watch();
+    assert.equal(scene.gainsEvidence(TERM), false);
+    assert.equal(scene.gainsEvidence(TERM + 1), true);
+  });
+
+  test('when the group is added after a promotion over a later term was abandoned', () => {
+    const scene = new Scene();
+    scene.orders.apply({ kind: 'seal', groupName: GROUP, term: TERM + 1 });
+    scene.orders.apply({ kind: 'allow', groupName: GROUP });
+    scene.watch();
+    assert.equal(scene.gainsEvidence(TERM), false);
+    assert.equal(scene.gainsEvidence(TERM + 1), true);
+  });
+});
+
+describe('a term of a group that is added gives evidence', () => {
+  test('when its promotion was abandoned before', () => {
+    const scene = new Scene();
+    scene.orders.apply({ kind: 'seal', groupName: GROUP, term: TERM });
+    scene.orders.apply({ kind: 'allow', groupName: GROUP });
+    scene.watch();
+    assert.equal(scene.gainsEvidence(), true);
+  });
+
+  test('when its promotion was abandoned before the group was removed', () => {
+    const scene = new Scene();
+    scene.watch();
+    scene.orders.apply({ kind: 'seal', groupName: GROUP, term: TERM });
+    scene.orders.apply({ kind: 'allow', groupName: GROUP });
+    scene.unwatch();
+    scene.watch();
+    assert.equal(scene.gainsEvidence(), true);
+  });
+
+  test('when an earlier term was revoked before', () => {
+    const scene = new Scene();
+    scene.orders.apply({ kind: 'seal', groupName: GROUP, term: TERM - 1 });
+    scene.watch();
+    assert.equal(scene.gainsEvidence(), true);
+  });
+});
--- a/src/relay/order-handler.ts
+++ b/src/relay/order-handler.ts
@@ -12,7 +12,7 @@
 /** Dependencies of {@link OrderHandler}. */
 export interface OrderHandlerPorts {
   readonly groups: WatchedGroups;
-  readonly registration: Registration;
+  readonly registration: Pick<Registration, 'hasPredecessor' | 'isAtFormerAddress'>;
   /** When this process began to accept orders, in monotonic milliseconds. */
   listeningSinceMs(): number;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -26,11 +26,13 @@
   /** Applies an order of the duty holder and answers what this daemon has acknowledged so far. */
   apply(order: HolderOrder): OrderAnswer {
     const watched = this.ports.groups.find(order.groupName);
-    if (watched === null)
+    if (watched === null) {
+      this.#recordUnwatched(order);
       return {
         latest: ZERO_POSITION,
         limit: this.mayHaveAcknowledgedEarlier(order.groupName) ? null : ZERO_POSITION,
       };
+    }
     const { group, watcher } = watched;
     this.ports.log('order', { ...order });
     this.#applyTo(group, order);
@@ -66,6 +68,23 @@
     }
   }
 
+  /** Records an order for a group that this daemon does not watch, for when it does. */
+  #recordUnwatched(order: HolderOrder): void {
+    const { groups, now } = this.ports;
+    switch (order.kind) {
+      case 'revoke':
+      case 'seal':
+        groups.revokedTerms.revoke(order.groupName, order.term, now());
+        break;
+      case 'allow':
+        groups.revokedTerms.lift(order.groupName);
+        break;
+      case 'leader':
+        groups.revokedTerms.revoke(order.groupName, order.term - 1, now());
+        break;
+    }
+  }
+
   #answer(group: MemberGroup): OrderAnswer {
     const { now } = this.ports;
     const { acknowledged, lastLed } = group;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -489,7 +489,8 @@
     if (!isTaken) return false;
     this.#catalogReceivedAtMs = this.options.now();
     this.#assignments.clear();
-    this.#groups.sync(new Set([...document.routes.values()].map(({ groupName }) => groupName)));
+    const names = new Set([...document.routes.values()].map(({ groupName }) => groupName));
+    this.#groups.sync(names, this.options.now());
     return true;
   }
 
--- a/src/relay/watched-groups.ts
+++ b/src/relay/watched-groups.ts
@@ -6,6 +6,7 @@
 import type { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import type { LogPositionQuery } from '../leadership/log-position-query.js';
 import type { MemberGroup } from '../topology/member-group.js';
+import { RevokedTerms } from './revoked-terms.js';
 
 /** A group and what keeps this daemon's knowledge of it. */
 export interface WatchedGroup {
@@ -27,6 +28,8 @@
 export class WatchedGroups {
   readonly #watched = new Map<string, WatchedGroup>();
   readonly #dropped = new Set<string>();
+  /** Applied to a group when it is added. */
+  readonly revokedTerms = new RevokedTerms();
 
   constructor(private readonly ports: WatchedGroupsPorts) {}
 
@@ -59,12 +62,13 @@
   }
 
   /** Watches exactly the groups of these names. */
-  sync(names: ReadonlySet<string>): void {
+  sync(names: ReadonlySet<string>, nowMs: number): void {
     for (const name of names) if (!this.#watched.has(name)) this.#open(name);
     for (const [name, watched] of this.#watched) {
       if (names.has(name)) continue;
       this.#watched.delete(name);
       this.#dropped.add(name);
+      this.revokedTerms.retain(watched.group, nowMs);
       this.ports.closed(watched);
     }
   }
@@ -76,6 +80,7 @@
 
   #open(name: string): void {
     const watched = this.ports.create(name);
+    this.revokedTerms.applyTo(watched.group);
     this.#watched.set(name, watched);
     this.ports.opened(watched);
   }
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -38,6 +38,7 @@
 const PROMOTION_TIME = 'src/leadership/promotion-time.test.js';
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
 const MEMBER_RESTARTS = 'platform/test/reborn.test.js';
+const ORDER_HANDLER = 'src/relay/order-handler.test.js';
 const SESSION_OWN_COMMITS = 'src/relay/session-own-commits.test.js';
 const RESTARTED_LEADER = 'src/relay/restarted-leader.test.js';
 const ENDED_DAEMON = 'src/leadership/ended-daemon.test.js';
@@ -899,6 +900,30 @@
     testFile: SESSION_OWN_COMMITS,
     testName: 'to another group and back',
   },
+  {
+    property: 'orders: a revoked term of a group that is added later gives no evidence',
+    file: 'src/relay/watched-groups.js',
+    search: 'this.revokedTerms.applyTo(watched.group);',
+    replacement: '',
+    testFile: ORDER_HANDLER,
+    testName: 'when the group is added after',
+  },
+  {
+    property: 'orders: a revoked term of a group that is removed and added again gives no evidence',
+    file: 'src/relay/watched-groups.js',
+    search: 'this.revokedTerms.retain(watched.group, nowMs);',
+    replacement: '',
+    testFile: ORDER_HANDLER,
+    testName: 'when the group is removed and added again',
+  },
+  {
+    property: 'orders: an announced leader leaves the earlier terms without evidence',
+    file: 'src/relay/order-handler.js',
+    search: 'order.term - 1, now()',
+    replacement: '-1, now()',
+    testFile: ORDER_HANDLER,
+    testName: 'another member was announced',
+  },
   {
     property: 'floors: only the current leader reports them',
     file: 'src/topology/member-group.js',
