Orders of a promotion reach what still runs at a group that was removed

An order to revoke or seal the term found no watched group, or the new record of a group that was added again, and was answered as obeyed; the removed record kept its evidence. What callers may see, if a promotion falls into that time: a read at the replaced leader, or a commit that is acknowledged after the answer to the seal, which the next leader may lack. By reading, and by the tests below for the daemon's records; no run with members has shown it.

The orders are applied to removed groups too, for as long as evidence that they had can be valid. No later evidence is gathered for them: their watcher has stopped, and other daemons supply evidence for watched groups only.

Both new tests were red before (expected 'unproven', actual 'proven'). src/relay 116 passed, platform/test/failover 21. Mutation seen red.

--- a/src/relay/order-handler.test.ts
+++ b/src/relay/order-handler.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { REVOCATION_MS } from '../leadership/leadership-evidence.js';
+import { EVIDENCE_VALIDITY_MS, REVOCATION_MS } from '../leadership/leadership-evidence.js';
 import { MemberGroup } from '../topology/member-group.js';
 import { OrderHandler } from './order-handler.js';
 import { WatchedGroups, type WatchedGroup } from './watched-groups.js';
@@ -97,6 +97,24 @@
   });
 });
 
+describe('what runs under the evidence of a removed group', () => {
+  for (const isAddedAgain of [false, true])
+    test(`ends with the order to seal its term${isAddedAgain ? ', though the group was added again' : ''}`, () => {
+      const scene = new Scene();
+      scene.watch();
+      assert.equal(scene.gainsEvidence(), true);
+      const removed = scene.groups.group(GROUP);
+      assert.ok(removed !== null);
+      scene.unwatch();
+      if (isAddedAgain) scene.watch();
+      scene.nowMs += EVIDENCE_VALIDITY_MS - 1;
+      assert.equal(removed.acknowledge({ term: TERM, index: 1 }, scene.nowMs), 'proven');
+      scene.orders.apply({ kind: 'seal', groupName: GROUP, term: TERM });
+      assert.equal(removed.acknowledge({ term: TERM, index: 2 }, scene.nowMs), 'unproven');
+      assert.equal(removed.evidence.current(scene.nowMs), null);
+    });
+});
+
 describe('a term of a group that is added gives evidence', () => {
   test('when its promotion was abandoned before', () => {
     const scene = new Scene();
--- a/src/relay/order-handler.ts
+++ b/src/relay/order-handler.ts
@@ -25,7 +25,9 @@
 
   /** Applies an order of the duty holder and answers what this daemon has acknowledged so far. */
   apply(order: HolderOrder): OrderAnswer {
-    const watched = this.ports.groups.find(order.groupName);
+    const { groups, now } = this.ports;
+    for (const removed of groups.removedLately(order.groupName, now())) this.#applyTo(removed, order);
+    const watched = groups.find(order.groupName);
     if (watched === null) {
       this.#recordUnwatched(order);
       return {
--- a/src/relay/watched-groups.ts
+++ b/src/relay/watched-groups.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { EVIDENCE_VALIDITY_MS } from '../leadership/leadership-evidence.js';
 import type { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import type { LogPositionQuery } from '../leadership/log-position-query.js';
 import type { MemberGroup } from '../topology/member-group.js';
@@ -24,10 +25,18 @@
   closed(watched: WatchedGroup): void;
 }
 
+/** A group that is no longer watched. */
+interface RemovedGroup {
+  readonly group: MemberGroup;
+  /** In monotonic milliseconds. */
+  readonly removedAtMs: number;
+}
+
 /** The watched groups, by name. */
 export class WatchedGroups {
   readonly #watched = new Map<string, WatchedGroup>();
   readonly #dropped = new Set<string>();
+  #removed: readonly RemovedGroup[] = [];
   /** Applied to a group when it is added. */
   readonly revokedTerms = new RevokedTerms();
 
@@ -61,6 +70,14 @@
     return this.#dropped.has(name);
   }
 
+  /**
+   * The removed groups of a name whose evidence may still be valid: requests that were under way when the group
+   * was removed rely on it.
+   */
+  removedLately(name: string, nowMs: number): readonly MemberGroup[] {
+    return this.#removedLately(nowMs).flatMap(({ group }) => (group.name === name ? [group] : []));
+  }
+
   /** Watches exactly the groups of these names. */
   sync(names: ReadonlySet<string>, nowMs: number): void {
     for (const name of names) if (!this.#watched.has(name)) this.#open(name);
@@ -69,6 +86,7 @@
       this.#watched.delete(name);
       this.#dropped.add(name);
       this.revokedTerms.retain(watched.group, nowMs);
+      this.#removed = [...this.#removedLately(nowMs), { group: watched.group, removedAtMs: nowMs }];
       this.ports.closed(watched);
     }
   }
@@ -78,6 +96,10 @@
     for (const watched of this.#watched.values()) this.ports.closed(watched);
   }
 
+  #removedLately(nowMs: number): readonly RemovedGroup[] {
+    return this.#removed.filter(({ removedAtMs }) => nowMs < removedAtMs + EVIDENCE_VALIDITY_MS);
+  }
+
   #open(name: string): void {
     const watched = this.ports.create(name);
     this.revokedTerms.applyTo(watched.group);
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -916,6 +916,14 @@
     testFile: ORDER_HANDLER,
     testName: 'when the group is removed and added again',
   },
+  {
+    property: 'orders: a seal ends what runs under the evidence of a removed group',
+    file: 'src/relay/order-handler.js',
+    search: 'this.#applyTo(removed, order);',
+    replacement: ';',
+    testFile: ORDER_HANDLER,
+    testName: 'ends with the order to seal',
+  },
   {
     property: 'orders: an announced leader leaves the earlier terms without evidence',
     file: 'src/relay/order-handler.js',
