A daemon whose connection is refused has ended for the holder of the duty, though no connection broke

Cause: the next holder asks the leader for its log position when the connection to a daemon breaks and the daemon then refuses a dial. It had never been connected to the two killed daemons, so nothing broke: its dials were refused, and were counted as absences only.

Change: a refused dial of the holder reports the end of the process, once, until a process accepts a connection. There are no more dials than before.

Why it holds: all that the ended daemon acknowledged precedes the refusal, so the position that the proven leader reports after it covers it. A report more than needed only asks the leader once more.

--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -163,6 +163,21 @@
   assert.deepEqual(disconnectedHosts, [HOST]);
 });
 
+/**
+ * Guards against an exit that nobody sees. Only a connection that breaks was taken for a sign of an exit, and a daemon that
+ * ended before the holder had connected to it has none.
+ */
+test('an exit is seen by a holder that connects for the first time after it', async () => {
+  const ports = [await freePort(), await freePort()];
+  const [holder, ended] = ports.map((port, index) => record(`d${index}`, port));
+  assert.ok(holder && ended);
+  endedDaemons.length = 0;
+  const mesh = meshOf(holder);
+  mesh.connectAll([ended]);
+  await waitUntil('the exit to be seen', () => endedDaemons.length > 0);
+  assert.deepEqual(endedDaemons, [ended.name]);
+});
+
 /**
  * Guards against an exit that nobody sees on a busy machine. Where the prober's event loop is held up for longer than the
  * dial may take, the time-out fires before the refusal is read, and probing stopped at that.
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -149,6 +149,8 @@
   #dialing: Promise<'open' | 'refused' | 'silent'> | null = null;
   #isClosedByUs = false;
   #isProbing = false;
+  /** True from the report that the process has exited until a process accepts a connection. */
+  #isEndReported = false;
   readonly #pendingOrders = new Map<number, (outcome: OrderOutcome) => void>();
 
   constructor(
@@ -184,6 +186,14 @@
     return this.#dialing;
   }
 
+  /**
+   * Opens the connection, and reports a process that has exited. It may have done so before this daemon connected to
+   * it for the first time, so no connection needs to break.
+   */
+  async openOrReportEnd(): Promise<void> {
+    if ((await this.open()) === 'refused') this.#reportEnd();
+  }
+
   close(): void {
     this.#isClosedByUs = true;
     this.#channel?.destroy();
@@ -197,18 +207,22 @@
   async probeForEnd(): Promise<void> {
     if (this.#isProbing) return;
     this.#isProbing = true;
-    let hasEnded = false;
     for (let probe = 0; probe < MAX_PROBES && !this.#isClosedByUs; probe += 1) {
       const state = await this.open();
       this.listener.probed(this.record.name, state);
-      if (state === 'refused' && !hasEnded) this.listener.daemonEnded(this.record.name);
-      hasEnded ||= state === 'refused';
+      if (state === 'refused') this.#reportEnd();
       await delay(PROBE_INTERVAL_MS);
       if (state === 'open' && this.#isOpen) break;
     }
     this.#isProbing = false;
   }
 
+  #reportEnd(): void {
+    if (this.#isEndReported) return;
+    this.#isEndReported = true;
+    this.listener.daemonEnded(this.record.name);
+  }
+
   get #isOpen(): boolean {
     return this.#channel !== null && !this.#channel.isClosed;
   }
@@ -247,6 +261,7 @@
       },
     });
     this.#channel = channel;
+    this.#isEndReported = false;
     if (this.role === 'holder') channel.send({ type: 'holder' });
   }
 
@@ -301,7 +316,7 @@
    * listed.
    */
   connectAll(records: readonly DaemonRecord[]): void {
-    for (const record of this.#others(records)) void this.#connectionTo(record).open();
+    for (const record of this.#others(records)) void this.#connectionTo(record).openOrReportEnd();
     this.#absences.discardBefore(performance.now() - ABSENCE_RETENTION_MS);
     const keys = new Set(records.map(connectionKey));
     for (const [key, connection] of this.#connections) {
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1051,4 +1051,20 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'still accepts a connection',
   },
+  {
+    property: 'ended daemons: a refused connection of the holder is an end, though no connection broke',
+    file: 'src/cluster/peer-mesh.js',
+    search: 'void this.#connectionTo(record).openOrReportEnd();',
+    replacement: 'void this.#connectionTo(record).open();',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'connects for the first time after it',
+  },
+  {
+    property: 'ended daemons: an end is reported once',
+    file: 'src/cluster/peer-mesh.js',
+    search: 'this.#isEndReported = true;',
+    replacement: '',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'is seen when it comes',
+  },
 ];
