A member that may have started again gives no evidence for 2 s

A restart ends a pause. A daemon that the holder does not reach, and whose evidence has been waited out, asks a replica that has just started again: it follows the old term, is not paused, and was evidence for 1.6 s.

Cause: only an incarnation that the directory tells apart had to be known for 2 s. One without a start time, or whose entry comes late, counted as the process before it.

Change: each member keeps when another process may have taken its place: a connection of the pool broken by the peer or not opened, a status request refused or not answered, a term, position or pause gone without a later term. For 2 s after that its answer is no evidence, and it is asked only over a connection that has been open for longer, which proves the age of the process. A holder whose duty has settled takes its answer: no other promotion is under way, and a process that starts after one follows the new leader. An answer to an older query that is received last is no sign.

Ways weighed: only connections that have been open for 2 s count; signs of a restart; both, as it is now. The price is up to 2 s without a leader at a daemon that does not reach the holder after all its connections to the replicas have broken.

For the log: `evidenceLinkMs` (age of the connection to the witness) in the lines of evidence, `member_status_lost` with both statuses.

Before the change, or with its rule taken out: tests of restarted-witness.test.ts fail ("is no witness after ...").

--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -47,7 +47,7 @@
 
 /**
  * Time for which a daemon has to have known the incarnation of a member before its answers are valid, in
- * milliseconds. The last check of a promotion for members that have started is at most 1.3 s before it calls
+ * milliseconds; also the time from a sign that another process answers for it. The last check of a promotion for members that have started is at most 1.3 s before it calls
  * the platform (as long as its duty is trusted), and it checks every 0.1 s after the call; the platform acts
  * 0.3 s after the call or later. A member that started after the last check, and is not paused, would be
  * evidence for the old leader at a daemon that the holder does not reach: 1.6 s of reads and commits at a
@@ -79,7 +79,12 @@
  * another daemon, or the promotion duty that this daemon holds.
  */
 export type EvidenceSource =
-  | { readonly kind: 'member'; readonly memberId: string }
+  | {
+      readonly kind: 'member';
+      readonly memberId: string;
+      /** How long the connection had been open when the member was asked, in milliseconds, if known. */
+      readonly linkMs?: number;
+    }
   | { readonly kind: 'members' }
   | { readonly kind: 'daemon' }
   | { readonly kind: 'duty' };
--- a/src/leadership/leadership-watcher.test.ts
+++ b/src/leadership/leadership-watcher.test.ts
@@ -51,7 +51,7 @@
     group,
     'a',
     { ask } as unknown as MemberControl,
-    { evidenceChanged: () => undefined },
+    { evidenceChanged: () => undefined, statusLost: () => undefined },
     () => null,
     () => true,
     () => false,
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -7,6 +7,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { StatusRegression } from '../topology/process-continuity.js';
 import {
   DUTY_SETTLE_MS,
   EVIDENCE_VALIDITY_MS,
@@ -34,10 +35,14 @@
   readonly untilMs: number;
 }
 
+type Answered = Extract<ControlAnswer, { readonly kind: 'answered' }>;
+
 /** Receives the changes that a {@link LeadershipWatcher} detects. */
 export interface LeadershipListener {
   /** Evidence of a leader was gained after there was none, or expired. */
   evidenceChanged(group: MemberGroup, memberId: string | null, reason: string): void;
+  /** A member no longer has what it reported before, though no new incarnation of it is listed. */
+  statusLost(member: Member, regression: StatusRegression): void;
 }
 
 /** Keeps the evidence of one group fresh. */
@@ -145,9 +150,7 @@
     const isClaimed = claimants.length > 0 && this.#failedRounds % 4 !== 3;
     const [witness] = this.#witnesses().filter((member) => !claimants.includes(member));
     const queried = isClaimed ? [...claimants, ...(witness === undefined ? [] : [witness])] : members;
-    const answers = await Promise.all(
-      queried.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true)),
-    );
+    const answers = await Promise.all(queried.map((member) => this.#askStatus(member)));
     queried.forEach((member, index) => this.#observeLeader(member, answers[index]));
     return queried.some((member, index) => this.#recordWitness(member, answers[index]));
   }
@@ -169,7 +172,7 @@
     const leaderId = this.group.evidence.leader?.memberId;
     const now = this.now();
     const others = [...this.group.members.values()].filter(
-      (member) => member.entry.memberId !== leaderId && isWitnessAt(member, now),
+      (member) => member.entry.memberId !== leaderId && this.#mayBeWitness(member, now),
     );
     this.#witnessRotation += 1;
     const inZone = others.filter(({ entry }) => entry.zone === this.zone);
@@ -179,11 +182,21 @@
   }
 
   async #askWitness(witness: Member): Promise<boolean> {
-    const answer = await this.control.ask(witness, { kind: 'status' }, STATUS_TIMEOUT_MS, true);
+    const answer = await this.#askStatus(witness);
     this.#observeLeader(witness, answer);
     return this.#recordWitness(witness, answer);
   }
 
+  /** Queries the status of a member, and records signs that its process has been replaced. */
+  async #askStatus(member: Member): Promise<ControlAnswer> {
+    const answer = await this.control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true);
+    if (answer.kind === 'answered') {
+      const regression = member.continuity.recordStatus(answer.status, answer.askedAtMs, this.now());
+      if (regression !== null) this.listener.statusLost(member, regression);
+    } else if (isInterruption(answer)) member.continuity.recordInterruption(this.now());
+    return answer;
+  }
+
   /** True when all members but the leader may be asked for evidence, and no answer of one alone suffices. */
   #mayAskEveryMember(): boolean {
     const { evidence, calls } = this.group;
@@ -195,9 +208,7 @@
   async #askEveryMember(): Promise<boolean> {
     const leaderId = this.group.evidence.leader?.memberId;
     const members = this.#runningMembers().filter(({ entry }) => entry.memberId !== leaderId);
-    const answers = await Promise.all(
-      members.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true)),
-    );
+    const answers = await Promise.all(members.map((member) => this.#askStatus(member)));
     members.forEach((member, index) => this.#observeLeader(member, answers[index]));
     return this.#recordEveryMember(members, answers);
   }
@@ -215,7 +226,7 @@
       const answer = answers[index];
       if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return [];
       evidence.observeTerm(answer.status.term);
-      return isWitnessAt(member, answer.askedAtMs) ? [answer] : [];
+      return this.#isWitness(member, answer) ? [answer] : [];
     });
     const [first, ...others] = followers;
     const isComplete = followers.length === members.length && this.#mayAskEveryMember();
@@ -232,13 +243,14 @@
   /** True when the answer is evidence for the leader. */
   #recordWitness(member: Member, answer: ControlAnswer | undefined): boolean {
     if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return false;
-    const { status, askedAtMs } = answer;
+    const { status, askedAtMs, linkMs } = answer;
     const { evidence } = this.group;
-    if (!isWitnessAt(member, askedAtMs)) {
+    if (!this.#isWitness(member, answer)) {
       evidence.observeTerm(status.term);
       return false;
     }
-    const source = { kind: 'member', memberId: member.entry.memberId } as const;
+    const { memberId } = member.entry;
+    const source = { kind: 'member', memberId, ...(linkMs === undefined ? {} : { linkMs }) } as const;
     const isEvidence = evidence.recordWitness(status.term, status.pausedForTerm, askedAtMs, source);
     if (isEvidence) this.#recordFollower(status, askedAtMs);
     return isEvidence;
@@ -252,8 +264,7 @@
       this.group.recordLeader(evidence.leader, null);
       this.group.recordReplicaPosition(status.received);
     }
-    const duty = this.heldDuty();
-    if (duty !== null && askedAtMs > duty.takenAtMs + DUTY_SETTLE_MS) {
+    if (this.#isDutySettled(askedAtMs)) {
       this.confirm();
       // No promotion by an earlier holder can take effect any more.
       evidence.liftRevocation();
@@ -261,6 +272,35 @@
     this.group.changed.notify();
   }
 
+  /** True when no promotion by an earlier holder can take effect at this time or later. */
+  #isDutySettled(atMs: number): boolean {
+    const duty = this.heldDuty();
+    return duty !== null && atMs > duty.takenAtMs + DUTY_SETTLE_MS;
+  }
+
+  /** True when the answer of a member can be evidence. */
+  #isWitness(member: Member, { askedAtMs, linkMs }: Answered): boolean {
+    if (!isKnownAt(member, askedAtMs)) return false;
+    const isOldLink = linkMs !== undefined && linkMs >= WITNESS_KNOWN_MS;
+    return isOldLink || this.#isSameProcess(member, askedAtMs);
+  }
+
+  /** True when a member that is queried now can give evidence, as far as that is known. */
+  #mayBeWitness(member: Member, nowMs: number): boolean {
+    if (!isKnownAt(member, nowMs)) return false;
+    return (
+      this.#isSameProcess(member, nowMs) || member.pool.ownPool.hasIdleOpenSince(nowMs - WITNESS_KNOWN_MS)
+    );
+  }
+
+  /**
+   * True when the process of a member has not been replaced for longer than a promotion may last. That does
+   * not matter to a holder whose duty is settled: one that starts after the last promotion follows its leader.
+   */
+  #isSameProcess({ continuity }: Member, atMs: number): boolean {
+    return atMs >= continuity.mayHaveRestartedAtMs + WITNESS_KNOWN_MS || this.#isDutySettled(atMs);
+  }
+
   #reportChange(reason: string): void {
     const leader = this.group.evidence.current(this.now());
     const hasEvidence = leader !== null;
@@ -274,6 +314,11 @@
 /**
  * True when the incarnation of a member had been known at `askedAtMs` for longer than a promotion may last.
  */
-function isWitnessAt({ knownSinceMs }: Member, askedAtMs: number): boolean {
+function isKnownAt({ knownSinceMs }: Member, askedAtMs: number): boolean {
   return askedAtMs >= knownSinceMs + WITNESS_KNOWN_MS;
 }
+
+/** True when a request was not answered though the member had a connection or a place for one. */
+function isInterruption(answer: ControlAnswer): boolean {
+  return answer.kind === 'refused' || (answer.kind === 'silent' && answer.stage !== 'pool');
+}
--- a/src/leadership/member-control.ts
+++ b/src/leadership/member-control.ts
@@ -31,7 +31,16 @@
  * because it has no free slots or connections, or no gateway could answer for it.
  */
 export type ControlAnswer =
-  | { readonly kind: 'answered'; readonly status: MemberStatus; readonly askedAtMs: number }
+  | {
+      readonly kind: 'answered';
+      readonly status: MemberStatus;
+      readonly askedAtMs: number;
+      /**
+       * How long the connection had been open when the request was sent, in milliseconds: the process that
+       * answered is at least as old. Absent for a borrowed connection.
+       */
+      readonly linkMs?: number;
+    }
   | { readonly kind: 'refused' }
   | { readonly kind: 'silent' | 'slow' | 'busy'; readonly stage?: ControlStage };
 
@@ -175,10 +184,12 @@
     request: MemberRequest,
     deadlineMs: number,
   ): Promise<ControlAnswer> {
+    const { openedAtMs } = pooled;
     const answer = await this.#send(pooled, request, deadlineMs - this.options.now());
     member.pool.ownPool.release(pooled);
-    if (answer.kind === 'answered') member.recordAnswer(this.options.now());
-    return answer;
+    if (answer.kind !== 'answered') return answer;
+    member.recordAnswer(this.options.now());
+    return { ...answer, linkMs: answer.askedAtMs - openedAtMs };
   }
 
   /**
--- a/src/leadership/unresolved-promotion.test.ts
+++ b/src/leadership/unresolved-promotion.test.ts
@@ -33,7 +33,7 @@
 function member(memberId: string, port: number): Member {
   const place = { groupName: 'g', host: 'h', port, zone: 'a', slots: 1 };
   const entry = { ...place, memberId, isDraining: false, saysPrimary: false, bornMs: null };
-  return new Member(entry, {} as MemberConnections);
+  return new Member(entry, { ownPool: { hasIdleOpenSince: () => false } } as unknown as MemberConnections);
 }
 
 /** A daemon that has sealed the term of a leader with two replicas and has heard nothing of the holder since. */
@@ -59,7 +59,7 @@
       this.group,
       'a',
       control as unknown as MemberControl,
-      { evidenceChanged: () => undefined },
+      { evidenceChanged: () => undefined, statusLost: () => undefined },
       () => this.duty,
       () => true,
       () => false,
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -159,6 +159,11 @@
     return this.#takeIdle(null, new Map());
   }
 
+  /** True if an idle connection has been open since `sinceMs`, in monotonic milliseconds, or longer. */
+  hasIdleOpenSince(sinceMs: number): boolean {
+    return this.#idle.some(({ link }) => link.isOpen && link.openedAtMs <= sinceMs);
+  }
+
   /**
    * True if a request of the daemon itself should open the first connection; client requests reuse it
    * afterwards.
--- a/src/relay/member-factory.ts
+++ b/src/relay/member-factory.ts
@@ -47,7 +47,10 @@
       idleTimeoutMs: IDLE_TIMEOUT_MS,
       random: ports.random,
       serviceMs: () => member.latencyMs,
-      onFailure: (reason) => ports.memberFailed(entry.groupName, member, reason),
+      onFailure: (reason) => {
+        member.continuity.recordInterruption(ports.now());
+        ports.memberFailed(entry.groupName, member, reason);
+      },
       now: ports.now,
     });
     const connections = new MemberConnections({
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -24,6 +24,8 @@
   #prepared = new Set<string>();
   #state: TransactionState = 'idle';
   #inFlight = 0;
+  /** When the connection was opened, in monotonic milliseconds. */
+  readonly openedAtMs = performance.now();
   #awaitingReplySinceMs: number | null = null;
 
   /** @param tenantName - the tenant that was sent to the member, fixed for the lifetime of the connection */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -46,7 +46,9 @@
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
 import { compareIncarnations, type Incarnation } from '../topology/incarnation.js';
 import { MemberDirectory } from '../topology/member-directory.js';
+import { formatIncarnation } from '../topology/incarnation.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
+import { describeRegression, type StatusRegression } from '../topology/process-continuity.js';
 import { FailureDetector } from './failure-detector.js';
 import type { LinkPool } from './link-pool.js';
 import { MemberFactory } from './member-factory.js';
@@ -527,6 +529,12 @@
           ...group.describeLeadership(options.now()),
           reason,
         }),
+      statusLost: ({ entry }: Member, regression: StatusRegression) =>
+        options.log('member_status_lost', {
+          group: name,
+          member: formatIncarnation(entry),
+          ...describeRegression(regression),
+        }),
     };
     const watcher = new LeadershipWatcher(
       group,
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -16,6 +16,7 @@
 } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
 import { formatIncarnation, type Incarnation } from './incarnation.js';
+import { ProcessContinuity } from './process-continuity.js';
 import { ReplicaLag } from './replica-lag.js';
 import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
 import type { MemberConnections } from '../gateway/member-connections.js';
@@ -68,6 +69,8 @@
   #latencyMs = 0;
   #failureShare = 0;
   #failureShareAtMs = 0;
+  /** Signs that another process answers for the incarnation. */
+  readonly continuity = new ProcessContinuity();
   /** Estimate of its lag behind the leader. */
   readonly lag = new ReplicaLag();
   #position: Position = ZERO_POSITION;
@@ -175,6 +178,11 @@
   readonly evidenceLeftMs: number;
   /** The witness, `daemon` or `duty`; see {@link EvidenceSource}. */
   readonly evidenceFrom: string | null;
+  /**
+   * How long the connection to that witness had been open when it was asked; `null` without a single witness, or
+   * if the connection was borrowed.
+   */
+  readonly evidenceLinkMs: number | null;
   /** Time since a promotion last revoked the evidence of this daemon; `null` if none has. */
   readonly sinceRevokedMs: number | null;
 }
@@ -378,6 +386,8 @@
       term: leader?.term ?? minimumTerm,
       evidenceLeftMs: Number.isFinite(validUntilMs) ? Math.round(validUntilMs - nowMs) : 0,
       evidenceFrom: source === null ? null : formatEvidenceSource(source),
+      evidenceLinkMs:
+        source?.kind === 'member' && source.linkMs !== undefined ? Math.round(source.linkMs) : null,
       sinceRevokedMs: Number.isFinite(revokedAtMs) ? Math.round(nowMs - revokedAtMs) : null,
     };
   }
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -34,6 +34,7 @@
 const PROMOTION_AFTER_RESTARTS = 'src/leadership/promotion-after-restarts.test.js';
 const EARLIER_DUTY_HOLDER = 'src/leadership/earlier-duty-holder.test.js';
 const UNRESOLVED_PROMOTION = 'src/leadership/unresolved-promotion.test.js';
+const RESTARTED_WITNESS = 'src/leadership/restarted-witness.test.js';
 const PROMOTION_MODEL = 'test/model/promotion-model.test.js';
 const LOST_INCARNATIONS = 'src/leadership/lost-incarnations.test.js';
 const PROMOTION_MEMBER_RESTARTS = 'src/leadership/promotion-member-restarts.test.js';
@@ -1109,4 +1110,44 @@
     testFile: UNRESOLVED_PROMOTION,
     testName: 'needs one replica again once it holds the duty',
   },
+  {
+    property: 'witness: a member that may have started again gives no evidence for a while',
+    file: 'src/leadership/leadership-watcher.js',
+    search: 'return atMs >= continuity.mayHaveRestartedAtMs',
+    replacement: 'return true || atMs >= continuity.mayHaveRestartedAtMs',
+    testFile: RESTARTED_WITNESS,
+    testName: 'is no witness after',
+  },
+  {
+    property: 'witness: a broken connection is a sign that a member has started again',
+    file: 'src/relay/member-factory.js',
+    search: 'member.continuity.recordInterruption(ports.now());',
+    replacement: '',
+    testFile: RESTARTED_WITNESS,
+    testName: 'is no witness after it has broken a connection',
+  },
+  {
+    property: 'witness: an older answer that is received last is no sign of a restart',
+    file: 'src/topology/process-continuity.js',
+    search: 'askedAtMs < latest.answeredAtMs',
+    replacement: 'false',
+    testFile: RESTARTED_WITNESS,
+    testName: 'when the answer to an older query is received last',
+  },
+  {
+    property: 'witness: a connection that has been open for long proves the age of the process',
+    file: 'src/leadership/leadership-watcher.js',
+    search: 'return isOldLink ||',
+    replacement: 'return',
+    testFile: RESTARTED_WITNESS,
+    testName: 'over a connection that has been open for as long',
+  },
+  {
+    property: 'witness: a holder whose duty is settled takes the answer of a member that has started again',
+    file: 'src/leadership/leadership-watcher.js',
+    search: '|| this.#isDutySettled(atMs)',
+    replacement: '',
+    testFile: RESTARTED_WITNESS,
+    testName: 'is a witness for the holder of the duty',
+  },
 ];
