--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -30,6 +30,8 @@
   #prepared = new Set<string>();
   #state: TransactionState = 'idle';
   #inFlight = 0;
+  /** When the connection was opened, in monotonic milliseconds. */
+  readonly openedAtMs = performance.now();
   #awaitingReplySinceMs: number | null = null;
   /** Latest log position that the process at the other end has reported over this connection. */
   #position: Position | null;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -44,9 +44,10 @@
 import type { KeyDigest } from '../tenancy/key-digest.js';
 import { LeaseRenewal, type ConfigurationLeaseReply } from '../tenancy/lease-renewal.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
-import { compareIncarnations, type Incarnation } from '../topology/incarnation.js';
+import { compareIncarnations, formatIncarnation, type Incarnation } from '../topology/incarnation.js';
 import { MemberDirectory } from '../topology/member-directory.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
+import { describeRegression, type StatusRegression } from '../topology/process-continuity.js';
 import { FailureDetector } from './failure-detector.js';
 import type { LinkPool } from './link-pool.js';
 import { MemberFactory } from './member-factory.js';
@@ -533,6 +534,12 @@
           ...group.describeLeadership(options.now()),
           reason,
         }),
+      statusLost: ({ entry }: Member, regression: StatusRegression) =>
+        options.log('member_status_lost', {
+          group: name,
+          member: formatIncarnation(entry),
+          ...describeRegression(regression),
+        }),
     };
     const watcher = new LeadershipWatcher(
       group,
