--- a/src/relay/session-own-commits.test.ts
+++ b/src/relay/session-own-commits.test.ts
@@ -331,3 +331,15 @@
     assert.equal(await scene.read(), '3');
   });
 });
+
+test('a session whose commit was rolled back by a promotion is served by the leader', async () => {
+  const scene = new Scene();
+  const { group, leader, replica } = scene.addGroup('a');
+  scene.route('a');
+  assert.equal(await scene.write(), '6');
+  leader.index = 5;
+  replica.index = 4;
+  group.recordLeader({ memberId: 'leader', term: TERM + 1 }, { term: TERM, index: 5 });
+  group.evidence.recordWitness(TERM + 1, 0, scene.now());
+  await assertReads(scene, '5');
+});
