The members of the test of own commits answer a status request

A daemon may ask a member for its role before it reads there; the fake members answered as to a statement.

--- a/src/relay/session-own-commits.test.ts
+++ b/src/relay/session-own-commits.test.ts
@@ -13,7 +13,7 @@
 import { NO_TENANTS } from '../tenancy/tenant-registry.js';
 import { Catalog, type Consistency } from '../topology/catalog.js';
 import { MemberGroup } from '../topology/member-group.js';
-import type { MemberLink, MemberReply, MemberRequest, MemberResult } from './member-link.js';
+import type { MemberLink, MemberReply, MemberRequest, MemberResult, MemberStatus } from './member-link.js';
 import type { RelayContext } from './relay-context.js';
 import { MAX_GROUPS } from './session-commits.js';
 import { Session } from './session.js';
@@ -25,21 +25,33 @@
 const COMPLETE: MemberResult = { isComplete: true, signature: 's' };
 const BEHIND: MemberResult = { isComplete: false, code: 'behind', text: '' };
 
-/** A member that answers at once: statements with the index of its log, which a write outside a transaction or a commit advances. */
+/**
+ * A member that answers at once: statements with the index of its log, which a write outside a transaction or a
+ * commit advances.
+ */
 class FakeMember {
   /** False if its answers tell no position. */
   tellsPosition = true;
+  /** Term that it leads or follows. */
+  term = TERM;
 
-  constructor(public index: number) {}
+  constructor(
+    public index: number,
+    private readonly isPrimary: boolean,
+  ) {}
 
   get #position(): Position {
     return { term: TERM, index: this.index };
   }
 
+  get #status(): MemberStatus {
+    return { isPrimary: this.isPrimary, term: this.term, received: this.#position, pausedForTerm: 0 };
+  }
+
   dial(): Promise<MemberLink> {
     let isOpen = true;
     let state: MemberReply['state'] = 'idle';
-    const link: MemberLink = {
+    const link = {
       get isOpen(): boolean {
         return isOpen;
       },
@@ -51,7 +63,8 @@
         if (!isBehind) state = this.#run(request, state);
         const result = isBehind ? BEHIND : COMPLETE;
         const position = this.tellsPosition ? this.#position : null;
-        return Promise.resolve({ rows: [String(this.index)], result, state, position });
+        const rows = [request.kind === 'status' ? JSON.stringify(this.#status) : String(this.index)];
+        return Promise.resolve({ rows, result, state, position });
       },
       close: (): void => void (isOpen = false),
       onClosed: (): void => undefined,
@@ -80,8 +93,8 @@
     private readonly now: () => number,
     index = 5,
   ) {
-    this.leader = new FakeMember(index);
-    this.replica = new FakeMember(index);
+    this.leader = new FakeMember(index, true);
+    this.replica = new FakeMember(index, false);
     this.group = new MemberGroup(name);
     const { members } = createTestGroup({ leader: this.leader, replica: this.replica }, now);
     for (const [memberId, member] of members) this.group.members.set(memberId, member);
@@ -121,7 +134,7 @@
       now: this.now,
       shutdownSchedule: () => null,
       suspect: () => undefined,
-      readStatus: () => null,
+      readStatus: ({ rows }) => JSON.parse(rows[0] ?? 'null') as MemberStatus | null,
     };
     this.#session = new Session(context, DATABASE, null);
   }
@@ -338,6 +351,7 @@
   scene.route('a');
   assert.equal(await scene.write(), '6');
   leader.index = 5;
+  leader.term = TERM + 1;
   replica.index = 4;
   group.recordLeader({ memberId: 'leader', term: TERM + 1 }, { term: TERM, index: 5 });
   group.evidence.recordWitness(TERM + 1, 0, scene.now());
