Soak: reads are judged by the logs on which they run

The soak judged reads by the versions that clients were answered. The users judge what runs at members: a read that runs on a log without a commit that its route promises counts, whether or not anyone gets its answer, and whichever thing it reads.

Stand-in members now record for each run the last entry of the log that it saw; entries link to the one before, so that this alone tells the whole log. The history compares it with what had been acknowledged to clients before the first byte of the read, or of its transaction: on `primary` routes any commit of the group, on `bounded_staleness` routes those older than the bound, on `read_your_writes` routes also those of the same session. Not required are commits that a promotion has rolled back, from that promotion on, and commits that the former primary makes beside the new one, which stay reported as LOST. A route's kind and bound never change in a soak, so no case of two kinds in force is left out.

The check of answers stays, with the same bounds: it takes the own version of a session from the history instead of from the client, and with several groups it requires of an answer the versions written at the group that ran it. With one group it requires what it required before. Runs are counted by group, since one counter over all groups would skip runs as soon as there are two.

--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -50,6 +50,8 @@
 const LAST_NOTICE = 'platform/test/last-notice.test.js';
 const SHUTDOWN_NOTICE = 'platform/test/shutdown-notice.test.js';
 
+const STALE_RUNS = 'platform/test/soak/stale-runs.test.js';
+
 const STORE_ERA = 'platform/test/store-era.test.js';
 const METADATA_STORE = 'platform/test/metadata-store.test.js';
 const DUTY_MODEL = 'test/model/duty-model.test.js';
@@ -1051,4 +1053,36 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'still accepts a connection',
   },
+  {
+    property: 'soak: reads are judged by the logs on which they run',
+    file: 'platform/test/soak/history.js',
+    search: 'this.#checkLogsOfReads(group, runs);',
+    replacement: '',
+    testFile: STALE_RUNS,
+    testName: 'though no client has its answer',
+  },
+  {
+    property: 'soak: a read is judged by the first byte of its transaction',
+    file: 'platform/test/soak/stale-runs.js',
+    search: 'read.firstByteAtMs - commit.acknowledgedAtMs',
+    replacement: 'read.ranAtMs - commit.acknowledgedAtMs',
+    testFile: STALE_RUNS,
+    testName: 'first byte of the transaction',
+  },
+  {
+    property: 'soak: a session requires its own commits',
+    file: 'platform/test/soak/stale-runs.js',
+    search: ' || commit.sessionId === read.sessionId',
+    replacement: '',
+    testFile: STALE_RUNS,
+    testName: 'young commits of the same session',
+  },
+  {
+    property: 'soak: a group requires its own commits only',
+    file: 'platform/test/soak/history.js',
+    search: "end === 'acknowledged' && group.appendedTerm(data) !== null",
+    replacement: "end === 'acknowledged'",
+    testFile: STALE_RUNS,
+    testName: 'no commit of another group',
+  },
 ];
