--- a/standin/rig/fault-proxy.ts
+++ b/standin/rig/fault-proxy.ts
@@ -16,6 +16,8 @@
   readonly targetHost: string;
   /** Port on the target, if it differs from `port`. */
   readonly targetPort?: number;
+  /** Connects to the target from the address of the caller. */
+  readonly keepsSource?: boolean;
 }
 
 /** Bytes in transit, or the end of the connection. */
@@ -208,7 +210,12 @@
       return true;
     }
     if (this.isCut(fromZone, route.zone) || this.isCut(route.zone, fromZone)) return false;
-    outgoing.connect({ host: route.targetHost, port: route.targetPort ?? route.port });
+    const source = route.keepsSource === true ? incoming.remoteAddress : undefined;
+    outgoing.connect({
+      host: route.targetHost,
+      port: route.targetPort ?? route.port,
+      ...(source === undefined ? {} : { localAddress: source }),
+    });
     requests.startDelivery();
     return true;
   }
