What is known of a group that is not watched keeps its terms apart from its revocation

Terms that have ended (an announced leader, the lowest term known) and the revocation of a promotion are now kept apart. Ended terms are remembered for 30 s, as long as a member without an entry may still run, and are not lifted by an allow: until then their evidence takes the answers of all members. A revocation keeps the time of its order, and an allow ends it.

Signs that a member may have started again are kept by the directory while the group is not watched; they were lost with the group's members.

--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -108,6 +108,8 @@
   #revokedUpToTerm = -1;
   #revokedUntilMs = Number.NEGATIVE_INFINITY;
   #revokedAtMs = Number.NEGATIVE_INFINITY;
+  /** Terms below this one ended before this record of the group began, as far as is remembered until then. */
+  #endedTerms = { belowTerm: 0, untilMs: Number.NEGATIVE_INFINITY };
   /** The promotion for which the evidence was revoked is not known to have been abandoned. */
   #mayBeReplaced = false;
   #source: EvidenceSource | null = null;
@@ -223,17 +225,25 @@
     }
     if (pausedForTerm > term || askedAtMs < this.countsFromMs()) return false;
     if (term <= this.#revokedUpToTerm && askedAtMs < this.#revokedUntilMs) return false;
-    if (this.#isOpenPromotion(term) && (source === null || source.kind === 'member')) return false;
+    const isOneEnough = !this.#isOpenPromotion(term) && !this.#hasEnded(term, askedAtMs);
+    if (!isOneEnough && (source === null || source.kind === 'member')) return false;
     this.#extend(askedAtMs + EVIDENCE_VALIDITY_MS, source);
     return true;
   }
 
   /**
    * True when evidence of the known leader takes the answers of all other members: this daemon has revoked it
-   * for a promotion that may have succeeded without its knowledge.
+   * for a promotion that may have succeeded without its knowledge, or knew of a later term before.
    */
   needsEveryMember(nowMs: number): boolean {
-    return this.#leader !== null && nowMs >= this.#revokedUntilMs && this.#isOpenPromotion(this.#leader.term);
+    if (this.#leader === null || nowMs < this.#revokedUntilMs) return false;
+    const { term } = this.#leader;
+    return this.#isOpenPromotion(term) || this.#hasEnded(term, nowMs);
+  }
+
+  /** True when the term had ended before this record of the group began. */
+  #hasEnded(term: number, atMs: number): boolean {
+    return term < this.#endedTerms.belowTerm && atMs < this.#endedTerms.untilMs;
   }
 
   /** True when a promotion over this term may have succeeded, or may still succeed. */
@@ -247,6 +257,14 @@
     this.#source = source;
   }
 
+  /**
+   * Records that terms below `belowTerm` had ended when the group was last watched. Holds until `untilMs`, since
+   * the terms of a group that is added again may begin again.
+   */
+  endBelow(belowTerm: number, untilMs: number): void {
+    this.#endedTerms = { belowTerm, untilMs };
+  }
+
   /** Records that a member follows this term: no earlier term has a leader any more. */
   observeTerm(term: number): void {
     if (term <= this.#minimumTerm) return;
--- a/src/relay/order-handler.test.ts
+++ b/src/relay/order-handler.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { EVIDENCE_VALIDITY_MS, REVOCATION_MS } from '../leadership/leadership-evidence.js';
+import {
+  EVIDENCE_VALIDITY_MS,
+  REVOCATION_MS,
+  type EvidenceSource,
+} from '../leadership/leadership-evidence.js';
 import { MemberGroup } from '../topology/member-group.js';
 import { OrderHandler } from './order-handler.js';
 import { WatchedGroups, type WatchedGroup } from './watched-groups.js';
@@ -38,12 +42,12 @@
     this.groups.sync(new Set(), this.nowMs);
   }
 
-  /** True when the answer of a replica that follows the leader of the term is evidence for it. */
-  gainsEvidence(term = TERM): boolean {
+  /** True when an answer, that of a replica unless specified otherwise, is evidence for the leader of the term. */
+  gainsEvidence(term = TERM, source: EvidenceSource = { kind: 'member', memberId: 'r' }): boolean {
     const group = this.groups.group(GROUP);
     assert.ok(group !== null);
     group.recordLeader({ memberId: 'm', term }, null);
-    return group.evidence.recordWitness(term, 0, this.nowMs, { kind: 'member', memberId: 'r' });
+    return group.evidence.recordWitness(term, 0, this.nowMs, source);
   }
 }
 
@@ -97,6 +101,42 @@
   });
 });
 
+describe('a term that ended before its group was added', () => {
+  const held = { term: TERM, index: 9 };
+
+  test('gives no evidence after the end of a promotion whose order to revoke was lost', () => {
+    const scene = new Scene();
+    scene.orders.apply({ kind: 'leader', groupName: GROUP, memberId: 'n', term: TERM + 1, held });
+    scene.orders.apply({ kind: 'allow', groupName: GROUP });
+    scene.watch();
+    scene.orders.apply({ kind: 'allow', groupName: GROUP });
+    scene.nowMs += REVOCATION_MS + 1;
+    assert.equal(scene.gainsEvidence(TERM), false);
+  });
+
+  test('gives evidence when the terms of the group begin again later', () => {
+    const scene = new Scene();
+    scene.watch();
+    assert.equal(scene.gainsEvidence(TERM), true);
+    scene.unwatch();
+    scene.nowMs += 30_000;
+    scene.watch();
+    assert.equal(scene.gainsEvidence(1), true);
+  });
+
+  test('gives evidence when the holder of the duty supplies it, though the group comes and goes all the time', () => {
+    const scene = new Scene();
+    scene.watch();
+    scene.orders.apply({ kind: 'seal', groupName: GROUP, term: TERM });
+    for (let count = 0; count < 100; count += 1) {
+      scene.nowMs += 60;
+      scene.unwatch();
+      scene.watch();
+    }
+    assert.equal(scene.gainsEvidence(TERM, { kind: 'daemon' }), true);
+  });
+});
+
 describe('what runs under the evidence of a removed group', () => {
   for (const isAddedAgain of [false, true])
     test(`ends with the order to seal its term${isAddedAgain ? ', though the group was added again' : ''}`, () => {
--- a/src/relay/order-handler.ts
+++ b/src/relay/order-handler.ts
@@ -82,7 +82,7 @@
         groups.revokedTerms.lift(order.groupName);
         break;
       case 'leader':
-        groups.revokedTerms.revoke(order.groupName, order.term - 1, now());
+        groups.revokedTerms.endBelow(order.groupName, order.term, now());
         break;
     }
   }
--- a/src/relay/watched-groups.ts
+++ b/src/relay/watched-groups.ts
@@ -80,7 +80,7 @@
 
   /** Watches exactly the groups of these names. */
   sync(names: ReadonlySet<string>, nowMs: number): void {
-    for (const name of names) if (!this.#watched.has(name)) this.#open(name);
+    for (const name of names) if (!this.#watched.has(name)) this.#open(name, nowMs);
     for (const [name, watched] of this.#watched) {
       if (names.has(name)) continue;
       this.#watched.delete(name);
@@ -100,9 +100,9 @@
     return this.#removed.filter(({ removedAtMs }) => nowMs < removedAtMs + EVIDENCE_VALIDITY_MS);
   }
 
-  #open(name: string): void {
+  #open(name: string, nowMs: number): void {
     const watched = this.ports.create(name);
-    this.revokedTerms.applyTo(watched.group);
+    this.revokedTerms.applyTo(watched.group, nowMs);
     this.#watched.set(name, watched);
     this.ports.opened(watched);
   }
--- a/src/topology/member-directory.test.ts
+++ b/src/topology/member-directory.test.ts
@@ -150,6 +150,17 @@
     assert.deepEqual(scene.doubtedGroups, ['g']);
   });
 
+  test('that is only suspected stays so when the group of the member is removed and added again', () => {
+    const scene = new ListedMembers();
+    scene.directory.listed(FIRST);
+    scene.member().continuity.recordInterruption(scene.now);
+    const suspectedAtMs = scene.now;
+    scene.groups.delete('g');
+    scene.advance(HEARTBEAT_MS);
+    scene.addGroup('g');
+    assert.equal(scene.member().continuity.mayHaveRestartedAtMs, suspectedAtMs);
+  });
+
   test('of another member does not affect the leader', () => {
     const scene = new ListedMembers();
     scene.directory.listed(FIRST);
--- a/src/topology/member-directory.ts
+++ b/src/topology/member-directory.ts
@@ -13,6 +13,7 @@
  */
 import { compareIncarnations, type IncarnationOrder } from './incarnation.js';
 import type { Member, MemberEntry, MemberGroup } from './member-group.js';
+import { ProcessContinuity } from './process-continuity.js';
 
 /** Share of the leave time during which a leaving member may still receive requests. */
 const LEAVE_SERVING_SHARE = 0.75;
@@ -60,6 +61,8 @@
    * Since when that incarnation has been known, in monotonic milliseconds; see {@link Member.knownSinceMs}.
    */
   readonly knownSinceMs: number;
+  /** Signs that another process answers for it; kept while its group is not watched. */
+  readonly continuity: ProcessContinuity;
   /** Since when the id has had no entry, in monotonic milliseconds; `null` while it has one. */
   unlistedSinceMs: number | null;
   /** False while the value stored under the id cannot be parsed as an entry. */
@@ -226,7 +229,15 @@
 
   #addIncarnation(entry: MemberEntry): void {
     const knownSinceMs = this.#isLoaded ? this.options.now() : Number.NEGATIVE_INFINITY;
-    const known = { entry, knownSinceMs, unlistedSinceMs: null, isReadable: true, isRetired: false };
+    const continuity = new ProcessContinuity();
+    const known = {
+      entry,
+      knownSinceMs,
+      continuity,
+      unlistedSinceMs: null,
+      isReadable: true,
+      isRetired: false,
+    };
     this.#known.set(entry.memberId, known);
     this.#unlisted.delete(entry.memberId);
     this.#applyEntry(known);
@@ -288,9 +299,10 @@
     this.options.changed(group);
   }
 
-  #add(group: MemberGroup, { entry, knownSinceMs }: KnownMember): void {
+  #add(group: MemberGroup, { entry, knownSinceMs, continuity }: KnownMember): void {
     const member = this.options.create(entry);
     member.knownSinceMs = knownSinceMs;
+    member.continuity = continuity;
     group.members.set(entry.memberId, member);
     this.#logAdded(group, entry);
   }
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -70,7 +70,7 @@
   #failureShare = 0;
   #failureShareAtMs = 0;
   /** Signs that another process answers for the incarnation. */
-  readonly continuity = new ProcessContinuity();
+  continuity = new ProcessContinuity();
   /** Estimate of its lag behind the leader. */
   readonly lag = new ReplicaLag();
   #position: Position = ZERO_POSITION;
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1365,4 +1365,37 @@
     testFile: STALE_RUNS,
     testName: 'no commit of another group',
   },
+  {
+    property:
+      'orders: terms that ended before a group was added give no evidence, whatever was abandoned since',
+    file: 'src/relay/revoked-terms.js',
+    search: 'evidence.endBelow(ended.belowTerm, ended.untilMs);',
+    replacement: '',
+    testFile: ORDER_HANDLER,
+    testName: 'whose order to revoke was lost',
+  },
+  {
+    property: 'orders: ended terms are not remembered for ever',
+    file: 'src/relay/revoked-terms.js',
+    search: 'ENDED_TERMS_RETENTION_MS = 30_000',
+    replacement: 'ENDED_TERMS_RETENTION_MS = 300_000',
+    testFile: ORDER_HANDLER,
+    testName: 'the terms of the group begin again',
+  },
+  {
+    property: 'orders: a retained revocation keeps the time of its order',
+    file: 'src/relay/revoked-terms.js',
+    search: '{ term: revokedUpToTerm, revokedAtMs }',
+    replacement: '{ term: revokedUpToTerm, revokedAtMs: nowMs }',
+    testFile: ORDER_HANDLER,
+    testName: 'comes and goes all the time',
+  },
+  {
+    property: 'witness: a sign of a restart is kept while the group is not watched',
+    file: 'src/topology/member-directory.js',
+    search: 'member.continuity = continuity;',
+    replacement: '',
+    testFile: 'src/topology/member-directory.test.js',
+    testName: 'that is only suspected stays so',
+  },
 ];
