A daemon asks the holder of the duty for evidence, and not a daemon that probes it

What callers would see: BUSY with "no leader", where a daemon that is probed gets no evidence for a round.

Cause: evidence was asked for over the connection that was accepted last, also where that is of a daemon that only looks whether this one runs.

Change: the last connection that has announced a holder is asked; the last one of all only where none has, as with a holder that is just connecting.

The stub of the other tests there answers with an empty list of leaders instead of an unknown one, since that reads as no answer; none of them asks for evidence.

--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -5,13 +5,15 @@
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { afterEach, test } from 'node:test';
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import type { DaemonRecord } from './daemon-record.js';
 import { PeerMesh, type OrderOutcome } from './peer-mesh.js';
 
 const HOST = '127.0.0.1';
+/** Time in which a daemon of this process answers, in milliseconds. */
+const ANSWER_LIMIT_MS = 5000;
 /** Closed after each test, even a failed one; an open server would keep the test process alive. */
 const openResources: { close(): unknown }[] = [];
 afterEach(() => {
@@ -32,7 +34,7 @@
   holderDisconnected: (host: string) => void disconnectedHosts.push(host),
   handleOrder: () => ({ latest: { term: 0, index: 0 }, limit: null }),
   handleSuspicion: () => undefined,
-  ownEvidence: () => ({ version: 0, leaders: null, agesMs: [] }),
+  ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
 };
 
 function record(name: string, port: number): DaemonRecord {
@@ -272,6 +274,24 @@
   assert.deepEqual(disconnectedHosts, []);
 });
 
+/** Guards against evidence that expires: a daemon that only probed was asked for it, and had none. */
+test('the holder is asked for evidence also while another daemon probes', async () => {
+  const ports = [await freePort(), await freePort()];
+  const [holder, asking] = ports.map((port, index) => record(`d${index}`, port));
+  assert.ok(holder && asking);
+  const holderMesh = meshOf(holder);
+  const askingMesh = meshOf(asking);
+  await askingMesh.listen(HOST, asking.port);
+  holderMesh.connectAll([asking]);
+  await waitUntil('the holder to be connected', () => askingMesh.holderConnections === 1);
+  const probe = connect(asking.port, HOST);
+  openResources.push({ close: () => probe.destroy() });
+  await once(probe, 'connect');
+  const ACCEPTED_MS = 50;
+  await new Promise((resolve) => setTimeout(resolve, ACCEPTED_MS));
+  assert.ok((await askingMesh.askEvidence(ANSWER_LIMIT_MS)) !== null);
+});
+
 async function freePort(): Promise<number> {
   const server = createServer();
   server.listen(0, HOST);
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -428,7 +428,9 @@
    * never a later one.
    */
   askEvidence(timeoutMs: number): Promise<readonly SharedEvidence[] | null> {
-    const holder = [...this.#inbound].at(-1);
+    const inbound = [...this.#inbound];
+    // A daemon that only probes has no evidence to give.
+    const holder = inbound.filter(([channel]) => this.#holderChannels.has(channel)).at(-1) ?? inbound.at(-1);
     if (holder === undefined) return Promise.resolve(null);
     const [channel, reader] = holder;
     this.#nextId += 1;
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1091,4 +1091,12 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'each gap in its absence',
   },
+  {
+    property: 'evidence: the holder is asked for it, not a daemon that probes',
+    file: 'src/cluster/peer-mesh.js',
+    search: 'this.#holderChannels.has(channel)).at(-1)',
+    replacement: 'true).at(-1)',
+    testFile: 'src/cluster/peer-mesh.test.js',
+    testName: 'also while another daemon probes',
+  },
 ];
