An earlier promotion whose outcome is not known is resolved by the next holder

After 3 s without evidence of a leader that answers, such a holder begins a promotion, which ends with a leader or with the orders that lift the seal, under the conditions of any other promotion.

The new test of earlier-duty-holder is green; without the check no promotion begins. earlier-duty-holder and group-supervisor: 15 passed.

--- a/src/leadership/earlier-duty-holder.test.ts
+++ b/src/leadership/earlier-duty-holder.test.ts
@@ -12,6 +12,7 @@
 import { describe, test } from 'node:test';
 import { delay } from '../common/signal.js';
 import { FIRST_TERM, ModelledGroup } from '../../test/support/modelled-group.js';
+import { REVOCATION_MS } from './leadership-evidence.js';
 import { OpenCallRecord, type OpenCall } from './open-calls.js';
 
 const COMMIT = { term: FIRST_TERM, index: 2 };
@@ -21,6 +22,8 @@
 const LEFT_MS = 900;
 const PROMOTED_MS = 300;
 const SEVERAL_POLLS_MS = 400;
+/** Time without evidence after which the outcome is not waited for any longer, in milliseconds. */
+const UNRESOLVED_MS = 3001;
 
 /** A primary that has crashed, and a daemon that reports an open call. */
 function crashedPrimary(call: OpenCall): ModelledGroup {
@@ -110,6 +113,17 @@
   });
 });
 
+/** Without it, one replica that does not answer would keep a healthy leader unused for as long. */
+test('an earlier promotion whose outcome is not known is resolved though a replica does not answer', async () => {
+  const model = new ModelledGroup(['old', 'one', 'other']);
+  assert.ok(model.commit(model.member('old')));
+  model.member('other').state = 'dark';
+  model.orderOutcomes.set('d2', { kind: 'answered', answer: { latest: COMMIT, limit: COMMIT } });
+  model.group.evidence.seal(FIRST_TERM, performance.now() - REVOCATION_MS);
+  model.group.leaderlessSinceMs = performance.now() - UNRESOLVED_MS;
+  await model.runUntil('promotion_call');
+});
+
 test('the call recorded by a daemon is dropped when it expires or is cleared', () => {
   const note = new OpenCallRecord();
   const call = { memberId: 'a', fence: 3, leftMs: 100 };
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -72,6 +72,11 @@
 const CHECK_INTERVAL_MS = 1000;
 /** Timeout of a status request to a member, in milliseconds. */
 const STATUS_TIMEOUT_MS = 200;
+/**
+ * Time without evidence of a leader that answers, after which a promotion resolves an earlier one whose outcome is
+ * not known, in milliseconds. It leaves time for all members to answer the daemons.
+ */
+const UNRESOLVED_LIMIT_MS = 3000;
 /** Timeout of a probe of a suspected leader, in milliseconds, and number of probes. */
 const PROBE_TIMEOUT_MS = 130;
 const PROBE_ATTEMPTS = 2;
@@ -196,6 +201,8 @@
         return this.#promote(leader, 'earlier promotion left unfinished');
     }
     const now = this.options.now();
+    if (this.#isUnresolved(now))
+      return this.#promote(leader, 'the outcome of an earlier promotion is not known');
     const { memberId } = leader.entry;
     if (now - this.#lastTransferMs > TRANSFER_COOLDOWN_MS) {
       const reporterCount = this.#suspicions.lastingReporterCount(
@@ -399,6 +406,15 @@
     return !paused.every(({ received }) => hasReached(leaderAnswer.status.received, received));
   }
 
+  /**
+   * True when evidence of the leader takes the answers of all members and they have not been had for long: one
+   * that does not answer would keep a healthy leader unused for as long.
+   */
+  #isUnresolved(nowMs: number): boolean {
+    const isLeaderlessForLong = this.group.leaderlessMs(nowMs) > UNRESOLVED_LIMIT_MS;
+    return isLeaderlessForLong && this.group.evidence.needsEveryMember(nowMs);
+  }
+
   /** Resumes replicas that were left paused by an abandoned promotion. */
   async #resumeReplicas(leader: Member): Promise<void> {
     const now = this.options.now();
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1430,4 +1430,12 @@
     testFile: 'src/cluster/peer-mesh.test.js',
     testName: 'also while another daemon probes',
   },
+  {
+    property: 'promotion: an earlier one whose outcome is not known does not keep a leader unused',
+    file: 'src/leadership/group-supervisor.js',
+    search: 'if (this.#isUnresolved(now))',
+    replacement: 'if (false)',
+    testFile: EARLIER_DUTY_HOLDER,
+    testName: 'is resolved though a replica does not answer',
+  },
 ];
