A gateway sends nothing to a leader that was replaced while the request waited

What callers would have seen: a read at the leader, or the reads of a transaction, over a connection on loan answered from the log of a former leader, without commits that the next leader had acknowledged. The borrower checks its evidence before it sends the request to the gateway, and the request then waits there for a connection. No cut is needed: a leader that was demoted in order is enough, if it has reached the older position that the read names.

Cause: the gateway did not look at its own evidence when it sent. A connection verified once for a leader counted as the leader's for good, and one that was not verified took a status only. A plain BEGIN did not name the leader at all.

The gateway now asks, before and after it verifies the connection, whether its group knows a later term, or has revoked this one and has no evidence since; it then answers that nothing was sent, and the borrower goes on. A request that has waited for more than 100 ms also needs the gateway's evidence: an order that a daemon does not answer holds a promotion up for 200 ms. A gateway without evidence whose group was never revoked serves a fresh request as before. A borrowed link names the leader for a plain BEGIN, too; over an own connection that costs no request. An open transaction goes on, as over an own connection.

Evidence: with the new field answering "not replaced", 7 tests are red: the read that waited is answered as complete by the demoted (fake) process, so is one at a gateway whose evidence had expired and one whose leader was replaced during the status request; both kinds of BEGIN are accepted; two are of the group's evidence. Now the unit tests of the gateway and the relay pass (191), and platform/test/gateway (8). The 8 new mutations are red.

Not covered: a gateway that was stopped while the request lay in its socket and that has processed no order since, when its connection was verified before; the wait is counted from the time at which the gateway reads the request.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -69,10 +69,14 @@
   }
 
   verifyLeader(leader: Leader): Promise<LeaderVerdict> {
-    this.#requiredLeader = leader;
+    this.requireLeader(leader);
     return Promise.resolve('leader');
   }
 
+  requireLeader(leader: Leader): void {
+    this.#requiredLeader = leader;
+  }
+
   isVerifiedLeader({ memberId, term }: Leader): boolean {
     const required = this.#requiredLeader;
     return this.#isReplyOfLeader && required?.memberId === memberId && required.term === term;
--- a/src/gateway/lent-leader.test.ts
+++ b/src/gateway/lent-leader.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { afterEach, describe, test } from 'node:test';
+import { setTimeout } from 'node:timers/promises';
 import { daemonRecord } from '../../test/support/daemon-records.js';
 import { FakeProcess, PROCESS_TERM, readFakeStatus } from '../../test/support/fake-process.js';
 import { begin, createLeaderScene, now, read } from '../../test/support/leader-scene.js';
@@ -12,6 +13,7 @@
 import { ZERO_POSITION } from '../position/position.js';
 import { LinkPool } from '../relay/link-pool.js';
 import type { MemberReply } from '../relay/member-link.js';
+import type { LeaderCheck } from '../relay/session-link.js';
 import type { BorrowedLink } from './borrowed-link.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
@@ -24,17 +26,33 @@
 const COMMIT = { term: PROCESS_TERM, index: 9 };
 const READ = { kind: 'statement', requestId: 'r', payload: 'READ t', after: null } as const;
 
+let pool: LinkPool;
 let server: GatewayServer;
 let client: GatewayClient;
+/** What the gateway knows of the leader. */
+let known: { isProven: boolean; isReplaced: boolean };
+/** Runs before the gateway evaluates a status. */
+let beforeStatus: () => void;
 
 afterEach(() => {
   client.close();
   server.close();
 });
 
+const CHECK: LeaderCheck = {
+  isProven: () => known.isProven,
+  isReplaced: () => known.isReplaced,
+  readStatus: (reply) => {
+    beforeStatus();
+    return readFakeStatus(reply);
+  },
+};
+
 /** @param isProven - whether the gateway has evidence of the leader */
 async function start(process: FakeProcess, isProven: boolean): Promise<void> {
-  const pool = new LinkPool({
+  known = { isProven, isReplaced: false };
+  beforeStatus = () => undefined;
+  pool = new LinkPool({
     dialer: process,
     address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
     budget: () => 1,
@@ -48,7 +66,7 @@
   });
   server = new GatewayServer({
     pool: () => pool,
-    leaderCheck: () => ({ isProven: () => isProven, readStatus: readFakeStatus }),
+    leaderCheck: () => CHECK,
     ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
     changes: () => new Promise<never>(() => undefined),
     configuration: () => ({ version: 0, proof: null, item: null }),
@@ -75,11 +93,25 @@
   return { link, reply };
 }
 
+/** Sends a read that gets the only connection, verified before that, when `change` has run after `waitMs`. */
+async function readAfterWait(waitMs: number, change: () => void): Promise<MemberReply> {
+  const demand = { tenantName: null, values: new Map(), isWrite: false, priority: 1, dueAtMs: now() + 1000 };
+  const held = await pool.acquire(demand, 1000);
+  assert.equal(await held.verifyLeader(LEADER, CHECK), 'leader');
+  const link = client.borrow(RECORD, TERMS);
+  await link.verifyLeader(LEADER);
+  const reply = link.send(READ);
+  await setTimeout(waitMs);
+  change();
+  pool.release(held);
+  return reply;
+}
+
 describe('a read at the leader over a connection on loan', () => {
   for (const isProven of [true, false]) {
-    const known = isProven ? 'with' : 'without';
+    const evidence = isProven ? 'with' : 'without';
 
-    test(`does not run at an empty process that does not lead, at a gateway ${known} evidence`, async () => {
+    test(`does not run at an empty process that does not lead, at a gateway ${evidence} evidence`, async () => {
       const process = new FakeProcess(ZERO_POSITION, false);
       await start(process, isProven);
       const { result } = (await borrowAndRead()).reply;
@@ -88,7 +120,7 @@
       assert.equal(process.statements, 0);
     });
 
-    test(`runs at an empty leader, asked once for its status, at a gateway ${known} evidence`, async () => {
+    test(`runs at an empty leader, asked once for its status, at a gateway ${evidence} evidence`, async () => {
       const process = new FakeProcess(ZERO_POSITION, true);
       await start(process, isProven);
       for (let count = 0; count < 3; count += 1) {
@@ -149,6 +181,72 @@
     assert.equal(process.statements, 0);
   });
 
+  test('does not run at a leader that was replaced while the read waited at the gateway', async () => {
+    const process = new FakeProcess(COMMIT, true);
+    await start(process, true);
+    const { result } = await readAfterWait(20, () => {
+      known = { isProven: false, isReplaced: true };
+      process.isPrimary = false;
+    });
+    assert.ok(!result.isComplete);
+    assert.equal(result.code, 'busy');
+    assert.equal(process.runs, 0);
+  });
+
+  test('does not run after a long wait at a gateway whose evidence has expired', async () => {
+    const process = new FakeProcess(COMMIT, true);
+    await start(process, true);
+    const { result } = await readAfterWait(250, () => (known.isProven = false));
+    assert.ok(!result.isComplete);
+    assert.equal(result.code, 'busy');
+    assert.equal(process.runs, 0);
+  });
+
+  test('runs after a long wait at a gateway with evidence', async () => {
+    const process = new FakeProcess(COMMIT, true);
+    await start(process, true);
+    assert.ok((await readAfterWait(250, () => undefined)).result.isComplete);
+    assert.equal(process.runs, 1);
+  });
+
+  test('does not run at a leader that is replaced while the gateway asks for its status', async () => {
+    const process = new FakeProcess(ZERO_POSITION, true);
+    await start(process, true);
+    beforeStatus = () => (known = { isProven: false, isReplaced: true });
+    assert.ok(!(await borrowAndRead()).reply.result.isComplete);
+    assert.equal(process.statusRequests, 1);
+    assert.equal(process.runs, 0);
+  });
+
+  test('does not end an open transaction when the leader is replaced', async () => {
+    const process = new FakeProcess(COMMIT, true);
+    await start(process, true);
+    const link = client.borrow(RECORD, TERMS);
+    await link.verifyLeader(LEADER);
+    await link.send({ kind: 'begin', isReadOnly: true, after: null });
+    known = { isProven: false, isReplaced: true };
+    assert.ok((await link.send(READ)).result.isComplete);
+    assert.equal(link.state, 'open');
+  });
+
+  for (const isReadOnly of [true, false])
+    test(`does not begin a ${isReadOnly ? 'read-only' : 'plain'} transaction at a replaced leader`, async () => {
+      const process = new FakeProcess(COMMIT, true);
+      await start(process, true);
+      known = { isProven: false, isReplaced: true };
+      const group = createTestGroup({ leader: process }, now, { client, record: RECORD });
+      await assert.rejects(begin(createLeaderScene(group, COMMIT), isReadOnly));
+      assert.ok(!process.requests.some(({ kind }) => kind === 'begin'));
+    });
+
+  test('begins a plain transaction over an own connection without a status request', async () => {
+    const process = new FakeProcess(ZERO_POSITION, true);
+    await start(process, true);
+    const group = createTestGroup({ leader: process }, now);
+    assert.ok((await begin(createLeaderScene(group, null), false)).result.isComplete);
+    assert.equal(process.statusRequests, 0);
+  });
+
   describe('of a gateway of the build before', () => {
     for (const [kind, run] of [
       ['answers no read', read],
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -35,6 +35,13 @@
   onLost(): void;
 }
 
+/**
+ * Maximum time that a request may have waited at a gateway without evidence of the leader, in milliseconds.
+ * The borrower has checked its evidence before it sent the request; a promotion that does not reach the gateway
+ * waits longer than this for its answer.
+ */
+const MAX_UNPROVEN_WAIT_MS = 100;
+
 const GATEWAY_STOPPING = 'the gateway is about to stop';
 const MEMBER_ENDED = 'the member has ended';
 const NOT_A_GATEWAY = 'not a gateway of the member';
@@ -60,9 +67,21 @@
   return { rows: [], result, state: 'idle', position: ZERO_POSITION };
 }
 
+/** False if the leader may have been replaced since the borrower sent the request. */
+function mayStillLead(check: LeaderCheck, leader: Leader, receivedAtMs: number): boolean {
+  if (check.isReplaced(leader)) return false;
+  return performance.now() - receivedAtMs <= MAX_UNPROVEN_WAIT_MS || check.isProven(leader);
+}
+
+/** A message of the borrower, and when it was received, in monotonic milliseconds. */
+interface QueuedMessage {
+  readonly message: ValuesMessage | LoanRequestMessage;
+  readonly receivedAtMs: number;
+}
+
 /** Processes the messages of one loan in order. */
 export class Loan {
-  readonly #queue: (ValuesMessage | LoanRequestMessage)[] = [];
+  readonly #queue: QueuedMessage[] = [];
   #values: SessionValues = new Map();
   #wait: LinkAcquisition<LinkPool> | null = null;
   #link: PooledLink | null = null;
@@ -76,7 +95,7 @@
   /** Queues a message and starts processing if necessary. */
   enqueue(message: ValuesMessage | LoanRequestMessage): void {
     if (this.#hasEnded) return;
-    this.#queue.push(message);
+    this.#queue.push({ message, receivedAtMs: performance.now() });
     if (!this.#isProcessing) void this.#processQueue();
   }
 
@@ -113,10 +132,11 @@
 
   async #processQueue(): Promise<void> {
     this.#isProcessing = true;
-    for (let message = this.#queue.shift(); message !== undefined; message = this.#queue.shift()) {
+    for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+      const { message, receivedAtMs } = next;
       if (message.type === 'values') this.#values = new Map(message.values);
       else if (message.request.kind === 'status' && this.#link === null) await this.#serveStatus();
-      else await this.#serve(message);
+      else await this.#serve(message, receivedAtMs);
     }
     this.#isProcessing = false;
   }
@@ -133,7 +153,7 @@
     }
   }
 
-  async #serve(message: LoanRequestMessage): Promise<void> {
+  async #serve(message: LoanRequestMessage, receivedAtMs: number): Promise<void> {
     const link = this.#link ?? (await this.#acquireLink());
     if (link === null) return;
     const wasIdle = link.state === 'idle';
@@ -143,7 +163,7 @@
       await link.setSessionValues(this.#values);
       if (request.kind === 'execute' && message.prepared !== null)
         request = { ...request, name: await link.prepare(message.prepared) };
-      verdict = await this.#verifyLeader(link, message.leader);
+      verdict = await this.#verifyLeader(link, message.leader, receivedAtMs);
     } catch (error) {
       this.#releaseLink();
       if (wasIdle) this.#reply(notSentReply(`gateway: ${String(error)}`));
@@ -169,11 +189,23 @@
     }
   }
 
-  /** Whether the process at the other end of a connection is the leader that the borrower requires, if any. */
-  async #verifyLeader(link: PooledLink, leader: Leader | undefined): Promise<LeaderVerdict> {
+  /**
+   * Whether the process at the other end of a connection is the leader that the borrower requires, if any. An
+   * open transaction goes on when its leader is replaced, as over a direct connection.
+   */
+  async #verifyLeader(
+    link: PooledLink,
+    leader: Leader | undefined,
+    receivedAtMs: number,
+  ): Promise<LeaderVerdict> {
     const { leaderCheck } = this.options;
     if (leader === undefined) return 'leader';
-    return leaderCheck === null ? 'unknown' : link.verifyLeader(leader, leaderCheck);
+    if (leaderCheck === null) return 'unknown';
+    const isBeginning = link.state === 'idle';
+    if (isBeginning && !mayStillLead(leaderCheck, leader, receivedAtMs)) return 'unknown';
+    const verdict = await link.verifyLeader(leader, leaderCheck);
+    if (verdict !== 'leader' || !isBeginning) return verdict;
+    return mayStillLead(leaderCheck, leader, receivedAtMs) ? 'leader' : 'unknown';
   }
 
   /**
--- a/src/relay/leader-identity.ts
+++ b/src/relay/leader-identity.ts
@@ -39,10 +39,19 @@
   return leader?.memberId === memberId && leader.term === term;
 }
 
+/** True if a later term is known, or the leader's term was revoked and there has been no evidence after that. */
+function mayBeReplaced(context: RelayContext, group: MemberGroup, leader: Leader): boolean {
+  const { minimumTerm, revokedUpToTerm } = group.evidence;
+  if (leader.term < minimumTerm) return true;
+  const isRevoked = revokedUpToTerm !== null && leader.term <= revokedUpToTerm;
+  return isRevoked && !isStillLeader(context, group, leader);
+}
+
 /** What this daemon uses to verify the process of a leader before it sends requests to it. */
 export function leaderCheck(context: RelayContext, group: MemberGroup): LeaderCheck {
   return {
     isProven: (leader) => isStillLeader(context, group, leader),
+    isReplaced: (leader) => mayBeReplaced(context, group, leader),
     readStatus: context.readStatus,
   };
 }
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -136,6 +136,10 @@
     return name;
   }
 
+  requireLeader(): void {
+    // A direct connection has no gateway.
+  }
+
   isVerifiedLeader({ memberId, term }: Leader): boolean {
     return this.#verifiedLeader?.memberId === memberId && this.#verifiedLeader.term === term;
   }
--- a/src/relay/session-link.ts
+++ b/src/relay/session-link.ts
@@ -15,6 +15,8 @@
 export interface LeaderCheck {
   /** True while there is valid evidence that the member leads the term. */
   isProven(leader: Leader): boolean;
+  /** True if a later leader is known, or a promotion that may have replaced this one. */
+  isReplaced(leader: Leader): boolean;
   readonly readStatus: StatusReader;
 }
 
@@ -51,6 +53,11 @@
    * @throws LinkLostError
    */
   verifyLeader(leader: Leader, check: LeaderCheck): Promise<LeaderVerdict>;
+  /**
+   * Names the leader that a gateway requires for the requests sent after this; without effect on a direct
+   * connection.
+   */
+  requireLeader(leader: Leader): void;
   /** True if the process that gave the last reply was verified to be the leader. */
   isVerifiedLeader(leader: Leader): boolean;
   /**
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -292,6 +292,8 @@
       if (!(await mayReadAsLeader(context, group, leader, link, after))) return OTHER_INCARNATION;
       if (group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
     }
+    // The primary that accepts a read-write transaction may have been replaced while this waits at a gateway.
+    if (!isReadOnly && leader !== null) link.requireLeader(leader);
     const reply = await link.send({ kind: 'begin', isReadOnly, after });
     recordReplicaProgress(member, floor, reply, context.now());
     if (reply.result.isComplete) {
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -44,6 +44,7 @@
 const ORDER_HANDLER = 'src/relay/order-handler.test.js';
 const SESSION_OWN_COMMITS = 'src/relay/session-own-commits.test.js';
 const RESTARTED_LEADER = 'src/relay/restarted-leader.test.js';
+const LEADER_IDENTITY = 'src/relay/leader-identity.test.js';
 const LENT_LEADER = 'src/gateway/lent-leader.test.js';
 const ENDED_DAEMON = 'src/leadership/ended-daemon.test.js';
 const ABSENCE_TRACKER = 'src/cluster/absence-tracker.test.js';
@@ -874,6 +875,70 @@
     testFile: LENT_LEADER,
     testName: 'at a process with a log that does not lead',
   },
+  {
+    property: 'reads: a gateway does not send to a replaced leader',
+    file: 'src/gateway/loan.js',
+    search: 'check.isReplaced(leader)',
+    replacement: 'false',
+    testFile: LENT_LEADER,
+    testName: 'replaced while the read waited',
+  },
+  {
+    property: 'reads: a gateway checks the replacement after it has asked for the status',
+    file: 'src/gateway/loan.js',
+    search: "return mayStillLead(leaderCheck, leader, receivedAtMs) ? 'leader' : 'unknown'",
+    replacement: "return 'leader'",
+    testFile: LENT_LEADER,
+    testName: 'replaced while the gateway asks',
+  },
+  {
+    property: 'reads: a gateway without evidence does not send what has waited',
+    file: 'src/gateway/loan.js',
+    search: 'check.isProven(leader)',
+    replacement: 'true',
+    testFile: LENT_LEADER,
+    testName: 'whose evidence has expired',
+  },
+  {
+    property: 'transactions: an open one over a gateway outlives its leader',
+    file: 'src/gateway/loan.js',
+    search: "isBeginning = link.state === 'idle'",
+    replacement: 'isBeginning = true',
+    testFile: LENT_LEADER,
+    testName: 'does not end an open transaction',
+  },
+  {
+    property: 'transactions: a plain one names the leader to the gateway',
+    file: 'src/relay/transaction.js',
+    search: 'link.requireLeader(leader)',
+    replacement: '{}',
+    testFile: LENT_LEADER,
+    testName: 'a plain transaction at a replaced leader',
+  },
+  {
+    property: 'reads: a revoked leader may be replaced',
+    file: 'src/relay/leader-identity.js',
+    search: 'isRevoked && !isStillLeader',
+    replacement: 'false && !isStillLeader',
+    testFile: LEADER_IDENTITY,
+    testName: 'from a revocation until',
+  },
+  {
+    property: 'reads: evidence after a revocation proves the leader',
+    file: 'src/relay/leader-identity.js',
+    search: 'isRevoked && !isStillLeader(context, group, leader)',
+    replacement: 'isRevoked',
+    testFile: LEADER_IDENTITY,
+    testName: 'evidence after a revocation',
+  },
+  {
+    property: 'reads: the leader of a former term is replaced',
+    file: 'src/relay/leader-identity.js',
+    search: 'leader.term < minimumTerm',
+    replacement: 'false',
+    testFile: LEADER_IDENTITY,
+    testName: 'a later term is known',
+  },
   {
     property: 'reads: a position does not replace the verification of the process',
     file: 'src/relay/leader-identity.js',
--- a/test/support/fake-process.ts
+++ b/test/support/fake-process.ts
@@ -30,7 +30,7 @@
 
   constructor(
     public position: Position,
-    readonly isPrimary: boolean,
+    public isPrimary: boolean,
   ) {}
 
   get status(): MemberStatus {
--- a/test/support/leader-scene.ts
+++ b/test/support/leader-scene.ts
@@ -71,12 +71,12 @@
   }).run();
 }
 
-/** Begins a read-only transaction and runs its first read. */
-export function begin({ group, context }: LeaderScene): Promise<MemberReply> {
+/** Begins a transaction, read-only by default, and runs its first read. */
+export function begin({ group, context }: LeaderScene, isReadOnly = true): Promise<MemberReply> {
   const options = {
     route: ROUTE,
     group,
-    isReadOnly: true,
+    isReadOnly,
     receivedAtMs: context.now(),
     tenantName: 'one',
     sessionFloor: null,
