Promotions: a later term that a daemon reports keeps the earlier one revoked

The next holder of the promotion duty gave up a promotion of its own and sent allow, though an earlier holder's promotion over the same term had succeeded without being announced. allow lifts the seal at every daemon: after that one replica that does not follow the later leader is evidence for the replaced one, and reads may be answered from a log that lacks acknowledged commits.

The cause: the answers to the seal order name the later term (latest.term, lastLed.term), but only the statuses of members were taken for a sign of one. Both are now observed as terms, which makes the promotion superseded: it is given up, its replicas are resumed, and neither this daemon's own revocation nor that of the others is lifted. The term of a read that would be old has an acknowledged commit of a later term, so the daemon that acknowledged it knows that term.

Before the fix the two tests ended with "promotion_given_up, resume one, allow". They run on the supervisor's model: they show what the holder sends, not what members serve. Both mutations are red.

--- a/src/leadership/earlier-duty-holder.test.ts
+++ b/src/leadership/earlier-duty-holder.test.ts
@@ -4,7 +4,8 @@
  * Guards against the replacement of a leader that was just promoted (3 of 8 runs of a trial), and against
  * lost commits: a duty holder called the platform and failed; the next one did not know of the call and
  * called the platform for another member, or replaced the member that the call had promoted, since it found
- * replicas paused.
+ * replicas paused. Also against reads of old data: the next one gave up a promotion of its own, and lifted the
+ * revocation for one that had succeeded.
  *
  * @packageDocumentation
  */
@@ -12,6 +13,7 @@
 import { describe, test } from 'node:test';
 import { delay } from '../common/signal.js';
 import { FIRST_TERM, ModelledGroup } from '../../test/support/modelled-group.js';
+import { REVOCATION_MS } from './leadership-evidence.js';
 import { OpenCallRecord, type OpenCall } from './open-calls.js';
 
 const COMMIT = { term: FIRST_TERM, index: 2 };
@@ -110,6 +112,46 @@
   });
 });
 
+describe('a promotion by an earlier holder that this one does not know of', () => {
+  /** `successor` leads, and of the other members only `one`, still paused, answers the holder. */
+  function succeededUnannounced(): ModelledGroup {
+    const model = new ModelledGroup(['old', 'one', 'successor']);
+    model.makeLeader('successor');
+    model.member('successor').isUnreachableFromHolder = true;
+    model.member('one').pausedForTerm = FIRST_TERM + 1;
+    model.group.evidence.seal(FIRST_TERM, performance.now() - REVOCATION_MS);
+    return model;
+  }
+
+  const LATER_TERM = FIRST_TERM + 1;
+  const LATER_COMMIT = { term: LATER_TERM, index: 3 };
+  const LATER_LEADER = { term: LATER_TERM, life: { memberId: 'successor', bornMs: null } };
+  const reports = {
+    'that has acknowledged a commit': { latest: LATER_COMMIT, limit: LATER_COMMIT },
+    'that knows the leader': { latest: COMMIT, limit: COMMIT, lastLed: LATER_LEADER },
+  };
+
+  // A replica that does not follow the later leader was evidence for the replaced one after that.
+  for (const [name, answer] of Object.entries(reports))
+    test(`is not undone: the sealed term stays revoked after the answer of a daemon ${name}`, async () => {
+      const model = succeededUnannounced();
+      model.orderOutcomes.set('d2', { kind: 'answered', answer });
+      await model.runUntil('promotion_given_up');
+      const { evidence } = model.group;
+      assert.ok(!model.events.includes('allow'), model.events.join(', '));
+      assert.ok(model.events.includes('resume one'), model.events.join(', '));
+      assert.equal(evidence.minimumTerm, LATER_TERM);
+      assert.equal(evidence.revokedUpToTerm, FIRST_TERM);
+    });
+
+  test('does not keep a term revoked of which no daemon knows a successor', async () => {
+    const model = succeededUnannounced();
+    model.orderOutcomes.set('d2', { kind: 'answered', answer: { latest: COMMIT, limit: null } });
+    await model.runUntil('allow');
+    assert.equal(model.group.evidence.revokedUpToTerm, null);
+  });
+});
+
 test('the call recorded by a daemon is dropped when it expires or is cleared', () => {
   const note = new OpenCallRecord();
   const call = { memberId: 'a', fence: 3, leftMs: 100 };
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -134,6 +134,7 @@
     const { pauses, outcomes } = await this.#revokeAndPause(others);
     const sealed = await this.#orders.seal(outcomes);
     this.#determineLastLeader(sealed.replies);
+    this.#observeReportedTerms(sealed.replies);
     this.#earlierCalls.collect(sealed.replies, sealed.answeredAtMs);
     await this.#earlierCalls.wait();
     const check = await this.#finalCheck(pauses);
@@ -197,6 +198,15 @@
     this.#lastLeader = findLeaderOfTerm(lastTerm, [lastLed, ...reported]);
   }
 
+  /** A daemon may know of a later leader that an earlier holder of the duty promoted and did not announce. */
+  #observeReportedTerms(outcomes: readonly OrderOutcome[]): void {
+    for (const outcome of outcomes) {
+      if (outcome.kind !== 'answered') continue;
+      const { latest, lastLed } = outcome.answer;
+      this.ports.pauses.observeTerm(Math.max(latest.term, lastLed?.term ?? 0));
+    }
+  }
+
   /** Asks all replicas known by now for their status; those that were not known before are paused first. */
   async #finalCheck(pauses: PauseSummary): Promise<FinalCheck> {
     const { group, leaderLoss, lastTerm, options } = this.ports;
@@ -221,8 +231,8 @@
   }
 
   /**
-   * True when a member follows a later term: its leader may not be among the members that were asked, and
-   * daemons acknowledge commits of that leader.
+   * True when a member follows a later term, or a daemon knows of one: its leader may not be among the members
+   * that were asked, and daemons acknowledge commits of that leader.
    */
   #isSuperseded(): boolean {
     const { group, pauses } = this.ports;
@@ -381,12 +391,13 @@
 
   /**
    * Resumes the replicas and lifts the revocation. Does nothing if the duty is no longer held: the pauses may
-   * be those of the next duty holder.
+   * be those of the next duty holder. The revocation of a term that has been superseded stays: a replica that
+   * does not follow the later leader would be evidence for the replaced one.
    */
   async #rollBack(): Promise<void> {
     if (this.ports.fence(0) === null) return;
     await this.#pauses.resumeAllBut(null);
-    this.#orders.allow();
+    if (!this.#isSuperseded()) this.#orders.allow();
   }
 
   /** Demotes the former leader and logs the position up to which it had received the log. */
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1261,6 +1261,22 @@
     testFile: UNRESOLVED_PROMOTION,
     testName: 'after evidence of the holder',
   },
+  {
+    property: 'promotions: a daemon that knows of a later term shows that an earlier promotion has succeeded',
+    file: 'src/leadership/promotion.js',
+    search: 'this.#observeReportedTerms(sealed.replies);',
+    replacement: '',
+    testFile: EARLIER_DUTY_HOLDER,
+    testName: 'is not undone',
+  },
+  {
+    property: 'promotions: the revocation of a superseded term is not lifted',
+    file: 'src/leadership/promotion.js',
+    search: 'if (!this.#isSuperseded())',
+    replacement: 'if (true)',
+    testFile: EARLIER_DUTY_HOLDER,
+    testName: 'is not undone',
+  },
   {
     property: 'evidence: a holder that has heard all members needs one of them after that',
     file: 'src/leadership/leadership-watcher.js',
