Evidence: that of a collector is none while a promotion may have succeeded

A daemon that has sealed a term and does not hear how the promotion ended takes no evidence from one replica, since that replica may be out of reach of the holder and not follow the successor. It did take the evidence of another daemon, though, and a collector that was not sent the seal order (it had just started, or runs the build before) rests on just that one replica: all daemons that asked it had evidence for the replaced leader.

While the revocation of a term is open, the evidence of another daemon now counts only if it is the holder of the duty, as do the answers of all members. Nothing changes in the messages; a log entry still names the source 'daemon'. The price: until the holder answers, daemons of a large fleet that have not heard how a promotion ended query all members themselves.

The test "has evidence from one replica after evidence of the holder, but not after that of a collector" asserted that a collector's evidence is evidence and only leaves the revocation open. It is replaced by three, which are stricter: the part of the holder is unchanged, a collector's evidence is none while the revocation is open (and leaves it open), and is some once it has been lifted. The test of the names of sources states which daemon is meant; its assertions are unchanged. With the mutation, which restores the former rule, the new test is red.

--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -141,7 +141,8 @@
     this.#isHolderUnresponsive = entries === null;
     for (const entry of entries ?? []) {
       // The holder has no evidence of a leader that it is replacing or has replaced.
-      if (this.#recordEvidence(entry, askedAtMs)) this.#findGroup(entry.groupName)?.evidence.liftRevocation();
+      if (this.#recordEvidence(entry, askedAtMs, true))
+        this.#findGroup(entry.groupName)?.evidence.liftRevocation();
     }
   }
 
@@ -154,7 +155,7 @@
     const collector = candidates[Math.floor(this.options.random() * candidates.length)];
     if (collector === undefined) return;
     const entries = await this.options.askDaemon(collector, SHARING_TIMEOUT_MS);
-    for (const entry of entries ?? []) this.#recordEvidence(entry, askedAtMs);
+    for (const entry of entries ?? []) this.#recordEvidence(entry, askedAtMs, false);
   }
 
   #findGroup(groupName: string): MemberGroup | undefined {
@@ -162,7 +163,8 @@
   }
 
   /** True when the entry is evidence for the leader. */
-  #recordEvidence({ groupName, memberId, term, held, ageMs }: SharedEvidence, askedAtMs: number): boolean {
+  #recordEvidence(entry: SharedEvidence, askedAtMs: number, isHolder: boolean): boolean {
+    const { groupName, memberId, term, held, ageMs } = entry;
     const group = this.#findGroup(groupName);
     if (group === undefined) return false;
     const hadEvidence = group.evidence.current(this.options.now()) !== null;
@@ -170,7 +172,8 @@
     const { leader } = group.evidence;
     if (leader?.memberId !== memberId) return false;
     if (held !== null && leader.term === term) group.recordReplicaPosition(held);
-    const isEvidence = group.evidence.recordWitness(term, 0, askedAtMs - ageMs, { kind: 'daemon' });
+    const source = { kind: 'daemon', isHolder } as const;
+    const isEvidence = group.evidence.recordWitness(term, 0, askedAtMs - ageMs, source);
     if (isEvidence && !hadEvidence) this.options.evidenceGained(group);
     return isEvidence;
   }
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -9,8 +9,8 @@
  *
  * A promotion does not wait for a daemon that has confirmed, and may succeed without replicas that it does not
  * reach. Such a replica, which is not paused, proves nothing to that daemon until the holder of the duty has
- * abandoned the promotion. Without word from the holder, the daemon needs the answers of all members: the
- * successor is paused until it leads.
+ * abandoned the promotion; nor does the evidence of another daemon, which may rest on that replica. Without word
+ * from the holder, the daemon needs the answers of all members: the successor is paused until it leads.
  *
  * The holder of the promotion duty needs no witness for a leader that it has confirmed while holding the
  * duty, by a witness or by its own promotion: no other daemon can promote while its lease is valid.
@@ -86,7 +86,11 @@
       readonly linkMs?: number;
     }
   | { readonly kind: 'members' }
-  | { readonly kind: 'daemon' }
+  | {
+      readonly kind: 'daemon';
+      /** True for the holder of the duty, which knows how each of its promotions ended. */
+      readonly isHolder: boolean;
+    }
   | { readonly kind: 'duty' };
 
 /** A short form of the source of evidence, for the log. */
@@ -101,6 +105,23 @@
   }
 }
 
+/**
+ * True when evidence from this source shows that no promotion has succeeded that this daemon has not heard of.
+ * A daemon other than the holder may have taken it from one replica, without having been sent the revocation.
+ */
+function knowsOutcome(source: EvidenceSource | null): boolean {
+  switch (source?.kind) {
+    case undefined:
+    case 'member':
+      return false;
+    case 'daemon':
+      return source.isHolder;
+    case 'members':
+    case 'duty':
+      return true;
+  }
+}
+
 /** What one daemon knows about the leadership of one group. */
 export class LeadershipEvidence {
   #leader: Leader | null = null;
@@ -223,7 +244,7 @@
     }
     if (pausedForTerm > term || askedAtMs < this.countsFromMs()) return false;
     if (term <= this.#revokedUpToTerm && askedAtMs < this.#revokedUntilMs) return false;
-    if (this.#isOpenPromotion(term) && (source === null || source.kind === 'member')) return false;
+    if (this.#isOpenPromotion(term) && !knowsOutcome(source)) return false;
     this.#extend(askedAtMs + EVIDENCE_VALIDITY_MS, source);
     return true;
   }
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -52,12 +52,12 @@
     const group = ledGroup();
     const { evidence } = group;
     evidence.recordWitness(1, 0, 1000, { kind: 'member', memberId: 'b' });
-    evidence.recordWitness(1, 0, 900, { kind: 'daemon' });
+    evidence.recordWitness(1, 0, 900, { kind: 'daemon', isHolder: false });
     const latest = group.describeLeadership(1100);
     assert.equal(latest.evidenceFrom, 'b');
     assert.equal(latest.sinceRevokedMs, null);
     evidence.seal(1, 1200);
-    evidence.recordWitness(1, 0, 1200 + REVOCATION_MS, { kind: 'daemon' });
+    evidence.recordWitness(1, 0, 1200 + REVOCATION_MS, { kind: 'daemon', isHolder: true });
     const regained = group.describeLeadership(1300 + REVOCATION_MS);
     assert.equal(regained.evidenceFrom, 'daemon');
     assert.equal(regained.sinceRevokedMs, 100 + REVOCATION_MS);
--- a/src/leadership/unresolved-promotion.test.ts
+++ b/src/leadership/unresolved-promotion.test.ts
@@ -22,6 +22,8 @@
 const TERM = 3;
 /** Time in which a watcher completes several rounds, in milliseconds. */
 const ROUNDS_MS = 150;
+/** Interval at which a test checks whether a daemon was asked, in milliseconds. */
+const POLL_INTERVAL_MS = 5;
 const FOLLOWS: MemberStatus = {
   isPrimary: false,
   term: TERM,
@@ -153,22 +155,39 @@
     assert.equal(await daemon.provenLeader(), null);
   });
 
-  test('has evidence from one replica after evidence of the holder, but not after that of a collector', async (context) => {
-    for (const hasHolder of [true, false]) {
-      const daemon = new SealedDaemon();
-      await obtainEvidence(context, daemon.group, hasHolder);
-      const { evidence } = daemon.group;
-      assert.equal(evidence.current(performance.now())?.memberId, 'leader');
-      assert.equal(evidence.needsEveryMember(performance.now()), !hasHolder);
-    }
+  test('has evidence from one replica after evidence of the holder', async (context) => {
+    const daemon = new SealedDaemon();
+    await askOtherDaemons(context, daemon.group, true);
+    const { evidence } = daemon.group;
+    assert.equal(evidence.current(performance.now())?.memberId, 'leader');
+    assert.equal(evidence.needsEveryMember(performance.now()), false);
+  });
+
+  // A collector that was not sent the seal order handed on the answer of the replica that was out of reach.
+  test('has no evidence from that of a collector, which may rest on one replica', async (context) => {
+    const daemon = new SealedDaemon();
+    await askOtherDaemons(context, daemon.group, false);
+    const { evidence } = daemon.group;
+    assert.equal(evidence.current(performance.now()), null);
+    assert.equal(evidence.needsEveryMember(performance.now()), true);
+  });
+
+  test('has evidence from that of a collector once the holder has abandoned the promotion', async (context) => {
+    const daemon = new SealedDaemon();
+    daemon.group.evidence.liftRevocation();
+    await askOtherDaemons(context, daemon.group, false);
+    assert.equal(daemon.group.evidence.current(performance.now())?.memberId, 'leader');
   });
 });
 
-/** Lets a daemon obtain evidence from the holder of the duty or, if that does not answer, from a collector. */
-async function obtainEvidence(context: TestContext, group: MemberGroup, hasHolder: boolean): Promise<void> {
+/** Lets a daemon ask the holder of the duty or, if that does not answer, a collector; both say that they have evidence. */
+async function askOtherDaemons(context: TestContext, group: MemberGroup, hasHolder: boolean): Promise<void> {
   const shared = [{ groupName: 'g', memberId: 'leader', term: TERM, held: null, ageMs: 0 }];
-  let gained = (): void => undefined;
-  const isGained = new Promise<void>((resolve) => (gained = resolve));
+  let answeredCount = 0;
+  const answer = (): Promise<typeof shared> => {
+    answeredCount += 1;
+    return Promise.resolve(shared);
+  };
   const sharing = new EvidenceSharing({
     ownName: 'd1',
     zone: 'a',
@@ -176,15 +195,15 @@
     fleetSize: () => 1,
     collectors: () => [{ name: 'd2', zone: 'a' } as DaemonRecord],
     holdsDuty: () => false,
-    askHolder: () => Promise.resolve(hasHolder ? shared : null),
-    askDaemon: () => Promise.resolve(shared),
-    evidenceGained: () => gained(),
+    askHolder: () => (hasHolder ? answer() : Promise.resolve(null)),
+    askDaemon: answer,
+    evidenceGained: () => undefined,
     now: () => performance.now(),
     random: () => 0.5,
   });
   context.after(() => sharing.stop());
   const running = sharing.run();
-  await isGained;
+  while (answeredCount === 0) await delay(POLL_INTERVAL_MS);
   sharing.stop();
   await running;
 }
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1277,6 +1277,14 @@
     testFile: EARLIER_DUTY_HOLDER,
     testName: 'is not undone',
   },
+  {
+    property: 'evidence: that of a collector is none while a promotion may have succeeded',
+    file: 'src/leadership/leadership-evidence.js',
+    search: 'return source.isHolder;',
+    replacement: 'return true;',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'has no evidence from that of a collector',
+  },
   {
     property: 'evidence: a holder that has heard all members needs one of them after that',
     file: 'src/leadership/leadership-watcher.js',
