--- a/src/relay/order-handler.test.ts
+++ b/src/relay/order-handler.test.ts
@@ -133,7 +133,7 @@
       scene.unwatch();
       scene.watch();
     }
-    assert.equal(scene.gainsEvidence(TERM, { kind: 'daemon' }), true);
+    assert.equal(scene.gainsEvidence(TERM, { kind: 'daemon', isHolder: true }), true);
   });
 });
 
