--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -3,11 +3,14 @@
  *
  * @packageDocumentation
  */
+import type { Leader } from '../leadership/leadership-evidence.js';
 import type { LinkPool } from '../relay/link-pool.js';
+import { isNonEmptyLog, OTHER_INCARNATION } from '../relay/leader-identity.js';
 import { LinkAcquisition } from '../relay/link-acquisition.js';
-import { NotSentError, type MemberReply } from '../relay/member-link.js';
+import { NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
+import { ZERO_POSITION } from '../position/position.js';
 import type { PooledLink } from '../relay/pooled-link.js';
-import type { SessionValues } from '../relay/session-link.js';
+import type { LeaderCheck, LeaderVerdict, SessionValues } from '../relay/session-link.js';
 import type { BorrowMessage, GatewayMessage, LoanRequestMessage, ValuesMessage } from './gateway-messages.js';
 import type { StatusQuestions } from './status-questions.js';
 
@@ -23,6 +26,8 @@
   /** The pool of the member; `null` if this daemon does not connect to it. */
   readonly pool: LinkPool | null;
   readonly statusQuestions: StatusQuestions;
+  /** Verifies the process of the group's leader; `null` if this daemon does not know the group. */
+  readonly leaderCheck: LeaderCheck | null;
   /** The gateway's current stage. */
   stage(): LendingStage;
   answer(message: GatewayMessage): void;
@@ -44,6 +49,17 @@
   };
 }
 
+/**
+ * A reply stating that nothing was sent to a process that may not be the leader's. An empty process refuses
+ * what names a position, by which the borrower knows that the leader has lost its log.
+ */
+function wrongProcessReply(verdict: Exclude<LeaderVerdict, 'leader'>, request: MemberRequest): MemberReply {
+  const namesPosition = 'after' in request && isNonEmptyLog(request.after);
+  if (verdict !== 'empty' || !namesPosition) return notSentReply(`gateway: ${OTHER_INCARNATION}`);
+  const result = { isComplete: false, code: 'behind', text: OTHER_INCARNATION } as const;
+  return { rows: [], result, state: 'idle', position: ZERO_POSITION };
+}
+
 /** Processes the messages of one loan in order. */
 export class Loan {
   readonly #queue: (ValuesMessage | LoanRequestMessage)[] = [];
@@ -122,10 +138,12 @@
     if (link === null) return;
     const wasIdle = link.state === 'idle';
     let { request } = message;
+    let verdict: LeaderVerdict;
     try {
       await link.setSessionValues(this.#values);
       if (request.kind === 'execute' && message.prepared !== null)
         request = { ...request, name: await link.prepare(message.prepared) };
+      verdict = await this.#verifyLeader(link, message.leader);
     } catch (error) {
       this.#releaseLink();
       if (wasIdle) this.#reply(notSentReply(`gateway: ${String(error)}`));
@@ -133,11 +151,16 @@
       return;
     }
     if (this.#link !== link) return;
+    if (verdict !== 'leader') {
+      this.#releaseLink();
+      this.#reply(wrongProcessReply(verdict, request));
+      return;
+    }
     try {
       this.#isRequestInFlight = true;
       const reply = await link.send(request);
       if (link.isClean) this.#releaseLink();
-      this.#reply(reply);
+      this.#reply(reply, message.leader !== undefined && link.isVerifiedLeader(message.leader));
       this.#endIfIdle();
     } catch (error) {
       this.#endAsLost(error, error instanceof NotSentError);
@@ -146,6 +169,13 @@
     }
   }
 
+  /** Whether the process at the other end of a connection is the leader that the borrower requires, if any. */
+  async #verifyLeader(link: PooledLink, leader: Leader | undefined): Promise<LeaderVerdict> {
+    const { leaderCheck } = this.options;
+    if (leader === undefined) return 'leader';
+    return leaderCheck === null ? 'unknown' : link.verifyLeader(leader, leaderCheck);
+  }
+
   /**
    * Acquires a connection for the following requests; replies that nothing was sent and returns `null` if
    * there is none.
@@ -205,8 +235,10 @@
     this.options.pool?.release(link);
   }
 
-  #reply(reply: MemberReply): void {
-    if (!this.#hasEnded) this.options.answer({ type: 'reply', loan: this.options.terms.loan, reply });
+  #reply(reply: MemberReply, isLeader = false): void {
+    if (this.#hasEnded) return;
+    const { loan } = this.options.terms;
+    this.options.answer({ type: 'reply', loan, reply, ...(isLeader ? { isLeader } : {}) });
   }
 
   /**
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -5,7 +5,9 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
+import type { MemberStatus } from '../relay/member-link.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
+import type { StatusRegression } from '../topology/process-continuity.js';
 import {
   DUTY_SETTLE_MS,
   EVIDENCE_VALIDITY_MS,
@@ -33,10 +35,14 @@
   readonly untilMs: number;
 }
 
+type Answered = Extract<ControlAnswer, { readonly kind: 'answered' }>;
+
 /** Receives the changes that a {@link LeadershipWatcher} detects. */
 export interface LeadershipListener {
   /** Evidence of a leader was gained after there was none, or expired. */
   evidenceChanged(group: MemberGroup, memberId: string | null, reason: string): void;
+  /** A member no longer has what it reported before, though no new incarnation of it is listed. */
+  statusLost(member: Member, regression: StatusRegression): void;
 }
 
 /** Keeps the evidence of one group fresh. */
@@ -112,6 +118,7 @@
       if (await this.#findLeader()) return true;
       if (this.group.evidence.leader === null) return false;
     }
+    if (this.#mayAskEveryMember()) return this.#askEveryMember();
     for (const witness of this.#witnesses()) {
       if (await this.#askWitness(witness)) return true;
       if (this.#isStopped || this.group.evidence.leader === null) return false;
@@ -143,9 +150,7 @@
     const isClaimed = claimants.length > 0 && this.#failedRounds % 4 !== 3;
     const [witness] = this.#witnesses().filter((member) => !claimants.includes(member));
     const queried = isClaimed ? [...claimants, ...(witness === undefined ? [] : [witness])] : members;
-    const answers = await Promise.all(
-      queried.map((member) => this.control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true)),
-    );
+    const answers = await Promise.all(queried.map((member) => this.#askStatus(member)));
     queried.forEach((member, index) => this.#observeLeader(member, answers[index]));
     return queried.some((member, index) => this.#recordWitness(member, answers[index]));
   }
@@ -167,7 +172,7 @@
     const leaderId = this.group.evidence.leader?.memberId;
     const now = this.now();
     const others = [...this.group.members.values()].filter(
-      (member) => member.entry.memberId !== leaderId && isWitnessAt(member, now),
+      (member) => member.entry.memberId !== leaderId && this.#mayBeWitness(member, now),
     );
     this.#witnessRotation += 1;
     const inZone = others.filter(({ entry }) => entry.zone === this.zone);
@@ -177,32 +182,123 @@
   }
 
   async #askWitness(witness: Member): Promise<boolean> {
-    const answer = await this.control.ask(witness, { kind: 'status' }, STATUS_TIMEOUT_MS, true);
+    const answer = await this.#askStatus(witness);
     this.#observeLeader(witness, answer);
     return this.#recordWitness(witness, answer);
   }
 
+  /** Queries the status of a member, and records signs that its process has been replaced. */
+  async #askStatus(member: Member): Promise<ControlAnswer> {
+    const answer = await this.control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true);
+    if (answer.kind === 'answered') {
+      const regression = member.continuity.recordStatus(answer.status, answer.askedAtMs, this.now());
+      if (regression !== null) this.listener.statusLost(member, regression);
+    } else if (isInterruption(answer)) member.continuity.recordInterruption(this.now());
+    return answer;
+  }
+
+  /** True when all members but the leader may be asked for evidence, and no answer of one alone suffices. */
+  #mayAskEveryMember(): boolean {
+    const { evidence, calls } = this.group;
+    const now = this.now();
+    return evidence.needsEveryMember(now) && calls.open(now) === null;
+  }
+
+  /** Queries all members but the leader at the same time; true when their answers are evidence for it. */
+  async #askEveryMember(): Promise<boolean> {
+    const leaderId = this.group.evidence.leader?.memberId;
+    const members = this.#runningMembers().filter(({ entry }) => entry.memberId !== leaderId);
+    const answers = await Promise.all(members.map((member) => this.#askStatus(member)));
+    members.forEach((member, index) => this.#observeLeader(member, answers[index]));
+    return this.#recordEveryMember(members, answers);
+  }
+
+  /** The listed members, and those that are not listed any more but may still run. */
+  #runningMembers(): readonly Member[] {
+    const { members, former } = this.group;
+    return [...members.values(), ...former.values()].filter((member) => !member.hasEnded);
+  }
+
+  /** True when every member has answered that it follows the leader and is not paused. */
+  #recordEveryMember(members: readonly Member[], answers: readonly ControlAnswer[]): boolean {
+    const { evidence } = this.group;
+    const followers = members.flatMap((member, index) => {
+      const answer = answers[index];
+      if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return [];
+      evidence.observeTerm(answer.status.term);
+      return this.#isWitness(member, answer) ? [answer] : [];
+    });
+    const [first, ...others] = followers;
+    const isComplete = followers.length === members.length && this.#mayAskEveryMember();
+    if (first === undefined || !isComplete) return false;
+    if (others.some(({ status }) => status.term !== first.status.term)) return false;
+    const pausedForTerm = Math.max(...followers.map(({ status }) => status.pausedForTerm));
+    const askedAtMs = Math.min(...followers.map((follower) => follower.askedAtMs));
+    const source = { kind: 'members' } as const;
+    if (!evidence.recordWitness(first.status.term, pausedForTerm, askedAtMs, source)) return false;
+    for (const { status } of followers) this.#recordFollower(status, askedAtMs);
+    return true;
+  }
+
   /** True when the answer is evidence for the leader. */
   #recordWitness(member: Member, answer: ControlAnswer | undefined): boolean {
     if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return false;
-    const { status, askedAtMs } = answer;
+    const { status, askedAtMs, linkMs } = answer;
     const { evidence } = this.group;
-    if (!isWitnessAt(member, askedAtMs)) {
+    if (!this.#isWitness(member, answer)) {
       evidence.observeTerm(status.term);
       return false;
     }
-    const source = { kind: 'member', memberId: member.entry.memberId } as const;
+    const { memberId } = member.entry;
+    const source = { kind: 'member', memberId, ...(linkMs === undefined ? {} : { linkMs }) } as const;
     const isEvidence = evidence.recordWitness(status.term, status.pausedForTerm, askedAtMs, source);
-    if (!isEvidence) return false;
+    if (isEvidence) this.#recordFollower(status, askedAtMs);
+    return isEvidence;
+  }
+
+  /** Records what a replica has answered whose answer is evidence for the leader. */
+  #recordFollower(status: MemberStatus, askedAtMs: number): void {
+    const { evidence } = this.group;
     // The leader holds whatever a replica has received in the term.
     if (evidence.leader !== null) {
       this.group.recordLeader(evidence.leader, null);
       this.group.recordReplicaPosition(status.received);
     }
-    const duty = this.heldDuty();
-    if (duty !== null && askedAtMs > duty.takenAtMs + DUTY_SETTLE_MS) this.confirm();
+    if (this.#isDutySettled(askedAtMs)) {
+      this.confirm();
+      // No promotion by an earlier holder can take effect any more.
+      evidence.liftRevocation();
+    }
     this.group.changed.notify();
-    return true;
+  }
+
+  /** True when no promotion by an earlier holder can take effect at this time or later. */
+  #isDutySettled(atMs: number): boolean {
+    const duty = this.heldDuty();
+    return duty !== null && atMs > duty.takenAtMs + DUTY_SETTLE_MS;
+  }
+
+  /** True when the answer of a member can be evidence. */
+  #isWitness(member: Member, { askedAtMs, linkMs }: Answered): boolean {
+    if (!isKnownAt(member, askedAtMs)) return false;
+    const isOldLink = linkMs !== undefined && linkMs >= WITNESS_KNOWN_MS;
+    return isOldLink || this.#isSameProcess(member, askedAtMs);
+  }
+
+  /** True when a member that is queried now can give evidence, as far as that is known. */
+  #mayBeWitness(member: Member, nowMs: number): boolean {
+    if (!isKnownAt(member, nowMs)) return false;
+    return (
+      this.#isSameProcess(member, nowMs) || member.pool.ownPool.hasIdleOpenSince(nowMs - WITNESS_KNOWN_MS)
+    );
+  }
+
+  /**
+   * True when the process of a member has not been replaced for longer than a promotion may last. That does
+   * not matter to a holder whose duty is settled: one that starts after the last promotion follows its leader.
+   */
+  #isSameProcess({ continuity }: Member, atMs: number): boolean {
+    return atMs >= continuity.mayHaveRestartedAtMs + WITNESS_KNOWN_MS || this.#isDutySettled(atMs);
   }
 
   #reportChange(reason: string): void {
@@ -218,6 +314,11 @@
 /**
  * True when the incarnation of a member had been known at `askedAtMs` for longer than a promotion may last.
  */
-function isWitnessAt({ knownSinceMs }: Member, askedAtMs: number): boolean {
+function isKnownAt({ knownSinceMs }: Member, askedAtMs: number): boolean {
   return askedAtMs >= knownSinceMs + WITNESS_KNOWN_MS;
 }
+
+/** True when a request was not answered though the member had a connection or a place for one. */
+function isInterruption(answer: ControlAnswer): boolean {
+  return answer.kind === 'refused' || (answer.kind === 'silent' && answer.stage !== 'pool');
+}
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -7,7 +7,7 @@
 import { ChangeSignal } from '../common/signal.js';
 import { formatPosition, type Position } from '../position/position.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
-import { laterFloor, type ReadFloor } from '../leadership/position-history.js';
+import type { ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { LeadershipSummary, Member, MemberGroup } from '../topology/member-group.js';
 import { alternativeCandidates, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
@@ -15,6 +15,9 @@
 import {
   isNonEmptyLog,
   isStillLeader,
+  mayReadAsLeader,
+  NO_LEADER_EVIDENCE,
+  OTHER_INCARNATION,
   recordLeaderPosition,
   verifyLeaderIncarnation,
 } from './leader-identity.js';
@@ -29,6 +32,7 @@
 import { shouldRefuseEarly } from './early-refusal.js';
 import { Refusal } from './refusal.js';
 import { LATE_REPLY_TIMEOUT_MS, RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
+import { floorWithOwnCommits, type SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 
@@ -41,8 +45,8 @@
   /** Tenant name that is passed to members. */
   readonly tenantName: string;
   readonly values: SessionValues;
-  /** Read floor set by the session's own commits, or `null`. */
-  readonly sessionFloor: ReadFloor | null;
+  /** What the session's own commits require, or `null`. */
+  readonly sessionFloor: SessionFloor | null;
   /** Latest time at which the first byte of the request may have been sent, in monotonic milliseconds. */
   readonly receivedAtMs: number;
   readonly deadlineMs: number;
@@ -82,7 +86,6 @@
 const NO_HEDGE_MS = 60_000;
 
 const ANSWERED_ELSEWHERE = 'answered by another member';
-const NO_LEADER_EVIDENCE = 'no evidence of the leader';
 
 /** Limit on concurrent attempts of one read. */
 const MAX_PARALLEL = 2;
@@ -99,14 +102,12 @@
 export function readFloor(
   group: MemberGroup,
   route: Route,
-  sessionFloor: ReadFloor | null,
+  sessionFloor: SessionFloor | null,
   receivedAtMs: number,
 ): ReadFloor | null {
   if (route.consistency === 'primary') return null;
   const since = receivedAtMs - route.maxStalenessMs + STALENESS_MARGIN_MS;
-  const floor = group.positions.floorSince(since);
-  if (floor === null) return null;
-  return sessionFloor === null ? floor : laterFloor(floor, sessionFloor);
+  return floorWithOwnCommits(group.positions, since, sessionFloor);
 }
 
 /**
@@ -379,6 +380,8 @@
     );
     let isSent = false;
     try {
+      if (leader !== null && !(await mayReadAsLeader(context, job.group, leader, link, after)))
+        return { kind: 'not_run', reason: OTHER_INCARNATION, members };
       const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
         if (this.#isSettled) return ANSWERED_ELSEWHERE;
         if (asLeader && job.group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
@@ -392,7 +395,7 @@
       if (leader !== null) this.#logAnswerInDoubt(member, leader, after, reply.reply);
       if (leader !== null && result.isComplete && !isNonEmptyLog(after)) {
         const isVerified = await verifyLeaderIncarnation(context, job.group, leader, link, position);
-        if (!isVerified) return { kind: 'lost', reason: 'perhaps another life of the leader', members };
+        if (!isVerified) return { kind: 'lost', reason: OTHER_INCARNATION, members };
       }
       const attempt = this.#classifyReply(member, leader, floor, reply.reply, reply.sentAtMs);
       if (attempt.kind === 'not_run') this.#possiblyRunCount -= 1;
@@ -463,12 +466,11 @@
 }
 
 /** The evidence for the leader of a group, for a log line about a read. */
-function describeEvidence(
-  context: RelayContext,
-  group: MemberGroup,
-): Pick<LeadershipSummary, 'term' | 'evidenceLeftMs' | 'evidenceFrom' | 'sinceRevokedMs'> {
-  const { term, evidenceLeftMs, evidenceFrom, sinceRevokedMs } = group.describeLeadership(context.now());
-  return { term, evidenceLeftMs, evidenceFrom, sinceRevokedMs };
+function describeEvidence(context: RelayContext, group: MemberGroup): Omit<LeadershipSummary, 'leader'> {
+  const { term, evidenceLeftMs, evidenceFrom, evidenceLinkMs, sinceRevokedMs } = group.describeLeadership(
+    context.now(),
+  );
+  return { term, evidenceLeftMs, evidenceFrom, evidenceLinkMs, sinceRevokedMs };
 }
 
 /** The pools in which a request can queue: those of members to which this daemon connects directly. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -44,13 +44,15 @@
 import type { KeyDigest } from '../tenancy/key-digest.js';
 import { LeaseRenewal, type ConfigurationLeaseReply } from '../tenancy/lease-renewal.js';
 import { Catalog, type CatalogDocument } from '../topology/catalog.js';
-import { compareIncarnations, type Incarnation } from '../topology/incarnation.js';
+import { compareIncarnations, formatIncarnation, type Incarnation } from '../topology/incarnation.js';
 import { MemberDirectory } from '../topology/member-directory.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
+import { describeRegression, type StatusRegression } from '../topology/process-continuity.js';
 import { FailureDetector } from './failure-detector.js';
 import type { LinkPool } from './link-pool.js';
 import { MemberFactory } from './member-factory.js';
 import type { MemberDialer, StatusReader } from './member-link.js';
+import { leaderCheck } from './leader-identity.js';
 import { OrderHandler } from './order-handler.js';
 import type { RelayContext, RelayObserver } from './relay-context.js';
 import type { ShutdownSchedule } from './shutdown-schedule.js';
@@ -322,6 +324,10 @@
     });
     this.#gatewayServer = new GatewayServer({
       pool: (groupName, life) => this.#lendablePool(groupName, life),
+      leaderCheck: (groupName) => {
+        const group = this.#groups.group(groupName);
+        return group === null ? null : leaderCheck(this.#context, group);
+      },
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       changes: (afterRevision, waitMs) => changeRelay.changesAfter(afterRevision, waitMs),
       configuration: (heldVersion) => this.#configurationReply(heldVersion),
@@ -489,7 +495,8 @@
     if (!isTaken) return false;
     this.#catalogReceivedAtMs = this.options.now();
     this.#assignments.clear();
-    this.#groups.sync(new Set([...document.routes.values()].map(({ groupName }) => groupName)));
+    const names = new Set([...document.routes.values()].map(({ groupName }) => groupName));
+    this.#groups.sync(names, this.options.now());
     return true;
   }
 
@@ -527,6 +534,12 @@
           ...group.describeLeadership(options.now()),
           reason,
         }),
+      statusLost: ({ entry }: Member, regression: StatusRegression) =>
+        options.log('member_status_lost', {
+          group: name,
+          member: formatIncarnation(entry),
+          ...describeRegression(regression),
+        }),
     };
     const watcher = new LeadershipWatcher(
       group,
