--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1237,6 +1237,14 @@
     testFile: STALE_RUNS,
     testName: 'young commits of the same session',
   },
+  {
+    property: 'soak: the profile of moves detects commits that a session has forgotten',
+    file: 'src/relay/session-commits.js',
+    search: '[...this.#groups.filter((other) => other !== previous), commits]',
+    replacement: '[commits]',
+    testFile: 'platform/test/soak/moves-soak.test.js',
+    testName: 'sessions see their commits',
+  },
   {
     property: 'soak: a group requires its own commits only',
     file: 'platform/test/soak/history.js',
