--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1527,4 +1527,12 @@
     testFile: EARLIER_DUTY_HOLDER,
     testName: 'is resolved though a replica does not answer',
   },
+  {
+    property: 'soak: the profile of moves detects commits that a session has forgotten',
+    file: 'src/relay/session-commits.js',
+    search: '[...this.#groups.filter((other) => other !== previous), commits]',
+    replacement: '[commits]',
+    testFile: 'platform/test/soak/moves-soak.test.js',
+    testName: 'sessions see their commits',
+  },
 ];
