An order of a promotion ends the earlier terms at the daemon that gets it

Where a daemon had sealed a term and never heard of the leader after it, an abandoned promotion over the later term lifted the seal of the earlier one as well, and one replica that still followed it was a witness again.

The term of an order to revoke or seal is one that its holder knows, so no earlier term has a leader any more: the daemon observes it.

--- a/src/relay/order-handler.test.ts
+++ b/src/relay/order-handler.test.ts
@@ -137,6 +137,18 @@
   });
 });
 
+for (const kind of ['revoke', 'seal'] as const)
+  test(`an earlier term gives no evidence after a promotion over a later one, with its order to ${kind}, was abandoned`, () => {
+    const scene = new Scene();
+    scene.watch();
+    scene.orders.apply({ kind: 'seal', groupName: GROUP, term: TERM });
+    scene.orders.apply({ kind, groupName: GROUP, term: TERM + 1 });
+    scene.orders.apply({ kind: 'allow', groupName: GROUP });
+    scene.nowMs += REVOCATION_MS + 1;
+    assert.equal(scene.gainsEvidence(TERM), false);
+    assert.equal(scene.gainsEvidence(TERM + 1), true);
+  });
+
 describe('what runs under the evidence of a removed group', () => {
   for (const isAddedAgain of [false, true])
     test(`ends with the order to seal its term${isAddedAgain ? ', though the group was added again' : ''}`, () => {
--- a/src/relay/order-handler.ts
+++ b/src/relay/order-handler.ts
@@ -52,9 +52,11 @@
     const { now } = this.ports;
     switch (order.kind) {
       case 'revoke':
+        group.evidence.observeTerm(order.term);
         group.evidence.revoke(order.term, now());
         break;
       case 'seal':
+        group.evidence.observeTerm(order.term);
         group.evidence.seal(order.term, now());
         if (order.call !== undefined) group.calls.record(order.call, now());
         break;
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1535,4 +1535,12 @@
     testFile: 'platform/test/soak/moves-soak.test.js',
     testName: 'sessions see their commits',
   },
+  {
+    property: 'orders: the term of a revocation ends the earlier ones',
+    file: 'src/relay/order-handler.js',
+    search: 'group.evidence.observeTerm(order.term);',
+    replacement: '',
+    testFile: ORDER_HANDLER,
+    testName: 'with its order to revoke',
+  },
 ];
