--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -429,8 +429,8 @@
   {
     property: 'incarnations: a retired one does not block the next',
     file: 'src/topology/member-directory.js',
-    search: 'isReadable: true, isRetired: false };',
-    replacement: 'isReadable: true, isRetired: this.#known.get(entry.memberId)?.isRetired ?? false };',
+    search: 'isRetired: false,',
+    replacement: 'isRetired: this.#known.get(entry.memberId)?.isRetired ?? false,',
     testFile: INCARNATIONS,
     testName: 'one living member at most',
   },
@@ -1048,7 +1048,7 @@
   {
     property: 'orders: a revoked term of a group that is added later gives no evidence',
     file: 'src/relay/watched-groups.js',
-    search: 'this.revokedTerms.applyTo(watched.group);',
+    search: 'this.revokedTerms.applyTo(watched.group, nowMs);',
     replacement: '',
     testFile: ORDER_HANDLER,
     testName: 'when the group is added after',
@@ -1072,8 +1072,8 @@
   {
     property: 'orders: an announced leader leaves the earlier terms without evidence',
     file: 'src/relay/order-handler.js',
-    search: 'order.term - 1, now()',
-    replacement: '-1, now()',
+    search: 'endBelow(order.groupName, order.term, now())',
+    replacement: 'endBelow(order.groupName, 0, now())',
     testFile: ORDER_HANDLER,
     testName: 'another member was announced',
   },
