--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -106,8 +106,8 @@
 }
 
 /**
- * True when evidence from this source shows that no promotion has succeeded that this daemon has not heard of.
- * A daemon other than the holder may have taken it from one replica, without having been sent the revocation.
+ * True when evidence from this source shows that no promotion has succeeded without this daemon's knowledge. A
+ * daemon other than the holder may have taken it from one replica, without having been sent the revocation.
  */
 function knowsOutcome(source: EvidenceSource | null): boolean {
   switch (source?.kind) {
