Gateway: order lent connections by the latency objective of the request

Cause: a loan carried the longest wait but not the due time, so a gateway could not tell requests that still meet their objective from those that have missed it, and took every request for a read. Change: borrow carries the optional dueInMs and isWrite, and the gateway's demand uses them. Daemons of earlier builds neither send nor read them, and are served as before.

--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -40,6 +40,10 @@
   readonly priority: number;
   /** Maximum wait for a connection, in milliseconds. */
   readonly waitMs: number;
+  /** Time until the reply is due by the latency objective, in milliseconds; may be negative. */
+  readonly dueInMs?: number;
+  /** True if the request may have to wait for replicas at the leader. */
+  readonly isWrite?: true;
 }
 
 /** A request to another daemon that does not belong to a loan. */
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -32,6 +32,13 @@
   readonly priority: number;
   /** Maximum wait for a connection, in milliseconds. */
   readonly waitMs: number;
+  /**
+   * Time until the reply is due by the latency objective of the request, in milliseconds; negative once that has
+   * passed. If not given, the end of `waitMs` counts as the due time.
+   */
+  readonly dueInMs?: number;
+  /** True if the request may have to wait for replicas at the leader. */
+  readonly isWrite?: true;
 }
 
 /** Session values to apply before the following requests of the loan. */
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -73,6 +73,15 @@
   return performance.now() - receivedAtMs <= MAX_UNPROVEN_WAIT_MS || check.isProven(leader);
 }
 
+/**
+ * When a loan's request is due, in monotonic milliseconds of this gateway. Daemons of earlier builds send no due
+ * time: the end of their wait counts as such.
+ */
+function dueAtGateway({ dueInMs, waitMs }: BorrowMessage, borrowedAtMs: number): number {
+  const isGiven = typeof dueInMs === 'number' && Number.isFinite(dueInMs);
+  return isGiven ? borrowedAtMs + dueInMs : performance.now() + waitMs;
+}
+
 /** A message of the borrower, and when it was received, in monotonic milliseconds. */
 interface QueuedMessage {
   readonly message: ValuesMessage | LoanRequestMessage;
@@ -82,6 +91,8 @@
 /** Processes the messages of one loan in order. */
 export class Loan {
   readonly #queue: QueuedMessage[] = [];
+  /** When the terms were received, in monotonic milliseconds. */
+  readonly #receivedAtMs = performance.now();
   #values: SessionValues = new Map();
   #wait: LinkAcquisition<LinkPool> | null = null;
   #link: PooledLink | null = null;
@@ -219,10 +230,10 @@
       this.#reply(notSentReply(`gateway: ${refusalReason ?? NOT_A_GATEWAY}`));
       return null;
     }
-    const { tenantName, priority, waitMs } = terms;
-    const dueAtMs = performance.now() + waitMs;
+    const { tenantName, priority, waitMs, isWrite = false } = terms;
+    const dueAtMs = dueAtGateway(terms, this.#receivedAtMs);
     const wait = new LinkAcquisition<LinkPool>(
-      { tenantName, values: this.#values, isWrite: false, priority, dueAtMs },
+      { tenantName, values: this.#values, isWrite, priority, dueAtMs },
       waitMs,
     );
     this.#wait = wait;
--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -106,3 +106,17 @@
     [['m', 1000]],
   );
 });
+
+test('a loan states how long its reply may take by the latency objective, and whether it is a write', () => {
+  const { connections, terms } = setUp(['d2']);
+  const nowMs = performance.now();
+  connections.borrow({ ...DEMAND, isWrite: true, dueAtMs: nowMs + 250 }, 1000);
+  connections.borrow({ ...DEMAND, dueAtMs: nowMs - 400 }, 1000);
+  connections.borrow({ ...DEMAND, dueAtMs: Number.POSITIVE_INFINITY }, 1000);
+  const [write, late, unlimited] = terms;
+  assert.ok(write?.dueInMs !== undefined && write.dueInMs > 150 && write.dueInMs <= 250);
+  assert.equal(write.isWrite, true);
+  assert.ok(late?.dueInMs !== undefined && late.dueInMs < -390, 'a request past its objective says so');
+  assert.equal(late.isWrite, undefined);
+  assert.equal(unlimited?.dueInMs, undefined);
+});
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -11,7 +11,7 @@
 import type { SessionLink } from '../relay/session-link.js';
 import type { Assignment } from './assign-gateways.js';
 import { gatewaysOfTenant } from './tenant-gateways.js';
-import type { GatewayClient } from './gateway-client.js';
+import type { GatewayClient, LoanTerms } from './gateway-client.js';
 
 /** Where the connections to one member come from: the own pool, or other daemons. */
 export interface ConnectionSources {
@@ -109,7 +109,7 @@
    *
    * @throws PoolTimeoutError: nothing was sent
    */
-  borrow({ tenantName, priority }: LinkDemand, waitMs: number): SessionLink {
+  borrow({ tenantName, priority, isWrite, dueAtMs }: LinkDemand, waitMs: number): SessionLink {
     if (this.#hasEnded) throw new PoolTimeoutError('the member has ended');
     const { gatewayClient: gateways, groupName, memberId } = this.sources;
     const { gateways: lenders, standbys } = this.sources.assignment();
@@ -118,7 +118,16 @@
       : this.#chooseGatewayFor(tenantName, lenders ?? [], standbys);
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
     const bornMs = this.sources.bornMs();
-    const terms = { groupName, memberId, bornMs, tenantName, priority, waitMs: gatewayWaitMs(waitMs) };
+    const terms: LoanTerms = {
+      groupName,
+      memberId,
+      bornMs,
+      tenantName,
+      priority,
+      waitMs: gatewayWaitMs(waitMs),
+      ...(Number.isFinite(dueAtMs) ? { dueInMs: Math.round(dueAtMs - performance.now()) } : {}),
+      ...(isWrite ? { isWrite } : {}),
+    };
     const link = gateways.borrow(gateway, terms);
     this.#borrowed.add(link);
     return link;
