Placement: reads of a tenant keep to one replica

Cause: a connection belongs to one tenant, and each opening occupies one of a member's four slots for 12 ms. Reads of all 80 tenants went to every replica, which needed connections of every tenant. Change: among replicas that can serve a read, the one that ranks first for the tenant by rendezvous hashing is chosen while it costs at most 24 ms more than the best member, not while it is avoided, fails requests or is behind, and not in place of a member in the own zone that only its distance makes dearer. Only where the configuration has tenants; other deployments choose as before. The number of new connections is not measured yet.

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -35,6 +35,7 @@
 import { floorWithOwnCommits, type SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
+import { NO_TENANT } from '../tenancy/tenant-registry.js';
 
 /** A read to be run. */
 export interface ReadJob {
@@ -140,6 +141,14 @@
   return candidates;
 }
 
+/**
+ * The tenant whose preferred replica serves a read, or `null`: only where the configuration has tenants do
+ * connections belong to them.
+ */
+export function affinityTenant(context: RelayContext, tenantName: string): string | null {
+  return tenantName === NO_TENANT || context.catalog.tenants.size === 0 ? null : tenantName;
+}
+
 /**
  * Records a member's log position from an answer, and whether the member had reached the floor of the read.
  */
@@ -291,13 +300,13 @@
   #scheduleAttempt(): void {
     const waiting = this.#attemptInQueue();
     if (waiting === null && this.#hedgeDelayMs() > 0) return;
-    const { group, route, sessionFloor, receivedAtMs } = this.job;
+    const { group, route, tenantName, sessionFloor, receivedAtMs } = this.job;
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
     for (const { wait } of this.#pending) for (const { entry } of wait.members) excluded.add(entry.memberId);
     const candidates = readCandidates(this.context, group, floor);
     const demand = { floor, excluded };
-    const choice = selectReadMember(candidates, demand);
+    const choice = selectReadMember(candidates, demand, affinityTenant(this.context, tenantName));
     const member = choice === null ? undefined : group.members.get(choice.memberId);
     if (choice === null || member === undefined) return;
     const others = alternativeCandidates(choice, candidates, demand).flatMap(
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -20,7 +20,7 @@
 import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
-import { readCandidates, readFloor, recordReplicaProgress } from './read-runner.js';
+import { affinityTenant, readCandidates, readFloor, recordReplicaProgress } from './read-runner.js';
 import { Refusal, type RefusalDetails } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
@@ -189,14 +189,15 @@
 
   #selectMember(): Member | null {
     const { context, options } = this;
-    const { group, route, sessionFloor, receivedAtMs } = options;
+    const { group, route, tenantName, sessionFloor, receivedAtMs } = options;
     if (!this.#mayUseReplica()) {
       const leader = group.leader(context.now());
       return leader !== null && this.#excluded.has(leader.entry.memberId) ? null : leader;
     }
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const demand = { floor, excluded: this.#excluded };
-    const choice = selectReadMember(readCandidates(context, group, floor), demand);
+    const candidates = readCandidates(context, group, floor);
+    const choice = selectReadMember(candidates, demand, affinityTenant(context, tenantName));
     return choice === null ? null : (group.members.get(choice.memberId) ?? null);
   }
 
--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { ReadFloor } from '../leadership/position-history.js';
+import { preferredReplica } from '../placement/tenant-affinity.js';
 
 /** Properties of a member that the choice depends on. */
 export interface ReadCandidate {
@@ -46,24 +47,44 @@
 /** How far the failure share of an alternative may exceed that of the best candidate. */
 const MAX_EXCESS_FAILURE_SHARE = 0.1;
 
+/**
+ * Failure share up to which a member is preferred for a tenant; one recent failure makes it 0.1.
+ */
+const MAX_UNIMPAIRED_FAILURE_SHARE = 0.05;
+
 /** Assumed response time before the first measurement, in milliseconds. */
 const DEFAULT_LATENCY_MS = 15;
 
-/** The best candidate, or `null` when none can serve. */
+/** A candidate that can serve the read, with its expected cost. */
+interface RatedCandidate {
+  readonly candidate: ReadCandidate;
+  readonly memberId: string;
+  readonly isLeader: boolean;
+  readonly isImpaired: boolean;
+  readonly costMs: number;
+  readonly distanceCostMs: number;
+}
+
+/**
+ * The candidate with the lowest expected cost, or `null` when none can serve.
+ *
+ * @param tenantName - the tenant whose preferred replica is chosen if it costs little more; `null` for none
+ */
 export function selectReadMember(
   candidates: readonly ReadCandidate[],
   requirements: ReadRequirements,
+  tenantName: string | null = null,
 ): ReadCandidate | null {
-  let best: ReadCandidate | null = null;
-  let bestCost = Number.POSITIVE_INFINITY;
+  const rated: RatedCandidate[] = [];
+  let best: RatedCandidate | null = null;
   for (const candidate of candidates) {
     if (!canServe(candidate, requirements)) continue;
-    const cost = expectedCostMs(candidate);
-    if (cost >= bestCost) continue;
-    best = candidate;
-    bestCost = cost;
+    const current = rate(candidate);
+    rated.push(current);
+    if (best === null || current.costMs < best.costMs) best = current;
   }
-  return best;
+  if (best === null || tenantName === null) return best?.candidate ?? null;
+  return (preferredReplica(tenantName, best, rated) ?? best).candidate;
 }
 
 /**
@@ -90,6 +111,17 @@
   return candidate.isLeader || (requirements.floor !== null && !candidate.isBehind);
 }
 
+function rate(candidate: ReadCandidate): RatedCandidate {
+  return {
+    candidate,
+    memberId: candidate.memberId,
+    isLeader: candidate.isLeader,
+    isImpaired: candidate.isAvoided || candidate.failureShare > MAX_UNIMPAIRED_FAILURE_SHARE,
+    costMs: expectedCostMs(candidate),
+    distanceCostMs: candidate.isInZone ? 0 : OTHER_ZONE_COST_MS,
+  };
+}
+
 function expectedCostMs(candidate: ReadCandidate): number {
   const latencyMs = candidate.latencyMs === 0 ? DEFAULT_LATENCY_MS : candidate.latencyMs;
   const queue = (candidate.load + 1) / Math.max(1, candidate.slots);
--- a/src/topology/topology.test.ts
+++ b/src/topology/topology.test.ts
@@ -79,3 +79,18 @@
   assert.equal(choose([failing, other], FLOOR), 'r2');
   assert.equal(choose([{ ...failing, failureShare: 0.02 }, other], FLOOR), 'r1');
 });
+
+test('a read of a tenant goes to the replica that it prefers, unless that one is avoided, failing or behind', () => {
+  const chosen = (candidates: readonly ReadCandidate[], tenant: string): string | null =>
+    selectReadMember(candidates, { floor: FLOOR, excluded: NONE }, tenant)?.memberId ?? null;
+  const other: ReadCandidate = { ...REPLICA, memberId: 'r2' };
+  const tenants = Array.from({ length: 40 }, (_, index) => `tenant-${index}`);
+  const preferring = tenants.filter((tenant) => chosen([REPLICA, other, LEADER], tenant) === 'r2');
+  assert.ok(preferring.length >= 10 && preferring.length <= 30, `${preferring.length} of 40`);
+  for (const tenant of preferring) {
+    assert.equal(chosen([REPLICA, { ...other, load: 1 }, LEADER], tenant), 'r2');
+    assert.equal(chosen([REPLICA, { ...other, load: 8 }, LEADER], tenant), 'r1');
+    for (const fault of [{ isAvoided: true }, { failureShare: 0.06 }, { isBehind: true }])
+      assert.equal(chosen([REPLICA, { ...other, ...fault }, LEADER], tenant), 'r1');
+  }
+});
