Wait queue in heaps, with fair shares of tenants, used by the pools

Cause: a pool kept its waiting requests in an array and scanned all of them for each grant, each cancellation and each connection opened. It had no bound and no shares of tenants, and requests of a low priority could wait for as long as more urgent ones kept arriving.

Change: `WaitQueue` (src/admission) keeps a heap for each priority and tenant, with lazy deletion. Order: requests that can meet their objective, then late ones; by priority; by the tenant's start tag (start-time fair queueing, charged with an estimate at grant, corrected at release); by due time. Each eighth grant goes to the request that has waited longest. At 2,000 requests the one that would be served last is rejected. `countAhead` estimates the requests that precede a new one. The link pool uses it in place of its array.

`nextToServe` goes away. Its tests move to wait-queue.test.ts with the same cases and the same property; they ask the queue instead of the function.

--- a/src/relay/link-pool-tenants.test.ts
+++ b/src/relay/link-pool-tenants.test.ts
@@ -154,3 +154,31 @@
     { seed: 4711, numRuns: 150 },
   );
 });
+
+test('a request of low priority is served although another tenant keeps sending more urgent ones', async () => {
+  // The failure guarded against: the connection serves its own tenant, whose requests always precede the other
+  // tenant's, so no connection is ever opened for that one.
+  const { pool, clock } = scene(1);
+  const urgent = { ...demandOf('amber'), priority: 0 };
+  let inUse: PooledLink | null = await pool.acquire(urgent, 1000);
+  let isServed = false;
+  const low = pool.acquire({ ...demandOf('birch'), priority: 3 }, 60_000).then((link) => {
+    isServed = true;
+    return link;
+  });
+  let served = 0;
+  for (; !isServed && served < 40; served += 1) {
+    pool.acquire(urgent, 60_000).then(
+      (link) => (inUse = link),
+      () => undefined,
+    );
+    clock.now += 5;
+    const released: PooledLink | null = inUse;
+    inUse = null;
+    if (released !== null) pool.release(released);
+    await settle();
+  }
+  assert.ok(isServed, `after ${served} requests of the other tenant`);
+  assert.equal((await low).tenantName, 'birch');
+  pool.close();
+});
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -318,3 +318,24 @@
   assert.equal(await pool.acquire(DEMAND, 1000), link);
   assert.equal(links.length, 1);
 });
+
+test('a pool at which too many requests wait rejects the one that would be served last', async () => {
+  // The failure guarded against: an unbounded queue, whose requests use memory until their deadline.
+  const { dial, accept } = slowDialer();
+  const pool = poolOf(1, dial);
+  const urgent = pool.acquire({ ...DEMAND, priority: 0 }, 10_000);
+  const waiting = Array.from({ length: 1999 }, (_, index) =>
+    pool.acquire({ ...DEMAND, dueAtMs: 1000 + index }, 10_000),
+  );
+  const rejected: number[] = [];
+  for (const [index, each] of waiting.entries()) each.catch(() => rejected.push(index));
+  await assert.rejects(pool.acquire({ ...DEMAND, priority: 2 }, 10_000), PoolTimeoutError);
+  assert.deepEqual(rejected, []);
+  const earlier = pool.acquire({ ...DEMAND, dueAtMs: 500 }, 10_000);
+  accept();
+  pool.release(await urgent);
+  await earlier;
+  assert.deepEqual(rejected, [1998], 'the one that is due last');
+  pool.close();
+  await Promise.allSettled(waiting);
+});
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -7,8 +7,9 @@
  *
  * @packageDocumentation
  */
+import { WaitQueue, type ConnectionUse, type WaitingRequest } from '../admission/wait-queue.js';
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
-import { nextToServe, type LinkDemand } from './link-queue.js';
+import type { LinkDemand } from './link-queue.js';
 import { LinkAcquisition, PoolTimeoutError, type PoolWaiter, type LinkSource } from './link-acquisition.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
 import { PooledLink } from './pooled-link.js';
@@ -68,21 +69,17 @@
   random(): number;
 }
 
-/** A waiting request, and since when it waits, in monotonic milliseconds. */
-interface QueuedWaiter {
-  readonly waiter: PoolWaiter;
-  readonly demand: LinkDemand;
-  readonly sinceMs: number;
-}
-
 /**
- * Opens connections on demand, grants them by priority and reuses those that are released without open work.
+ * Opens connections on demand, grants them in the order of a {@link WaitQueue} and reuses those that are
+ * released without open work.
  */
 export class LinkPool implements LinkSource {
   /** In order of release; the most recently released connection is last and is reused first. */
   readonly #idle: { readonly link: PooledLink; readonly sinceMs: number }[] = [];
-  readonly #waiters: QueuedWaiter[] = [];
+  readonly #waiters = new WaitQueue<PoolWaiter>();
   readonly #links = new Set<PooledLink>();
+  /** The connections that are granted to requests, charged to their tenants. */
+  readonly #uses = new Map<PooledLink, ConnectionUse>();
   /** Tenant names of the connections that are being opened. */
   readonly #dialing: string[] = [];
   /** Consecutive connection attempts that the member was too slow to accept. */
@@ -104,7 +101,7 @@
 
   /** Number of connections in use or being opened, plus the number of waiting requests. */
   get load(): number {
-    return this.#links.size - this.#idle.length + this.#dialing.length + this.#waiters.length;
+    return this.#links.size - this.#idle.length + this.#dialing.length + this.#waiters.size;
   }
 
   /** True if a request would have to wait until another one releases its connection. */
@@ -141,17 +138,18 @@
     const { demand } = waiter;
     const idle = this.#takeIdle(demand.tenantName, demand.values);
     if (idle !== null) {
-      waiter.grant(idle, this);
+      this.#grant(idle, waiter);
       return;
     }
-    this.#waiters.push({ waiter, demand, sinceMs: this.options.now() });
+    const { now, serviceMs } = this.options;
+    const rejected = this.#waiters.add(waiter, demand, now(), serviceMs());
+    rejected?.fail(new PoolTimeoutError('too many requests wait for a connection'), this);
     this.#openForWaiters();
   }
 
   /** Removes a request from the queue. */
   dequeue(waiter: PoolWaiter): void {
-    const index = this.#waiters.findIndex((waiting) => waiting.waiter === waiter);
-    if (index >= 0) this.#waiters.splice(index, 1);
+    this.#waiters.remove(waiter);
   }
 
   /** Takes an idle connection of any tenant for a request of the daemon itself, or returns `null`. */
@@ -174,6 +172,7 @@
 
   /** Returns a connection to the pool; closes it if a request is in flight or a transaction is open on it. */
   release(link: PooledLink): void {
+    this.#endUse(link);
     if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
       link.close();
       return;
@@ -182,9 +181,10 @@
       link.close();
       return;
     }
-    const waiter = this.#takeNextWaiter(link.tenantName);
+    const { now, serviceMs } = this.options;
+    const waiter = this.#waiters.takeFor(link.tenantName, now(), serviceMs());
     if (waiter !== undefined) {
-      waiter.grant(link, this);
+      this.#grant(link, waiter);
       return;
     }
     this.#idle.push({ link, sinceMs: this.options.now() });
@@ -245,14 +245,9 @@
   }
 
   /** Selects the next request to serve among those for which no connection is being opened. */
-  #nextWaiterWithoutDial(): QueuedWaiter | undefined {
-    const dialing = [...this.#dialing];
-    const withoutDial = this.#waiters.filter(({ demand }) => {
-      const index = dialing.findIndex((tenantName) => acceptsTenant(demand, tenantName));
-      if (index >= 0) dialing.splice(index, 1);
-      return index < 0;
-    });
-    return withoutDial[nextToServe(withoutDial, this.options.now(), this.options.serviceMs())];
+  #nextWaiterWithoutDial(): WaitingRequest<PoolWaiter> | undefined {
+    const { now, serviceMs } = this.options;
+    return this.#waiters.peekWithoutDial(this.#dialing, now(), serviceMs());
   }
 
   /**
@@ -283,11 +278,11 @@
 
   /** Rejects waiting requests, since no connection will be available soon. Nothing was sent for them. */
   rejectWaiters(reason: string, isAffected: (demand: LinkDemand) => boolean = () => true): void {
-    const affected = this.#waiters.filter(({ demand }) => isAffected(demand));
-    for (const { waiter } of affected) {
-      this.dequeue(waiter);
-      waiter.fail(new PoolTimeoutError(reason), this);
-    }
+    this.#failWaiters(new PoolTimeoutError(reason), isAffected);
+  }
+
+  #failWaiters(error: Error, isAffected: (demand: LinkDemand) => boolean = () => true): void {
+    for (const waiter of this.#waiters.removeWhere(isAffected)) waiter.fail(error, this);
   }
 
   /** Closes all connections immediately, because the member does not answer. */
@@ -334,13 +329,26 @@
     return index < 0 ? null : (this.#idle.splice(index, 1)[0]?.link ?? null);
   }
 
-  /** Dequeues the next request that a connection of the tenant can serve. */
-  #takeNextWaiter(tenantName: string): PoolWaiter | undefined {
+  #grant(link: PooledLink, waiter: PoolWaiter): void {
+    const { now, serviceMs } = this.options;
+    this.#uses.set(link, this.#waiters.beginUse(waiter.demand, now(), serviceMs()));
+    waiter.grant(link, this);
+  }
+
+  #endUse(link: PooledLink): void {
+    const use = this.#uses.get(link);
+    if (use === undefined) return;
+    this.#uses.delete(link);
+    this.#waiters.endUse(use, this.options.now());
+  }
+
+  /** Rejects the next request that a connection of the tenant would serve. */
+  #failNextWaiter(tenantName: string, error: Error): void {
     const { now, serviceMs } = this.options;
-    const eligible = this.#waiters.filter(({ demand }) => acceptsTenant(demand, tenantName));
-    const next = eligible[nextToServe(eligible, now(), serviceMs())];
-    if (next !== undefined) this.#waiters.splice(this.#waiters.indexOf(next), 1);
-    return next?.waiter;
+    const next = this.#waiters.peekFor(tenantName, now(), serviceMs());
+    if (next === undefined) return;
+    this.dequeue(next.item);
+    next.item.fail(error, this);
   }
 
   #dial(tenantName: string): void {
@@ -375,8 +383,8 @@
    */
   #onSlowDial(tenantName: string): void {
     const slow = new DialError('slow', 'the member has not accepted the connection yet');
-    if (this.#links.size > 0) this.#takeNextWaiter(tenantName)?.fail(slow, this);
-    else for (const { waiter } of this.#waiters.splice(0)) waiter.fail(slow, this);
+    if (this.#links.size > 0) this.#failNextWaiter(tenantName, slow);
+    else this.#failWaiters(slow);
   }
 
   #add(link: PooledLink): void {
@@ -388,6 +396,7 @@
 
   #onLinkClosed(link: PooledLink, isByPeer: boolean): void {
     if (!this.#links.delete(link)) return;
+    this.#endUse(link);
     if (isByPeer && !this.#hasEnded) this.options.onFailure('lost');
     const index = this.#idle.findIndex((idle) => idle.link === link);
     if (index >= 0) this.#idle.splice(index, 1);
@@ -401,7 +410,7 @@
       case 'too_many_connections':
         this.#backOffDials(limitBackoffMs);
         // Other daemons may have a connection to lend, so no request should wait for this pool.
-        if (this.size === 0) for (const { waiter } of this.#waiters.splice(0)) waiter.fail(error, this);
+        if (this.size === 0) this.#failWaiters(error);
         return;
       case 'slow':
         this.#backOffDials(this.#nextSlowDialBackoffMs());
@@ -415,7 +424,7 @@
       case 'wrong_member':
         this.options.onFailure(error.reason);
     }
-    this.#takeNextWaiter(tenantName)?.fail(error, this);
+    this.#failNextWaiter(tenantName, error);
     this.#openForWaiters();
   }
 
--- a/src/relay/link-queue.ts
+++ b/src/relay/link-queue.ts
@@ -1,9 +1,6 @@
 /**
- * Order in which requests that wait for a member connection are served. Pure.
- *
- * If connections are scarce, serving in order of arrival delays all requests equally, beyond their latency
- * objectives. So requests that can still meet their objective go first, by priority and then by due time.
- * Requests that have missed it are served with the remaining capacity, in the same order.
+ * What a request that waits for a member connection requires, and the values that determine its place in the
+ * queue. The order itself is in `src/admission/wait-queue.ts`.
  *
  * @packageDocumentation
  */
@@ -39,31 +36,3 @@
 ): number {
   return deadlineMs - timeoutMs + targetLatencyMs;
 }
-
-/**
- * Index of the waiting request to serve next; -1 if none waits.
- *
- * @param serviceMs - expected latency of the member's replies
- */
-export function nextToServe(
-  waiters: readonly { readonly demand: LinkDemand }[],
-  nowMs: number,
-  serviceMs: number,
-): number {
-  let best = -1;
-  let bestDemand: LinkDemand | null = null;
-  for (const [index, { demand }] of waiters.entries()) {
-    if (bestDemand !== null && !precedes(demand, bestDemand, nowMs + serviceMs)) continue;
-    best = index;
-    bestDemand = demand;
-  }
-  return best;
-}
-
-/** @param answeredAtMs - when a request that is served now is expected to be answered */
-function precedes(one: LinkDemand, other: LinkDemand, answeredAtMs: number): boolean {
-  const isLate = one.dueAtMs < answeredAtMs;
-  if (isLate !== other.dueAtMs < answeredAtMs) return !isLate;
-  if (one.priority !== other.priority) return one.priority < other.priority;
-  return one.dueAtMs < other.dueAtMs;
-}
