A daemon that has just started asks for evidence as soon as it knows its groups

Cause: the loop that asks other daemons for evidence starts before there is a configuration. With no group, no evidence is missing, so its first question waited for the renewal interval of 400 ms. Change: a new group wakes the loop. Measured: the new test is red without the call (3 passed, 1 failed), green with it; src/leadership 175 passed, 0 failed.

--- a/src/leadership/evidence-sharing.test.ts
+++ b/src/leadership/evidence-sharing.test.ts
@@ -19,6 +19,8 @@
   now = 0;
   readonly group = new MemberGroup(GROUP);
   readonly sharing: EvidenceSharing;
+  /** Groups that the daemon knows; none until it has the configuration. */
+  groups: readonly MemberGroup[] = [this.group];
   /** Whether the holder of the duty answers with evidence; otherwise requests to it time out. */
   hasHolder = true;
 
@@ -31,7 +33,7 @@
     this.sharing = new EvidenceSharing({
       ownName: 'd1',
       zone: 'a',
-      groups: () => [this.group],
+      groups: () => this.groups,
       fleetSize: () => 195,
       collectors: () => collectors?.map((name) => ({ name, zone: 'a' }) as DaemonRecord) ?? null,
       holdsDuty: () => false,
@@ -100,3 +102,15 @@
   assert.equal(fixture.sharing.suppliesEvidence, false);
   fixture.sharing.stop();
 });
+
+test('a daemon that has just started does not wait for the renewal interval to ask about its first group', async (context) => {
+  const fixture = new SharingFixture(context, ['d2', 'd3']);
+  fixture.groups = [];
+  void fixture.sharing.run();
+  await fixture.advance(100);
+  fixture.groups = [fixture.group];
+  fixture.sharing.requestNow();
+
+  assert.ok((await fixture.advance(200)) <= 5, 'no evidence soon after the group is known');
+  fixture.sharing.stop();
+});
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -8,7 +8,7 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
-import { delay } from '../common/signal.js';
+import { ChangeSignal } from '../common/signal.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import type { SharedEvidence } from './evidence-exchange.js';
 import { EVIDENCE_VALIDITY_MS, EVIDENCE_REQUEST_INTERVAL_MS } from './leadership-evidence.js';
@@ -52,6 +52,7 @@
 
 /** Exchanges leadership evidence between this daemon and others. */
 export class EvidenceSharing {
+  readonly #wake = new ChangeSignal();
   #isStopped = false;
   #missingSinceMs = new Map<string, number>();
   /** True when the last request to the holder of the duty was not answered. */
@@ -102,14 +103,24 @@
   /** Requests evidence until {@link EvidenceSharing.stop}. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      await delay(this.#isEvidenceMissing() ? this.#retryMs() : EVIDENCE_REQUEST_INTERVAL_MS);
+      await this.#wake.wait(this.#isEvidenceMissing() ? this.#retryMs() : EVIDENCE_REQUEST_INTERVAL_MS);
+      if (this.#isStopped) return;
       if (this.options.holdsDuty()) continue;
       await this.#requestEvidence();
     }
   }
 
+  /**
+   * Requests evidence at once, because there is a new group. A daemon that has just started knows no groups yet,
+   * and would otherwise ask for the first time after the interval at which known evidence is renewed.
+   */
+  requestNow(): void {
+    this.#wake.notify();
+  }
+
   stop(): void {
     this.#isStopped = true;
+    this.#wake.notify();
   }
 
   #retryMs(): number {
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -564,6 +564,7 @@
   #onGroupOpened({ group, watcher }: WatchedGroup): void {
     this.directory.addListedMembers(group);
     this.#runLoop(watcher.run());
+    this.#evidenceSharing.requestNow();
     if (this.isDutyHolder) this.#supervision.begin(group);
   }
 
