Wait queue: a bounded advantage of urgent routes over other tenants' requests

Cause: in a strict order of priorities, a tenant that floods an urgent route takes the connections from the less urgent routes of all tenants.

Change: lanes are ranked by the tenant's start tag plus 100 ms of connection time for each step of the priority value. Within a tenant, so in deployments without tenants, the order of priorities stays strict. Shares may be weighted.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
  */
 import { readFileSync, writeFileSync } from 'node:fs';
 import { Command } from 'commander';
+import { measureAdmission } from './experiment/admission-cost.js';
 import type { DeploymentName } from './experiment/deployments.js';
 import { formatComparison, renderReport } from './experiment/report.js';
 import { runOverload } from './experiment/overload.js';
@@ -66,6 +67,12 @@
   .option('--out <file>', 'write the result to a file')
   .action(async (options: Record<string, string>) => print(await measureTenancy(), options['out']));
 
+program
+  .command('admission')
+  .description('cost of the decisions about 5,000 waiting requests, in microseconds')
+  .option('--out <file>', 'write the result to a file')
+  .action((options: Record<string, string>) => print(measureAdmission(), options['out']));
+
 program
   .command('overload')
   .description('more work than the members can do, in two classes')
--- a/src/admission/fair-shares.ts
+++ b/src/admission/fair-shares.ts
@@ -96,27 +96,29 @@
       account = { tenantName, weight, startTag: 0, creditMs: 0, waitingCount: 0, inUseCount: 0 };
       this.#accounts.set(tenantName, account);
     }
-    if (account.waitingCount === 0) account.startTag = Math.max(account.startTag, this.#virtualTime);
+    if (account.waitingCount > 0) return account;
+    if (this.#isForgettable(account)) account.creditMs = 0;
+    account.startTag = Math.max(account.startTag, this.#virtualTime);
     return account;
   }
 
+  /** True if the account would be the same if it were opened again. */
+  #isForgettable({ waitingCount, inUseCount, startTag }: Account): boolean {
+    return waitingCount === 0 && inUseCount === 0 && startTag <= this.#virtualTime;
+  }
+
   #add(account: Account, chargeMs: number): void {
     const paidMs = Math.min(account.creditMs, chargeMs);
     account.creditMs -= paidMs;
     account.startTag += (chargeMs - paidMs) / account.weight;
   }
 
-  /** Forgets tenants whose account would be the same if it were opened again. */
   #becomeLessActive(account: Account): void {
     this.#activeCount -= 1;
     if (this.#activeCount === 0) {
       this.#accounts.clear();
       this.#virtualTime = 0;
-    } else if (
-      account.waitingCount === 0 &&
-      account.inUseCount === 0 &&
-      account.startTag <= this.#virtualTime
-    ) {
+    } else if (this.#isForgettable(account)) {
       this.#accounts.delete(account.tenantName);
     }
   }
--- a/src/admission/lazy-heap.ts
+++ b/src/admission/lazy-heap.ts
@@ -49,42 +49,39 @@
   }
 
   /**
-   * The first live element that satisfies a condition. The cost depends on how many elements that precede it
-   * are dead or fail the condition.
+   * The first live element that satisfies a condition. The cost grows with the number of live elements that
+   * precede it.
    */
   find(accepts: (element: T) => boolean): T | undefined {
-    return this.#findBelow(0, accepts);
+    const passedOver: T[] = [];
+    let top = this.peek();
+    while (top !== undefined && !accepts(top)) {
+      passedOver.push(top);
+      this.#heap.pop();
+      top = this.peek();
+    }
+    for (const element of passedOver) this.#heap.push(element);
+    return top;
   }
 
-  /** The live element that all others precede. Scans the heap. */
-  findLast(): T | undefined {
-    let last: T | undefined;
-    for (const element of this.#heap.data)
-      if (this.isLive(element) && (last === undefined || this.compare(element, last) > 0)) last = element;
-    return last;
+  /** A heap of the same live elements in another order. */
+  reordered(compare: (one: T, other: T) => number): LazyHeap<T> {
+    const heap = new LazyHeap(compare, this.isLive);
+    heap.#heap = new TinyQueue(this.#liveElements(), compare);
+    return heap;
   }
 
   /** Drops dead elements if there are more of them than live ones; constant time on average over removals. */
   compact(liveCount: number): void {
     if (this.#heap.length <= 2 * liveCount + DEAD_ALLOWANCE) return;
-    this.#heap = new TinyQueue(
-      this.#heap.data.filter((element) => this.isLive(element)),
-      this.compare,
-    );
+    this.#heap = new TinyQueue(this.#liveElements(), this.compare);
   }
 
   clear(): void {
     if (this.#heap.length > 0) this.#heap = new TinyQueue<T>([], this.compare);
   }
 
-  /** Searches the subtree of a position: an acceptable element precedes all elements below it. */
-  #findBelow(position: number, accepts: (element: T) => boolean): T | undefined {
-    const element = this.#heap.data[position];
-    if (element === undefined) return undefined;
-    if (this.isLive(element) && accepts(element)) return element;
-    const left = this.#findBelow(2 * position + 1, accepts);
-    const right = this.#findBelow(2 * position + 2, accepts);
-    if (left === undefined || right === undefined) return left ?? right;
-    return this.compare(right, left) < 0 ? right : left;
+  #liveElements(): T[] {
+    return this.#heap.data.filter((element) => this.isLive(element));
   }
 }
--- a/src/admission/wait-lane.ts
+++ b/src/admission/wait-lane.ts
@@ -26,10 +26,11 @@
   isRemoved: boolean;
 }
 
-/** Place of a lane among the lanes of its priority; replaced when its start tag or first request changes. */
+/** Place of a lane among the others; replaced when its rank or its first request changes. */
 export interface LaneKey<T> {
   readonly part: LanePart<T>;
-  readonly startTag: number;
+  /** The lane with the smallest rank is served first. */
+  readonly rank: number;
   readonly first: WaitEntry<T>;
 }
 
@@ -37,6 +38,8 @@
 export interface LanePart<T> {
   /** By due time. */
   readonly heap: LazyHeap<WaitEntry<T>>;
+  /** In the opposite order; `null` until the last request is asked for, which only a full queue does. */
+  reversed: LazyHeap<WaitEntry<T>> | null;
   count: number;
   /** Latest due time of a request added since the part was last empty, in monotonic milliseconds. */
   lastDueAtMs: number;
@@ -71,6 +74,7 @@
   /** @param tenantName - `null` for requests that can use a connection of any tenant */
   constructor(
     readonly tenantName: string | null,
+    readonly priority: number,
     readonly account: ShareAccount,
   ) {}
 
@@ -85,6 +89,7 @@
     part.lastDueAtMs = part.count === 0 ? dueAtMs : Math.max(part.lastDueAtMs, dueAtMs);
     part.count += 1;
     part.heap.push(entry);
+    part.reversed?.push(entry);
   }
 
   /** Counterpart of {@link WaitLane.offer} for a request that has been removed or has changed its class. */
@@ -92,9 +97,19 @@
     const part = this.parts[waitClass];
     part.count -= 1;
     part.heap.compact(part.count);
+    if (part.count === 0) part.reversed = null;
+    else part.reversed?.compact(part.count);
     this.arrivals.compact(this.size);
   }
 
+  /** The request of a class that is due last. */
+  last(waitClass: WaitClass): WaitEntry<T> | undefined {
+    const part = this.parts[waitClass];
+    if (part.count === 0) return undefined;
+    part.reversed ??= part.heap.reordered((one, other) => byDueTime(other, one));
+    return part.reversed.peek();
+  }
+
   /**
    * Number of requests of a class that are due before a given time or then, estimated as if due times were
    * evenly distributed.
@@ -111,5 +126,11 @@
 
 function createPart<T>(waitClass: WaitClass): LanePart<T> {
   const isLive = (entry: WaitEntry<T>): boolean => !entry.isRemoved && entry.waitClass === waitClass;
-  return { heap: new LazyHeap<WaitEntry<T>>(byDueTime, isLive), count: 0, lastDueAtMs: 0, key: null };
+  return {
+    heap: new LazyHeap<WaitEntry<T>>(byDueTime, isLive),
+    reversed: null,
+    count: 0,
+    lastDueAtMs: 0,
+    key: null,
+  };
 }
--- a/src/admission/wait-queue.ts
+++ b/src/admission/wait-queue.ts
@@ -14,8 +14,8 @@
  */
 import type { LinkDemand } from '../relay/link-queue.js';
 import { LazyHeap } from './lazy-heap.js';
-import { WAIT_CLASSES, byArrival, byDueTime, type WaitClass, type WaitEntry } from './wait-lane.js';
-import { WaitLevel, accountNameOf } from './wait-level.js';
+import { byArrival, byDueTime, type WaitClass, type WaitEntry } from './wait-lane.js';
+import { WaitLanes, accountNameOf } from './wait-lanes.js';
 
 /** Requests that may wait at one pool. */
 const MAX_WAITING = 2000;
@@ -36,7 +36,6 @@
 
 /** A connection in use, charged to a tenant; end it with {@link WaitQueue.endUse}. */
 export interface ConnectionUse {
-  readonly priority: number;
   readonly accountName: string;
   readonly startedAtMs: number;
   /** The time charged in advance, in milliseconds. */
@@ -57,8 +56,7 @@
  */
 export class WaitQueue<T> {
   readonly #entries = new Map<T, WaitEntry<T>>();
-  /** By ascending priority value. */
-  readonly #levels: WaitLevel<T>[] = [];
+  readonly #lanes: WaitLanes<T>;
   readonly #arrivals = new LazyHeap<WaitEntry<T>>(byArrival, (entry) => !entry.isRemoved);
   /** Requests that may become late. */
   readonly #dueTimes = new LazyHeap<WaitEntry<T>>(
@@ -66,7 +64,6 @@
     (entry) => !entry.isRemoved && entry.waitClass === 'onTime',
   );
   readonly #maxWaiting: number;
-  readonly #weightOf: (tenantName: string) => number;
   #nextSequence = 0;
   #grantsSinceOldest = 0;
   /**
@@ -79,7 +76,7 @@
 
   constructor({ maxWaiting = MAX_WAITING, weightOf = () => 1 }: WaitQueueOptions = {}) {
     this.#maxWaiting = maxWaiting;
-    this.#weightOf = weightOf;
+    this.#lanes = new WaitLanes(weightOf);
   }
 
   /** Number of waiting requests. */
@@ -96,15 +93,14 @@
   add(item: T, demand: LinkDemand, nowMs: number, serviceMs: number): T | null {
     this.#classify(nowMs + serviceMs);
     const waitClass = classOf(demand, nowMs + serviceMs);
-    const level = this.#levelOf(demand.priority);
-    const lane = level.join(demand);
+    const lane = this.#lanes.join(demand);
     const sequence = this.#nextSequence++;
     const entry = { item, demand, sinceMs: nowMs, sequence, lane, waitClass, isRemoved: false };
     this.#entries.set(item, entry);
     lane.arrivals.push(entry);
     this.#arrivals.push(entry);
     if (waitClass === 'onTime') this.#dueTimes.push(entry);
-    level.offer(entry);
+    this.#lanes.offer(entry);
     return this.size > this.#maxWaiting ? this.#removeLast(serviceMs) : null;
   }
 
@@ -130,7 +126,7 @@
   /** The next request that a connection of a tenant would serve. */
   peekFor(tenantName: string, nowMs: number, serviceMs: number): WaitingRequest<T> | undefined {
     this.#classify(nowMs + serviceMs);
-    return this.#isOldestNext ? this.#oldestFor(tenantName) : this.#firstFor(tenantName, []);
+    return this.#isOldestNext ? this.#lanes.oldestFor(tenantName) : this.#firstFor(tenantName, []);
   }
 
   /**
@@ -159,7 +155,7 @@
   takeFor(tenantName: string, nowMs: number, serviceMs: number): T | undefined {
     this.#classify(nowMs + serviceMs);
     const isOldestNext = this.#isOldestNext;
-    const entry = isOldestNext ? this.#oldestFor(tenantName) : this.#firstFor(tenantName, []);
+    const entry = isOldestNext ? this.#lanes.oldestFor(tenantName) : this.#firstFor(tenantName, []);
     if (entry === undefined) return undefined;
     if (entry === this.#arrivals.peek()) this.#isOldestOwed = false;
     else if (isOldestNext) this.#isOldestOwed = true;
@@ -175,32 +171,28 @@
   countAhead(demand: LinkDemand, nowMs: number, serviceMs: number): number {
     this.#classify(nowMs + serviceMs);
     const waitClass = classOf(demand, nowMs + serviceMs);
-    let ahead = 0;
-    for (const level of this.#levels) {
-      if (waitClass === 'late') ahead += level.count('onTime');
-      if (level.priority < demand.priority) ahead += level.count(waitClass);
-      else if (level.priority === demand.priority)
-        ahead += level.countAhead(waitClass, demand, this.#expectedUseMs(serviceMs));
-    }
+    const isLate = waitClass === 'late';
+    const ahead =
+      (isLate ? this.#lanes.count('onTime') : 0) +
+      this.#lanes.countAhead(waitClass, demand, this.#expectedUseMs(serviceMs));
     const oldestGrants = Math.floor(ahead / (OLDEST_GRANT_INTERVAL - 1));
     return ahead + Math.min(this.size - ahead, oldestGrants);
   }
 
   /** Charges the tenant of a request for a connection that is granted to it. */
   beginUse(demand: LinkDemand, nowMs: number, serviceMs: number): ConnectionUse {
-    const { priority } = demand;
     const accountName = accountNameOf(demand);
     const estimateMs = this.#expectedUseMs(serviceMs);
-    this.#levelOf(priority).charge(accountName, estimateMs);
-    return { priority, accountName, startedAtMs: nowMs, estimateMs };
+    this.#lanes.charge(accountName, estimateMs);
+    return { accountName, startedAtMs: nowMs, estimateMs };
   }
 
   /** Corrects the charge for a connection when its use has ended. */
-  endUse({ priority, accountName, startedAtMs, estimateMs }: ConnectionUse, nowMs: number): void {
+  endUse({ accountName, startedAtMs, estimateMs }: ConnectionUse, nowMs: number): void {
     const usedMs = Math.max(MIN_USE_MS, nowMs - startedAtMs);
     this.#meanUseMs ??= usedMs;
     this.#meanUseMs += (usedMs - this.#meanUseMs) * USE_SMOOTHING;
-    this.#levelOf(priority).settle(accountName, estimateMs, usedMs);
+    this.#lanes.settle(accountName, estimateMs, usedMs);
   }
 
   #expectedUseMs(serviceMs: number): number {
@@ -218,77 +210,44 @@
       if (entry === undefined || entry.demand.dueAtMs >= answeredAtMs) return;
       this.#dueTimes.pop();
       entry.waitClass = 'late';
-      const level = this.#levelOf(entry.demand.priority);
-      level.withdraw(entry.lane, 'onTime');
-      level.offer(entry);
+      this.#lanes.withdraw(entry.lane, 'onTime');
+      this.#lanes.offer(entry);
     }
   }
 
   #delete(entry: WaitEntry<T>): void {
-    const { lane, item, demand, waitClass } = entry;
+    const { lane, item, waitClass } = entry;
     this.#entries.delete(item);
     entry.isRemoved = true;
-    const level = this.#levelOf(demand.priority);
-    level.withdraw(lane, waitClass);
-    level.leave(lane);
+    this.#lanes.withdraw(lane, waitClass);
+    this.#lanes.leave(lane);
     this.#arrivals.compact(this.size);
     this.#dueTimes.compact(this.size);
     if (this.size > 0) return;
     this.#arrivals.clear();
     this.#dueTimes.clear();
-    for (const level of this.#levels) level.clear();
+    this.#lanes.clear();
     this.#isOldestOwed = false;
   }
 
   /** Removes the request that would be served last. */
   #removeLast(serviceMs: number): T | null {
     const useMs = this.#expectedUseMs(serviceMs);
-    for (const waitClass of WAIT_CLASSES.toReversed())
-      for (const level of this.#levels.toReversed()) {
-        const entry = level.last(waitClass, useMs);
-        if (entry === undefined) continue;
-        this.#delete(entry);
-        return entry.item;
-      }
-    return null;
+    const last = this.#lanes.last('late', useMs) ?? this.#lanes.last('onTime', useMs);
+    if (last === undefined) return null;
+    this.#delete(last);
+    return last.item;
   }
 
   #first(excluded: readonly WaitEntry<T>[]): WaitEntry<T> | undefined {
-    return this.#firstOf((level, waitClass) => level.first(waitClass, excluded));
+    return this.#lanes.first('onTime', excluded) ?? this.#lanes.first('late', excluded);
   }
 
   #firstFor(tenantName: string, excluded: readonly WaitEntry<T>[]): WaitEntry<T> | undefined {
-    return this.#firstOf((level, waitClass) => level.firstFor(tenantName, waitClass, excluded));
-  }
-
-  /** The first result in the order of classes and priorities. */
-  #firstOf(
-    find: (level: WaitLevel<T>, waitClass: WaitClass) => WaitEntry<T> | undefined,
-  ): WaitEntry<T> | undefined {
-    for (const waitClass of WAIT_CLASSES)
-      for (const level of this.#levels) {
-        const entry = find(level, waitClass);
-        if (entry !== undefined) return entry;
-      }
-    return undefined;
-  }
-
-  #oldestFor(tenantName: string): WaitEntry<T> | undefined {
-    let oldest: WaitEntry<T> | undefined;
-    for (const level of this.#levels) {
-      const entry = level.oldestFor(tenantName);
-      if (entry !== undefined && (oldest === undefined || byArrival(entry, oldest) < 0)) oldest = entry;
-    }
-    return oldest;
-  }
-
-  #levelOf(priority: number): WaitLevel<T> {
-    const index = this.#levels.findIndex((level) => level.priority >= priority);
-    const found = this.#levels[index];
-    if (found?.priority === priority) return found;
-    const level = new WaitLevel<T>(priority, this.#weightOf);
-    this.#levels.splice(index < 0 ? this.#levels.length : index, 0, level);
-    return level;
+    return (
+      this.#lanes.firstFor(tenantName, 'onTime', excluded) ??
+      this.#lanes.firstFor(tenantName, 'late', excluded)
+    );
   }
 }
 
