Shares of scarce connections follow the tenants' quotas

Change: a tenant's weight is its rate relative to the mean of all limited tenants, at least 0.05; 1 without a quota. Without tenants nothing changes.

--- a/src/admission/fair-shares.test.ts
+++ b/src/admission/fair-shares.test.ts
@@ -25,6 +25,18 @@
   assert.equal(shares.startTagOf('birch'), 20);
 });
 
+test('a weight that has changed applies once the tenant no longer waits', () => {
+  let weight = 1;
+  const shares = new FairShares(() => weight);
+  shares.join('amber');
+  weight = 2;
+  shares.charge('amber', 10, 0);
+  assert.equal(shares.startTagOf('amber'), 10);
+  shares.leave('amber');
+  shares.charge('amber', 10, 0);
+  assert.equal(shares.startTagOf('amber'), 15);
+});
+
 test('an estimate that was too low is corrected at the end of the use', () => {
   const shares = sharesOf();
   shares.charge('amber', 10, 0);
--- a/src/admission/fair-shares.ts
+++ b/src/admission/fair-shares.ts
@@ -19,6 +19,7 @@
 }
 
 interface Account extends ShareAccount {
+  weight: number;
   startTag: number;
   /** Time charged in excess of the actual use, in milliseconds. Later charges are reduced by it. */
   creditMs: number;
@@ -92,11 +93,11 @@
   #open(tenantName: string): Account {
     let account = this.#accounts.get(tenantName);
     if (account === undefined) {
-      const weight = this.weightOf(tenantName);
-      account = { tenantName, weight, startTag: 0, creditMs: 0, waitingCount: 0, inUseCount: 0 };
+      account = { tenantName, weight: 1, startTag: 0, creditMs: 0, waitingCount: 0, inUseCount: 0 };
       this.#accounts.set(tenantName, account);
     }
     if (account.waitingCount > 0) return account;
+    account.weight = this.weightOf(tenantName);
     if (this.#isForgettable(account)) account.creditMs = 0;
     account.startTag = Math.max(account.startTag, this.#virtualTime);
     return account;
--- a/src/relay/link-pool-tenants.test.ts
+++ b/src/relay/link-pool-tenants.test.ts
@@ -14,7 +14,10 @@
 import type { PooledLink } from './pooled-link.js';
 
 /** A pool with the connections that it has opened and a simulated clock. */
-function scene(budget: number): { pool: LinkPool; links: FakeLink[]; clock: { now: number } } {
+function scene(
+  budget: number,
+  tenantWeight: (tenantName: string) => number = () => 1,
+): { pool: LinkPool; links: FakeLink[]; clock: { now: number } } {
   const clock = { now: 0 };
   const links: FakeLink[] = [];
   const dial = (target: DialTarget): Promise<MemberLink> => {
@@ -30,6 +33,7 @@
     limitBackoffMs: 10,
     idleTimeoutMs: 1000,
     serviceMs: () => 10,
+    tenantWeight,
     onFailure: () => undefined,
     random: () => 0.5,
     now: () => clock.now,
@@ -182,3 +186,32 @@
   assert.equal((await low).tenantName, 'birch');
   pool.close();
 });
+
+for (const [name, weight, first] of [
+  ['a tenant with four times the share', 4, 'amber'],
+  ['a tenant with the same share, due later', 1, 'birch'],
+] as const)
+  test(`the next connection is opened for the tenant with the least of its share: ${name}`, async () => {
+    const { pool, links, clock } = scene(2, (tenantName) => (tenantName === 'amber' ? weight : 1));
+    await pool.acquire(demandOf('cedar'), 1000);
+    for (const [tenantName, usedMs] of [
+      ['amber', 40],
+      ['birch', 20],
+    ] as const) {
+      const link = await pool.acquire(demandOf(tenantName), 1000);
+      clock.now += usedMs;
+      pool.release(link);
+    }
+    const last = await pool.acquire(demandOf('doum'), 1000);
+    const waiting = [
+      pool.acquire(demandOf('birch', 5000), 1000),
+      pool.acquire(demandOf('amber', 6000), 1000),
+    ];
+    const outcomes = Promise.allSettled(waiting);
+    clock.now += 30;
+    pool.release(last);
+    await settle();
+    assert.equal(links.at(-1)?.tenantName, first);
+    pool.close();
+    await outcomes;
+  });
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -61,6 +61,8 @@
   readonly idleTimeoutMs: number;
   /** Expected latency of the member's replies, in milliseconds. */
   serviceMs(): number;
+  /** Size of a tenant's share of the connections relative to others. Without it all shares are equal. */
+  tenantWeight?(tenantName: string): number;
   /** Called when a connection could not be opened or was closed by the peer. */
   onFailure(reason: string): void;
   /** Monotonic time, in milliseconds. */
@@ -76,7 +78,7 @@
 export class LinkPool implements LinkSource {
   /** In order of release; the most recently released connection is last and is reused first. */
   readonly #idle: { readonly link: PooledLink; readonly sinceMs: number }[] = [];
-  readonly #waiters = new WaitQueue<PoolWaiter>();
+  readonly #waiters: WaitQueue<PoolWaiter>;
   readonly #links = new Set<PooledLink>();
   /** The connections that are granted to requests, charged to their tenants. */
   readonly #uses = new Map<PooledLink, ConnectionUse>();
@@ -92,7 +94,11 @@
   /** True once the member's process has ended; unlike `#isClosed`, this is permanent. */
   #hasEnded = false;
 
-  constructor(private readonly options: LinkPoolOptions) {}
+  constructor(private readonly options: LinkPoolOptions) {
+    this.#waiters = new WaitQueue({
+      weightOf: (tenantName) => options.tenantWeight?.(tenantName) ?? 1,
+    });
+  }
 
   /** Number of connections that are open or being opened. */
   get size(): number {
--- a/src/relay/member-factory.ts
+++ b/src/relay/member-factory.ts
@@ -47,6 +47,7 @@
       idleTimeoutMs: IDLE_TIMEOUT_MS,
       random: ports.random,
       serviceMs: () => member.latencyMs,
+      tenantWeight: (tenantName) => ports.catalog.tenants.shareWeightOf(tenantName),
       onFailure: (reason) => {
         member.continuity.recordInterruption(ports.now());
         ports.memberFailed(entry.groupName, member, reason);
--- a/src/tenancy/tenancy.test.ts
+++ b/src/tenancy/tenancy.test.ts
@@ -39,6 +39,20 @@
   });
 });
 
+test('shares of connections follow quotas, relative to their mean, and none is 0', () => {
+  const limited = (name: string, ratePerS: number): Tenant => {
+    return { name, priority: 0, quota: { ratePerS, burst: 1 } };
+  };
+  const tenants = [limited('large', 29), limited('small', 1), limited('blocked', 0), AMBER];
+  const registry = new TenantRegistry(tenants.map((tenant) => ({ tenant, keys: [] })));
+  assert.equal(registry.shareWeightOf('large'), 2.9);
+  assert.equal(registry.shareWeightOf('small'), 0.1);
+  assert.equal(registry.shareWeightOf('blocked'), 0.05);
+  assert.equal(registry.shareWeightOf('amber'), 1, 'a tenant without a quota');
+  assert.equal(registry.shareWeightOf(NO_TENANT), 1);
+  assert.equal(TENANTS.shareWeightOf('amber'), 1, 'no tenant has a quota');
+});
+
 describe('authorization', () => {
   const keyedRoute = { isPublic: false };
   const publicRoute = { isPublic: true };
--- a/src/tenancy/tenant-registry.ts
+++ b/src/tenancy/tenant-registry.ts
@@ -34,12 +34,19 @@
   readonly keys: readonly KeyDigest[];
 }
 
+/**
+ * Smallest weight of a tenant. One with a quota near 0 would otherwise be charged so much for a single request
+ * that its next one waits for seconds.
+ */
+const MIN_SHARE_WEIGHT = 0.05;
+
 /** Looks up tenants by key and by name. */
 export class TenantRegistry {
   readonly #tenantByKey = new Map<KeyDigest, Tenant>();
   readonly #tenantByName = new Map<string, Tenant>();
   /** Sum of the rates of all limited tenants, in operations per second. */
   #totalRatePerS = 0;
+  #limitedCount = 0;
   /**
    * Keys listed by more than one tenant, by tenant name: the key belongs to the tenant that is listed first.
    */
@@ -49,6 +56,7 @@
     const disputes: { holder: string; claimant: string }[] = [];
     for (const { tenant, keys } of entries) {
       this.#totalRatePerS += tenant.quota?.ratePerS ?? 0;
+      this.#limitedCount += tenant.quota === null ? 0 : 1;
       this.#tenantByName.set(tenant.name, tenant);
       for (const key of keys) {
         const holder = this.#tenantByKey.get(key);
@@ -68,6 +76,16 @@
     return quota === null || this.#totalRatePerS === 0 ? 1 : quota.ratePerS / this.#totalRatePerS;
   }
 
+  /**
+   * Size of a tenant's share of scarce connections: its rate relative to the mean of all limited tenants; 1 for
+   * unknown and unlimited tenants.
+   */
+  shareWeightOf(name: string): number {
+    const quota = this.#tenantByName.get(name)?.quota ?? null;
+    if (quota === null || this.#totalRatePerS === 0) return 1;
+    return Math.max(MIN_SHARE_WEIGHT, (quota.ratePerS * this.#limitedCount) / this.#totalRatePerS);
+  }
+
   get size(): number {
     return this.#tenantByName.size;
   }
