--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -42,6 +42,8 @@
 const COMMIT_PROOF = 'src/relay/commit-proof.test.js';
 const MEMBER_RESTARTS = 'platform/test/reborn.test.js';
 const ORDER_HANDLER = 'src/relay/order-handler.test.js';
+const WAIT_QUEUE = 'src/admission/wait-queue.test.js';
+const WAIT_QUEUE_LOAD = 'src/admission/wait-queue-load.test.js';
 const SESSION_OWN_COMMITS = 'src/relay/session-own-commits.test.js';
 const RESTARTED_LEADER = 'src/relay/restarted-leader.test.js';
 const LEADER_IDENTITY = 'src/relay/leader-identity.test.js';
@@ -1543,4 +1545,60 @@
     testFile: ORDER_HANDLER,
     testName: 'with its order to revoke',
   },
+  {
+    property: 'wait queue: late requests give way to those that can meet their objective',
+    file: 'src/admission/wait-queue.js',
+    search: "entry.waitClass = 'late';",
+    replacement: 'return;',
+    testFile: WAIT_QUEUE,
+    testName: 'late requests are served after',
+  },
+  {
+    property: 'wait queue: every eighth grant goes to the oldest request',
+    file: 'src/admission/wait-queue.js',
+    search: 'const OLDEST_GRANT_INTERVAL = 8;',
+    replacement: 'const OLDEST_GRANT_INTERVAL = Infinity;',
+    testFile: WAIT_QUEUE_LOAD,
+    testName: 'without tenants, a route of low priority',
+  },
+  {
+    property: 'wait queue: the oldest request of a tenant without a connection is owed one',
+    file: 'src/admission/wait-queue.js',
+    search: 'this.#isOldestOwed = true;',
+    replacement: '',
+    testFile: WAIT_QUEUE,
+    testName: 'does not hide the oldest request',
+  },
+  {
+    property: 'wait queue: an urgent flood does not take the other routes of all tenants',
+    file: 'src/admission/wait-lanes.js',
+    search: 'const PRIORITY_ADVANTAGE_MS = 100;',
+    replacement: 'const PRIORITY_ADVANTAGE_MS = 1e9;',
+    testFile: WAIT_QUEUE_LOAD,
+    testName: 'usual routes',
+  },
+  {
+    property: 'wait queue: tenants are charged for their connection time',
+    file: 'src/admission/fair-shares.js',
+    search: 'account.startTag += (chargeMs - paidMs) / account.weight;',
+    replacement: '',
+    testFile: WAIT_QUEUE_LOAD,
+    testName: 'six times its usual load',
+  },
+  {
+    property: 'wait queue: an idle tenant gets no credit',
+    file: 'src/admission/fair-shares.js',
+    search: 'account.startTag = Math.max(account.startTag, this.#virtualTime);',
+    replacement: '',
+    testFile: WAIT_QUEUE_LOAD,
+    testName: 'an idle share is used',
+  },
+  {
+    property: 'wait queue: removed requests are dropped',
+    file: 'src/admission/lazy-heap.js',
+    search: '2 * liveCount + DEAD_ALLOWANCE',
+    replacement: 'Infinity',
+    testFile: 'src/admission/wait-queue.property.test.js',
+    testName: 'leave no memory behind',
+  },
 ];
