Placement: reads follow reported load, measured distance and recent answers

Cause: a daemon knew only its own requests at a member and its own smoothed response times, and every other zone cost the same. A member that other daemons kept busy, or that had turned slow, got its reads until ten of a daemon's own answers had shown it, and was hardly asked again after it had recovered. Change: replies of gateways carry the load of their pool (optional field; at most every 250 ms for a member on a connection and 40 a second for a daemon; validated, an absurd report is ignored with one line in 10 s). Half of the choices consider the reports, by their age; members within 10 % of the best cost are chosen from at random; gateways by the better of two. Another zone costs two measured round trips, at least 6 ms, and 30 ms until one is measured. A member with answers, or unanswered reads, of more than three times the group's median, or with more failures, gets 1/20 of its reads and regains them over 3 s; its old response time loses its weight meanwhile. Where members have gateways, an old response time always does.

--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -12,8 +12,12 @@
 import type { RelayResponse } from '../coordination/change-relay.js';
 import type { Revision } from '../coordination/revision.js';
 import { MessageChannel } from '../peer/message-channel.js';
+import { readLoadReport } from '../placement/load-report.js';
+import { MemberLoads, type GatewayLoad } from '../placement/member-load.js';
+import { RequestTimes } from '../placement/request-times.js';
+import { ZoneLatency } from '../placement/zone-latency.js';
 import { BorrowedLink } from './borrowed-link.js';
-import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage } from './gateway-messages.js';
+import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage, type LoanReplyMessage } from './gateway-messages.js';
 import { notSentReply } from './loan.js';
 
 /** Timeout for opening a connection, in milliseconds. */
@@ -75,11 +79,21 @@
   'ask_grant',
 ]);
 
+/** Where a connection records what it learns about load and distance. */
+interface LoadRecords {
+  readonly loads: MemberLoads;
+  readonly zoneLatency: ZoneLatency;
+  invalidReport(gatewayName: string): void;
+}
+
 /** The connection to one gateway. */
 class GatewayConnection {
   isLeaving = false;
   readonly loans = new Map<number, BorrowedLink>();
   readonly pendingRequests = new Map<number, PendingPeerRequest>();
+  /** The load entry of each loan's member, by loan. */
+  readonly #loadByLoan = new Map<number, GatewayLoad>();
+  readonly #requestTimes = new RequestTimes();
   readonly #evidence = new EvidenceReader();
   readonly #channel: MessageChannel<GatewayMessage>;
   readonly #openedAtMs: number;
@@ -96,8 +110,9 @@
   #lastLoanId = 1;
 
   constructor(
-    record: DaemonRecord,
+    private readonly record: DaemonRecord,
     localAddress: string,
+    private readonly records: LoadRecords,
     private readonly now: () => number,
     private readonly onClosed: () => void,
   ) {
@@ -129,6 +144,9 @@
       () => this.#removeLoan(loan),
     );
     this.loans.set(loan, link);
+    const load = this.records.loads.entry(terms.memberId, this.record.name);
+    load.loanStarted();
+    this.#loadByLoan.set(loan, load);
     return link;
   }
 
@@ -169,6 +187,7 @@
 
   #transmit(message: GatewayMessage): void {
     if (PROMPT_REPLY_TYPES.has(message.type)) this.#awaitingSinceMs ??= this.now();
+    if (message.type === 'request') this.#requestTimes.started(message.loan, this.now());
     this.#channel.send(message);
   }
 
@@ -176,6 +195,7 @@
     this.#hasReplied = true;
     switch (message.type) {
       case 'reply':
+        this.#recordLoad(message);
         this.loans.get(message.loan)?.handleReply(message.reply, message.isLeader);
         break;
       case 'lost':
@@ -206,6 +226,21 @@
     this.#awaitingSinceMs = this.#isAwaitingReply() ? this.now() : null;
   }
 
+  /** Records the load report on a reply, if any, and the round-trip time. */
+  #recordLoad({ loan, reply, load }: LoanReplyMessage): void {
+    const nowMs = this.now();
+    const elapsedMs = this.#requestTimes.finished(loan, nowMs);
+    if (load === undefined) return;
+    const report = readLoadReport(load);
+    if (report === null) {
+      this.records.invalidReport(this.record.name);
+      return;
+    }
+    this.#loadByLoan.get(loan)?.record(report, reply.state === 'idle', nowMs);
+    if (elapsedMs !== null && report.heldMs !== undefined)
+      this.records.zoneLatency.record(this.record.zone, elapsedMs - report.heldMs, nowMs);
+  }
+
   #settleRequest(id: number, reply: PeerReply): void {
     this.pendingRequests.get(id)?.settle(reply);
     this.pendingRequests.delete(id);
@@ -219,6 +254,9 @@
 
   #removeLoan(loan: number): void {
     this.loans.delete(loan);
+    this.#loadByLoan.get(loan)?.loanEnded();
+    this.#loadByLoan.delete(loan);
+    this.#requestTimes.forget(loan);
     if (!this.#isAwaitingReply()) this.#awaitingSinceMs = null;
   }
 
@@ -235,6 +273,10 @@
 
 /** All connections of this daemon to gateways. */
 export class GatewayClient {
+  /** Loads of members as their gateways report them. */
+  readonly loads = new MemberLoads();
+  /** Round-trip times to the zones of gateways. */
+  readonly zoneLatency = new ZoneLatency();
   readonly #connections = new Map<string, GatewayConnection>();
   readonly #retryAtMs = new Map<string, number>();
   /**
@@ -244,23 +286,48 @@
   readonly #unavailable = new Set<string>();
   #lastRequestId = 1;
 
-  /** @param localAddress - the daemon's own address, from which connections are opened */
+  /**
+   * @param localAddress - the daemon's own address, from which connections are opened
+   * @param invalidReport - called with the name of a gateway whose load report was ignored
+   */
   constructor(
     private readonly localAddress: string,
     private readonly now: () => number,
     private readonly random: () => number,
+    readonly invalidReport: (gatewayName: string) => void = () => undefined,
   ) {}
 
   /**
-   * The gateway to borrow from: the one with the fewest loans to this daemon; `null` if none can be used. A
-   * gateway that became unavailable is used again once it has replied to a probe, or if there is no other.
+   * The gateway to borrow from: of two at random the one with the lower reported load, or without reports the one
+   * with the fewest loans to this daemon; `null` if none can be used. A gateway that became unavailable is used
+   * again once it has replied to a probe, or if there is no other.
    *
    * @param standbys - used while none of the gateways is known to be available
+   * @param memberId - the member whose reported loads are compared; without it, no report is used
    */
-  choose(gateways: readonly DaemonRecord[], standbys: readonly DaemonRecord[] = []): DaemonRecord | null {
+  choose(
+    gateways: readonly DaemonRecord[],
+    standbys: readonly DaemonRecord[] = [],
+    memberId: string | null = null,
+  ): DaemonRecord | null {
     const usable = gateways.filter((record) => this.#mayBorrowFrom(record));
-    const available = this.#leastLoaded(usable.filter((record) => this.#isAvailable(record)));
-    return available ?? (standbys.length > 0 ? this.choose(standbys) : null) ?? this.#leastLoaded(usable);
+    const available = usable.filter((record) => this.#isAvailable(record));
+    return (
+      this.#lessLoadedOfTwo(available, memberId) ??
+      this.#leastLoaded(available) ??
+      (standbys.length > 0 ? this.choose(standbys, [], memberId) : null) ??
+      this.#leastLoaded(usable)
+    );
+  }
+
+  /** The less loaded of two random gateways; `null` if there are not two, or neither has reported its load. */
+  #lessLoadedOfTwo(gateways: readonly DaemonRecord[], memberId: string | null): DaemonRecord | null {
+    if (memberId === null || gateways.length < 2) return null;
+    const first = Math.floor(this.random() * gateways.length);
+    const second = (first + 1 + Math.floor(this.random() * (gateways.length - 1))) % gateways.length;
+    const [one, other] = [gateways[first], gateways[second]];
+    if (one === undefined || other === undefined) return null;
+    return this.loads.lessLoaded(memberId, one, other, this.now());
   }
 
   #leastLoaded(gateways: readonly DaemonRecord[]): DaemonRecord | null {
@@ -399,10 +466,17 @@
     const key = keyOf(record);
     const existing = this.#connections.get(key);
     if (existing !== undefined) return existing;
-    const connection: GatewayConnection = new GatewayConnection(record, this.localAddress, this.now, () => {
-      this.#connections.delete(key);
-      this.#markUnavailable(key);
-    });
+    const connection: GatewayConnection = new GatewayConnection(
+      record,
+      this.localAddress,
+      this,
+      this.now,
+      () => {
+        this.#connections.delete(key);
+        this.#markUnavailable(key);
+        this.loads.forgetGateway(record.name);
+      },
+    );
     this.#connections.set(key, connection);
     return connection;
   }
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -9,6 +9,7 @@
  */
 import type { EvidenceReply } from '../leadership/evidence-exchange.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
+import type { LoadReport } from '../placement/load-report.js';
 import type { RelayResponse } from '../coordination/change-relay.js';
 import type { Revision } from '../coordination/revision.js';
 import type { MemberReply, MemberRequest } from '../relay/member-link.js';
@@ -65,6 +66,11 @@
   readonly reply: MemberReply;
   /** True if the process that replied was verified to be the leader that the request named. */
   readonly isLeader?: true;
+  /**
+   * Load of the gateway's pool for the member, on some replies. It comes from another daemon: use it only after
+   * `readLoadReport`.
+   */
+  readonly load?: LoadReport;
 }
 
 /**
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -7,12 +7,21 @@
 import type { EvidenceReply } from '../leadership/evidence-exchange.js';
 import type { Grant, GrantRequest } from '../quota/quota-home.js';
 import type { ConfigurationLeaseReply } from '../tenancy/lease-renewal.js';
+import type { LoadReport } from '../placement/load-report.js';
+import { RecentLatency } from '../placement/recent-latency.js';
+import { ReportBudget, ReportSchedule } from '../placement/report-schedule.js';
+import { RequestTimes } from '../placement/request-times.js';
 import type { RelayResponse } from '../coordination/change-relay.js';
 import type { Revision } from '../coordination/revision.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import type { LeaderCheck } from '../relay/session-link.js';
-import { MAX_GATEWAY_MESSAGE_BYTES, type BorrowMessage, type GatewayMessage } from './gateway-messages.js';
+import {
+  MAX_GATEWAY_MESSAGE_BYTES,
+  type BorrowMessage,
+  type GatewayMessage,
+  type LoanReplyMessage,
+} from './gateway-messages.js';
 import type { Incarnation } from '../topology/incarnation.js';
 import { Loan, type LendingStage } from './loan.js';
 import { StatusQuestions } from './status-questions.js';
@@ -25,6 +34,8 @@
   pool(groupName: string, incarnation: Incarnation): LinkPool | null;
   /** What this daemon uses to verify the process of a group's leader; `null` for an unknown group. */
   leaderCheck(groupName: string): LeaderCheck | null;
+  /** The load of the pool of a member, to be reported; `null` without one. Without this, nothing is reported. */
+  load?(groupName: string, memberId: string): LoadReport | null;
   /** The leadership evidence of this daemon, for a requester that already has a version of the leaders. */
   ownEvidence(knownVersion: number): EvidenceReply;
   /** The changes of the store after a revision that this daemon knows; waits up to `waitMs` for one. */
@@ -35,10 +46,24 @@
   grant(request: GrantRequest): Promise<Grant | null>;
 }
 
+/** The loans of one connection, and what its load reports need. */
+class ConnectionLoans {
+  readonly loans = new Map<number, Loan>();
+  readonly requestTimes = new RequestTimes();
+  readonly reports: ReportSchedule;
+
+  constructor(budget: ReportBudget) {
+    this.reports = new ReportSchedule(budget);
+  }
+}
+
 /** Accepts connections from other daemons and handles their loans and requests. */
 export class GatewayServer {
   readonly #server: Server;
-  readonly #channels = new Map<MessageChannel<GatewayMessage>, Map<number, Loan>>();
+  readonly #channels = new Map<MessageChannel<GatewayMessage>, ConnectionLoans>();
+  readonly #reportBudget = new ReportBudget();
+  /** Response times of lent connections, by member; they include the wait for a connection. */
+  readonly #lentLatency = new Map<string, RecentLatency>();
   readonly #statusQuestions = new StatusQuestions();
   #stage: LendingStage = 'lending';
   /** True once incoming messages are ignored. */
@@ -51,7 +76,7 @@
   /** Number of loans that have not ended. */
   get openLoans(): number {
     let open = 0;
-    for (const loans of this.#channels.values()) open += loans.size;
+    for (const { loans } of this.#channels.values()) open += loans.size;
     return open;
   }
 
@@ -115,10 +140,15 @@
 
   /** A copy, since loans are removed from their channel's map when they end. */
   #loans(): readonly Loan[] {
-    return [...this.#channels.values()].flatMap((loans) => [...loans.values()]);
+    return [...this.#channels.values()].flatMap(({ loans }) => [...loans.values()]);
   }
 
-  #openLoan(channel: MessageChannel<GatewayMessage>, loans: Map<number, Loan>, terms: BorrowMessage): void {
+  #openLoan(
+    channel: MessageChannel<GatewayMessage>,
+    connection: ConnectionLoans,
+    terms: BorrowMessage,
+  ): void {
+    const { loans } = connection;
     const { groupName, memberId, bornMs = null } = terms;
     const loan = new Loan({
       terms,
@@ -126,42 +156,83 @@
       statusQuestions: this.#statusQuestions,
       leaderCheck: this.resources.leaderCheck(groupName),
       stage: () => this.#stage,
-      answer: (message) => channel.send(message),
-      onLost: () => loans.delete(terms.loan),
+      answer: (message) =>
+        channel.send(message.type === 'reply' ? this.#withLoad(message, terms, connection) : message),
+      onLost: () => {
+        loans.delete(terms.loan);
+        connection.requestTimes.forget(terms.loan);
+      },
     });
     loans.set(terms.loan, loan);
   }
 
+  /** Adds a load report to a reply if one is due. */
+  #withLoad(
+    message: LoanReplyMessage,
+    { groupName, memberId }: BorrowMessage,
+    { requestTimes, reports }: ConnectionLoans,
+  ): LoanReplyMessage {
+    const nowMs = performance.now();
+    const heldMs = requestTimes.finished(message.loan, nowMs);
+    if (this.resources.load === undefined) return message;
+    const lentLatency = this.#lentLatencyOf(memberId);
+    if (heldMs !== null && message.reply.result.isComplete && message.reply.state === 'idle')
+      lentLatency.record(heldMs, nowMs);
+    if (!reports.take(memberId, nowMs)) return message;
+    const load = this.resources.load(groupName, memberId);
+    if (load === null) return message;
+    const serviceMs = Math.round(lentLatency.valueMs(nowMs) ?? load.serviceMs);
+    return { ...message, load: { ...load, serviceMs, ...(heldMs === null ? {} : { heldMs }) } };
+  }
+
+  #lentLatencyOf(memberId: string): RecentLatency {
+    let latency = this.#lentLatency.get(memberId);
+    if (latency === undefined) {
+      latency = new RecentLatency();
+      this.#lentLatency.set(memberId, latency);
+    }
+    return latency;
+  }
+
   #accept(socket: Socket): void {
-    const loans = new Map<number, Loan>();
+    const connection = new ConnectionLoans(this.#reportBudget);
     const channel: MessageChannel<GatewayMessage> = new MessageChannel<GatewayMessage>(
       socket,
       MAX_GATEWAY_MESSAGE_BYTES,
       {
-        message: (message) => this.#handle(channel, loans, message),
+        message: (message) => this.#handle(channel, connection, message),
         closed: () => {
           this.#channels.delete(channel);
-          for (const loan of loans.values()) loan.end();
+          for (const loan of connection.loans.values()) loan.end();
         },
       },
     );
-    this.#channels.set(channel, loans);
+    this.#channels.set(channel, connection);
     if (this.#stage !== 'lending') channel.send({ type: 'leaving' });
   }
 
-  #handle(channel: MessageChannel<GatewayMessage>, loans: Map<number, Loan>, message: GatewayMessage): void {
+  #handle(
+    channel: MessageChannel<GatewayMessage>,
+    connection: ConnectionLoans,
+    message: GatewayMessage,
+  ): void {
     if (this.#isFinished) return;
+    const { loans, requestTimes } = connection;
     switch (message.type) {
       case 'borrow':
-        this.#openLoan(channel, loans, message);
+        this.#openLoan(channel, connection, message);
         break;
-      case 'values':
       case 'request':
+        if (message.request.kind !== 'status') requestTimes.started(message.loan, performance.now());
+        loans.get(message.loan)?.enqueue(message);
+        break;
+      case 'values':
         loans.get(message.loan)?.enqueue(message);
         break;
       case 'return':
         loans.get(message.loan)?.end();
         loans.delete(message.loan);
+        requestTimes.forget(message.loan);
         break;
       case 'ping':
         channel.send({ type: 'pong' });
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { NO_REPORT, type WeightedLoad } from '../placement/member-load.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import type { LinkDemand } from '../relay/link-queue.js';
 import { PoolTimeoutError } from '../relay/link-acquisition.js';
@@ -54,6 +55,9 @@
 /** Provides connections to one member. */
 export class MemberConnections {
   readonly #borrowed = new Set<SessionLink>();
+  /** The gateways of each tenant among `#rankedLenders`; ranking takes time, and each read needs them. */
+  readonly #gatewaysByTenant = new Map<string, readonly DaemonRecord[]>();
+  #rankedLenders: readonly DaemonRecord[] | null = null;
   #hasEnded = false;
 
   constructor(private readonly sources: ConnectionSources) {}
@@ -68,6 +72,17 @@
     return this.sources.pool.load + this.#borrowed.size;
   }
 
+  /**
+   * The load that the gateways report which a tenant's request would use; without weight if this daemon uses its
+   * own connections, whose load it knows.
+   */
+  reportedLoad(tenantName: string, nowMs: number): WeightedLoad {
+    const { gateways } = this.sources.assignment();
+    if (gateways === null || this.usesOwnPool) return NO_REPORT;
+    const lenders = this.#gatewaysFor(tenantName, gateways);
+    return this.sources.gatewayClient.loads.average(this.sources.memberId, lenders, nowMs);
+  }
+
   /**
    * True if this daemon uses its own pool and a request would have to wait for a connection to be released.
    */
@@ -130,15 +145,30 @@
     lenders: readonly DaemonRecord[],
     standbys: readonly DaemonRecord[],
   ): DaemonRecord | null {
-    const { gatewayClient: gateways, memberId, tenantShare } = this.sources;
-    if (tenantName === null) return gateways.choose(lenders, standbys);
-    const tenantGateways = gatewaysOfTenant(tenantName, tenantShare(tenantName), memberId, lenders);
+    const { gatewayClient: gateways, memberId } = this.sources;
+    if (tenantName === null) return gateways.choose(lenders, standbys, memberId);
+    const tenantGateways = this.#gatewaysFor(tenantName, lenders);
     return (
-      gateways.choose(tenantGateways, tenantGateways === lenders ? standbys : lenders) ??
-      gateways.choose(lenders, standbys)
+      gateways.choose(tenantGateways, tenantGateways === lenders ? standbys : lenders, memberId) ??
+      gateways.choose(lenders, standbys, memberId)
     );
   }
 
+  /** A tenant's gateways. The list of gateways is replaced when the daemons or the tenants' shares change. */
+  #gatewaysFor(tenantName: string, lenders: readonly DaemonRecord[]): readonly DaemonRecord[] {
+    if (lenders !== this.#rankedLenders) {
+      this.#rankedLenders = lenders;
+      this.#gatewaysByTenant.clear();
+    }
+    let gateways = this.#gatewaysByTenant.get(tenantName);
+    if (gateways === undefined) {
+      const { memberId, tenantShare } = this.sources;
+      gateways = gatewaysOfTenant(tenantName, tenantShare(tenantName), memberId, lenders);
+      this.#gatewaysByTenant.set(tenantName, gateways);
+    }
+    return gateways;
+  }
+
   /** Closes all connections, own and borrowed, even those in use: the member's incarnation has ended. */
   end(): void {
     this.#hasEnded = true;
--- a/src/observability/relay-metrics.ts
+++ b/src/observability/relay-metrics.ts
@@ -20,12 +20,18 @@
   readonly liveDaemons: number;
   /** Member connections currently lent to other daemons. */
   readonly openLoans: number;
-  /** Per group: connections to members, whether there is evidence of a leader, and its term. */
+  /** Measured round trips to other zones, in milliseconds. */
+  readonly zoneRoundTrips: readonly { readonly zone: string; readonly ms: number }[];
+  /**
+   * Per group: connections to members, whether there is evidence of a leader, its term, and the number of members
+   * that get fewer reads because they are slow, fail requests or recover.
+   */
   readonly groups: readonly {
     readonly name: string;
     readonly memberConnections: number;
     readonly hasEvidence: boolean;
     readonly term: number;
+    readonly degradedMembers: number;
   }[];
 }
 
@@ -76,6 +82,14 @@
   readonly #leaderEvidence = this.#gauge('leader_evidence', '1 while there is evidence of a leader', [
     'group',
   ]);
+  readonly #degradedMembers = this.#gauge(
+    'degraded_members',
+    'Members that get fewer reads, since they are slow, fail requests or recover',
+    ['group'],
+  );
+  readonly #zoneRoundTrip = this.#gauge('zone_round_trip_seconds', 'Smallest recent round trip to a zone', [
+    'zone',
+  ]);
   readonly #leaderTerm = this.#gauge('leader_term', 'Term of the leader', ['group']);
 
   /** Records the end of a client request; `ms` is the time since the request was read. */
@@ -118,10 +132,12 @@
     this.#promotionDutyHeld.set(state.holdsDuty ? 1 : 0);
     this.#liveDaemons.set(state.liveDaemons);
     this.#openLoans.set(state.openLoans);
-    for (const { name, memberConnections, hasEvidence, term } of state.groups) {
+    for (const { zone, ms } of state.zoneRoundTrips) this.#zoneRoundTrip.set({ zone }, ms / 1000);
+    for (const { name, memberConnections, hasEvidence, term, degradedMembers } of state.groups) {
       this.#memberConnections.set({ group: name }, memberConnections);
       this.#leaderEvidence.set({ group: name }, hasEvidence ? 1 : 0);
       this.#leaderTerm.set({ group: name }, term);
+      this.#degradedMembers.set({ group: name }, degradedMembers);
     }
     return this.#registry.metrics();
   }
--- /dev/null
+++ b/src/placement/member-load.ts
@@ -0,0 +1,183 @@
+/**
+ * Load of members as their gateways report it. Times are passed in.
+ *
+ * @packageDocumentation
+ */
+import type { LoadReport } from './load-report.js';
+
+/** Half-life of the weight of a report, in milliseconds. */
+const HALF_LIFE_MS = 500;
+/** Weight below which a report is ignored: it is then about 3 s old. */
+const MIN_WEIGHT = 0.015;
+/** Age up to which the response time of a report describes the member now, in milliseconds. */
+const SERVICE_VALIDITY_MS = 1000;
+
+/** A load, and how much it counts: 1 for a report of this moment, 0 without a report. */
+export interface WeightedLoad {
+  readonly load: number;
+  readonly weight: number;
+}
+
+/** The load of a member without a report. */
+export const NO_REPORT: WeightedLoad = { load: 0, weight: 0 };
+
+/** Load of one gateway's pool for one member: its last report, and this daemon's own loans since then. */
+export class GatewayLoad {
+  #report: LoadReport | null = null;
+  #receivedAtMs = 0;
+  #ownLoans = 0;
+  /** Own loans that the report includes. */
+  #ownLoansInReport = 0;
+
+  /** Loans that this daemon has from the gateway. */
+  get ownLoans(): number {
+    return this.#ownLoans;
+  }
+
+  /** When the last report arrived, in monotonic milliseconds. */
+  get receivedAtMs(): number {
+    return this.#receivedAtMs;
+  }
+
+  loanStarted(): void {
+    this.#ownLoans += 1;
+  }
+
+  loanEnded(): void {
+    this.#ownLoans = Math.max(0, this.#ownLoans - 1);
+  }
+
+  /**
+   * Records a report that came with the reply to a loan.
+   *
+   * @param isReleased - true if the gateway had released the connection of that loan before
+   */
+  record(report: LoadReport, isReleased: boolean, nowMs: number): void {
+    this.#report = report;
+    this.#receivedAtMs = nowMs;
+    this.#ownLoansInReport = Math.max(0, this.#ownLoans - (isReleased ? 1 : 0));
+  }
+
+  /** Weight of the last report: 1 when it arrives, halved every 500 ms; 0 without one, or if it is too old. */
+  weight(nowMs: number): number {
+    const ageMs = nowMs - this.#receivedAtMs;
+    if (this.#report === null || !(ageMs >= 0)) return 0;
+    const weight = 0.5 ** (ageMs / HALF_LIFE_MS);
+    return weight < MIN_WEIGHT ? 0 : weight;
+  }
+
+  /** Requests in the gateway's pool according to the report, corrected by the own loans since then. */
+  get reportedLoad(): number {
+    if (this.#report === null) return this.#ownLoans;
+    const { inUse, waiting } = this.#report;
+    return Math.max(this.#ownLoans, inUse + waiting + this.#ownLoans - this.#ownLoansInReport);
+  }
+
+  /** The reported response time of the member, in milliseconds; `null` without a recent one. */
+  serviceMs(nowMs: number): number | null {
+    const ageMs = nowMs - this.#receivedAtMs;
+    if (this.#report === null || this.#report.serviceMs === 0) return null;
+    return ageMs >= 0 && ageMs <= SERVICE_VALIDITY_MS ? this.#report.serviceMs : null;
+  }
+}
+
+/** A gateway as its load is looked up. */
+interface NamedGateway {
+  readonly name: string;
+}
+
+/** Reported loads of all members, by gateway. */
+export class MemberLoads {
+  readonly #byMember = new Map<string, Map<string, GatewayLoad>>();
+
+  /** The load of a gateway's pool for a member; created if necessary. */
+  entry(memberId: string, gatewayName: string): GatewayLoad {
+    let byGateway = this.#byMember.get(memberId);
+    if (byGateway === undefined) {
+      byGateway = new Map();
+      this.#byMember.set(memberId, byGateway);
+    }
+    let entry = byGateway.get(gatewayName);
+    if (entry === undefined) {
+      entry = new GatewayLoad();
+      byGateway.set(gatewayName, entry);
+    }
+    return entry;
+  }
+
+  /** The load of a gateway's pool for a member, or `null` if it has never lent to this daemon. */
+  find(memberId: string, gatewayName: string): GatewayLoad | null {
+    return this.#byMember.get(memberId)?.get(gatewayName) ?? null;
+  }
+
+  /** Forgets what a gateway has reported, because the connection to it has ended. */
+  forgetGateway(gatewayName: string): void {
+    for (const [memberId, byGateway] of this.#byMember) {
+      byGateway.delete(gatewayName);
+      if (byGateway.size === 0) this.#byMember.delete(memberId);
+    }
+  }
+
+  /** The load that a request to a member meets at one of its gateways: the mean of their reports by weight. */
+  average(memberId: string, gateways: readonly NamedGateway[], nowMs: number): WeightedLoad {
+    const byGateway = this.#byMember.get(memberId);
+    if (byGateway === undefined) return NO_REPORT;
+    let sum = 0;
+    let weightSum = 0;
+    let weight = 0;
+    for (const { name } of gateways) {
+      const entry = byGateway.get(name);
+      const entryWeight = entry?.weight(nowMs) ?? 0;
+      if (entry === undefined || entryWeight === 0) continue;
+      sum += entryWeight * entry.reportedLoad;
+      weightSum += entryWeight;
+      weight = Math.max(weight, entryWeight);
+    }
+    return weightSum === 0 ? NO_REPORT : { load: sum / weightSum, weight };
+  }
+
+  /**
+   * The less loaded of two gateways, or `null` if neither has a report that counts. One without a report is taken
+   * to be as loaded as the member's gateways with reports on average.
+   */
+  lessLoaded<Gateway extends NamedGateway>(
+    memberId: string,
+    one: Gateway,
+    other: Gateway,
+    nowMs: number,
+  ): Gateway | null {
+    const oneLoad = this.#weightedLoad(memberId, one, nowMs);
+    const otherLoad = this.#weightedLoad(memberId, other, nowMs);
+    if (oneLoad.weight === 0 && otherLoad.weight === 0) return null;
+    const typical = this.average(memberId, this.#gatewaysOf(memberId), nowMs).load;
+    return towardsTypical(otherLoad, typical) < towardsTypical(oneLoad, typical) ? other : one;
+  }
+
+  #weightedLoad(memberId: string, { name }: NamedGateway, nowMs: number): WeightedLoad {
+    const entry = this.find(memberId, name);
+    return entry === null ? NO_REPORT : { load: entry.reportedLoad, weight: entry.weight(nowMs) };
+  }
+
+  #gatewaysOf(memberId: string): readonly NamedGateway[] {
+    return [...(this.#byMember.get(memberId)?.keys() ?? [])].map((name) => ({ name }));
+  }
+
+  /** The latest response time of a member that a gateway has reported, in milliseconds, or `null`. */
+  serviceMs(memberId: string, nowMs: number): number | null {
+    let latest: GatewayLoad | null = null;
+    for (const entry of this.#byMember.get(memberId)?.values() ?? [])
+      if (entry.serviceMs(nowMs) !== null && entry.receivedAtMs > (latest?.receivedAtMs ?? -Infinity))
+        latest = entry;
+    return latest?.serviceMs(nowMs) ?? null;
+  }
+}
+
+/** A load, moved towards the typical one by what its report has lost of its weight. */
+function towardsTypical({ load, weight }: WeightedLoad, typical: number): number {
+  return weight * load + (1 - weight) * typical;
+}
+
+/** The load to expect at a member: the reported one by its weight, and otherwise that of the own requests. */
+export function expectedLoad(ownLoad: number, reported: WeightedLoad): number {
+  return ownLoad + reported.weight * (reported.load - ownLoad);
+}
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -107,6 +107,11 @@
     return this.#links.size - this.#idle.length + this.#dialing.length + this.#waiters.length;
   }
 
+  /** Number of requests that wait for a connection. */
+  get waiting(): number {
+    return this.#waiters.length;
+  }
+
   /** True if a request would have to wait until another one releases its connection. */
   get isExhausted(): boolean {
     return this.#idle.length === 0 && !this.#canDial();
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -6,11 +6,19 @@
  */
 import { ChangeSignal } from '../common/signal.js';
 import { formatPosition, type Position } from '../position/position.js';
+import { UNMEASURED_DISTANCE_COST_MS } from '../placement/distance-cost.js';
+import type { PendingRead } from '../placement/pending-reads.js';
+import type { Assessment } from '../placement/placement.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import type { ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { LeadershipSummary, Member, MemberGroup } from '../topology/member-group.js';
-import { alternativeCandidates, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
+import {
+  alternativeCandidates,
+  selectReadMember,
+  type ReadCandidate,
+  type ReadPreferences,
+} from '../topology/select-member.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import {
   isNonEmptyLog,
@@ -120,33 +128,47 @@
   context: RelayContext,
   group: MemberGroup,
   floor: ReadFloor | null,
+  tenantName: string,
 ): ReadCandidate[] {
   const now = context.now();
   const leader = group.leader(now);
+  const placed = context.placement?.assess([...group.members.values()], tenantName);
   const candidates: ReadCandidate[] = [];
   for (const [memberId, member] of group.members) {
     candidates.push({
       memberId,
       isLeader: member === leader,
-      isInZone: member.entry.zone === context.zone,
-      load: member.pool.load,
       slots: member.entry.slots,
-      latencyMs: member.latencyMs,
       failureShare: member.failureShare(now),
       isLeaving: member.isLeaving,
       isAvoided: member.isAvoided(now),
+      ...(placed?.get(member) ?? assessmentWithoutReports(context, member)),
       isBehind: floor !== null && member.isBehind(floor, now),
     });
   }
   return candidates;
 }
 
+function assessmentWithoutReports(context: RelayContext, { entry, pool, latencyMs }: Member): Assessment {
+  return {
+    isWithheld: false,
+    latencyMs,
+    distanceCostMs: entry.zone === context.zone ? 0 : UNMEASURED_DISTANCE_COST_MS,
+    load: pool.load,
+    isLoadReported: false,
+  };
+}
+
 /**
- * The tenant whose preferred replica serves a read, or `null`: only where the configuration has tenants do
- * connections belong to them.
+ * What decides between members of nearly equal cost for a read. Replicas are preferred by tenant only where the
+ * configuration has tenants, since connections belong to tenants only there.
  */
-export function affinityTenant(context: RelayContext, tenantName: string): string | null {
-  return tenantName === NO_TENANT || context.catalog.tenants.size === 0 ? null : tenantName;
+export function readPreferences(context: RelayContext, tenantName: string): ReadPreferences {
+  const hasAffinity = tenantName !== NO_TENANT && context.catalog.tenants.size > 0;
+  return {
+    tenantName: hasAffinity ? tenantName : null,
+    random: () => context.placement?.random() ?? 0,
+  };
 }
 
 /**
@@ -267,7 +289,7 @@
     const { context, job } = this;
     const now = context.now();
     const isLeaderOnly = job.route.consistency === 'primary';
-    const candidates = readCandidates(context, job.group, null).filter(
+    const candidates = readCandidates(context, job.group, null, job.tenantName).filter(
       ({ isLeader }) => isLeader || !isLeaderOnly,
     );
     return shouldRefuseEarly({
@@ -304,9 +326,9 @@
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
     for (const { wait } of this.#pending) for (const { entry } of wait.members) excluded.add(entry.memberId);
-    const candidates = readCandidates(this.context, group, floor);
+    const candidates = readCandidates(this.context, group, floor, tenantName);
     const demand = { floor, excluded };
-    const choice = selectReadMember(candidates, demand, affinityTenant(this.context, tenantName));
+    const choice = selectReadMember(candidates, demand, readPreferences(this.context, tenantName));
     const member = choice === null ? undefined : group.members.get(choice.memberId);
     if (choice === null || member === undefined) return;
     const others = alternativeCandidates(choice, candidates, demand).flatMap(
@@ -388,6 +410,7 @@
       job.deadlineMs - context.now() + LATE_REPLY_TIMEOUT_MS,
     );
     let isSent = false;
+    let pendingRead: PendingRead | null = null;
     try {
       if (leader !== null && !(await mayReadAsLeader(context, job.group, leader, link, after)))
         return { kind: 'not_run', reason: OTHER_INCARNATION, members };
@@ -397,6 +420,7 @@
         isSent = true;
         this.#possiblyRunCount += 1;
         pending.sentAtMs = context.now();
+        pendingRead = member.pendingReads.start(pending.sentAtMs);
         return null;
       });
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
@@ -415,6 +439,7 @@
       return { kind: isLost ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
       clearTimeout(deadlineTimer);
+      if (pendingRead !== null) member.pendingReads.end(pendingRead, context.now());
     }
   }
 
@@ -456,7 +481,8 @@
       recordLeaderPosition(this.context, group, leader, sentAtMs, reply.position);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
-      member.recordLatency(answerMs);
+      if (this.context.placement === undefined) member.recordLatency(answerMs);
+      else this.context.placement.recordLatency(member, answerMs);
       this.context.observer.memberAnswered('read', asLeader, answerMs);
       return { kind: 'reply', reply };
     }
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { Placement } from '../placement/placement.js';
 import type { OperationQuotas } from '../quota/operation-quotas.js';
 import type { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { Catalog } from '../topology/catalog.js';
@@ -46,6 +47,8 @@
   now(): number;
   /** Parses a member's reply to a status request. */
   readonly readStatus: StatusReader;
+  /** Loads, distances and shares of members for the choice among them; without it, only own requests count. */
+  readonly placement?: Placement;
   /** Reports a member that did not answer, refused connections or denied being the leader. */
   suspect(group: MemberGroup, member: Member, reason: string): void;
 }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -38,6 +38,9 @@
 import { LogPositionQuery } from '../leadership/log-position-query.js';
 import { MemberControl } from '../leadership/member-control.js';
 import { GroupSupervisors } from '../leadership/group-supervisors.js';
+import { InvalidReports } from '../placement/invalid-reports.js';
+import type { LoadReport } from '../placement/load-report.js';
+import { Placement } from '../placement/placement.js';
 import type { RelayState } from '../observability/relay-metrics.js';
 import { QuotaService } from '../quota/quota-service.js';
 import { ConfigurationLease } from '../tenancy/configuration-lease.js';
@@ -154,6 +157,7 @@
   });
   readonly #gatewayClient: GatewayClient;
   readonly #gatewayServer: GatewayServer;
+  readonly #placement: Placement;
   readonly #evidenceSharing: EvidenceSharing;
   readonly #evidenceAnswers = new EvidenceResponder(() => this.#evidenceSharing.ownEvidence());
   readonly #assignments: Assignments;
@@ -254,7 +258,16 @@
       log: options.log,
       now,
     });
-    this.#gatewayClient = new GatewayClient(self.host, now, random);
+    const invalidReports = new InvalidReports(options.log, now);
+    this.#gatewayClient = new GatewayClient(self.host, now, random, (name) => invalidReports.record(name));
+    this.#placement = new Placement({
+      zone: options.zone,
+      loads: this.#gatewayClient.loads,
+      zoneLatency: this.#gatewayClient.zoneLatency,
+      log: options.log,
+      now,
+      random,
+    });
     this.#memberFactory = new MemberFactory({
       ownName: self.name,
       dialer,
@@ -328,6 +341,7 @@
         const group = this.#groups.group(groupName);
         return group === null ? null : leaderCheck(this.#context, group);
       },
+      load: (groupName, memberId) => this.#loadReport(groupName, memberId),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
       changes: (afterRevision, waitMs) => changeRelay.changesAfter(afterRevision, waitMs),
       configuration: (heldVersion) => this.#configurationReply(heldVersion),
@@ -378,6 +392,7 @@
       shutdownSchedule: () => this.#shutdownSchedule,
       now,
       readStatus,
+      placement: this.#placement,
       suspect: (group, member, reason) => this.#failureDetector.suspect(group, member, reason),
     };
   }
@@ -406,9 +421,19 @@
       memberConnections: [...group.members.values()].reduce((sum, { pool }) => sum + pool.ownPool.size, 0),
       hasEvidence: group.leader(now) !== null,
       term: group.evidence.leader?.term ?? 0,
+      degradedMembers: [...group.members.values()].filter(({ share }) => share.valueAt(now) < 1).length,
     }));
   }
 
+  /** Measured round trips to other zones, in milliseconds. */
+  get zoneRoundTrips(): RelayState['zoneRoundTrips'] {
+    const { zoneLatency } = this.#gatewayClient;
+    return [...zoneLatency.zones].flatMap((zone) => {
+      const ms = zoneLatency.roundTripMs(zone, this.options.now());
+      return ms === null ? [] : [{ zone, ms }];
+    });
+  }
+
   /** Starts listening for other daemons and starts the background loops. */
   async start(): Promise<void> {
     this.#startedAtMs = this.options.now();
@@ -583,6 +608,15 @@
     return this.#assignments.isAssigned(member.entry) ? member.pool.ownPool : null;
   }
 
+  /** What this daemon reports about its connections to a member. */
+  #loadReport(groupName: string, memberId: string): LoadReport | null {
+    const member = this.#groups.group(groupName)?.members.get(memberId);
+    if (member === undefined) return null;
+    const { load, waiting } = member.pool.ownPool;
+    const recentMs = member.recentLatency.valueMs(this.options.now());
+    return { inUse: load - waiting, waiting, serviceMs: Math.round(recentMs ?? 0) };
+  }
+
   /**
    * Schedules the next tick, later while idle: with the short interval, timer wake-ups take much of an idle
    * daemon's CPU time.
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -20,7 +20,7 @@
 import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
-import { affinityTenant, readCandidates, readFloor, recordReplicaProgress } from './read-runner.js';
+import { readCandidates, readFloor, readPreferences, recordReplicaProgress } from './read-runner.js';
 import { Refusal, type RefusalDetails } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
@@ -196,8 +196,8 @@
     }
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const demand = { floor, excluded: this.#excluded };
-    const candidates = readCandidates(context, group, floor);
-    const choice = selectReadMember(candidates, demand, affinityTenant(context, tenantName));
+    const candidates = readCandidates(context, group, floor, tenantName);
+    const choice = selectReadMember(candidates, demand, readPreferences(context, tenantName));
     return choice === null ? null : (group.members.get(choice.memberId) ?? null);
   }
 
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -19,6 +19,9 @@
 import { ProcessContinuity } from './process-continuity.js';
 import { ReplicaLag } from './replica-lag.js';
 import { ZERO_POSITION, hasReached, laterPosition, type Position } from '../position/position.js';
+import { MemberShare } from '../placement/member-share.js';
+import { PendingReads } from '../placement/pending-reads.js';
+import { RecentLatency } from '../placement/recent-latency.js';
 import type { MemberConnections } from '../gateway/member-connections.js';
 import type { MemberAddress } from '../relay/member-link.js';
 
@@ -43,6 +46,8 @@
  */
 const POSITION_VALIDITY_MS = 150;
 
+/** Weight of the previous response time against the latest answer. */
+const LATENCY_SMOOTHING = 0.9;
 /** Weight of the previous failure share against the latest outcome. */
 const FAILURE_SMOOTHING = 0.9;
 /** Half-life of the failure share without new outcomes, in milliseconds. */
@@ -73,6 +78,12 @@
   continuity = new ProcessContinuity();
   /** Estimate of its lag behind the leader. */
   readonly lag = new ReplicaLag();
+  /** Response time over the last second. */
+  readonly recentLatency = new RecentLatency();
+  /** Reads of this daemon that it has not answered yet. */
+  readonly pendingReads = new PendingReads();
+  /** Share of its usual requests that it gets after it was slow or failed requests. */
+  readonly share = new MemberShare();
   #position: Position = ZERO_POSITION;
   #positionAtMs = Number.NEGATIVE_INFINITY;
   #answeredAtMs = Number.NEGATIVE_INFINITY;
@@ -92,8 +103,14 @@
     return this.#latencyMs;
   }
 
-  recordLatency(ms: number): void {
-    this.#latencyMs = this.#latencyMs === 0 ? ms : this.#latencyMs * 0.9 + ms * 0.1;
+  /**
+   * Updates the response time with that of an answer.
+   *
+   * @param earlierShare - part of the usual weight that earlier answers have, 0 to 1
+   */
+  recordLatency(ms: number, earlierShare = 1): void {
+    const earlierWeight = LATENCY_SMOOTHING * earlierShare;
+    this.#latencyMs = this.#latencyMs === 0 ? ms : this.#latencyMs * earlierWeight + ms * (1 - earlierWeight);
   }
 
   /** Updates the failure share with the outcome of a request. */
--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -10,9 +10,12 @@
 export interface ReadCandidate {
   readonly memberId: string;
   readonly isLeader: boolean;
-  readonly isInZone: boolean;
-  /** Requests of this daemon that the member is working on or that wait for it. */
+  /** Cost of its distance, as an equivalent wait in milliseconds; 0 in the daemon's own zone. */
+  readonly distanceCostMs: number;
+  /** Requests that the member is working on or that wait for it: those of this daemon, and as reported. */
   readonly load: number;
+  /** True if the load includes what a gateway has reported. */
+  readonly isLoadReported: boolean;
   readonly slots: number;
   /** Smoothed response time, in milliseconds; 0 before the first answer. */
   readonly latencyMs: number;
@@ -20,6 +23,8 @@
   readonly failureShare: number;
   readonly isLeaving: boolean;
   readonly isAvoided: boolean;
+  /** True if this read should go to another member, since this one is slow, fails requests or recovers. */
+  readonly isWithheld: boolean;
   /** True if it is not expected to hold the floor of this read yet. */
   readonly isBehind: boolean;
 }
@@ -32,9 +37,6 @@
   readonly excluded: ReadonlySet<string>;
 }
 
-/** Cost of a member in another zone, as an equivalent wait in milliseconds. */
-const OTHER_ZONE_COST_MS = 30;
-
 /** Cost of the leader, which also executes the writes, as an equivalent wait in milliseconds. */
 const LEADER_COST_MS = 6;
 
@@ -44,6 +46,17 @@
  */
 const FAILURE_COST_MS = 400;
 
+/** Cost that lets a member be chosen only if there is no other, as an equivalent wait in milliseconds. */
+const AVOIDED_COST_MS = 10_000;
+/** The same for a member from which the read is withheld: it is preferred to one that does not answer. */
+const WITHHELD_COST_MS = 5000;
+
+/**
+ * Excess over the lowest cost up to which members are chosen at random, as a share of that cost. The costs are
+ * estimates, and daemons that hear the same reports would otherwise all choose the same member.
+ */
+const EQUAL_COST_EXCESS = 0.1;
+
 /** How far the failure share of an alternative may exceed that of the best candidate. */
 const MAX_EXCESS_FAILURE_SHARE = 0.1;
 
@@ -65,15 +78,24 @@
   readonly distanceCostMs: number;
 }
 
+/** What decides between candidates of nearly equal cost. */
+export interface ReadPreferences {
+  /** The tenant whose preferred replica is chosen if it costs little more; `null` for none. */
+  readonly tenantName: string | null;
+  /** A number from 0 up to 1. */
+  random(): number;
+}
+
+const NO_PREFERENCES: ReadPreferences = { tenantName: null, random: () => 0 };
+
 /**
- * The candidate with the lowest expected cost, or `null` when none can serve.
- *
- * @param tenantName - the tenant whose preferred replica is chosen if it costs little more; `null` for none
+ * The candidate with the lowest expected cost, or `null` when none can serve. Where gateways have reported loads,
+ * it is one of those with nearly the lowest cost.
  */
 export function selectReadMember(
   candidates: readonly ReadCandidate[],
   requirements: ReadRequirements,
-  tenantName: string | null = null,
+  { tenantName, random }: ReadPreferences = NO_PREFERENCES,
 ): ReadCandidate | null {
   const rated: RatedCandidate[] = [];
   let best: RatedCandidate | null = null;
@@ -83,8 +105,20 @@
     rated.push(current);
     if (best === null || current.costMs < best.costMs) best = current;
   }
-  if (best === null || tenantName === null) return best?.candidate ?? null;
-  return (preferredReplica(tenantName, best, rated) ?? best).candidate;
+  if (best === null) return null;
+  const preferred = tenantName === null ? null : preferredReplica(tenantName, best, rated);
+  return (preferred ?? oneOfBest(best, rated, random)).candidate;
+}
+
+function oneOfBest(
+  best: RatedCandidate,
+  rated: readonly RatedCandidate[],
+  random: () => number,
+): RatedCandidate {
+  if (!rated.some(({ candidate }) => candidate.isLoadReported)) return best;
+  const limitMs = best.costMs * (1 + EQUAL_COST_EXCESS);
+  const nearBest = rated.filter(({ costMs }) => costMs <= limitMs);
+  return nearBest[Math.floor(random() * nearBest.length)] ?? best;
 }
 
 /**
@@ -100,6 +134,7 @@
     (candidate) =>
       candidate !== best &&
       !candidate.isAvoided &&
+      (!candidate.isWithheld || best.isWithheld) &&
       candidate.failureShare <= best.failureShare + MAX_EXCESS_FAILURE_SHARE &&
       canServe(candidate, requirements),
   );
@@ -116,9 +151,10 @@
     candidate,
     memberId: candidate.memberId,
     isLeader: candidate.isLeader,
-    isImpaired: candidate.isAvoided || candidate.failureShare > MAX_UNIMPAIRED_FAILURE_SHARE,
+    isImpaired:
+      candidate.isAvoided || candidate.isWithheld || candidate.failureShare > MAX_UNIMPAIRED_FAILURE_SHARE,
     costMs: expectedCostMs(candidate),
-    distanceCostMs: candidate.isInZone ? 0 : OTHER_ZONE_COST_MS,
+    distanceCostMs: candidate.distanceCostMs,
   };
 }
 
@@ -126,9 +162,10 @@
   const latencyMs = candidate.latencyMs === 0 ? DEFAULT_LATENCY_MS : candidate.latencyMs;
   const queue = (candidate.load + 1) / Math.max(1, candidate.slots);
   let cost = latencyMs * (1 + queue);
-  if (!candidate.isInZone) cost += OTHER_ZONE_COST_MS;
+  cost += candidate.distanceCostMs;
   if (candidate.isLeader) cost += LEADER_COST_MS;
   cost += candidate.failureShare * FAILURE_COST_MS;
-  if (candidate.isAvoided) cost += 10_000;
+  if (candidate.isAvoided) cost += AVOIDED_COST_MS;
+  if (candidate.isWithheld) cost += WITHHELD_COST_MS;
   return cost;
 }
--- a/src/topology/topology.test.ts
+++ b/src/topology/topology.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { UNMEASURED_DISTANCE_COST_MS } from '../placement/distance-cost.js';
 import { NO_TENANTS } from '../tenancy/tenant-registry.js';
 import { Catalog, type CatalogDocument } from './catalog.js';
 import { selectReadMember, type ReadCandidate } from './select-member.js';
@@ -32,13 +33,15 @@
 const REPLICA: ReadCandidate = {
   memberId: 'r1',
   isLeader: false,
-  isInZone: true,
+  distanceCostMs: 0,
   load: 0,
+  isLoadReported: false,
   slots: 2,
   latencyMs: 20,
   failureShare: 0,
   isLeaving: false,
   isAvoided: false,
+  isWithheld: false,
   isBehind: false,
 };
 const LEADER: ReadCandidate = { ...REPLICA, memberId: 'l', isLeader: true };
@@ -60,7 +63,7 @@
 
 test('prefers a replica to the leader, and a member in the same zone, until its queue costs more', () => {
   assert.equal(choose([LEADER, REPLICA], FLOOR), 'r1');
-  const far = { ...REPLICA, memberId: 'r2', isInZone: false };
+  const far = { ...REPLICA, memberId: 'r2', distanceCostMs: UNMEASURED_DISTANCE_COST_MS };
   assert.equal(choose([far, REPLICA], FLOOR), 'r1');
   assert.equal(choose([far, { ...REPLICA, load: 8 }], FLOOR), 'r2');
 });
@@ -75,14 +78,18 @@
 
 test('a failing replica gets fewer reads, even from its own zone, and is tried again later', () => {
   const failing: ReadCandidate = { ...REPLICA, failureShare: 0.4 };
-  const other: ReadCandidate = { ...REPLICA, memberId: 'r2', isInZone: false };
+  const other: ReadCandidate = { ...REPLICA, memberId: 'r2', distanceCostMs: UNMEASURED_DISTANCE_COST_MS };
   assert.equal(choose([failing, other], FLOOR), 'r2');
   assert.equal(choose([{ ...failing, failureShare: 0.02 }, other], FLOOR), 'r1');
 });
 
 test('a read of a tenant goes to the replica that it prefers, unless that one is avoided, failing or behind', () => {
   const chosen = (candidates: readonly ReadCandidate[], tenant: string): string | null =>
-    selectReadMember(candidates, { floor: FLOOR, excluded: NONE }, tenant)?.memberId ?? null;
+    selectReadMember(
+      candidates,
+      { floor: FLOOR, excluded: NONE },
+      { tenantName: tenant, random: Math.random },
+    )?.memberId ?? null;
   const other: ReadCandidate = { ...REPLICA, memberId: 'r2' };
   const tenants = Array.from({ length: 40 }, (_, index) => `tenant-${index}`);
   const preferring = tenants.filter((tenant) => chosen([REPLICA, other, LEADER], tenant) === 'r2');
