Log: read_at says what the choice of the member was based on

Cause: explain showed which member got a read but not why. Measured: run-tests.js relay/read-runner (5 passed), relay/restarted (23), relay/session (23), observability (5), platform/test/codecs (41).

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -80,6 +80,8 @@
  * An attempt in progress: it waits for a connection to one of several members, then for that member's answer.
  */
 interface PendingAttempt {
+  /** The candidate that was chosen first. */
+  readonly choice: ReadCandidate;
   readonly wait: LinkAcquisition<Member>;
   /** When the read was sent, in monotonic milliseconds; `null` while waiting for a connection. */
   sentAtMs: number | null;
@@ -339,14 +341,18 @@
       return;
     }
     if (this.#pending.size > 0 && (choice.isAvoided || member.pool.isExhausted)) return;
-    this.#startAttempt(member, member.pool.isExhausted ? others : []);
+    this.#startAttempt(choice, member, member.pool.isExhausted ? others : []);
   }
 
-  /** Starts an attempt at a member, or at whichever of it and the others has a free connection first. */
-  #startAttempt(member: Member, others: readonly Member[]): void {
+  /** Starts an attempt at the chosen member, or at whichever of it and the others has a free connection first. */
+  #startAttempt(choice: ReadCandidate, member: Member, others: readonly Member[]): void {
     const demand = this.#demand();
     const waitMs = this.job.deadlineMs - this.context.now();
-    const pending: PendingAttempt = { wait: new LinkAcquisition<Member>(demand, waitMs), sentAtMs: null };
+    const pending: PendingAttempt = {
+      choice,
+      wait: new LinkAcquisition<Member>(demand, waitMs),
+      sentAtMs: null,
+    };
     this.#pending.add(pending);
     void this.#attempt(pending).then((attempt) => {
       this.#pending.delete(pending);
@@ -403,6 +409,7 @@
       floor: floor === null ? null : formatPosition(floor.position),
       after: after === null ? null : formatPosition(after),
       second: this.#pending.size > 1,
+      ...describeChoice(pending.choice, member),
       ...describeEvidence(context, job.group),
     });
     const deadlineTimer = setTimeout(
@@ -500,6 +507,26 @@
   }
 }
 
+/** What the choice of a member was based on, for the log; times in milliseconds. */
+interface ChoiceSummary {
+  readonly load?: number;
+  readonly latencyMs?: number;
+  readonly distanceMs?: number;
+  /** True if the load includes what gateways have reported. */
+  readonly reported?: boolean;
+}
+
+/** What the choice was based on; nothing if another member had a free connection first. */
+function describeChoice(choice: ReadCandidate, { entry }: Member): ChoiceSummary {
+  if (choice.memberId !== entry.memberId) return {};
+  return {
+    load: Number(choice.load.toFixed(1)),
+    latencyMs: Math.round(choice.latencyMs),
+    distanceMs: Math.round(choice.distanceCostMs),
+    reported: choice.isLoadReported,
+  };
+}
+
 /** The evidence for the leader of a group, for a log line about a read. */
 function describeEvidence(context: RelayContext, group: MemberGroup): Omit<LeadershipSummary, 'leader'> {
   const { term, evidenceLeftMs, evidenceFrom, evidenceLinkMs, sinceRevokedMs } = group.describeLeadership(
