Test the random choice among near-equal members, withheld members, and a tenant's reported load

Cause: switching off the choice among members within 10 % of the best failed no test. Change: unit tests of the choice, of withheld members as alternatives, and of the cached gateways of a tenant after the gateways have changed.

--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -10,6 +10,8 @@
 import type { LinkDemand } from '../relay/link-queue.js';
 import { PoolTimeoutError } from '../relay/link-acquisition.js';
 import { DialError } from '../relay/member-link.js';
+import { MemberLoads } from '../placement/member-load.js';
+import { daemonRecord } from '../../test/support/daemon-records.js';
 import type { SessionLink } from '../relay/session-link.js';
 import type { GatewayClient, LoanTerms } from './gateway-client.js';
 import { MemberConnections } from './member-connections.js';
@@ -106,3 +108,29 @@
     [['m', 1000]],
   );
 });
+
+test('the reported load is that of the tenant’s gateways, and follows a change of the gateways', () => {
+  const loads = new MemberLoads();
+  const names = ['g1', 'g2', 'g3', 'g4', 'g5', 'g6'];
+  for (const [index, name] of names.entries())
+    loads.entry('m', name).record({ inUse: index, waiting: 0, serviceMs: 0 }, false, 0);
+  let gateways = names.map((name) => daemonRecord(name));
+  const connections = new MemberConnections({
+    groupName: 'g',
+    memberId: 'm',
+    bornMs: () => null,
+    pool: { isUnavailable: false } as LinkPool,
+    gatewayClient: { loads } as GatewayClient,
+    assignment: () => ({ gateways, standbys: [], budget: 4 }),
+    tenantShare: () => 0.01,
+    fallbackLenders: () => [],
+    ownName: 'borrower',
+  });
+  const tenants = Array.from({ length: 40 }, (_, index) => `tenant-${index}`);
+  const seen = new Set(tenants.map((tenant) => connections.reportedLoad(tenant, 0).load));
+  assert.deepEqual([...seen].sort(), [0, 1, 2, 3, 4, 5], 'one gateway a tenant');
+  gateways = [daemonRecord('g6')];
+  for (const tenant of tenants) assert.equal(connections.reportedLoad(tenant, 0).load, 5);
+  gateways = [daemonRecord('borrower')];
+  assert.equal(connections.reportedLoad('tenant-1', 0).weight, 0, 'a gateway knows the load of its own pool');
+});
--- a/src/topology/topology.test.ts
+++ b/src/topology/topology.test.ts
@@ -8,7 +8,7 @@
 import { UNMEASURED_DISTANCE_COST_MS } from '../placement/distance-cost.js';
 import { NO_TENANTS } from '../tenancy/tenant-registry.js';
 import { Catalog, type CatalogDocument } from './catalog.js';
-import { selectReadMember, type ReadCandidate } from './select-member.js';
+import { alternativeCandidates, selectReadMember, type ReadCandidate } from './select-member.js';
 
 function version(number: number): CatalogDocument {
   return {
@@ -101,3 +101,28 @@
       assert.equal(chosen([REPLICA, { ...other, ...fault }, LEADER], tenant), 'r1');
   }
 });
+
+test('where loads are reported, one of the members within 10 % of the best is chosen at random', () => {
+  const reported: ReadCandidate = { ...REPLICA, isLoadReported: true };
+  const near: ReadCandidate = { ...reported, memberId: 'r2', distanceCostMs: 2 };
+  const costly: ReadCandidate = { ...reported, memberId: 'r3', distanceCostMs: 4 };
+  const chosen = (candidates: readonly ReadCandidate[], draw: number): string | undefined =>
+    selectReadMember(candidates, { floor: FLOOR, excluded: NONE }, { tenantName: null, random: () => draw })
+      ?.memberId;
+  assert.deepEqual(
+    [0, 0.49, 0.5, 0.99].map((draw) => chosen([costly, reported, near], draw)),
+    ['r1', 'r1', 'r2', 'r2'],
+  );
+  const unreported = [costly, reported, near].map((member) => ({ ...member, isLoadReported: false }));
+  for (const draw of [0, 0.5, 0.99]) assert.equal(chosen(unreported, draw), 'r1', 'no reports: as before');
+});
+
+test('a withheld member is chosen after all others except one that does not answer, and is no alternative', () => {
+  const withheld: ReadCandidate = { ...REPLICA, isWithheld: true };
+  const busy: ReadCandidate = { ...REPLICA, memberId: 'r2', load: 50 };
+  assert.equal(choose([withheld, busy], FLOOR), 'r2');
+  assert.equal(choose([withheld, { ...busy, isAvoided: true }], FLOOR), 'r1');
+  assert.equal(choose([withheld], FLOOR), 'r1');
+  const requirements = { floor: FLOOR, excluded: NONE };
+  assert.deepEqual(alternativeCandidates(busy, [withheld, busy, LEADER], requirements), [LEADER]);
+});
