--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -6,11 +6,19 @@
  */
 import { ChangeSignal } from '../common/signal.js';
 import { formatPosition, type Position } from '../position/position.js';
+import { UNMEASURED_DISTANCE_COST_MS } from '../placement/distance-cost.js';
+import type { PendingRead } from '../placement/pending-reads.js';
+import type { Assessment } from '../placement/placement.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import type { ReadFloor } from '../leadership/position-history.js';
 import type { Route } from '../topology/catalog.js';
 import type { LeadershipSummary, Member, MemberGroup } from '../topology/member-group.js';
-import { alternativeCandidates, selectReadMember, type ReadCandidate } from '../topology/select-member.js';
+import {
+  alternativeCandidates,
+  selectReadMember,
+  type ReadCandidate,
+  type ReadPreferences,
+} from '../topology/select-member.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import {
   isNonEmptyLog,
@@ -72,6 +80,8 @@
  * An attempt in progress: it waits for a connection to one of several members, then for that member's answer.
  */
 interface PendingAttempt {
+  /** The candidate that was chosen first. */
+  readonly choice: ReadCandidate;
   readonly wait: LinkAcquisition<Member>;
   /** When the read was sent, in monotonic milliseconds; `null` while waiting for a connection. */
   sentAtMs: number | null;
@@ -120,33 +130,47 @@
   context: RelayContext,
   group: MemberGroup,
   floor: ReadFloor | null,
+  tenantName: string,
 ): ReadCandidate[] {
   const now = context.now();
   const leader = group.leader(now);
+  const placed = context.placement?.assess([...group.members.values()], tenantName);
   const candidates: ReadCandidate[] = [];
   for (const [memberId, member] of group.members) {
     candidates.push({
       memberId,
       isLeader: member === leader,
-      isInZone: member.entry.zone === context.zone,
-      load: member.pool.load,
       slots: member.entry.slots,
-      latencyMs: member.latencyMs,
       failureShare: member.failureShare(now),
       isLeaving: member.isLeaving,
       isAvoided: member.isAvoided(now),
+      ...(placed?.get(member) ?? assessmentWithoutReports(context, member)),
       isBehind: floor !== null && member.isBehind(floor, now),
     });
   }
   return candidates;
 }
 
+function assessmentWithoutReports(context: RelayContext, { entry, pool, latencyMs }: Member): Assessment {
+  return {
+    isWithheld: false,
+    latencyMs,
+    distanceCostMs: entry.zone === context.zone ? 0 : UNMEASURED_DISTANCE_COST_MS,
+    load: pool.load,
+    isLoadReported: false,
+  };
+}
+
 /**
- * The tenant whose preferred replica serves a read, or `null`: only where the configuration has tenants do
- * connections belong to them.
+ * What decides between members of nearly equal cost for a read. Replicas are preferred by tenant only where the
+ * configuration has tenants, since connections belong to tenants only there.
  */
-export function affinityTenant(context: RelayContext, tenantName: string): string | null {
-  return tenantName === NO_TENANT || context.catalog.tenants.size === 0 ? null : tenantName;
+export function readPreferences(context: RelayContext, tenantName: string): ReadPreferences {
+  const hasAffinity = tenantName !== NO_TENANT && context.catalog.tenants.size > 0;
+  return {
+    tenantName: hasAffinity ? tenantName : null,
+    random: () => context.placement?.random() ?? 0,
+  };
 }
 
 /**
@@ -267,7 +291,7 @@
     const { context, job } = this;
     const now = context.now();
     const isLeaderOnly = job.route.consistency === 'primary';
-    const candidates = readCandidates(context, job.group, null).filter(
+    const candidates = readCandidates(context, job.group, null, job.tenantName).filter(
       ({ isLeader }) => isLeader || !isLeaderOnly,
     );
     return shouldRefuseEarly({
@@ -304,9 +328,9 @@
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
     for (const { wait } of this.#pending) for (const { entry } of wait.members) excluded.add(entry.memberId);
-    const candidates = readCandidates(this.context, group, floor);
+    const candidates = readCandidates(this.context, group, floor, tenantName);
     const demand = { floor, excluded };
-    const choice = selectReadMember(candidates, demand, affinityTenant(this.context, tenantName));
+    const choice = selectReadMember(candidates, demand, readPreferences(this.context, tenantName));
     const member = choice === null ? undefined : group.members.get(choice.memberId);
     if (choice === null || member === undefined) return;
     const others = alternativeCandidates(choice, candidates, demand).flatMap(
@@ -317,14 +341,18 @@
       return;
     }
     if (this.#pending.size > 0 && (choice.isAvoided || member.pool.isExhausted)) return;
-    this.#startAttempt(member, member.pool.isExhausted ? others : []);
+    this.#startAttempt(choice, member, member.pool.isExhausted ? others : []);
   }
 
-  /** Starts an attempt at a member, or at whichever of it and the others has a free connection first. */
-  #startAttempt(member: Member, others: readonly Member[]): void {
+  /** Starts an attempt at the chosen member, or at whichever of it and the others has a free connection first. */
+  #startAttempt(choice: ReadCandidate, member: Member, others: readonly Member[]): void {
     const demand = this.#demand();
     const waitMs = this.job.deadlineMs - this.context.now();
-    const pending: PendingAttempt = { wait: new LinkAcquisition<Member>(demand, waitMs), sentAtMs: null };
+    const pending: PendingAttempt = {
+      choice,
+      wait: new LinkAcquisition<Member>(demand, waitMs),
+      sentAtMs: null,
+    };
     this.#pending.add(pending);
     void this.#attempt(pending).then((attempt) => {
       this.#pending.delete(pending);
@@ -381,6 +409,7 @@
       floor: floor === null ? null : formatPosition(floor.position),
       after: after === null ? null : formatPosition(after),
       second: this.#pending.size > 1,
+      ...describeChoice(pending.choice, member),
       ...describeEvidence(context, job.group),
     });
     const deadlineTimer = setTimeout(
@@ -388,6 +417,7 @@
       job.deadlineMs - context.now() + LATE_REPLY_TIMEOUT_MS,
     );
     let isSent = false;
+    let pendingRead: PendingRead | null = null;
     try {
       if (leader !== null && !(await mayReadAsLeader(context, job.group, leader, link, after)))
         return { kind: 'not_run', reason: OTHER_INCARNATION, members };
@@ -397,6 +427,7 @@
         isSent = true;
         this.#possiblyRunCount += 1;
         pending.sentAtMs = context.now();
+        pendingRead = member.pendingReads.start(pending.sentAtMs);
         return null;
       });
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
@@ -415,6 +446,7 @@
       return { kind: isLost ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
       clearTimeout(deadlineTimer);
+      if (pendingRead !== null) member.pendingReads.end(pendingRead, context.now());
     }
   }
 
@@ -456,7 +488,8 @@
       recordLeaderPosition(this.context, group, leader, sentAtMs, reply.position);
     member.recordOutcome(!reply.result.isComplete && FAILED_CODES.has(reply.result.code), this.context.now());
     if (reply.result.isComplete) {
-      member.recordLatency(answerMs);
+      if (this.context.placement === undefined) member.recordLatency(answerMs);
+      else this.context.placement.recordLatency(member, answerMs);
       this.context.observer.memberAnswered('read', asLeader, answerMs);
       return { kind: 'reply', reply };
     }
@@ -474,6 +507,26 @@
   }
 }
 
+/** What the choice of a member was based on, for the log; times in milliseconds. */
+interface ChoiceSummary {
+  readonly load?: number;
+  readonly latencyMs?: number;
+  readonly distanceMs?: number;
+  /** True if the load includes what gateways have reported. */
+  readonly reported?: boolean;
+}
+
+/** What the choice was based on; nothing if another member had a free connection first. */
+function describeChoice(choice: ReadCandidate, { entry }: Member): ChoiceSummary {
+  if (choice.memberId !== entry.memberId) return {};
+  return {
+    load: Number(choice.load.toFixed(1)),
+    latencyMs: Math.round(choice.latencyMs),
+    distanceMs: Math.round(choice.distanceCostMs),
+    reported: choice.isLoadReported,
+  };
+}
+
 /** The evidence for the leader of a group, for a log line about a read. */
 function describeEvidence(context: RelayContext, group: MemberGroup): Omit<LeadershipSummary, 'leader'> {
   const { term, evidenceLeftMs, evidenceFrom, evidenceLinkMs, sinceRevokedMs } = group.describeLeadership(
