Admission: refuse at once what can't be served before its deadline

Cause: under overload, requests waited for a connection until their deadline and were then answered TIMEOUT, also where the length of the queue showed on arrival that they could not be served. Change: src/admission measures how long a request uses a connection and decides when a request joins a pool's queue. A request that can't be served is failed with AdmissionError, which carries the retry time and the inputs. A read goes on to other members and is refused when all that may serve it have refused; a write or transaction at the leader is refused at once. A gateway's reply carries retryAfterMs, and the borrower asks one other gateway of the member before it treats the member as refused. Waiting requests that have missed their latency objective are checked again every tick. Nothing is refused by fewer than eight uses, nor a request of the daemon itself.

--- /dev/null
+++ b/src/admission/pool-admission.ts
@@ -0,0 +1,194 @@
+/**
+ * Admission to the queue of one connection pool: measures the use of its connections, and refuses requests that
+ * can't be served before their deadline.
+ *
+ * @packageDocumentation
+ */
+import type { LinkDemand } from '../relay/link-queue.js';
+import { decideAdmission } from './admission.js';
+import { AdmissionError } from './admission-error.js';
+import { ArrivalMeter } from './arrival-meter.js';
+import { RetrySchedule } from './retry-schedule.js';
+import { WaitEstimator } from './wait-estimator.js';
+
+/** Counts decisions and records waits. */
+export interface AdmissionObserver {
+  /** A request got an idle connection, waits for one, or was refused. */
+  admissionDecided(decision: 'idle' | 'waiting' | 'refused'): void;
+  /** A wait for a connection, in milliseconds: as predicted on arrival, or as it was. */
+  waitMeasured(kind: 'predicted' | 'actual', ms: number): void;
+}
+
+/** Dependencies of {@link PoolAdmission}. */
+export interface PoolAdmissionPorts {
+  readonly observer: AdmissionObserver | undefined;
+  /** Expected latency of the member's replies, in milliseconds. */
+  serviceMs(): number;
+  /** Monotonic time, in milliseconds. */
+  now(): number;
+  /** A number from 0 up to 1. */
+  random(): number;
+}
+
+/** The queue that a request would join. */
+export interface QueueState {
+  /** Number of waiting requests. */
+  readonly waiting: number;
+  /** Connections that are open or being opened. */
+  readonly connections: number;
+  /** True if at least one of them is open. */
+  readonly hasConnection: boolean;
+  /** Number of waiting requests that would be served before one with this demand. */
+  countAhead(demand: LinkDemand, nowMs: number, serviceMs: number): number;
+}
+
+/** What a refusal is based on; times in milliseconds. */
+interface RefusalBasis {
+  readonly expectedWaitMs: number;
+  readonly ahead: number;
+  readonly waiting: number;
+  readonly connections: number;
+  readonly intervalMs: number;
+  readonly now: number;
+}
+
+/** Decides about the requests of one pool. Requests of the daemon itself are neither measured nor refused. */
+export class PoolAdmission {
+  readonly #estimator = new WaitEstimator();
+  readonly #arrivals = new ArrivalMeter();
+  readonly #retries = new RetrySchedule();
+  /** When the connections in use were granted to clients' requests, in monotonic milliseconds. */
+  readonly #grantedAtMs = new WeakMap<object, number>();
+
+  constructor(private readonly ports: PoolAdmissionPorts) {}
+
+  /** Records that a request got an idle connection. */
+  grantedIdle(link: object, demand: LinkDemand): void {
+    if (demand.tenantName === null) return;
+    const now = this.ports.now();
+    this.#arrivals.record(demand.priority, now);
+    this.#grantedAtMs.set(link, now);
+    this.ports.observer?.admissionDecided('idle');
+  }
+
+  /** Records that a request got a connection after it had waited since `sinceMs`, in monotonic milliseconds. */
+  grantedAfterWait(link: object, demand: LinkDemand, sinceMs: number): void {
+    if (demand.tenantName === null) return;
+    const now = this.ports.now();
+    this.#grantedAtMs.set(link, now);
+    this.#estimator.recordDeparture(true);
+    this.ports.observer?.waitMeasured('actual', now - sinceMs);
+  }
+
+  /** Records that a waiting request was served by another pool at which it waited as well. */
+  servedElsewhere({ tenantName }: LinkDemand): void {
+    if (tenantName !== null) this.#estimator.recordDeparture(false);
+  }
+
+  /** Records that a connection is no longer in use. */
+  released(link: object): void {
+    const grantedAtMs = this.#grantedAtMs.get(link);
+    if (grantedAtMs === undefined) return;
+    this.#grantedAtMs.delete(link);
+    const now = this.ports.now();
+    this.#estimator.recordUse(now - grantedAtMs, now);
+  }
+
+  /** Drops the measurement of a connection that was lost: its use says nothing about the member's speed. */
+  lost(link: object): void {
+    this.#grantedAtMs.delete(link);
+  }
+
+  /** Decides about a request that finds no idle connection; returns the refusal, or `null` if it may wait. */
+  refusalOf(demand: LinkDemand, queue: QueueState): AdmissionError | null {
+    const { tenantName, priority, dueAtMs, deadlineMs } = demand;
+    if (tenantName === null) return null;
+    const now = this.ports.now();
+    const intervalMs = this.#estimator.intervalMs(queue.connections, now);
+    const urgentRate = this.#arrivals.rateAbove(priority, now);
+    const rate = this.#arrivals.rate(now);
+    this.#arrivals.record(priority, now);
+    if (intervalMs === null || deadlineMs === undefined) return this.#admit(null);
+    const serviceMs = this.ports.serviceMs();
+    const ahead = queue.countAhead(demand, now, serviceMs);
+    const { waiting, hasConnection } = queue;
+    const dueInMs = dueAtMs - now;
+    const timeLeftMs = deadlineMs - now;
+    const { kind, expectedWaitMs } = decideAdmission({
+      ahead,
+      waiting,
+      intervalMs,
+      hasConnection,
+      urgentRate,
+      rate,
+      serviceMs,
+      dueInMs,
+      timeLeftMs,
+    });
+    if (kind === 'wait' || expectedWaitMs === null) return this.#admit(expectedWaitMs);
+    return this.#refuse({ expectedWaitMs, ahead, waiting, connections: queue.connections, intervalMs, now });
+  }
+
+  /**
+   * Refusals of waiting requests that have missed their latency objective and can't be served before their
+   * deadline any more, because connections were lost, the member has become slower or others precede them.
+   */
+  refusalsOfLate<Waiting extends { readonly demand: LinkDemand }>(
+    waiters: readonly Waiting[],
+    connections: number,
+  ): readonly { readonly waiting: Waiting; readonly refusal: AdmissionError }[] {
+    const now = this.ports.now();
+    const intervalMs = waiters.length === 0 ? null : this.#estimator.intervalMs(connections, now);
+    if (intervalMs === null) return [];
+    const serviceMs = this.ports.serviceMs();
+    const late = waiters.filter(({ demand }) => demand.dueAtMs < now + serviceMs).sort(compareLate);
+    const rate = this.#arrivals.rate(now);
+    const refusals: { waiting: Waiting; refusal: AdmissionError }[] = [];
+    let ahead = waiters.length - late.length;
+    for (const waiting of late) {
+      const { tenantName, deadlineMs, dueAtMs } = waiting.demand;
+      const { kind, expectedWaitMs } = decideAdmission({
+        ahead,
+        waiting: ahead,
+        intervalMs,
+        hasConnection: true,
+        urgentRate: rate,
+        rate,
+        serviceMs,
+        dueInMs: dueAtMs - now,
+        timeLeftMs: (deadlineMs ?? Number.POSITIVE_INFINITY) - now,
+      });
+      if (kind === 'refuse' && expectedWaitMs !== null && tenantName !== null) {
+        const basis = { expectedWaitMs, ahead, waiting: waiters.length, connections, intervalMs, now };
+        refusals.push({ waiting, refusal: this.#refuse(basis) });
+      } else ahead += 1;
+    }
+    return refusals;
+  }
+
+  #refuse(basis: RefusalBasis): AdmissionError {
+    const { expectedWaitMs, ahead, waiting, connections, intervalMs, now } = basis;
+    this.ports.observer?.admissionDecided('refused');
+    const retryAfterMs = this.#retries.next((waiting + 1) * intervalMs, intervalMs, now, this.ports.random());
+    return new AdmissionError(retryAfterMs, {
+      expectedWaitMs: Math.round(expectedWaitMs),
+      ahead,
+      connections,
+      useMs: Math.round(this.#estimator.useMs(now) ?? 0),
+    });
+  }
+
+  #admit(expectedWaitMs: number | null): null {
+    this.ports.observer?.admissionDecided('waiting');
+    if (expectedWaitMs !== null) this.ports.observer?.waitMeasured('predicted', expectedWaitMs);
+    return null;
+  }
+}
+
+/** Order of requests that have missed their latency objective: by priority, then by due time. */
+function compareLate(
+  { demand: one }: { readonly demand: LinkDemand },
+  { demand: other }: { readonly demand: LinkDemand },
+): number {
+  return one.priority - other.priority || one.dueAtMs - other.dueAtMs;
+}
--- /dev/null
+++ b/src/admission/wait-estimator.test.ts
@@ -0,0 +1,58 @@
+/**
+ * Estimate of the wait for a connection.
+ *
+ * Guards against refusals that rest on too few or outdated measurements, and against an estimate that does not
+ * follow a change of the member's speed.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { WaitEstimator } from './wait-estimator.js';
+
+function estimatorAfter(uses: readonly number[], nowMs = 0): WaitEstimator {
+  const estimator = new WaitEstimator();
+  for (const ms of uses) estimator.recordUse(ms, nowMs);
+  return estimator;
+}
+
+const uses = (count: number, ms: number): number[] => new Array<number>(count).fill(ms);
+
+test('there is no estimate before eight uses have been measured, nor without connections', () => {
+  assert.equal(estimatorAfter(uses(7, 10)).intervalMs(4, 0), null);
+  assert.equal(estimatorAfter(uses(8, 10)).intervalMs(4, 0), 2.5);
+  assert.equal(estimatorAfter(uses(8, 10)).intervalMs(0, 0), null);
+});
+
+test('there is no estimate from outdated measurements', () => {
+  const estimator = estimatorAfter(uses(20, 500));
+  assert.equal(estimator.useMs(2000), 500);
+  assert.equal(estimator.useMs(2001), null);
+  for (const ms of uses(7, 10)) estimator.recordUse(ms, 3000);
+  assert.equal(estimator.useMs(3000), null);
+  estimator.recordUse(10, 3000);
+  assert.equal(estimator.useMs(3000), 10, 'the earlier measurements have no weight');
+});
+
+test('the estimate follows a member that becomes slower, and one that recovers', () => {
+  const estimator = estimatorAfter([...uses(100, 10), ...uses(32, 100)]);
+  assert.ok((estimator.useMs(0) ?? 0) > 85);
+  for (const ms of uses(64, 10)) estimator.recordUse(ms, 0);
+  assert.ok((estimator.useMs(0) ?? 0) < 13);
+});
+
+test('a transaction counts with the whole time for which it holds its connection', () => {
+  const mixed = Array.from({ length: 1000 }, (_, index) => (index % 10 === 0 ? 100 : 10));
+  const useMs = estimatorAfter(mixed).useMs(0) ?? 0;
+  assert.ok(useMs > 12 && useMs < 26, `${useMs} ms, the mean is 19 ms`);
+});
+
+test('values that are no duration are ignored', () => {
+  const estimator = estimatorAfter([...uses(8, 10), Number.NaN, -5, Number.POSITIVE_INFINITY]);
+  assert.equal(estimator.useMs(0), 10);
+});
+
+test('requests that other pools serve shorten the wait', () => {
+  const estimator = estimatorAfter(uses(8, 10));
+  for (let i = 0; i < 300; i += 1) estimator.recordDeparture(i % 3 === 0);
+  const intervalMs = estimator.intervalMs(1, 0) ?? 0;
+  assert.ok(intervalMs > 2.5 && intervalMs < 4.5, `${intervalMs} ms: one of three is served here`);
+});
--- /dev/null
+++ b/src/admission/wait-estimator.ts
@@ -0,0 +1,65 @@
+/**
+ * Estimate of the wait for a connection of one pool, from the time for which requests use its connections.
+ * Pure: times are passed in.
+ *
+ * @packageDocumentation
+ */
+
+/** Uses of a connection that have to be measured before there is an estimate. */
+const MIN_USES = 8;
+/**
+ * Weight of the latest use once enough are measured. The estimate follows a change of the member's speed within
+ * about 16 uses, 40 ms for 4 connections that are in use for 10 ms each.
+ */
+const LATEST_WEIGHT = 1 / 16;
+/**
+ * Age of the latest measurement beyond which the estimate is no longer used, in milliseconds: a member that was
+ * slow before a quiet period may have recovered.
+ */
+const MAX_AGE_MS = 2000;
+/** Weight of the latest request that left the queue, for the share that this pool serves itself. */
+const LATEST_DEPARTURE_WEIGHT = 1 / 32;
+
+/** Measures the use of connections, and derives the expected wait from it. */
+export class WaitEstimator {
+  #useMs = 0;
+  #uses = 0;
+  #measuredAtMs = Number.NEGATIVE_INFINITY;
+  #ownShare = 1;
+
+  /** Records for how long one request has used a connection, in milliseconds. */
+  recordUse(ms: number, nowMs: number): void {
+    if (!Number.isFinite(ms) || ms < 0) return;
+    if (this.#isOutdated(nowMs)) this.#uses = 0;
+    this.#uses += 1;
+    this.#measuredAtMs = nowMs;
+    const weight = Math.max(1 / this.#uses, LATEST_WEIGHT);
+    this.#useMs = this.#uses === 1 ? ms : this.#useMs + (ms - this.#useMs) * weight;
+  }
+
+  /**
+   * Records that a waiting request has been served, by this pool or by that of another member at which it
+   * waited as well.
+   */
+  recordDeparture(isServedHere: boolean): void {
+    this.#ownShare += ((isServedHere ? 1 : 0) - this.#ownShare) * LATEST_DEPARTURE_WEIGHT;
+  }
+
+  /** Smoothed use of a connection for one request, in milliseconds; `null` without recent measurements. */
+  useMs(nowMs: number): number | null {
+    return this.#uses < MIN_USES || this.#isOutdated(nowMs) ? null : this.#useMs;
+  }
+
+  /**
+   * Expected time until one more of the waiting requests is served, in milliseconds; `null` if it can't be
+   * estimated. Requests that also wait at other pools count by the share that is served here.
+   */
+  intervalMs(connections: number, nowMs: number): number | null {
+    const useMs = this.useMs(nowMs);
+    return useMs === null || connections <= 0 ? null : (useMs * this.#ownShare) / connections;
+  }
+
+  #isOutdated(nowMs: number): boolean {
+    return nowMs - this.#measuredAtMs > MAX_AGE_MS;
+  }
+}
--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { AdmissionError } from '../admission/admission-error.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { preparedStatementName } from '../relay/pooled-link.js';
@@ -10,6 +11,9 @@
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
 import type { BorrowMessage, GatewayMessage } from './gateway-messages.js';
 
+/** Longest retry time that is accepted from a gateway, in milliseconds; gateways send up to 2000. */
+const MAX_RETRY_AFTER_MS = 10_000;
+
 interface PendingRequest {
   resolve(reply: MemberReply): void;
   reject(error: LinkLostError): void;
@@ -28,11 +32,13 @@
   #isOpen = true;
 
   /**
+   * @param gatewayName - the daemon that lends the connection
    * @param transmit - sends a message to the gateway
    * @param onEnd - called once when the loan has ended at this daemon
    */
   constructor(
     private readonly terms: BorrowMessage,
+    private readonly gatewayName: string,
     private readonly transmit: (message: GatewayMessage) => void,
     private readonly onEnd: () => void,
   ) {}
@@ -112,6 +118,20 @@
     this.#pending.shift()?.resolve(reply);
   }
 
+  /**
+   * Handles the reply that the gateway has refused the request because of the expected wait.
+   *
+   * @param retryAfterMs - as received, in milliseconds
+   */
+  handleRefusal(reply: MemberReply, retryAfterMs: number): void {
+    if (!isNotRun(reply) || !isValidRetryTime(retryAfterMs)) {
+      this.handleReply(reply);
+      return;
+    }
+    this.#isReplyOfLeader = false;
+    this.#pending.shift()?.reject(new AdmissionError(retryAfterMs, {}, this.gatewayName));
+  }
+
   /**
    * Ends the loan after the gateway ended it or the connection to the gateway was lost. Requests without a
    * reply are rejected.
@@ -147,6 +167,16 @@
   }
 }
 
+/** True for the reply by which a gateway says that nothing was sent. */
+function isNotRun({ result, state }: MemberReply): boolean {
+  return !result.isComplete && result.code === 'busy' && state === 'idle';
+}
+
+/** False for a value that no gateway sends; the refusal is then handled without it. */
+function isValidRetryTime(retryAfterMs: unknown): boolean {
+  return typeof retryAfterMs === 'number' && retryAfterMs >= 0 && retryAfterMs <= MAX_RETRY_AFTER_MS;
+}
+
 function haveSameValues(left: SessionValues, right: SessionValues): boolean {
   if (left.size !== right.size) return false;
   for (const [name, value] of left) if (right.get(name) !== value) return false;
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -87,6 +87,7 @@
   readonly #evidence = new EvidenceReader();
   readonly #channel: MessageChannel<GatewayMessage>;
   readonly #openedAtMs: number;
+  readonly #gatewayName: string;
   #isConnected = false;
   /** The gateway has sent `ended`: requests that it has not reported on were not sent to the member. */
   #hasReceivedEnd = false;
@@ -106,6 +107,7 @@
     private readonly onClosed: () => void,
   ) {
     this.#openedAtMs = now();
+    this.#gatewayName = record.name;
     const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
     socket.once('connect', () => (this.#isConnected = true));
     this.#channel = new MessageChannel<GatewayMessage>(socket, MAX_GATEWAY_MESSAGE_BYTES, {
@@ -129,6 +131,7 @@
     const loan = this.#lastLoanId;
     const link = new BorrowedLink(
       { type: 'borrow', loan, ...terms },
+      this.#gatewayName,
       (message) => this.#transmit(message),
       () => this.#removeLoan(loan),
     );
@@ -180,7 +183,9 @@
     this.#hasReplied = true;
     switch (message.type) {
       case 'reply':
-        this.loans.get(message.loan)?.handleReply(message.reply, message.isLeader);
+        if (message.retryAfterMs !== undefined)
+          this.loans.get(message.loan)?.handleRefusal(message.reply, message.retryAfterMs);
+        else this.loans.get(message.loan)?.handleReply(message.reply, message.isLeader);
         break;
       case 'lost':
         this.loans.get(message.loan)?.fail(message.reason, message.isUnsent);
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -72,6 +72,11 @@
   readonly reply: MemberReply;
   /** True if the process that replied was verified to be the leader that the request named. */
   readonly isLeader?: true;
+  /**
+   * Given if the gateway has refused the request because the expected wait for a connection exceeds the time
+   * left: the time after which a retry is expected to be served, in milliseconds. Nothing was sent to the member.
+   */
+  readonly retryAfterMs?: number;
 }
 
 /**
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { AdmissionError } from '../admission/admission-error.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import { isNonEmptyLog, OTHER_INCARNATION } from '../relay/leader-identity.js';
@@ -232,8 +233,9 @@
     }
     const { tenantName, priority, waitMs, isWrite = false } = terms;
     const dueAtMs = dueAtGateway(terms, this.#receivedAtMs);
+    const deadlineMs = performance.now() + waitMs;
     const wait = new LinkAcquisition<LinkPool>(
-      { tenantName, values: this.#values, isWrite, priority, dueAtMs },
+      { tenantName, values: this.#values, isWrite, priority, dueAtMs, deadlineMs },
       waitMs,
     );
     this.#wait = wait;
@@ -249,7 +251,8 @@
       this.#link = link;
       return link;
     } catch (error) {
-      this.#reply(notSentReply(`gateway: ${String(error)}`));
+      const retryAfterMs = error instanceof AdmissionError ? error.retryAfterMs : null;
+      this.#reply(notSentReply(`gateway: ${String(error)}`), false, retryAfterMs);
       return null;
     } finally {
       this.#wait = null;
@@ -278,10 +281,16 @@
     this.options.pool?.release(link);
   }
 
-  #reply(reply: MemberReply, isLeader = false): void {
+  #reply(reply: MemberReply, isLeader = false, retryAfterMs: number | null = null): void {
     if (this.#hasEnded) return;
     const { loan } = this.options.terms;
-    this.options.answer({ type: 'reply', loan, reply, ...(isLeader ? { isLeader } : {}) });
+    this.options.answer({
+      type: 'reply',
+      loan,
+      reply,
+      ...(isLeader ? { isLeader } : {}),
+      ...(retryAfterMs === null ? {} : { retryAfterMs }),
+    });
   }
 
   /**
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -97,25 +97,30 @@
   /**
    * Acquires a connection for exclusive use, to be released with {@link MemberConnections.release}.
    *
-   * @throws PoolTimeoutError, DialError: nothing was sent
+   * @param refusedBy - name of a gateway that has refused the request, and is not asked again
+   * @throws PoolTimeoutError, DialError, AdmissionError: nothing was sent
    */
-  async acquire(demand: LinkDemand, waitMs: number): Promise<SessionLink> {
+  async acquire(demand: LinkDemand, waitMs: number, refusedBy: string | null = null): Promise<SessionLink> {
     if (this.usesOwnPool) return this.sources.pool.acquire(demand, waitMs);
-    return this.borrow(demand, waitMs);
+    return this.borrow(demand, waitMs, refusedBy);
   }
 
   /**
    * Borrows a connection from a gateway, to be released with {@link MemberConnections.release}.
    *
+   * @param refusedBy - name of a gateway that has refused the request, and is not asked again
    * @throws PoolTimeoutError: nothing was sent
    */
-  borrow({ tenantName, priority, isWrite, dueAtMs }: LinkDemand, waitMs: number): SessionLink {
+  borrow(demand: LinkDemand, waitMs: number, refusedBy: string | null = null): SessionLink {
     if (this.#hasEnded) throw new PoolTimeoutError('the member has ended');
+    const { tenantName, priority, isWrite, dueAtMs } = demand;
     const { gatewayClient: gateways, groupName, memberId } = this.sources;
     const { gateways: lenders, standbys } = this.sources.assignment();
+    const without = (records: readonly DaemonRecord[]): readonly DaemonRecord[] =>
+      refusedBy === null ? records : records.filter(({ name }) => name !== refusedBy);
     const gateway = this.isAssigned
-      ? gateways.choose(this.sources.fallbackLenders())
-      : this.#chooseGatewayFor(tenantName, lenders ?? [], standbys);
+      ? gateways.choose(without(this.sources.fallbackLenders()))
+      : this.#chooseGatewayFor(tenantName, without(lenders ?? []), without(standbys));
     if (gateway === null) throw new PoolTimeoutError('no gateway in reach');
     const bornMs = this.sources.bornMs();
     const terms: LoanTerms = {
--- a/src/observability/deferred-metrics.ts
+++ b/src/observability/deferred-metrics.ts
@@ -12,7 +12,14 @@
 /** The recording half of {@link RelayMetrics}. */
 export type MetricsRecorder = Pick<
   RelayMetrics,
-  'requestEnded' | 'memberAnswered' | 'decided' | 'happened' | 'entryLeftOut' | 'itemNotNewer'
+  | 'requestEnded'
+  | 'memberAnswered'
+  | 'decided'
+  | 'happened'
+  | 'entryLeftOut'
+  | 'itemNotNewer'
+  | 'admissionDecided'
+  | 'waitMeasured'
 >;
 
 /** Buffers recording calls until the metrics module is loaded. */
@@ -52,6 +59,14 @@
     this.#record((metrics) => metrics.itemNotNewer());
   }
 
+  admissionDecided(decision: string): void {
+    this.#record((metrics) => metrics.admissionDecided(decision));
+  }
+
+  waitMeasured(kind: string, ms: number): void {
+    this.#record((metrics) => metrics.waitMeasured(kind, ms));
+  }
+
   /** All metrics in the Prometheus text format. */
   async text(state: RelayState): Promise<string> {
     return (await this.#load()).text(state);
--- a/src/observability/relay-metrics.ts
+++ b/src/observability/relay-metrics.ts
@@ -53,6 +53,16 @@
     'statement',
     'role',
   ]);
+  readonly #admissions = this.#counter(
+    'admission_total',
+    'Requests for a connection of a pool: idle, waiting or refused',
+    ['decision'],
+  );
+  readonly #waits = this.#histogram(
+    'wait_seconds',
+    'Wait for a connection, predicted on arrival and actual',
+    ['kind'],
+  );
   readonly #clientConnections = this.#gauge('client_connections', 'Open client connections', []);
   readonly #configurationVersion = this.#gauge(
     'configuration_version',
@@ -89,6 +99,16 @@
     this.#memberResponseTime.observe({ statement, role: isLeader ? 'leader' : 'replica' }, ms / 1000);
   }
 
+  /** Counts what was decided about a request for a connection. */
+  admissionDecided(decision: string): void {
+    this.#admissions.inc({ decision });
+  }
+
+  /** Records a wait for a connection, in milliseconds; `kind` is `predicted` or `actual`. */
+  waitMeasured(kind: string, ms: number): void {
+    this.#waits.observe({ kind }, ms / 1000);
+  }
+
   /** Counts a decision about a request that is not served normally. */
   decided(decision: string): void {
     this.#decisions.inc({ decision });
--- a/src/relay/link-acquisition.ts
+++ b/src/relay/link-acquisition.ts
@@ -18,8 +18,8 @@
    * Queues a request; the pool then grants it a connection or fails it, possibly before this call returns.
    */
   enqueue(waiter: PoolWaiter): void;
-  /** Removes a request from the queue. */
-  dequeue(waiter: PoolWaiter): void;
+  /** Removes a request from the queue, for example because it has been granted a connection elsewhere. */
+  dequeue(waiter: PoolWaiter, isServedElsewhere: boolean): void;
 }
 
 /** A request that waits at one or several pools. */
@@ -91,7 +91,7 @@
     if (member === undefined)
       throw new Error('connection granted by a pool at which the request does not wait');
     this.#sources.delete(source);
-    this.#finish(() => this.#resolve({ link, member }));
+    this.#finish(() => this.#resolve({ link, member }), true);
   }
 
   fail(error: Error, source: LinkSource): void {
@@ -120,11 +120,11 @@
     this.#finish(() => this.#reject(new PoolTimeoutError('needed no more')));
   }
 
-  #finish(settle: () => void): void {
+  #finish(settle: () => void, isGranted = false): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
     clearTimeout(this.#timer);
-    for (const source of this.#sources.keys()) source.dequeue(this);
+    for (const source of this.#sources.keys()) source.dequeue(this, isGranted);
     settle();
   }
 }
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -8,7 +8,8 @@
  * @packageDocumentation
  */
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
-import { nextToServe, type LinkDemand } from './link-queue.js';
+import { PoolAdmission, type AdmissionObserver, type QueueState } from '../admission/pool-admission.js';
+import { countAhead, nextToServe, type LinkDemand } from './link-queue.js';
 import { LinkAcquisition, PoolTimeoutError, type PoolWaiter, type LinkSource } from './link-acquisition.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
 import { PooledLink } from './pooled-link.js';
@@ -66,6 +67,8 @@
   now(): number;
   /** A number from 0 up to 1. */
   random(): number;
+  /** Records decisions about requests that find no idle connection, and their waits. */
+  readonly admissionObserver?: AdmissionObserver;
 }
 
 /** A waiting request, and since when it waits, in monotonic milliseconds. */
@@ -95,7 +98,16 @@
   /** True once the member's process has ended; unlike `#isClosed`, this is permanent. */
   #hasEnded = false;
 
-  constructor(private readonly options: LinkPoolOptions) {}
+  readonly #admission: PoolAdmission;
+
+  constructor(private readonly options: LinkPoolOptions) {
+    this.#admission = new PoolAdmission({
+      observer: options.admissionObserver,
+      serviceMs: () => options.serviceMs(),
+      now: () => options.now(),
+      random: () => options.random(),
+    });
+  }
 
   /** Number of connections that are open or being opened. */
   get size(): number {
@@ -132,7 +144,10 @@
     return link as PooledLink;
   }
 
-  /** Grants an idle connection immediately, or enqueues the request. */
+  /**
+   * Grants an idle connection immediately, enqueues the request, or fails it if it can't be served before its
+   * deadline.
+   */
   enqueue(waiter: PoolWaiter): void {
     if (this.#isClosed) {
       waiter.fail(new PoolTimeoutError('the member has left'), this);
@@ -141,17 +156,53 @@
     const { demand } = waiter;
     const idle = this.#takeIdle(demand.tenantName, demand.values);
     if (idle !== null) {
+      this.#admission.grantedIdle(idle, demand);
       waiter.grant(idle, this);
       return;
     }
+    const refusal = this.#admission.refusalOf(demand, this.#queueState());
+    if (refusal !== null) {
+      waiter.fail(refusal, this);
+      return;
+    }
     this.#waiters.push({ waiter, demand, sinceMs: this.options.now() });
     this.#openForWaiters();
   }
 
   /** Removes a request from the queue. */
-  dequeue(waiter: PoolWaiter): void {
+  dequeue(waiter: PoolWaiter, isServedElsewhere = false): void {
     const index = this.#waiters.findIndex((waiting) => waiting.waiter === waiter);
-    if (index >= 0) this.#waiters.splice(index, 1);
+    if (index < 0) return;
+    this.#waiters.splice(index, 1);
+    if (isServedElsewhere) this.#admission.servedElsewhere(waiter.demand);
+  }
+
+  /**
+   * Fails waiting requests that have missed their latency objective and can't be served before their deadline
+   * any more; to be called every few tens of milliseconds.
+   */
+  refuseUnservable(): void {
+    for (const { waiting, refusal } of this.#admission.refusalsOfLate(
+      this.#waiters,
+      this.#usableConnections,
+    )) {
+      this.dequeue(waiting.waiter);
+      waiting.waiter.fail(refusal, this);
+    }
+  }
+
+  /** Connections that are open, being opened, or can be opened at once. */
+  get #usableConnections(): number {
+    return this.size + (this.#canDial() ? 1 : 0);
+  }
+
+  #queueState(): QueueState {
+    return {
+      waiting: this.#waiters.length,
+      connections: this.#usableConnections,
+      hasConnection: this.#links.size > 0,
+      countAhead: (demand, nowMs, serviceMs) => countAhead(this.#waiters, demand, nowMs, serviceMs),
+    };
   }
 
   /** Takes an idle connection of any tenant for a request of the daemon itself, or returns `null`. */
@@ -174,6 +225,7 @@
 
   /** Returns a connection to the pool; closes it if a request is in flight or a transaction is open on it. */
   release(link: PooledLink): void {
+    this.#admission.released(link);
     if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
       link.close();
       return;
@@ -182,9 +234,10 @@
       link.close();
       return;
     }
-    const waiter = this.#takeNextWaiter(link.tenantName);
-    if (waiter !== undefined) {
-      waiter.grant(link, this);
+    const next = this.#takeNextWaiter(link.tenantName);
+    if (next !== undefined) {
+      this.#admission.grantedAfterWait(link, next.demand, next.sinceMs);
+      next.waiter.grant(link, this);
       return;
     }
     this.#idle.push({ link, sinceMs: this.options.now() });
@@ -335,12 +388,12 @@
   }
 
   /** Dequeues the next request that a connection of the tenant can serve. */
-  #takeNextWaiter(tenantName: string): PoolWaiter | undefined {
+  #takeNextWaiter(tenantName: string): QueuedWaiter | undefined {
     const { now, serviceMs } = this.options;
     const eligible = this.#waiters.filter(({ demand }) => acceptsTenant(demand, tenantName));
     const next = eligible[nextToServe(eligible, now(), serviceMs())];
     if (next !== undefined) this.#waiters.splice(this.#waiters.indexOf(next), 1);
-    return next?.waiter;
+    return next;
   }
 
   #dial(tenantName: string): void {
@@ -375,7 +428,7 @@
    */
   #onSlowDial(tenantName: string): void {
     const slow = new DialError('slow', 'the member has not accepted the connection yet');
-    if (this.#links.size > 0) this.#takeNextWaiter(tenantName)?.fail(slow, this);
+    if (this.#links.size > 0) this.#takeNextWaiter(tenantName)?.waiter.fail(slow, this);
     else for (const { waiter } of this.#waiters.splice(0)) waiter.fail(slow, this);
   }
 
@@ -388,6 +441,7 @@
 
   #onLinkClosed(link: PooledLink, isByPeer: boolean): void {
     if (!this.#links.delete(link)) return;
+    if (isByPeer) this.#admission.lost(link);
     if (isByPeer && !this.#hasEnded) this.options.onFailure('lost');
     const index = this.#idle.findIndex((idle) => idle.link === link);
     if (index >= 0) this.#idle.splice(index, 1);
@@ -415,7 +469,7 @@
       case 'wrong_member':
         this.options.onFailure(error.reason);
     }
-    this.#takeNextWaiter(tenantName)?.fail(error, this);
+    this.#takeNextWaiter(tenantName)?.waiter.fail(error, this);
     this.#openForWaiters();
   }
 
--- a/src/relay/link-queue.ts
+++ b/src/relay/link-queue.ts
@@ -27,6 +27,11 @@
   readonly priority: number;
   /** When the reply is due by the latency objective, in monotonic milliseconds. */
   readonly dueAtMs: number;
+  /**
+   * Until when the request can wait for a connection, in monotonic milliseconds. If not given, the request is
+   * never refused because of the expected wait.
+   */
+  readonly deadlineMs?: number;
 }
 
 /**
@@ -60,6 +65,22 @@
   return best;
 }
 
+/**
+ * Number of waiting requests that would be served before one with the given demand.
+ *
+ * @param serviceMs - expected latency of the member's replies
+ */
+export function countAhead(
+  waiters: readonly { readonly demand: LinkDemand }[],
+  demand: LinkDemand,
+  nowMs: number,
+  serviceMs: number,
+): number {
+  let ahead = 0;
+  for (const waiter of waiters) if (!precedes(demand, waiter.demand, nowMs + serviceMs)) ahead += 1;
+  return ahead;
+}
+
 /** @param answeredAtMs - when a request that is served now is expected to be answered */
 function precedes(one: LinkDemand, other: LinkDemand, answeredAtMs: number): boolean {
   const isLate = one.dueAtMs < answeredAtMs;
--- a/src/relay/member-factory.ts
+++ b/src/relay/member-factory.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { AdmissionObserver } from '../admission/pool-admission.js';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import type { Assignments } from '../gateway/assignments.js';
 import type { GatewayClient } from '../gateway/gateway-client.js';
@@ -24,6 +25,7 @@
   readonly assignments: Assignments;
   readonly gatewayClient: GatewayClient;
   readonly catalog: Catalog;
+  readonly observer: AdmissionObserver;
   liveDaemons(): readonly DaemonRecord[];
   /** Called when a connection to a member could not be opened or has broken. */
   memberFailed(groupName: string, member: Member, reason: string): void;
@@ -52,6 +54,7 @@
         ports.memberFailed(entry.groupName, member, reason);
       },
       now: ports.now,
+      admissionObserver: ports.observer,
     });
     const connections = new MemberConnections({
       groupName: entry.groupName,
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -4,6 +4,8 @@
  *
  * @packageDocumentation
  */
+import { AdmissionError } from '../admission/admission-error.js';
+import { LoadRefusals } from '../admission/load-refusals.js';
 import { ChangeSignal } from '../common/signal.js';
 import { formatPosition, type Position } from '../position/position.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
@@ -30,7 +32,7 @@
   type MemberReply,
 } from './member-link.js';
 import { shouldRefuseEarly } from './early-refusal.js';
-import { Refusal } from './refusal.js';
+import { overloadRefusal, Refusal } from './refusal.js';
 import { LATE_REPLY_TIMEOUT_MS, RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
 import { floorWithOwnCommits, type SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
@@ -62,7 +64,7 @@
       readonly members: Iterable<Member>;
     }
   | {
-      readonly kind: 'not_run' | 'lost';
+      readonly kind: 'not_run' | 'lost' | 'overloaded';
       readonly reason: string;
       readonly members: Iterable<Member>;
     };
@@ -155,10 +157,28 @@
   else if (result.code === 'behind') member.recordFloorResult(floor, false, nowMs);
 }
 
+/**
+ * True when at least one member has refused a read because of the expected wait, and no other that may serve it
+ * now can be reached.
+ */
+export function haveAllRefused(
+  context: RelayContext,
+  group: MemberGroup,
+  floor: ReadFloor | null,
+  refusals: LoadRefusals,
+  unreachable: ReadonlySet<string> = new Set(),
+): boolean {
+  if (refusals.memberIds.size === 0) return false;
+  const candidates = readCandidates(context, group, floor).filter(({ isAvoided }) => !isAvoided);
+  const excluded = new Set([...refusals.memberIds, ...unreachable]);
+  return selectReadMember(candidates, { floor, excluded }) === null;
+}
+
 export class ReadRunner {
   readonly #excluded = new Set<string>();
   /** Members to which no connection could be opened since the exclusions were last cleared. */
   readonly #unreachable = new Set<string>();
+  readonly #loadRefusals = new LoadRefusals();
   readonly #pending = new Set<PendingAttempt>();
   /** Attempts that have ended and are not processed yet. */
   readonly #endedAttempts: Attempt[] = [];
@@ -211,7 +231,7 @@
       if (this.#endedAttempts.length === 0) this.#scheduleAttempt();
       if (this.#pending.size === 0 && this.#endedAttempts.length === 0) {
         if (this.#failedReply !== null && this.#failureCount >= MAX_FAILURES) return this.#failedReply;
-        if (this.#shouldRefuseEarly()) return this.#resultWithoutAnswer();
+        if (this.#shouldRefuseEarly() || this.#haveAllRefused()) return this.#resultWithoutAnswer();
         this.#excluded.clear();
         this.#unreachable.clear();
         await this.job.group.changed.wait(Math.min(RETRY_DELAY_MS, remaining));
@@ -226,6 +246,7 @@
         if (this.#failureCount >= MAX_FAILURES) return attempt.reply;
       }
       this.#lastReason = attempt.reason;
+      if (attempt.kind === 'overloaded') continue;
       const members = [...attempt.members].map(({ entry }) => entry.memberId);
       for (const memberId of members) this.#excluded.add(memberId);
       this.context.observer.notable({
@@ -271,6 +292,17 @@
     });
   }
 
+  /**
+   * True when every member that may serve the read now has refused it because of the expected wait, or can't be
+   * reached.
+   */
+  #haveAllRefused(): boolean {
+    if (this.wasSent) return false;
+    const { group, route, sessionFloor, receivedAtMs } = this.job;
+    const floor = readFloor(group, route, sessionFloor, receivedAtMs);
+    return haveAllRefused(this.context, group, floor, this.#loadRefusals, this.#unreachable);
+  }
+
   /** Time until the next attempt may be started, in milliseconds; 0 when it may be started now. */
   #hedgeDelayMs(): number {
     if (this.#pending.size === 0) return 0;
@@ -293,7 +325,7 @@
     if (waiting === null && this.#hedgeDelayMs() > 0) return;
     const { group, route, sessionFloor, receivedAtMs } = this.job;
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
-    const excluded = new Set(this.#excluded);
+    const excluded = new Set([...this.#excluded, ...this.#loadRefusals.memberIds]);
     for (const { wait } of this.#pending) for (const { entry } of wait.members) excluded.add(entry.memberId);
     const candidates = readCandidates(this.context, group, floor);
     const demand = { floor, excluded };
@@ -323,7 +355,10 @@
       this.#attemptEnded.notify();
     });
     if (member.pool.usesOwnPool) pending.wait.enqueueAll(directQueuesOf([member, ...others]));
-    else pending.wait.completeWith(member, () => member.pool.borrow(demand, waitMs));
+    else {
+      const refusedBy = this.#loadRefusals.gatewayOf(member.entry.memberId);
+      pending.wait.completeWith(member, () => member.pool.borrow(demand, waitMs, refusedBy));
+    }
   }
 
   #demand(): LinkDemand {
@@ -334,6 +369,7 @@
       isWrite: false,
       priority: route.priority,
       dueAtMs: dueAt(route, deadlineMs),
+      deadlineMs,
     };
   }
 
@@ -343,8 +379,13 @@
     try {
       granted = await wait.granted;
     } catch (error) {
-      for (const [{ entry }, failure] of wait.failures)
+      for (const [{ entry }, failure] of wait.failures) {
         if (failure instanceof DialError) this.#unreachable.add(entry.memberId);
+        if (failure instanceof AdmissionError) this.#loadRefusals.record(entry.memberId, failure);
+      }
+      for (const { entry } of wait.members) this.#loadRefusals.recordSecondFailure(entry.memberId);
+      if (error instanceof AdmissionError)
+        return { kind: 'overloaded', reason: error.message, members: wait.members };
       return { kind: 'not_run', reason: `no connection: ${String(error)}`, members: wait.members };
     }
     const { link, member } = granted;
@@ -403,6 +444,10 @@
     } catch (error) {
       const isLost = isSent && !(error instanceof NotSentError);
       if (isSent && !isLost) this.#possiblyRunCount -= 1;
+      if (error instanceof AdmissionError) {
+        this.#loadRefusals.record(member.entry.memberId, error);
+        return { kind: 'overloaded', reason: error.message, members };
+      }
       return { kind: isLost ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
       clearTimeout(deadlineTimer);
@@ -461,6 +506,8 @@
     if (this.#failedReply !== null) return this.#failedReply;
     if (this.wasSent)
       throw new Refusal('timed_out', 'may_have_run', `no answer in time: ${this.#lastReason}`);
+    const { longest } = this.#loadRefusals;
+    if (longest !== null && this.#haveAllRefused()) throw overloadRefusal(longest, {});
     throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
   }
 }
--- a/src/relay/refusal.ts
+++ b/src/relay/refusal.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { AdmissionError } from '../admission/admission-error.js';
 import type { Verdict } from '../verdict/verdict.js';
 
 /** Refusal codes, as reported to clients. */
@@ -47,3 +48,13 @@
     super(reason);
   }
 }
+
+/** The refusal of a request that was not run because of the expected wait for a connection. */
+export function overloadRefusal(error: AdmissionError, details: RefusalDetails): Refusal {
+  const gateway: RefusalDetails = error.gateway === null ? {} : { gateway: error.gateway };
+  return new Refusal('busy', 'not_run', error.message, error.retryAfterMs, {
+    ...details,
+    ...error.details,
+    ...gateway,
+  });
+}
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { AdmissionObserver } from '../admission/pool-admission.js';
 import type { OperationQuotas } from '../quota/operation-quotas.js';
 import type { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { Catalog } from '../topology/catalog.js';
@@ -18,7 +19,7 @@
 }
 
 /** Logs and counts decisions. */
-export interface RelayObserver {
+export interface RelayObserver extends AdmissionObserver {
   /** A decision about a request without problems: the log may omit it under load. */
   routine(decision: Decision): void;
   /** A decision about a request that has run into a problem. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -261,6 +261,7 @@
       assignments: this.#assignments,
       gatewayClient: this.#gatewayClient,
       catalog: this.catalog,
+      observer: options.observer,
       liveDaemons: () => this.#daemons.live,
       memberFailed: (groupName, member, reason) => this.#onMemberFailure(groupName, member, reason),
       now,
@@ -606,6 +607,7 @@
       this.directory.check(group);
       for (const member of group.members.values()) {
         member.pool.ownPool.trim();
+        member.pool.ownPool.refuseUnservable();
         if (this.#assignments.isGateway(member.entry)) this.#maintainIdleConnections(member.pool.ownPool);
       }
     }
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -3,6 +3,8 @@
  *
  * @packageDocumentation
  */
+import { AdmissionError } from '../admission/admission-error.js';
+import { LoadRefusals } from '../admission/load-refusals.js';
 import { selectReadMember } from '../topology/select-member.js';
 import { formatPosition } from '../position/position.js';
 import type { Route } from '../topology/catalog.js';
@@ -20,8 +22,8 @@
 import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
-import { readCandidates, readFloor, recordReplicaProgress } from './read-runner.js';
-import { Refusal, type RefusalDetails } from './refusal.js';
+import { haveAllRefused, readCandidates, readFloor, recordReplicaProgress } from './read-runner.js';
+import { overloadRefusal, Refusal, type RefusalDetails } from './refusal.js';
 import { RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 import {
@@ -73,6 +75,9 @@
   #lastReason = 'no member can serve';
   /** True when no connection could be opened at the last attempt. */
   #isUnreachable = false;
+  readonly #loadRefusals = new LoadRefusals();
+  /** True when the last attempt was refused because of the expected wait. */
+  #isOverloaded = false;
 
   constructor(
     private readonly context: RelayContext,
@@ -141,6 +146,8 @@
       if (member === null || context.now() >= step.deadlineMs) throw this.#notRun();
       const reply = await this.#runFirstAt(member, step);
       if (reply !== null) return reply;
+      this.#throwIfAllRefused();
+      if (this.#isOverloaded) continue;
       const now = context.now();
       const isUnreachable =
         this.#isUnreachable || member.isAvoided(now) || options.group.commits.isStalled(now);
@@ -195,11 +202,26 @@
       return leader !== null && this.#excluded.has(leader.entry.memberId) ? null : leader;
     }
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
-    const demand = { floor, excluded: this.#excluded };
+    const demand = { floor, excluded: new Set([...this.#excluded, ...this.#loadRefusals.memberIds]) };
     const choice = selectReadMember(readCandidates(context, group, floor), demand);
     return choice === null ? null : (group.members.get(choice.memberId) ?? null);
   }
 
+  /** Throws the refusal when no member that may serve the request is left to be asked. */
+  #throwIfAllRefused(): void {
+    const { group, route, sessionFloor, receivedAtMs } = this.options;
+    const { longest, memberIds } = this.#loadRefusals;
+    const isRefused = this.#mayUseReplica()
+      ? haveAllRefused(
+          this.context,
+          group,
+          readFloor(group, route, sessionFloor, receivedAtMs),
+          this.#loadRefusals,
+        )
+      : this.#lastMember !== null && memberIds.has(this.#lastMember.entry.memberId);
+    if (longest !== null && isRefused) throw overloadRefusal(longest, this.#details());
+  }
+
   #mayUseReplica(): boolean {
     return this.options.isReadOnly && this.options.route.consistency !== 'primary';
   }
@@ -211,20 +233,24 @@
     const { context, options } = this;
     const { group, route, tenantName } = options;
     this.#isUnreachable = false;
+    this.#isOverloaded = false;
+    this.#lastMember = member;
+    const refusedBy = this.#loadRefusals.gatewayOf(member.entry.memberId);
     let link: SessionLink;
     try {
-      const dueAtMs = dueAt(route, step.deadlineMs);
+      const { deadlineMs, values } = step;
+      const dueAtMs = dueAt(route, deadlineMs);
       const isWrite = !this.#mayUseReplica();
-      const demand = { tenantName, values: step.values, isWrite, priority: route.priority, dueAtMs };
-      link = await member.pool.acquire(demand, step.deadlineMs - context.now());
+      const demand = { tenantName, values, isWrite, priority: route.priority, dueAtMs, deadlineMs };
+      link = await member.pool.acquire(demand, deadlineMs - context.now(), refusedBy);
     } catch (error) {
+      if (error instanceof AdmissionError || refusedBy !== null) this.#recordOverload(member, error);
       this.#isUnreachable = error instanceof DialError;
       this.#lastReason = `no connection: ${String(error)}`;
       return null;
     }
     const isLeader = !this.#mayUseReplica() || group.leader(context.now()) === member;
     const pinned: PinnedConnection = { member, link, isLeader };
-    this.#lastMember = member;
     const deadlineTimer = setTimeout(() => link.close(), step.deadlineMs - context.now());
     try {
       const failureReason = await this.#begin(pinned, step);
@@ -251,6 +277,7 @@
       member.pool.release(link);
       if (error instanceof Refusal) throw error;
       if (error instanceof NotSentError) this.#resetAfterNotRun();
+      if (error instanceof AdmissionError) this.#recordOverload(member, error);
       if (this.#wasSent) this.#throwConnectionLost(step, error);
       this.#lastReason = `connection lost: ${String(error)}`;
       return null;
@@ -259,6 +286,13 @@
     }
   }
 
+  /** Records a refusal because of the expected wait, or a further failure after that of a gateway. */
+  #recordOverload({ entry }: Member, error: unknown): void {
+    this.#isOverloaded = true;
+    if (error instanceof AdmissionError) this.#loadRefusals.record(entry.memberId, error);
+    else this.#loadRefusals.recordSecondFailure(entry.memberId);
+  }
+
   /**
    * Called when the first statement was refused as not run, or was never sent, so it may be retried
    * elsewhere.
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -4,6 +4,8 @@
  *
  * @packageDocumentation
  */
+import { AdmissionError } from '../admission/admission-error.js';
+import { LoadRefusals } from '../admission/load-refusals.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
@@ -12,7 +14,7 @@
 import { dueAt, type LinkDemand } from './link-queue.js';
 import { DialError, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
-import { Refusal, type RefusalDetails } from './refusal.js';
+import { overloadRefusal, Refusal, type RefusalDetails } from './refusal.js';
 import { shouldRefuseEarly } from './early-refusal.js';
 import { RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
@@ -92,6 +94,7 @@
   #isUnreachable = false;
   #wasSent = false;
   #isAbandoned = false;
+  readonly #loadRefusals = new LoadRefusals();
 
   constructor(
     private readonly context: RelayContext,
@@ -129,6 +132,7 @@
         continue;
       }
       const reply = await this.#attempt(leader);
+      if (reply === 'refused_by_gateway') continue;
       if (reply !== null) return this.#withCommitProof(reply);
       const isUnreachable = this.#isUnreachable || leader.isAvoided(context.now());
       if (shouldStopWaiting(context, job.group, isUnreachable, wait)) throw this.#notRun();
@@ -154,14 +158,19 @@
     return reply;
   }
 
-  /** Makes one attempt; `null` when the write was not run. */
-  async #attempt(leader: Member): Promise<MemberReply | null> {
+  /**
+   * Makes one attempt; `null` when the write was not run, `refused_by_gateway` when another gateway may accept
+   * it.
+   */
+  async #attempt(leader: Member): Promise<MemberReply | 'refused_by_gateway' | null> {
     const { context, job } = this;
     this.#isUnreachable = false;
+    const refusedBy = this.#loadRefusals.gatewayOf(leader.entry.memberId);
     let link;
     try {
-      link = await leader.pool.acquire(this.#demand(), job.deadlineMs - context.now());
+      link = await leader.pool.acquire(this.#demand(), job.deadlineMs - context.now(), refusedBy);
     } catch (error) {
+      if (error instanceof AdmissionError || refusedBy !== null) return this.#refusedByLoad(leader, error);
       this.#isUnreachable = error instanceof DialError;
       this.#lastReason = `no connection: ${String(error)}`;
       return null;
@@ -190,6 +199,7 @@
     } catch (error) {
       if (error instanceof Refusal) throw error;
       if (error instanceof NotSentError) this.#wasSent = false;
+      if (error instanceof AdmissionError) return this.#refusedByLoad(leader, error);
       if (!this.#wasSent) {
         this.#lastReason = `connection lost: ${String(error)}`;
         return null;
@@ -206,9 +216,23 @@
     }
   }
 
+  /**
+   * Handles a refusal because of the expected wait, or a further failure after one.
+   *
+   * @throws {@link Refusal} unless another gateway may accept the write
+   */
+  #refusedByLoad({ entry }: Member, error: unknown): 'refused_by_gateway' {
+    if (error instanceof AdmissionError) this.#loadRefusals.record(entry.memberId, error);
+    else this.#loadRefusals.recordSecondFailure(entry.memberId);
+    const { longest, memberIds } = this.#loadRefusals;
+    if (longest !== null && memberIds.has(entry.memberId)) throw overloadRefusal(longest, this.#details());
+    return 'refused_by_gateway';
+  }
+
   #demand(): LinkDemand {
     const { tenantName, values, route, deadlineMs } = this.job;
-    return { tenantName, values, isWrite: true, priority: route.priority, dueAtMs: dueAt(route, deadlineMs) };
+    const { priority } = route;
+    return { tenantName, values, isWrite: true, priority, dueAtMs: dueAt(route, deadlineMs), deadlineMs };
   }
 
   #notRun(): Refusal {
--- a/test/support/noop-observer.ts
+++ b/test/support/noop-observer.ts
@@ -11,4 +11,6 @@
   notable: () => undefined,
   memberAnswered: () => undefined,
   requestEnded: () => undefined,
+  admissionDecided: () => undefined,
+  waitMeasured: () => undefined,
 };
