--- a/src/admission/wait-queue.ts
+++ b/src/admission/wait-queue.ts
@@ -118,6 +118,13 @@
     return affected.map(({ item }) => item);
   }
 
+  /** Requests that have missed their latency objective, in order of arrival. Scans the queue. */
+  late(nowMs: number, serviceMs: number): WaitingRequest<T>[] {
+    this.#classify(nowMs + serviceMs);
+    if (this.#lanes.count('late') === 0) return [];
+    return [...this.#entries.values()].filter(({ waitClass }) => waitClass === 'late');
+  }
+
   /** The next request to serve. */
   peek(nowMs: number, serviceMs: number): WaitingRequest<T> | undefined {
     return this.peekWithoutDial([], nowMs, serviceMs);
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -101,6 +101,7 @@
   readonly #evidence = new EvidenceReader();
   readonly #channel: MessageChannel<GatewayMessage>;
   readonly #openedAtMs: number;
+  readonly #gatewayName: string;
   #isConnected = false;
   /** The gateway has sent `ended`: requests that it has not reported on were not sent to the member. */
   #hasReceivedEnd = false;
@@ -121,6 +122,7 @@
     private readonly onClosed: () => void,
   ) {
     this.#openedAtMs = now();
+    this.#gatewayName = record.name;
     const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
     socket.once('connect', () => (this.#isConnected = true));
     this.#channel = new MessageChannel<GatewayMessage>(socket, MAX_GATEWAY_MESSAGE_BYTES, {
@@ -144,6 +146,7 @@
     const loan = this.#lastLoanId;
     const link = new BorrowedLink(
       { type: 'borrow', loan, ...terms },
+      this.#gatewayName,
       (message) => this.#transmit(message),
       () => this.#removeLoan(loan),
     );
@@ -200,7 +203,9 @@
     switch (message.type) {
       case 'reply':
         this.#recordLoad(message);
-        this.loans.get(message.loan)?.handleReply(message.reply, message.isLeader);
+        if (message.retryAfterMs !== undefined)
+          this.loans.get(message.loan)?.handleRefusal(message.reply, message.retryAfterMs);
+        else this.loans.get(message.loan)?.handleReply(message.reply, message.isLeader);
         break;
       case 'lost':
         this.loans.get(message.loan)?.fail(message.reason, message.isUnsent);
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -78,6 +78,11 @@
    * `readLoadReport`.
    */
   readonly load?: LoadReport;
+  /**
+   * Given if the gateway has refused the request because the expected wait for a connection exceeds the time
+   * left: the time after which a retry is expected to be served, in milliseconds. Nothing was sent to the member.
+   */
+  readonly retryAfterMs?: number;
 }
 
 /**
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -9,6 +9,7 @@
  */
 import { WaitQueue, type ConnectionUse, type WaitingRequest } from '../admission/wait-queue.js';
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
+import { PoolAdmission, type AdmissionObserver, type QueueState } from '../admission/pool-admission.js';
 import type { LinkDemand } from './link-queue.js';
 import { LinkAcquisition, PoolTimeoutError, type PoolWaiter, type LinkSource } from './link-acquisition.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
@@ -69,6 +70,8 @@
   now(): number;
   /** A number from 0 up to 1. */
   random(): number;
+  /** Records decisions about requests that find no idle connection, and their waits. */
+  readonly admissionObserver?: AdmissionObserver;
 }
 
 /**
@@ -94,10 +97,18 @@
   /** True once the member's process has ended; unlike `#isClosed`, this is permanent. */
   #hasEnded = false;
 
+  readonly #admission: PoolAdmission;
+
   constructor(private readonly options: LinkPoolOptions) {
     this.#waiters = new WaitQueue({
       weightOf: (tenantName) => options.tenantWeight?.(tenantName) ?? 1,
     });
+    this.#admission = new PoolAdmission({
+      observer: options.admissionObserver,
+      serviceMs: () => options.serviceMs(),
+      now: () => options.now(),
+      random: () => options.random(),
+    });
   }
 
   /** Number of connections that are open or being opened. */
@@ -112,7 +123,7 @@
 
   /** Number of requests that wait for a connection. */
   get waiting(): number {
-    return this.#waiters.length;
+    return this.#waiters.size;
   }
 
   /** True if a request would have to wait until another one releases its connection. */
@@ -140,7 +151,10 @@
     return link as PooledLink;
   }
 
-  /** Grants an idle connection immediately, or enqueues the request. */
+  /**
+   * Grants an idle connection immediately, enqueues the request, or fails it if it can't be served before its
+   * deadline.
+   */
   enqueue(waiter: PoolWaiter): void {
     if (this.#isClosed) {
       waiter.fail(new PoolTimeoutError('the member has left'), this);
@@ -149,9 +163,15 @@
     const { demand } = waiter;
     const idle = this.#takeIdle(demand.tenantName, demand.values);
     if (idle !== null) {
+      this.#admission.grantedIdle(idle, demand);
       this.#grant(idle, waiter);
       return;
     }
+    const refusal = this.#admission.refusalOf(demand, this.#queueState());
+    if (refusal !== null) {
+      waiter.fail(refusal, this);
+      return;
+    }
     const { now, serviceMs } = this.options;
     const rejected = this.#waiters.add(waiter, demand, now(), serviceMs());
     rejected?.fail(new PoolTimeoutError('too many requests wait for a connection'), this);
@@ -159,8 +179,36 @@
   }
 
   /** Removes a request from the queue. */
-  dequeue(waiter: PoolWaiter): void {
-    this.#waiters.remove(waiter);
+  dequeue(waiter: PoolWaiter, isServedElsewhere = false): void {
+    if (this.#waiters.remove(waiter) && isServedElsewhere) this.#admission.servedElsewhere(waiter.demand);
+  }
+
+  /**
+   * Fails waiting requests that have missed their latency objective and can't be served before their deadline
+   * any more; to be called every few tens of milliseconds.
+   */
+  refuseUnservable(): void {
+    if (this.#waiters.size === 0) return;
+    const { now, serviceMs } = this.options;
+    const late = this.#waiters.late(now(), serviceMs());
+    for (const { waiting, refusal } of this.#admission.refusalsOfLate(late, this.#queueState())) {
+      this.dequeue(waiting.item);
+      waiting.item.fail(refusal, this);
+    }
+  }
+
+  /** Connections that are open, being opened, or can be opened at once. */
+  get #usableConnections(): number {
+    return this.size + (this.#canDial() ? 1 : 0);
+  }
+
+  #queueState(): QueueState {
+    return {
+      waiting: this.#waiters.size,
+      connections: this.#usableConnections,
+      hasConnection: this.#links.size > 0,
+      countAhead: (demand, nowMs, serviceMs) => this.#waiters.countAhead(demand, nowMs, serviceMs),
+    };
   }
 
   /** Takes an idle connection of any tenant for a request of the daemon itself, or returns `null`. */
@@ -183,6 +231,7 @@
 
   /** Returns a connection to the pool; closes it if a request is in flight or a transaction is open on it. */
   release(link: PooledLink): void {
+    this.#admission.released(link);
     this.#endUse(link);
     if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
       link.close();
@@ -193,9 +242,11 @@
       return;
     }
     const { now, serviceMs } = this.options;
-    const waiter = this.#waiters.takeFor(link.tenantName, now(), serviceMs());
-    if (waiter !== undefined) {
-      this.#grant(link, waiter);
+    const next = this.#waiters.peekFor(link.tenantName, now(), serviceMs());
+    if (next !== undefined) {
+      this.#waiters.takeFor(link.tenantName, now(), serviceMs());
+      this.#admission.grantedAfterWait(link, next.demand, next.sinceMs);
+      this.#grant(link, next.item);
       return;
     }
     this.#idle.push({ link, sinceMs: this.options.now() });
@@ -407,6 +458,7 @@
 
   #onLinkClosed(link: PooledLink, isByPeer: boolean): void {
     if (!this.#links.delete(link)) return;
+    if (isByPeer) this.#admission.lost(link);
     this.#endUse(link);
     if (isByPeer && !this.#hasEnded) this.options.onFailure('lost');
     const index = this.#idle.findIndex((idle) => idle.link === link);
--- a/src/relay/link-queue.ts
+++ b/src/relay/link-queue.ts
@@ -24,6 +24,11 @@
   readonly priority: number;
   /** When the reply is due by the latency objective, in monotonic milliseconds. */
   readonly dueAtMs: number;
+  /**
+   * Until when the request can wait for a connection, in monotonic milliseconds. If not given, the request is
+   * never refused because of the expected wait.
+   */
+  readonly deadlineMs?: number;
 }
 
 /**
