Loans: a gateway silent for 400 ms no longer holds up reads and begins

Cause: a request through a gateway whose connection is open but silent waits until the connection is closed after 1200 ms or until its own deadline. A read that only the leader may serve is tried through no other gateway meanwhile. A loan that its deadline ends before the connection to the gateway is open is reported as one that may have run.

Change: after 400 ms without a reply (UNRESPONSIVE_AFTER_MS) the borrower ends the loans over which no statement was sent; a transaction then begins elsewhere. A read that waits for an answer makes a further attempt, also at the same member through another gateway, within MAX_PARALLEL; the first answer is used, also a late one. Silence during a pause of the own process does not count. Messages are held until the connection to the gateway is open, so a loan that ends before that is withdrawn and known not to have run.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -10,6 +10,16 @@
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
 import type { BorrowMessage, GatewayMessage } from './gateway-messages.js';
 
+/** The connection to the gateway of a loan. */
+export interface LoanConnection {
+  /** Sends a message to the gateway. */
+  transmit(message: GatewayMessage): void;
+  /** Discards the loan's messages if none of them has left this daemon; false if some may have. */
+  withdraw(): boolean;
+  /** Called once when the loan has ended at this daemon. */
+  ended(): void;
+}
+
 interface PendingRequest {
   resolve(reply: MemberReply): void;
   reject(error: LinkLostError): void;
@@ -26,15 +36,13 @@
   #requiredLeader: Leader | null = null;
   #isReplyOfLeader = false;
   #isOpen = true;
+  /** True once a request other than `begin` has been sent to the gateway. */
+  #hasSentStatement = false;
+  #onUnresponsive: () => void = () => undefined;
 
-  /**
-   * @param transmit - sends a message to the gateway
-   * @param onEnd - called once when the loan has ended at this daemon
-   */
   constructor(
     private readonly terms: BorrowMessage,
-    private readonly transmit: (message: GatewayMessage) => void,
-    private readonly onEnd: () => void,
+    private readonly connection: LoanConnection,
   ) {}
 
   get isOpen(): boolean {
@@ -59,7 +67,7 @@
     if (haveSameValues(values, this.#values)) return;
     this.#values = new Map(values);
     this.#announce();
-    this.transmit({ type: 'values', loan: this.terms.loan, values: [...values] });
+    this.connection.transmit({ type: 'values', loan: this.terms.loan, values: [...values] });
   }
 
   async prepare(prepared: PreparedStatement): Promise<string> {
@@ -86,10 +94,11 @@
     if (!this.#isOpen) return Promise.reject(new NotSentError('not open'));
     this.#announce();
     const prepared = request.kind === 'execute' ? (this.#prepared.get(request.name) ?? null) : null;
+    this.#hasSentStatement ||= request.kind !== 'begin';
     return new Promise((resolve, reject) => {
       this.#pending.push({ resolve, reject });
       const leader = request.kind === 'status' ? null : this.#requiredLeader;
-      this.transmit({
+      this.connection.transmit({
         type: 'request',
         loan: this.terms.loan,
         request,
@@ -99,10 +108,27 @@
     });
   }
 
+  onUnresponsive(listener: () => void): void {
+    this.#onUnresponsive = listener;
+  }
+
   close(): void {
+    if (this.#isOpen) this.#giveUp('given up');
+  }
+
+  /**
+   * Handles a gateway that no longer replies. The loan ends if no statement was sent over it, since nothing has
+   * run then. Otherwise the answer may still arrive, and the listener decides what to do meanwhile.
+   */
+  handleSilence(): void {
     if (!this.#isOpen) return;
-    if (this.#isAnnounced) this.transmit({ type: 'return', loan: this.terms.loan });
-    this.#end(new LinkLostError('given up'));
+    if (!this.#hasSentStatement) {
+      this.#giveUp('the gateway does not reply');
+      return;
+    }
+    const notify = this.#onUnresponsive;
+    this.#onUnresponsive = () => undefined;
+    notify();
   }
 
   /** Handles a reply of the member that the gateway forwards. */
@@ -137,12 +163,19 @@
   #announce(): void {
     if (this.#isAnnounced) return;
     this.#isAnnounced = true;
-    this.transmit(this.terms);
+    this.connection.transmit(this.terms);
+  }
+
+  /** Ends the loan on the borrower's side. A loan that has not been announced to the gateway was not run. */
+  #giveUp(reason: string): void {
+    const isUnsent = !this.#isAnnounced || this.connection.withdraw();
+    if (!isUnsent) this.connection.transmit({ type: 'return', loan: this.terms.loan });
+    this.#end(isUnsent ? new NotSentError(reason) : new LinkLostError(reason));
   }
 
   #end(error: LinkLostError): void {
     this.#isOpen = false;
-    this.onEnd();
+    this.connection.ended();
     for (const { reject } of this.#pending.splice(0)) reject(error);
   }
 }
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -24,6 +24,11 @@
 const UNRESPONSIVE_AFTER_MS = 400;
 /** The same time after which the connection is closed, in milliseconds. */
 const CLOSE_AFTER_MS = 1200;
+/**
+ * Interval between two checks above which this process counts as paused, in milliseconds. Replies that arrived
+ * during a pause have not been read yet, so the silence of that time proves nothing.
+ */
+const PAUSED_CHECK_INTERVAL_MS = 250;
 /** Delay before a gateway that was unresponsive or unreachable is tried again, in milliseconds. */
 const RETRY_DELAY_MS = 600;
 
@@ -84,6 +89,8 @@
   readonly #channel: MessageChannel<GatewayMessage>;
   readonly #openedAtMs: number;
   #isConnected = false;
+  /** Messages that wait until the connection is open, so that they can still be withdrawn. */
+  #heldMessages: GatewayMessage[] = [];
   /** The gateway has sent `ended`: requests that it has not reported on were not sent to the member. */
   #hasReceivedEnd = false;
   #hasReplied = false;
@@ -103,7 +110,7 @@
   ) {
     this.#openedAtMs = now();
     const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
-    socket.once('connect', () => (this.#isConnected = true));
+    socket.once('connect', () => this.#handleConnect());
     this.#channel = new MessageChannel<GatewayMessage>(socket, MAX_GATEWAY_MESSAGE_BYTES, {
       message: (message) => this.#receive(message),
       closed: () => this.#handleClose(),
@@ -125,8 +132,11 @@
     const loan = this.#lastLoanId;
     const link = new BorrowedLink(
       { type: 'borrow', loan, ...terms },
-      (message) => this.#transmit(message),
-      () => this.#removeLoan(loan),
+      {
+        transmit: (message) => this.#transmit(message),
+        withdraw: () => this.#withdraw(loan),
+        ended: () => this.#removeLoan(loan),
+      },
     );
     this.loans.set(loan, link);
     return link;
@@ -163,13 +173,34 @@
     this.#channel.send({ type: 'ping' });
   }
 
+  /** Ends the loans over which no statement was sent, and notifies the others that the gateway is silent. */
+  handleSilence(): void {
+    if (!this.#isConnected) return;
+    for (const link of [...this.loans.values()]) link.handleSilence();
+  }
+
   close(): void {
     this.#channel.destroy();
   }
 
+  #handleConnect(): void {
+    this.#isConnected = true;
+    for (const message of this.#heldMessages) this.#channel.send(message);
+    this.#heldMessages = [];
+  }
+
   #transmit(message: GatewayMessage): void {
     if (PROMPT_REPLY_TYPES.has(message.type)) this.#awaitingSinceMs ??= this.now();
-    this.#channel.send(message);
+    if (this.#isConnected) this.#channel.send(message);
+    else this.#heldMessages.push(message);
+  }
+
+  #withdraw(loan: number): boolean {
+    if (this.#isConnected) return false;
+    this.#heldMessages = this.#heldMessages.filter(
+      (message) => !('loan' in message) || message.loan !== loan,
+    );
+    return true;
   }
 
   #receive(message: GatewayMessage): void {
@@ -243,6 +274,9 @@
    */
   readonly #unavailable = new Set<string>();
   #lastRequestId = 1;
+  #checkedAtMs = Number.NEGATIVE_INFINITY;
+  /** When this process last continued after a pause, in monotonic milliseconds. */
+  #resumedAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param localAddress - the daemon's own address, from which connections are opened */
   constructor(
@@ -340,10 +374,20 @@
     });
   }
 
-  /** Pings or closes unresponsive connections; to be called every few tens of milliseconds. */
+  /**
+   * Pings or closes unresponsive connections, and ends their loans over which no statement was sent; to be
+   * called every few tens of milliseconds.
+   */
   check(): void {
+    const nowMs = this.now();
+    if (nowMs - this.#checkedAtMs > PAUSED_CHECK_INTERVAL_MS) this.#resumedAtMs = nowMs;
+    this.#checkedAtMs = nowMs;
     for (const [key, connection] of [...this.#connections]) {
-      if (connection.unansweredMs > UNRESPONSIVE_AFTER_MS) this.#markUnavailable(key);
+      const { unansweredMs } = connection;
+      if (unansweredMs > UNRESPONSIVE_AFTER_MS) this.#markUnavailable(key);
+      // Marked first, so that what is tried again does not use the same gateway.
+      if (Math.min(unansweredMs, nowMs - this.#resumedAtMs) > UNRESPONSIVE_AFTER_MS)
+        connection.handleSilence();
       connection.check();
     }
   }
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -140,6 +140,10 @@
     // A direct connection has no gateway.
   }
 
+  onUnresponsive(): void {
+    // A direct connection has no gateway.
+  }
+
   isVerifiedLeader({ memberId, term }: Leader): boolean {
     return this.#verifiedLeader?.memberId === memberId && this.#verifiedLeader.term === term;
   }
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -74,6 +74,8 @@
   readonly wait: LinkAcquisition<Member>;
   /** When the read was sent, in monotonic milliseconds; `null` while waiting for a connection. */
   sentAtMs: number | null;
+  /** True once the gateway through which the read was sent has stopped replying; the answer may still arrive. */
+  isSilent: boolean;
 }
 
 /** Share of the target latency after which a hedged request is sent to a second member. */
@@ -162,7 +164,8 @@
   readonly #pending = new Set<PendingAttempt>();
   /** Attempts that have ended and are not processed yet. */
   readonly #endedAttempts: Attempt[] = [];
-  readonly #attemptEnded = new ChangeSignal();
+  /** Notified when an attempt has ended, or its gateway has stopped replying. */
+  readonly #attemptChanged = new ChangeSignal();
   #isSettled = false;
   #isAbandoned = false;
   /** Number of attempts that were sent to a member and not refused as not run. */
@@ -187,7 +190,7 @@
     this.#isSettled = true;
     this.#isAbandoned = true;
     for (const { wait } of this.#pending) wait.cancel();
-    this.#attemptEnded.notify();
+    this.#attemptChanged.notify();
   }
 
   /**
@@ -209,12 +212,15 @@
       const remaining = this.job.deadlineMs - this.context.now();
       if (remaining <= 0 || this.#isAbandoned) return this.#resultWithoutAnswer();
       if (this.#endedAttempts.length === 0) this.#scheduleAttempt();
-      if (this.#pending.size === 0 && this.#endedAttempts.length === 0) {
-        if (this.#failedReply !== null && this.#failureCount >= MAX_FAILURES) return this.#failedReply;
-        if (this.#shouldRefuseEarly()) return this.#resultWithoutAnswer();
+      if (this.#isWithoutProspect()) {
+        if (this.#pending.size === 0) {
+          if (this.#failedReply !== null && this.#failureCount >= MAX_FAILURES) return this.#failedReply;
+          if (this.#shouldRefuseEarly()) return this.#resultWithoutAnswer();
+        }
         this.#excluded.clear();
         this.#unreachable.clear();
-        await this.job.group.changed.wait(Math.min(RETRY_DELAY_MS, remaining));
+        const waitMs = Math.min(RETRY_DELAY_MS, remaining);
+        await Promise.race([this.job.group.changed.wait(waitMs), this.#attemptChanged.wait(waitMs)]);
         continue;
       }
       const attempt = await this.#nextEndedAttempt(remaining);
@@ -246,7 +252,7 @@
     if (this.#endedAttempts.length === 0) {
       const waitMs = Math.min(Math.max(1, this.#hedgeDelayMs()), remainingMs);
       const isWaiting = this.#attemptInQueue() !== null;
-      const wakeUps = [this.#attemptEnded.wait(waitMs)];
+      const wakeUps = [this.#attemptChanged.wait(waitMs)];
       if (isWaiting) wakeUps.push(this.job.group.changed.wait(waitMs));
       await Promise.race(wakeUps);
     }
@@ -271,13 +277,25 @@
     });
   }
 
+  /** Attempts in progress, except those whose gateway has stopped replying. */
+  get #responsiveAttempts(): readonly PendingAttempt[] {
+    return [...this.#pending].filter(({ isSilent }) => !isSilent);
+  }
+
+  /** True when a further attempt is due but could not be started: no member can serve the read now. */
+  #isWithoutProspect(): boolean {
+    if (this.#endedAttempts.length > 0 || this.#pending.size >= MAX_PARALLEL) return false;
+    return this.#responsiveAttempts.length === 0;
+  }
+
   /** Time until the next attempt may be started, in milliseconds; 0 when it may be started now. */
   #hedgeDelayMs(): number {
-    if (this.#pending.size === 0) return 0;
     if (this.#pending.size >= MAX_PARALLEL) return NO_HEDGE_MS;
+    const responsive = this.#responsiveAttempts;
+    if (responsive.length === 0) return 0;
     const now = this.context.now();
     const hedgeMs = this.job.route.targetLatencyMs * HEDGE_SHARE;
-    const sentAtMs = Math.max(...[...this.#pending].map((pending) => pending.sentAtMs ?? now));
+    const sentAtMs = Math.max(...responsive.map((pending) => pending.sentAtMs ?? now));
     return Math.max(0, sentAtMs + hedgeMs - now);
   }
 
@@ -294,7 +312,9 @@
     const { group, route, sessionFloor, receivedAtMs } = this.job;
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
-    for (const { wait } of this.#pending) for (const { entry } of wait.members) excluded.add(entry.memberId);
+    // Another gateway of the member may reply while the one of a silent attempt does not.
+    for (const { wait } of this.#responsiveAttempts)
+      for (const { entry } of wait.members) excluded.add(entry.memberId);
     const candidates = readCandidates(this.context, group, floor);
     const demand = { floor, excluded };
     const choice = selectReadMember(candidates, demand);
@@ -307,7 +327,8 @@
       if (!choice.isAvoided) waiting.wait.enqueueAll(directQueuesOf([member, ...others]));
       return;
     }
-    if (this.#pending.size > 0 && (choice.isAvoided || member.pool.isExhausted)) return;
+    const isHedge = this.#responsiveAttempts.length > 0;
+    if (isHedge && (choice.isAvoided || member.pool.isExhausted)) return;
     this.#startAttempt(member, member.pool.isExhausted ? others : []);
   }
 
@@ -315,12 +336,13 @@
   #startAttempt(member: Member, others: readonly Member[]): void {
     const demand = this.#demand();
     const waitMs = this.job.deadlineMs - this.context.now();
-    const pending: PendingAttempt = { wait: new LinkAcquisition<Member>(demand, waitMs), sentAtMs: null };
+    const wait = new LinkAcquisition<Member>(demand, waitMs);
+    const pending: PendingAttempt = { wait, sentAtMs: null, isSilent: false };
     this.#pending.add(pending);
     void this.#attempt(pending).then((attempt) => {
       this.#pending.delete(pending);
       this.#endedAttempts.push(attempt);
-      this.#attemptEnded.notify();
+      this.#attemptChanged.notify();
     });
     if (member.pool.usesOwnPool) pending.wait.enqueueAll(directQueuesOf([member, ...others]));
     else pending.wait.completeWith(member, () => member.pool.borrow(demand, waitMs));
@@ -378,6 +400,7 @@
       () => link.close(),
       job.deadlineMs - context.now() + LATE_REPLY_TIMEOUT_MS,
     );
+    link.onUnresponsive(() => this.#handleSilence(pending, member));
     let isSent = false;
     try {
       if (leader !== null && !(await mayReadAsLeader(context, job.group, leader, link, after)))
@@ -409,6 +432,19 @@
     }
   }
 
+  /** Makes a further attempt due, because the gateway through which a read was sent has stopped replying. */
+  #handleSilence(pending: PendingAttempt, member: Member): void {
+    if (this.#isSettled) return;
+    pending.isSilent = true;
+    this.context.observer.notable({
+      requestId: this.job.requestId,
+      decision: 'read_gateway_silent',
+      member: member.entry.memberId,
+      sentAgoMs: pending.sentAtMs === null ? null : Math.round(this.context.now() - pending.sentAtMs),
+    });
+    this.#attemptChanged.notify();
+  }
+
   /**
    * Logs an answer of the leader that may come from another process under its id: one to a read that named no
    * log entry, or one that came when the leader was not proven any more.
--- a/src/relay/session-link.ts
+++ b/src/relay/session-link.ts
@@ -64,6 +64,11 @@
    * @throws LinkLostError; its subclass NotSentError if the request has certainly not been sent to the member
    */
   send(request: MemberRequest): Promise<MemberReply>;
+  /**
+   * Sets the listener that is called once when the gateway of a borrowed connection no longer replies, after a
+   * statement was sent over it. The answer may still arrive. Never called for a direct connection.
+   */
+  onUnresponsive(listener: () => void): void;
   /** Closes the connection; the member rolls back an open transaction. */
   close(): void;
 }
--- /dev/null
+++ b/test/support/lending-scene.ts
@@ -0,0 +1,122 @@
+/**
+ * Gateways that lend connections to one member, and a borrower whose paths to them can be cut.
+ *
+ * @packageDocumentation
+ */
+import type { DaemonRecord } from '../../src/cluster/daemon-record.js';
+import { GatewayClient } from '../../src/gateway/gateway-client.js';
+import { GatewayServer } from '../../src/gateway/gateway-server.js';
+import { LinkPool } from '../../src/relay/link-pool.js';
+import type { MemberRequest } from '../../src/relay/member-link.js';
+import { FaultProxy } from '../../standin/rig/fault-proxy.js';
+import { daemonRecord } from './daemon-records.js';
+import { SlowLink } from './slow-link.js';
+
+const BORROWER_ZONE = 'borrower';
+/** Interval between two checks of the borrower, in milliseconds, as in a daemon. */
+const CHECK_INTERVAL_MS = 50;
+/** Distance between the port that the borrower uses and the port that the gateway listens on. */
+const PORT_OFFSET = 100;
+
+/** A connection to the member that counts the requests it has received. */
+class CountingLink extends SlowLink {
+  override readonly openedAt = { term: 1, index: 5 };
+  readonly received: MemberRequest[] = [];
+
+  override send(request: MemberRequest): ReturnType<SlowLink['send']> {
+    this.received.push(request);
+    return super.send(request);
+  }
+}
+
+/** A gateway with at most one connection to the member. */
+export class TestLender {
+  readonly record: DaemonRecord;
+  readonly server: GatewayServer;
+  readonly pool: LinkPool;
+  /** Connections that the member has accepted. */
+  readonly links: CountingLink[] = [];
+
+  constructor(name: string, host: string, gatewayPort: number) {
+    this.record = daemonRecord(name, { host, gatewayPort });
+    this.pool = new LinkPool({
+      dialer: {
+        dial: () => {
+          const link = new CountingLink();
+          this.links.push(link);
+          return Promise.resolve(link);
+        },
+      },
+      address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
+      budget: () => 1,
+      dialTimeoutMs: 100,
+      limitBackoffMs: 10,
+      idleTimeoutMs: 60_000,
+      serviceMs: () => 10,
+      onFailure: () => undefined,
+      now: () => performance.now(),
+      random: () => 0.5,
+    });
+    this.server = new GatewayServer({
+      pool: () => this.pool,
+      leaderCheck: () => ({ isProven: () => true, isReplaced: () => false, readStatus: () => null }),
+      ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
+      changes: () => new Promise<never>(() => undefined),
+      configuration: () => ({ version: 0, proof: null, item: null }),
+      grant: () => Promise.resolve(null),
+    });
+  }
+
+  /** Statements that the member has received through this gateway. */
+  get statements(): number {
+    const received = this.links.flatMap((link) => link.received);
+    return received.filter(({ kind }) => kind === 'statement').length;
+  }
+
+  /** Answers the oldest request that the member has received; false if there is none. */
+  answer(): boolean {
+    return this.links.some((link) => link.answer());
+  }
+}
+
+/** A borrower and its gateways. */
+export class LendingScene {
+  readonly proxy = new FaultProxy();
+  /** Takes the first of the gateways with the fewest loans. */
+  readonly client: GatewayClient;
+  readonly #lenders: TestLender[] = [];
+  readonly #checks: NodeJS.Timeout;
+
+  constructor(private readonly host: string) {
+    this.proxy.registerSource(host, BORROWER_ZONE);
+    this.client = new GatewayClient(
+      host,
+      () => performance.now(),
+      () => 0,
+    );
+    this.#checks = setInterval(() => this.client.check(), CHECK_INTERVAL_MS);
+  }
+
+  /** Starts a gateway that the borrower reaches at the given port. */
+  async addLender(name: string, port: number): Promise<TestLender> {
+    const lender = new TestLender(name, this.host, port);
+    this.#lenders.push(lender);
+    const targetPort = port + PORT_OFFSET;
+    await lender.server.listen(this.host, targetPort);
+    await this.proxy.forward({ zone: name, listenHost: this.host, port, targetHost: this.host, targetPort });
+    return lender;
+  }
+
+  /** Holds all traffic between the borrower and a gateway. */
+  silence(lender: TestLender): void {
+    this.proxy.isolate(lender.record.name, [BORROWER_ZONE]);
+  }
+
+  /** Stops everything. */
+  close(): void {
+    clearInterval(this.#checks);
+    this.client.close();
+    this.proxy.close();
+    for (const { server } of this.#lenders) server.close();
+  }
+}
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -16,6 +16,8 @@
 export interface TestGateway {
   readonly client: GatewayClient;
   readonly record: DaemonRecord;
+  /** Further gateways of the same members. */
+  readonly others?: readonly DaemonRecord[];
 }
 
 /** Creates a member with a pool of at most one connection, or with connections borrowed from a gateway. */
@@ -54,7 +56,11 @@
     bornMs: () => null,
     pool,
     gatewayClient: gateway?.client ?? new GatewayClient('h', now, Math.random),
-    assignment: () => ({ gateways: gateway === null ? null : [gateway.record], standbys: [], budget: 1 }),
+    assignment: () => ({
+      gateways: gateway === null ? null : [gateway.record, ...(gateway.others ?? [])],
+      standbys: [],
+      budget: 1,
+    }),
     tenantShare: () => 1,
     fallbackLenders: () => [],
     ownName: 'd',
--- a/test/support/slow-link.ts
+++ b/test/support/slow-link.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { Position } from '../../src/position/position.js';
 import {
   LinkLostError,
   NotSentError,
@@ -14,7 +15,7 @@
 /** A connection that answers requests in order, on demand, and tracks its transaction state. */
 export class SlowLink implements MemberLink {
   isOpen = true;
-  readonly openedAt = null;
+  readonly openedAt: Position | null = null;
   lastReceivedMs = 0;
   readonly executed: string[] = [];
   readonly #pending: {
