Loans: a write is handed over only after the gateway has granted a connection

Cause: a write is sent to a gateway together with its loan, so one that only waits there for a connection is in doubt when the gateway or the path to it fails, although it reached no member.

Change: a gateway announces grants with `hello`. For a write outside a transaction the borrower asks for a grant, and sends the statement once the gateway has a connection. An unused grant returns to the pool after 100 ms; a later request of that loan is answered as not sent. Gateways that announce no grants are used as before. The first writes over a new connection wait for the gateway's first message, which tells whether it has grants. A silent gateway whose loans have all ended stays unavailable until it sends a message; it counted as available before, since no reply was awaited.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -6,12 +6,20 @@
 import type { Leader } from '../leadership/leadership-evidence.js';
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { preparedStatementName } from '../relay/pooled-link.js';
+import { PoolTimeoutError } from '../relay/link-acquisition.js';
 import type { LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
 import type { BorrowMessage, GatewayMessage } from './gateway-messages.js';
 
 /** The connection to the gateway of a loan. */
 export interface LoanConnection {
+  /**
+   * True if the gateway has announced that it grants connections before requests are sent; `null` while no
+   * message has arrived from it.
+   */
+  hasGrants(): boolean | null;
+  /** Asks the gateway for a first message; {@link BorrowedLink.handleFirstMessage} is called when it arrives. */
+  requestFirstMessage(): void;
   /** Sends a message to the gateway. */
   transmit(message: GatewayMessage): void;
   /** Discards the loan's messages if none of them has left this daemon; false if some may have. */
@@ -38,6 +46,8 @@
   #isOpen = true;
   /** True once a request other than `begin` has been sent to the gateway. */
   #hasSentStatement = false;
+  /** Settles the wait for a grant; `null` while there is none. */
+  #grantWait: { values: SessionValues; resolve(): void; reject(error: Error): void } | null = null;
   #onUnresponsive: () => void = () => undefined;
 
   constructor(
@@ -57,9 +67,43 @@
     return this.#state;
   }
 
-  /** True while a request has no reply yet. */
+  /** True while a request, or the wait for a grant, has no reply yet. */
   get isAwaitingReply(): boolean {
-    return this.#pending.length > 0;
+    return this.#pending.length > 0 || this.#grantWait !== null;
+  }
+
+  /**
+   * Waits until the gateway has a connection for a request with the given values, which then has to be sent at
+   * once. Does not wait at a gateway that has not announced grants with its first message.
+   *
+   * @throws PoolTimeoutError: nothing was sent to the member, and the loan has ended
+   */
+  requestGrant(values: SessionValues): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#grantWait = { values, resolve, reject };
+      if (this.connection.hasGrants() === null) this.connection.requestFirstMessage();
+      else this.handleFirstMessage();
+    });
+  }
+
+  /** Continues a wait for a grant, since it is now known whether the gateway gives any. */
+  handleFirstMessage(): void {
+    const wait = this.#grantWait;
+    if (wait === null || this.#isAnnounced) return;
+    if (this.connection.hasGrants() !== true) {
+      this.handleGranted();
+      return;
+    }
+    this.#isAnnounced = true;
+    this.connection.transmit({ ...this.terms, isGrantWanted: true });
+    void this.setSessionValues(wait.values);
+  }
+
+  /** Ends the wait for a grant: the request may be sent. */
+  handleGranted(): void {
+    const wait = this.#grantWait;
+    this.#grantWait = null;
+    wait?.resolve();
   }
 
   async setSessionValues(values: SessionValues): Promise<void> {
@@ -133,6 +177,10 @@
 
   /** Handles a reply of the member that the gateway forwards. */
   handleReply(reply: MemberReply, isLeader = false): void {
+    if (this.#grantWait !== null) {
+      this.#giveUp(reply.result.isComplete ? 'not granted' : reply.result.text);
+      return;
+    }
     this.#state = reply.state;
     this.#isReplyOfLeader = isLeader;
     this.#pending.shift()?.resolve(reply);
@@ -177,6 +225,8 @@
     this.#isOpen = false;
     this.connection.ended();
     for (const { reject } of this.#pending.splice(0)) reject(error);
+    this.#grantWait?.reject(new PoolTimeoutError(error.message));
+    this.#grantWait = null;
   }
 }
 
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -13,7 +13,7 @@
 import type { Revision } from '../coordination/revision.js';
 import { MessageChannel } from '../peer/message-channel.js';
 import { BorrowedLink } from './borrowed-link.js';
-import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage } from './gateway-messages.js';
+import { GRANT_FEATURE, MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage } from './gateway-messages.js';
 import { notSentReply } from './loan.js';
 
 /** Timeout for opening a connection, in milliseconds. */
@@ -80,6 +80,13 @@
   'ask_grant',
 ]);
 
+/** True if a missing reply to the message indicates a fault. A gateway that has no connection yet replies to pings. */
+function isReplyDue(message: GatewayMessage): boolean {
+  return (
+    PROMPT_REPLY_TYPES.has(message.type) || (message.type === 'borrow' && message.isGrantWanted === true)
+  );
+}
+
 /** The connection to one gateway. */
 class GatewayConnection {
   isLeaving = false;
@@ -94,6 +101,10 @@
   /** The gateway has sent `ended`: requests that it has not reported on were not sent to the member. */
   #hasReceivedEnd = false;
   #hasReplied = false;
+  #hasGrants = false;
+  #isFirstMessageWanted = false;
+  /** True from the time when the loans were notified of the gateway's silence until its next message. */
+  #isSilent = false;
   /**
    * Time since which a reply has been awaited without any message arriving, in monotonic milliseconds; `null`
    * if none is awaited.
@@ -133,6 +144,8 @@
     const link = new BorrowedLink(
       { type: 'borrow', loan, ...terms },
       {
+        hasGrants: () => (this.#hasReplied ? this.#hasGrants : null),
+        requestFirstMessage: () => this.#requestFirstMessage(),
         transmit: (message) => this.#transmit(message),
         withdraw: () => this.#withdraw(loan),
         ended: () => this.#removeLoan(loan),
@@ -176,6 +189,7 @@
   /** Ends the loans over which no statement was sent, and notifies the others that the gateway is silent. */
   handleSilence(): void {
     if (!this.#isConnected) return;
+    this.#isSilent = true;
     for (const link of [...this.loans.values()]) link.handleSilence();
   }
 
@@ -183,6 +197,13 @@
     this.#channel.destroy();
   }
 
+  /** Sends a ping, since a gateway of the build before sends nothing of its own accord. */
+  #requestFirstMessage(): void {
+    if (this.#isFirstMessageWanted) return;
+    this.#isFirstMessageWanted = true;
+    this.probe();
+  }
+
   #handleConnect(): void {
     this.#isConnected = true;
     for (const message of this.#heldMessages) this.#channel.send(message);
@@ -190,7 +211,7 @@
   }
 
   #transmit(message: GatewayMessage): void {
-    if (PROMPT_REPLY_TYPES.has(message.type)) this.#awaitingSinceMs ??= this.now();
+    if (isReplyDue(message)) this.#awaitingSinceMs ??= this.now();
     if (this.#isConnected) this.#channel.send(message);
     else this.#heldMessages.push(message);
   }
@@ -204,7 +225,9 @@
   }
 
   #receive(message: GatewayMessage): void {
+    const isFirst = !this.#hasReplied;
     this.#hasReplied = true;
+    this.#isSilent = false;
     switch (message.type) {
       case 'reply':
         this.loans.get(message.loan)?.handleReply(message.reply, message.isLeader);
@@ -224,6 +247,12 @@
       case 'grant':
         this.#settleRequest(message.id, message);
         break;
+      case 'hello':
+        this.#hasGrants = Array.isArray(message.features) && message.features.includes(GRANT_FEATURE);
+        break;
+      case 'granted':
+        this.loans.get(message.loan)?.handleGranted();
+        break;
       case 'leaving':
         this.isLeaving = true;
         break;
@@ -234,6 +263,7 @@
       default:
         break;
     }
+    if (isFirst) for (const link of [...this.loans.values()]) link.handleFirstMessage();
     this.#awaitingSinceMs = this.#isAwaitingReply() ? this.now() : null;
   }
 
@@ -250,7 +280,8 @@
 
   #removeLoan(loan: number): void {
     this.loans.delete(loan);
-    if (!this.#isAwaitingReply()) this.#awaitingSinceMs = null;
+    // A silent gateway stays unresponsive without loans, until it replies to a ping.
+    if (!this.#isSilent && !this.#isAwaitingReply()) this.#awaitingSinceMs = null;
   }
 
   #handleClose(): void {
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -5,6 +5,8 @@
  * connection from its pool when the first request of the loan arrives. It releases the connection when the
  * loan is returned, or after the reply to a statement outside a transaction.
  *
+ * A borrower that wants to know that a gateway has a connection before it sends a request asks for a grant.
+ *
  * @packageDocumentation
  */
 import type { EvidenceReply } from '../leadership/evidence-exchange.js';
@@ -16,6 +18,18 @@
 import type { PreparedStatement } from '../relay/statement.js';
 import type { ConfigurationLeaseReply } from '../tenancy/lease-renewal.js';
 
+/** Feature of a gateway that answers a loan with `isGrantWanted` by a grant. */
+export const GRANT_FEATURE = 'grant';
+
+/**
+ * The first message of a gateway on a connection: what it supports beyond the messages of the first builds.
+ * Daemons of earlier builds send no such message and ignore it.
+ */
+export interface HelloMessage {
+  readonly type: 'hello';
+  readonly features: readonly string[];
+}
+
 /** Starts a loan; nothing is sent to the member yet. */
 export interface BorrowMessage {
   readonly type: 'borrow';
@@ -32,6 +46,20 @@
   readonly priority: number;
   /** Maximum wait for a connection, in milliseconds. */
   readonly waitMs: number;
+  /**
+   * Acquires a connection at once: the gateway answers `granted` once it has one, or `reply` that nothing was
+   * sent. Sent only to a gateway that has announced {@link GRANT_FEATURE}.
+   */
+  readonly isGrantWanted?: true;
+}
+
+/**
+ * The gateway has a connection for the loan and keeps it for a short time; a request that arrives later is
+ * answered as not sent.
+ */
+export interface GrantedMessage {
+  readonly type: 'granted';
+  readonly loan: number;
 }
 
 /** Session values to apply before the following requests of the loan. */
@@ -160,7 +188,9 @@
 
 /** Any message on a connection between a daemon and a gateway. */
 export type GatewayMessage =
+  | HelloMessage
   | BorrowMessage
+  | GrantedMessage
   | ValuesMessage
   | LoanRequestMessage
   | ReturnMessage
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -12,7 +12,12 @@
 import { MessageChannel } from '../peer/message-channel.js';
 import type { LinkPool } from '../relay/link-pool.js';
 import type { LeaderCheck } from '../relay/session-link.js';
-import { MAX_GATEWAY_MESSAGE_BYTES, type BorrowMessage, type GatewayMessage } from './gateway-messages.js';
+import {
+  GRANT_FEATURE,
+  MAX_GATEWAY_MESSAGE_BYTES,
+  type BorrowMessage,
+  type GatewayMessage,
+} from './gateway-messages.js';
 import type { Incarnation } from '../topology/incarnation.js';
 import { Loan, type LendingStage } from './loan.js';
 import { StatusQuestions } from './status-questions.js';
@@ -130,6 +135,7 @@
       onLost: () => loans.delete(terms.loan),
     });
     loans.set(terms.loan, loan);
+    if (terms.isGrantWanted === true) loan.requestGrant();
   }
 
   #accept(socket: Socket): void {
@@ -146,6 +152,7 @@
       },
     );
     this.#channels.set(channel, loans);
+    channel.send({ type: 'hello', features: [GRANT_FEATURE] });
     if (this.#stage !== 'lending') channel.send({ type: 'leaving' });
   }
 
@@ -190,6 +197,9 @@
           .grant(message.request)
           .then((grant) => channel.send({ type: 'grant', id: message.id, grant }));
         break;
+      case 'hello':
+        break;
+      case 'granted':
       case 'reply':
       case 'lost':
       case 'pong':
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -42,6 +42,13 @@
  */
 const MAX_UNPROVEN_WAIT_MS = 100;
 
+/**
+ * How long a granted connection is kept for the request that it was granted for, in milliseconds. Covers a
+ * round trip between zones and a scheduling delay of the borrower.
+ */
+const GRANT_USE_MS = 100;
+
+const GRANT_OVER = 'the granted connection was not used in time';
 const GATEWAY_STOPPING = 'the gateway is about to stop';
 const MEMBER_ENDED = 'the member has ended';
 const NOT_A_GATEWAY = 'not a gateway of the member';
@@ -75,7 +82,7 @@
 
 /** A message of the borrower, and when it was received, in monotonic milliseconds. */
 interface QueuedMessage {
-  readonly message: ValuesMessage | LoanRequestMessage;
+  readonly message: BorrowMessage | ValuesMessage | LoanRequestMessage;
   readonly receivedAtMs: number;
 }
 
@@ -86,14 +93,23 @@
   #wait: LinkAcquisition<LinkPool> | null = null;
   #link: PooledLink | null = null;
   #isProcessing = false;
+  /** Runs while a granted connection waits for its request. */
+  #grantTimer: NodeJS.Timeout | undefined;
+  /** True once a grant was refused or has expired: requests of this loan are not sent to the member. */
+  #isGrantOver = false;
   /** True while a request has been sent to the member and its reply has not arrived. */
   #isRequestInFlight = false;
   #hasEnded = false;
 
   constructor(private readonly options: LoanOptions) {}
 
+  /** Acquires a connection for the request to come, and tells the borrower when there is one. */
+  requestGrant(): void {
+    this.enqueue(this.options.terms);
+  }
+
   /** Queues a message and starts processing if necessary. */
-  enqueue(message: ValuesMessage | LoanRequestMessage): void {
+  enqueue(message: BorrowMessage | ValuesMessage | LoanRequestMessage): void {
     if (this.#hasEnded) return;
     this.#queue.push({ message, receivedAtMs: performance.now() });
     if (!this.#isProcessing) void this.#processQueue();
@@ -104,6 +120,7 @@
     this.#hasEnded = true;
     this.#queue.length = 0;
     this.#wait?.cancel();
+    clearTimeout(this.#grantTimer);
     this.#releaseLink();
   }
 
@@ -134,13 +151,35 @@
     this.#isProcessing = true;
     for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
       const { message, receivedAtMs } = next;
-      if (message.type === 'values') this.#values = new Map(message.values);
+      if (message.type === 'borrow') await this.#grant();
+      else if (message.type === 'values') this.#values = new Map(message.values);
       else if (message.request.kind === 'status' && this.#link === null) await this.#serveStatus();
       else await this.#serve(message, receivedAtMs);
     }
     this.#isProcessing = false;
   }
 
+  /** Acquires a connection and keeps it for a short time; replies that nothing was sent if there is none. */
+  async #grant(): Promise<void> {
+    // Values that arrived together with the loan select the connection.
+    await Promise.resolve();
+    while (this.#queue[0]?.message.type === 'values')
+      this.#values = new Map((this.#queue.shift()?.message as ValuesMessage).values);
+    if (this.#hasEnded) return;
+    if ((await this.#acquireLink()) === null) {
+      this.#isGrantOver = true;
+      return;
+    }
+    this.#grantTimer = setTimeout(() => this.#expireGrant(), GRANT_USE_MS);
+    this.options.answer({ type: 'granted', loan: this.options.terms.loan });
+    this.#endIfIdle();
+  }
+
+  #expireGrant(): void {
+    this.#isGrantOver = true;
+    this.#releaseLink();
+  }
+
   async #serveStatus(): Promise<void> {
     if (this.options.pool === null) {
       this.#reply(notSentReply(NOT_A_GATEWAY));
@@ -154,6 +193,11 @@
   }
 
   async #serve(message: LoanRequestMessage, receivedAtMs: number): Promise<void> {
+    clearTimeout(this.#grantTimer);
+    if (this.#isGrantOver) {
+      this.#reply(notSentReply(`gateway: ${GRANT_OVER}`));
+      return;
+    }
     const link = this.#link ?? (await this.#acquireLink());
     if (link === null) return;
     const wasIdle = link.state === 'idle';
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -11,6 +11,7 @@
 import type { SessionLink } from '../relay/session-link.js';
 import type { Assignment } from './assign-gateways.js';
 import { gatewaysOfTenant } from './tenant-gateways.js';
+import type { BorrowedLink } from './borrowed-link.js';
 import type { GatewayClient } from './gateway-client.js';
 
 /** Where the connections to one member come from: the own pool, or other daemons. */
@@ -97,11 +98,27 @@
   /**
    * Acquires a connection for exclusive use, to be released with {@link MemberConnections.release}.
    *
+   * @param isGrantWanted - waits until a gateway that lends has a connection, so that a request is sent to it
+   * only then; without effect at a gateway that does not announce grants. The request has to be sent at once.
    * @throws PoolTimeoutError, DialError: nothing was sent
    */
-  async acquire(demand: LinkDemand, waitMs: number): Promise<SessionLink> {
+  async acquire(demand: LinkDemand, waitMs: number, isGrantWanted = false): Promise<SessionLink> {
     if (this.usesOwnPool) return this.sources.pool.acquire(demand, waitMs);
-    return this.borrow(demand, waitMs);
+    const link = this.borrow(demand, waitMs);
+    if (isGrantWanted) await this.#awaitGrant(link, demand, waitMs);
+    return link;
+  }
+
+  async #awaitGrant(link: BorrowedLink, { values }: LinkDemand, waitMs: number): Promise<void> {
+    const timer = setTimeout(() => link.close(), Math.max(0, waitMs));
+    try {
+      await link.requestGrant(values);
+    } catch (error) {
+      this.release(link);
+      throw error;
+    } finally {
+      clearTimeout(timer);
+    }
   }
 
   /**
@@ -109,7 +126,7 @@
    *
    * @throws PoolTimeoutError: nothing was sent
    */
-  borrow({ tenantName, priority }: LinkDemand, waitMs: number): SessionLink {
+  borrow({ tenantName, priority }: LinkDemand, waitMs: number): BorrowedLink {
     if (this.#hasEnded) throw new PoolTimeoutError('the member has ended');
     const { gatewayClient: gateways, groupName, memberId } = this.sources;
     const { gateways: lenders, standbys } = this.sources.assignment();
--- a/src/gateway/silent-gateway.test.ts
+++ b/src/gateway/silent-gateway.test.ts
@@ -10,9 +10,7 @@
 import { afterEach, beforeEach, describe, test } from 'node:test';
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import { daemonRecord } from '../../test/support/daemon-records.js';
-import { createLeaderScene } from '../../test/support/leader-scene.js';
 import { LendingScene, type TestLender } from '../../test/support/lending-scene.js';
-import { createTestGroup } from '../../test/support/relay-members.js';
 import { LinkLostError, NotSentError, type MemberReply } from '../relay/member-link.js';
 import { ReadRunner } from '../relay/read-runner.js';
 import { Transaction } from '../relay/transaction.js';
@@ -35,7 +33,6 @@
 } as const;
 
 let scene: LendingScene;
-let evidenceTimer: NodeJS.Timeout | undefined;
 let lenders: readonly [TestLender, TestLender, TestLender];
 
 beforeEach(async () => {
@@ -46,29 +43,11 @@
     await scene.addLender('g3', 24_003),
   ];
 });
-afterEach(() => {
-  clearInterval(evidenceTimer);
-  scene.close();
-});
-
-/** A group whose only member is the leader, reached through the gateways. */
-function leaderBehind(gateways: readonly TestLender[]): ReturnType<typeof createLeaderScene> {
-  const [first, ...others] = gateways.map(({ record }) => record);
-  assert.ok(first !== undefined);
-  const dialer = { dial: () => assert.fail('no own connection is to be opened') };
-  const group = createTestGroup({ leader: dialer }, () => performance.now(), {
-    client: scene.client,
-    record: first,
-    others,
-  });
-  const target = createLeaderScene(group, { term: 1, index: 5 });
-  evidenceTimer = setInterval(() => group.evidence.recordWitness(1, 0, performance.now()), 50);
-  return target;
-}
+afterEach(() => scene.close());
 
 /** Starts a read that only the leader may serve. */
 function startRead(gateways: readonly TestLender[]): Promise<MemberReply> {
-  const { context, group } = leaderBehind(gateways);
+  const { context, group } = scene.leaderBehind(gateways);
   return new ReadRunner(context, {
     requestId: 'r',
     statement: { kind: 'plain', payload: 'READ r' },
@@ -145,7 +124,7 @@
 
 test('a transaction that waits for its begin at a gateway that becomes silent begins through another', async () => {
   const [first, second] = lenders;
-  const { context, group } = leaderBehind([first, second]);
+  const { context, group } = scene.leaderBehind([first, second]);
   const transaction = new Transaction(context, {
     route: ROUTE,
     group,
@@ -172,6 +151,24 @@
   transaction.end();
 });
 
+test('a silent gateway whose loans have ended gets no new ones until it has replied', async () => {
+  const [first, second] = lenders;
+  const begin = scene.client.borrow(first.record, TERMS).send(BEGIN);
+  await waitUntil('the begin at the first gateway', () => first.links[0]?.hasPendingRequest === true);
+  scene.silence(first);
+  await assert.rejects(begin, LinkLostError);
+  const untilMs = performance.now() + 800;
+  while (performance.now() < untilMs) {
+    assert.equal(scene.client.choose([first.record, second.record])?.name, 'g2');
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  scene.proxy.heal();
+  await waitUntil(
+    'the first gateway to be used again',
+    () => scene.client.choose([first.record, second.record])?.name === 'g1',
+  );
+});
+
 test('a write that was sent to a gateway that becomes silent may have run', async () => {
   const [first] = lenders;
   const outcome = scene.client.borrow(first.record, TERMS).send(WRITE);
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -160,7 +160,7 @@
     this.#isUnreachable = false;
     let link;
     try {
-      link = await leader.pool.acquire(this.#demand(), job.deadlineMs - context.now());
+      link = await leader.pool.acquire(this.#demand(), job.deadlineMs - context.now(), true);
     } catch (error) {
       this.#isUnreachable = error instanceof DialError;
       this.#lastReason = `no connection: ${String(error)}`;
--- a/test/support/lending-scene.ts
+++ b/test/support/lending-scene.ts
@@ -8,8 +8,11 @@
 import { GatewayServer } from '../../src/gateway/gateway-server.js';
 import { LinkPool } from '../../src/relay/link-pool.js';
 import type { MemberRequest } from '../../src/relay/member-link.js';
+import { PROCESS_TERM } from './fake-process.js';
 import { FaultProxy } from '../../standin/rig/fault-proxy.js';
 import { daemonRecord } from './daemon-records.js';
+import { createLeaderScene, now, type LeaderScene } from './leader-scene.js';
+import { createTestGroup } from './relay-members.js';
 import { SlowLink } from './slow-link.js';
 
 const BORROWER_ZONE = 'borrower';
@@ -69,8 +72,13 @@
 
   /** Statements that the member has received through this gateway. */
   get statements(): number {
+    return this.statementIds.length;
+  }
+
+  /** Request ids of the statements that the member has received through this gateway. */
+  get statementIds(): readonly string[] {
     const received = this.links.flatMap((link) => link.received);
-    return received.filter(({ kind }) => kind === 'statement').length;
+    return received.flatMap((request) => (request.kind === 'statement' ? [request.requestId] : []));
   }
 
   /** Answers the oldest request that the member has received; false if there is none. */
@@ -85,7 +93,7 @@
   /** Takes the first of the gateways with the fewest loans. */
   readonly client: GatewayClient;
   readonly #lenders: TestLender[] = [];
-  readonly #checks: NodeJS.Timeout;
+  readonly #timers: NodeJS.Timeout[] = [];
 
   constructor(private readonly host: string) {
     this.proxy.registerSource(host, BORROWER_ZONE);
@@ -94,7 +102,17 @@
       () => performance.now(),
       () => 0,
     );
-    this.#checks = setInterval(() => this.client.check(), CHECK_INTERVAL_MS);
+    this.#timers.push(setInterval(() => this.client.check(), CHECK_INTERVAL_MS));
+  }
+
+  /** A group whose only member is the leader, which the borrower reaches through the gateways. */
+  leaderBehind(lenders: readonly TestLender[]): LeaderScene {
+    const [record = daemonRecord('none'), ...others] = lenders.map((lender) => lender.record);
+    const dialer = { dial: () => Promise.reject(new Error('no own connection is to be opened')) };
+    const group = createTestGroup({ leader: dialer }, now, { client: this.client, record, others });
+    const renew = (): boolean => group.evidence.recordWitness(PROCESS_TERM, 0, now());
+    this.#timers.push(setInterval(renew, CHECK_INTERVAL_MS));
+    return createLeaderScene(group, { term: PROCESS_TERM, index: 5 });
   }
 
   /** Starts a gateway that the borrower reaches at the given port. */
@@ -114,7 +132,7 @@
 
   /** Stops everything. */
   close(): void {
-    clearInterval(this.#checks);
+    for (const timer of this.#timers) clearInterval(timer);
     this.client.close();
     this.proxy.close();
     for (const { server } of this.#lenders) server.close();
