--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -7,12 +7,29 @@
 import type { Leader } from '../leadership/leadership-evidence.js';
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { preparedStatementName } from '../relay/pooled-link.js';
+import { PoolTimeoutError } from '../relay/link-acquisition.js';
 import type { LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
 import type { BorrowMessage, GatewayMessage } from './gateway-messages.js';
 
 /** Longest retry time that is accepted from a gateway, in milliseconds; gateways send up to 2000. */
 const MAX_RETRY_AFTER_MS = 10_000;
+/** The connection to the gateway of a loan. */
+export interface LoanConnection {
+  /**
+   * True if the gateway has announced that it grants connections before requests are sent; `null` while no
+   * message has arrived from it.
+   */
+  hasGrants(): boolean | null;
+  /** Asks the gateway for a first message; {@link BorrowedLink.handleFirstMessage} is called when it arrives. */
+  requestFirstMessage(): void;
+  /** Sends a message to the gateway. */
+  transmit(message: GatewayMessage): void;
+  /** Discards the loan's messages if none of them has left this daemon; false if some may have. */
+  withdraw(): boolean;
+  /** Called once when the loan has ended at this daemon. */
+  ended(): void;
+}
 
 interface PendingRequest {
   resolve(reply: MemberReply): void;
@@ -30,17 +47,17 @@
   #requiredLeader: Leader | null = null;
   #isReplyOfLeader = false;
   #isOpen = true;
+  /** True once a request other than `begin` has been sent to the gateway. */
+  #hasSentStatement = false;
+  /** Settles the wait for a grant; `null` while there is none. */
+  #grantWait: { values: SessionValues; resolve(): void; reject(error: Error): void } | null = null;
+  #onUnresponsive: () => void = () => undefined;
 
-  /**
-   * @param gatewayName - the daemon that lends the connection
-   * @param transmit - sends a message to the gateway
-   * @param onEnd - called once when the loan has ended at this daemon
-   */
+  /** @param gatewayName - the daemon that lends the connection */
   constructor(
     private readonly terms: BorrowMessage,
     private readonly gatewayName: string,
-    private readonly transmit: (message: GatewayMessage) => void,
-    private readonly onEnd: () => void,
+    private readonly connection: LoanConnection,
   ) {}
 
   get isOpen(): boolean {
@@ -55,9 +72,43 @@
     return this.#state;
   }
 
-  /** True while a request has no reply yet. */
+  /** True while a request, or the wait for a grant, has no reply yet. */
   get isAwaitingReply(): boolean {
-    return this.#pending.length > 0;
+    return this.#pending.length > 0 || this.#grantWait !== null;
+  }
+
+  /**
+   * Waits until the gateway has a connection for a request with the given values, which then has to be sent at
+   * once. Does not wait at a gateway that has not announced grants with its first message.
+   *
+   * @throws PoolTimeoutError: nothing was sent to the member, and the loan has ended
+   */
+  requestGrant(values: SessionValues): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#grantWait = { values, resolve, reject };
+      if (this.connection.hasGrants() === null) this.connection.requestFirstMessage();
+      else this.handleFirstMessage();
+    });
+  }
+
+  /** Continues a wait for a grant, since it is now known whether the gateway gives any. */
+  handleFirstMessage(): void {
+    const wait = this.#grantWait;
+    if (wait === null || this.#isAnnounced) return;
+    if (this.connection.hasGrants() !== true) {
+      this.handleGranted();
+      return;
+    }
+    this.#isAnnounced = true;
+    this.connection.transmit({ ...this.terms, isGrantWanted: true });
+    void this.setSessionValues(wait.values);
+  }
+
+  /** Ends the wait for a grant: the request may be sent. */
+  handleGranted(): void {
+    const wait = this.#grantWait;
+    this.#grantWait = null;
+    wait?.resolve();
   }
 
   async setSessionValues(values: SessionValues): Promise<void> {
@@ -65,7 +116,7 @@
     if (haveSameValues(values, this.#values)) return;
     this.#values = new Map(values);
     this.#announce();
-    this.transmit({ type: 'values', loan: this.terms.loan, values: [...values] });
+    this.connection.transmit({ type: 'values', loan: this.terms.loan, values: [...values] });
   }
 
   async prepare(prepared: PreparedStatement): Promise<string> {
@@ -92,10 +143,11 @@
     if (!this.#isOpen) return Promise.reject(new NotSentError('not open'));
     this.#announce();
     const prepared = request.kind === 'execute' ? (this.#prepared.get(request.name) ?? null) : null;
+    this.#hasSentStatement ||= request.kind !== 'begin';
     return new Promise((resolve, reject) => {
       this.#pending.push({ resolve, reject });
       const leader = request.kind === 'status' ? null : this.#requiredLeader;
-      this.transmit({
+      this.connection.transmit({
         type: 'request',
         loan: this.terms.loan,
         request,
@@ -105,14 +157,35 @@
     });
   }
 
+  onUnresponsive(listener: () => void): void {
+    this.#onUnresponsive = listener;
+  }
+
   close(): void {
+    if (this.#isOpen) this.#giveUp('given up');
+  }
+
+  /**
+   * Handles a gateway that no longer replies. The loan ends if no statement was sent over it, since nothing has
+   * run then. Otherwise the answer may still arrive, and the listener decides what to do meanwhile.
+   */
+  handleSilence(): void {
     if (!this.#isOpen) return;
-    if (this.#isAnnounced) this.transmit({ type: 'return', loan: this.terms.loan });
-    this.#end(new LinkLostError('given up'));
+    if (!this.#hasSentStatement) {
+      this.#giveUp('the gateway does not reply');
+      return;
+    }
+    const notify = this.#onUnresponsive;
+    this.#onUnresponsive = () => undefined;
+    notify();
   }
 
   /** Handles a reply of the member that the gateway forwards. */
   handleReply(reply: MemberReply, isLeader = false): void {
+    if (this.#grantWait !== null) {
+      this.#giveUp(reply.result.isComplete ? 'not granted' : reply.result.text);
+      return;
+    }
     this.#state = reply.state;
     this.#isReplyOfLeader = isLeader;
     this.#pending.shift()?.resolve(reply);
@@ -129,7 +202,14 @@
       return;
     }
     this.#isReplyOfLeader = false;
-    this.#pending.shift()?.reject(new AdmissionError(retryAfterMs, {}, this.gatewayName));
+    const refusal = new AdmissionError(retryAfterMs, {}, this.gatewayName);
+    if (this.#grantWait === null) {
+      this.#pending.shift()?.reject(refusal);
+      return;
+    }
+    this.#grantWait.reject(refusal);
+    this.#grantWait = null;
+    this.#giveUp(refusal.message);
   }
 
   /**
@@ -157,13 +237,22 @@
   #announce(): void {
     if (this.#isAnnounced) return;
     this.#isAnnounced = true;
-    this.transmit(this.terms);
+    this.connection.transmit(this.terms);
+  }
+
+  /** Ends the loan on the borrower's side. A loan that has not been announced to the gateway was not run. */
+  #giveUp(reason: string): void {
+    const isUnsent = !this.#isAnnounced || this.connection.withdraw();
+    if (!isUnsent) this.connection.transmit({ type: 'return', loan: this.terms.loan });
+    this.#end(isUnsent ? new NotSentError(reason) : new LinkLostError(reason));
   }
 
   #end(error: LinkLostError): void {
     this.#isOpen = false;
-    this.onEnd();
+    this.connection.ended();
     for (const { reject } of this.#pending.splice(0)) reject(error);
+    this.#grantWait?.reject(new PoolTimeoutError(error.message));
+    this.#grantWait = null;
   }
 }
 
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -17,7 +17,12 @@
 import { RequestTimes } from '../placement/request-times.js';
 import { ZoneLatency } from '../placement/zone-latency.js';
 import { BorrowedLink } from './borrowed-link.js';
-import { MAX_GATEWAY_MESSAGE_BYTES, type GatewayMessage, type LoanReplyMessage } from './gateway-messages.js';
+import {
+  GRANT_FEATURE,
+  MAX_GATEWAY_MESSAGE_BYTES,
+  type GatewayMessage,
+  type LoanReplyMessage,
+} from './gateway-messages.js';
 import { notSentReply } from './loan.js';
 
 /** Timeout for opening a connection, in milliseconds. */
@@ -28,6 +33,11 @@
 const UNRESPONSIVE_AFTER_MS = 400;
 /** The same time after which the connection is closed, in milliseconds. */
 const CLOSE_AFTER_MS = 1200;
+/**
+ * Interval between two checks above which this process counts as paused, in milliseconds. Replies that arrived
+ * during a pause have not been read yet, so the silence of that time proves nothing.
+ */
+const PAUSED_CHECK_INTERVAL_MS = 250;
 /** Delay before a gateway that was unresponsive or unreachable is tried again, in milliseconds. */
 const RETRY_DELAY_MS = 600;
 
@@ -83,6 +93,13 @@
   'ask_grant',
 ]);
 
+/** True if a missing reply to the message indicates a fault. A gateway that has no connection yet replies to pings. */
+function isReplyDue(message: GatewayMessage): boolean {
+  return (
+    PROMPT_REPLY_TYPES.has(message.type) || (message.type === 'borrow' && message.isGrantWanted === true)
+  );
+}
+
 /** Where a connection records what it learns about load and distance. */
 interface LoadRecords {
   readonly loads: MemberLoads;
@@ -103,9 +120,15 @@
   readonly #openedAtMs: number;
   readonly #gatewayName: string;
   #isConnected = false;
+  /** Messages that wait until the connection is open, so that they can still be withdrawn. */
+  #heldMessages: GatewayMessage[] = [];
   /** The gateway has sent `ended`: requests that it has not reported on were not sent to the member. */
   #hasReceivedEnd = false;
   #hasReplied = false;
+  #hasGrants = false;
+  #isFirstMessageWanted = false;
+  /** True from the time when the loans were notified of the gateway's silence until its next message. */
+  #isSilent = false;
   /**
    * Time since which a reply has been awaited without any message arriving, in monotonic milliseconds; `null`
    * if none is awaited.
@@ -124,7 +147,7 @@
     this.#openedAtMs = now();
     this.#gatewayName = record.name;
     const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
-    socket.once('connect', () => (this.#isConnected = true));
+    socket.once('connect', () => this.#handleConnect());
     this.#channel = new MessageChannel<GatewayMessage>(socket, MAX_GATEWAY_MESSAGE_BYTES, {
       message: (message) => this.#receive(message),
       closed: () => this.#handleClose(),
@@ -144,12 +167,13 @@
   borrow(terms: LoanTerms): BorrowedLink {
     this.#lastLoanId += 1;
     const loan = this.#lastLoanId;
-    const link = new BorrowedLink(
-      { type: 'borrow', loan, ...terms },
-      this.#gatewayName,
-      (message) => this.#transmit(message),
-      () => this.#removeLoan(loan),
-    );
+    const link = new BorrowedLink({ type: 'borrow', loan, ...terms }, this.#gatewayName, {
+      hasGrants: () => (this.#hasReplied ? this.#hasGrants : null),
+      requestFirstMessage: () => this.#requestFirstMessage(),
+      transmit: (message) => this.#transmit(message),
+      withdraw: () => this.#withdraw(loan),
+      ended: () => this.#removeLoan(loan),
+    });
     this.loans.set(loan, link);
     const load = this.records.loads.entry(terms.memberId, this.record.name);
     load.loanStarted();
@@ -188,18 +212,49 @@
     this.#channel.send({ type: 'ping' });
   }
 
+  /** Ends the loans over which no statement was sent, and notifies the others that the gateway is silent. */
+  handleSilence(): void {
+    if (!this.#isConnected) return;
+    this.#isSilent = true;
+    for (const link of [...this.loans.values()]) link.handleSilence();
+  }
+
   close(): void {
     this.#channel.destroy();
   }
 
+  /** Sends a ping, since a gateway of the build before sends nothing of its own accord. */
+  #requestFirstMessage(): void {
+    if (this.#isFirstMessageWanted) return;
+    this.#isFirstMessageWanted = true;
+    this.probe();
+  }
+
+  #handleConnect(): void {
+    this.#isConnected = true;
+    for (const message of this.#heldMessages) this.#channel.send(message);
+    this.#heldMessages = [];
+  }
+
   #transmit(message: GatewayMessage): void {
-    if (PROMPT_REPLY_TYPES.has(message.type)) this.#awaitingSinceMs ??= this.now();
+    if (isReplyDue(message)) this.#awaitingSinceMs ??= this.now();
     if (message.type === 'request') this.#requestTimes.started(message.loan, this.now());
-    this.#channel.send(message);
+    if (this.#isConnected) this.#channel.send(message);
+    else this.#heldMessages.push(message);
+  }
+
+  #withdraw(loan: number): boolean {
+    if (this.#isConnected) return false;
+    this.#heldMessages = this.#heldMessages.filter(
+      (message) => !('loan' in message) || message.loan !== loan,
+    );
+    return true;
   }
 
   #receive(message: GatewayMessage): void {
+    const isFirst = !this.#hasReplied;
     this.#hasReplied = true;
+    this.#isSilent = false;
     switch (message.type) {
       case 'reply':
         this.#recordLoad(message);
@@ -222,6 +277,12 @@
       case 'grant':
         this.#settleRequest(message.id, message);
         break;
+      case 'hello':
+        this.#hasGrants = Array.isArray(message.features) && message.features.includes(GRANT_FEATURE);
+        break;
+      case 'granted':
+        this.loans.get(message.loan)?.handleGranted();
+        break;
       case 'leaving':
         this.isLeaving = true;
         break;
@@ -232,6 +293,7 @@
       default:
         break;
     }
+    if (isFirst) for (const link of [...this.loans.values()]) link.handleFirstMessage();
     this.#awaitingSinceMs = this.#isAwaitingReply() ? this.now() : null;
   }
 
@@ -266,7 +328,8 @@
     this.#loadByLoan.get(loan)?.loanEnded();
     this.#loadByLoan.delete(loan);
     this.#requestTimes.forget(loan);
-    if (!this.#isAwaitingReply()) this.#awaitingSinceMs = null;
+    // A silent gateway stays unresponsive without loans, until it replies to a ping.
+    if (!this.#isSilent && !this.#isAwaitingReply()) this.#awaitingSinceMs = null;
   }
 
   #handleClose(): void {
@@ -294,6 +357,9 @@
    */
   readonly #unavailable = new Set<string>();
   #lastRequestId = 1;
+  #checkedAtMs = Number.NEGATIVE_INFINITY;
+  /** When this process last continued after a pause, in monotonic milliseconds. */
+  #resumedAtMs = Number.NEGATIVE_INFINITY;
 
   /**
    * @param localAddress - the daemon's own address, from which connections are opened
@@ -416,10 +482,20 @@
     });
   }
 
-  /** Pings or closes unresponsive connections; to be called every few tens of milliseconds. */
+  /**
+   * Pings or closes unresponsive connections, and ends their loans over which no statement was sent; to be
+   * called every few tens of milliseconds.
+   */
   check(): void {
+    const nowMs = this.now();
+    if (nowMs - this.#checkedAtMs > PAUSED_CHECK_INTERVAL_MS) this.#resumedAtMs = nowMs;
+    this.#checkedAtMs = nowMs;
     for (const [key, connection] of [...this.#connections]) {
-      if (connection.unansweredMs > UNRESPONSIVE_AFTER_MS) this.#markUnavailable(key);
+      const { unansweredMs } = connection;
+      if (unansweredMs > UNRESPONSIVE_AFTER_MS) this.#markUnavailable(key);
+      // Marked first, so that what is tried again does not use the same gateway.
+      if (Math.min(unansweredMs, nowMs - this.#resumedAtMs) > UNRESPONSIVE_AFTER_MS)
+        connection.handleSilence();
       connection.check();
     }
   }
--- a/src/gateway/gateway-server.ts
+++ b/src/gateway/gateway-server.ts
@@ -17,6 +17,7 @@
 import type { LinkPool } from '../relay/link-pool.js';
 import type { LeaderCheck } from '../relay/session-link.js';
 import {
+  GRANT_FEATURE,
   MAX_GATEWAY_MESSAGE_BYTES,
   type BorrowMessage,
   type GatewayMessage,
@@ -164,6 +165,7 @@
       },
     });
     loans.set(terms.loan, loan);
+    if (terms.isGrantWanted === true) loan.requestGrant();
   }
 
   /** Adds a load report to a reply if one is due. */
@@ -208,6 +210,7 @@
       },
     );
     this.#channels.set(channel, connection);
+    channel.send({ type: 'hello', features: [GRANT_FEATURE] });
     if (this.#stage !== 'lending') channel.send({ type: 'leaving' });
   }
 
@@ -261,6 +264,9 @@
           .grant(message.request)
           .then((grant) => channel.send({ type: 'grant', id: message.id, grant }));
         break;
+      case 'hello':
+        break;
+      case 'granted':
       case 'reply':
       case 'lost':
       case 'pong':
--- a/src/gateway/loan-admission.test.ts
+++ b/src/gateway/loan-admission.test.ts
@@ -197,12 +197,14 @@
 
 test('a refusal with an invalid retry time, or one that is not marked, is handled as by earlier builds', async () => {
   const terms = { groupName: 'g', memberId: 'm', tenantName: 'one', priority: 1, waitMs: 100 };
-  const link = new BorrowedLink(
-    { type: 'borrow', loan: 1, ...terms },
-    'g1',
-    () => undefined,
-    () => undefined,
-  );
+  const connection = {
+    hasGrants: () => false,
+    requestFirstMessage: () => undefined,
+    transmit: () => undefined,
+    withdraw: () => false,
+    ended: () => undefined,
+  };
+  const link = new BorrowedLink({ type: 'borrow', loan: 1, ...terms }, 'g1', connection);
   const request = { kind: 'status' } as const;
   for (const retryAfterMs of [Number.NaN, -1, 1e9, '50' as unknown as number]) {
     const reply = link.send(request);
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -12,6 +12,7 @@
 import type { SessionLink } from '../relay/session-link.js';
 import type { Assignment } from './assign-gateways.js';
 import { gatewaysOfTenant } from './tenant-gateways.js';
+import type { BorrowedLink } from './borrowed-link.js';
 import type { GatewayClient, LoanTerms } from './gateway-client.js';
 
 /** Where the connections to one member come from: the own pool, or other daemons. */
@@ -32,6 +33,17 @@
   readonly ownName: string;
 }
 
+/** How a connection is acquired. */
+export interface AcquireOptions {
+  /** Name of a gateway that has refused the request, and is not asked again; `null` for none. */
+  readonly refusedBy?: string | null;
+  /**
+   * Waits until a gateway that lends has a connection, so that a request is sent to it only then; without effect
+   * at a gateway that does not announce grants. The request has to be sent at once.
+   */
+  readonly isGrantWanted?: boolean;
+}
+
 /**
  * Time allowed for the gateway's reply that no connection became free, in milliseconds: covers a few
  * cross-zone trips and a scheduling delay.
@@ -112,12 +124,25 @@
   /**
    * Acquires a connection for exclusive use, to be released with {@link MemberConnections.release}.
    *
-   * @param refusedBy - name of a gateway that has refused the request, and is not asked again
    * @throws PoolTimeoutError, DialError, AdmissionError: nothing was sent
    */
-  async acquire(demand: LinkDemand, waitMs: number, refusedBy: string | null = null): Promise<SessionLink> {
+  async acquire(demand: LinkDemand, waitMs: number, options: AcquireOptions = {}): Promise<SessionLink> {
     if (this.usesOwnPool) return this.sources.pool.acquire(demand, waitMs);
-    return this.borrow(demand, waitMs, refusedBy);
+    const link = this.borrow(demand, waitMs, options.refusedBy);
+    if (options.isGrantWanted === true) await this.#awaitGrant(link, demand, waitMs);
+    return link;
+  }
+
+  async #awaitGrant(link: BorrowedLink, { values }: LinkDemand, waitMs: number): Promise<void> {
+    const timer = setTimeout(() => link.close(), Math.max(0, waitMs));
+    try {
+      await link.requestGrant(values);
+    } catch (error) {
+      this.release(link);
+      throw error;
+    } finally {
+      clearTimeout(timer);
+    }
   }
 
   /**
@@ -126,7 +151,7 @@
    * @param refusedBy - name of a gateway that has refused the request, and is not asked again
    * @throws PoolTimeoutError: nothing was sent
    */
-  borrow(demand: LinkDemand, waitMs: number, refusedBy: string | null = null): SessionLink {
+  borrow(demand: LinkDemand, waitMs: number, refusedBy: string | null = null): BorrowedLink {
     if (this.#hasEnded) throw new PoolTimeoutError('the member has ended');
     const { tenantName, priority, isWrite, dueAtMs } = demand;
     const { gatewayClient: gateways, groupName, memberId } = this.sources;
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -249,7 +249,7 @@
       const dueAtMs = dueAt(route, deadlineMs);
       const isWrite = !this.#mayUseReplica();
       const demand = { tenantName, values, isWrite, priority: route.priority, dueAtMs, deadlineMs };
-      link = await member.pool.acquire(demand, deadlineMs - context.now(), refusedBy);
+      link = await member.pool.acquire(demand, deadlineMs - context.now(), { refusedBy });
     } catch (error) {
       if (error instanceof AdmissionError || refusedBy !== null) this.#recordOverload(member, error);
       this.#isUnreachable = error instanceof DialError;
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -168,7 +168,8 @@
     const refusedBy = this.#loadRefusals.gatewayOf(leader.entry.memberId);
     let link;
     try {
-      link = await leader.pool.acquire(this.#demand(), job.deadlineMs - context.now(), refusedBy);
+      const options = { refusedBy, isGrantWanted: true };
+      link = await leader.pool.acquire(this.#demand(), job.deadlineMs - context.now(), options);
     } catch (error) {
       if (error instanceof AdmissionError || refusedBy !== null) return this.#refusedByLoad(leader, error);
       this.#isUnreachable = error instanceof DialError;
