Wait queue: a connection is opened for the oldest request after eight passes

Cause: where connections belong to tenants, each eighth grant that passed over the oldest request had the next connection opened for it, and further ones until it was served. The oldest request is usually late, and opening a connection costs the member as much as a request.

Change: the oldest request is owed a connection once eight such grants have gone to others; the first connection of its tenant then serves it, and one being opened for its tenant counts as opened for it.

--- a/src/admission/wait-queue.ts
+++ b/src/admission/wait-queue.ts
@@ -2,10 +2,10 @@
  * Requests that wait for a connection to one member, in the order in which they are served. Pure.
  *
  * If connections are scarce, serving in order of arrival delays all requests equally, beyond their latency
- * objectives. So requests that can still meet their objective go first, by priority; among these, those of the
- * tenant that has received the least of its share; within a tenant, by due time. Requests that have missed
- * their objective are served with the remaining capacity, in the same order. Every eighth grant goes to the
- * request that has waited longest, so that none starves.
+ * objectives. So requests that can still meet their objective go first, by the priority of the route and the
+ * share that the tenant has received; within a tenant, by priority and then by due time. Requests that have
+ * missed their objective are served with the remaining capacity, in the same order. Every eighth grant goes to
+ * the request that has waited longest, so that none starves.
  *
  * A request is late when its due time precedes the time at which it would be answered. It remains classified
  * as late, also if the member becomes faster.
@@ -21,6 +21,12 @@
 const MAX_WAITING = 2000;
 /** One grant in this many goes to the request that has waited longest. */
 const OLDEST_GRANT_INTERVAL = 8;
+/**
+ * Oldest grants that may go to other requests than the oldest of all, because of the tenants of the
+ * connections, before the next connection is opened for the oldest. Opening one costs the member as much as a
+ * request, and the oldest request is usually late.
+ */
+const MAX_OLDEST_PASSED_OVER = 8;
 /** Weight of a new measurement in the mean time that a connection is in use. */
 const USE_SMOOTHING = 1 / 16;
 /** Smallest charge for a use, in milliseconds, so that uses shorter than the clock's resolution count. */
@@ -66,11 +72,8 @@
   readonly #maxWaiting: number;
   #nextSequence = 0;
   #grantsSinceOldest = 0;
-  /**
-   * True once the connection due to the oldest request has gone to another one, because it belongs to another
-   * tenant, until the oldest request is served.
-   */
-  #isOldestOwed = false;
+  /** Oldest grants that have gone to other requests since the oldest of all was last served. */
+  #oldestPassedOver = 0;
   /** Smoothed time that a connection is in use, in milliseconds; `null` before the first measurement. */
   #meanUseMs: number | null = null;
 
@@ -126,7 +129,7 @@
   /** The next request that a connection of a tenant would serve. */
   peekFor(tenantName: string, nowMs: number, serviceMs: number): WaitingRequest<T> | undefined {
     this.#classify(nowMs + serviceMs);
-    return this.#isOldestNext ? this.#lanes.oldestFor(tenantName) : this.#firstFor(tenantName, []);
+    return this.#isOldestNext ? this.#lanes.oldestFor(tenantName) : this.#nextFor(tenantName, []);
   }
 
   /**
@@ -143,22 +146,22 @@
     this.#classify(nowMs + serviceMs);
     const covered: WaitEntry<T>[] = [];
     for (const tenantName of dialing) {
-      const entry = this.#firstFor(tenantName, covered);
+      const entry = this.#nextFor(tenantName, covered);
       if (entry !== undefined) covered.push(entry);
     }
     if (covered.length === this.size) return undefined;
-    const isOldestFirst = this.#isOldestNext || this.#isOldestOwed;
-    return isOldestFirst ? this.#arrivals.find((entry) => !covered.includes(entry)) : this.#first(covered);
+    const owed = this.#owed;
+    return owed !== undefined && !covered.includes(owed) ? owed : this.#first(covered);
   }
 
   /** Removes the next request that a connection of a tenant serves, because it is granted to it. */
   takeFor(tenantName: string, nowMs: number, serviceMs: number): T | undefined {
     this.#classify(nowMs + serviceMs);
     const isOldestNext = this.#isOldestNext;
-    const entry = isOldestNext ? this.#lanes.oldestFor(tenantName) : this.#firstFor(tenantName, []);
+    const entry = isOldestNext ? this.#lanes.oldestFor(tenantName) : this.#nextFor(tenantName, []);
     if (entry === undefined) return undefined;
-    if (entry === this.#arrivals.peek()) this.#isOldestOwed = false;
-    else if (isOldestNext) this.#isOldestOwed = true;
+    if (entry === this.#arrivals.peek()) this.#oldestPassedOver = 0;
+    else if (isOldestNext) this.#oldestPassedOver += 1;
     this.#grantsSinceOldest = isOldestNext ? 0 : this.#grantsSinceOldest + 1;
     this.#delete(entry);
     return entry.item;
@@ -203,6 +206,11 @@
     return this.#grantsSinceOldest >= OLDEST_GRANT_INTERVAL - 1;
   }
 
+  /** The oldest request, if it was passed over too often. */
+  get #owed(): WaitEntry<T> | undefined {
+    return this.#oldestPassedOver >= MAX_OLDEST_PASSED_OVER ? this.#arrivals.peek() : undefined;
+  }
+
   /** Moves requests that would be answered after their due time to the late ones. */
   #classify(answeredAtMs: number): void {
     for (;;) {
@@ -227,7 +235,7 @@
     this.#arrivals.clear();
     this.#dueTimes.clear();
     this.#lanes.clear();
-    this.#isOldestOwed = false;
+    this.#oldestPassedOver = 0;
   }
 
   /** Removes the request that would be served last. */
@@ -243,7 +251,10 @@
     return this.#lanes.first('onTime', excluded) ?? this.#lanes.first('late', excluded);
   }
 
-  #firstFor(tenantName: string, excluded: readonly WaitEntry<T>[]): WaitEntry<T> | undefined {
+  /** The next request that a connection of a tenant serves, unless it is the turn of its oldest one. */
+  #nextFor(tenantName: string, excluded: readonly WaitEntry<T>[]): WaitEntry<T> | undefined {
+    const owed = this.#owed;
+    if (owed !== undefined && acceptsTenant(owed.demand, tenantName) && !excluded.includes(owed)) return owed;
     return (
       this.#lanes.firstFor(tenantName, 'onTime', excluded) ??
       this.#lanes.firstFor(tenantName, 'late', excluded)
@@ -251,6 +262,11 @@
   }
 }
 
+/** True if a connection of the tenant satisfies the demand. */
+function acceptsTenant(demand: LinkDemand, tenantName: string): boolean {
+  return demand.tenantName === null || demand.tenantName === tenantName;
+}
+
 function classOf(demand: LinkDemand, answeredAtMs: number): WaitClass {
   return demand.dueAtMs < answeredAtMs ? 'late' : 'onTime';
 }
