--- a/src/admission/wait-queue-load.test.ts
+++ b/src/admission/wait-queue-load.test.ts
@@ -7,6 +7,7 @@
 import { test } from 'node:test';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { LinkDemand } from '../relay/link-queue.js';
 import { WaitQueue, type ConnectionUse, type WaitQueueOptions } from './wait-queue.js';
 
@@ -210,3 +211,51 @@
   context.diagnostic(`${served} of ${sent} served`);
   assert.ok(served > 0.25 * sent, `${served} of ${sent} served`);
 });
+
+/** A backlog of 200 requests of tenants of uneven size, a quarter of those that arrived having been served. */
+function backlogOf(tenantCount: number, random: RandomGenerator): WaitQueue<number> {
+  const queue = new WaitQueue<number>();
+  for (let nowMs = 0; nowMs < 267; nowMs += 1) {
+    queue.add(nowMs, randomDemand(tenantCount, nowMs, random), nowMs, SERVICE_MS);
+    if (nowMs % 4 === 0) serveNext(queue, nowMs);
+  }
+  return queue;
+}
+
+function randomDemand(tenantCount: number, nowMs: number, random: RandomGenerator): LinkDemand {
+  const priority = Math.floor(3 * uniformFloat64(random));
+  const tenantNumber = Math.floor(tenantCount * uniformFloat64(random) * uniformFloat64(random));
+  const targetMs = USUAL_ROUTES[priority]?.targetMs ?? TARGET_MS;
+  const dueAtMs = nowMs + targetMs + 50 * uniformFloat64(random);
+  return { tenantName: `tenant-${tenantNumber}`, values: new Map(), isWrite: false, priority, dueAtMs };
+}
+
+/** Serves the next request; returns it. */
+function serveNext(queue: WaitQueue<number>, nowMs: number): number {
+  const next = queue.peek(nowMs, SERVICE_MS);
+  assert.ok(next !== undefined);
+  const item = queue.takeFor(next.demand.tenantName ?? '', nowMs, SERVICE_MS);
+  queue.endUse(queue.beginUse(next.demand, nowMs, SERVICE_MS), nowMs + SERVICE_MS);
+  return item ?? -1;
+}
+
+for (const tenantCount of [1, 10, 80])
+  test(`the requests ahead are estimated within a tenth on average, with ${tenantCount} tenants`, (context) => {
+    const random = xoroshiro128plus(7);
+    let predictedSum = 0;
+    let servedSum = 0;
+    let errorSum = 0;
+    for (let round = 0; round < 100; round += 1) {
+      const queue = backlogOf(tenantCount, random);
+      const demand = randomDemand(tenantCount, 267, random);
+      const predicted = queue.countAhead(demand, 267, SERVICE_MS);
+      queue.add(-2, demand, 267, SERVICE_MS);
+      let served = 0;
+      while (serveNext(queue, 267) !== -2) served += 1;
+      predictedSum += predicted;
+      servedSum += served;
+      errorSum += Math.abs(predicted - served);
+    }
+    context.diagnostic(`mean ${predictedSum / 100}, served ${servedSum / 100}, error ${errorSum / 100}`);
+    assert.ok(errorSum < 0.1 * servedSum, `${errorSum} of ${servedSum}`);
+  });
