Placement: a delay of the daemon itself makes no member slow

Cause: after a pause of the process, all reads in flight look unanswered and their answers slow. Daemons have a third of a core and may be paused often; each pause would have sent reads of 3 s to members in other zones. Change: a tick that comes more than 25 ms late marks a delay; waits before it and answers to reads sent before it don't count for the judgement of slow members. The smoothed response time is updated as before. The frequency of such pauses in a deployment was not measured.

--- a/src/placement/assess.test.ts
+++ b/src/placement/assess.test.ts
@@ -21,6 +21,7 @@
   readonly zoneLatency: ZoneLatency;
   readonly events: string[];
   readonly members: readonly Member[];
+  readonly placement: Placement;
   /** Assessments of the members, with a random number that is the same for all draws. */
   assess(draw?: number): readonly (Assessment | undefined)[];
 }
@@ -43,19 +44,21 @@
     return new Member(listing, pool as unknown as MemberConnections);
   });
   for (const member of members) member.recordLatency(26);
+  let nextDraw = LOWEST;
+  const placement = new Placement({
+    zone: 'own',
+    loads,
+    zoneLatency,
+    log: (event) => void events.push(event),
+    now: () => clock.now,
+    random: () => nextDraw,
+  });
   const assess = (draw = LOWEST): readonly (Assessment | undefined)[] => {
-    const placement = new Placement({
-      zone: 'own',
-      loads,
-      zoneLatency,
-      log: (event) => void events.push(event),
-      now: () => clock.now,
-      random: () => draw,
-    });
+    nextDraw = draw;
     const assessments = placement.assess(members, '');
     return members.map((member) => assessments.get(member));
   };
-  return { clock, loads, zoneLatency, events, members, assess };
+  return { clock, loads, zoneLatency, events, members, placement, assess };
 }
 
 /** The choice of the build before: own requests, own response times, and a fixed cost of other zones. */
@@ -128,6 +131,23 @@
   assert.equal(assess(0.9)[0]?.isWithheld, false);
 });
 
+test('a delay of the own process makes no member slow', () => {
+  const { clock, members, placement, events, assess } = scene();
+  const [own, near] = members;
+  assert.ok(own !== undefined && near !== undefined);
+  own.pendingReads.start(0);
+  clock.now = 500;
+  placement.recordOwnDelay();
+  assert.equal(assess(0.9)[0]?.isWithheld, false, 'reads without an answer');
+  placement.recordLatency(near, 490);
+  assert.equal(assess(0.9)[1]?.isWithheld, false, 'an answer that was read late');
+  clock.now = 579;
+  assert.equal(assess(0.9)[0]?.isWithheld, true, 'still no answer 79 ms after the delay');
+  placement.recordLatency(near, 79);
+  assert.equal(assess(0.9)[1]?.isWithheld, true, 'an answer to a read that was sent after the delay');
+  assert.deepEqual(events, ['member_degraded', 'member_degraded']);
+});
+
 test('a long read does not make a member slow that answers others meanwhile', () => {
   const { clock, members, assess } = scene();
   members[0]?.pendingReads.start(0);
--- a/src/placement/pending-reads.ts
+++ b/src/placement/pending-reads.ts
@@ -27,10 +27,14 @@
     if (this.#reads.delete(read)) this.#answeredAtMs = nowMs;
   }
 
-  /** For how long reads have waited without any other read having ended, in milliseconds; 0 without reads. */
-  unansweredMs(nowMs: number): number {
+  /**
+   * For how long reads have waited without any other read having ended, in milliseconds; 0 without reads.
+   *
+   * @param sinceMs - waits before this time do not count, in monotonic milliseconds
+   */
+  unansweredMs(nowMs: number, sinceMs = Number.NEGATIVE_INFINITY): number {
     for (const { sentAtMs } of this.#reads)
-      return Math.max(0, nowMs - Math.max(sentAtMs, this.#answeredAtMs));
+      return Math.max(0, nowMs - Math.max(sentAtMs, this.#answeredAtMs, sinceMs));
     return 0;
   }
 }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -67,6 +67,9 @@
 
 /** Provides the choice of a member with the load, the distance and the share of each member. */
 export class Placement {
+  /** When this process last went on after it was paused or delayed, in monotonic milliseconds. */
+  #resumedAtMs = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly options: PlacementOptions) {}
 
   /** A number from 0 up to 1. */
@@ -74,9 +77,21 @@
     return this.options.random();
   }
 
+  /**
+   * Records that this process was paused or delayed until now. Answers that arrived meanwhile are read late, so no
+   * member is taken to be slow because of them.
+   */
+  recordOwnDelay(): void {
+    this.#resumedAtMs = this.options.now();
+  }
+
   /** Updates a member's response times with that of an answer. */
   recordLatency(member: PlacedMember, latencyMs: number): void {
     const nowMs = this.options.now();
+    if (nowMs - latencyMs < this.#resumedAtMs) {
+      member.recordLatency(latencyMs, 1);
+      return;
+    }
     const isAging = mayAge(member, nowMs);
     member.recordLatency(latencyMs, isAging ? latencyWeight(member.recentLatency.ageMs(nowMs)) : 1);
     member.recentLatency.record(latencyMs, nowMs);
@@ -113,7 +128,7 @@
     if (typicalMs === null || !mayAge(member, nowMs)) return latencyMs;
     const distanceMs = this.#distanceMs(entry.zone);
     const agedMs = agedLatencyMs(latencyMs, typicalMs + distanceMs, recentLatency.ageMs(nowMs));
-    return Math.max(agedMs, pendingReads.unansweredMs(nowMs));
+    return Math.max(agedMs, pendingReads.unansweredMs(nowMs, this.#resumedAtMs));
   }
 
   #logDegraded(member: PlacedMember, nowMs: number): void {
@@ -134,7 +149,7 @@
       ownMs === null ? null : Math.max(0, ownMs - distanceMs),
       this.options.loads.serviceMs(memberId, nowMs),
     );
-    const unansweredMs = member.pendingReads.unansweredMs(nowMs) - distanceMs;
+    const unansweredMs = member.pendingReads.unansweredMs(nowMs, this.#resumedAtMs) - distanceMs;
     return {
       latencyMs: Math.max(0, member.latencyMs - distanceMs),
       recentMs: unansweredMs > (answeredMs ?? 0) ? unansweredMs : answeredMs,
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -108,6 +108,11 @@
  * threshold.
  */
 const IDLE_TICK_MS = 100;
+/**
+ * Lateness of a tick above which this process was delayed itself, in milliseconds: longer than its usual work in
+ * one turn of the event loop.
+ */
+const OWN_DELAY_MS = 25;
 /** Interval at which the duty holder reopens lost connections to the other daemons, in milliseconds. */
 const RECONNECT_INTERVAL_MS = 500;
 /**
@@ -622,11 +627,14 @@
    * daemon's CPU time.
    */
   #scheduleTick(): void {
+    const delayMs = this.#isIdle() ? IDLE_TICK_MS : TICK_MS;
+    const dueAtMs = this.options.now() + delayMs;
     const run = (): void => {
+      if (this.options.now() - dueAtMs > OWN_DELAY_MS) this.#placement.recordOwnDelay();
       this.#tick();
       if (!this.#isStopped) this.#scheduleTick();
     };
-    this.#tickTimer = setTimeout(run, this.#isIdle() ? IDLE_TICK_MS : TICK_MS);
+    this.#tickTimer = setTimeout(run, delayMs);
   }
 
   /** True while no request and no loan is in progress. */
