--- a/src/placement/member-load.test.ts
+++ b/src/placement/member-load.test.ts
@@ -61,6 +61,18 @@
   assert.equal(loads.lessLoaded('m', ONE, OTHER, 10_000), null, 'the reports are too old');
 });
 
+test('loads of members that no longer exist do not accumulate', () => {
+  const loads = new MemberLoads();
+  const first = loads.entry('m-0', 'one');
+  first.loanStarted();
+  for (let member = 1; member < 1000; member += 1) loads.entry(`m-${member}`, 'one');
+  assert.equal(loads.find('m-0', 'one'), null);
+  assert.equal(loads.find('m-743', 'one'), null);
+  assert.notEqual(loads.find('m-744', 'one'), null);
+  first.loanEnded();
+  assert.equal(first.ownLoans, 0, 'a loan of a forgotten entry ends as usual');
+});
+
 test('the reports of a gateway whose connection has ended are forgotten', () => {
   const loads = new MemberLoads();
   loads.entry('m', 'one').record(report(4), false, 0);
--- a/src/placement/member-load.ts
+++ b/src/placement/member-load.ts
@@ -12,6 +12,9 @@
 /** Age up to which the response time of a report describes the member now, in milliseconds. */
 const SERVICE_VALIDITY_MS = 1000;
 
+/** Members whose loads are kept; beyond it, the one that was first borrowed from is forgotten. */
+const MAX_MEMBERS = 256;
+
 /** A load, and how much it counts: 1 for a report of this moment, 0 without a report. */
 export interface WeightedLoad {
   readonly load: number;
@@ -96,6 +99,7 @@
     if (byGateway === undefined) {
       byGateway = new Map();
       this.#byMember.set(memberId, byGateway);
+      this.#evictOldest();
     }
     let entry = byGateway.get(gatewayName);
     if (entry === undefined) {
@@ -105,6 +109,14 @@
     return entry;
   }
 
+  #evictOldest(): void {
+    if (this.#byMember.size <= MAX_MEMBERS) return;
+    for (const oldest of this.#byMember.keys()) {
+      this.#byMember.delete(oldest);
+      return;
+    }
+  }
+
   /** The load of a gateway's pool for a member, or `null` if it has never lent to this daemon. */
   find(memberId: string, gatewayName: string): GatewayLoad | null {
     return this.#byMember.get(memberId)?.get(gatewayName) ?? null;
