Relay: a retry budget for hedged requests and retries after a refusal because of load

Cause: a request that a member had refused as busy was sent again every 15 ms by each daemon that held it, which multiplied the load of a member that was already overloaded. Change: a token bucket for each group: each first attempt adds 0.1 up to 10; a hedged request, and a retry after the member's own refusal as busy, takes 1. Without a token no hedged request is sent, and a retry waits for a token or a change of the group's state, for as long as a request is held that another daemon may serve (35 % of its time-out, at most 300 ms); then it is refused as not run. Retries after a broken connection or a change of leader, and a gateway's reply that nothing was sent, take no token.

--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -54,6 +54,7 @@
     result: { isComplete: false, code: 'busy', text: reason },
     state: 'idle',
     position: null,
+    isOfGateway: true,
   };
 }
 
--- a/src/observability/deferred-metrics.ts
+++ b/src/observability/deferred-metrics.ts
@@ -20,6 +20,7 @@
   | 'itemNotNewer'
   | 'admissionDecided'
   | 'waitMeasured'
+  | 'retryDecided'
 >;
 
 /** Buffers recording calls until the metrics module is loaded. */
@@ -67,6 +68,10 @@
     this.#record((metrics) => metrics.waitMeasured(kind, ms));
   }
 
+  retryDecided(decision: string): void {
+    this.#record((metrics) => metrics.retryDecided(decision));
+  }
+
   /** All metrics in the Prometheus text format. */
   async text(state: RelayState): Promise<string> {
     return (await this.#load()).text(state);
--- a/src/observability/relay-metrics.ts
+++ b/src/observability/relay-metrics.ts
@@ -63,6 +63,9 @@
     'Wait for a connection, predicted on arrival and actual',
     ['kind'],
   );
+  readonly #retries = this.#counter('retries_total', 'Hedged requests, and retries after a refusal by load', [
+    'decision',
+  ]);
   readonly #clientConnections = this.#gauge('client_connections', 'Open client connections', []);
   readonly #configurationVersion = this.#gauge(
     'configuration_version',
@@ -109,6 +112,11 @@
     this.#waits.observe({ kind }, ms / 1000);
   }
 
+  /** Counts a hedged request or a retry that was sent, or withheld by the retry budget. */
+  retryDecided(decision: string): void {
+    this.#retries.inc({ decision });
+  }
+
   /** Counts a decision about a request that is not served normally. */
   decided(decision: string): void {
     this.#decisions.inc({ decision });
--- a/src/relay/early-refusal.ts
+++ b/src/relay/early-refusal.ts
@@ -33,6 +33,11 @@
   readonly isUnreachable: boolean;
 }
 
+/** Longest time for which a request with this time-out is held that another daemon may serve, in milliseconds. */
+export function maxHoldMs(timeoutMs: number): number {
+  return Math.min(MAX_HOLD_MS, timeoutMs * MAX_HOLD_SHARE);
+}
+
 /** True when the request should be refused now as not run. */
 export function shouldRefuseEarly({
   heldMs,
@@ -40,6 +45,6 @@
   leaderlessMs,
   isUnreachable,
 }: UnsentRequest): boolean {
-  if (heldMs < Math.min(MAX_HOLD_MS, timeoutMs * MAX_HOLD_SHARE)) return false;
+  if (heldMs < maxHoldMs(timeoutMs)) return false;
   return leaderlessMs === 0 ? isUnreachable : leaderlessMs > MAX_LEADER_CHANGE_MS;
 }
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -61,6 +61,13 @@
   readonly state: TransactionState;
   /** Position in the member's log at the time of the reply. */
   readonly position: Position | null;
+  /** True if a gateway replied, and nothing was sent to the member. */
+  readonly isOfGateway?: true;
+}
+
+/** True if the member itself refused a request because it has too many. */
+export function isMemberBusy({ result, isOfGateway }: MemberReply): boolean {
+  return !result.isComplete && result.code === 'busy' && isOfGateway !== true;
 }
 
 /** The state that a member reports about itself. */
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -27,13 +27,15 @@
 import {
   DialError,
   hasLostLog,
+  isMemberBusy,
   NotSentError,
   type MemberErrorCode,
   type MemberReply,
 } from './member-link.js';
-import { shouldRefuseEarly } from './early-refusal.js';
+import { maxHoldMs, shouldRefuseEarly } from './early-refusal.js';
 import { overloadRefusal, Refusal } from './refusal.js';
 import { LATE_REPLY_TIMEOUT_MS, RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
+import { awaitRetryPermit } from './retry-permit.js';
 import { floorWithOwnCommits, type SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
@@ -64,7 +66,7 @@
       readonly members: Iterable<Member>;
     }
   | {
-      readonly kind: 'not_run' | 'lost' | 'overloaded';
+      readonly kind: 'not_run' | 'lost' | 'overloaded' | 'busy';
       readonly reason: string;
       readonly members: Iterable<Member>;
     };
@@ -183,6 +185,7 @@
   /** Attempts that have ended and are not processed yet. */
   readonly #endedAttempts: Attempt[] = [];
   readonly #attemptEnded = new ChangeSignal();
+  #isHedgeWithheld = false;
   #isSettled = false;
   #isAbandoned = false;
   /** Number of attempts that were sent to a member and not refused as not run. */
@@ -216,6 +219,7 @@
    * @throws {@link Refusal}
    */
   async run(): Promise<MemberReply> {
+    this.job.group.retries.recordFirstAttempt();
     try {
       return await this.#run();
     } finally {
@@ -254,11 +258,29 @@
         decision: 'read_elsewhere',
         member: members.join(','),
         reason: attempt.reason,
-        outcome: attempt.kind,
+        outcome: attempt.kind === 'busy' ? 'not_run' : attempt.kind,
       });
+      const isLast = this.#pending.size === 0 && this.#endedAttempts.length === 0;
+      if (attempt.kind === 'busy' && isLast && !(await this.#mayRetry())) return this.#resultWithoutAnswer();
     }
   }
 
+  /** Waits until the read may be sent again after a member has refused it because of load. */
+  #mayRetry(): Promise<boolean> {
+    const { group, route, receivedAtMs, deadlineMs } = this.job;
+    const untilMs = Math.min(deadlineMs, receivedAtMs + maxHoldMs(route.timeoutMs));
+    return awaitRetryPermit(this.context, group, untilMs);
+  }
+
+  /** True if the retry budget allows a hedged request; otherwise none is sent for this read. */
+  #mayHedge(): boolean {
+    if (!this.#isHedgeWithheld) {
+      this.#isHedgeWithheld = !this.job.group.retries.tryTake();
+      this.context.observer.retryDecided(this.#isHedgeWithheld ? 'withheld' : 'sent');
+    }
+    return !this.#isHedgeWithheld;
+  }
+
   /**
    * Waits for the next attempt to end; `null` when a hedged request may be due, the group has changed or time
    * is up.
@@ -306,7 +328,7 @@
   /** Time until the next attempt may be started, in milliseconds; 0 when it may be started now. */
   #hedgeDelayMs(): number {
     if (this.#pending.size === 0) return 0;
-    if (this.#pending.size >= MAX_PARALLEL) return NO_HEDGE_MS;
+    if (this.#pending.size >= MAX_PARALLEL || this.#isHedgeWithheld) return NO_HEDGE_MS;
     const now = this.context.now();
     const hedgeMs = this.job.route.targetLatencyMs * HEDGE_SHARE;
     const sentAtMs = Math.max(...[...this.#pending].map((pending) => pending.sentAtMs ?? now));
@@ -339,7 +361,8 @@
       if (!choice.isAvoided) waiting.wait.enqueueAll(directQueuesOf([member, ...others]));
       return;
     }
-    if (this.#pending.size > 0 && (choice.isAvoided || member.pool.isExhausted)) return;
+    const isHedge = this.#pending.size > 0;
+    if (isHedge && (choice.isAvoided || member.pool.isExhausted || !this.#mayHedge())) return;
     this.#startAttempt(member, member.pool.isExhausted ? others : []);
   }
 
@@ -439,7 +462,7 @@
         if (!isVerified) return { kind: 'lost', reason: OTHER_INCARNATION, members };
       }
       const attempt = this.#classifyReply(member, leader, floor, reply.reply, reply.sentAtMs);
-      if (attempt.kind === 'not_run') this.#possiblyRunCount -= 1;
+      if (attempt.kind === 'not_run' || attempt.kind === 'busy') this.#possiblyRunCount -= 1;
       return attempt;
     } catch (error) {
       const isLost = isSent && !(error instanceof NotSentError);
@@ -497,6 +520,7 @@
       return { kind: 'reply', reply };
     }
     const { code } = reply.result;
+    if (isMemberBusy(reply)) return { kind: 'busy', reason: code, members };
     if (NOT_RUN_CODES.has(code) || code === 'unknown_name') return { kind: 'not_run', reason: code, members };
     if (FAILED_CODES.has(code)) return { kind: 'failed', reason: code, reply, members };
     return { kind: 'reply', reply };
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -26,6 +26,8 @@
   notable(decision: Decision): void;
   /** Records the latency of a member's reply, in milliseconds. */
   memberAnswered(kind: string, isLeader: boolean, ms: number): void;
+  /** A hedged request, or a retry after a refusal because of load, was sent or withheld by the retry budget. */
+  retryDecided(decision: 'sent' | 'withheld'): void;
   /** Records the end of a request; `outcome` is `served` or the code of its refusal. */
   requestEnded(statement: string, outcome: string, ms: number): void;
 }
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -19,11 +19,13 @@
   verifyLeaderIncarnation,
 } from './leader-identity.js';
 import { dueAt } from './link-queue.js';
-import { DialError, hasLostLog, NotSentError, type MemberReply } from './member-link.js';
+import { DialError, hasLostLog, isMemberBusy, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionFloor } from './session-commits.js';
 import type { SessionLink, SessionValues } from './session-link.js';
 import { haveAllRefused, readCandidates, readFloor, recordReplicaProgress } from './read-runner.js';
 import { overloadRefusal, Refusal, type RefusalDetails } from './refusal.js';
+import { maxHoldMs } from './early-refusal.js';
+import { awaitRetryPermit } from './retry-permit.js';
 import { RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 import {
@@ -78,6 +80,8 @@
   readonly #loadRefusals = new LoadRefusals();
   /** True when the last attempt was refused because of the expected wait. */
   #isOverloaded = false;
+  /** True when the member refused the last attempt because of load. */
+  #isBusy = false;
 
   constructor(
     private readonly context: RelayContext,
@@ -140,6 +144,8 @@
   async #runFirst(step: TransactionStep): Promise<MemberReply> {
     const { context, options } = this;
     const wait = { sinceMs: context.now(), timeoutMs: options.route.timeoutMs };
+    const retryUntilMs = Math.min(step.deadlineMs, wait.sinceMs + maxHoldMs(wait.timeoutMs));
+    options.group.retries.recordFirstAttempt();
     for (;;) {
       const member = await this.#chooseMember(step, wait);
       if (this.#isEnded) throw new Refusal('aborted', 'not_run', 'the transaction was ended');
@@ -160,6 +166,8 @@
         member: member.entry.memberId,
         reason: this.#lastReason,
       });
+      if (this.#isBusy && !(await awaitRetryPermit(context, options.group, retryUntilMs)))
+        throw this.#notRun();
     }
   }
 
@@ -234,6 +242,7 @@
     const { group, route, tenantName } = options;
     this.#isUnreachable = false;
     this.#isOverloaded = false;
+    this.#isBusy = false;
     this.#lastMember = member;
     const refusedBy = this.#loadRefusals.gatewayOf(member.entry.memberId);
     let link: SessionLink;
@@ -266,6 +275,7 @@
       }
       if (!reply.result.isComplete && isNotRun(reply)) {
         this.#lastReason = reply.result.code;
+        this.#isBusy = isMemberBusy(reply);
         this.#resetAfterNotRun();
         this.#release(pinned);
         return null;
@@ -337,6 +347,7 @@
       const isVerified = await verifyLeaderIncarnation(context, group, leader, link, reply.position);
       return isVerified ? null : OTHER_INCARNATION;
     }
+    this.#isBusy = isMemberBusy(reply);
     if (reply.result.code === 'read_only') context.suspect(group, member, 'read_only');
     if (isLeader && hasLostLog(reply)) context.suspect(group, member, 'lost_log');
     return reply.result.code;
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -12,11 +12,12 @@
 import { proveCommit } from './commit-proof.js';
 import { recordLeaderPosition } from './leader-identity.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
-import { DialError, NotSentError, type MemberReply } from './member-link.js';
+import { DialError, isMemberBusy, NotSentError, type MemberReply } from './member-link.js';
 import type { SessionValues } from './session-link.js';
 import { overloadRefusal, Refusal, type RefusalDetails } from './refusal.js';
-import { shouldRefuseEarly } from './early-refusal.js';
+import { maxHoldMs, shouldRefuseEarly } from './early-refusal.js';
 import { RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
+import { awaitRetryPermit } from './retry-permit.js';
 import { sendStatement, type SessionStatement } from './send-statement.js';
 
 /** A write to be run. */
@@ -94,6 +95,8 @@
   #isUnreachable = false;
   #wasSent = false;
   #isAbandoned = false;
+  /** True when the leader refused the last attempt because of load. */
+  #isBusy = false;
   readonly #loadRefusals = new LoadRefusals();
 
   constructor(
@@ -119,6 +122,8 @@
   async run(): Promise<MemberReply> {
     const { context, job } = this;
     const wait = { sinceMs: context.now(), timeoutMs: job.route.timeoutMs };
+    const retryUntilMs = Math.min(job.deadlineMs, wait.sinceMs + maxHoldMs(wait.timeoutMs));
+    job.group.retries.recordFirstAttempt();
     for (;;) {
       const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS, wait);
       if (leader === null || context.now() >= job.deadlineMs || this.#isAbandoned) throw this.#notRun();
@@ -143,6 +148,7 @@
         reason: this.#lastReason,
       });
       await job.group.changed.wait(RETRY_DELAY_MS);
+      if (this.#isBusy && !(await awaitRetryPermit(context, job.group, retryUntilMs))) throw this.#notRun();
     }
   }
 
@@ -165,6 +171,7 @@
   async #attempt(leader: Member): Promise<MemberReply | 'refused_by_gateway' | null> {
     const { context, job } = this;
     this.#isUnreachable = false;
+    this.#isBusy = false;
     const refusedBy = this.#loadRefusals.gatewayOf(leader.entry.memberId);
     let link;
     try {
@@ -269,6 +276,7 @@
     }
     const { code } = reply.result;
     this.#lastReason = code;
+    this.#isBusy = isMemberBusy(reply);
     switch (code) {
       case 'busy':
       case 'unknown_name':
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { RetryBudget } from '../admission/retry-budget.js';
 import { ChangeSignal } from '../common/signal.js';
 import type { Acknowledged } from '../leadership/acknowledged.js';
 import { CommitTracker } from '../leadership/commit-tracker.js';
@@ -199,6 +200,8 @@
   readonly evidence: LeadershipEvidence;
   readonly positions = new PositionHistory();
   readonly commits = new CommitTracker();
+  /** Tokens for hedged requests, and for retries after a refusal because of load. */
+  readonly retries = new RetryBudget();
   /** Calls to the platform that the duty holder has announced. */
   readonly calls = new OpenCallRecord();
   /** Since when no leader has been proven, in monotonic milliseconds; `null` while there is one. */
--- a/test/support/noop-observer.ts
+++ b/test/support/noop-observer.ts
@@ -13,4 +13,5 @@
   requestEnded: () => undefined,
   admissionDecided: () => undefined,
   waitMeasured: () => undefined,
+  retryDecided: () => undefined,
 };
