Hand clients over when a daemon is cut off from the other zones

Cause: a daemon behind a partition reported that it was ready, and held requests that it could not serve until their time-out. Change: module src/isolation. A daemon that has awaited an answer from outside its zone for 350 ms without a byte pings up to three daemons there; 350 ms later it is isolated. Then /api/ready answers 503, idle sessions are closed over a second with the shutdown notice, others after their operation; requests that nothing in reach can serve are refused at once as not run, sent reads end as timed out, and sent writes keep waiting. Replicas of the own zone still serve. Off with a single zone, before the daemon is ready, and for the time of a pause of the process. Metrics sorrelladder_isolated and sorrelladder_request_refusals_total{cause}. The whole suite was not run.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -289,6 +289,7 @@
   readonly #server: Server;
   /** Incoming connections, with the reader of the evidence that each one shares. */
   readonly #inbound = new Map<MessageChannel<MeshMessage>, EvidenceReader>();
+  readonly #inboundHosts = new Map<MessageChannel<MeshMessage>, string>();
   /** Those of the incoming connections that come from a duty holder. */
   readonly #holderChannels = new Set<MessageChannel<MeshMessage>>();
   readonly #connections = new Map<string, PeerConnection>();
@@ -428,9 +429,7 @@
    * never a later one.
    */
   askEvidence(timeoutMs: number): Promise<readonly SharedEvidence[] | null> {
-    const inbound = [...this.#inbound];
-    // A daemon that only probes has no evidence to give.
-    const holder = inbound.filter(([channel]) => this.#holderChannels.has(channel)).at(-1) ?? inbound.at(-1);
+    const holder = this.#latestHolder;
     if (holder === undefined) return Promise.resolve(null);
     const [channel, reader] = holder;
     this.#nextId += 1;
@@ -445,6 +444,18 @@
     });
   }
 
+  /** Address of the daemon that {@link PeerMesh.askEvidence} would ask; `null` if there is none. */
+  get holderHost(): string | null {
+    const holder = this.#latestHolder;
+    return holder === undefined ? null : (this.#inboundHosts.get(holder[0]) ?? null);
+  }
+
+  get #latestHolder(): [MessageChannel<MeshMessage>, EvidenceReader] | undefined {
+    const inbound = [...this.#inbound];
+    // A daemon that only probes has no evidence to give.
+    return inbound.filter(([channel]) => this.#holderChannels.has(channel)).at(-1) ?? inbound.at(-1);
+  }
+
   close(): void {
     this.#isClosed = true;
     this.disconnectAll();
@@ -486,11 +497,13 @@
       message: (message) => this.#receiveFromHolder(channel, reader, message),
       closed: () => {
         this.#inbound.delete(channel);
+        this.#inboundHosts.delete(channel);
         // Any other connection was only a probe whether this daemon runs.
         if (this.#holderChannels.delete(channel) && !this.#isClosed) this.listener.holderDisconnected(host);
       },
     });
     this.#inbound.set(channel, reader);
+    this.#inboundHosts.set(channel, host);
   }
 
   #receiveFromHolder(
--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -6,7 +6,7 @@
 import type { Leader } from '../leadership/leadership-evidence.js';
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { preparedStatementName } from '../relay/pooled-link.js';
-import type { LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
+import type { GatewayPath, LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
 import type { BorrowMessage, GatewayMessage } from './gateway-messages.js';
 
@@ -30,11 +30,13 @@
   /**
    * @param transmit - sends a message to the gateway
    * @param onEnd - called once when the loan has ended at this daemon
+   * @param gateway - the connection to the gateway
    */
   constructor(
     private readonly terms: BorrowMessage,
     private readonly transmit: (message: GatewayMessage) => void,
     private readonly onEnd: () => void,
+    readonly gateway?: GatewayPath,
   ) {}
 
   get isOpen(): boolean {
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -6,6 +6,7 @@
  */
 import { connect } from 'node:net';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { OutsideTraffic } from '../isolation/outside-traffic.js';
 import { EvidenceReader, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import type { Grant, GrantRequest } from '../quota/quota-home.js';
 import type { ConfigurationLeaseReply } from '../tenancy/lease-renewal.js';
@@ -96,20 +97,29 @@
   #lastLoanId = 1;
 
   constructor(
-    record: DaemonRecord,
+    private readonly record: DaemonRecord,
     localAddress: string,
     private readonly now: () => number,
     private readonly onClosed: () => void,
+    onRefused: () => void,
   ) {
     this.#openedAtMs = now();
     const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
     socket.once('connect', () => (this.#isConnected = true));
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') onRefused();
+    });
     this.#channel = new MessageChannel<GatewayMessage>(socket, MAX_GATEWAY_MESSAGE_BYTES, {
       message: (message) => this.#receive(message),
       closed: () => this.#handleClose(),
     });
   }
 
+  /** Zone of the gateway. */
+  get zone(): string {
+    return this.record.zone;
+  }
+
   /** True once any message has arrived from the gateway. */
   get hasReplied(): boolean {
     return this.#hasReplied;
@@ -127,6 +137,7 @@
       { type: 'borrow', loan, ...terms },
       (message) => this.#transmit(message),
       () => this.#removeLoan(loan),
+      this,
     );
     this.loans.set(loan, link);
     return link;
@@ -163,6 +174,12 @@
     this.#channel.send({ type: 'ping' });
   }
 
+  /** Records when bytes were last received, and since when a reply has been awaited. */
+  recordTraffic(traffic: OutsideTraffic): void {
+    if (this.#channel.bytesReceived > 0) traffic.recordReceived(this.#channel.lastReceivedMs);
+    if (this.#awaitingSinceMs !== null) traffic.recordWaiting(this.#awaitingSinceMs);
+  }
+
   close(): void {
     this.#channel.destroy();
   }
@@ -242,6 +259,10 @@
    * whether they recovered.
    */
   readonly #unavailable = new Set<string>();
+  /** When a daemon of a zone last refused a connection, by zone, in monotonic milliseconds. */
+  readonly #refusedAtMs = new Map<string, number>();
+  /** Zone of the only gateways that may lend, which have to be available; `null` for no restriction. */
+  #onlyZone: string | null = null;
   #lastRequestId = 1;
 
   /** @param localAddress - the daemon's own address, from which connections are opened */
@@ -260,7 +281,8 @@
   choose(gateways: readonly DaemonRecord[], standbys: readonly DaemonRecord[] = []): DaemonRecord | null {
     const usable = gateways.filter((record) => this.#mayBorrowFrom(record));
     const available = this.#leastLoaded(usable.filter((record) => this.#isAvailable(record)));
-    return available ?? (standbys.length > 0 ? this.choose(standbys) : null) ?? this.#leastLoaded(usable);
+    const chosen = available ?? (standbys.length > 0 ? this.choose(standbys) : null);
+    return chosen ?? (this.#onlyZone === null ? this.#leastLoaded(usable) : null);
   }
 
   #leastLoaded(gateways: readonly DaemonRecord[]): DaemonRecord | null {
@@ -340,6 +362,29 @@
     });
   }
 
+  /**
+   * Lends only from available gateways of a zone while the others are known to be out of reach; `null` ends
+   * the restriction.
+   */
+  restrictToZone(zone: string | null): void {
+    this.#onlyZone = zone;
+  }
+
+  /** Sends a ping to a daemon at once, over a new connection if there is none. */
+  ping(record: DaemonRecord): void {
+    this.#connection(record).probe();
+  }
+
+  /**
+   * Records the traffic of the connections to daemons of other zones than the given one. A refused connection
+   * counts as received bytes: the machine of the daemon has answered.
+   */
+  recordTraffic(ownZone: string, traffic: OutsideTraffic): void {
+    for (const connection of this.#connections.values())
+      if (connection.zone !== ownZone) connection.recordTraffic(traffic);
+    for (const [zone, atMs] of this.#refusedAtMs) if (zone !== ownZone) traffic.recordReceived(atMs);
+  }
+
   /** Pings or closes unresponsive connections; to be called every few tens of milliseconds. */
   check(): void {
     for (const [key, connection] of [...this.#connections]) {
@@ -382,6 +427,7 @@
   }
 
   #mayBorrowFrom(record: DaemonRecord): boolean {
+    if (this.#onlyZone !== null && record.zone !== this.#onlyZone) return false;
     const key = keyOf(record);
     if (this.now() < (this.#retryAtMs.get(key) ?? Number.NEGATIVE_INFINITY)) return false;
     return this.#connections.get(key)?.isLeaving !== true;
@@ -399,10 +445,20 @@
     const key = keyOf(record);
     const existing = this.#connections.get(key);
     if (existing !== undefined) return existing;
-    const connection: GatewayConnection = new GatewayConnection(record, this.localAddress, this.now, () => {
+    const onClosed = (): void => {
       this.#connections.delete(key);
       this.#markUnavailable(key);
-    });
+    };
+    const onRefused = (): void => {
+      this.#refusedAtMs.set(record.zone, this.now());
+    };
+    const connection: GatewayConnection = new GatewayConnection(
+      record,
+      this.localAddress,
+      this.now,
+      onClosed,
+      onRefused,
+    );
     this.#connections.set(key, connection);
     return connection;
   }
--- /dev/null
+++ b/src/isolation/isolation-detector.ts
@@ -0,0 +1,116 @@
+/**
+ * Decides whether this daemon is cut off from everything outside its zone. Pure: the caller passes the time
+ * and what was observed.
+ *
+ * @packageDocumentation
+ */
+
+/** Time without a byte from outside, while an answer is awaited, after which the daemon pings, in milliseconds. */
+const SUSPICION_MS = 350;
+/** Time for an answer to these pings, in milliseconds. */
+const PING_ANSWER_MS = 350;
+/** How long bytes have to arrive from outside until the isolation ends, in milliseconds. */
+const CONTACT_MS = 500;
+/**
+ * Time without bytes that interrupts a contact, in milliseconds: the interval of the pings during an
+ * isolation, and as much again for their answers.
+ */
+const MAX_CONTACT_GAP_MS = 400;
+/**
+ * How long bytes have to arrive until the isolation ends without evidence of most leaders, in milliseconds: the
+ * leaders may be missing for all daemons.
+ */
+const CONTACT_WITHOUT_EVIDENCE_MS = 3000;
+/**
+ * Time between two updates that counts as a pause of this process, in milliseconds; updates come every 50 or
+ * 100 ms. What arrived during the pause may not have been read yet.
+ */
+const PAUSE_MS = 200;
+
+/** `suspicious`: the path to the other zones is being checked with pings. */
+export type IsolationState = 'connected' | 'suspicious' | 'isolated';
+
+/** What is known at the time of an update; times in monotonic milliseconds. */
+export interface IsolationObservation {
+  readonly nowMs: number;
+  /** When bytes were last received from outside. */
+  readonly lastReceivedMs: number;
+  /** Since when an answer from outside has been awaited without any byte; `null` if none is awaited. */
+  readonly silentSinceMs: number | null;
+  /** False turns the detection off: no other daemon could serve the clients. */
+  readonly hasOutsideDaemons: boolean;
+  /** True if most groups have evidence of their leader. */
+  readonly hasMostEvidence: boolean;
+}
+
+/** State of the detection, to be updated every few tens of milliseconds. */
+export class IsolationDetector {
+  #state: IsolationState = 'connected';
+  #updatedAtMs: number | null = null;
+  /** When the last pause of this process was noticed: silence counts only from then on. */
+  #resumedAtMs = Number.NEGATIVE_INFINITY;
+  #suspiciousSinceMs = 0;
+  /** Start of the silence that led to the current suspicion or isolation. */
+  #silentSinceMs = 0;
+  /** Since when bytes have arrived during an isolation; `null` while none do. */
+  #contactSinceMs: number | null = null;
+
+  get state(): IsolationState {
+    return this.#state;
+  }
+
+  /** Start of the silence that led to the current or last isolation, in monotonic milliseconds. */
+  get silentSinceMs(): number {
+    return this.#silentSinceMs;
+  }
+
+  /** Updates and returns the state. */
+  update(observation: IsolationObservation): IsolationState {
+    const { nowMs } = observation;
+    if (this.#updatedAtMs === null || nowMs - this.#updatedAtMs >= PAUSE_MS) this.#resume(nowMs);
+    this.#updatedAtMs = nowMs;
+    this.#state = observation.hasOutsideDaemons ? this.#next(observation) : 'connected';
+    return this.#state;
+  }
+
+  #resume(nowMs: number): void {
+    this.#resumedAtMs = nowMs;
+    this.#contactSinceMs = null;
+    if (this.#state === 'suspicious') this.#state = 'connected';
+  }
+
+  #next(observation: IsolationObservation): IsolationState {
+    const { nowMs, lastReceivedMs } = observation;
+    switch (this.#state) {
+      case 'connected':
+        return this.#isSilent(observation) ? 'suspicious' : 'connected';
+      case 'suspicious':
+        if (lastReceivedMs > this.#silentSinceMs) return 'connected';
+        if (nowMs - this.#suspiciousSinceMs < PING_ANSWER_MS) return 'suspicious';
+        this.#contactSinceMs = null;
+        return 'isolated';
+      case 'isolated':
+        return this.#hasRecovered(observation) ? 'connected' : 'isolated';
+    }
+  }
+
+  #isSilent({ nowMs, silentSinceMs }: IsolationObservation): boolean {
+    if (silentSinceMs === null) return false;
+    const sinceMs = Math.max(silentSinceMs, this.#resumedAtMs);
+    if (nowMs - sinceMs < SUSPICION_MS) return false;
+    this.#silentSinceMs = sinceMs;
+    this.#suspiciousSinceMs = nowMs;
+    return true;
+  }
+
+  #hasRecovered({ nowMs, lastReceivedMs, hasMostEvidence }: IsolationObservation): boolean {
+    const isInContact = lastReceivedMs > this.#silentSinceMs && nowMs - lastReceivedMs < MAX_CONTACT_GAP_MS;
+    if (!isInContact) {
+      this.#contactSinceMs = null;
+      return false;
+    }
+    this.#contactSinceMs ??= nowMs;
+    const requiredMs = hasMostEvidence ? CONTACT_MS : CONTACT_WITHOUT_EVIDENCE_MS;
+    return nowMs - this.#contactSinceMs >= requiredMs;
+  }
+}
--- a/src/observability/deferred-metrics.test.ts
+++ b/src/observability/deferred-metrics.test.ts
@@ -15,6 +15,7 @@
   holdsDuty: false,
   liveDaemons: 1,
   openLoans: 0,
+  isIsolated: false,
   groups: [],
 };
 
--- a/src/observability/deferred-metrics.ts
+++ b/src/observability/deferred-metrics.ts
@@ -12,7 +12,7 @@
 /** The recording half of {@link RelayMetrics}. */
 export type MetricsRecorder = Pick<
   RelayMetrics,
-  'requestEnded' | 'memberAnswered' | 'decided' | 'happened' | 'entryLeftOut' | 'itemNotNewer'
+  'requestEnded' | 'memberAnswered' | 'decided' | 'refused' | 'happened' | 'entryLeftOut' | 'itemNotNewer'
 >;
 
 /** Buffers recording calls until the metrics module is loaded. */
@@ -40,6 +40,10 @@
     this.#record((metrics) => metrics.decided(decision));
   }
 
+  refused(cause: unknown): void {
+    this.#record((metrics) => metrics.refused(cause));
+  }
+
   happened(event: string): void {
     this.#record((metrics) => metrics.happened(event));
   }
--- a/src/observability/relay-metrics.ts
+++ b/src/observability/relay-metrics.ts
@@ -8,6 +8,9 @@
 /** Bucket boundaries of the latency histograms, in seconds. */
 const LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2];
 
+/** Label of refusals whose cause is not distinguished. */
+const OTHER_CAUSE = 'other';
+
 /** State from which the gauges are set when the metrics are read. */
 export interface RelayState {
   readonly clientConnections: number;
@@ -20,6 +23,8 @@
   readonly liveDaemons: number;
   /** Member connections currently lent to other daemons. */
   readonly openLoans: number;
+  /** True while the daemon is cut off from all other zones. */
+  readonly isIsolated: boolean;
   /** Per group: connections to members, whether there is evidence of a leader, and its term. */
   readonly groups: readonly {
     readonly name: string;
@@ -72,6 +77,8 @@
   );
   readonly #liveDaemons = this.#gauge('live_daemons', 'Daemons that take part in the work', []);
   readonly #openLoans = this.#gauge('open_loans', 'Member connections lent to other daemons', []);
+  readonly #isolated = this.#gauge('isolated', '1 while the daemon is cut off from all other zones', []);
+  readonly #refusals = this.#counter('request_refusals_total', 'Refused requests, by cause', ['cause']);
   readonly #memberConnections = this.#gauge('member_connections', 'Open connections to members', ['group']);
   readonly #leaderEvidence = this.#gauge('leader_evidence', '1 while there is evidence of a leader', [
     'group',
@@ -94,6 +101,11 @@
     this.#decisions.inc({ decision });
   }
 
+  /** Counts a refused request; the cause is a constant of the code, or absent. */
+  refused(cause: unknown): void {
+    this.#refusals.inc({ cause: typeof cause === 'string' ? cause : OTHER_CAUSE });
+  }
+
   /** Counts an event that changes the daemon's view of the cluster. */
   happened(event: string): void {
     this.#events.inc({ event });
@@ -118,6 +130,7 @@
     this.#promotionDutyHeld.set(state.holdsDuty ? 1 : 0);
     this.#liveDaemons.set(state.liveDaemons);
     this.#openLoans.set(state.openLoans);
+    this.#isolated.set(state.isIsolated ? 1 : 0);
     for (const { name, memberConnections, hasEvidence, term } of state.groups) {
       this.#memberConnections.set({ group: name }, memberConnections);
       this.#leaderEvidence.set({ group: name }, hasEvidence ? 1 : 0);
--- a/src/relay/commit-proof.test.ts
+++ b/src/relay/commit-proof.test.ts
@@ -10,6 +10,7 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
+import { NOT_ISOLATED } from '../../test/support/not-isolated.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { EVIDENCE_VALIDITY_MS } from '../leadership/leadership-evidence.js';
 import { Catalog } from '../topology/catalog.js';
@@ -46,6 +47,7 @@
     group: () => group,
     now: () => performance.now(),
     shutdownSchedule: () => null,
+    isolation: NOT_ISOLATED,
     readStatus: () => null,
     suspect: () => undefined,
   };
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -7,6 +7,7 @@
  *
  * @packageDocumentation
  */
+import type { OutsideTraffic } from '../isolation/outside-traffic.js';
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
 import { nextToServe, type LinkDemand } from './link-queue.js';
 import { LinkAcquisition, PoolTimeoutError, type PoolWaiter, type LinkSource } from './link-acquisition.js';
@@ -281,6 +282,14 @@
     return nowMs - Math.max(awaitingReplySince, lastReceived);
   }
 
+  /** Records when bytes were last received, and since when replies have been awaited. */
+  recordTraffic(traffic: OutsideTraffic): void {
+    for (const link of this.#links) {
+      traffic.recordReceived(link.lastReceivedMs);
+      if (link.awaitingReplySinceMs !== null) traffic.recordWaiting(link.awaitingReplySinceMs);
+    }
+  }
+
   /** Rejects waiting requests, since no connection will be available soon. Nothing was sent for them. */
   rejectWaiters(reason: string, isAffected: (demand: LinkDemand) => boolean = () => true): void {
     const affected = this.#waiters.filter(({ demand }) => isAffected(demand));
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -5,6 +5,8 @@
  * @packageDocumentation
  */
 import { ChangeSignal } from '../common/signal.js';
+import { CUT_OFF_REASON, cutOffRefusal, type IsolationListener } from '../isolation/isolation.js';
+import { isOutOfReach, isPathSilent, isReadOutOfReach } from '../isolation/reach.js';
 import { formatPosition, type Position } from '../position/position.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import type { ReadFloor } from '../leadership/position-history.js';
@@ -74,6 +76,8 @@
   readonly wait: LinkAcquisition<Member>;
   /** When the read was sent, in monotonic milliseconds; `null` while waiting for a connection. */
   sentAtMs: number | null;
+  /** The connection, once granted. */
+  granted: GrantedLink<Member> | null;
 }
 
 /** Share of the target latency after which a hedged request is sent to a second member. */
@@ -155,7 +159,7 @@
   else if (result.code === 'behind') member.recordFloorResult(floor, false, nowMs);
 }
 
-export class ReadRunner {
+export class ReadRunner implements IsolationListener {
   readonly #excluded = new Set<string>();
   /** Members to which no connection could be opened since the exclusions were last cleared. */
   readonly #unreachable = new Set<string>();
@@ -190,15 +194,28 @@
     this.#attemptEnded.notify();
   }
 
+  /** Gives up attempts over silent paths; their answers would still be returned while others are awaited. */
+  cutOff(): void {
+    for (const pending of [...this.#pending]) {
+      const { granted } = pending;
+      if (granted === null || !isPathSilent(this.context, granted.member, granted.link)) continue;
+      this.#pending.delete(pending);
+      this.#attemptEnded.notify();
+    }
+  }
+
   /**
    * Returns the first answer that is not worth retrying at another member.
    *
    * @throws {@link Refusal}
    */
   async run(): Promise<MemberReply> {
+    const { isolation } = this.context;
+    isolation.add(this);
     try {
       return await this.#run();
     } finally {
+      isolation.remove(this);
       this.#isSettled = true;
       for (const { wait } of this.#pending) wait.cancel();
     }
@@ -211,7 +228,7 @@
       if (this.#endedAttempts.length === 0) this.#scheduleAttempt();
       if (this.#pending.size === 0 && this.#endedAttempts.length === 0) {
         if (this.#failedReply !== null && this.#failureCount >= MAX_FAILURES) return this.#failedReply;
-        if (this.#shouldRefuseEarly()) return this.#resultWithoutAnswer();
+        if (this.#isCutOff() || this.#shouldRefuseEarly()) return this.#resultWithoutAnswer();
         this.#excluded.clear();
         this.#unreachable.clear();
         await this.job.group.changed.wait(Math.min(RETRY_DELAY_MS, remaining));
@@ -253,6 +270,14 @@
     return this.#endedAttempts.shift() ?? null;
   }
 
+  /** True when this daemon is isolated and no member in reach can serve the read. */
+  #isCutOff(): boolean {
+    const { context, job } = this;
+    if (!context.isolation.isIsolated) return false;
+    const floor = readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
+    return isReadOutOfReach(context, job.group, floor, this.#excluded);
+  }
+
   /** True when no member can serve the read now and the client should retry at another daemon. */
   #shouldRefuseEarly(): boolean {
     const { context, job } = this;
@@ -295,6 +320,8 @@
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set(this.#excluded);
     for (const { wait } of this.#pending) for (const { entry } of wait.members) excluded.add(entry.memberId);
+    for (const [memberId, candidate] of group.members)
+      if (isOutOfReach(this.context, candidate)) excluded.add(memberId);
     const candidates = readCandidates(this.context, group, floor);
     const demand = { floor, excluded };
     const choice = selectReadMember(candidates, demand);
@@ -315,7 +342,8 @@
   #startAttempt(member: Member, others: readonly Member[]): void {
     const demand = this.#demand();
     const waitMs = this.job.deadlineMs - this.context.now();
-    const pending: PendingAttempt = { wait: new LinkAcquisition<Member>(demand, waitMs), sentAtMs: null };
+    const wait = new LinkAcquisition<Member>(demand, waitMs);
+    const pending: PendingAttempt = { wait, sentAtMs: null, granted: null };
     this.#pending.add(pending);
     void this.#attempt(pending).then((attempt) => {
       this.#pending.delete(pending);
@@ -348,6 +376,7 @@
       return { kind: 'not_run', reason: `no connection: ${String(error)}`, members: wait.members };
     }
     const { link, member } = granted;
+    pending.granted = granted;
     try {
       return await this.#sendOver(link, member, pending);
     } finally {
@@ -359,6 +388,7 @@
     const { job, context } = this;
     const members = [member];
     if (this.#isSettled) return { kind: 'not_run', reason: ANSWERED_ELSEWHERE, members };
+    if (isPathSilent(context, member, link)) return { kind: 'not_run', reason: CUT_OFF_REASON, members };
     const asLeader = job.group.leader(context.now()) === member;
     const leader = asLeader ? job.group.evidence.leader : null;
     const floor = asLeader ? null : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
@@ -384,6 +414,7 @@
         return { kind: 'not_run', reason: OTHER_INCARNATION, members };
       const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
         if (this.#isSettled) return ANSWERED_ELSEWHERE;
+        if (isPathSilent(context, member, link)) return CUT_OFF_REASON;
         if (asLeader && job.group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
         isSent = true;
         this.#possiblyRunCount += 1;
@@ -459,6 +490,7 @@
 
   #resultWithoutAnswer(): MemberReply {
     if (this.#failedReply !== null) return this.#failedReply;
+    if (this.#isCutOff()) throw cutOffRefusal(this.wasSent, { group: this.job.group.name });
     if (this.wasSent)
       throw new Refusal('timed_out', 'may_have_run', `no answer in time: ${this.#lastReason}`);
     throw new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS);
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { Isolation } from '../isolation/isolation.js';
 import type { OperationQuotas } from '../quota/operation-quotas.js';
 import type { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { Catalog } from '../topology/catalog.js';
@@ -37,6 +38,7 @@
   /** Remaining operations of the tenants. */
   readonly quotas: OperationQuotas;
   readonly zone: string;
+  readonly isolation: Isolation;
   readonly observer: RelayObserver;
   /** Returns a group by name, or `null`. Configuration changes add and remove groups. */
   group(name: string): MemberGroup | null;
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -30,6 +30,8 @@
 import { Assignments } from '../gateway/assignments.js';
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { GatewayServer } from '../gateway/gateway-server.js';
+import { IsolationMonitor } from '../isolation/isolation-monitor.js';
+import { ObservedStore } from '../isolation/observed-store.js';
 import type { GroupSupervisorOptions, PromotionPort } from '../leadership/group-supervisor.js';
 import { EvidenceResponder } from '../leadership/evidence-exchange.js';
 import { DaemonExits } from '../leadership/daemon-exits.js';
@@ -84,6 +86,8 @@
   readonly faults: EntryFaults;
   /** Called when an item from the store is rejected because a newer one is already held. */
   itemNotNewer(): void;
+  /** Called when this daemon is cut off from all other zones, and when that has ended. */
+  isolationChanged(isIsolated: boolean): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
   now(): number;
   random(): number;
@@ -161,6 +165,7 @@
   readonly #leaseRenewal: LeaseRenewal;
   readonly #quotas: QuotaService;
   readonly #readiness = new Readiness();
+  readonly #isolation: IsolationMonitor;
   #tickTimer: NodeJS.Timeout | null = null;
   #isStopped = false;
   #shutdownSchedule: ShutdownSchedule | null = null;
@@ -176,7 +181,19 @@
   #peersConnectedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: RelayDaemonOptions) {
-    const { self, store, dialer, readStatus, now, random } = options;
+    const { self, dialer, readStatus, now, random } = options;
+    this.#gatewayClient = new GatewayClient(self.host, now, random);
+    this.#isolation = new IsolationMonitor({
+      zone: options.zone,
+      connections: this.#gatewayClient,
+      groups: () => this.groups,
+      isReady: () => this.#readiness.isReady,
+      changed: options.isolationChanged.bind(options),
+      log: options.log,
+      now,
+      random,
+    });
+    const store = new ObservedStore(options.store, this.#isolation.traffic, now);
     this.#registration = new Registration(self);
     this.#orderHandler = new OrderHandler({
       groups: this.#groups,
@@ -254,7 +271,6 @@
       log: options.log,
       now,
     });
-    this.#gatewayClient = new GatewayClient(self.host, now, random);
     this.#memberFactory = new MemberFactory({
       ownName: self.name,
       dialer,
@@ -340,7 +356,8 @@
       fleetSize: () => this.#daemons.live.length,
       collectors: () => this.#delegations.of('witnesses'),
       holdsDuty: () => this.#duty.heldFence(0) !== null,
-      askHolder: (timeoutMs) => this.#mesh.askEvidence(timeoutMs),
+      askHolder: (timeoutMs) =>
+        this.#isolation.observe(this.#holderZone(), this.#mesh.askEvidence(timeoutMs)),
       askDaemon: (record, timeoutMs) => this.#gatewayClient.requestEvidence(record, timeoutMs),
       evidenceGained: (group) => {
         group.changed.notify();
@@ -373,6 +390,7 @@
       configurationLease: this.#configurationLease,
       quotas: this.#quotas,
       zone: options.zone,
+      isolation: this.#isolation,
       observer: options.observer,
       group: (name) => this.#groups.group(name),
       shutdownSchedule: () => this.#shutdownSchedule,
@@ -382,10 +400,15 @@
     };
   }
 
-  /** True once requests can be served; never reverts to false. */
+  /** True once requests can be served, except while this daemon is cut off from all other zones. */
   get isReady(): boolean {
     this.#updateReadiness();
-    return this.#readiness.isReady;
+    return this.#readiness.isReady && !this.isIsolated;
+  }
+
+  /** True while this daemon is cut off from all other zones. */
+  get isIsolated(): boolean {
+    return this.#isolation.isIsolated;
   }
 
   /** All watched groups. */
@@ -592,7 +615,8 @@
       this.#tick();
       if (!this.#isStopped) this.#scheduleTick();
     };
-    this.#tickTimer = setTimeout(run, this.#isIdle() ? IDLE_TICK_MS : TICK_MS);
+    const isIdle = this.#isIdle() && !this.#isolation.isInDoubt;
+    this.#tickTimer = setTimeout(run, isIdle ? IDLE_TICK_MS : TICK_MS);
   }
 
   /** True while no request and no loan is in progress. */
@@ -611,6 +635,7 @@
     }
     this.#control.closeIdleConnections();
     this.#gatewayClient.check();
+    this.#isolation.check();
     this.#updateReadiness();
     const hasStartedUp = this.#wasStartingUp && !this.#assignments.isStartingUp;
     this.#wasStartingUp = this.#assignments.isStartingUp;
@@ -695,6 +720,7 @@
     this.#assignments.clear();
     this.#delegations.clear();
     this.#gatewayClient.retain(this.#daemons.live);
+    this.#isolation.daemonsChanged(this.#daemons.live);
     this.#quotas.daemonsChanged();
     if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
   }
@@ -706,6 +732,12 @@
     return record.life !== life || this.#mesh.isGone(record);
   }
 
+  /** Zone of the daemon that is asked for the evidence of the duty holder; `null` if it is not known. */
+  #holderZone(): string | null {
+    const host = this.#mesh.holderHost;
+    return this.#daemons.live.find((record) => record.host === host)?.zone ?? null;
+  }
+
   #onDutyTaken(fence: number): void {
     this.options.log('duty_taken', { fence });
     this.#mesh.connectAll(this.#daemons.live);
--- a/src/relay/session-link.ts
+++ b/src/relay/session-link.ts
@@ -27,8 +27,18 @@
  */
 export type LeaderVerdict = 'leader' | 'empty' | 'unknown';
 
+/** The connection to the gateway that lends a member connection. */
+export interface GatewayPath {
+  /** Zone of the gateway. */
+  readonly zone: string;
+  /** Time without any message while a reply is awaited, in milliseconds. */
+  readonly unansweredMs: number;
+}
+
 /** A connection in exclusive use by a session. */
 export interface SessionLink {
+  /** Absent on a direct connection. */
+  readonly gateway?: GatewayPath;
   readonly isOpen: boolean;
   /** True if the connection is open, no request is in flight and no transaction is open. */
   readonly isClean: boolean;
--- a/src/relay/session-own-commits.test.ts
+++ b/src/relay/session-own-commits.test.ts
@@ -8,6 +8,7 @@
 import { describe, test } from 'node:test';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
+import { NOT_ISOLATED } from '../../test/support/not-isolated.js';
 import { createTestGroup } from '../../test/support/relay-members.js';
 import { comparePositions, type Position } from '../position/position.js';
 import { NO_TENANTS } from '../tenancy/tenant-registry.js';
@@ -133,6 +134,7 @@
       group: (name) => this.#groups.get(name)?.group ?? null,
       now: this.now,
       shutdownSchedule: () => null,
+      isolation: NOT_ISOLATED,
       suspect: () => undefined,
       readStatus: ({ rows }) => JSON.parse(rows[0] ?? 'null') as MemberStatus | null,
     };
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -4,12 +4,14 @@
  *
  * @packageDocumentation
  */
+import { cutOffRefusal } from '../isolation/isolation.js';
+import { isLeaderOutOfReach, isReadOutOfReach } from '../isolation/reach.js';
 import { authorize, type Caller } from '../tenancy/authorize.js';
 import type { KeyDigest } from '../tenancy/key-digest.js';
 import type { Route } from '../topology/catalog.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import type { MemberErrorCode, MemberReply } from './member-link.js';
-import { ReadRunner } from './read-runner.js';
+import { readFloor, ReadRunner } from './read-runner.js';
 import { OTHER_DAEMON_RETRY_AFTER_MS, refusalOfInterrupted } from './interrupted-request.js';
 import { Refusal, type RefusalCode } from './refusal.js';
 import { RETRY_AFTER_MS, UNPROVEN_RETRY_AFTER_MS, type RelayContext } from './relay-context.js';
@@ -34,6 +36,8 @@
 /** Limit on the prepared statements of a session, and likewise on its session values. */
 const MAX_SESSION_NAMES = 1000;
 
+const NO_MEMBERS: ReadonlySet<string> = new Set();
+
 const EMPTY_SUCCESS: SessionResult = { isComplete: true, rows: [], signature: null };
 
 /** A statement outside a transaction. */
@@ -132,14 +136,14 @@
   }
 
   /**
-   * Closes the session because the daemon is stopping: an open transaction is rolled back, and requests that
+   * Closes the session because the daemon is stopping or hands its clients over: an open transaction is rolled back, and requests that
    * arrive afterwards get the returned refusal.
    */
-  closeForShutdown(): Refusal {
+  closeForShutdown(reason = STOPPING_REASON): Refusal {
     const code = this.#state === 'idle' ? 'busy' : 'aborted';
     this.close();
     if (this.#state === 'open') this.#state = 'failed';
-    return new Refusal(code, 'not_run', STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER_MS);
+    return new Refusal(code, 'not_run', reason, OTHER_DAEMON_RETRY_AFTER_MS);
   }
 
   /** Marks an open transaction as failed, after a request that could not be parsed. */
@@ -218,6 +222,21 @@
     throw new Refusal(code, 'not_run', STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER_MS);
   }
 
+  /** Refuses a write, and what only the leader may serve, while this daemon is cut off from other zones. */
+  #refuseIfCutOff(group: MemberGroup, isWrite: boolean, isLeaderOnly: boolean): void {
+    const { context } = this;
+    const isOutOfReach = isWrite ? context.isolation.isIsolated : isLeaderOnly;
+    if (isOutOfReach && (isWrite || isLeaderOutOfReach(context, group)))
+      throw cutOffRefusal(false, { group: group.name });
+  }
+
+  #refuseReadIfCutOff({ receivedAtMs }: ClientRequest, route: Route, group: MemberGroup): void {
+    if (!this.context.isolation.isIsolated) return;
+    const floor = readFloor(group, route, this.#commits.floorFor(group), receivedAtMs);
+    if (isReadOutOfReach(this.context, group, floor, NO_MEMBERS))
+      throw cutOffRefusal(false, { group: group.name });
+  }
+
   /**
    * Deadline of a request: the route's time-out, or the last answer time of a planned stop if that is
    * earlier.
@@ -276,6 +295,7 @@
     if (this.#state !== 'idle') throw malformed('a transaction is open');
     const { route, group } = this.#route();
     const caller = this.#authorize(route);
+    this.#refuseIfCutOff(group, !isReadOnly, route.consistency === 'primary');
     await this.#charge(caller);
     const { tenantName } = caller;
     this.#beginRequest = { isReadOnly, receivedAtMs, route, group, tenantName };
@@ -306,6 +326,8 @@
   ): Promise<SessionResult> {
     const { route, group } = this.#route();
     const caller = this.#authorize(route);
+    this.#refuseIfCutOff(group, isWrite, false);
+    if (!isWrite) this.#refuseReadIfCutOff(request, route, group);
     const refund = await this.#charge(caller);
     const operation = { request, statement, route, group, tenantName: caller.tenantName };
     try {
--- a/src/relay/transaction.test.ts
+++ b/src/relay/transaction.test.ts
@@ -9,6 +9,7 @@
 import { test } from 'node:test';
 import { delay } from '../common/signal.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
+import { NOT_ISOLATED } from '../../test/support/not-isolated.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { SlowLink } from '../../test/support/slow-link.js';
 import { Catalog, type Route } from '../topology/catalog.js';
@@ -89,6 +90,7 @@
     group: () => group,
     now: () => 0,
     shutdownSchedule: () => null,
+    isolation: NOT_ISOLATED,
     readStatus: () => null,
     suspect: () => undefined,
   };
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -3,6 +3,8 @@
  *
  * @packageDocumentation
  */
+import { CUT_OFF_REASON, cutOffRefusal, type IsolationListener } from '../isolation/isolation.js';
+import { isOutOfReach, isPathSilent } from '../isolation/reach.js';
 import { selectReadMember } from '../topology/select-member.js';
 import { formatPosition } from '../position/position.js';
 import type { Route } from '../topology/catalog.js';
@@ -59,9 +61,11 @@
   readonly isLeader: boolean;
 }
 
-export class Transaction {
+export class Transaction implements IsolationListener {
   readonly #excluded = new Set<string>();
   #pinned: PinnedConnection | null = null;
+  /** The connection on which the transaction is being begun. */
+  #beginning: PinnedConnection | null = null;
   /** The member at which the last attempt to begin was made. */
   #lastMember: Member | null = null;
   #hasWritten = false;
@@ -123,6 +127,13 @@
     this.end();
   }
 
+  /** Gives up a transaction that is being begun over a silent path, unless its first statement was sent. */
+  cutOff(): void {
+    const beginning = this.#beginning;
+    if (beginning === null || this.#wasStepSent) return;
+    if (isPathSilent(this.context, beginning.member, beginning.link)) beginning.link.close();
+  }
+
   /** Rolls the transaction back at the member, unless it has ended already. */
   end(): void {
     if (this.#isEnded) return;
@@ -138,7 +149,8 @@
     for (;;) {
       const member = await this.#chooseMember(step, wait);
       if (this.#isEnded) throw new Refusal('aborted', 'not_run', 'the transaction was ended');
-      if (member === null || context.now() >= step.deadlineMs) throw this.#notRun();
+      if (member === null || context.now() >= step.deadlineMs || this.#isOutOfReach(member))
+        throw this.#notRun();
       const reply = await this.#runFirstAt(member, step);
       if (reply !== null) return reply;
       const now = context.now();
@@ -164,6 +176,7 @@
     const { context, options } = this;
     const waitUntilMs = step.deadlineMs - LEADER_RESERVE_MS;
     for (;;) {
+      if (context.isolation.isIsolated && !options.isReadOnly) return null;
       const now = context.now();
       const isCommitSlow = !this.#mayUseReplica() && options.group.commits.isSlow(now);
       const member = isCommitSlow ? null : this.#selectMember();
@@ -195,11 +208,19 @@
       return leader !== null && this.#excluded.has(leader.entry.memberId) ? null : leader;
     }
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
-    const demand = { floor, excluded: this.#excluded };
+    const excluded = new Set(this.#excluded);
+    for (const [memberId, member] of group.members) if (isOutOfReach(context, member)) excluded.add(memberId);
+    const demand = { floor, excluded };
     const choice = selectReadMember(readCandidates(context, group, floor), demand);
     return choice === null ? null : (group.members.get(choice.memberId) ?? null);
   }
 
+  /** True while this daemon is isolated and the transaction cannot be begun at the member. */
+  #isOutOfReach(member: Member): boolean {
+    const { isolation } = this.context;
+    return isolation.isIsolated && (!this.options.isReadOnly || isOutOfReach(this.context, member));
+  }
+
   #mayUseReplica(): boolean {
     return this.options.isReadOnly && this.options.route.consistency !== 'primary';
   }
@@ -225,6 +246,8 @@
     const isLeader = !this.#mayUseReplica() || group.leader(context.now()) === member;
     const pinned: PinnedConnection = { member, link, isLeader };
     this.#lastMember = member;
+    this.#beginning = pinned;
+    context.isolation.add(this);
     const deadlineTimer = setTimeout(() => link.close(), step.deadlineMs - context.now());
     try {
       const failureReason = await this.#begin(pinned, step);
@@ -255,6 +278,8 @@
       this.#lastReason = `connection lost: ${String(error)}`;
       return null;
     } finally {
+      this.#beginning = null;
+      context.isolation.remove(this);
       clearTimeout(deadlineTimer);
     }
   }
@@ -287,6 +312,7 @@
       floor: floor === null ? null : formatPosition(floor.position),
       after: after === null ? null : formatPosition(after),
     });
+    if (isPathSilent(context, member, link)) return CUT_OFF_REASON;
     const { leader } = group.evidence;
     if (isLeader && isReadOnly && leader !== null) {
       if (!(await mayReadAsLeader(context, group, leader, link, after))) return OTHER_INCARNATION;
@@ -389,6 +415,7 @@
   }
 
   #notRun(): Refusal {
+    if (this.context.isolation.isIsolated) return cutOffRefusal(false, this.#details());
     return new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#details());
   }
 
--- a/src/relay/verdicts.test.ts
+++ b/src/relay/verdicts.test.ts
@@ -8,6 +8,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
+import { NOT_ISOLATED } from '../../test/support/not-isolated.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { createTestGroup } from '../../test/support/relay-members.js';
 import { Catalog, type Route } from '../topology/catalog.js';
@@ -147,6 +148,7 @@
     group: () => group,
     now,
     shutdownSchedule: () => null,
+    isolation: NOT_ISOLATED,
     readStatus: () => null,
     suspect: () => undefined,
   };
--- a/src/relay/write-runner.test.ts
+++ b/src/relay/write-runner.test.ts
@@ -8,6 +8,7 @@
 import { test } from 'node:test';
 import { FakeLink } from '../../test/support/fake-link.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
+import { NOT_ISOLATED } from '../../test/support/not-isolated.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { Catalog, type Route } from '../topology/catalog.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
@@ -50,6 +51,7 @@
     group: () => group,
     now: () => (now += STEP_MS),
     shutdownSchedule: () => null,
+    isolation: NOT_ISOLATED,
     readStatus: () => null,
     suspect: () => undefined,
   };
@@ -108,6 +110,7 @@
     group: () => group,
     now: () => performance.now(),
     shutdownSchedule: () => null,
+    isolation: NOT_ISOLATED,
     readStatus: () => null,
     suspect: () => undefined,
   };
--- a/src/relay/write-runner.ts
+++ b/src/relay/write-runner.ts
@@ -4,6 +4,8 @@
  *
  * @packageDocumentation
  */
+import { CUT_OFF_REASON, cutOffRefusal, type IsolationListener } from '../isolation/isolation.js';
+import { isLeaderOutOfReach } from '../isolation/reach.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import type { Route } from '../topology/catalog.js';
 import type { Member, MemberGroup } from '../topology/member-group.js';
@@ -11,7 +13,7 @@
 import { recordLeaderPosition } from './leader-identity.js';
 import { dueAt, type LinkDemand } from './link-queue.js';
 import { DialError, NotSentError, type MemberReply } from './member-link.js';
-import type { SessionValues } from './session-link.js';
+import type { SessionLink, SessionValues } from './session-link.js';
 import { Refusal, type RefusalDetails } from './refusal.js';
 import { shouldRefuseEarly } from './early-refusal.js';
 import { RETRY_AFTER_MS, RETRY_DELAY_MS, type RelayContext } from './relay-context.js';
@@ -77,6 +79,7 @@
   isUnreachable: boolean,
   { sinceMs, timeoutMs }: LeaderWait,
 ): boolean {
+  if (isLeaderOutOfReach(context, group)) return true;
   const now = context.now();
   return shouldRefuseEarly({
     heldMs: now - sinceMs,
@@ -86,11 +89,13 @@
   });
 }
 
-export class WriteRunner {
+export class WriteRunner implements IsolationListener {
   #lastReason = 'no leader';
   /** True when no connection could be opened at the last attempt. */
   #isUnreachable = false;
   #wasSent = false;
+  /** The connection on which the write is prepared or was sent. */
+  #link: SessionLink | null = null;
   #isAbandoned = false;
 
   constructor(
@@ -108,6 +113,11 @@
     this.#isAbandoned = true;
   }
 
+  /** Closes the connection unless the write was sent; a sent write awaits its answer until its deadline. */
+  cutOff(): void {
+    if (!this.#wasSent) this.#link?.close();
+  }
+
   /**
    * Returns the leader's answer.
    *
@@ -119,6 +129,7 @@
     for (;;) {
       const leader = await awaitLeader(context, job.group, job.deadlineMs - LEADER_RESERVE_MS, wait);
       if (leader === null || context.now() >= job.deadlineMs || this.#isAbandoned) throw this.#notRun();
+      if (context.isolation.isIsolated) throw this.#notRun();
       const { commits } = job.group;
       if (commits.isSlow(context.now())) {
         // A write sent now could end in doubt, and would occupy a connection that reads could use.
@@ -168,12 +179,15 @@
     }
     let sentAtMs = 0;
     const { leader: expectedLeader } = job.group.evidence;
+    this.#link = link;
+    context.isolation.add(this);
     const deadlineTimer = setTimeout(() => link.close(), job.deadlineMs - context.now());
     const commit = job.group.commits.recordSent(context.now());
     let isAnswered = false;
     try {
       const sent = await sendStatement(link, job.statement, job.requestId, job.values, null, () => {
         if (this.#isAbandoned) return 'given up';
+        if (context.isolation.isIsolated) return CUT_OFF_REASON;
         if (job.group.leader(context.now()) !== leader) return 'no evidence of the leader';
         this.#wasSent = true;
         sentAtMs = context.now();
@@ -200,6 +214,8 @@
         ...this.#details(),
       });
     } finally {
+      this.#link = null;
+      context.isolation.remove(this);
       job.group.commits.recordEnded(commit, isAnswered, context.now());
       clearTimeout(deadlineTimer);
       leader.pool.release(link);
@@ -212,6 +228,7 @@
   }
 
   #notRun(): Refusal {
+    if (this.context.isolation.isIsolated) return cutOffRefusal(false, this.#details());
     return new Refusal('busy', 'not_run', this.#lastReason, RETRY_AFTER_MS, this.#details());
   }
 
--- a/test/support/leader-scene.ts
+++ b/test/support/leader-scene.ts
@@ -12,6 +12,7 @@
 import type { MemberGroup } from '../../src/topology/member-group.js';
 import { PROCESS_TERM, readFakeStatus } from './fake-process.js';
 import { NOOP_OBSERVER } from './noop-observer.js';
+import { NOT_ISOLATED } from './not-isolated.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from './no-tenancy.js';
 
 /** Timeout of a request, in milliseconds; long enough for several retries. */
@@ -50,6 +51,7 @@
     group: () => group,
     now,
     shutdownSchedule: () => null,
+    isolation: NOT_ISOLATED,
     suspect: () => undefined,
     readStatus: readFakeStatus,
   };
--- a/test/support/relay-members.ts
+++ b/test/support/relay-members.ts
@@ -24,13 +24,14 @@
   dialer: MemberDialer,
   now: () => number,
   gateway: TestGateway | null,
+  zone: string,
 ): Member {
   const entry = {
     memberId,
     groupName: GROUP,
     host: 'h',
     port: 1,
-    zone: 'a',
+    zone,
     slots: 1,
     isDraining: false,
     saysPrimary: memberId === 'leader',
@@ -62,15 +63,20 @@
   return new Member(entry, connections);
 }
 
-/** Creates a group of the members given by id. `leader` leads term 1; the test has to add evidence for it. */
+/**
+ * Creates a group of the members given by id. `leader` leads term 1; the test has to add evidence for it.
+ *
+ * @param zones - zones by member id; `a` if not given
+ */
 export function createTestGroup(
   dialers: Readonly<Record<string, MemberDialer>>,
   now: () => number,
   gateway: TestGateway | null = null,
+  zones: Readonly<Record<string, string>> = {},
 ): MemberGroup {
   const group = new MemberGroup(GROUP);
   for (const [memberId, dialer] of Object.entries(dialers))
-    group.members.set(memberId, createMember(memberId, dialer, now, gateway));
+    group.members.set(memberId, createMember(memberId, dialer, now, gateway, zones[memberId] ?? 'a'));
   group.evidence.observeLeader({ memberId: 'leader', term: 1 });
   return group;
 }
