--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -8,6 +8,7 @@
 import { after, before, test } from 'node:test';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
 import { daemonRecord } from '../../test/support/daemon-records.js';
+import { OutsideTraffic } from '../isolation/outside-traffic.js';
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
@@ -115,3 +116,45 @@
   client.close();
   server.close();
 });
+
+test('while restricted to a zone, only available gateways of the zone lend', async () => {
+  const clock = { now: 0 };
+  const client = await clientWithUnavailable(clock);
+  clock.now = 700;
+  const outside = daemonRecord('outside', { host: HOST, gatewayPort: available.gatewayPort, zone: 'b' });
+  client.restrictToZone('a');
+  assert.equal(client.choose([outside, available])?.name, 'alive');
+  assert.equal(client.choose([outside], [available])?.name, 'alive');
+  assert.equal(client.choose([outside]), null);
+  assert.equal(client.choose([unavailable], [outside]), null);
+  client.restrictToZone(null);
+  assert.equal(client.choose([outside])?.name, 'outside');
+  client.close();
+});
+
+test('traffic of other zones: an awaited reply, its bytes, and a refused connection', async () => {
+  const client = new GatewayClient(HOST, () => performance.now(), Math.random);
+  const traffic = new OutsideTraffic();
+  const poll = (): void => {
+    traffic.beginPoll();
+    client.recordTraffic('b', traffic);
+  };
+  const startMs = performance.now();
+  client.ping(available);
+  poll();
+  assert.ok(traffic.silentSinceMs !== null && traffic.silentSinceMs >= startMs);
+  const own = new OutsideTraffic();
+  client.recordTraffic('a', own);
+  assert.equal(own.silentSinceMs, null, 'connections within the zone do not count');
+  await waitUntil('the reply to the ping', () => {
+    poll();
+    return traffic.lastReceivedMs > startMs && traffic.silentSinceMs === null;
+  });
+  const refusedFromMs = performance.now();
+  client.ping(unavailable);
+  await waitUntil('the refusal', () => {
+    poll();
+    return traffic.lastReceivedMs > refusedFromMs;
+  });
+  client.close();
+});
