--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -8,7 +8,7 @@
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
 import { preparedStatementName } from '../relay/pooled-link.js';
 import { PoolTimeoutError } from '../relay/link-acquisition.js';
-import type { LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
+import type { GatewayPath, LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
 import type { BorrowMessage, GatewayMessage } from './gateway-messages.js';
 
@@ -53,11 +53,15 @@
   #grantWait: { values: SessionValues; resolve(): void; reject(error: Error): void } | null = null;
   #onUnresponsive: () => void = () => undefined;
 
-  /** @param gatewayName - the daemon that lends the connection */
+  /**
+   * @param gatewayName - the daemon that lends the connection
+   * @param gateway - the path to the gateway
+   */
   constructor(
     private readonly terms: BorrowMessage,
     private readonly gatewayName: string,
     private readonly connection: LoanConnection,
+    readonly gateway?: GatewayPath,
   ) {}
 
   get isOpen(): boolean {
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -6,6 +6,7 @@
  */
 import { connect } from 'node:net';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { OutsideTraffic } from '../isolation/outside-traffic.js';
 import { EvidenceReader, type SharedEvidence } from '../leadership/evidence-exchange.js';
 import type { Grant, GrantRequest } from '../quota/quota-home.js';
 import type { ConfigurationLeaseReply } from '../tenancy/lease-renewal.js';
@@ -16,7 +17,7 @@
 import { MemberLoads, type GatewayLoad } from '../placement/member-load.js';
 import { RequestTimes } from '../placement/request-times.js';
 import { ZoneLatency } from '../placement/zone-latency.js';
-import { BorrowedLink } from './borrowed-link.js';
+import { BorrowedLink, type LoanConnection } from './borrowed-link.js';
 import {
   GRANT_FEATURE,
   MAX_GATEWAY_MESSAGE_BYTES,
@@ -143,17 +144,26 @@
     private readonly records: LoadRecords,
     private readonly now: () => number,
     private readonly onClosed: () => void,
+    onRefused: () => void,
   ) {
     this.#openedAtMs = now();
     this.#gatewayName = record.name;
     const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
     socket.once('connect', () => this.#handleConnect());
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') onRefused();
+    });
     this.#channel = new MessageChannel<GatewayMessage>(socket, MAX_GATEWAY_MESSAGE_BYTES, {
       message: (message) => this.#receive(message),
       closed: () => this.#handleClose(),
     });
   }
 
+  /** Zone of the gateway. */
+  get zone(): string {
+    return this.record.zone;
+  }
+
   /** True once any message has arrived from the gateway. */
   get hasReplied(): boolean {
     return this.#hasReplied;
@@ -167,13 +177,14 @@
   borrow(terms: LoanTerms): BorrowedLink {
     this.#lastLoanId += 1;
     const loan = this.#lastLoanId;
-    const link = new BorrowedLink({ type: 'borrow', loan, ...terms }, this.#gatewayName, {
+    const connection: LoanConnection = {
       hasGrants: () => (this.#hasReplied ? this.#hasGrants : null),
       requestFirstMessage: () => this.#requestFirstMessage(),
       transmit: (message) => this.#transmit(message),
       withdraw: () => this.#withdraw(loan),
       ended: () => this.#removeLoan(loan),
-    });
+    };
+    const link = new BorrowedLink({ type: 'borrow', loan, ...terms }, this.#gatewayName, connection, this);
     this.loans.set(loan, link);
     const load = this.records.loads.entry(terms.memberId, this.record.name);
     load.loanStarted();
@@ -219,6 +230,12 @@
     for (const link of [...this.loans.values()]) link.handleSilence();
   }
 
+  /** Records when bytes were last received, and since when a reply has been awaited. */
+  recordTraffic(traffic: OutsideTraffic): void {
+    if (this.#channel.bytesReceived > 0) traffic.recordReceived(this.#channel.lastReceivedMs);
+    if (this.#awaitingSinceMs !== null) traffic.recordWaiting(this.#awaitingSinceMs);
+  }
+
   close(): void {
     this.#channel.destroy();
   }
@@ -356,6 +373,10 @@
    * whether they recovered.
    */
   readonly #unavailable = new Set<string>();
+  /** When a daemon of a zone last refused a connection, by zone, in monotonic milliseconds. */
+  readonly #refusedAtMs = new Map<string, number>();
+  /** Zone of the only gateways that may lend, which have to be available; `null` for no restriction. */
+  #onlyZone: string | null = null;
   #lastRequestId = 1;
   #checkedAtMs = Number.NEGATIVE_INFINITY;
   /** When this process last continued after a pause, in monotonic milliseconds. */
@@ -387,12 +408,11 @@
   ): DaemonRecord | null {
     const usable = gateways.filter((record) => this.#mayBorrowFrom(record));
     const available = usable.filter((record) => this.#isAvailable(record));
-    return (
+    const chosen =
       this.#lessLoadedOfTwo(available, memberId) ??
       this.#leastLoaded(available) ??
-      (standbys.length > 0 ? this.choose(standbys, [], memberId) : null) ??
-      this.#leastLoaded(usable)
-    );
+      (standbys.length > 0 ? this.choose(standbys, [], memberId) : null);
+    return chosen ?? (this.#onlyZone === null ? this.#leastLoaded(usable) : null);
   }
 
   /** The less loaded of two random gateways; `null` if there are not two, or neither has reported its load. */
@@ -482,6 +502,29 @@
     });
   }
 
+  /**
+   * Lends only from available gateways of a zone while the others are known to be out of reach; `null` ends
+   * the restriction.
+   */
+  restrictToZone(zone: string | null): void {
+    this.#onlyZone = zone;
+  }
+
+  /** Sends a ping to a daemon at once, over a new connection if there is none. */
+  ping(record: DaemonRecord): void {
+    this.#connection(record).probe();
+  }
+
+  /**
+   * Records the traffic of the connections to daemons of other zones than the given one. A refused connection
+   * counts as received bytes: the machine of the daemon has answered.
+   */
+  recordTraffic(ownZone: string, traffic: OutsideTraffic): void {
+    for (const connection of this.#connections.values())
+      if (connection.zone !== ownZone) connection.recordTraffic(traffic);
+    for (const [zone, atMs] of this.#refusedAtMs) if (zone !== ownZone) traffic.recordReceived(atMs);
+  }
+
   /**
    * Pings or closes unresponsive connections, and ends their loans over which no statement was sent; to be
    * called every few tens of milliseconds.
@@ -534,6 +577,7 @@
   }
 
   #mayBorrowFrom(record: DaemonRecord): boolean {
+    if (this.#onlyZone !== null && record.zone !== this.#onlyZone) return false;
     const key = keyOf(record);
     if (this.now() < (this.#retryAtMs.get(key) ?? Number.NEGATIVE_INFINITY)) return false;
     return this.#connections.get(key)?.isLeaving !== true;
@@ -551,16 +595,21 @@
     const key = keyOf(record);
     const existing = this.#connections.get(key);
     if (existing !== undefined) return existing;
+    const onClosed = (): void => {
+      this.#connections.delete(key);
+      this.#markUnavailable(key);
+      this.loads.forgetGateway(record.name);
+    };
+    const onRefused = (): void => {
+      this.#refusedAtMs.set(record.zone, this.now());
+    };
     const connection: GatewayConnection = new GatewayConnection(
       record,
       this.localAddress,
       this,
       this.now,
-      () => {
-        this.#connections.delete(key);
-        this.#markUnavailable(key);
-        this.loads.forgetGateway(record.name);
-      },
+      onClosed,
+      onRefused,
     );
     this.#connections.set(key, connection);
     return connection;
--- a/src/gateway/loan-admission.test.ts
+++ b/src/gateway/loan-admission.test.ts
@@ -6,6 +6,7 @@
  */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
+import { NOT_ISOLATED } from '../../test/support/not-isolated.js';
 import { daemonRecord } from '../../test/support/daemon-records.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
@@ -129,6 +130,7 @@
     configurationLease: ALWAYS_PROVEN,
     quotas: NO_QUOTAS,
     zone: 'a',
+    isolation: NOT_ISOLATED,
     observer: NOOP_OBSERVER,
     group: () => group,
     now: () => performance.now(),
--- a/src/observability/deferred-metrics.test.ts
+++ b/src/observability/deferred-metrics.test.ts
@@ -16,6 +16,7 @@
   liveDaemons: 1,
   openLoans: 0,
   zoneRoundTrips: [],
+  isIsolated: false,
   groups: [],
 };
 
--- a/src/observability/deferred-metrics.ts
+++ b/src/observability/deferred-metrics.ts
@@ -15,6 +15,7 @@
   | 'requestEnded'
   | 'memberAnswered'
   | 'decided'
+  | 'refused'
   | 'happened'
   | 'entryLeftOut'
   | 'itemNotNewer'
@@ -48,6 +49,10 @@
     this.#record((metrics) => metrics.decided(decision));
   }
 
+  refused(cause: unknown): void {
+    this.#record((metrics) => metrics.refused(cause));
+  }
+
   happened(event: string): void {
     this.#record((metrics) => metrics.happened(event));
   }
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -8,6 +8,7 @@
  * @packageDocumentation
  */
 import { WaitQueue, type ConnectionUse, type WaitingRequest } from '../admission/wait-queue.js';
+import type { OutsideTraffic } from '../isolation/outside-traffic.js';
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
 import { PoolAdmission, type AdmissionObserver, type QueueState } from '../admission/pool-admission.js';
 import type { LinkDemand } from './link-queue.js';
@@ -338,6 +339,14 @@
     return nowMs - Math.max(awaitingReplySince, lastReceived);
   }
 
+  /** Records when bytes were last received, and since when replies have been awaited. */
+  recordTraffic(traffic: OutsideTraffic): void {
+    for (const link of this.#links) {
+      traffic.recordReceived(link.lastReceivedMs);
+      if (link.awaitingReplySinceMs !== null) traffic.recordWaiting(link.awaitingReplySinceMs);
+    }
+  }
+
   /** Rejects waiting requests, since no connection will be available soon. Nothing was sent for them. */
   rejectWaiters(reason: string, isAffected: (demand: LinkDemand) => boolean = () => true): void {
     this.#failWaiters(new PoolTimeoutError(reason), isAffected);
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -7,6 +7,8 @@
 import { AdmissionError } from '../admission/admission-error.js';
 import { LoadRefusals } from '../admission/load-refusals.js';
 import { ChangeSignal } from '../common/signal.js';
+import { CUT_OFF_REASON, cutOffRefusal, type IsolationListener } from '../isolation/isolation.js';
+import { isOutOfReach, isPathSilent, isReadOutOfReach } from '../isolation/reach.js';
 import { formatPosition, type Position } from '../position/position.js';
 import { UNMEASURED_DISTANCE_COST_MS } from '../placement/distance-cost.js';
 import type { PendingRead } from '../placement/pending-reads.js';
@@ -91,6 +93,8 @@
   sentAtMs: number | null;
   /** True once the gateway through which the read was sent has stopped replying; the answer may still arrive. */
   isSilent: boolean;
+  /** The connection, once granted. */
+  granted: GrantedLink<Member> | null;
 }
 
 /** Share of the target latency after which a hedged request is sent to a second member. */
@@ -211,7 +215,7 @@
   return selectReadMember(candidates, { floor, excluded }) === null;
 }
 
-export class ReadRunner {
+export class ReadRunner implements IsolationListener {
   readonly #excluded = new Set<string>();
   /** Members to which no connection could be opened since the exclusions were last cleared. */
   readonly #unreachable = new Set<string>();
@@ -249,6 +253,16 @@
     this.#attemptChanged.notify();
   }
 
+  /** Gives up attempts over silent paths; their answers would still be returned while others are awaited. */
+  cutOff(): void {
+    for (const pending of [...this.#pending]) {
+      const { granted } = pending;
+      if (granted === null || !isPathSilent(this.context, granted.member, granted.link)) continue;
+      this.#pending.delete(pending);
+      this.#attemptChanged.notify();
+    }
+  }
+
   /**
    * Returns the first answer that is not worth retrying at another member.
    *
@@ -256,9 +270,12 @@
    */
   async run(): Promise<MemberReply> {
     this.job.group.retries.recordFirstAttempt();
+    const { isolation } = this.context;
+    isolation.add(this);
     try {
       return await this.#run();
     } finally {
+      isolation.remove(this);
       this.#isSettled = true;
       for (const { wait } of this.#pending) wait.cancel();
     }
@@ -272,7 +289,8 @@
       if (this.#isWithoutProspect()) {
         if (this.#pending.size === 0) {
           if (this.#failedReply !== null && this.#failureCount >= MAX_FAILURES) return this.#failedReply;
-          if (this.#shouldRefuseEarly() || this.#haveAllRefused()) return this.#resultWithoutAnswer();
+          if (this.#isCutOff() || this.#shouldRefuseEarly() || this.#haveAllRefused())
+            return this.#resultWithoutAnswer();
         }
         this.#excluded.clear();
         this.#unreachable.clear();
@@ -335,6 +353,14 @@
     return this.#endedAttempts.shift() ?? null;
   }
 
+  /** True when this daemon is isolated and no member in reach can serve the read. */
+  #isCutOff(): boolean {
+    const { context, job } = this;
+    if (!context.isolation.isIsolated) return false;
+    const floor = readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
+    return isReadOutOfReach(context, job.group, floor, this.#excluded);
+  }
+
   /** True when no member can serve the read now and the client should retry at another daemon. */
   #shouldRefuseEarly(): boolean {
     const { context, job } = this;
@@ -403,6 +429,8 @@
     // Another gateway of the member may reply while the one of a silent attempt does not.
     for (const { wait } of this.#responsiveAttempts)
       for (const { entry } of wait.members) excluded.add(entry.memberId);
+    for (const [memberId, candidate] of group.members)
+      if (isOutOfReach(this.context, candidate)) excluded.add(memberId);
     const candidates = readCandidates(this.context, group, floor, tenantName);
     const demand = { floor, excluded };
     const choice = selectReadMember(candidates, demand, readPreferences(this.context, tenantName));
@@ -425,7 +453,7 @@
     const demand = this.#demand();
     const waitMs = this.job.deadlineMs - this.context.now();
     const wait = new LinkAcquisition<Member>(demand, waitMs);
-    const pending: PendingAttempt = { choice, wait, sentAtMs: null, isSilent: false };
+    const pending: PendingAttempt = { choice, wait, sentAtMs: null, isSilent: false, granted: null };
     this.#pending.add(pending);
     void this.#attempt(pending).then((attempt) => {
       this.#pending.delete(pending);
@@ -467,6 +495,7 @@
       return { kind: 'not_run', reason: `no connection: ${String(error)}`, members: wait.members };
     }
     const { link, member } = granted;
+    pending.granted = granted;
     try {
       return await this.#sendOver(link, member, pending);
     } finally {
@@ -478,6 +507,7 @@
     const { job, context } = this;
     const members = [member];
     if (this.#isSettled) return { kind: 'not_run', reason: ANSWERED_ELSEWHERE, members };
+    if (isPathSilent(context, member, link)) return { kind: 'not_run', reason: CUT_OFF_REASON, members };
     const asLeader = job.group.leader(context.now()) === member;
     const leader = asLeader ? job.group.evidence.leader : null;
     const floor = asLeader ? null : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
@@ -506,6 +536,7 @@
         return { kind: 'not_run', reason: OTHER_INCARNATION, members };
       const reply = await sendStatement(link, job.statement, job.requestId, job.values, after, () => {
         if (this.#isSettled) return ANSWERED_ELSEWHERE;
+        if (isPathSilent(context, member, link)) return CUT_OFF_REASON;
         if (asLeader && job.group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
         isSent = true;
         this.#possiblyRunCount += 1;
@@ -602,6 +633,7 @@
 
   #resultWithoutAnswer(): MemberReply {
     if (this.#failedReply !== null) return this.#failedReply;
+    if (this.#isCutOff()) throw cutOffRefusal(this.wasSent, { group: this.job.group.name });
     if (this.wasSent)
       throw new Refusal('timed_out', 'may_have_run', `no answer in time: ${this.#lastReason}`);
     const { longest } = this.#loadRefusals;
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -5,6 +5,7 @@
  */
 import type { Placement } from '../placement/placement.js';
 import type { AdmissionObserver } from '../admission/pool-admission.js';
+import type { Isolation } from '../isolation/isolation.js';
 import type { OperationQuotas } from '../quota/operation-quotas.js';
 import type { ConfigurationLease } from '../tenancy/configuration-lease.js';
 import type { Catalog } from '../topology/catalog.js';
@@ -41,6 +42,7 @@
   /** Remaining operations of the tenants. */
   readonly quotas: OperationQuotas;
   readonly zone: string;
+  readonly isolation: Isolation;
   readonly observer: RelayObserver;
   /** Returns a group by name, or `null`. Configuration changes add and remove groups. */
   group(name: string): MemberGroup | null;
--- a/src/relay/retry-permit.test.ts
+++ b/src/relay/retry-permit.test.ts
@@ -6,6 +6,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NOT_ISOLATED } from '../../test/support/not-isolated.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { createTestGroup } from '../../test/support/relay-members.js';
@@ -89,6 +90,7 @@
       configurationLease: ALWAYS_PROVEN,
       quotas: NO_QUOTAS,
       zone: 'a',
+      isolation: NOT_ISOLATED,
       observer: { ...NOOP_OBSERVER, retryDecided: (decision) => void this.retries.push(decision) },
       group: () => this.group,
       now,
