A request that is interrupted while it is charged is never sent

Cause: a shutdown interrupts requests and tells their clients that they were not run. One that waited for its quota had no runner to abandon, so its dispatch went on after the charge and sent the statement. A write could then run that its client was told had not. Change: the session remembers interrupted requests and ends their dispatch after the charge, with a refund.

--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -79,6 +79,8 @@
   #isHandling = false;
   /** Runs the current statement; `null` while none is running. */
   #runner: StatementRunner | null = null;
+  /** Requests that were interrupted and refused while their dispatch goes on: nothing may be sent for them. */
+  readonly #interrupted = new WeakSet<ClientRequest>();
   /** Interrupts the current request; `null` while there is none. */
   #interrupt: (() => void) | null = null;
 
@@ -190,6 +192,7 @@
   #dispatchInterruptibly(request: ClientRequest): Promise<SessionResult> {
     return new Promise((resolve, reject) => {
       this.#interrupt = (): void => {
+        this.#interrupted.add(request);
         reject(this.#interruptedRefusal(request.statement));
         this.#runner?.abandon();
       };
@@ -252,7 +255,7 @@
     this.#refuseIfStopping(statement);
     switch (statement.kind) {
       case 'begin':
-        return this.#begin(statement.isReadOnly, request.receivedAtMs);
+        return this.#begin(request, statement.isReadOnly);
       case 'rollback':
         if (this.#state === 'idle') throw malformed('no transaction is open');
         this.#endTransaction();
@@ -291,12 +294,13 @@
     throw malformed('the transaction has failed');
   }
 
-  async #begin(isReadOnly: boolean, receivedAtMs: number): Promise<SessionResult> {
+  async #begin(request: ClientRequest, isReadOnly: boolean): Promise<SessionResult> {
+    const { receivedAtMs } = request;
     if (this.#state !== 'idle') throw malformed('a transaction is open');
     const { route, group } = this.#route();
     const caller = this.#authorize(route);
     this.#refuseIfCutOff(group, !isReadOnly, route.consistency === 'primary');
-    await this.#charge(caller);
+    await this.#charge(request, caller);
     const { tenantName } = caller;
     this.#beginRequest = { isReadOnly, receivedAtMs, route, group, tenantName };
     this.#state = 'open';
@@ -328,7 +332,7 @@
     const caller = this.#authorize(route);
     this.#refuseIfCutOff(group, isWrite, false);
     if (!isWrite) this.#refuseReadIfCutOff(request, route, group);
-    const refund = await this.#charge(caller);
+    const refund = await this.#charge(request, caller);
     const operation = { request, statement, route, group, tenantName: caller.tenantName };
     try {
       return await (isWrite ? this.#standaloneWrite(operation) : this.#standaloneRead(operation));
@@ -472,13 +476,19 @@
     throw new Refusal('aborted', 'not_run', answer.message, answer.retryAfterMs);
   }
 
-  /** Charges an operation to the caller's quota account; returns a function that refunds it. */
-  async #charge({ account }: Caller): Promise<() => void> {
+  /**
+   * Charges an operation to the caller's quota account; returns a function that refunds it.
+   *
+   * @throws Refusal, also if the request was interrupted meanwhile: its client was told that it was not run
+   */
+  async #charge(request: ClientRequest, { account }: Caller): Promise<() => void> {
     if (account === null) return () => undefined;
     const charge = await this.context.quotas.charge(account);
     switch (charge.kind) {
       case 'charged':
-        return charge.refund;
+        if (!this.#interrupted.has(request)) return charge.refund;
+        charge.refund();
+        throw new Refusal('busy', 'not_run', STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER_MS);
       case 'over_quota':
         throw new Refusal('busy', 'not_run', 'the tenant has used up its quota', charge.retryAfterMs);
       case 'no_home':
