--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -222,19 +222,22 @@
     throw new Refusal(code, 'not_run', STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER_MS);
   }
 
-  /** Refuses a write, and what only the leader may serve, while this daemon is cut off from other zones. */
-  #refuseIfCutOff(group: MemberGroup, isWrite: boolean, isLeaderOnly: boolean): void {
-    const { context } = this;
-    const isOutOfReach = isWrite ? context.isolation.isIsolated : isLeaderOnly;
-    if (isOutOfReach && (isWrite || isLeaderOutOfReach(context, group)))
-      throw cutOffRefusal(false, { group: group.name });
+  /** True while this daemon is cut off and could not run the statements of the transaction. */
+  #isBeginOutOfReach(group: MemberGroup, route: Route, isReadOnly: boolean): boolean {
+    if (!isReadOnly) return this.context.isolation.isIsolated;
+    return route.consistency === 'primary' && isLeaderOutOfReach(this.context, group);
   }
 
-  #refuseReadIfCutOff({ receivedAtMs }: ClientRequest, route: Route, group: MemberGroup): void {
-    if (!this.context.isolation.isIsolated) return;
+  /** True while this daemon is cut off and no member in reach may run a statement outside a transaction. */
+  #isStatementOutOfReach(
+    { receivedAtMs }: ClientRequest,
+    group: MemberGroup,
+    route: Route,
+    isWrite: boolean,
+  ): boolean {
+    if (!this.context.isolation.isIsolated || isWrite) return this.context.isolation.isIsolated;
     const floor = readFloor(group, route, this.#commits.floorFor(group), receivedAtMs);
-    if (isReadOutOfReach(this.context, group, floor, NO_MEMBERS))
-      throw cutOffRefusal(false, { group: group.name });
+    return isReadOutOfReach(this.context, group, floor, NO_MEMBERS);
   }
 
   /**
@@ -295,7 +298,7 @@
     if (this.#state !== 'idle') throw malformed('a transaction is open');
     const { route, group } = this.#route();
     const caller = this.#authorize(route);
-    this.#refuseIfCutOff(group, !isReadOnly, route.consistency === 'primary');
+    if (this.#isBeginOutOfReach(group, route, isReadOnly)) throw cutOffRefusal(false, { group: group.name });
     await this.#charge(caller);
     const { tenantName } = caller;
     this.#beginRequest = { isReadOnly, receivedAtMs, route, group, tenantName };
@@ -326,8 +329,8 @@
   ): Promise<SessionResult> {
     const { route, group } = this.#route();
     const caller = this.#authorize(route);
-    this.#refuseIfCutOff(group, isWrite, false);
-    if (!isWrite) this.#refuseReadIfCutOff(request, route, group);
+    if (this.#isStatementOutOfReach(request, group, route, isWrite))
+      throw cutOffRefusal(false, { group: group.name });
     const refund = await this.#charge(caller);
     const operation = { request, statement, route, group, tenantName: caller.tenantName };
     try {
