Refuse writes that wait at a leader of the own zone, and transactions that no replica begins

Cause: while isolated, a write that waited for a connection to a leader of the own zone was refused only when it got one, and a read-only transaction was tried again and again until its deadline. Change: the waits of writes end at all members; a transaction is refused once no member in reach is left to begin it at. Unit tests of both, and of a read that each replica in reach has refused.

--- a/src/isolation/isolated-requests.test.ts
+++ b/src/isolation/isolated-requests.test.ts
@@ -9,7 +9,7 @@
 import { ALWAYS_PROVEN, NO_QUOTAS } from '../../test/support/no-tenancy.js';
 import { NOOP_OBSERVER } from '../../test/support/noop-observer.js';
 import { createTestGroup } from '../../test/support/relay-members.js';
-import type { MemberLink, MemberReply, MemberRequest } from '../relay/member-link.js';
+import type { MemberLink, MemberReply, MemberRequest, MemberResult } from '../relay/member-link.js';
 import { ReadRunner } from '../relay/read-runner.js';
 import { Refusal } from '../relay/refusal.js';
 import type { RelayContext } from '../relay/relay-context.js';
@@ -68,7 +68,15 @@
   }
 
   answer(): void {
-    const result = { isComplete: true, signature: 's' } as const;
+    this.#settle({ isComplete: true, signature: 's' });
+  }
+
+  /** Refuses the oldest request as not run. */
+  refuse(): void {
+    this.#settle({ isComplete: false, code: 'busy', text: 'BUSY' });
+  }
+
+  #settle(result: MemberResult): void {
     this.#pending.shift()?.resolve({ rows: [], result, state: 'idle', position: POSITION });
   }
 }
@@ -93,11 +101,11 @@
 }
 
 /** A leader in another zone and a replica in the zone of the daemon. */
-function scene() {
+function scene(leaderZone = 'b') {
   const nowMs = performance.now();
   const now = (): number => nowMs;
   const [leader, replica] = [new FakeMember(), new FakeMember()];
-  const group = createTestGroup({ leader, replica }, now, null, { leader: 'b' });
+  const group = createTestGroup({ leader, replica }, now, null, { leader: leaderZone });
   group.evidence.recordWitness(1, 0, nowMs);
   group.recordLeaderPosition(nowMs - 100, POSITION);
   const isolation = new TestIsolation();
@@ -119,11 +127,11 @@
     new ReadRunner(context, { ...JOB, ...times, route, group }).run();
   const write = (): Promise<MemberReply> =>
     new WriteRunner(context, { ...JOB, ...times, route: ROUTE, group }).run();
-  const begin = (): Promise<MemberReply> =>
-    new Transaction(context, { ...JOB, ...times, route: ROUTE, group, isReadOnly: false }).run({
+  const begin = (isReadOnly = false): Promise<MemberReply> =>
+    new Transaction(context, { ...JOB, ...times, route: ROUTE, group, isReadOnly }).run({
       ...JOB,
       ...times,
-      kind: 'write',
+      kind: isReadOnly ? 'read' : 'write',
     });
   return { leader, replica, group, isolation, read, write, begin };
 }
@@ -167,6 +175,31 @@
   });
 });
 
+describe('in an isolated daemon', () => {
+  test('writes are refused also where the leader is in the own zone, since its replicas are not', async () => {
+    const { group, isolation, leader, read, write, begin } = scene('a');
+    isolation.begin(group);
+    await assert.rejects(write(), refusal('busy', 'not_run'));
+    await assert.rejects(begin(), refusal('busy', 'not_run'));
+    assert.equal(leader.requests.length, 0);
+    const served = read(PRIMARY);
+    await drainEventLoop();
+    leader.answer();
+    assert.ok((await served).result.isComplete);
+  });
+
+  test('a read or read-only transaction that each replica in reach has refused is refused', async () => {
+    const { group, isolation, replica, read, begin } = scene();
+    isolation.begin(group);
+    for (const run of [(): Promise<MemberReply> => read(ROUTE), (): Promise<MemberReply> => begin(true)]) {
+      const outcome = assert.rejects(run(), refusal('busy', 'not_run'));
+      await drainEventLoop();
+      replica.refuse();
+      await outcome;
+    }
+  });
+});
+
 describe('when the isolation begins', () => {
   test('a read that was sent over a silent path gets its final answer', async () => {
     const { group, isolation, leader, read } = scene();
--- a/src/isolation/isolation-monitor.ts
+++ b/src/isolation/isolation-monitor.ts
@@ -143,11 +143,14 @@
     this.options.changed(isIsolated);
   }
 
-  /** Ends the wait of requests for a connection to a member that cannot be reached. */
+  /** Ends the wait for a connection to a member that cannot be reached, and at any member that of writes. */
   #rejectWaiters(): void {
     for (const group of this.options.groups())
       for (const { entry, pool } of group.members.values())
-        if (entry.zone !== this.options.zone) pool.ownPool.rejectWaiters(CUT_OFF_REASON);
+        pool.ownPool.rejectWaiters(
+          CUT_OFF_REASON,
+          ({ isWrite }) => isWrite || entry.zone !== this.options.zone,
+        );
   }
 
   #ping(nowMs: number): void {
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -176,11 +176,11 @@
     const { context, options } = this;
     const waitUntilMs = step.deadlineMs - LEADER_RESERVE_MS;
     for (;;) {
-      if (context.isolation.isIsolated && !options.isReadOnly) return null;
       const now = context.now();
       const isCommitSlow = !this.#mayUseReplica() && options.group.commits.isSlow(now);
       const member = isCommitSlow ? null : this.#selectMember();
       if (member !== null) return member;
+      if (context.isolation.isIsolated) return null;
       if (now >= waitUntilMs) return null;
       if (isCommitSlow) {
         this.#lastReason = 'an earlier commit is slow';
@@ -312,7 +312,7 @@
       floor: floor === null ? null : formatPosition(floor.position),
       after: after === null ? null : formatPosition(after),
     });
-    if (isPathSilent(context, member, link)) return CUT_OFF_REASON;
+    if (this.#isOutOfReach(member) || isPathSilent(context, member, link)) return CUT_OFF_REASON;
     const { leader } = group.evidence;
     if (isLeader && isReadOnly && leader !== null) {
       if (!(await mayReadAsLeader(context, group, leader, link, after))) return OTHER_INCARNATION;
