Admission: wait for replicas that are behind, count the opening of connections, cheaper refusals

Cause: a read that its leader refused was refused while a replica was about to reach its floor; where connections belong to tenants, the time to open one in place of another was not part of the estimate; the stack trace took most of the time of a refusal. Change: a replica that is behind counts as one that may serve, for as long as a request is held that another daemon may serve. Opening time counts as use. Pools create their errors without a stack trace.

--- a/src/admission/admission-error.ts
+++ b/src/admission/admission-error.ts
@@ -21,4 +21,18 @@
   ) {
     super('the expected wait for a connection exceeds the time left');
   }
+
+  /**
+   * Creates an error of a pool without a stack trace: capturing one takes most of the time of a refusal, of which
+   * there are many under overload.
+   */
+  static withoutStack(retryAfterMs: number, details: AdmissionDetails): AdmissionError {
+    const { stackTraceLimit } = Error;
+    Error.stackTraceLimit = 0;
+    try {
+      return new AdmissionError(retryAfterMs, details);
+    } finally {
+      Error.stackTraceLimit = stackTraceLimit;
+    }
+  }
 }
--- a/src/admission/pool-admission.ts
+++ b/src/admission/pool-admission.ts
@@ -94,6 +94,11 @@
     this.#estimator.recordUse(now - grantedAtMs, now);
   }
 
+  /** Records that a connection was opened in place of one of another tenant, which took `ms` milliseconds. */
+  replaced(ms: number): void {
+    this.#estimator.recordOpening(ms);
+  }
+
   /** Drops the measurement of a connection that was lost: its use says nothing about the member's speed. */
   lost(link: object): void {
     this.#grantedAtMs.delete(link);
@@ -170,7 +175,7 @@
     const { expectedWaitMs, ahead, waiting, connections, intervalMs, now } = basis;
     this.ports.observer?.admissionDecided('refused');
     const retryAfterMs = this.#retries.next((waiting + 1) * intervalMs, intervalMs, now, this.ports.random());
-    return new AdmissionError(retryAfterMs, {
+    return AdmissionError.withoutStack(retryAfterMs, {
       expectedWaitMs: Math.round(expectedWaitMs),
       ahead,
       connections,
--- a/src/admission/wait-estimator.test.ts
+++ b/src/admission/wait-estimator.test.ts
@@ -56,3 +56,13 @@
   const intervalMs = estimator.intervalMs(1, 0) ?? 0;
   assert.ok(intervalMs > 2.5 && intervalMs < 4.5, `${intervalMs} ms: one of three is served here`);
 });
+
+test('opening connections for other tenants counts as use', () => {
+  const estimator = new WaitEstimator();
+  for (let i = 0; i < 200; i += 1) {
+    if (i % 2 === 0) estimator.recordOpening(12);
+    estimator.recordUse(4, 0);
+  }
+  const useMs = estimator.useMs(0) ?? 0;
+  assert.ok(useMs > 9 && useMs < 11, `${useMs} ms`);
+});
--- a/src/admission/wait-estimator.ts
+++ b/src/admission/wait-estimator.ts
@@ -26,6 +26,8 @@
   #uses = 0;
   #measuredAtMs = Number.NEGATIVE_INFINITY;
   #ownShare = 1;
+  /** Time spent on opening connections since the last use, in milliseconds. */
+  #openingMs = 0;
 
   /** Records for how long one request has used a connection, in milliseconds. */
   recordUse(ms: number, nowMs: number): void {
@@ -34,7 +36,17 @@
     this.#uses += 1;
     this.#measuredAtMs = nowMs;
     const weight = Math.max(1 / this.#uses, LATEST_WEIGHT);
-    this.#useMs = this.#uses === 1 ? ms : this.#useMs + (ms - this.#useMs) * weight;
+    const spentMs = ms + this.#openingMs;
+    this.#openingMs = 0;
+    this.#useMs = this.#uses === 1 ? spentMs : this.#useMs + (spentMs - this.#useMs) * weight;
+  }
+
+  /**
+   * Records the time, in milliseconds, for which a connection could serve no request because it was opened in
+   * place of one of another tenant. It counts as part of the next use.
+   */
+  recordOpening(ms: number): void {
+    if (Number.isFinite(ms) && ms > 0) this.#openingMs += ms;
   }
 
   /**
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -398,6 +398,8 @@
 
   #dial(tenantName: string): void {
     this.#dialing.push(tenantName);
+    const isReplacement = tenantName !== NO_TENANT && this.size >= this.options.budget();
+    const startedAtMs = this.options.now();
     const { dialer, address, dialTimeoutMs } = this.options;
     // The member continues to set up a connection that the daemon has abandoned. So a slow attempt is not
     // aborted; instead, waiting requests are rejected so that they can use another member.
@@ -411,6 +413,7 @@
       .then(
         (memberLink) => {
           this.#consecutiveSlowDials = 0;
+          if (isReplacement) this.#admission.replaced(this.options.now() - startedAtMs);
           this.#add(new PooledLink(memberLink, tenantName));
           this.#openForWaiters();
         },
--- a/src/relay/overload.test.ts
+++ b/src/relay/overload.test.ts
@@ -17,6 +17,7 @@
 import type { MemberReply } from './member-link.js';
 import { ReadRunner } from './read-runner.js';
 import { Refusal } from './refusal.js';
+import type { SessionFloor } from './session-commits.js';
 import type { Decision, RelayContext } from './relay-context.js';
 import { Transaction } from './transaction.js';
 import { WriteRunner } from './write-runner.js';
@@ -108,7 +109,7 @@
     for (let i = 0; i < waiting; i += 1) pool.acquire(DEMAND, TIMEOUT_MS * 5).catch(() => undefined);
   }
 
-  read(route = ROUTE): Promise<MemberReply> {
+  read(route = ROUTE, sessionFloor: SessionFloor | null = null): Promise<MemberReply> {
     return new ReadRunner(this.context, {
       requestId: 'r',
       statement: { kind: 'plain', payload: 'READ r' },
@@ -116,7 +117,7 @@
       group: this.group,
       tenantName: 'one',
       values: NO_VALUES,
-      sessionFloor: null,
+      sessionFloor,
       receivedAtMs: this.nowMs,
       deadlineMs: this.nowMs + TIMEOUT_MS,
     }).run();
@@ -242,3 +243,21 @@
     name: 'PoolTimeoutError',
   });
 });
+
+test('a read that its leader refuses waits for a replica that is about to reach its floor', async () => {
+  const scene = new Scene();
+  await scene.measure('leader');
+  await scene.load('leader');
+  const replica = scene.group.members.get('replica');
+  assert.ok(replica !== undefined);
+  replica.recordPosition({ term: 1, index: 4 }, scene.nowMs);
+  const startedAtMs = scene.nowMs;
+  const floor = { position: { term: 1, index: 5 }, reachedAtMs: startedAtMs };
+  const sessionFloor = { kind: 'position', floor } as const;
+  const read = scene.read(ROUTE, sessionFloor);
+  setTimeout(() => replica.recordPosition({ term: 1, index: 5 }, scene.nowMs), 30);
+  const answer = setInterval(() => scene.links.replica.forEach((link) => link.answer()), 1);
+  assert.equal((await read).result.isComplete, true);
+  clearInterval(answer);
+  assert.ok(scene.nowMs - startedAtMs >= 25);
+});
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -159,19 +159,32 @@
   else if (result.code === 'behind') member.recordFloorResult(floor, false, nowMs);
 }
 
+/** A read of which some members have refused to serve it because of the expected wait. */
+export interface RefusedRead {
+  readonly refusals: LoadRefusals;
+  readonly floor: ReadFloor | null;
+  /** Time since the daemon received the read, in milliseconds. */
+  readonly heldMs: number;
+  readonly timeoutMs: number;
+  /** Members to which no connection could be opened. */
+  readonly unreachable?: ReadonlySet<string>;
+}
+
 /**
  * True when at least one member has refused a read because of the expected wait, and no other that may serve it
- * now can be reached.
+ * can be reached. A replica that is behind the floor of the read soon reaches it, so it counts as one that may
+ * serve it for as long as a read is held that another daemon may serve.
  */
 export function haveAllRefused(
   context: RelayContext,
   group: MemberGroup,
-  floor: ReadFloor | null,
-  refusals: LoadRefusals,
-  unreachable: ReadonlySet<string> = new Set(),
+  { refusals, floor, heldMs, timeoutMs, unreachable = new Set() }: RefusedRead,
 ): boolean {
   if (refusals.memberIds.size === 0) return false;
-  const candidates = readCandidates(context, group, floor).filter(({ isAvoided }) => !isAvoided);
+  const mayAwaitReplicas = heldMs < maxHoldMs(timeoutMs);
+  const candidates = readCandidates(context, group, floor)
+    .filter(({ isAvoided }) => !isAvoided)
+    .map((candidate) => ({ ...candidate, isBehind: candidate.isBehind && !mayAwaitReplicas }));
   const excluded = new Set([...refusals.memberIds, ...unreachable]);
   return selectReadMember(candidates, { floor, excluded }) === null;
 }
@@ -322,7 +335,13 @@
     if (this.wasSent) return false;
     const { group, route, sessionFloor, receivedAtMs } = this.job;
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
-    return haveAllRefused(this.context, group, floor, this.#loadRefusals, this.#unreachable);
+    return haveAllRefused(this.context, group, {
+      refusals: this.#loadRefusals,
+      floor,
+      heldMs: this.context.now() - receivedAtMs,
+      timeoutMs: route.timeoutMs,
+      unreachable: this.#unreachable,
+    });
   }
 
   /** Time until the next attempt may be started, in milliseconds; 0 when it may be started now. */
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -183,6 +183,7 @@
       const isCommitSlow = !this.#mayUseReplica() && options.group.commits.isSlow(now);
       const member = isCommitSlow ? null : this.#selectMember();
       if (member !== null) return member;
+      this.#throwIfAllRefused();
       if (now >= waitUntilMs) return null;
       if (isCommitSlow) {
         this.#lastReason = 'an earlier commit is slow';
@@ -220,12 +221,12 @@
     const { group, route, sessionFloor, receivedAtMs } = this.options;
     const { longest, memberIds } = this.#loadRefusals;
     const isRefused = this.#mayUseReplica()
-      ? haveAllRefused(
-          this.context,
-          group,
-          readFloor(group, route, sessionFloor, receivedAtMs),
-          this.#loadRefusals,
-        )
+      ? haveAllRefused(this.context, group, {
+          refusals: this.#loadRefusals,
+          floor: readFloor(group, route, sessionFloor, receivedAtMs),
+          heldMs: this.context.now() - receivedAtMs,
+          timeoutMs: route.timeoutMs,
+        })
       : this.#lastMember !== null && memberIds.has(this.#lastMember.entry.memberId);
     if (longest !== null && isRefused) throw overloadRefusal(longest, this.#details());
   }
