Read: try a hedged request that no member has a connection for every 10 ms, not every 1 ms

Cause: while a read waited for an answer and its hedged request was due, the reader woke up every millisecond and evaluated all members of the group, also when all other pools were exhausted: under load, when most reads are in this state. Change: an interval of 10 ms between such tries.

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -86,6 +86,12 @@
 /** Part of the staleness bound reserved for the transit of the request to the daemon, in milliseconds. */
 const STALENESS_MARGIN_MS = 60;
 
+/**
+ * Interval at which a hedged request that is due, and that no other member has a connection for, is tried again, in
+ * milliseconds. Each try evaluates all members of the group.
+ */
+const HEDGE_POLL_MS = 10;
+
 /** Hedge delay that is longer than any request, in milliseconds: no further attempt is started. */
 const NO_HEDGE_MS = 60_000;
 
@@ -300,7 +306,8 @@
    */
   async #nextEndedAttempt(remainingMs: number): Promise<Attempt | null> {
     if (this.#endedAttempts.length === 0) {
-      const waitMs = Math.min(Math.max(1, this.#hedgeDelayMs()), remainingMs);
+      const hedgeDelayMs = this.#hedgeDelayMs();
+      const waitMs = Math.min(hedgeDelayMs > 0 ? Math.max(1, hedgeDelayMs) : HEDGE_POLL_MS, remainingMs);
       const isWaiting = this.#attemptInQueue() !== null;
       const wakeUps = [this.#attemptEnded.wait(waitMs)];
       if (isWaiting) wakeUps.push(this.job.group.changed.wait(waitMs));
--- a/src/relay/retry-permit.test.ts
+++ b/src/relay/retry-permit.test.ts
@@ -76,6 +76,8 @@
   readonly replica: FakeMember;
   readonly group: MemberGroup;
   readonly retries: string[] = [];
+  /** How often the clock was read. */
+  clockReads = 0;
   readonly #context: RelayContext;
 
   constructor(leader: Behaviour, replica: Behaviour) {
@@ -91,7 +93,10 @@
       zone: 'a',
       observer: { ...NOOP_OBSERVER, retryDecided: (decision) => void this.retries.push(decision) },
       group: () => this.group,
-      now,
+      now: () => {
+        this.clockReads += 1;
+        return now();
+      },
       shutdownSchedule: () => null,
       readStatus: () => null,
       suspect: () => undefined,
@@ -204,3 +209,21 @@
     await read;
   }
 });
+
+test('a hedged request that no other member has a connection for is not tried again every millisecond', async () => {
+  const scene = new Scene('silent', 'silent');
+  for (const { pool } of scene.group.members.values())
+    if (pool !== scene.group.members.get('leader')?.pool)
+      await pool.ownPool.acquire(
+        { tenantName: 'one', values: new Map(), isWrite: false, priority: 0, dueAtMs: 0 },
+        TIMEOUT_MS,
+      );
+  const read = scene.read().catch(() => undefined);
+  await delay(ROUTE.targetLatencyMs);
+  const before = scene.clockReads;
+  await delay(200);
+  const reads = scene.clockReads - before;
+  assert.ok(reads < 200, `${reads} readings of the clock in 200 ms`);
+  assert.equal(scene.requests, 1);
+  await read;
+});
