--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -103,6 +103,12 @@
 /** Part of the staleness bound reserved for the transit of the request to the daemon, in milliseconds. */
 const STALENESS_MARGIN_MS = 60;
 
+/**
+ * Interval at which a hedged request that is due, and that no other member has a connection for, is tried again, in
+ * milliseconds. Each try evaluates all members of the group.
+ */
+const HEDGE_POLL_MS = 10;
+
 /** Hedge delay that is longer than any request, in milliseconds: no further attempt is started. */
 const NO_HEDGE_MS = 60_000;
 
@@ -198,19 +204,32 @@
   else if (result.code === 'behind') member.recordFloorResult(floor, false, nowMs);
 }
 
+/** A read of which some members have refused to serve it because of the expected wait. */
+export interface RefusedRead {
+  readonly refusals: LoadRefusals;
+  readonly floor: ReadFloor | null;
+  /** Time since the daemon received the read, in milliseconds. */
+  readonly heldMs: number;
+  readonly timeoutMs: number;
+  /** Members to which no connection could be opened. */
+  readonly unreachable?: ReadonlySet<string>;
+}
+
 /**
  * True when at least one member has refused a read because of the expected wait, and no other that may serve it
- * now can be reached.
+ * can be reached. A replica that is behind the floor of the read soon reaches it, so it counts as one that may
+ * serve it for as long as a read is held that another daemon may serve.
  */
 export function haveAllRefused(
   context: RelayContext,
   group: MemberGroup,
-  floor: ReadFloor | null,
-  refusals: LoadRefusals,
-  unreachable: ReadonlySet<string> = new Set(),
+  { refusals, floor, heldMs, timeoutMs, unreachable = new Set() }: RefusedRead,
 ): boolean {
   if (refusals.memberIds.size === 0) return false;
-  const candidates = readCandidates(context, group, floor, NO_TENANT).filter(({ isAvoided }) => !isAvoided);
+  const mayAwaitReplicas = heldMs < maxHoldMs(timeoutMs);
+  const candidates = readCandidates(context, group, floor, NO_TENANT)
+    .filter(({ isAvoided }) => !isAvoided)
+    .map((candidate) => ({ ...candidate, isBehind: candidate.isBehind && !mayAwaitReplicas }));
   const excluded = new Set([...refusals.memberIds, ...unreachable]);
   return selectReadMember(candidates, { floor, excluded }) === null;
 }
@@ -344,7 +363,8 @@
    */
   async #nextEndedAttempt(remainingMs: number): Promise<Attempt | null> {
     if (this.#endedAttempts.length === 0) {
-      const waitMs = Math.min(Math.max(1, this.#hedgeDelayMs()), remainingMs);
+      const hedgeDelayMs = this.#hedgeDelayMs();
+      const waitMs = Math.min(hedgeDelayMs > 0 ? Math.max(1, hedgeDelayMs) : HEDGE_POLL_MS, remainingMs);
       const isWaiting = this.#attemptInQueue() !== null;
       const wakeUps = [this.#attemptChanged.wait(waitMs)];
       if (isWaiting) wakeUps.push(this.job.group.changed.wait(waitMs));
@@ -387,7 +407,13 @@
     if (this.wasSent) return false;
     const { group, route, sessionFloor, receivedAtMs } = this.job;
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
-    return haveAllRefused(this.context, group, floor, this.#loadRefusals, this.#unreachable);
+    return haveAllRefused(this.context, group, {
+      refusals: this.#loadRefusals,
+      floor,
+      heldMs: this.context.now() - receivedAtMs,
+      timeoutMs: route.timeoutMs,
+      unreachable: this.#unreachable,
+    });
   }
 
   /** Attempts in progress, except those whose gateway has stopped replying. */
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -202,6 +202,7 @@
       const member = isCommitSlow ? null : this.#selectMember();
       if (member !== null) return member;
       if (context.isolation.isIsolated) return null;
+      this.#throwIfAllRefused();
       if (now >= waitUntilMs) return null;
       if (isCommitSlow) {
         this.#lastReason = 'an earlier commit is slow';
@@ -247,12 +248,12 @@
     const { group, route, sessionFloor, receivedAtMs } = this.options;
     const { longest, memberIds } = this.#loadRefusals;
     const isRefused = this.#mayUseReplica()
-      ? haveAllRefused(
-          this.context,
-          group,
-          readFloor(group, route, sessionFloor, receivedAtMs),
-          this.#loadRefusals,
-        )
+      ? haveAllRefused(this.context, group, {
+          refusals: this.#loadRefusals,
+          floor: readFloor(group, route, sessionFloor, receivedAtMs),
+          heldMs: this.context.now() - receivedAtMs,
+          timeoutMs: route.timeoutMs,
+        })
       : this.#lastMember !== null && memberIds.has(this.#lastMember.entry.memberId);
     if (longest !== null && isRefused) throw overloadRefusal(longest, this.#details());
   }
