Share read floors between daemons

Cause: a daemon that has just started knows no position of a leader, so all its reads of a group go to the leader until the leader has answered one.

Change: replies to requests for evidence carry the newest read floor of each group, with its leader, term and age. The receiver uses it for reads only, while it has valid evidence of the same leader and term; positions that bound promotions and acknowledged commits are kept apart. The holder of the promotion duty and the collectors ask the leader for its status where no answer to a request has carried a position for 500 ms, at most every 250 ms for a group, and only while other daemons ask them for evidence in a fleet with collectors. A daemon asks again at the retry interval for up to 1 s after its first evidence of a group while it has no floor. InvalidReports takes the name of its log event.

--- a/src/leadership/evidence-sharing.test.ts
+++ b/src/leadership/evidence-sharing.test.ts
@@ -41,6 +41,8 @@
       // A collector that others depend on renews its evidence at this age, so its evidence is never older.
       askDaemon: () => Promise.resolve([this.#evidence(HOLDER_RENEWAL_MS)]),
       evidenceGained: () => undefined,
+      floorGained: () => undefined,
+      invalidFloor: () => undefined,
       now: () => this.now,
       random: () => 0.5,
     });
--- a/src/relay/order-handler.test.ts
+++ b/src/relay/order-handler.test.ts
@@ -20,6 +20,7 @@
       group: new MemberGroup(name),
       watcher: { wake: () => undefined } as WatchedGroup['watcher'],
       logPosition: {} as WatchedGroup['logPosition'],
+      floorQuery: {} as WatchedGroup['floorQuery'],
     }),
     opened: () => undefined,
     closed: () => undefined,
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -121,10 +121,12 @@
   route: Route,
   sessionFloor: SessionFloor | null,
   receivedAtMs: number,
+  nowMs: number,
 ): ReadFloor | null {
   if (route.consistency === 'primary') return null;
   const since = receivedAtMs - route.maxStalenessMs + STALENESS_MARGIN_MS;
-  return floorWithOwnCommits(group.positions, since, sessionFloor);
+  const source = { floorSince: (sinceMs: number) => group.readFloorSince(sinceMs, nowMs) };
+  return floorWithOwnCommits(source, since, sessionFloor);
 }
 
 /**
@@ -360,7 +362,7 @@
   #haveAllRefused(): boolean {
     if (this.wasSent) return false;
     const { group, route, sessionFloor, receivedAtMs } = this.job;
-    const floor = readFloor(group, route, sessionFloor, receivedAtMs);
+    const floor = readFloor(group, route, sessionFloor, receivedAtMs, this.context.now());
     return haveAllRefused(this.context, group, floor, this.#loadRefusals, this.#unreachable);
   }
 
@@ -398,7 +400,7 @@
     const waiting = this.#attemptInQueue();
     if (waiting === null && this.#hedgeDelayMs() > 0) return;
     const { group, route, tenantName, sessionFloor, receivedAtMs } = this.job;
-    const floor = readFloor(group, route, sessionFloor, receivedAtMs);
+    const floor = readFloor(group, route, sessionFloor, receivedAtMs, this.context.now());
     const excluded = new Set([...this.#excluded, ...this.#loadRefusals.memberIds]);
     // Another gateway of the member may reply while the one of a silent attempt does not.
     for (const { wait } of this.#responsiveAttempts)
@@ -480,7 +482,9 @@
     if (this.#isSettled) return { kind: 'not_run', reason: ANSWERED_ELSEWHERE, members };
     const asLeader = job.group.leader(context.now()) === member;
     const leader = asLeader ? job.group.evidence.leader : null;
-    const floor = asLeader ? null : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs);
+    const floor = asLeader
+      ? null
+      : readFloor(job.group, job.route, job.sessionFloor, job.receivedAtMs, context.now());
     if (!asLeader && floor === null) return { kind: 'not_run', reason: 'no position of the leader', members };
     const after = asLeader ? job.group.leaderPosition : (floor?.position ?? null);
     context.observer.routine({
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -31,9 +31,10 @@
 import { GatewayClient } from '../gateway/gateway-client.js';
 import { GatewayServer } from '../gateway/gateway-server.js';
 import type { GroupSupervisorOptions, PromotionPort } from '../leadership/group-supervisor.js';
-import { EvidenceResponder } from '../leadership/evidence-exchange.js';
+import { EvidenceResponder, type EvidenceReply } from '../leadership/evidence-exchange.js';
 import { DaemonExits } from '../leadership/daemon-exits.js';
 import { EvidenceSharing } from '../leadership/evidence-sharing.js';
+import { FloorQuery } from '../leadership/floor-query.js';
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { LogPositionQuery } from '../leadership/log-position-query.js';
 import { MemberControl } from '../leadership/member-control.js';
@@ -41,6 +42,7 @@
 import { InvalidReports } from '../placement/invalid-reports.js';
 import type { LoadReport } from '../placement/load-report.js';
 import { Placement } from '../placement/placement.js';
+import { formatPosition } from '../position/position.js';
 import type { RelayState } from '../observability/relay-metrics.js';
 import { QuotaService } from '../quota/quota-service.js';
 import { ConfigurationLease } from '../tenancy/configuration-lease.js';
@@ -245,7 +247,7 @@
     this.#mesh = new PeerMesh(self, {
       handleOrder: (order) => this.#orderHandler.apply(order),
       handleSuspicion: (suspicion) => this.#handleSuspicion(suspicion),
-      ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
+      ownEvidence: (knownVersion) => this.#answerEvidenceRequest(knownVersion),
       daemonEnded: (name) => this.#daemonExits.daemonEnded(name),
       probed: (name, state) => options.log('daemon_probed', { name, outcome: state }),
       holderDisconnected: (host) => {
@@ -264,6 +266,7 @@
       now,
     });
     const invalidReports = new InvalidReports(options.log, now);
+    const invalidFloors = new InvalidReports(options.log, now, 'shared_floor_ignored');
     this.#gatewayClient = new GatewayClient(self.host, now, random, (name) => invalidReports.record(name));
     this.#placement = new Placement({
       zone: options.zone,
@@ -348,7 +351,7 @@
         return group === null ? null : leaderCheck(this.#context, group);
       },
       load: (groupName, memberId) => this.#loadReport(groupName, memberId),
-      ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
+      ownEvidence: (knownVersion) => this.#answerEvidenceRequest(knownVersion),
       changes: (afterRevision, waitMs) => changeRelay.changesAfter(afterRevision, waitMs),
       configuration: (heldVersion) => this.#configurationReply(heldVersion),
       grant: (request) => this.#quotas.grant(request),
@@ -366,6 +369,15 @@
         group.changed.notify();
         this.#groups.wake(group.name);
       },
+      floorGained: ({ name }, { memberId, term, position, ageMs }) =>
+        options.log('shared_floor_taken', {
+          group: name,
+          leader: memberId,
+          term,
+          position: formatPosition(position),
+          ageMs,
+        }),
+      invalidFloor: (source) => invalidFloors.record(source),
       now,
       random,
     });
@@ -544,6 +556,12 @@
     return { version: lease.heldVersion, proof: lease.shareableProof(now), item: mustSendItem ? item : null };
   }
 
+  /** The evidence of this daemon, for another one that knows a version of the list of leaders. */
+  #answerEvidenceRequest(knownVersion: number): EvidenceReply {
+    this.#evidenceSharing.evidenceRequested();
+    return this.#evidenceAnswers.answer(knownVersion);
+  }
+
   #updateReadiness(): void {
     if (this.#readiness.isReady || this.catalog.document === null || !this.directory.isLoaded) return;
     const now = this.options.now();
@@ -559,12 +577,14 @@
       () => this.#orderHandler.mayHaveAcknowledgedEarlier(name),
     );
     const listener = {
-      evidenceChanged: (_group: MemberGroup, memberId: string | null, reason: string) =>
+      evidenceChanged: (_group: MemberGroup, memberId: string | null, reason: string) => {
         options.log(memberId === null ? 'evidence_lapsed' : 'evidence_gained', {
           group: name,
           ...group.describeLeadership(options.now()),
           reason,
-        }),
+        });
+        this.#runLoop(floorQuery.check());
+      },
       statusLost: ({ entry }: Member, regression: StatusRegression) =>
         options.log('member_status_lost', {
           group: name,
@@ -589,7 +609,13 @@
       log: options.log,
       now: options.now,
     });
-    return { group, watcher, logPosition };
+    const floorQuery = new FloorQuery({
+      group,
+      suppliesFloors: () => !this.#isStopped && this.#evidenceSharing.suppliesFloors,
+      askLeader: (member) => logPosition.ask(member),
+      now: options.now,
+    });
+    return { group, watcher, logPosition, floorQuery };
   }
 
   #onGroupOpened({ group, watcher }: WatchedGroup): void {
@@ -645,8 +671,9 @@
   }
 
   #tick(): void {
-    for (const group of this.groups) {
+    for (const { group, floorQuery } of this.#groups.all) {
       this.#failureDetector.check(group);
+      this.#runLoop(floorQuery.check());
       this.directory.check(group);
       for (const member of group.members.values()) {
         member.pool.ownPool.trim();
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -215,7 +215,7 @@
       const leader = group.leader(context.now());
       return leader !== null && this.#excluded.has(leader.entry.memberId) ? null : leader;
     }
-    const floor = readFloor(group, route, sessionFloor, receivedAtMs);
+    const floor = readFloor(group, route, sessionFloor, receivedAtMs, context.now());
     const demand = { floor, excluded: new Set([...this.#excluded, ...this.#loadRefusals.memberIds]) };
     const candidates = readCandidates(context, group, floor, tenantName);
     const choice = selectReadMember(candidates, demand, readPreferences(context, tenantName));
@@ -230,7 +230,7 @@
       ? haveAllRefused(
           this.context,
           group,
-          readFloor(group, route, sessionFloor, receivedAtMs),
+          readFloor(group, route, sessionFloor, receivedAtMs, this.context.now()),
           this.#loadRefusals,
         )
       : this.#lastMember !== null && memberIds.has(this.#lastMember.entry.memberId);
@@ -327,7 +327,9 @@
     const { member, link, isLeader } = pinned;
     await link.setSessionValues(step.values);
     if (isLeader && group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
-    const floor = isLeader ? null : readFloor(group, route, options.sessionFloor, options.receivedAtMs);
+    const floor = isLeader
+      ? null
+      : readFloor(group, route, options.sessionFloor, options.receivedAtMs, context.now());
     if (!isLeader && floor === null) return 'no position of the leader';
     const after = isLeader ? group.leaderPosition : (floor?.position ?? null);
     context.observer.routine({
--- a/src/relay/watched-groups.ts
+++ b/src/relay/watched-groups.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { EVIDENCE_VALIDITY_MS } from '../leadership/leadership-evidence.js';
+import type { FloorQuery } from '../leadership/floor-query.js';
 import type { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import type { LogPositionQuery } from '../leadership/log-position-query.js';
 import type { MemberGroup } from '../topology/member-group.js';
@@ -14,6 +15,7 @@
   readonly group: MemberGroup;
   readonly watcher: LeadershipWatcher;
   readonly logPosition: LogPositionQuery;
+  readonly floorQuery: FloorQuery;
 }
 
 /** Dependencies of {@link WatchedGroups}. */
