--- a/src/leadership/restarted-witness.test.ts
+++ b/src/leadership/restarted-witness.test.ts
@@ -13,6 +13,7 @@
 import { delay } from '../common/signal.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import { MemberFactory, type MemberFactoryPorts } from '../relay/member-factory.js';
+import { Catalog } from '../topology/catalog.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
 import { ProcessContinuity, type StatusLoss } from '../topology/process-continuity.js';
 import { DUTY_SETTLE_MS, WITNESS_KNOWN_MS } from './leadership-evidence.js';
@@ -70,6 +71,7 @@
     const factory = new MemberFactory({
       dialer,
       assignments: { budget: () => 4 },
+      catalog: new Catalog(),
       memberFailed: () => undefined,
       now: () => performance.now(),
       random: () => 0.5,
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -229,7 +229,7 @@
       const leader = group.leader(context.now());
       return leader !== null && this.#excluded.has(leader.entry.memberId) ? null : leader;
     }
-    const floor = readFloor(group, route, sessionFloor, receivedAtMs);
+    const floor = readFloor(group, route, sessionFloor, receivedAtMs, context.now());
     const excluded = new Set([...this.#excluded, ...this.#loadRefusals.memberIds]);
     for (const [memberId, member] of group.members) if (isOutOfReach(context, member)) excluded.add(memberId);
     const candidates = readCandidates(context, group, floor, tenantName);
@@ -250,7 +250,7 @@
     const isRefused = this.#mayUseReplica()
       ? haveAllRefused(this.context, group, {
           refusals: this.#loadRefusals,
-          floor: readFloor(group, route, sessionFloor, receivedAtMs),
+          floor: readFloor(group, route, sessionFloor, receivedAtMs, this.context.now()),
           heldMs: this.context.now() - receivedAtMs,
           timeoutMs: route.timeoutMs,
         })
@@ -352,7 +352,9 @@
     const { member, link, isLeader } = pinned;
     await link.setSessionValues(step.values);
     if (isLeader && group.leader(context.now()) !== member) return NO_LEADER_EVIDENCE;
-    const floor = isLeader ? null : readFloor(group, route, options.sessionFloor, options.receivedAtMs);
+    const floor = isLeader
+      ? null
+      : readFloor(group, route, options.sessionFloor, options.receivedAtMs, context.now());
     if (!isLeader && floor === null) return 'no position of the leader';
     const after = isLeader ? group.leaderPosition : (floor?.position ?? null);
     context.observer.routine({
