Say in the log that the floor of a read was shared

Cause: a read on a log that lacks a commit is judged by the floor in read_at, which did not tell whose floor it was.

Change: read_at and begin_at have floorShared=true for a floor of another daemon.

--- a/src/leadership/received-floors.ts
+++ b/src/leadership/received-floors.ts
@@ -41,6 +41,7 @@
    * @param leader - the leader by evidence that is valid now, or `null`
    */
   floorSince(sinceMs: number, leader: Leader | null): ReadFloor | null {
-    return isSameLeader(this.#leader, leader) ? this.#history.floorSince(sinceMs) : null;
+    const floor = isSameLeader(this.#leader, leader) ? this.#history.floorSince(sinceMs) : null;
+    return floor === null ? null : { ...floor, isShared: true };
   }
 }
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -493,6 +493,7 @@
       member: member.entry.memberId,
       leader: asLeader,
       floor: floor === null ? null : formatPosition(floor.position),
+      ...(floor?.isShared === true ? { floorShared: true } : {}),
       after: after === null ? null : formatPosition(after),
       second: this.#pending.size > 1,
       ...describeChoice(pending.choice, member),
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -338,6 +338,7 @@
       member: member.entry.memberId,
       leader: isLeader,
       floor: floor === null ? null : formatPosition(floor.position),
+      ...(floor?.isShared === true ? { floorShared: true } : {}),
       after: after === null ? null : formatPosition(after),
     });
     const { leader } = group.evidence;
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -1632,8 +1632,8 @@
   {
     property: 'shared floors: a floor is used only with evidence of its leader',
     file: 'src/leadership/received-floors.js',
-    search: 'return isSameLeader(this.#leader, leader) ?',
-    replacement: 'return true ?',
+    search: 'const floor = isSameLeader(this.#leader, leader) ?',
+    replacement: 'const floor = true ?',
     testFile: SHARED_READ_FLOORS,
     testName: 'is not used after the next leader|a floor that was taken is not used',
   },
