Limit the number of shared floors in a reply

Cause: a message between daemons has at most 64 KB; the floors of some hundred groups beside the list of leaders would exceed it and end the connection.

Six floors of a usual length took 648 bytes (JSON.stringify).

--- a/src/leadership/evidence-exchange.ts
+++ b/src/leadership/evidence-exchange.ts
@@ -47,6 +47,12 @@
 /** Version that a requester without a list sends. */
 const NO_VERSION = 0;
 
+/**
+ * Maximum number of read floors in a reply, about 110 bytes each: a message between daemons has at most 64 KB, and
+ * the list of leaders takes most of it in a deployment of many groups.
+ */
+const MAX_FLOORS = 32;
+
 /** Builds the replies of one daemon to requests for evidence. */
 export class EvidenceResponder {
   #version = NO_VERSION;
@@ -69,7 +75,7 @@
     }
     const leaders = knownVersion === this.#version ? null : this.#leaders;
     const reply = { version: this.#version, leaders, agesMs: entries.map(({ ageMs }) => ageMs) };
-    const floors = entries.flatMap(({ floor }) => floor ?? []);
+    const floors = entries.flatMap(({ floor }) => floor ?? []).slice(0, MAX_FLOORS);
     return floors.length === 0 ? reply : { ...reply, floors };
   }
 
