--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -363,6 +363,7 @@
       member: member.entry.memberId,
       leader: isLeader,
       floor: floor === null ? null : formatPosition(floor.position),
+      ...(floor?.isShared === true ? { floorShared: true } : {}),
       after: after === null ? null : formatPosition(after),
     });
     if (this.#isOutOfReach(member) || isPathSilent(context, member, link)) return CUT_OFF_REASON;
