Read floors are shared for 5 s after evidence is gained

Cause: six floors in every reply cost each daemon 1.6 kB/s, more than the bound of 1 kB/s for such messages, and collectors of quiet groups would have asked the leaders twice a second for as long as they run. Change: a floor is shared, and asked for, only for 5 s after the group has had evidence; that covers the starts of a fleet and changes of a leader.

--- a/src/leadership/evidence-sharing.test.ts
+++ b/src/leadership/evidence-sharing.test.ts
@@ -158,3 +158,17 @@
     context.mock.timers.reset();
   }
 });
+
+test('a read floor is shared only for a short time after the first evidence, so that replies stay small', async (context) => {
+  const fixture = new SharingFixture(context, ['d1', 'd2']);
+  void fixture.sharing.run();
+  await fixture.advance(500);
+  fixture.group.recordLeaderPosition(fixture.now, { term: 1, index: 7 });
+  assert.deepEqual(fixture.sharing.ownEvidence()[0]?.floor?.position, { term: 1, index: 7 });
+  assert.equal(fixture.sharing.sharesFloorOf(fixture.group), true);
+  await fixture.advance(6000);
+  fixture.group.recordLeaderPosition(fixture.now, { term: 1, index: 9 });
+  assert.equal(fixture.sharing.ownEvidence()[0]?.floor, undefined);
+  assert.equal(fixture.sharing.sharesFloorOf(fixture.group), false);
+  fixture.sharing.stop();
+});
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -38,6 +38,12 @@
  * daemon that supplied the evidence asks the leader then.
  */
 const FIRST_FLOOR_MS = 1000;
+/**
+ * Time after the first evidence of a group during which its read floor is shared, in milliseconds. Later the
+ * requests of other daemons have brought them floors of their own, and a floor in every reply would cost each of
+ * them more than 1 kB/s.
+ */
+const FLOOR_SHARING_MS = 5000;
 
 /** Dependencies of {@link EvidenceSharing}. */
 export interface EvidenceSharingOptions {
@@ -124,17 +130,26 @@
     return this.options.collectors() !== null && (this.options.holdsDuty() || this.isCollector());
   }
 
-  /** The valid evidence of this daemon, with the newest read floors. */
+  /** True for a short time after a group has had evidence for the first time, or again after it had none. */
+  sharesFloorOf(group: MemberGroup): boolean {
+    const now = this.options.now();
+    return now - this.#provenSince(group, now) < FLOOR_SHARING_MS;
+  }
+
+  /** The valid evidence of this daemon, with the newest read floors of groups that have just had it. */
   ownEvidence(): readonly SharedEvidence[] {
     const now = this.options.now();
     const entries: SharedEvidence[] = [];
     for (const group of this.options.groups()) {
       const { evidence, name, leaderPosition: held } = group;
       const leader = evidence.current(now);
-      if (leader === null) continue;
+      if (leader === null) {
+        this.#provenSinceMs.delete(group);
+        continue;
+      }
       const ageMs = Math.ceil(now - (evidence.validUntilMs - EVIDENCE_VALIDITY_MS));
       const entry = { groupName: name, memberId: leader.memberId, term: leader.term, held, ageMs };
-      const floor = floorToShare(group, leader, now);
+      const floor = this.sharesFloorOf(group) ? floorToShare(group, leader, now) : null;
       entries.push(floor === null ? entry : { ...entry, floor });
     }
     return entries;
@@ -181,14 +196,20 @@
     return this.options.groups().filter((group) => this.#lacksFirstFloor(group)).length > 0;
   }
 
+  /** Since when a group that has evidence has had it, in monotonic milliseconds, as far as it was checked. */
+  #provenSince(group: MemberGroup, nowMs: number): number {
+    const sinceMs = this.#provenSinceMs.get(group) ?? nowMs;
+    this.#provenSinceMs.set(group, sinceMs);
+    return sinceMs;
+  }
+
   #lacksFirstFloor(group: MemberGroup): boolean {
     const now = this.options.now();
     if (group.evidence.current(now) === null) {
       this.#provenSinceMs.delete(group);
       return false;
     }
-    const sinceMs = this.#provenSinceMs.get(group) ?? now;
-    this.#provenSinceMs.set(group, sinceMs);
+    const sinceMs = this.#provenSince(group, now);
     return now - sinceMs < FIRST_FLOOR_MS && group.readFloorSince(sinceMs - FIRST_FLOOR_MS, now) === null;
   }
 
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -634,7 +634,10 @@
     });
     const floorQuery = new FloorQuery({
       group,
-      suppliesFloors: () => !this.#isStopped && this.#evidenceSharing.suppliesFloors,
+      suppliesFloors: () =>
+        !this.#isStopped &&
+        this.#evidenceSharing.suppliesFloors &&
+        this.#evidenceSharing.sharesFloorOf(group),
       askLeader: (member) => logPosition.ask(member),
       now: options.now,
     });
