Acquisitions create their time-out error only when it is needed

Cause: each acquisition of a connection created an error with its stack; in a profile of daemons under the soak it was the first function of our own.

--- a/src/relay/link-acquisition.ts
+++ b/src/relay/link-acquisition.ts
@@ -58,10 +58,10 @@
       this.#resolve = resolve;
       this.#reject = reject;
     });
-    const timeout = new PoolTimeoutError(
-      waitMs > 0 ? 'no connection came free' : 'no time to wait for a connection',
-    );
-    this.#timer = setTimeout(() => this.#finish(() => this.#reject(timeout)), Math.max(0, waitMs));
+    const reason = waitMs > 0 ? 'no connection came free' : 'no time to wait for a connection';
+    // The error is created only when it is needed, since recording its stack takes longer than the acquisition.
+    const onTimeout = (): void => this.#finish(() => this.#reject(new PoolTimeoutError(reason)));
+    this.#timer = setTimeout(onTimeout, Math.max(0, waitMs));
   }
 
   /** True until a connection is granted, or the wait fails or is cancelled. */
