--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -97,7 +97,7 @@
     member.recentLatency.record(latencyMs, nowMs);
   }
 
-  /** Assesses the members of a group for one request of a tenant; what is random is drawn anew for each. */
+  /** Assesses the members of a group for one request of a tenant. Each call uses new random numbers. */
   assess(members: readonly PlacedMember[], tenantName: string): ReadonlyMap<PlacedMember, Assessment> {
     const nowMs = this.options.now();
     const usesReports = this.options.random() < REPORT_USE_SHARE;
