Members are assessed for a read only where there is a choice

Cause: each read, each of its retries every 15 ms and each poll for a hedged request every 10 ms assessed all members of the group, also where the leader alone could serve or nobody could. That is the state of every read right after a start.

Change: the members that may serve are found first; loads and response times are assessed if there are two or more of them. The median response time of a group is computed once per assessment.

--- a/src/placement/assess.test.ts
+++ b/src/placement/assess.test.ts
@@ -55,8 +55,7 @@
   });
   const assess = (draw = LOWEST): readonly (Assessment | undefined)[] => {
     nextDraw = draw;
-    const assessments = placement.assess(members, '');
-    return members.map((member) => assessments.get(member));
+    return placement.assess(members, '');
   };
   return { clock, loads, zoneLatency, events, members, placement, assess };
 }
--- a/src/placement/degraded-members.ts
+++ b/src/placement/degraded-members.ts
@@ -23,9 +23,16 @@
 /** Excess of the failure share over the group's median above which a member fails; one failure makes it 0.1. */
 const MAX_EXCESS_FAILURE_SHARE = 0.08;
 
-/** For each member, true if it should receive fewer requests. */
-export function degradedMembers(members: readonly MemberHealth[]): readonly boolean[] {
-  const slowAboveMs = slowThresholdMs(members);
+/**
+ * For each member, true if it should receive fewer requests.
+ *
+ * @param typicalMs - the median response time of the group, as of {@link typicalLatencyMs}
+ */
+export function degradedMembers(
+  members: readonly MemberHealth[],
+  typicalMs = typicalLatencyMs(members),
+): readonly boolean[] {
+  const slowAboveMs = slowThresholdMs(typicalMs);
   const failingAbove = median(members.map(({ failureShare }) => failureShare)) + MAX_EXCESS_FAILURE_SHARE;
   return members.map(
     ({ recentMs, failureShare }) =>
@@ -39,10 +46,9 @@
   return known.length < MIN_COMPARED ? null : median(known);
 }
 
-function slowThresholdMs(members: readonly MemberHealth[]): number {
-  const medianMs = typicalLatencyMs(members);
-  if (medianMs === null) return Number.POSITIVE_INFINITY;
-  return Math.max(medianMs * SLOW_FACTOR, medianMs + MIN_SLOW_EXCESS_MS);
+function slowThresholdMs(typicalMs: number | null): number {
+  if (typicalMs === null) return Number.POSITIVE_INFINITY;
+  return Math.max(typicalMs * SLOW_FACTOR, typicalMs + MIN_SLOW_EXCESS_MS);
 }
 
 /** The median; of an even number of values the lower of the middle ones, 0 of none. */
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -97,26 +97,27 @@
     member.recentLatency.record(latencyMs, nowMs);
   }
 
-  /** Assesses the members of a group for one request of a tenant. Each call uses new random numbers. */
-  assess(members: readonly PlacedMember[], tenantName: string): ReadonlyMap<PlacedMember, Assessment> {
+  /**
+   * Assesses the members of a group for one request of a tenant; the result is in the order of the members. Each
+   * call uses new random numbers.
+   */
+  assess(members: readonly PlacedMember[], tenantName: string): readonly Assessment[] {
     const nowMs = this.options.now();
     const usesReports = this.options.random() < REPORT_USE_SHARE;
     const health = members.map((member) => this.#health(member, nowMs));
     const typicalMs = typicalLatencyMs(health);
-    const degraded = degradedMembers(health);
-    const assessments = new Map<PlacedMember, Assessment>();
-    for (const [index, member] of members.entries()) {
+    const degraded = degradedMembers(health, typicalMs);
+    return members.map((member, index) => {
       if (degraded[index] === true && member.share.markDegraded(nowMs)) this.#logDegraded(member, nowMs);
       const reported = usesReports ? member.pool.reportedLoad(tenantName, nowMs) : NO_REPORT;
-      assessments.set(member, {
+      return {
         load: expectedLoad(member.pool.load, reported),
         isLoadReported: reported.weight > 0,
         distanceCostMs: this.#distanceCostMs(member.entry.zone, nowMs),
         isWithheld: this.#drawWithheld(member.share.valueAt(nowMs)),
         latencyMs: this.#expectedLatencyMs(member, typicalMs, nowMs),
-      });
-    }
-    return assessments;
+      };
+    });
   }
 
   #drawWithheld(share: number): boolean {
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -19,6 +19,7 @@
 import type { LeadershipSummary, Member, MemberGroup } from '../topology/member-group.js';
 import {
   alternativeCandidates,
+  hasChoice,
   selectReadMember,
   type ReadCandidate,
   type ReadPreferences,
@@ -137,20 +138,29 @@
   return floorWithOwnCommits(group.positions, since, sessionFloor);
 }
 
+/** What decides whether members of a group may serve a read. */
+export interface CandidateQuery {
+  readonly floor: ReadFloor | null;
+  readonly tenantName: string;
+  /** Ids of members that the read is not sent to; `null` if no member is to be chosen. */
+  readonly excluded: ReadonlySet<string> | null;
+}
+
 /**
  * The members of a group as candidates for a read. A leader without valid evidence is treated as a replica:
  * it may have been replaced, but its log holds every commit up to the floor of the read, which was taken from
  * a proven leader.
+ *
+ * Load and response times are assessed only if there is a choice between members: reads that wait for a leader
+ * or a replica ask for their candidates every few milliseconds.
  */
 export function readCandidates(
   context: RelayContext,
   group: MemberGroup,
-  floor: ReadFloor | null,
-  tenantName: string,
+  { floor, tenantName, excluded }: CandidateQuery,
 ): ReadCandidate[] {
   const now = context.now();
   const leader = group.leader(now);
-  const placed = context.placement?.assess([...group.members.values()], tenantName);
   const candidates: ReadCandidate[] = [];
   for (const [memberId, member] of group.members) {
     candidates.push({
@@ -160,11 +170,14 @@
       failureShare: member.failureShare(now),
       isLeaving: member.isLeaving,
       isAvoided: member.isAvoided(now),
-      ...(placed?.get(member) ?? assessmentWithoutReports(context, member)),
       isBehind: floor !== null && member.isBehind(floor, now),
+      ...assessmentWithoutReports(context, member),
     });
   }
-  return candidates;
+  if (context.placement === undefined || excluded === null) return candidates;
+  if (!hasChoice(candidates, { floor, excluded })) return candidates;
+  const assessments = context.placement.assess([...group.members.values()], tenantName);
+  return candidates.map((candidate, index) => ({ ...candidate, ...assessments[index] }));
 }
 
 function assessmentWithoutReports(context: RelayContext, { entry, pool, latencyMs }: Member): Assessment {
@@ -227,7 +240,7 @@
 ): boolean {
   if (refusals.memberIds.size === 0) return false;
   const mayAwaitReplicas = heldMs < maxHoldMs(timeoutMs);
-  const candidates = readCandidates(context, group, floor, NO_TENANT)
+  const candidates = readCandidates(context, group, { floor, tenantName: NO_TENANT, excluded: null })
     .filter(({ isAvoided }) => !isAvoided)
     .map((candidate) => ({ ...candidate, isBehind: candidate.isBehind && !mayAwaitReplicas }));
   const excluded = new Set([...refusals.memberIds, ...unreachable]);
@@ -386,7 +399,8 @@
     const { context, job } = this;
     const now = context.now();
     const isLeaderOnly = job.route.consistency === 'primary';
-    const candidates = readCandidates(context, job.group, null, job.tenantName).filter(
+    const { group, tenantName } = job;
+    const candidates = readCandidates(context, group, { floor: null, tenantName, excluded: null }).filter(
       ({ isLeader }) => isLeader || !isLeaderOnly,
     );
     return shouldRefuseEarly({
@@ -457,8 +471,8 @@
       for (const { entry } of wait.members) excluded.add(entry.memberId);
     for (const [memberId, candidate] of group.members)
       if (isOutOfReach(this.context, candidate)) excluded.add(memberId);
-    const candidates = readCandidates(this.context, group, floor, tenantName);
     const demand = { floor, excluded };
+    const candidates = readCandidates(this.context, group, { ...demand, tenantName });
     const choice = selectReadMember(candidates, demand, readPreferences(this.context, tenantName));
     const member = choice === null ? undefined : group.members.get(choice.memberId);
     if (choice === null || member === undefined) return;
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -232,7 +232,7 @@
     const floor = readFloor(group, route, sessionFloor, receivedAtMs);
     const excluded = new Set([...this.#excluded, ...this.#loadRefusals.memberIds]);
     for (const [memberId, member] of group.members) if (isOutOfReach(context, member)) excluded.add(memberId);
-    const candidates = readCandidates(context, group, floor, tenantName);
+    const candidates = readCandidates(context, group, { floor, tenantName, excluded });
     const choice = selectReadMember(candidates, { floor, excluded }, readPreferences(context, tenantName));
     return choice === null ? null : (group.members.get(choice.memberId) ?? null);
   }
--- a/src/topology/select-member.ts
+++ b/src/topology/select-member.ts
@@ -140,6 +140,11 @@
   );
 }
 
+/** True if more than one of the candidates can serve the read. */
+export function hasChoice(candidates: readonly ReadCandidate[], requirements: ReadRequirements): boolean {
+  return candidates.filter((candidate) => canServe(candidate, requirements)).length > 1;
+}
+
 function canServe(candidate: ReadCandidate, requirements: ReadRequirements): boolean {
   if (requirements.excluded.has(candidate.memberId)) return false;
   if (candidate.isLeaving && !candidate.isLeader) return false;
--- a/test/support/placement-model.ts
+++ b/test/support/placement-model.ts
@@ -133,8 +133,8 @@
 
   /** The member that a read goes to. */
   choose(): Member {
-    const candidates = readCandidates(this.#context, this.group, FLOOR, '');
     const requirements = { floor: FLOOR, excluded: NONE };
+    const candidates = readCandidates(this.#context, this.group, { ...requirements, tenantName: '' });
     const choice = selectReadMember(candidates, requirements, readPreferences(this.#context, ''));
     const member = this.group.members.get(choice?.memberId ?? '');
     if (member === undefined) throw new Error('no member was chosen');
