The pool reads the clock once for each grant and each release

Cause: a granted connection was recorded twice (for the shares of tenants and for the estimate of the wait), and a request over an idle connection read the clock five times.

Change: the pool passes the time to the queue and to admission, and one record of a use serves both.

--- a/src/admission/pool-admission.ts
+++ b/src/admission/pool-admission.ts
@@ -22,14 +22,18 @@
 /** Dependencies of {@link PoolAdmission}. */
 export interface PoolAdmissionPorts {
   readonly observer: AdmissionObserver | undefined;
-  /** Expected latency of the member's replies, in milliseconds. */
-  serviceMs(): number;
-  /** Monotonic time, in milliseconds. */
-  now(): number;
   /** A number from 0 up to 1. */
   random(): number;
 }
 
+/** The moment of a decision. */
+export interface AdmissionTime {
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+  /** Expected latency of the member's replies, in milliseconds. */
+  readonly serviceMs: number;
+}
+
 /** The queue that a request would join. */
 export interface QueueState {
   /** Number of waiting requests. */
@@ -57,27 +61,21 @@
   readonly #estimator = new WaitEstimator();
   readonly #arrivals = new ArrivalMeter();
   readonly #retries = new RetrySchedule();
-  /** When the connections in use were granted to clients' requests, in monotonic milliseconds. */
-  readonly #grantedAtMs = new WeakMap<object, number>();
 
   constructor(private readonly ports: PoolAdmissionPorts) {}
 
   /** Records that a request got an idle connection. */
-  grantedIdle(link: object, demand: LinkDemand): void {
-    if (demand.tenantName === null) return;
-    const now = this.ports.now();
-    this.#arrivals.record(demand.priority, now);
-    this.#grantedAtMs.set(link, now);
+  grantedIdle({ tenantName, priority }: LinkDemand, nowMs: number): void {
+    if (tenantName === null) return;
+    this.#arrivals.record(priority, nowMs);
     this.ports.observer?.admissionDecided('idle');
   }
 
   /** Records that a request got a connection after it had waited since `sinceMs`, in monotonic milliseconds. */
-  grantedAfterWait(link: object, demand: LinkDemand, sinceMs: number): void {
-    if (demand.tenantName === null) return;
-    const now = this.ports.now();
-    this.#grantedAtMs.set(link, now);
+  grantedAfterWait({ tenantName }: LinkDemand, sinceMs: number, nowMs: number): void {
+    if (tenantName === null) return;
     this.#estimator.recordDeparture(true);
-    this.ports.observer?.waitMeasured('actual', now - sinceMs);
+    this.ports.observer?.waitMeasured('actual', nowMs - sinceMs);
   }
 
   /** Records that a waiting request was served by another pool at which it waited as well. */
@@ -85,13 +83,9 @@
     if (tenantName !== null) this.#estimator.recordDeparture(false);
   }
 
-  /** Records that a connection is no longer in use. */
-  released(link: object): void {
-    const grantedAtMs = this.#grantedAtMs.get(link);
-    if (grantedAtMs === undefined) return;
-    this.#grantedAtMs.delete(link);
-    const now = this.ports.now();
-    this.#estimator.recordUse(now - grantedAtMs, now);
+  /** Records for how long a request has used a connection, in milliseconds. */
+  used({ tenantName }: LinkDemand, ms: number, nowMs: number): void {
+    if (tenantName !== null) this.#estimator.recordUse(ms, nowMs);
   }
 
   /** Records that a connection was opened in place of one of another tenant, which took `ms` milliseconds. */
@@ -99,22 +93,19 @@
     this.#estimator.recordOpening(ms);
   }
 
-  /** Drops the measurement of a connection that was lost: its use says nothing about the member's speed. */
-  lost(link: object): void {
-    this.#grantedAtMs.delete(link);
-  }
-
   /** Decides about a request that finds no idle connection; returns the refusal, or `null` if it may wait. */
-  refusalOf(demand: LinkDemand, queue: QueueState): AdmissionError | null {
+  refusalOf(
+    demand: LinkDemand,
+    queue: QueueState,
+    { nowMs: now, serviceMs }: AdmissionTime,
+  ): AdmissionError | null {
     const { tenantName, priority, dueAtMs, deadlineMs } = demand;
     if (tenantName === null) return null;
-    const now = this.ports.now();
     const intervalMs = this.#estimator.intervalMs(queue.connections, now);
     const urgentRate = this.#arrivals.rateAbove(priority, now);
     const rate = this.#arrivals.rate(now);
     this.#arrivals.record(priority, now);
     if (intervalMs === null || deadlineMs === undefined) return this.#admit(null);
-    const serviceMs = this.ports.serviceMs();
     const ahead = queue.countAhead(demand, now, serviceMs);
     const { waiting, hasConnection } = queue;
     const dueInMs = dueAtMs - now;
@@ -143,11 +134,10 @@
   refusalsOfLate<Waiting extends { readonly demand: LinkDemand }>(
     late: readonly Waiting[],
     { waiting: waitingCount, connections }: Pick<QueueState, 'waiting' | 'connections'>,
+    { nowMs: now, serviceMs }: AdmissionTime,
   ): readonly { readonly waiting: Waiting; readonly refusal: AdmissionError }[] {
-    const now = this.ports.now();
     const intervalMs = late.length === 0 ? null : this.#estimator.intervalMs(connections, now);
     if (intervalMs === null) return [];
-    const serviceMs = this.ports.serviceMs();
     const rate = this.#arrivals.rate(now);
     const refusals: { waiting: Waiting; refusal: AdmissionError }[] = [];
     let ahead = waitingCount - late.length;
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -44,6 +44,12 @@
 const MIN_DIAL_BACKOFF_MS = 50;
 const MAX_DIAL_BACKOFF_MS = 1600;
 
+/** A connection in use, and what it was granted for. */
+interface GrantedUse {
+  readonly demand: LinkDemand;
+  readonly use: ConnectionUse;
+}
+
 /** Dependencies and settings of a pool. */
 export interface LinkPoolOptions {
   readonly dialer: MemberDialer;
@@ -85,7 +91,7 @@
   readonly #waiters: WaitQueue<PoolWaiter>;
   readonly #links = new Set<PooledLink>();
   /** The connections that are granted to requests, charged to their tenants. */
-  readonly #uses = new Map<PooledLink, ConnectionUse>();
+  readonly #uses = new Map<PooledLink, GrantedUse>();
   /** Tenant names of the connections that are being opened. */
   readonly #dialing: string[] = [];
   /** Consecutive connection attempts that the member was too slow to accept. */
@@ -106,8 +112,6 @@
     });
     this.#admission = new PoolAdmission({
       observer: options.admissionObserver,
-      serviceMs: () => options.serviceMs(),
-      now: () => options.now(),
       random: () => options.random(),
     });
   }
@@ -162,19 +166,20 @@
       return;
     }
     const { demand } = waiter;
+    const nowMs = this.options.now();
     const idle = this.#takeIdle(demand.tenantName, demand.values);
     if (idle !== null) {
-      this.#admission.grantedIdle(idle, demand);
-      this.#grant(idle, waiter);
+      this.#admission.grantedIdle(demand, nowMs);
+      this.#grant(idle, waiter, nowMs);
       return;
     }
-    const refusal = this.#admission.refusalOf(demand, this.#queueState());
+    const serviceMs = this.options.serviceMs();
+    const refusal = this.#admission.refusalOf(demand, this.#queueState(), { nowMs, serviceMs });
     if (refusal !== null) {
       waiter.fail(refusal, this);
       return;
     }
-    const { now, serviceMs } = this.options;
-    const rejected = this.#waiters.add(waiter, demand, now(), serviceMs());
+    const rejected = this.#waiters.add(waiter, demand, nowMs, serviceMs);
     rejected?.fail(new PoolTimeoutError('too many requests wait for a connection'), this);
     this.#openForWaiters();
   }
@@ -190,9 +195,9 @@
    */
   refuseUnservable(): void {
     if (this.#waiters.size === 0) return;
-    const { now, serviceMs } = this.options;
-    const late = this.#waiters.late(now(), serviceMs());
-    for (const { waiting, refusal } of this.#admission.refusalsOfLate(late, this.#queueState())) {
+    const time = { nowMs: this.options.now(), serviceMs: this.options.serviceMs() };
+    const late = this.#waiters.late(time.nowMs, time.serviceMs);
+    for (const { waiting, refusal } of this.#admission.refusalsOfLate(late, this.#queueState(), time)) {
       this.dequeue(waiting.item);
       waiting.item.fail(refusal, this);
     }
@@ -232,26 +237,27 @@
 
   /** Returns a connection to the pool; closes it if a request is in flight or a transaction is open on it. */
   release(link: PooledLink): void {
-    this.#admission.released(link);
-    this.#endUse(link);
+    const nowMs = this.options.now();
+    this.#endUse(link, nowMs, true);
     if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
       link.close();
       return;
     }
-    if (this.#mustYieldToOtherTenant(link)) {
-      link.close();
-      return;
-    }
-    const { now, serviceMs } = this.options;
-    const hasWaiters = this.#waiters.size > 0;
-    const next = hasWaiters ? this.#waiters.peekFor(link.tenantName, now(), serviceMs()) : undefined;
-    if (next !== undefined) {
-      this.#waiters.takeFor(link.tenantName, now(), serviceMs());
-      this.#admission.grantedAfterWait(link, next.demand, next.sinceMs);
-      this.#grant(link, next.item);
-      return;
+    if (this.#waiters.size > 0) {
+      if (this.#mustYieldToOtherTenant(link)) {
+        link.close();
+        return;
+      }
+      const serviceMs = this.options.serviceMs();
+      const next = this.#waiters.peekFor(link.tenantName, nowMs, serviceMs);
+      if (next !== undefined) {
+        this.#waiters.takeFor(link.tenantName, nowMs, serviceMs);
+        this.#admission.grantedAfterWait(next.demand, next.sinceMs, nowMs);
+        this.#grant(link, next.item, nowMs);
+        return;
+      }
     }
-    this.#idle.push({ link, sinceMs: this.options.now() });
+    this.#idle.push({ link, sinceMs: nowMs });
     this.#openForWaiters();
   }
 
@@ -401,17 +407,21 @@
     return index < 0 ? null : (this.#idle.splice(index, 1)[0]?.link ?? null);
   }
 
-  #grant(link: PooledLink, waiter: PoolWaiter): void {
-    const { now, serviceMs } = this.options;
-    this.#uses.set(link, this.#waiters.beginUse(waiter.demand, now(), serviceMs()));
+  #grant(link: PooledLink, waiter: PoolWaiter, nowMs: number): void {
+    const { demand } = waiter;
+    const use = this.#waiters.beginUse(demand, nowMs, this.options.serviceMs());
+    this.#uses.set(link, { demand, use });
     waiter.grant(link, this);
   }
 
-  #endUse(link: PooledLink): void {
-    const use = this.#uses.get(link);
-    if (use === undefined) return;
+  /** @param isMeasured - false for a connection that was lost: its use says nothing about the member's speed */
+  #endUse(link: PooledLink, nowMs: number, isMeasured: boolean): void {
+    const granted = this.#uses.get(link);
+    if (granted === undefined) return;
     this.#uses.delete(link);
-    this.#waiters.endUse(use, this.options.now());
+    const { demand, use } = granted;
+    this.#waiters.endUse(use, nowMs);
+    if (isMeasured) this.#admission.used(demand, nowMs - use.startedAtMs, nowMs);
   }
 
   /** Rejects the next request that a connection of the tenant would serve. */
@@ -471,8 +481,7 @@
 
   #onLinkClosed(link: PooledLink, isByPeer: boolean): void {
     if (!this.#links.delete(link)) return;
-    if (isByPeer) this.#admission.lost(link);
-    this.#endUse(link);
+    this.#endUse(link, this.options.now(), !isByPeer);
     if (isByPeer && !this.#hasEnded) this.options.onFailure('lost');
     const index = this.#idle.findIndex((idle) => idle.link === link);
     if (index >= 0) this.#idle.splice(index, 1);
