Reported loads are averaged without intermediate lists

Cause: each loan built a list of the member's gateways to average their loads.

Change: one loop over the reports.

--- a/src/placement/member-load.ts
+++ b/src/placement/member-load.ts
@@ -134,18 +134,10 @@
   average(memberId: string, gateways: readonly NamedGateway[], nowMs: number): WeightedLoad {
     const byGateway = this.#byMember.get(memberId);
     if (byGateway === undefined) return NO_REPORT;
-    let sum = 0;
-    let weightSum = 0;
-    let weight = 0;
-    for (const { name } of gateways) {
-      const entry = byGateway.get(name);
-      const entryWeight = entry?.weight(nowMs) ?? 0;
-      if (entry === undefined || entryWeight === 0) continue;
-      sum += entryWeight * entry.reportedLoad;
-      weightSum += entryWeight;
-      weight = Math.max(weight, entryWeight);
-    }
-    return weightSum === 0 ? NO_REPORT : { load: sum / weightSum, weight };
+    return weightedMean(
+      gateways.map(({ name }) => byGateway.get(name)),
+      nowMs,
+    );
   }
 
   /**
@@ -161,7 +153,7 @@
     const oneLoad = this.#weightedLoad(memberId, one, nowMs);
     const otherLoad = this.#weightedLoad(memberId, other, nowMs);
     if (oneLoad.weight === 0 && otherLoad.weight === 0) return null;
-    const typical = this.average(memberId, this.#gatewaysOf(memberId), nowMs).load;
+    const typical = weightedMean(this.#byMember.get(memberId)?.values() ?? [], nowMs).load;
     return towardsTypical(otherLoad, typical) < towardsTypical(oneLoad, typical) ? other : one;
   }
 
@@ -170,20 +162,36 @@
     return entry === null ? NO_REPORT : { load: entry.reportedLoad, weight: entry.weight(nowMs) };
   }
 
-  #gatewaysOf(memberId: string): readonly NamedGateway[] {
-    return [...(this.#byMember.get(memberId)?.keys() ?? [])].map((name) => ({ name }));
-  }
-
   /** The latest response time of a member that a gateway has reported, in milliseconds, or `null`. */
   serviceMs(memberId: string, nowMs: number): number | null {
-    let latest: GatewayLoad | null = null;
-    for (const entry of this.#byMember.get(memberId)?.values() ?? [])
-      if (entry.serviceMs(nowMs) !== null && entry.receivedAtMs > (latest?.receivedAtMs ?? -Infinity))
-        latest = entry;
-    return latest?.serviceMs(nowMs) ?? null;
+    let latestMs: number | null = null;
+    let receivedAtMs = Number.NEGATIVE_INFINITY;
+    for (const entry of this.#byMember.get(memberId)?.values() ?? []) {
+      if (entry.receivedAtMs <= receivedAtMs) continue;
+      const serviceMs = entry.serviceMs(nowMs);
+      if (serviceMs === null) continue;
+      latestMs = serviceMs;
+      receivedAtMs = entry.receivedAtMs;
+    }
+    return latestMs;
   }
 }
 
+/** The mean of reported loads by weight; {@link NO_REPORT} if none counts. */
+function weightedMean(entries: Iterable<GatewayLoad | undefined>, nowMs: number): WeightedLoad {
+  let sum = 0;
+  let weightSum = 0;
+  let highest = 0;
+  for (const entry of entries) {
+    const weight = entry?.weight(nowMs) ?? 0;
+    if (entry === undefined || weight === 0) continue;
+    sum += weight * entry.reportedLoad;
+    weightSum += weight;
+    highest = Math.max(highest, weight);
+  }
+  return weightSum === 0 ? NO_REPORT : { load: sum / weightSum, weight: highest };
+}
+
 /** A load, moved towards the typical one by what its report has lost of its weight. */
 function towardsTypical({ load, weight }: WeightedLoad, typical: number): number {
   return weight * load + (1 - weight) * typical;
