The code cache holds all functions, not only those that run on loading

Cause: after a return of all processes the first requests wait for processor time: each function that a request runs is compiled at its first call, on a third of a core.

--- a/src/launch/code-cache.ts
+++ b/src/launch/code-cache.ts
@@ -10,6 +10,7 @@
 import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 import Module, { createRequire } from 'node:module';
 import { dirname } from 'node:path';
+import { setFlagsFromString } from 'node:v8';
 import { Script } from 'node:vm';
 
 type CommonJsWrapper = (
@@ -41,11 +42,25 @@
  * next to it.
  */
 export function writeCodeCache(file: string): void {
-  const script = compile(file, undefined);
+  const script = compileEagerly(file);
   execute(script, file);
   writeFileSync(cachePathOf(file), script.createCachedData());
 }
 
+/**
+ * Compiles all functions, not only those that run while the bundle is loaded: a process that has just started
+ * would otherwise compile the code of each request while the first requests wait.
+ */
+function compileEagerly(file: string): Script {
+  setFlagsFromString('--no-lazy');
+  try {
+    return compile(file, undefined);
+  } finally {
+    // V8 rejects a cache that was written with other flags than those of the process that loads it.
+    setFlagsFromString('--lazy');
+  }
+}
+
 function cachePathOf(file: string): string {
   return `${file}.cache`;
 }
