A request that a full queue does not hold is refused, with a retry time

Cause: at 2,000 waiting requests a pool failed the one that would be served last with a PoolTimeoutError. Writes and transactions treat that like a connection that did not come free, so they tried again every 15 ms until they were given up, and the client got no time for its retry.

Change: the pool fails it with an AdmissionError: not run, counted as refused, with the next retry time behind the backlog (before eight uses are measured, from the expected latency of replies). A request that is refused on arrival is not counted as waiting as well. Requests of the daemon itself still fail with a PoolTimeoutError, since admission neither refuses nor counts them. The test of the bound expected the PoolTimeoutError; it now demands the refusal, its retry time and the counts.

--- a/src/admission/pool-admission.ts
+++ b/src/admission/pool-admission.ts
@@ -6,14 +6,17 @@
  */
 import type { LinkDemand } from '../relay/link-queue.js';
 import { decideAdmission } from './admission.js';
-import { AdmissionError } from './admission-error.js';
+import { AdmissionError, type AdmissionDetails } from './admission-error.js';
 import { ArrivalMeter } from './arrival-meter.js';
 import { RetrySchedule } from './retry-schedule.js';
 import { WaitEstimator } from './wait-estimator.js';
 
+/** Why a request is refused by a full queue. */
+export const OVERFLOW_REASON = 'too many requests wait for a connection';
+
 /** Counts decisions and records waits. */
 export interface AdmissionObserver {
-  /** A request got an idle connection, waits for one, or was refused. */
+  /** A request got an idle connection, waits for one, or was refused on arrival or while it waited. */
   admissionDecided(decision: 'idle' | 'waiting' | 'refused'): void;
   /** A wait for a connection, in milliseconds: as predicted on arrival, or as it was. */
   waitMeasured(kind: 'predicted' | 'actual', ms: number): void;
@@ -46,6 +49,14 @@
   countAhead(demand: LinkDemand, nowMs: number, serviceMs: number): number;
 }
 
+/** Decision about a request that finds no idle connection. */
+export interface ArrivalDecision {
+  /** The refusal; `null` if the request may wait. */
+  readonly refusal: AdmissionError | null;
+  /** Expected wait, in milliseconds; `null` without an estimate. */
+  readonly expectedWaitMs: number | null;
+}
+
 /** What a refusal is based on; times in milliseconds. */
 interface RefusalBasis {
   readonly expectedWaitMs: number;
@@ -56,6 +67,8 @@
   readonly now: number;
 }
 
+const MAY_WAIT: ArrivalDecision = { refusal: null, expectedWaitMs: null };
+
 /** Decides about the requests of one pool. Requests of the daemon itself are neither measured nor refused. */
 export class PoolAdmission {
   readonly #estimator = new WaitEstimator();
@@ -93,19 +106,19 @@
     this.#estimator.recordOpening(ms);
   }
 
-  /** Decides about a request that finds no idle connection; returns the refusal, or `null` if it may wait. */
-  refusalOf(
+  /** Decides about a request that finds no idle connection; counts it if it is refused. */
+  decideOnArrival(
     demand: LinkDemand,
     queue: QueueState,
     { nowMs: now, serviceMs }: AdmissionTime,
-  ): AdmissionError | null {
+  ): ArrivalDecision {
     const { tenantName, priority, dueAtMs, deadlineMs } = demand;
-    if (tenantName === null) return null;
+    if (tenantName === null) return MAY_WAIT;
     const intervalMs = this.#estimator.intervalMs(queue.connections, now);
     const urgentRate = this.#arrivals.rateAbove(priority, now);
     const rate = this.#arrivals.rate(now);
     this.#arrivals.record(priority, now);
-    if (intervalMs === null || deadlineMs === undefined) return this.#admit(null);
+    if (intervalMs === null || deadlineMs === undefined) return MAY_WAIT;
     const ahead = queue.countAhead(demand, now, serviceMs);
     const { waiting, hasConnection } = queue;
     const dueInMs = dueAtMs - now;
@@ -121,8 +134,30 @@
       dueInMs,
       timeLeftMs,
     });
-    if (kind === 'wait' || expectedWaitMs === null) return this.#admit(expectedWaitMs);
-    return this.#refuse({ expectedWaitMs, ahead, waiting, connections: queue.connections, intervalMs, now });
+    if (kind === 'wait' || expectedWaitMs === null) return { refusal: null, expectedWaitMs };
+    const basis = { expectedWaitMs, ahead, waiting, connections: queue.connections, intervalMs, now };
+    return { refusal: this.#refuseUnservable(basis), expectedWaitMs };
+  }
+
+  /** Records that a request begins to wait, with the expected wait of its decision, in milliseconds. */
+  beganToWait({ tenantName }: LinkDemand, expectedWaitMs: number | null): void {
+    if (tenantName === null) return;
+    this.ports.observer?.admissionDecided('waiting');
+    if (expectedWaitMs !== null) this.ports.observer?.waitMeasured('predicted', expectedWaitMs);
+  }
+
+  /**
+   * The refusal of a request that a full queue has removed, or has not taken. Before uses have been measured,
+   * the retry time assumes that a connection is in use for as long as the member takes to reply.
+   */
+  refuseOverflow(
+    { waiting, connections }: Pick<QueueState, 'waiting' | 'connections'>,
+    { nowMs: now, serviceMs }: AdmissionTime,
+  ): AdmissionError {
+    const intervalMs = this.#estimator.intervalMs(connections, now) ?? serviceMs / Math.max(1, connections);
+    const useMs = this.#estimator.useMs(now);
+    const details = { waiting, connections, ...(useMs === null ? {} : { useMs: Math.round(useMs) }) };
+    return this.#refuse(OVERFLOW_REASON, (waiting + 1) * intervalMs, intervalMs, now, details);
   }
 
   /**
@@ -156,28 +191,34 @@
       });
       if (kind === 'refuse' && expectedWaitMs !== null && tenantName !== null) {
         const basis = { expectedWaitMs, ahead, waiting: waitingCount, connections, intervalMs, now };
-        refusals.push({ waiting, refusal: this.#refuse(basis) });
+        refusals.push({ waiting, refusal: this.#refuseUnservable(basis) });
       } else ahead += 1;
     }
     return refusals;
   }
 
-  #refuse(basis: RefusalBasis): AdmissionError {
+  #refuseUnservable(basis: RefusalBasis): AdmissionError {
     const { expectedWaitMs, ahead, waiting, connections, intervalMs, now } = basis;
-    this.ports.observer?.admissionDecided('refused');
-    const retryAfterMs = this.#retries.next((waiting + 1) * intervalMs, intervalMs, now, this.ports.random());
-    return AdmissionError.withoutStack(retryAfterMs, {
+    const details = {
       expectedWaitMs: Math.round(expectedWaitMs),
       ahead,
       connections,
       useMs: Math.round(this.#estimator.useMs(now) ?? 0),
-    });
+    };
+    return this.#refuse(undefined, (waiting + 1) * intervalMs, intervalMs, now, details);
   }
 
-  #admit(expectedWaitMs: number | null): null {
-    this.ports.observer?.admissionDecided('waiting');
-    if (expectedWaitMs !== null) this.ports.observer?.waitMeasured('predicted', expectedWaitMs);
-    return null;
+  /** Counts a refusal, and assigns it the next retry time behind the backlog; times in milliseconds. */
+  #refuse(
+    reason: string | undefined,
+    backlogMs: number,
+    intervalMs: number,
+    nowMs: number,
+    details: AdmissionDetails,
+  ): AdmissionError {
+    this.ports.observer?.admissionDecided('refused');
+    const retryAfterMs = this.#retries.next(backlogMs, intervalMs, nowMs, this.ports.random());
+    return AdmissionError.withoutStack(retryAfterMs, details, reason);
   }
 }
 
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -5,6 +5,8 @@
  */
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
+import { AdmissionError } from '../admission/admission-error.js';
+import type { AdmissionObserver } from '../admission/pool-admission.js';
 import { FakeLink } from '../../test/support/fake-link.js';
 import { LinkPool } from './link-pool.js';
 import type { LinkDemand } from './link-queue.js';
@@ -26,6 +28,7 @@
   dial: () => Promise<MemberLink>,
   clock = { now: 0 },
   onTrouble: (reason: string) => void = () => undefined,
+  admissionObserver?: AdmissionObserver,
 ): LinkPool {
   return new LinkPool({
     dialer: { dial },
@@ -38,6 +41,7 @@
     onFailure: onTrouble,
     random: () => 0.5,
     now: () => clock.now,
+    ...(admissionObserver === undefined ? {} : { admissionObserver }),
   });
 }
 
@@ -319,23 +323,62 @@
   assert.equal(links.length, 1);
 });
 
-test('a pool at which too many requests wait rejects the one that would be served last', async () => {
-  // The failure guarded against: an unbounded queue, whose requests use memory until their deadline.
+/** An observer, and the decisions that it is told of. */
+function recordDecisions(): { decisions: string[]; admissionObserver: AdmissionObserver } {
+  const decisions: string[] = [];
+  return {
+    decisions,
+    admissionObserver: {
+      admissionDecided: (decision) => void decisions.push(decision),
+      waitMeasured: () => undefined,
+    },
+  };
+}
+
+test('a pool at which too many requests wait refuses the one that would be served last', async () => {
+  // The failures guarded against: an unbounded queue, whose requests use memory until their deadline; and a
+  // rejection that is taken for a connection that did not come free, after which the request is tried again.
   const { dial, accept } = slowDialer();
-  const pool = poolOf(1, dial);
+  const { decisions, admissionObserver } = recordDecisions();
+  const pool = poolOf(1, dial, undefined, undefined, admissionObserver);
   const urgent = pool.acquire({ ...DEMAND, priority: 0 }, 10_000);
   const waiting = Array.from({ length: 1999 }, (_, index) =>
     pool.acquire({ ...DEMAND, dueAtMs: 1000 + index }, 10_000),
   );
-  const rejected: number[] = [];
-  for (const [index, each] of waiting.entries()) each.catch(() => rejected.push(index));
-  await assert.rejects(pool.acquire({ ...DEMAND, priority: 2 }, 10_000), PoolTimeoutError);
-  assert.deepEqual(rejected, []);
+  const refused: [number, unknown][] = [];
+  for (const [index, each] of waiting.entries()) each.catch((error: unknown) => refused.push([index, error]));
+  const isRefusal = (error: unknown): boolean =>
+    error instanceof AdmissionError &&
+    error.message === 'too many requests wait for a connection' &&
+    error.retryAfterMs > 1000 &&
+    error.retryAfterMs <= 2000;
+  decisions.length = 0;
+  await assert.rejects(pool.acquire({ ...DEMAND, priority: 2 }, 10_000), isRefusal);
+  assert.equal(refused.length, 0);
+  assert.deepEqual(decisions, ['refused'], 'refused on arrival, so it did not wait');
   const earlier = pool.acquire({ ...DEMAND, dueAtMs: 500 }, 10_000);
+  assert.deepEqual(decisions, ['refused', 'waiting', 'refused'], 'one that waited is refused for it');
   accept();
   pool.release(await urgent);
   await earlier;
-  assert.deepEqual(rejected, [1998], 'the one that is due last');
+  assert.deepEqual(
+    refused.map(([index]) => index),
+    [1998],
+    'the one that is due last',
+  );
+  assert.ok(isRefusal(refused[0]?.[1]), String(refused[0]?.[1]));
   pool.close();
   await Promise.allSettled(waiting);
 });
+
+test('a request of the daemon itself that a full pool rejects is not counted as refused', async () => {
+  const { dial } = slowDialer();
+  const { decisions, admissionObserver } = recordDecisions();
+  const pool = poolOf(1, dial, undefined, undefined, admissionObserver);
+  const waiting = Array.from({ length: 2000 }, () => pool.acquire({ ...DEMAND, tenantName: '' }, 10_000));
+  const outcomes = Promise.allSettled(waiting);
+  await assert.rejects(pool.acquire({ ...DEMAND, tenantName: null, priority: 2 }, 10_000), PoolTimeoutError);
+  assert.ok(!decisions.includes('refused'));
+  pool.close();
+  await outcomes;
+});
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -10,7 +10,8 @@
 import { WaitQueue, type ConnectionUse, type WaitingRequest } from '../admission/wait-queue.js';
 import type { OutsideTraffic } from '../isolation/outside-traffic.js';
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
-import { PoolAdmission, type AdmissionObserver, type QueueState } from '../admission/pool-admission.js';
+import { OVERFLOW_REASON, PoolAdmission } from '../admission/pool-admission.js';
+import type { AdmissionObserver, AdmissionTime, QueueState } from '../admission/pool-admission.js';
 import type { LinkDemand } from './link-queue.js';
 import { LinkAcquisition, PoolTimeoutError, type PoolWaiter, type LinkSource } from './link-acquisition.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
@@ -147,7 +148,7 @@
   /**
    * Acquires a connection for exclusive use; return it with {@link LinkPool.release}.
    *
-   * @throws {@link PoolTimeoutError}, {@link DialError}: nothing was sent to the member
+   * @throws {@link PoolTimeoutError}, {@link DialError}, `AdmissionError`: nothing was sent to the member
    */
   async acquire(demand: LinkDemand, waitMs: number): Promise<PooledLink> {
     const wait = new LinkAcquisition<this>(demand, waitMs);
@@ -158,7 +159,7 @@
 
   /**
    * Grants an idle connection immediately, enqueues the request, or fails it if it can't be served before its
-   * deadline.
+   * deadline. If too many requests wait, fails the one that would be served last.
    */
   enqueue(waiter: PoolWaiter): void {
     if (this.#isClosed) {
@@ -173,17 +174,28 @@
       this.#grant(idle, waiter, nowMs);
       return;
     }
-    const serviceMs = this.options.serviceMs();
-    const refusal = this.#admission.refusalOf(demand, this.#queueState(), { nowMs, serviceMs });
+    const time = { nowMs, serviceMs: this.options.serviceMs() };
+    const { refusal, expectedWaitMs } = this.#admission.decideOnArrival(demand, this.#queueState(), time);
     if (refusal !== null) {
       waiter.fail(refusal, this);
       return;
     }
-    const rejected = this.#waiters.add(waiter, demand, nowMs, serviceMs);
-    rejected?.fail(new PoolTimeoutError('too many requests wait for a connection'), this);
+    const overflow = this.#waiters.add(waiter, demand, nowMs, time.serviceMs);
+    if (overflow !== waiter) this.#admission.beganToWait(demand, expectedWaitMs);
+    if (overflow !== null) this.#failOverflow(overflow, time);
     this.#openForWaiters();
   }
 
+  /** Fails a request that the full queue does not hold any more. */
+  #failOverflow(waiter: PoolWaiter, time: AdmissionTime): void {
+    // Requests of the daemon itself are not counted by admission, and have no use for a retry time.
+    const isOwn = waiter.demand.tenantName === null;
+    const error = isOwn
+      ? new PoolTimeoutError(OVERFLOW_REASON)
+      : this.#admission.refuseOverflow(this.#queueState(), time);
+    waiter.fail(error, this);
+  }
+
   /** Removes a request from the queue. */
   dequeue(waiter: PoolWaiter, isServedElsewhere = false): void {
     if (this.#waiters.remove(waiter) && isServedElsewhere) this.#admission.servedElsewhere(waiter.demand);
--- a/src/relay/overload.test.ts
+++ b/src/relay/overload.test.ts
@@ -28,6 +28,8 @@
 const USE_MS = 100;
 /** Waiting requests that need longer than the timeout. */
 const BACKLOG = 4;
+/** Requests that may wait at one pool. */
+const MAX_WAITING = 2000;
 const NO_VALUES = new Map<string, string>();
 const ROUTE: Route = {
   database: 'stock',
@@ -208,6 +210,18 @@
   assert.deepEqual(scene.notable, []);
 });
 
+test('a write that the full queue of its leader does not take is refused at once, without further attempts', async () => {
+  // The failure guarded against: the write is sent to the full queue again every 15 ms until its deadline.
+  const scene = new Scene();
+  await scene.measure('leader', 0);
+  await scene.load('leader', MAX_WAITING);
+  const refusal = await refusedAtOnce(scene.write());
+  assert.equal(refusal.message, 'too many requests wait for a connection');
+  assert.ok(refusal.retryAfterMs !== null && refusal.retryAfterMs > 1000, String(refusal.retryAfterMs));
+  assert.equal(refusal.details.waiting, MAX_WAITING);
+  assert.deepEqual(scene.notable, []);
+});
+
 test('a read-only transaction goes to other members, and is refused when all have refused it', async () => {
   const scene = new Scene();
   await scene.measure('leader');
