A retry that a change of state has released takes no token later

Cause: a withheld retry raced the group's next change against a delayed check for a token.

Change: the token is taken after the race.

--- a/src/relay/retry-permit.test.ts
+++ b/src/relay/retry-permit.test.ts
@@ -188,6 +188,21 @@
   assert.equal((await write).result.isComplete, true);
 });
 
+test('a withheld retry that a change of state has released takes no token later', async () => {
+  // The failure guarded against: the check for a token that was pending at the change takes one that no retry
+  // uses.
+  const scene = new Scene('busy', 'answer');
+  scene.spendBudget();
+  const write = scene.write();
+  await delay(60);
+  scene.leader.behaviour = 'answer';
+  scene.group.changed.notify();
+  await write;
+  for (let attempt = 0; attempt < 10; attempt += 1) scene.group.retries.recordFirstAttempt();
+  await delay(60);
+  assert.equal(scene.group.retries.tryTake(), true);
+});
+
 test('a retry after a lost connection needs no token', async () => {
   const scene = new Scene('lose', 'lose');
   scene.spendBudget();
--- a/src/relay/retry-permit.ts
+++ b/src/relay/retry-permit.ts
@@ -27,7 +27,8 @@
   const changed = group.changed.wait(untilMs - context.now() + TOKEN_POLL_MS).then(() => true);
   while (context.now() < untilMs) {
     const waitMs = Math.min(TOKEN_POLL_MS, untilMs - context.now());
-    if (await Promise.race([changed, delay(waitMs).then(() => retries.tryTake())])) return true;
+    // Taken after the race: a poll that loses against a change would take a token that no retry uses.
+    if ((await Promise.race([changed, delay(waitMs).then(() => false)])) || retries.tryTake()) return true;
   }
   return false;
 }
