Opening connections in a pause doesn't count as use of the next request

Cause: the time to open a connection in place of another tenant's is added to the next measured use. Uses during a pause of the member are not measured, but the openings during it were kept: after a pause of 500 ms one such opening raised the estimate from 10 to 41 ms. Openings for requests that gave up before added up without bound: 100 of 1.5 s made the estimate 18.8 s after a quiet period, so all waiting requests would have been refused.

Change: openings that began before the end of a pause are ignored, and those before an outdated estimate are dropped with it.

--- a/src/admission/pool-admission.ts
+++ b/src/admission/pool-admission.ts
@@ -109,8 +109,8 @@
   }
 
   /** Records that a connection was opened in place of one of another tenant, which took `ms` milliseconds. */
-  replaced(ms: number): void {
-    this.#estimator.recordOpening(ms);
+  replaced(ms: number, nowMs: number): void {
+    this.#estimator.recordOpening(ms, nowMs);
   }
 
   /** Decides about a request that finds no idle connection; counts it if it is refused. */
--- a/src/admission/wait-estimator.test.ts
+++ b/src/admission/wait-estimator.test.ts
@@ -60,7 +60,7 @@
 test('opening connections for other tenants counts as use', () => {
   const estimator = new WaitEstimator();
   for (let i = 0; i < 200; i += 1) {
-    if (i % 2 === 0) estimator.recordOpening(12);
+    if (i % 2 === 0) estimator.recordOpening(12, 0);
     estimator.recordUse(4, 0);
   }
   const useMs = estimator.useMs(0) ?? 0;
@@ -78,6 +78,30 @@
   assert.ok((estimator.useMs(nowMs) ?? 0) > 200);
 });
 
+test('opening connections during a pause of the member does not count, in whatever order it is recorded', () => {
+  // The failure guarded against: the next use after the pause is charged with it, and requests are refused.
+  for (const isOpeningFirst of [true, false]) {
+    const estimator = new WaitEstimator();
+    let nowMs = 0;
+    for (let i = 0; i < 50; i += 1) estimator.recordUse(10, (nowMs += 3));
+    nowMs += 500;
+    if (isOpeningFirst) estimator.recordOpening(500, nowMs);
+    for (let i = 0; i < 3; i += 1) estimator.recordUse(505, nowMs);
+    if (!isOpeningFirst) estimator.recordOpening(500, nowMs);
+    estimator.recordUse(10, nowMs + 10);
+    assert.equal(estimator.useMs(nowMs + 10), 10);
+  }
+});
+
+test('connections that were opened and never used do not count once the estimate is outdated', () => {
+  // The failure guarded against: a slow member to which connections are opened for requests that give up before
+  // makes the first use after it appear to take minutes.
+  const estimator = estimatorAfter(uses(20, 10));
+  for (let nowMs = 1500; nowMs <= 150_000; nowMs += 1500) estimator.recordOpening(1500, nowMs);
+  for (const ms of uses(8, 10)) estimator.recordUse(ms, 160_000);
+  assert.equal(estimator.useMs(160_000), 10);
+});
+
 test('after a pause that outdates the estimate, the uses during it do not count either', () => {
   const estimator = new WaitEstimator();
   for (let nowMs = 3; nowMs <= 60; nowMs += 3) estimator.recordUse(10, nowMs);
--- a/src/admission/wait-estimator.ts
+++ b/src/admission/wait-estimator.ts
@@ -44,7 +44,10 @@
   recordUse(ms: number, nowMs: number): void {
     if (!Number.isFinite(ms) || ms < 0) return;
     this.#detectPause(ms, nowMs);
-    if (this.#isOutdated(nowMs)) this.#uses = 0;
+    if (this.#isOutdated(nowMs)) {
+      this.#uses = 0;
+      this.#openingMs = 0;
+    }
     this.#measuredAtMs = nowMs;
     const grantedAtMs = nowMs - ms;
     if (grantedAtMs < this.#pauseEndedAtMs) return;
@@ -57,10 +60,11 @@
 
   /**
    * Records the time, in milliseconds, for which a connection could serve no request because it was opened in
-   * place of one of another tenant. It counts as part of the next use.
+   * place of one of another tenant. It counts as part of the next use, unless it began before the end of a pause.
    */
-  recordOpening(ms: number): void {
-    if (Number.isFinite(ms) && ms > 0) this.#openingMs += ms;
+  recordOpening(ms: number, nowMs: number): void {
+    if (!Number.isFinite(ms) || ms <= 0 || nowMs - ms < this.#pauseEndedAtMs) return;
+    this.#openingMs += ms;
   }
 
   /**
@@ -91,7 +95,9 @@
     const isInUseThroughout = ms >= quietMs;
     if (this.#uses < MIN_USES || !isInUseThroughout || nowMs - this.#pauseEndedAtMs < PAUSE_INTERVAL_MS)
       return;
-    if (quietMs > Math.max(MIN_PAUSE_MS, MIN_PAUSE_USES * this.#useMs)) this.#pauseEndedAtMs = nowMs;
+    if (quietMs <= Math.max(MIN_PAUSE_MS, MIN_PAUSE_USES * this.#useMs)) return;
+    this.#pauseEndedAtMs = nowMs;
+    this.#openingMs = 0;
   }
 
   #isOutdated(nowMs: number): boolean {
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -462,7 +462,8 @@
       .then(
         (memberLink) => {
           this.#consecutiveSlowDials = 0;
-          if (isReplacement) this.#admission.replaced(this.options.now() - startedAtMs);
+          const nowMs = this.options.now();
+          if (isReplacement) this.#admission.replaced(nowMs - startedAtMs, nowMs);
           this.#add(new PooledLink(memberLink, tenantName));
           this.#openForWaiters();
         },
