A connection that is accepted counts towards the budget without interruption

Cause: an attempt to open a connection left the count in a `finally`, and the connection was added some microtasks later. A request that arrived in between opened another one, beyond the budget, and the accepted one was closed.

Change: both happen in the same handler.

--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -203,6 +203,24 @@
   assert.equal(dialed(), 6);
 });
 
+test('a connection that has just been accepted counts towards the budget without interruption', async () => {
+  // The failure guarded against: a request that arrives between the end of the attempt and the registration of
+  // the connection opens another one, beyond the member's connection limit.
+  const dials: Promise<MemberLink>[] = [];
+  let accept: (link: MemberLink) => void = () => undefined;
+  const pool = poolOf(1, () => {
+    const dialed = new Promise<MemberLink>((resolve) => (accept = resolve));
+    dials.push(dialed);
+    return dialed;
+  });
+  const first = pool.acquire(DEMAND, 1000);
+  const second = dials[0]?.then(() => pool.acquire(DEMAND, 1000));
+  accept(new FakeLink());
+  pool.release(await first);
+  await second;
+  assert.equal(dials.length, 1);
+});
+
 test('a member that is slow to accept fails the waiting request, but the attempt continues', async () => {
   const { dial, accept, dialed } = slowDialer();
   const pool = poolOf(1, dial);
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -453,26 +453,28 @@
     // The member continues to set up a connection that the daemon has abandoned. So a slow attempt is not
     // aborted; instead, waiting requests are rejected so that they can use another member.
     const timer = setInterval(() => this.#onSlowDial(tenantName), dialTimeoutMs).unref();
-    dialer
-      .dial({ ...address, tenantName }, dialTimeoutMs, ACCEPT_TIMEOUT_MS)
-      .finally(() => {
-        clearInterval(timer);
-        this.#dialing.splice(this.#dialing.indexOf(tenantName), 1);
-      })
-      .then(
-        (memberLink) => {
-          this.#consecutiveSlowDials = 0;
-          const nowMs = this.options.now();
-          if (isReplacement) this.#admission.replaced(nowMs - startedAtMs, nowMs);
-          this.#add(new PooledLink(memberLink, tenantName));
-          this.#openForWaiters();
-        },
-        (error: unknown) =>
-          this.#onDialFailed(
-            tenantName,
-            error instanceof DialError ? error : new DialError('lost', String(error)),
-          ),
-      );
+    // Not in a `finally` before: until the connection is added, another request could open one beyond the budget.
+    const endDial = (): void => {
+      clearInterval(timer);
+      this.#dialing.splice(this.#dialing.indexOf(tenantName), 1);
+    };
+    dialer.dial({ ...address, tenantName }, dialTimeoutMs, ACCEPT_TIMEOUT_MS).then(
+      (memberLink) => {
+        endDial();
+        this.#consecutiveSlowDials = 0;
+        const nowMs = this.options.now();
+        if (isReplacement) this.#admission.replaced(nowMs - startedAtMs, nowMs);
+        this.#add(new PooledLink(memberLink, tenantName));
+        this.#openForWaiters();
+      },
+      (error: unknown) => {
+        endDial();
+        this.#onDialFailed(
+          tenantName,
+          error instanceof DialError ? error : new DialError('lost', String(error)),
+        );
+      },
+    );
   }
 
   /**
