Requests don't wait for a pool that may have no connections any more

Cause: when other daemons are assigned to connect to a member, the budget of this daemon's pool becomes 0. Its connections are closed as they are released, but requests that waited for one were kept until their deadline: without connections there is no estimate that could refuse them.

Change: the periodic check rejects them, as not sent; they may then go to the member through a gateway.

--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -221,6 +221,32 @@
   assert.equal(dials.length, 1);
 });
 
+test('requests that wait at a pool that may have no more connections are failed', async () => {
+  // The failure guarded against: after other daemons have been chosen to connect to the member, requests wait
+  // until their deadline for a pool that closes each connection when it is released.
+  let budget = 1;
+  const pool = new LinkPool({
+    dialer: { dial: () => Promise.resolve(new FakeLink()) },
+    address: ADDRESS,
+    budget: () => budget,
+    dialTimeoutMs: 100,
+    limitBackoffMs: 10,
+    idleTimeoutMs: 1000,
+    serviceMs: () => 10,
+    onFailure: () => undefined,
+    random: () => 0.5,
+    now: () => 0,
+  });
+  const inUse = await pool.acquire(DEMAND, 1000);
+  const waiting = pool.acquire(DEMAND, 1000);
+  const outcome = assert.rejects(waiting, { message: 'the daemon no longer connects to the member' });
+  budget = 0;
+  pool.refuseUnservable();
+  await outcome;
+  pool.release(inUse);
+  assert.equal(pool.size, 0);
+});
+
 test('a member that is slow to accept fails the waiting request, but the attempt continues', async () => {
   const { dial, accept, dialed } = slowDialer();
   const pool = poolOf(1, dial);
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -203,10 +203,15 @@
 
   /**
    * Fails waiting requests that have missed their latency objective and can't be served before their deadline
-   * any more; to be called every few tens of milliseconds.
+   * any more, and all of them if the pool may have no connections; to be called every few tens of milliseconds.
    */
   refuseUnservable(): void {
     if (this.#waiters.size === 0) return;
+    if (this.options.budget() <= 0) {
+      // Each connection is closed when it is released. The requests may go to the member through a gateway.
+      this.rejectWaiters('the daemon no longer connects to the member');
+      return;
+    }
     const time = { nowMs: this.options.now(), serviceMs: this.options.serviceMs() };
     const late = this.#waiters.late(time.nowMs, time.serviceMs);
     for (const { waiting, refusal } of this.#admission.refusalsOfLate(late, this.#queueState(), time)) {
