A new connection serves its tenant before it may be closed for another one

Cause: a connection that had just been opened was treated as a released one: if another tenant's request had meanwhile moved to the front (the connection's own had become late while the member was slow to accept it), the connection was closed unused and one opened for that tenant, and then one for the first tenant again.

Change: only released connections yield. The order of closing and granting is otherwise the same.

--- a/src/relay/link-pool-tenants.test.ts
+++ b/src/relay/link-pool-tenants.test.ts
@@ -17,12 +17,14 @@
 function scene(
   budget: number,
   tenantWeight: (tenantName: string) => number = () => 1,
+  dialMs = 0,
 ): { pool: LinkPool; links: FakeLink[]; clock: { now: number } } {
   const clock = { now: 0 };
   const links: FakeLink[] = [];
   const dial = (target: DialTarget): Promise<MemberLink> => {
     const link = new FakeLink(target.tenantName);
     links.push(link);
+    clock.now += dialMs;
     return Promise.resolve(link);
   };
   const pool = new LinkPool({
@@ -86,6 +88,22 @@
   assert.equal((await third).tenantName, 'amber');
 });
 
+test('a connection that was opened for a tenant serves it before it is closed for another one', async () => {
+  // The failure guarded against: while the member is slow to accept a connection, its request becomes late and
+  // another tenant's precedes it; the connection is closed unused, and opening connections serves no request.
+  const { pool, links, clock } = scene(1, undefined, 40);
+  const first = await pool.acquire(demandOf('amber'), 1000);
+  const birch = pool.acquire(demandOf('birch', clock.now + 60), 1000);
+  const cedar = pool.acquire(demandOf('cedar'), 1000);
+  clock.now += 30;
+  pool.release(first);
+  await Promise.all([birch, cedar].map(async (granted) => pool.release(await granted)));
+  assert.deepEqual(
+    links.map(({ tenantName }) => tenantName),
+    ['amber', 'birch', 'cedar'],
+  );
+});
+
 test('a request of the daemon itself uses a connection of any tenant', async () => {
   const { pool, links } = scene(1);
   pool.release(await pool.acquire(demandOf('amber'), 1000));
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -256,15 +256,17 @@
   release(link: PooledLink): void {
     const nowMs = this.options.now();
     this.#endUse(link, nowMs, true);
+    if (this.#waiters.size > 0 && this.#mustYieldToOtherTenant(link)) link.close();
+    else this.#offer(link, nowMs);
+  }
+
+  /** Grants a connection to the next request that it can serve, or keeps it idle; closes it if it can't be kept. */
+  #offer(link: PooledLink, nowMs: number): void {
     if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
       link.close();
       return;
     }
     if (this.#waiters.size > 0) {
-      if (this.#mustYieldToOtherTenant(link)) {
-        link.close();
-        return;
-      }
       const serviceMs = this.options.serviceMs();
       const next = this.#waiters.peekFor(link.tenantName, nowMs, serviceMs);
       if (next !== undefined) {
@@ -495,7 +497,8 @@
   #add(link: PooledLink): void {
     this.#links.add(link);
     link.onClosed((isByPeer) => this.#onLinkClosed(link, isByPeer));
-    if (link.isOpen) this.release(link);
+    // A new connection need not yield to another tenant before it has served the request that it was opened for.
+    if (link.isOpen) this.#offer(link, this.options.now());
     else this.#onLinkClosed(link, true);
   }
 
