A pool is called a source throughout acquisitions; one test for tenants

Cause: the pool of an acquisition was a `place` in one record and renamed to `source` wherever it was read; pool and queue had the same function for whether a connection satisfies a demand.

Change: `source` throughout; `acceptsTenant` is beside the demand. No change of behaviour.

--- a/src/admission/wait-queue.ts
+++ b/src/admission/wait-queue.ts
@@ -12,7 +12,7 @@
  *
  * @packageDocumentation
  */
-import type { LinkDemand } from '../relay/link-queue.js';
+import { acceptsTenant, type LinkDemand } from '../relay/link-queue.js';
 import { LazyHeap } from './lazy-heap.js';
 import { byArrival, byDueTime, type WaitClass, type WaitEntry } from './wait-lane.js';
 import { WaitLanes, accountNameOf } from './wait-lanes.js';
@@ -269,11 +269,6 @@
   }
 }
 
-/** True if a connection of the tenant satisfies the demand. */
-function acceptsTenant(demand: LinkDemand, tenantName: string): boolean {
-  return demand.tenantName === null || demand.tenantName === tenantName;
-}
-
 function classOf(demand: LinkDemand, answeredAtMs: number): WaitClass {
   return demand.dueAtMs < answeredAtMs ? 'late' : 'onTime';
 }
--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -284,7 +284,7 @@
       waitMs,
     );
     this.#wait = wait;
-    wait.enqueueAll([{ place: pool, member: pool }]);
+    wait.enqueueAll([{ source: pool, member: pool }]);
     // A borrower left waiting until the process ends would not learn that nothing was sent.
     if (this.options.stage() !== 'lending') wait.cancel();
     try {
--- a/src/relay/link-acquisition.test.ts
+++ b/src/relay/link-acquisition.test.ts
@@ -34,8 +34,8 @@
   const leader = new FakeSource();
   const replica = new FakeSource();
   wait.enqueueAll([
-    { place: leader, member: 'leader' },
-    { place: replica, member: 'replica' },
+    { source: leader, member: 'leader' },
+    { source: replica, member: 'replica' },
   ]);
   return { wait, leader, replica };
 }
@@ -69,8 +69,8 @@
   };
   const wait = new LinkAcquisition<string>(DEMAND, 1000);
   wait.enqueueAll([
-    { place: refusing, member: 'refusing' },
-    { place: granting, member: 'granting' },
+    { source: refusing, member: 'refusing' },
+    { source: granting, member: 'granting' },
   ]);
   assert.equal((await wait.granted).member, 'granting');
 });
@@ -79,7 +79,7 @@
   const { wait, leader, replica } = createWait();
   wait.grant(LINK, leader);
   const late = new FakeSource();
-  wait.enqueueAll([{ place: late, member: 'late' }]);
+  wait.enqueueAll([{ source: late, member: 'late' }]);
   wait.fail(new Error('too late'), replica);
   assert.equal(late.waiters.length, 0);
   assert.equal((await wait.granted).member, 'leader');
--- a/src/relay/link-acquisition.ts
+++ b/src/relay/link-acquisition.ts
@@ -18,7 +18,11 @@
    * Queues a request; the pool then grants it a connection or fails it, possibly before this call returns.
    */
   enqueue(waiter: PoolWaiter): void;
-  /** Removes a request from the queue, for example because it has been granted a connection elsewhere. */
+  /**
+   * Removes a request from the queue, if it waits there.
+   *
+   * @param isServedElsewhere - true if another pool has granted it a connection
+   */
   dequeue(waiter: PoolWaiter, isServedElsewhere: boolean): void;
 }
 
@@ -26,7 +30,7 @@
 export interface PoolWaiter {
   readonly demand: LinkDemand;
   grant(link: SessionLink, source: LinkSource): void;
-  /** Called if the pool will not have a connection soon. Nothing was sent. */
+  /** Called if the pool refuses the request, or will not have a connection soon. Nothing was sent. */
   fail(error: Error, source: LinkSource): void;
 }
 
@@ -75,15 +79,15 @@
   }
 
   /** Adds the request to the pools of more members, in the given order. */
-  enqueueAll(sources: readonly { readonly place: LinkSource; readonly member: Member }[]): void {
+  enqueueAll(sources: readonly { readonly source: LinkSource; readonly member: Member }[]): void {
     const added = sources.filter(
-      ({ place: source, member }) => !this.#sources.has(source) && !this.#members.has(member),
+      ({ source, member }) => !this.#sources.has(source) && !this.#members.has(member),
     );
-    for (const { place: source, member } of added) {
+    for (const { source, member } of added) {
       this.#sources.set(source, member);
       this.#members.add(member);
     }
-    for (const { place: source } of added) if (!this.#isFinished) source.enqueue(this);
+    for (const { source } of added) if (!this.#isFinished) source.enqueue(this);
   }
 
   grant(link: SessionLink, source: LinkSource): void {
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -12,7 +12,7 @@
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
 import { OVERFLOW_REASON, PoolAdmission } from '../admission/pool-admission.js';
 import type { AdmissionObserver, AdmissionTime, QueueState } from '../admission/pool-admission.js';
-import type { LinkDemand } from './link-queue.js';
+import { acceptsTenant, type LinkDemand } from './link-queue.js';
 import { LinkAcquisition, PoolTimeoutError, type PoolWaiter, type LinkSource } from './link-acquisition.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
 import { PooledLink } from './pooled-link.js';
@@ -152,7 +152,7 @@
    */
   async acquire(demand: LinkDemand, waitMs: number): Promise<PooledLink> {
     const wait = new LinkAcquisition<this>(demand, waitMs);
-    wait.enqueueAll([{ place: this, member: this }]);
+    wait.enqueueAll([{ source: this, member: this }]);
     const { link } = await wait.granted;
     return link as PooledLink;
   }
@@ -551,8 +551,3 @@
     return pauseMs * (1 - this.options.random() / 2);
   }
 }
-
-/** True if a connection of the tenant satisfies the demand. */
-function acceptsTenant(demand: LinkDemand, tenantName: string): boolean {
-  return demand.tenantName === null || demand.tenantName === tenantName;
-}
--- a/src/relay/link-queue.ts
+++ b/src/relay/link-queue.ts
@@ -31,6 +31,11 @@
   readonly deadlineMs?: number;
 }
 
+/** True if a connection of the tenant satisfies the demand. */
+export function acceptsTenant(demand: LinkDemand, tenantName: string): boolean {
+  return demand.tenantName === null || demand.tenantName === tenantName;
+}
+
 /**
  * When a request that must be answered by `deadlineMs` is due by its latency objective, in monotonic
  * milliseconds.
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -713,8 +713,8 @@
 /** The pools in which a request can queue: those of members to which this daemon connects directly. */
 function directQueuesOf(
   members: readonly Member[],
-): { readonly place: LinkSource; readonly member: Member }[] {
+): { readonly source: LinkSource; readonly member: Member }[] {
   return members
     .filter(({ pool }) => pool.usesOwnPool)
-    .map((member) => ({ place: member.pool.ownPool, member }));
+    .map((member) => ({ source: member.pool.ownPool, member }));
 }
