Admission in plainer terms

Cause, as met by a first reader: `waiting` was a number in one place and a request in the next; `owed` and `oldestPassedOver` don't say what they hold; one comment covered two limits of a pause; the tag that is passed to a charge was described as the smallest of those that wait, and is that of the request that is served next; why arrivals are recorded after the rates are read, why a late request counts all others and why retry times end below their limit was left to the reader.

Change: names and comments, and the order of calls on a lane is stated. No change of behaviour.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -61,10 +61,11 @@
   const openMs = hasConnection ? 0 : OPEN_MS;
   const waitMs = openMs + ((ahead + 1) * intervalMs) / remainingShare(urgentRate, intervalMs);
   if (waitMs + serviceMs <= dueInMs) return waitMs;
+  // It would miss its latency objective, and then it waits for all that wait now and for all that arrive.
   return Math.max(waitMs, openMs + ((waiting + 1) * intervalMs) / remainingShare(rate, intervalMs));
 }
 
-/** Share of the capacity that is not taken by requests which arrive at a rate and go first. */
+/** Share of the capacity that is not taken by requests that go first and arrive at the given rate. */
 function remainingShare(ratePerMs: number, intervalMs: number): number {
   return Math.max(MIN_REMAINING_SHARE, 1 - ratePerMs * intervalMs);
 }
--- a/src/admission/fair-shares.ts
+++ b/src/admission/fair-shares.ts
@@ -69,12 +69,12 @@
    * Charges a tenant at the start of a use.
    *
    * @param estimateMs - expected duration of the use
-   * @param leastWaitingTag - the smallest start tag of tenants with waiting requests; infinite without any
+   * @param nextTag - the start tag of the tenant whose waiting request is served next; infinite without any
    */
-  charge(tenantName: string, estimateMs: number, leastWaitingTag: number): void {
+  charge(tenantName: string, estimateMs: number, nextTag: number): void {
     const account = this.#open(tenantName);
     // A grant out of order must not raise newcomers above tenants that have waited in order.
-    this.#virtualTime = Math.max(this.#virtualTime, Math.min(account.startTag, leastWaitingTag));
+    this.#virtualTime = Math.max(this.#virtualTime, Math.min(account.startTag, nextTag));
     account.inUseCount += 1;
     this.#activeCount += 1;
     this.#add(account, estimateMs);
--- a/src/admission/pool-admission.ts
+++ b/src/admission/pool-admission.ts
@@ -124,6 +124,7 @@
     const intervalMs = this.#estimator.intervalMs(queue.connections, now);
     const urgentRate = this.#arrivals.rateAbove(priority, now);
     const rate = this.#arrivals.rate(now);
+    // Only now, so that the request does not count among those that precede it.
     this.#arrivals.record(priority, now);
     if (intervalMs === null || deadlineMs === undefined) return MAY_WAIT;
     const ahead = queue.countAhead(demand, now, serviceMs);
@@ -175,18 +176,19 @@
    *
    * @param late - the waiting requests that have missed their objective
    */
-  refusalsOfLate<Waiting extends { readonly demand: LinkDemand }>(
-    late: readonly Waiting[],
-    { waiting: waitingCount, connections }: Pick<QueueState, 'waiting' | 'connections'>,
+  refusalsOfLate<Request extends { readonly demand: LinkDemand }>(
+    late: readonly Request[],
+    { waiting, connections }: Pick<QueueState, 'waiting' | 'connections'>,
     { nowMs: now, serviceMs }: AdmissionTime,
-  ): readonly { readonly waiting: Waiting; readonly refusal: AdmissionError }[] {
+  ): readonly { readonly request: Request; readonly refusal: AdmissionError }[] {
     const intervalMs = late.length === 0 ? null : this.#estimator.intervalMs(connections, now);
     if (intervalMs === null) return [];
     const rate = this.#arrivals.rate(now);
-    const refusals: { waiting: Waiting; refusal: AdmissionError }[] = [];
-    let ahead = waitingCount - late.length;
-    for (const waiting of [...late].sort(compareLate)) {
-      const { tenantName, deadlineMs, dueAtMs } = waiting.demand;
+    const refusals: { request: Request; refusal: AdmissionError }[] = [];
+    // All requests that are not late, and all that arrive, precede the late ones, which follow in their own order.
+    let ahead = waiting - late.length;
+    for (const request of [...late].sort(compareLate)) {
+      const { tenantName, deadlineMs, dueAtMs } = request.demand;
       const { kind, expectedWaitMs } = decideAdmission({
         ahead,
         waiting: ahead,
@@ -199,8 +201,8 @@
         timeLeftMs: (deadlineMs ?? Number.POSITIVE_INFINITY) - now,
       });
       if (kind === 'refuse' && expectedWaitMs !== null && tenantName !== null) {
-        const basis = { expectedWaitMs, ahead, waiting: waitingCount, connections, intervalMs, now };
-        refusals.push({ waiting, refusal: this.#refuseUnservable(basis) });
+        const basis = { expectedWaitMs, ahead, waiting, connections, intervalMs, now };
+        refusals.push({ request, refusal: this.#refuseUnservable(basis) });
       } else ahead += 1;
     }
     return refusals;
--- a/src/admission/retry-schedule.ts
+++ b/src/admission/retry-schedule.ts
@@ -26,6 +26,7 @@
    * @param random - a number from 0 up to 1
    */
   next(backlogMs: number, intervalMs: number, nowMs: number, random: number): number {
+    // So far below the limit that the variation of the last places is not cut off by it.
     const latestMs = nowMs + MAX_RETRY_MS / (1 + JITTER_SHARE / 2);
     const placeMs = Math.min(Math.max(this.#nextPlaceMs, nowMs + backlogMs), latestMs);
     this.#nextPlaceMs = placeMs + intervalMs;
--- a/src/admission/wait-estimator.ts
+++ b/src/admission/wait-estimator.ts
@@ -18,9 +18,9 @@
  */
 const MAX_AGE_MS = 2000;
 /**
- * Shortest interval without any released connection that counts as a pause of the member or the daemon, in
- * milliseconds, and the same as a multiple of the time of a use. Uses during a pause say nothing about the speed
- * after it.
+ * An interval in which connections are in use and none is released counts as a pause of the member or the daemon
+ * if it is longer than both: a time in milliseconds, and a multiple of the mean use. Uses during a pause say
+ * nothing about the speed after it.
  */
 const MIN_PAUSE_MS = 60;
 const MIN_PAUSE_USES = 4;
@@ -36,6 +36,7 @@
   #measuredAtMs = Number.NEGATIVE_INFINITY;
   /** End of the latest pause, in monotonic milliseconds. */
   #pauseEndedAtMs = Number.NEGATIVE_INFINITY;
+  /** Smoothed share of the waiting requests that this pool serves itself, not another at which they wait as well. */
   #ownShare = 1;
   /** Time spent on opening connections since the last use, in milliseconds. */
   #openingMs = 0;
@@ -89,7 +90,11 @@
     return useMs === null || connections <= 0 ? null : (useMs * this.#ownShare) / connections;
   }
 
-  /** Detects at the release of a connection that none has been released for unusually long. */
+  /**
+   * Detects at the release of a connection that none has been released for unusually long.
+   *
+   * @param ms - for how long the connection was in use; shorter than the interval if it was idle meanwhile
+   */
   #detectPause(ms: number, nowMs: number): void {
     const quietMs = nowMs - this.#measuredAtMs;
     const isInUseThroughout = ms >= quietMs;
--- a/src/admission/wait-lanes.ts
+++ b/src/admission/wait-lanes.ts
@@ -33,7 +33,10 @@
   readonly counts: Record<WaitClass, number>;
 }
 
-/** Orders the lanes of all tenants and priorities. */
+/**
+ * Orders the lanes of all tenants and priorities. A request joins its lane and is offered in its class; one that
+ * becomes late is withdrawn from its class and offered in the other; one that is removed is withdrawn and leaves.
+ */
 export class WaitLanes<T> {
   readonly #accounts = new Map<string, AccountLanes<T>>();
   /** Lanes that have requests of a class, in the order in which they are served. */
@@ -98,9 +101,9 @@
 
   /** Charges a tenant with the expected duration of a use. */
   charge(accountName: string, estimateMs: number): void {
-    const first = this.#ready.onTime.peek() ?? this.#ready.late.peek();
-    const firstTag = first?.first.lane.account.startTag ?? Number.POSITIVE_INFINITY;
-    this.#shares.charge(accountName, estimateMs, firstTag);
+    const next = (this.#ready.onTime.peek() ?? this.#ready.late.peek())?.first;
+    const nextTag = next?.lane.account.startTag ?? Number.POSITIVE_INFINITY;
+    this.#shares.charge(accountName, estimateMs, nextTag);
     this.#refreshAll(accountName);
   }
 
--- a/src/admission/wait-queue.ts
+++ b/src/admission/wait-queue.ts
@@ -22,9 +22,10 @@
 /** One grant in this many goes to the request that has waited longest. */
 const OLDEST_GRANT_INTERVAL = 8;
 /**
- * Oldest grants that may go to other requests than the oldest of all, because of the tenants of the
- * connections, before the next connection is opened for the oldest. Opening one costs the member as much as a
- * request, and the oldest request is usually late.
+ * A turn of the oldest request goes to the oldest that the released connection can serve, which may be another
+ * one because of the tenants. After this many such turns, the next connection is opened for the oldest of all.
+ * It isn't opened earlier, since opening one costs the member as much as a request, and the oldest request is
+ * usually late.
  */
 const MAX_OLDEST_PASSED_OVER = 8;
 /** Weight of a new measurement in the mean time that a connection is in use. */
@@ -71,9 +72,10 @@
   );
   readonly #maxWaiting: number;
   #nextSequence = 0;
+  /** Grants since the last turn of the oldest request. */
   #grantsSinceOldest = 0;
-  /** Oldest grants that have gone to other requests since the oldest of all was last served. */
-  #oldestPassedOver = 0;
+  /** Turns of the oldest request that have gone to others since the oldest of all was last served. */
+  #oldestPassedOverCount = 0;
   /** Smoothed time that a connection is in use, in milliseconds; `null` before the first measurement. */
   #meanUseMs: number | null = null;
 
@@ -157,8 +159,8 @@
       if (entry !== undefined) covered.push(entry);
     }
     if (covered.length === this.size) return undefined;
-    const owed = this.#owed;
-    return owed !== undefined && !covered.includes(owed) ? owed : this.#first(covered);
+    const oldest = this.#passedOverOldest;
+    return oldest !== undefined && !covered.includes(oldest) ? oldest : this.#first(covered);
   }
 
   /** Removes the next request that a connection of a tenant serves, because it is granted to it. */
@@ -167,8 +169,8 @@
     const isOldestNext = this.#isOldestNext;
     const entry = isOldestNext ? this.#lanes.oldestFor(tenantName) : this.#nextFor(tenantName, []);
     if (entry === undefined) return undefined;
-    if (entry === this.#arrivals.peek()) this.#oldestPassedOver = 0;
-    else if (isOldestNext) this.#oldestPassedOver += 1;
+    if (entry === this.#arrivals.peek()) this.#oldestPassedOverCount = 0;
+    else if (isOldestNext) this.#oldestPassedOverCount += 1;
     this.#grantsSinceOldest = isOldestNext ? 0 : this.#grantsSinceOldest + 1;
     this.#delete(entry);
     return entry.item;
@@ -214,8 +216,8 @@
   }
 
   /** The oldest request, if it was passed over too often. */
-  get #owed(): WaitEntry<T> | undefined {
-    return this.#oldestPassedOver >= MAX_OLDEST_PASSED_OVER ? this.#arrivals.peek() : undefined;
+  get #passedOverOldest(): WaitEntry<T> | undefined {
+    return this.#oldestPassedOverCount >= MAX_OLDEST_PASSED_OVER ? this.#arrivals.peek() : undefined;
   }
 
   /** Moves requests that would be answered after their due time to the late ones. */
@@ -242,7 +244,7 @@
     this.#arrivals.clear();
     this.#dueTimes.clear();
     this.#lanes.clear();
-    this.#oldestPassedOver = 0;
+    this.#oldestPassedOverCount = 0;
   }
 
   /** Removes the request that would be served last. */
@@ -260,8 +262,9 @@
 
   /** The next request that a connection of a tenant serves, unless it is the turn of its oldest one. */
   #nextFor(tenantName: string, excluded: readonly WaitEntry<T>[]): WaitEntry<T> | undefined {
-    const owed = this.#owed;
-    if (owed !== undefined && acceptsTenant(owed.demand, tenantName) && !excluded.includes(owed)) return owed;
+    const oldest = this.#passedOverOldest;
+    if (oldest !== undefined && acceptsTenant(oldest.demand, tenantName) && !excluded.includes(oldest))
+      return oldest;
     return (
       this.#lanes.firstFor(tenantName, 'onTime', excluded) ??
       this.#lanes.firstFor(tenantName, 'late', excluded)
--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -104,7 +104,6 @@
   #isClosed = false;
   /** True once the member's process has ended; unlike `#isClosed`, this is permanent. */
   #hasEnded = false;
-
   readonly #admission: PoolAdmission;
 
   constructor(private readonly options: LinkPoolOptions) {
@@ -214,9 +213,9 @@
     }
     const time = { nowMs: this.options.now(), serviceMs: this.options.serviceMs() };
     const late = this.#waiters.late(time.nowMs, time.serviceMs);
-    for (const { waiting, refusal } of this.#admission.refusalsOfLate(late, this.#queueState(), time)) {
-      this.dequeue(waiting.item);
-      waiting.item.fail(refusal, this);
+    for (const { request, refusal } of this.#admission.refusalsOfLate(late, this.#queueState(), time)) {
+      this.dequeue(request.item);
+      request.item.fail(refusal, this);
     }
   }
 
