--- a/src/relay/link-pool.ts
+++ b/src/relay/link-pool.ts
@@ -10,8 +10,9 @@
 import { WaitQueue, type ConnectionUse, type WaitingRequest } from '../admission/wait-queue.js';
 import type { OutsideTraffic } from '../isolation/outside-traffic.js';
 import { NO_TENANT } from '../tenancy/tenant-registry.js';
-import { PoolAdmission, type AdmissionObserver, type QueueState } from '../admission/pool-admission.js';
-import type { LinkDemand } from './link-queue.js';
+import { OVERFLOW_REASON, PoolAdmission } from '../admission/pool-admission.js';
+import type { AdmissionObserver, AdmissionTime, QueueState } from '../admission/pool-admission.js';
+import { acceptsTenant, type LinkDemand } from './link-queue.js';
 import { LinkAcquisition, PoolTimeoutError, type PoolWaiter, type LinkSource } from './link-acquisition.js';
 import { DialError, type MemberAddress, type MemberDialer } from './member-link.js';
 import { PooledLink } from './pooled-link.js';
@@ -103,7 +104,6 @@
   #isClosed = false;
   /** True once the member's process has ended; unlike `#isClosed`, this is permanent. */
   #hasEnded = false;
-
   readonly #admission: PoolAdmission;
 
   constructor(private readonly options: LinkPoolOptions) {
@@ -147,18 +147,18 @@
   /**
    * Acquires a connection for exclusive use; return it with {@link LinkPool.release}.
    *
-   * @throws {@link PoolTimeoutError}, {@link DialError}: nothing was sent to the member
+   * @throws {@link PoolTimeoutError}, {@link DialError}, `AdmissionError`: nothing was sent to the member
    */
   async acquire(demand: LinkDemand, waitMs: number): Promise<PooledLink> {
     const wait = new LinkAcquisition<this>(demand, waitMs);
-    wait.enqueueAll([{ place: this, member: this }]);
+    wait.enqueueAll([{ source: this, member: this }]);
     const { link } = await wait.granted;
     return link as PooledLink;
   }
 
   /**
    * Grants an idle connection immediately, enqueues the request, or fails it if it can't be served before its
-   * deadline.
+   * deadline. If too many requests wait, fails the one that would be served last.
    */
   enqueue(waiter: PoolWaiter): void {
     if (this.#isClosed) {
@@ -173,17 +173,28 @@
       this.#grant(idle, waiter, nowMs);
       return;
     }
-    const serviceMs = this.options.serviceMs();
-    const refusal = this.#admission.refusalOf(demand, this.#queueState(), { nowMs, serviceMs });
+    const time = { nowMs, serviceMs: this.options.serviceMs() };
+    const { refusal, expectedWaitMs } = this.#admission.decideOnArrival(demand, this.#queueState(), time);
     if (refusal !== null) {
       waiter.fail(refusal, this);
       return;
     }
-    const rejected = this.#waiters.add(waiter, demand, nowMs, serviceMs);
-    rejected?.fail(new PoolTimeoutError('too many requests wait for a connection'), this);
+    const overflow = this.#waiters.add(waiter, demand, nowMs, time.serviceMs);
+    if (overflow !== waiter) this.#admission.beganToWait(demand, expectedWaitMs);
+    if (overflow !== null) this.#failOverflow(overflow, time);
     this.#openForWaiters();
   }
 
+  /** Fails a request that the full queue does not hold any more. */
+  #failOverflow(waiter: PoolWaiter, time: AdmissionTime): void {
+    // Requests of the daemon itself are not counted by admission, and have no use for a retry time.
+    const isOwn = waiter.demand.tenantName === null;
+    const error = isOwn
+      ? new PoolTimeoutError(OVERFLOW_REASON)
+      : this.#admission.refuseOverflow(this.#queueState(), time);
+    waiter.fail(error, this);
+  }
+
   /** Removes a request from the queue. */
   dequeue(waiter: PoolWaiter, isServedElsewhere = false): void {
     if (this.#waiters.remove(waiter) && isServedElsewhere) this.#admission.servedElsewhere(waiter.demand);
@@ -191,15 +202,20 @@
 
   /**
    * Fails waiting requests that have missed their latency objective and can't be served before their deadline
-   * any more; to be called every few tens of milliseconds.
+   * any more, and all of them if the pool may have no connections; to be called every few tens of milliseconds.
    */
   refuseUnservable(): void {
     if (this.#waiters.size === 0) return;
+    if (this.options.budget() <= 0) {
+      // Each connection is closed when it is released. The requests may go to the member through a gateway.
+      this.rejectWaiters('the daemon no longer connects to the member');
+      return;
+    }
     const time = { nowMs: this.options.now(), serviceMs: this.options.serviceMs() };
     const late = this.#waiters.late(time.nowMs, time.serviceMs);
-    for (const { waiting, refusal } of this.#admission.refusalsOfLate(late, this.#queueState(), time)) {
-      this.dequeue(waiting.item);
-      waiting.item.fail(refusal, this);
+    for (const { request, refusal } of this.#admission.refusalsOfLate(late, this.#queueState(), time)) {
+      this.dequeue(request.item);
+      request.item.fail(refusal, this);
     }
   }
 
@@ -239,15 +255,17 @@
   release(link: PooledLink): void {
     const nowMs = this.options.now();
     this.#endUse(link, nowMs, true);
+    if (this.#waiters.size > 0 && this.#mustYieldToOtherTenant(link)) link.close();
+    else this.#offer(link, nowMs);
+  }
+
+  /** Grants a connection to the next request that it can serve, or keeps it idle; closes it if it can't be kept. */
+  #offer(link: PooledLink, nowMs: number): void {
     if (!link.isClean || this.#isClosed || this.size > this.options.budget()) {
       link.close();
       return;
     }
     if (this.#waiters.size > 0) {
-      if (this.#mustYieldToOtherTenant(link)) {
-        link.close();
-        return;
-      }
       const serviceMs = this.options.serviceMs();
       const next = this.#waiters.peekFor(link.tenantName, nowMs, serviceMs);
       if (next !== undefined) {
@@ -441,25 +459,28 @@
     // The member continues to set up a connection that the daemon has abandoned. So a slow attempt is not
     // aborted; instead, waiting requests are rejected so that they can use another member.
     const timer = setInterval(() => this.#onSlowDial(tenantName), dialTimeoutMs).unref();
-    dialer
-      .dial({ ...address, tenantName }, dialTimeoutMs, ACCEPT_TIMEOUT_MS)
-      .finally(() => {
-        clearInterval(timer);
-        this.#dialing.splice(this.#dialing.indexOf(tenantName), 1);
-      })
-      .then(
-        (memberLink) => {
-          this.#consecutiveSlowDials = 0;
-          if (isReplacement) this.#admission.replaced(this.options.now() - startedAtMs);
-          this.#add(new PooledLink(memberLink, tenantName));
-          this.#openForWaiters();
-        },
-        (error: unknown) =>
-          this.#onDialFailed(
-            tenantName,
-            error instanceof DialError ? error : new DialError('lost', String(error)),
-          ),
-      );
+    // Not in a `finally` before: until the connection is added, another request could open one beyond the budget.
+    const endDial = (): void => {
+      clearInterval(timer);
+      this.#dialing.splice(this.#dialing.indexOf(tenantName), 1);
+    };
+    dialer.dial({ ...address, tenantName }, dialTimeoutMs, ACCEPT_TIMEOUT_MS).then(
+      (memberLink) => {
+        endDial();
+        this.#consecutiveSlowDials = 0;
+        const nowMs = this.options.now();
+        if (isReplacement) this.#admission.replaced(nowMs - startedAtMs, nowMs);
+        this.#add(new PooledLink(memberLink, tenantName));
+        this.#openForWaiters();
+      },
+      (error: unknown) => {
+        endDial();
+        this.#onDialFailed(
+          tenantName,
+          error instanceof DialError ? error : new DialError('lost', String(error)),
+        );
+      },
+    );
   }
 
   /**
@@ -475,7 +496,8 @@
   #add(link: PooledLink): void {
     this.#links.add(link);
     link.onClosed((isByPeer) => this.#onLinkClosed(link, isByPeer));
-    if (link.isOpen) this.release(link);
+    // A new connection need not yield to another tenant before it has served the request that it was opened for.
+    if (link.isOpen) this.#offer(link, this.options.now());
     else this.#onLinkClosed(link, true);
   }
 
@@ -528,8 +550,3 @@
     return pauseMs * (1 - this.options.random() / 2);
   }
 }
-
-/** True if a connection of the tenant satisfies the demand. */
-function acceptsTenant(demand: LinkDemand, tenantName: string): boolean {
-  return demand.tenantName === null || demand.tenantName === tenantName;
-}
