Gateways are not taken for silent because of the borrower's own delays

Cause: timers that are due after a delay run before the input that arrived meanwhile is read. Only the loans were protected from a pause of over 250 ms between two checks: two delays of 240 ms in a row ended them although the replies were waiting to be read. After a pause of over 400 ms each gateway that owed a reply got no loans for 600 ms, and after one of over 1.2 s its connection was closed, which leaves the writes sent over it in doubt.

Change: silence, the time-out for opening a connection, and the time after which it is closed are measured in time that counts at most 100 ms for each check and nothing for a pause, unless the check before was late by a pause as well. Whether a gateway is asked for quota grants and configuration proofs still depends on the plain time.

--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -17,6 +17,7 @@
 import { MemberLoads, type GatewayLoad } from '../placement/member-load.js';
 import { RequestTimes } from '../placement/request-times.js';
 import { ZoneLatency } from '../placement/zone-latency.js';
+import { AttendedTime } from './attended-time.js';
 import { BorrowedLink, type LoanConnection } from './borrowed-link.js';
 import {
   GRANT_FEATURE,
@@ -30,15 +31,13 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Time without any message, while a reply is awaited, after which a ping is sent, in milliseconds. */
 const PING_INTERVAL_MS = 150;
-/** The same time after which a gateway counts as unresponsive and gets no new loans, in milliseconds. */
+/**
+ * The same time, without delays of this process, after which a gateway counts as unresponsive and gets no new
+ * loans, in milliseconds.
+ */
 const UNRESPONSIVE_AFTER_MS = 400;
 /** The same time after which the connection is closed, in milliseconds. */
 const CLOSE_AFTER_MS = 1200;
-/**
- * Interval between two checks above which this process counts as paused, in milliseconds. Replies that arrived
- * during a pause have not been read yet, so the silence of that time proves nothing.
- */
-const PAUSED_CHECK_INTERVAL_MS = 250;
 /** Delay before a gateway that was unresponsive or unreachable is tried again, in milliseconds. */
 const RETRY_DELAY_MS = 600;
 
@@ -108,6 +107,12 @@
   invalidReport(gatewayName: string): void;
 }
 
+/** A moment of the monotonic clock, and the attended time then, both in milliseconds. */
+interface Moment {
+  readonly ms: number;
+  readonly attendedMs: number;
+}
+
 /** The connection to one gateway. */
 class GatewayConnection {
   isLeaving = false;
@@ -118,7 +123,7 @@
   readonly #requestTimes = new RequestTimes();
   readonly #evidence = new EvidenceReader();
   readonly #channel: MessageChannel<GatewayMessage>;
-  readonly #openedAtMs: number;
+  readonly #openedAt: Moment;
   readonly #gatewayName: string;
   #isConnected = false;
   /** Messages that wait until the connection is open, so that they can still be withdrawn. */
@@ -131,10 +136,9 @@
   /** True from the time when the loans were notified of the gateway's silence until its next message. */
   #isSilent = false;
   /**
-   * Time since which a reply has been awaited without any message arriving, in monotonic milliseconds; `null`
-   * if none is awaited.
+   * Time since which a reply has been awaited without any message arriving; `null` if none is awaited.
    */
-  #awaitingSinceMs: number | null = null;
+  #awaitingSince: Moment | null = null;
   #lastPingMs = Number.NEGATIVE_INFINITY;
   #lastLoanId = 1;
 
@@ -143,10 +147,11 @@
     localAddress: string,
     private readonly records: LoadRecords,
     private readonly now: () => number,
+    private readonly attendedTime: Pick<AttendedTime, 'valueMs'>,
     private readonly onClosed: () => void,
     onRefused: () => void,
   ) {
-    this.#openedAtMs = now();
+    this.#openedAt = this.#moment();
     this.#gatewayName = record.name;
     const socket = connect({ host: record.host, port: record.gatewayPort, localAddress });
     socket.once('connect', () => this.#handleConnect());
@@ -171,7 +176,12 @@
 
   /** Time without any message while a reply is awaited, in milliseconds. */
   get unansweredMs(): number {
-    return this.#awaitingSinceMs === null ? 0 : this.now() - this.#awaitingSinceMs;
+    return this.#awaitingSince === null ? 0 : this.now() - this.#awaitingSince.ms;
+  }
+
+  /** The part of that time for which the gateway can be held responsible, rather than delays of this process. */
+  get silentMs(): number {
+    return this.#awaitingSince === null ? 0 : this.#elapsedAttendedMs(this.#awaitingSince);
   }
 
   borrow(terms: LoanTerms): BorrowedLink {
@@ -207,7 +217,7 @@
 
   /** Awaits a reply from now on, unless one is awaited already. */
   startReplyClock(): void {
-    this.#awaitingSinceMs ??= this.now();
+    this.#awaitingSince ??= this.#moment();
   }
 
   /**
@@ -216,8 +226,9 @@
    */
   check(): void {
     const nowMs = this.now();
-    if (!this.#isConnected && nowMs - this.#openedAtMs > CONNECT_TIMEOUT_MS) this.#channel.destroy();
-    if (this.unansweredMs > CLOSE_AFTER_MS) this.#channel.destroy();
+    if (!this.#isConnected && this.#elapsedAttendedMs(this.#openedAt) > CONNECT_TIMEOUT_MS)
+      this.#channel.destroy();
+    if (this.silentMs > CLOSE_AFTER_MS) this.#channel.destroy();
     if (this.unansweredMs < PING_INTERVAL_MS || nowMs - this.#lastPingMs < PING_INTERVAL_MS) return;
     this.#lastPingMs = nowMs;
     this.#channel.send({ type: 'ping' });
@@ -233,13 +244,22 @@
   /** Records when bytes were last received, and since when a reply has been awaited. */
   recordTraffic(traffic: OutsideTraffic): void {
     if (this.#channel.bytesReceived > 0) traffic.recordReceived(this.#channel.lastReceivedMs);
-    if (this.#awaitingSinceMs !== null) traffic.recordWaiting(this.#awaitingSinceMs);
+    if (this.#awaitingSince !== null) traffic.recordWaiting(this.#awaitingSince.ms);
   }
 
   close(): void {
     this.#channel.destroy();
   }
 
+  #moment(): Moment {
+    return { ms: this.now(), attendedMs: this.attendedTime.valueMs };
+  }
+
+  /** The shorter of two times: a check also counts the time before the moment, since the check before it. */
+  #elapsedAttendedMs(since: Moment): number {
+    return Math.min(this.now() - since.ms, this.attendedTime.valueMs - since.attendedMs);
+  }
+
   /** Sends a ping, since a gateway of the build before sends nothing of its own accord. */
   #requestFirstMessage(): void {
     if (this.#isFirstMessageWanted) return;
@@ -254,7 +274,7 @@
   }
 
   #transmit(message: GatewayMessage): void {
-    if (isReplyDue(message)) this.#awaitingSinceMs ??= this.now();
+    if (isReplyDue(message)) this.startReplyClock();
     if (message.type === 'request') this.#requestTimes.started(message.loan, this.now());
     if (this.#isConnected) this.#channel.send(message);
     else this.#heldMessages.push(message);
@@ -311,7 +331,7 @@
         break;
     }
     if (isFirst) for (const link of [...this.loans.values()]) link.handleFirstMessage();
-    this.#awaitingSinceMs = this.#isAwaitingReply() ? this.now() : null;
+    this.#awaitingSince = this.#isAwaitingReply() ? this.#moment() : null;
   }
 
   /** Records the load report on a reply, if any, and the round-trip time. */
@@ -346,7 +366,7 @@
     this.#loadByLoan.delete(loan);
     this.#requestTimes.forget(loan);
     // A silent gateway stays unresponsive without loans, until it replies to a ping.
-    if (!this.#isSilent && !this.#isAwaitingReply()) this.#awaitingSinceMs = null;
+    if (!this.#isSilent && !this.#isAwaitingReply()) this.#awaitingSince = null;
   }
 
   #handleClose(): void {
@@ -378,9 +398,7 @@
   /** Zone of the only gateways that may lend, which have to be available; `null` for no restriction. */
   #onlyZone: string | null = null;
   #lastRequestId = 1;
-  #checkedAtMs = Number.NEGATIVE_INFINITY;
-  /** When this process last continued after a pause, in monotonic milliseconds. */
-  #resumedAtMs = Number.NEGATIVE_INFINITY;
+  readonly #attendedTime = new AttendedTime();
 
   /**
    * @param localAddress - the daemon's own address, from which connections are opened
@@ -530,15 +548,13 @@
    * called every few tens of milliseconds.
    */
   check(): void {
-    const nowMs = this.now();
-    if (nowMs - this.#checkedAtMs > PAUSED_CHECK_INTERVAL_MS) this.#resumedAtMs = nowMs;
-    this.#checkedAtMs = nowMs;
+    this.#attendedTime.check(this.now());
     for (const [key, connection] of [...this.#connections]) {
-      const { unansweredMs } = connection;
-      if (unansweredMs > UNRESPONSIVE_AFTER_MS) this.#markUnavailable(key);
-      // Marked first, so that what is tried again does not use the same gateway.
-      if (Math.min(unansweredMs, nowMs - this.#resumedAtMs) > UNRESPONSIVE_AFTER_MS)
+      if (connection.silentMs > UNRESPONSIVE_AFTER_MS) {
+        // Marked first, so that what is tried again does not use the same gateway.
+        this.#markUnavailable(key);
         connection.handleSilence();
+      }
       connection.check();
     }
   }
@@ -608,6 +624,7 @@
       this.localAddress,
       this,
       this.now,
+      this.#attendedTime,
       onClosed,
       onRefused,
     );
