The connection to one gateway has a module of its own

Cause: gateway-client.ts held two classes in more than 600 lines: the connection to one gateway, and the choice among all of them.

Change: GatewayConnection, the terms of loans and the types of requests between daemons move to gateway-connection.ts, without a change of behaviour; imports follow.

Result: run-tests.js src/gateway: 114 passed.

--- a/src/gateway/loan-order.test.ts
+++ b/src/gateway/loan-order.test.ts
@@ -12,7 +12,8 @@
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import { LinkPool } from '../relay/link-pool.js';
 import type { BorrowedLink } from './borrowed-link.js';
-import { GatewayClient, type LoanTerms } from './gateway-client.js';
+import { GatewayClient } from './gateway-client.js';
+import type { LoanTerms } from './gateway-connection.js';
 import { GatewayServer } from './gateway-server.js';
 
 /** An address specific to this process, so that concurrent test runs do not conflict. */
--- a/src/gateway/member-connections.test.ts
+++ b/src/gateway/member-connections.test.ts
@@ -13,7 +13,8 @@
 import { MemberLoads } from '../placement/member-load.js';
 import { daemonRecord } from '../../test/support/daemon-records.js';
 import type { SessionLink } from '../relay/session-link.js';
-import type { GatewayClient, LoanTerms } from './gateway-client.js';
+import type { GatewayClient } from './gateway-client.js';
+import type { LoanTerms } from './gateway-connection.js';
 import { MemberConnections } from './member-connections.js';
 
 const DEMAND: LinkDemand = { tenantName: null, values: new Map(), isWrite: false, priority: 1, dueAtMs: 0 };
--- a/src/gateway/member-connections.ts
+++ b/src/gateway/member-connections.ts
@@ -13,7 +13,8 @@
 import type { Assignment } from './assign-gateways.js';
 import { gatewaysOfTenant } from './tenant-gateways.js';
 import type { BorrowedLink } from './borrowed-link.js';
-import type { GatewayClient, LoanTerms } from './gateway-client.js';
+import type { GatewayClient } from './gateway-client.js';
+import type { LoanTerms } from './gateway-connection.js';
 
 /** Where the connections to one member come from: the own pool, or other daemons. */
 export interface ConnectionSources {
