A gateway that was silent is used again after its next message

Cause: a gateway that had been silent counted as unavailable while any reply of it was awaited, since the time without a message was compared with 0 and is above 0 right after each message. With a request that stays unanswered, such as a write in doubt, it got no loans until that request ended, as long as another gateway was available. The design says that it gets none until it has sent a message.

Change: it counts as available again once a message has arrived, after the delay of 600 ms as before.

--- a/src/gateway/gateway-client.test.ts
+++ b/src/gateway/gateway-client.test.ts
@@ -158,3 +158,36 @@
   });
   client.close();
 });
+
+// Guards against a gateway that stays out of use after it has recovered, as long as one of its replies is awaited.
+test('a gateway that was silent is used again after its next message, also while a reply is awaited', async () => {
+  const clock = { now: 0 };
+  const slow = recordOf('slow', 23_876);
+  const server = new GatewayServer({ ...ports, grant: () => new Promise<never>(() => undefined) });
+  await server.listen(HOST, slow.gatewayPort);
+  const client = new GatewayClient(
+    HOST,
+    () => clock.now,
+    () => 0,
+  );
+  await client.requestEvidence(slow, 10_000);
+  const request = {
+    tenantName: 'amber',
+    quota: { ratePerS: 1, burst: 1 },
+    count: 1,
+    isForHome: false,
+    isPassedOn: false,
+    hasHomeRetired: false,
+  };
+  const granted = client.requestGrant(slow, request, 60_000);
+  for (; clock.now <= 600; clock.now += 50) client.check();
+  assert.equal(client.choose([slow, available])?.name, 'alive', 'while it is silent');
+  clock.now += 900;
+  // A reply arrives, but not the one to the first request.
+  await client.requestEvidence(slow, 10_000);
+  clock.now += 1;
+  assert.equal(client.choose([slow, available])?.name, 'slow', 'after its message');
+  client.close();
+  assert.equal(await granted, null);
+  server.close();
+});
--- a/src/gateway/gateway-client.ts
+++ b/src/gateway/gateway-client.ts
@@ -227,7 +227,7 @@
     if (!this.#unavailable.has(key)) return true;
     const existing = this.#connections.get(key);
     if (existing === undefined) this.#connection(record).probe();
-    if (existing?.hasReplied !== true || existing.unansweredMs > 0) return false;
+    if (existing?.hasReplied !== true || existing.isSilent) return false;
     this.#unavailable.delete(key);
     return true;
   }
--- a/src/gateway/gateway-connection.ts
+++ b/src/gateway/gateway-connection.ts
@@ -125,7 +125,6 @@
   #hasReplied = false;
   #hasGrants = false;
   #isFirstMessageWanted = false;
-  /** True from the time when the loans were notified of the gateway's silence until its next message. */
   #isSilent = false;
   /**
    * Time since which a reply has been awaited without any message arriving; `null` if none is awaited.
@@ -166,6 +165,11 @@
     return this.#hasReplied;
   }
 
+  /** True from the time when the loans were notified of the gateway's silence until its next message. */
+  get isSilent(): boolean {
+    return this.#isSilent;
+  }
+
   /** Time without any message while a reply is awaited, in milliseconds. */
   get unansweredMs(): number {
     return this.#awaitingSince === null ? 0 : this.now() - this.#awaitingSince.ms;
