Reads that end without an answer do not count as answers of the member

Cause: when a read was given up (lost connection, deadline), the time of the last answer of the member was set as well. At a member that hangs, reads end one after the other, so the wait for an answer started anew with each of them, did not reach the threshold of a slow member, and the member regained its whole share without answering.

Change: PendingReads.giveUp ends a read without recording an answer; the read runner uses it unless a reply has arrived.

--- a/src/placement/assess.test.ts
+++ b/src/placement/assess.test.ts
@@ -130,6 +130,23 @@
   assert.equal(assess(0.9)[0]?.isWithheld, false);
 });
 
+// Reads at a member that hangs end one after the other at their deadlines. If these ends counted as answers, the
+// wait would start anew with each of them, and the member would regain its share without answering.
+test('reads that end without an answer do not hide that the others have none', () => {
+  const { clock, members, assess } = scene();
+  const pendingReads = members[0]?.pendingReads;
+  assert.ok(pendingReads !== undefined);
+  const reads = Array.from({ length: 200 }, (_, index) => pendingReads.start(index * 50));
+  for (const [index, read] of reads.entries()) {
+    clock.now = 800 + index * 50;
+    pendingReads.giveUp(read);
+    const isLast = index === reads.length - 1;
+    if (!isLast) assert.equal(assess(0.9)[0]?.isWithheld, true, `${clock.now}`);
+  }
+  clock.now += 3000;
+  assert.equal(assess(0.9)[0]?.isWithheld, false, 'nothing is awaited any more');
+});
+
 test('a delay of the own process makes no member slow', () => {
   const { clock, members, placement, events, assess } = scene();
   const [own, near] = members;
--- a/src/placement/pending-reads.ts
+++ b/src/placement/pending-reads.ts
@@ -15,20 +15,25 @@
   readonly #reads = new Set<PendingRead>();
   #answeredAtMs = Number.NEGATIVE_INFINITY;
 
-  /** Records that a read is sent now; to be ended with {@link PendingReads.end}. */
+  /** Records that a read is sent now; to be ended with {@link PendingReads.end} or {@link PendingReads.giveUp}. */
   start(nowMs: number): PendingRead {
     const read = { sentAtMs: nowMs };
     this.#reads.add(read);
     return read;
   }
 
-  /** Records that a read was answered now, or given up. */
+  /** Records that a read was answered now. */
   end(read: PendingRead, nowMs: number): void {
     if (this.#reads.delete(read)) this.#answeredAtMs = nowMs;
   }
 
+  /** Records that a read has ended without an answer, which says nothing about the others. */
+  giveUp(read: PendingRead): void {
+    this.#reads.delete(read);
+  }
+
   /**
-   * For how long reads have waited without any other read having ended, in milliseconds; 0 without reads.
+   * For how long reads have waited without any other read having been answered, in milliseconds; 0 without reads.
    *
    * @param sinceMs - waits before this time do not count, in monotonic milliseconds
    */
--- a/src/relay/read-runner.test.ts
+++ b/src/relay/read-runner.test.ts
@@ -19,7 +19,7 @@
 /** A member whose replies the test triggers. */
 class FakeMember {
   readonly requests: MemberRequest[] = [];
-  readonly #pendingReplies: ((reply: MemberReply) => void)[] = [];
+  readonly #pendingReplies: ((reply: MemberReply | Promise<never>) => void)[] = [];
 
   dial(): Promise<MemberLink> {
     return Promise.resolve({
@@ -45,6 +45,11 @@
     });
   }
 
+  /** Loses the connection of the oldest request. */
+  lose(): void {
+    this.#pendingReplies.shift()?.(Promise.reject(new LinkLostError('lost')));
+  }
+
   /** Answers the oldest request. */
   answer(signature: string): void {
     const resolve = this.#pendingReplies.shift();
@@ -197,3 +202,24 @@
   leader.refuse();
   await refused;
 });
+
+// A member that hangs loses one read after the other. If a lost read counted as an answer, the member would seem to
+// answer, and would get its usual share of the reads.
+test('a read whose connection is lost is no sign that the member answers other reads', async () => {
+  const { group, clock, leader, replica, read } = scene();
+  group.recordLeaderPosition(clock.now - 100, { term: 1, index: 5 });
+  const outcomes = [read('a'), read('b')];
+  await drainEventLoop();
+  const pendingReads = group.members.get('replica')?.pendingReads;
+  assert.equal(replica.requests.length, 1);
+  pendingReads?.start(clock.now);
+  clock.now += 500;
+  replica.lose();
+  await drainEventLoop();
+  const unansweredMs = pendingReads?.unansweredMs(clock.now);
+  clock.now += ROUTE.timeoutMs;
+  leader.answer('one');
+  group.changed.notify();
+  await Promise.allSettled(outcomes);
+  assert.equal(unansweredMs, 500);
+});
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -570,6 +570,7 @@
     );
     link.onUnresponsive(() => this.#handleSilence(pending, member));
     let isSent = false;
+    let isAnswered = false;
     let pendingRead: PendingRead | null = null;
     try {
       if (leader !== null && !(await mayReadAsLeader(context, job.group, leader, link, after)))
@@ -585,6 +586,7 @@
         return null;
       });
       if (typeof reply === 'string') return { kind: 'not_run', reason: reply, members };
+      isAnswered = true;
       const { result, position } = reply.reply;
       if (leader !== null) this.#logAnswerInDoubt(member, leader, after, reply.reply);
       if (leader !== null && result.isComplete && !isNonEmptyLog(after)) {
@@ -604,7 +606,10 @@
       return { kind: isLost ? 'lost' : 'not_run', reason: `connection lost: ${String(error)}`, members };
     } finally {
       clearTimeout(deadlineTimer);
-      if (pendingRead !== null) member.pendingReads.end(pendingRead, context.now());
+      if (pendingRead !== null) {
+        if (isAnswered) member.pendingReads.end(pendingRead, context.now());
+        else member.pendingReads.giveUp(pendingRead);
+      }
     }
   }
 
