Repeated short pauses do not prolong an isolation

Cause: every pause of the process of 200 ms or more restarted the time for which bytes have to arrive until the isolation ends. A process that is short of processor time and paused more often than every 500 ms (3 s without evidence of most leaders) stayed isolated although its paths had healed.

Change: only a pause as long as the gap that interrupts a contact (400 ms) restarts that time; for shorter ones the rule on gaps between bytes decides.

--- a/src/isolation/isolation-detector.test.ts
+++ b/src/isolation/isolation-detector.test.ts
@@ -116,6 +116,20 @@
     assert.equal(scene.runUntil(CUT_MS + 6000), 'isolated');
   });
 
+  test('recovers although its process is paused repeatedly', () => {
+    const scene = isolatedScene();
+    scene.isReceiving = true;
+    const states = Array.from({ length: 4 }, () => scene.tick(250));
+    assert.deepEqual(states, ['isolated', 'isolated', 'connected', 'connected']);
+  });
+
+  test('does not recover because of bytes before and after a long pause', () => {
+    const scene = isolatedScene();
+    scene.isReceiving = true;
+    scene.tick();
+    assert.equal(scene.tick(5000), 'isolated');
+  });
+
   test('waits for evidence of most leaders, but only for a limited time', () => {
     const scene = isolatedScene();
     scene.isReceiving = true;
--- a/src/isolation/isolation-detector.ts
+++ b/src/isolation/isolation-detector.ts
@@ -67,15 +67,18 @@
   /** Updates and returns the state. */
   update(observation: IsolationObservation): IsolationState {
     const { nowMs } = observation;
-    if (this.#updatedAtMs === null || nowMs - this.#updatedAtMs >= PAUSE_MS) this.#resume(nowMs);
+    const sinceUpdateMs = nowMs - (this.#updatedAtMs ?? Number.NEGATIVE_INFINITY);
+    if (sinceUpdateMs >= PAUSE_MS) this.#resume(nowMs, sinceUpdateMs);
     this.#updatedAtMs = nowMs;
     this.#state = observation.hasOutsideDaemons ? this.#next(observation) : 'connected';
     return this.#state;
   }
 
-  #resume(nowMs: number): void {
+  #resume(nowMs: number, pauseMs: number): void {
     this.#resumedAtMs = nowMs;
-    this.#contactSinceMs = null;
+    // A shorter pause leaves it to the gap between bytes whether the contact goes on: a process that is short of
+    // processor time is paused repeatedly, and its isolation would never end.
+    if (pauseMs >= MAX_CONTACT_GAP_MS) this.#contactSinceMs = null;
     if (this.#state === 'suspicious') this.#state = 'connected';
   }
 
