The candidates of a read have a module of their own

Cause: read-runner.ts had more than 700 lines, 120 of which are also used by transactions, sessions and the placement model and know nothing of attempts.

Result: src/placement 47, src/isolation 26, src/topology 63 and src/relay/ 149 tests passed, none failed.

--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -11,7 +11,8 @@
 import type { Route } from '../topology/catalog.js';
 import type { MemberGroup } from '../topology/member-group.js';
 import type { MemberErrorCode, MemberReply } from './member-link.js';
-import { readFloor, ReadRunner } from './read-runner.js';
+import { readFloor } from './read-candidates.js';
+import { ReadRunner } from './read-runner.js';
 import { OTHER_DAEMON_RETRY_AFTER_MS, refusalOfInterrupted } from './interrupted-request.js';
 import { Refusal, type RefusalCode } from './refusal.js';
 import { RETRY_AFTER_MS, UNPROVEN_RETRY_AFTER_MS, type RelayContext } from './relay-context.js';
@@ -138,8 +139,8 @@
   }
 
   /**
-   * Closes the session because the daemon is stopping or hands its clients over: an open transaction is rolled back, and requests that
-   * arrive afterwards get the returned refusal.
+   * Closes the session because the daemon is stopping or hands its clients over: an open transaction is rolled
+   * back, and requests that arrive afterwards get the returned refusal.
    */
   closeForShutdown(reason = STOPPING_REASON): Refusal {
     const code = this.#state === 'idle' ? 'busy' : 'aborted';
--- a/src/relay/transaction.ts
+++ b/src/relay/transaction.ts
@@ -30,7 +30,7 @@
   readFloor,
   readPreferences,
   recordReplicaProgress,
-} from './read-runner.js';
+} from './read-candidates.js';
 import { overloadRefusal, Refusal, type RefusalDetails } from './refusal.js';
 import { maxHoldMs } from './early-refusal.js';
 import { awaitRetryPermit } from './retry-permit.js';
--- a/test/support/placement-model.ts
+++ b/test/support/placement-model.ts
@@ -12,7 +12,7 @@
 import { Placement } from '../../src/placement/placement.js';
 import { RecentLatency } from '../../src/placement/recent-latency.js';
 import { ZoneLatency } from '../../src/placement/zone-latency.js';
-import { readCandidates, readPreferences } from '../../src/relay/read-runner.js';
+import { readCandidates, readPreferences } from '../../src/relay/read-candidates.js';
 import type { RelayContext } from '../../src/relay/relay-context.js';
 import { Catalog } from '../../src/topology/catalog.js';
 import { Member, MemberGroup } from '../../src/topology/member-group.js';
