The loops of the isolation detector and the read runner are split by step

Cause: isSilent and hasRecovered changed state although their names are those of conditions, and the loop of a read also held the bookkeeping of a failed attempt and of the wait for a member.

Change: the detector records the start of a suspicion and the contact outside of conditions; ReadRunner has waitForMember and exclude. Behaviour is the same.

--- a/src/isolation/isolation-detector.ts
+++ b/src/isolation/isolation-detector.ts
@@ -85,34 +85,37 @@
   #next(observation: IsolationObservation): IsolationState {
     const { nowMs, lastReceivedMs } = observation;
     switch (this.#state) {
-      case 'connected':
-        return this.#isSilent(observation) ? 'suspicious' : 'connected';
+      case 'connected': {
+        const silentSinceMs = this.#countedSilenceStart(observation);
+        if (silentSinceMs === null || nowMs - silentSinceMs < SUSPICION_MS) return 'connected';
+        this.#silentSinceMs = silentSinceMs;
+        this.#suspiciousSinceMs = nowMs;
+        return 'suspicious';
+      }
       case 'suspicious':
         if (lastReceivedMs > this.#silentSinceMs) return 'connected';
         if (nowMs - this.#suspiciousSinceMs < PING_ANSWER_MS) return 'suspicious';
         this.#contactSinceMs = null;
         return 'isolated';
       case 'isolated':
+        this.#updateContact(observation);
         return this.#hasRecovered(observation) ? 'connected' : 'isolated';
     }
   }
 
-  #isSilent({ nowMs, silentSinceMs }: IsolationObservation): boolean {
-    if (silentSinceMs === null) return false;
-    const sinceMs = Math.max(silentSinceMs, this.#resumedAtMs);
-    if (nowMs - sinceMs < SUSPICION_MS) return false;
-    this.#silentSinceMs = sinceMs;
-    this.#suspiciousSinceMs = nowMs;
-    return true;
+  /** Start of the current silence, not counting pauses of this process; `null` without one. */
+  #countedSilenceStart({ silentSinceMs }: IsolationObservation): number | null {
+    return silentSinceMs === null ? null : Math.max(silentSinceMs, this.#resumedAtMs);
   }
 
-  #hasRecovered({ nowMs, lastReceivedMs, hasMostEvidence }: IsolationObservation): boolean {
+  /** Records whether bytes have arrived without a long gap since the isolation began. */
+  #updateContact({ nowMs, lastReceivedMs }: IsolationObservation): void {
     const isInContact = lastReceivedMs > this.#silentSinceMs && nowMs - lastReceivedMs < MAX_CONTACT_GAP_MS;
-    if (!isInContact) {
-      this.#contactSinceMs = null;
-      return false;
-    }
-    this.#contactSinceMs ??= nowMs;
+    this.#contactSinceMs = isInContact ? (this.#contactSinceMs ?? nowMs) : null;
+  }
+
+  #hasRecovered({ nowMs, hasMostEvidence }: IsolationObservation): boolean {
+    if (this.#contactSinceMs === null) return false;
     const requiredMs = hasMostEvidence ? CONTACT_MS : CONTACT_WITHOUT_EVIDENCE_MS;
     return nowMs - this.#contactSinceMs >= requiredMs;
   }
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -199,10 +199,7 @@
           if (this.#isCutOff() || this.#shouldRefuseEarly() || this.#haveAllRefused())
             return this.#resultWithoutAnswer();
         }
-        this.#excluded.clear();
-        this.#unreachable.clear();
-        const waitMs = Math.min(RETRY_DELAY_MS, remaining);
-        await Promise.race([this.job.group.changed.wait(waitMs), this.#attemptChanged.wait(waitMs)]);
+        await this.#waitForMember(remaining);
         continue;
       }
       const attempt = await this.#nextEndedAttempt(remaining);
@@ -214,21 +211,35 @@
         if (this.#failureCount >= MAX_FAILURES) return attempt.reply;
       }
       this.#lastReason = attempt.reason;
+      // The refusals because of load are kept apart, since they exclude gateways as well as members.
       if (attempt.kind === 'overloaded') continue;
-      const members = [...attempt.members].map(({ entry }) => entry.memberId);
-      for (const memberId of members) this.#excluded.add(memberId);
-      this.context.observer.notable({
-        requestId: this.job.requestId,
-        decision: 'read_elsewhere',
-        member: members.join(','),
-        reason: attempt.reason,
-        outcome: attempt.kind === 'busy' ? 'not_run' : attempt.kind,
-      });
+      this.#exclude(attempt.members, attempt.reason, attempt.kind === 'busy' ? 'not_run' : attempt.kind);
       const isLast = this.#pending.size === 0 && this.#endedAttempts.length === 0;
       if (attempt.kind === 'busy' && isLast && !(await this.#mayRetry())) return this.#resultWithoutAnswer();
     }
   }
 
+  /** Waits shortly until a member may be able to serve the read; those that have failed are then tried again. */
+  async #waitForMember(remainingMs: number): Promise<void> {
+    this.#excluded.clear();
+    this.#unreachable.clear();
+    const waitMs = Math.min(RETRY_DELAY_MS, remainingMs);
+    await Promise.race([this.job.group.changed.wait(waitMs), this.#attemptChanged.wait(waitMs)]);
+  }
+
+  /** Excludes the members of a failed attempt from the next ones, and logs the attempt. */
+  #exclude(members: Iterable<Member>, reason: string, outcome: string): void {
+    const memberIds = [...members].map(({ entry }) => entry.memberId);
+    for (const memberId of memberIds) this.#excluded.add(memberId);
+    this.context.observer.notable({
+      requestId: this.job.requestId,
+      decision: 'read_elsewhere',
+      member: memberIds.join(','),
+      reason,
+      outcome,
+    });
+  }
+
   /** Waits until the read may be sent again after a member has refused it because of load. */
   #mayRetry(): Promise<boolean> {
     const { group, route, receivedAtMs, deadlineMs } = this.job;
