An answer that is there at the deadline of a read is delivered

Cause: the loop of a read checked the deadline before the attempts that had already ended. If one attempt failed and another was answered in the same turn of the event loop after the deadline, the read ended with the failure and the answer was dropped.

Change: attempts that have ended are processed first.

--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -191,8 +191,11 @@
   async #run(): Promise<MemberReply> {
     for (;;) {
       const remaining = this.job.deadlineMs - this.context.now();
-      if (remaining <= 0 || this.#isAbandoned) return this.#resultWithoutAnswer();
-      if (this.#endedAttempts.length === 0) this.#scheduleAttempt();
+      if (this.#isAbandoned) return this.#resultWithoutAnswer();
+      if (this.#endedAttempts.length === 0) {
+        if (remaining <= 0) return this.#resultWithoutAnswer();
+        this.#scheduleAttempt();
+      }
       if (this.#isWithoutProspect()) {
         if (this.#pending.size === 0) {
           if (this.#failedReply !== null && this.#failureCount >= MAX_FAILURES) return this.#failedReply;
