--- a/src/isolation/isolation-detector.ts
+++ b/src/isolation/isolation-detector.ts
@@ -67,49 +67,55 @@
   /** Updates and returns the state. */
   update(observation: IsolationObservation): IsolationState {
     const { nowMs } = observation;
-    if (this.#updatedAtMs === null || nowMs - this.#updatedAtMs >= PAUSE_MS) this.#resume(nowMs);
+    const sinceUpdateMs = nowMs - (this.#updatedAtMs ?? Number.NEGATIVE_INFINITY);
+    if (sinceUpdateMs >= PAUSE_MS) this.#resume(nowMs, sinceUpdateMs);
     this.#updatedAtMs = nowMs;
     this.#state = observation.hasOutsideDaemons ? this.#next(observation) : 'connected';
     return this.#state;
   }
 
-  #resume(nowMs: number): void {
+  #resume(nowMs: number, pauseMs: number): void {
     this.#resumedAtMs = nowMs;
-    this.#contactSinceMs = null;
+    // A shorter pause leaves it to the gap between bytes whether the contact goes on: a process that is short of
+    // processor time is paused repeatedly, and its isolation would never end.
+    if (pauseMs >= MAX_CONTACT_GAP_MS) this.#contactSinceMs = null;
     if (this.#state === 'suspicious') this.#state = 'connected';
   }
 
   #next(observation: IsolationObservation): IsolationState {
     const { nowMs, lastReceivedMs } = observation;
     switch (this.#state) {
-      case 'connected':
-        return this.#isSilent(observation) ? 'suspicious' : 'connected';
+      case 'connected': {
+        const silentSinceMs = this.#countedSilenceStart(observation);
+        if (silentSinceMs === null || nowMs - silentSinceMs < SUSPICION_MS) return 'connected';
+        this.#silentSinceMs = silentSinceMs;
+        this.#suspiciousSinceMs = nowMs;
+        return 'suspicious';
+      }
       case 'suspicious':
         if (lastReceivedMs > this.#silentSinceMs) return 'connected';
         if (nowMs - this.#suspiciousSinceMs < PING_ANSWER_MS) return 'suspicious';
         this.#contactSinceMs = null;
         return 'isolated';
       case 'isolated':
+        this.#updateContact(observation);
         return this.#hasRecovered(observation) ? 'connected' : 'isolated';
     }
   }
 
-  #isSilent({ nowMs, silentSinceMs }: IsolationObservation): boolean {
-    if (silentSinceMs === null) return false;
-    const sinceMs = Math.max(silentSinceMs, this.#resumedAtMs);
-    if (nowMs - sinceMs < SUSPICION_MS) return false;
-    this.#silentSinceMs = sinceMs;
-    this.#suspiciousSinceMs = nowMs;
-    return true;
+  /** Start of the current silence, not counting pauses of this process; `null` without one. */
+  #countedSilenceStart({ silentSinceMs }: IsolationObservation): number | null {
+    return silentSinceMs === null ? null : Math.max(silentSinceMs, this.#resumedAtMs);
   }
 
-  #hasRecovered({ nowMs, lastReceivedMs, hasMostEvidence }: IsolationObservation): boolean {
+  /** Records whether bytes have arrived without a long gap since the isolation began. */
+  #updateContact({ nowMs, lastReceivedMs }: IsolationObservation): void {
     const isInContact = lastReceivedMs > this.#silentSinceMs && nowMs - lastReceivedMs < MAX_CONTACT_GAP_MS;
-    if (!isInContact) {
-      this.#contactSinceMs = null;
-      return false;
-    }
-    this.#contactSinceMs ??= nowMs;
+    this.#contactSinceMs = isInContact ? (this.#contactSinceMs ?? nowMs) : null;
+  }
+
+  #hasRecovered({ nowMs, hasMostEvidence }: IsolationObservation): boolean {
+    if (this.#contactSinceMs === null) return false;
     const requiredMs = hasMostEvidence ? CONTACT_MS : CONTACT_WITHOUT_EVIDENCE_MS;
     return nowMs - this.#contactSinceMs >= requiredMs;
   }
