--- a/src/leadership/evidence-sharing.test.ts
+++ b/src/leadership/evidence-sharing.test.ts
@@ -21,12 +21,8 @@
   readonly sharing: EvidenceSharing;
   /** Groups that the daemon knows; none until it has the configuration. */
   groups: readonly MemberGroup[] = [this.group];
-  /** Whether the holder of the duty answers; otherwise requests to it time out. */
+  /** Whether the holder of the duty answers with evidence; otherwise requests to it time out. */
   hasHolder = true;
-  /** Whether the holder has evidence of the group. */
-  hasHolderEvidence = true;
-  /** Requests to collectors. */
-  collectorRequests = 0;
 
   /** @param collectors - daemons that query the members on behalf of all; `null` when every daemon does */
   constructor(
@@ -41,13 +37,9 @@
       fleetSize: () => 195,
       collectors: () => collectors?.map((name) => ({ name, zone: 'a' }) as DaemonRecord) ?? null,
       holdsDuty: () => false,
-      askHolder: () =>
-        this.hasHolder ? Promise.resolve(this.hasHolderEvidence ? [this.#evidence(0)] : []) : this.#timeout(),
-      askDaemon: () => {
-        this.collectorRequests += 1;
-        // A collector that others depend on renews its evidence at this age, so its evidence is never older.
-        return Promise.resolve([this.#evidence(HOLDER_RENEWAL_MS)]);
-      },
+      askHolder: () => (this.hasHolder ? Promise.resolve([this.#evidence(0)]) : this.#timeout()),
+      // A collector that others depend on renews its evidence at this age, so its evidence is never older.
+      askDaemon: () => Promise.resolve([this.#evidence(HOLDER_RENEWAL_MS)]),
       evidenceGained: () => undefined,
       now: () => this.now,
       random: () => 0.5,
@@ -122,24 +114,3 @@
   assert.ok((await fixture.advance(200)) <= 5, 'no evidence soon after the group is known');
   fixture.sharing.stop();
 });
-
-test('a daemon that has just started asks a collector for evidence that the new holder of the duty lacks', async (context) => {
-  const fixture = new SharingFixture(context, ['d2', 'd3']);
-  fixture.hasHolderEvidence = false;
-  void fixture.sharing.run();
-  fixture.sharing.requestNow();
-
-  assert.ok((await fixture.advance(400)) <= 5, 'no evidence soon after the start');
-  fixture.sharing.stop();
-});
-
-test('collectors are not asked for a leader of which the holder no longer has evidence', async (context) => {
-  const fixture = new SharingFixture(context, ['d2', 'd3']);
-  void fixture.sharing.run();
-  await fixture.advance(1000);
-  fixture.hasHolderEvidence = false;
-  await fixture.advance(2 * EVIDENCE_VALIDITY_MS);
-
-  assert.equal(fixture.collectorRequests, 0);
-  fixture.sharing.stop();
-});
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -55,8 +55,6 @@
   readonly #wake = new ChangeSignal();
   #isStopped = false;
   #missingSinceMs = new Map<string, number>();
-  /** Names of the groups that have had evidence since this process started. */
-  readonly #provenGroups = new Set<string>();
   /** True when the last request to the holder of the duty was not answered. */
   #isHolderUnresponsive = false;
 
@@ -135,18 +133,9 @@
     return this.options.groups().some(({ evidence }) => evidence.current(now) === null);
   }
 
-  /** True while a group has had no evidence since this process started. */
-  #lacksFirstEvidence(): boolean {
-    const now = this.options.now();
-    const groups = this.options.groups();
-    for (const { name, evidence } of groups) if (evidence.current(now) !== null) this.#provenGroups.add(name);
-    return groups.some(({ name }) => !this.#provenGroups.has(name));
-  }
-
   /**
    * Asks the holder of the duty, and a collector if the holder does not answer or did not answer the last
-   * time. After a start of all daemons the holder has just taken the duty, and may still lack evidence that
-   * collectors have.
+   * time.
    */
   async #requestEvidence(): Promise<void> {
     if (this.#isHolderUnresponsive) {
@@ -154,7 +143,7 @@
       return;
     }
     await this.#askHolder();
-    if (this.#isHolderUnresponsive || this.#lacksFirstEvidence()) await this.#askCollector();
+    if (this.#isHolderUnresponsive) await this.#askCollector();
   }
 
   async #askHolder(): Promise<void> {
