Tests of gateways share one pool and one set of resources

Cause: six tests and the lending scene each wrote out the same options of a pool and the same resources of a gateway that lends from it; two comments of tests were not in plain terms.

Change: test/support/lender.ts has both; each test states only what differs. No check has changed.

--- a/src/gateway/gateway-server.test.ts
+++ b/src/gateway/gateway-server.test.ts
@@ -21,6 +21,7 @@
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
 import { firstEraRevision } from '../../test/support/revisions.js';
+import { createLenderPool, createLenderResources } from '../../test/support/lender.js';
 
 /** An address specific to this process, so that concurrent test runs do not conflict. */
 const HOST = `127.78.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -41,33 +42,18 @@
 beforeEach(async () => {
   links = [];
   bornMs = null;
-  pool = new LinkPool({
-    dialer: {
-      dial: () => {
-        const link = new SlowLink();
-        links.push(link);
-        return Promise.resolve(link);
-      },
+  pool = createLenderPool({
+    dial: () => {
+      const link = new SlowLink();
+      links.push(link);
+      return Promise.resolve(link);
     },
-    address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
-    budget: () => 1,
-    dialTimeoutMs: 100,
-    limitBackoffMs: 10,
-    idleTimeoutMs: 60_000,
-    serviceMs: () => 10,
-    onFailure: () => undefined,
-    now: () => performance.now(),
-    random: () => 0.5,
   });
-  server = new GatewayServer({
-    pool: (_group, incarnation) =>
+  server = new GatewayServer(
+    createLenderResources((_group, incarnation) =>
       compareIncarnations({ memberId: 'm', bornMs }, incarnation) === 'same' ? pool : null,
-    leaderCheck: () => null,
-    ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
-    changes: () => new Promise<never>(() => undefined),
-    configuration: () => ({ version: 0, proof: null, item: null }),
-    grant: () => Promise.resolve(null),
-  });
+    ),
+  );
   await server.listen(HOST, RECORD.gatewayPort);
   client = new GatewayClient(HOST, () => performance.now(), Math.random);
 });
--- a/src/gateway/lent-leader.test.ts
+++ b/src/gateway/lent-leader.test.ts
@@ -11,12 +11,13 @@
 import { begin, createLeaderScene, now, read } from '../../test/support/leader-scene.js';
 import { createTestGroup } from '../../test/support/relay-members.js';
 import { ZERO_POSITION } from '../position/position.js';
-import { LinkPool } from '../relay/link-pool.js';
+import type { LinkPool } from '../relay/link-pool.js';
 import type { MemberReply } from '../relay/member-link.js';
 import type { LeaderCheck } from '../relay/session-link.js';
 import type { BorrowedLink } from './borrowed-link.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
+import { createLenderPool, createLenderResources } from '../../test/support/lender.js';
 
 /** An address specific to this process, so that concurrent test runs do not conflict. */
 const HOST = `127.77.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -52,26 +53,8 @@
 async function start(process: FakeProcess, isProven: boolean): Promise<void> {
   known = { isProven, isReplaced: false };
   beforeStatus = () => undefined;
-  pool = new LinkPool({
-    dialer: process,
-    address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
-    budget: () => 1,
-    dialTimeoutMs: 100,
-    limitBackoffMs: 10,
-    idleTimeoutMs: 60_000,
-    serviceMs: () => 10,
-    onFailure: () => undefined,
-    now: () => performance.now(),
-    random: () => 0.5,
-  });
-  server = new GatewayServer({
-    pool: () => pool,
-    leaderCheck: () => CHECK,
-    ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
-    changes: () => new Promise<never>(() => undefined),
-    configuration: () => ({ version: 0, proof: null, item: null }),
-    grant: () => Promise.resolve(null),
-  });
+  pool = createLenderPool(process);
+  server = new GatewayServer({ ...createLenderResources(() => pool), leaderCheck: () => CHECK });
   await server.listen(HOST, RECORD.gatewayPort);
   client = new GatewayClient(HOST, () => performance.now(), Math.random);
 }
--- a/src/gateway/loan-admission.test.ts
+++ b/src/gateway/loan-admission.test.ts
@@ -13,7 +13,7 @@
 import { SlowLink } from '../../test/support/slow-link.js';
 import { AdmissionError } from '../admission/admission-error.js';
 import { delay } from '../common/signal.js';
-import { LinkPool } from '../relay/link-pool.js';
+import type { LinkPool } from '../relay/link-pool.js';
 import type { LinkDemand } from '../relay/link-queue.js';
 import type { MemberReply } from '../relay/member-link.js';
 import { ReadRunner } from '../relay/read-runner.js';
@@ -27,6 +27,7 @@
 import { GatewayServer } from './gateway-server.js';
 import { notSentReply } from './loan.js';
 import { MemberConnections } from './member-connections.js';
+import { createLenderPool, createLenderResources } from '../../test/support/lender.js';
 
 /** An address specific to this process, so that concurrent test runs do not conflict. */
 const HOST = `127.76.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -57,14 +58,7 @@
   readonly link = new SlowLink();
   readonly pool = createPool(1, this.link);
   readonly record;
-  readonly server = new GatewayServer({
-    pool: () => this.pool,
-    leaderCheck: () => null,
-    ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
-    changes: () => new Promise<never>(() => undefined),
-    configuration: () => ({ version: 0, proof: null, item: null }),
-    grant: () => Promise.resolve(null),
-  });
+  readonly server = new GatewayServer(createLenderResources(() => this.pool));
 
   constructor(name: string, gatewayPort: number) {
     this.record = daemonRecord(name, { host: HOST, gatewayPort });
@@ -84,18 +78,14 @@
 }
 
 function createPool(budget: number, link: SlowLink): LinkPool {
-  return new LinkPool({
-    dialer: { dial: () => Promise.resolve(link) },
-    address: { memberId: 'leader', groupName: 'g', host: 'h', port: 1 },
-    budget: () => budget,
-    dialTimeoutMs: 100,
-    limitBackoffMs: 10,
-    idleTimeoutMs: 60_000,
-    serviceMs: () => 5,
-    onFailure: () => undefined,
-    now: () => performance.now(),
-    random: () => 0.5,
-  });
+  return createLenderPool(
+    { dial: () => Promise.resolve(link) },
+    {
+      address: { memberId: 'leader', groupName: 'g', host: 'h', port: 1 },
+      budget: () => budget,
+      serviceMs: () => 5,
+    },
+  );
 }
 
 let gateways: readonly Gateway[];
--- a/src/gateway/loan-order.test.ts
+++ b/src/gateway/loan-order.test.ts
@@ -10,11 +10,12 @@
 import { daemonRecord } from '../../test/support/daemon-records.js';
 import { SlowLink } from '../../test/support/slow-link.js';
 import { waitUntil } from '../../standin/rig/wait-until.js';
-import { LinkPool } from '../relay/link-pool.js';
+import type { LinkPool } from '../relay/link-pool.js';
 import type { BorrowedLink } from './borrowed-link.js';
 import { GatewayClient } from './gateway-client.js';
 import type { LoanTerms } from './gateway-connection.js';
 import { GatewayServer } from './gateway-server.js';
+import { createLenderPool, createLenderResources } from '../../test/support/lender.js';
 
 /** An address specific to this process, so that concurrent test runs do not conflict. */
 const HOST = `127.77.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -28,26 +29,8 @@
 
 beforeEach(async () => {
   link = new SlowLink();
-  pool = new LinkPool({
-    dialer: { dial: () => Promise.resolve(link) },
-    address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
-    budget: () => 1,
-    dialTimeoutMs: 100,
-    limitBackoffMs: 10,
-    idleTimeoutMs: 60_000,
-    serviceMs: () => 10,
-    onFailure: () => undefined,
-    now: () => performance.now(),
-    random: () => 0.5,
-  });
-  server = new GatewayServer({
-    pool: () => pool,
-    leaderCheck: () => null,
-    ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
-    changes: () => new Promise<never>(() => undefined),
-    configuration: () => ({ version: 0, proof: null, item: null }),
-    grant: () => Promise.resolve(null),
-  });
+  pool = createLenderPool({ dial: () => Promise.resolve(link) });
+  server = new GatewayServer(createLenderResources(() => pool));
   await server.listen(HOST, RECORD.gatewayPort);
   client = new GatewayClient(HOST, () => performance.now(), Math.random);
 });
--- a/src/gateway/reported-load.test.ts
+++ b/src/gateway/reported-load.test.ts
@@ -10,9 +10,9 @@
 import { waitUntil } from '../../standin/rig/wait-until.js';
 import type { LoadReport } from '../placement/load-report.js';
 import { REPORT_INTERVAL_MS } from '../placement/report-schedule.js';
-import { LinkPool } from '../relay/link-pool.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer, type GatewayResources } from './gateway-server.js';
+import { createLenderPool, createLenderResources } from '../../test/support/lender.js';
 
 /** An address specific to this process, so that concurrent test runs do not conflict. */
 const HOST = `127.76.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -44,25 +44,9 @@
 
 /** Starts a gateway that reports loads with `load`, or reports nothing like one of the build before. */
 async function startGateway(load?: () => LoadReport | null): Promise<void> {
-  const pool = new LinkPool({
-    dialer: { dial: () => Promise.resolve(link) },
-    address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
-    budget: () => 1,
-    dialTimeoutMs: 100,
-    limitBackoffMs: 10,
-    idleTimeoutMs: 60_000,
-    serviceMs: () => 10,
-    onFailure: () => undefined,
-    now: () => performance.now(),
-    random: () => 0.5,
-  });
+  const pool = createLenderPool({ dial: () => Promise.resolve(link) });
   const resources: GatewayResources = {
-    pool: () => pool,
-    leaderCheck: () => null,
-    ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
-    changes: () => new Promise<never>(() => undefined),
-    configuration: () => ({ version: 0, proof: null, item: null }),
-    grant: () => Promise.resolve(null),
+    ...createLenderResources(() => pool),
     ...(load === undefined ? {} : { load }),
   };
   server = new GatewayServer(resources);
--- a/src/gateway/waiting-loan.test.ts
+++ b/src/gateway/waiting-loan.test.ts
@@ -11,10 +11,10 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
 import { daemonRecord } from '../../test/support/daemon-records.js';
-import { LinkPool } from '../relay/link-pool.js';
 import { GatewayClient } from './gateway-client.js';
 import { GatewayServer } from './gateway-server.js';
 import { MemberConnections } from './member-connections.js';
+import { createLenderPool, createLenderResources } from '../../test/support/lender.js';
 
 /** An address specific to this process, so that concurrent test runs do not conflict. */
 const HOST = `127.79.${(process.pid >> 8) & 255}.${1 + (process.pid % 250)}`;
@@ -22,26 +22,11 @@
 const WAIT_MS = 400;
 
 /** A pool that may not open any connection. */
-const pool = new LinkPool({
-  dialer: { dial: () => assert.fail('no connection is to be opened') },
-  address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
-  budget: () => 0,
-  dialTimeoutMs: 100,
-  limitBackoffMs: 10,
-  idleTimeoutMs: 1000,
-  serviceMs: () => 10,
-  onFailure: () => undefined,
-  now: () => performance.now(),
-  random: () => 0.5,
-});
-const server = new GatewayServer({
-  pool: () => pool,
-  leaderCheck: () => null,
-  ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
-  changes: () => new Promise<never>(() => undefined),
-  configuration: () => ({ version: 0, proof: null, item: null }),
-  grant: () => Promise.resolve(null),
-});
+const pool = createLenderPool(
+  { dial: () => assert.fail('no connection is to be opened') },
+  { budget: () => 0, idleTimeoutMs: 1000 },
+);
+const server = new GatewayServer(createLenderResources(() => pool));
 const client = new GatewayClient(HOST, () => performance.now(), Math.random);
 
 before(() => server.listen(HOST, RECORD.gatewayPort));
--- a/src/placement/assess.test.ts
+++ b/src/placement/assess.test.ts
@@ -130,8 +130,8 @@
   assert.equal(assess(0.9)[0]?.isWithheld, false);
 });
 
-// Reads at a member that hangs end one after the other at their deadlines. If these ends counted as answers, the
-// wait would start anew with each of them, and the member would regain its share without answering.
+// Guards against deadlines that count as answers: at a member that hangs, each would reset the unanswered time, and
+// the member would get its whole share again.
 test('reads that end without an answer do not hide that the others have none', () => {
   const { clock, members, assess } = scene();
   const pendingReads = members[0]?.pendingReads;
--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -367,7 +367,7 @@
   assert.equal(links.length, 1);
 });
 
-/** An observer, and the decisions that it is told of. */
+/** An observer that records the decisions of admission. */
 function recordDecisions(): { decisions: string[]; admissionObserver: AdmissionObserver } {
   const decisions: string[] = [];
   return {
--- a/test/support/lending-scene.ts
+++ b/test/support/lending-scene.ts
@@ -6,7 +6,7 @@
 import type { DaemonRecord } from '../../src/cluster/daemon-record.js';
 import { GatewayClient } from '../../src/gateway/gateway-client.js';
 import { GatewayServer } from '../../src/gateway/gateway-server.js';
-import { LinkPool } from '../../src/relay/link-pool.js';
+import type { LinkPool } from '../../src/relay/link-pool.js';
 import type { MemberRequest } from '../../src/relay/member-link.js';
 import { PROCESS_TERM } from './fake-process.js';
 import { FaultProxy } from '../../standin/rig/fault-proxy.js';
@@ -14,6 +14,7 @@
 import { createLeaderScene, now, type LeaderScene } from './leader-scene.js';
 import { createTestGroup } from './relay-members.js';
 import { SlowLink } from './slow-link.js';
+import { createLenderPool, createLenderResources } from './lender.js';
 
 const BORROWER_ZONE = 'borrower';
 /** Interval between two checks of the borrower, in milliseconds, as in a daemon. */
@@ -42,31 +43,16 @@
 
   constructor(name: string, host: string, gatewayPort: number) {
     this.record = daemonRecord(name, { host, gatewayPort });
-    this.pool = new LinkPool({
-      dialer: {
-        dial: () => {
-          const link = new CountingLink();
-          this.links.push(link);
-          return Promise.resolve(link);
-        },
+    this.pool = createLenderPool({
+      dial: () => {
+        const link = new CountingLink();
+        this.links.push(link);
+        return Promise.resolve(link);
       },
-      address: { memberId: 'm', groupName: 'g', host: 'h', port: 1 },
-      budget: () => 1,
-      dialTimeoutMs: 100,
-      limitBackoffMs: 10,
-      idleTimeoutMs: 60_000,
-      serviceMs: () => 10,
-      onFailure: () => undefined,
-      now: () => performance.now(),
-      random: () => 0.5,
     });
     this.server = new GatewayServer({
-      pool: () => this.pool,
+      ...createLenderResources(() => this.pool),
       leaderCheck: () => ({ isProven: () => true, isReplaced: () => false, readStatus: () => null }),
-      ownEvidence: () => ({ version: 1, leaders: [], agesMs: [] }),
-      changes: () => new Promise<never>(() => undefined),
-      configuration: () => ({ version: 0, proof: null, item: null }),
-      grant: () => Promise.resolve(null),
     });
   }
 
