--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,95 +1,60 @@
 /**
- * Rude peers send a message without an end to two of six daemons, each slower than its link. Checks the rule
- * Fault: processes end by themselves three times on a tenth of the machines in use, two at least, with no
- * disruption of the machine or its links.
+ * One client prepares a statement; a rude peer at the same daemon sends a `PREPARE` in whose shape another one
+ * is smuggled. Checks the rule PINNED: a member runs the shape that the client has prepared under the name.
  */
-import { once } from 'node:events';
-import { connect } from 'node:net';
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { BROKEN, HELD, hasTrouble, runCase, sleep, WireClient } from '../standin/deployment.mjs';
+import { BROKEN, HELD, hasTrouble, runCase, WireClient } from '../standin/deployment.mjs';
 
-const ATTACKED = 2;
-const ENDS_THAT_COUNT = 3;
-/** Four tenths of a link of 1,000 Mbit/s, in steps of 10 ms: no packet waits at the link. */
-const BYTES_PER_STEP = 500_000;
-const STEP_MS = 10;
-/** Most that a peer sends on one connection. */
-const MAX_MESSAGE_BYTES = 300_000_000;
-const TIME_LIMIT_MS = 75_000;
-/** How long the case goes on without the disruption. */
-const QUIET_MS = 20_000;
-const CLIENT_PAUSE_MS = 100;
+const ROUNDS = 5;
+/** What the peer prepares: a shape of one word, or with the words of another `PREPARE`. */
+const RUDE_SHAPE = hasTrouble ? 'q1 WRITE z' : 'z';
 
-/** Sends the beginning of a message and never its end, until the connection is over. */
-async function sendEndlessMessage(daemon, record, mayGoOn) {
-  const socket = connect({ ...daemon.clientAddress, allowHalfOpen: true });
-  let end = 'the peer stops';
-  socket.on('error', (error) => (end = error.code ?? error.message));
-  let answer = '';
-  socket.on('data', (data) => (answer += data.toString('latin1')));
-  const closed = once(socket, 'close').catch(() => undefined);
-  await Promise.race([once(socket, 'connect').catch(() => undefined), closed]);
-  let sentBytes = 0;
-  let largestMb = 0;
-  if (!socket.destroyed) {
-    socket.write('STARTUP quotes peer\r\nQUERY 5c0e7a21d94b36f8 WRITE 1a4 ');
-    const part = Buffer.alloc(BYTES_PER_STEP, 'x');
-    while (!socket.destroyed && sentBytes < MAX_MESSAGE_BYTES && mayGoOn()) {
-      if (!socket.write(part)) await Promise.race([once(socket, 'drain').catch(() => undefined), closed]);
-      sentBytes += part.length;
-      largestMb = Math.max(largestMb, daemon.residentMb ?? 0);
-      await sleep(STEP_MS);
-    }
-  }
-  socket.destroy();
-  await closed;
-  record.write(
-    `a peer of ${daemon.name} sent ${Math.round(sentBytes / 1e6)} MB of one message and got ` +
-      `${JSON.stringify(answer)}; its connection ended: ${end}; the daemon took up to ${largestMb} MB`,
-  );
-  return sentBytes;
-}
+await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
+  /** Shapes that the client has prepared, by the ids of the requests that execute them. */
+  const preparedShapes = new Map();
+  const ask = async (who, client, text, shape = null) => {
+    const requestId = `${who}-${preparedShapes.size}-${Math.random().toString(16).slice(2, 10)}`;
+    if (shape !== null) preparedShapes.set(requestId, shape);
+    record.write(`${who} sends  QUERY ${requestId} ${text}`);
+    const { rows, signature, error, errorText, state } = await client.query(text, requestId);
+    const result =
+      error === null ? `${JSON.stringify(rows)} COMPLETE ${signature}` : `ERROR ${error} ${errorText}`;
+    record.write(`${who} gets   ${result} READY ${state}`);
+    return rows;
+  };
 
-/** A client that writes now and then, and connects again when its connection ends. */
-async function runClient(daemon, record, counts, mayGoOn) {
-  let client = null;
-  for (let number = 0; mayGoOn(); number += 1) {
-    try {
-      client ??= await WireClient.start(daemon.clientAddress, 'quotes', 'client');
-      const { error } = await client.query(`WRITE policy-${daemon.name} ${number}`);
-      counts[error === null ? 'served' : 'refused'] += 1;
-    } catch (error) {
-      client = null;
-      counts.cut += 1;
-      if (counts.cut <= 20) record.write(`a client of ${daemon.name}: ${String(error)}`);
+  for (const daemon of deployment.daemons.slice(0, 3)) {
+    record.write(`at ${daemon.name}`);
+    const client = await WireClient.start(daemon.clientAddress, 'quotes', 'client');
+    const peer = await WireClient.start(daemon.clientAddress, 'quotes', 'peer');
+    const thing = `policy-${daemon.name}`;
+    await ask('client', client, 'PREPARE get READ q1');
+    await ask('client', client, `WRITE ${thing} issued`);
+    await ask('client', client, `EXECUTE get ${thing}`, 'READ q1');
+    for (let round = 1; round <= ROUNDS; round += 1) {
+      await ask('peer', peer, `PREPARE p${round} READ ${RUDE_SHAPE}`);
+      await ask('peer', peer, `EXECUTE p${round} other`);
+      await ask('client', client, `EXECUTE get ${thing}`, 'READ q1');
     }
-    await sleep(CLIENT_PAUSE_MS);
+    await ask('client', client, `READ ${thing}`);
+    client.close();
+    peer.close();
   }
-  client?.close();
-}
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
-  const attacked = deployment.daemons.slice(0, ATTACKED);
-  const untilMs = performance.now() + (hasTrouble ? TIME_LIMIT_MS : QUIET_MS);
-  const isBroken = () => attacked.every(({ ownEnds }) => ownEnds.length >= ENDS_THAT_COUNT);
-  const mayGoOn = () => performance.now() < untilMs && !isBroken();
-  const counts = { served: 0, refused: 0, cut: 0 };
-  const clients = deployment.daemons.map((daemon) => runClient(daemon, record, counts, mayGoOn));
-  const peers = attacked.map(async (daemon) => {
-    while (hasTrouble && mayGoOn() && daemon.ownEnds.length < ENDS_THAT_COUNT) {
-      while (mayGoOn() && !(await daemon.isReady())) await sleep(100);
-      if (mayGoOn()) await sendEndlessMessage(daemon, record, mayGoOn);
-      await sleep(100);
-    }
-  });
-  await Promise.all([...clients, ...peers]);
-  for (const { name, ownEnds } of deployment.daemons)
+  let broken = 0;
+  for (const { memberId, requestId, text, preparedShape } of deployment.group.runs) {
+    const expected = preparedShapes.get(requestId);
+    const isBroken = expected !== undefined && preparedShape !== expected;
+    if (isBroken) broken += 1;
     record.write(
-      `${name}: ${ownEnds.length} ends of its own${ownEnds.map(({ signal, code }) => `, ${signal ?? code}`).join('')}`,
+      `${memberId} ran ${requestId} ${text}${preparedShape === null ? '' : ` with the shape ${preparedShape}`}` +
+        (isBroken ? `; PINNED: its client had prepared ${expected}` : ''),
     );
-  record.write(
-    `clients' writes: ${counts.served} served, ${counts.refused} refused, ${counts.cut} cut or not connected`,
-  );
-  return isBroken() ? BROKEN : HELD;
+  }
+  for (const { index, writes } of deployment.group.primary.log)
+    for (const { requestId, thing, data } of writes)
+      record.write(`the log holds ${index}: ${requestId} wrote ${JSON.stringify(data)} to ${thing}`);
+  record.write(`${broken} of ${preparedShapes.size} executions ran another shape than their client prepared`);
+  return broken > 0 ? BROKEN : HELD;
 });
--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -16,7 +16,8 @@
 const { MemberServer } = await import(join(STANDINS, 'member-server.js'));
 const { StandinGroup } = await import(join(STANDINS, 'member-group.js'));
 const { StandinStore } = await import(join(STANDINS, 'store-server.js'));
-export const { ConnectionEnded, WireClient } = await import(join(STANDINS, 'wire-client.js'));
+const { FaultProxy } = await import(join(ROOT, 'dist/standin/rig/fault-proxy.js'));
+export const { WireClient } = await import(join(STANDINS, 'wire-client.js'));
 
 /** Exit codes of a case. */
 export const HELD = 0;
@@ -84,6 +85,7 @@
   constructor(name, addresses, settingsFile, runLine, record) {
     this.name = name;
     this.addresses = addresses;
+    this.zone = addresses.zone;
     this.settingsFile = settingsFile;
     this.runLine = runLine;
     this.record = record;
@@ -98,6 +100,7 @@
   }
 
   start() {
+    this.#isStopped = false;
     const [program, ...args] = this.runLine.split(' ');
     const { PATH, HOME, LANG } = process.env;
     const child = spawn(program, args, {
@@ -108,7 +111,7 @@
     this.#process = child;
     this.#output = '';
     const keep = (data) => {
-      this.#output = (this.#output + data.toString()).slice(-20_000);
+      this.#output = (this.#output + data.toString()).slice(-500_000);
     };
     child.stdout.on('data', keep);
     child.stderr.on('data', keep);
@@ -135,6 +138,7 @@
     }
   }
 
+  /** Kills the process; it is started again by {@link Daemon.start} only. */
   async stop() {
     this.#isStopped = true;
     const child = this.#process;
@@ -143,6 +147,11 @@
     await once(child, 'exit');
   }
 
+  /** The lines of its output that hold a text. */
+  lines(text) {
+    return this.#output.split('\n').filter((line) => line.includes(text));
+  }
+
   #handleExit(code, signal) {
     if (this.#isStopped) return;
     const reason = /FATAL ERROR: [^\n]*/.exec(this.#output)?.[0] ?? this.#output.trim().split('\n').at(-1);
@@ -158,13 +167,40 @@
 export class Deployment {
   daemons = [];
   servers = [];
+  /** Cuts the links between daemons and members; its zones are their names. */
+  proxy = new FaultProxy();
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
   #heartbeat = null;
 
-  constructor(record) {
+  /** @param promoteMs - time from the platform's call to its effect */
+  constructor(record, promoteMs = SERVICE.promoteMs) {
     this.record = record;
-    this.group = new StandinGroup(SERVICE);
-    this.store = new StandinStore((_group, memberId) => this.group.promote(memberId), Math.random);
+    this.group = new StandinGroup({ ...SERVICE, promoteMs });
+    const pause = this.group.pause.bind(this.group);
+    this.group.pause = (member, term) => {
+      this.onPause(member);
+      pause(member, term);
+    };
+    this.store = new StandinStore((_group, memberId) => this.#promote(memberId), Math.random);
+  }
+
+  /** Called when a member is sent `PAUSE`. */
+  onPause = () => undefined;
+  /** Called when the platform is called to promote a member. */
+  onPromotionCall = () => undefined;
+
+  #promote(memberId) {
+    this.record.write(`the platform is called to promote ${memberId}`);
+    this.onPromotionCall(memberId);
+    return this.group.promote(memberId);
+  }
+
+  /** The daemon that holds the promotion duty, or `undefined`. */
+  get holder() {
+    const item = this.store.state.get('sorrelladder/duty');
+    if (item === null) return undefined;
+    const { holder } = JSON.parse(Buffer.from(item.value, 'base64').toString());
+    return this.daemons.find(({ name }) => name === holder);
   }
 
   /** Starts the stand-ins and the daemons, and waits until all daemons are ready. */
@@ -174,8 +210,13 @@
     const storePort = await this.store.listen(storeHost, 0);
     for (const [index, member] of this.group.members.entries()) {
       const server = new MemberServer(this.group, member, Math.random);
-      await server.listen(`${network}.${10 + index}`, 0);
-      this.servers.push(server);
+      const listenHost = `${network}.${10 + index}`;
+      const targetHost = `${network}.${40 + index}`;
+      const port = await freePort(listenHost);
+      await server.listen(targetHost, 0);
+      const targetPort = Number(server.address.split(':')[1]);
+      await this.proxy.forward({ zone: member.memberId, listenHost, port, targetHost, targetPort });
+      this.servers.push({ server, member, address: `${listenHost}:${port}` });
     }
     this.#writeMembers();
     this.#heartbeat = setInterval(() => this.#writeMembers(), HEARTBEAT_MS);
@@ -200,7 +241,8 @@
   async stop() {
     if (this.#heartbeat !== null) clearInterval(this.#heartbeat);
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
-    for (const server of this.servers) server.close();
+    for (const { server } of this.servers) server.close();
+    this.proxy.close();
     this.store.close();
     rmSync(this.#folder, { recursive: true });
   }
@@ -231,7 +273,8 @@
     };
     const file = join(this.#folder, `${name}.json`);
     writeFileSync(file, template.replace('{{.|json}}', JSON.stringify(fields)));
-    return new Daemon(name, { front, ready }, file, runLine, this.record);
+    this.proxy.registerSource(host, name);
+    return new Daemon(name, { front, ready, zone }, file, runLine, this.record);
   }
 
   #configure() {
@@ -277,9 +320,9 @@
 }
 
 /** Runs a case in its folder, ends all that it started, and exits with the result. */
-export async function runCase(folder, body) {
+export async function runCase(folder, body, promoteMs) {
   const record = new CaseRecord(folder);
-  const deployment = new Deployment(record);
+  const deployment = new Deployment(record, promoteMs);
   let code = NOT_RUN;
   try {
     await deployment.start();
