--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -74,6 +74,13 @@
   return port;
 }
 
+/** Processes that must not outlive this one, however it ends. */
+const children = new Set();
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(NOT_RUN));
+
 /** One daemon process, which is started again when it ends. */
 class Daemon {
   /** Ends that this script did not cause: exit code or signal, time and the last lines of its output. */
@@ -108,6 +115,7 @@
       env: { PATH, HOME, LANG, SORRELLADDER_NODE_FILE: this.settingsFile },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    children.add(child);
     this.#process = child;
     this.#output = '';
     const keep = (data) => {
@@ -115,7 +123,10 @@
     };
     child.stdout.on('data', keep);
     child.stderr.on('data', keep);
-    child.once('exit', (code, signal) => this.#handleExit(code, signal));
+    child.once('exit', (code, signal) => {
+      children.delete(child);
+      this.#handleExit(code, signal);
+    });
   }
 
   /** The last resident size of the process in MB, or `null`. */
