--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -189,10 +189,9 @@
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
   #heartbeat = null;
 
-  /** @param promoteMs - time from the platform's call to its effect */
-  constructor(record, promoteMs = SERVICE.promoteMs) {
+  constructor(record) {
     this.record = record;
-    this.group = new StandinGroup({ ...SERVICE, promoteMs });
+    this.group = new StandinGroup(SERVICE);
     const pause = this.group.pause.bind(this.group);
     this.group.pause = (member, term) => {
       this.onPause(member);
@@ -337,9 +336,9 @@
 }
 
 /** Runs a case in its folder, ends all that it started, and exits with the result. */
-export async function runCase(folder, body, promoteMs) {
+export async function runCase(folder, body) {
   const record = new CaseRecord(folder);
-  const deployment = new Deployment(record, promoteMs);
+  const deployment = new Deployment(record);
   let code = NOT_RUN;
   try {
     await deployment.start();
