--- a/src/cluster/order-delivery.test.ts
+++ b/src/cluster/order-delivery.test.ts
@@ -80,44 +80,55 @@
   });
 });
 
+const STORE = { kind: 'store' } as const;
+const MEMBERS = { kind: 'members' } as const;
+const COLLECTOR = { kind: 'daemon', isHolder: false } as const;
+
 describe('a daemon that registers', () => {
   test('while the store may lack its record is assumed to have had an earlier process', () => {
     const registration = new Registration(daemon('d1'));
-    registration.applyInitialRecords(new Map(), 0, { unreadable: new Set(), isIncomplete: true });
+    registration.applyInitialRecords(new Map(), { unreadable: new Set(), isIncomplete: true });
     assert.equal(registration.hasPredecessor, true);
-    registration.applyInitialRecords(new Map(), 0);
+    registration.applyInitialRecords(new Map());
     assert.equal(registration.hasPredecessor, false);
   });
 
   test('counts evidence only once every duty holder is certain to know it', () => {
     const registration = new Registration(daemon('d1'));
-    registration.applyInitialRecords(new Map(), 0);
-    assert.equal(registration.countsFromMs, Number.POSITIVE_INFINITY);
-    registration.markRegistered(5000);
-    assert.equal(registration.countsFromMs, 5000 + REGISTRATION_SETTLE_MS);
-    registration.markRegistered(9000);
-    assert.equal(registration.countsFromMs, 5000 + REGISTRATION_SETTLE_MS);
+    registration.applyInitialRecords(new Map());
+    for (const source of [MEMBERS, COLLECTOR, STORE])
+      assert.equal(registration.countsFromMs(source), Number.POSITIVE_INFINITY);
+    for (const registeredAtMs of [5000, 9000]) {
+      registration.markRegistered(registeredAtMs);
+      assert.equal(registration.countsFromMs(MEMBERS), 5000 + REGISTRATION_SETTLE_MS);
+      assert.equal(registration.countsFromMs(COLLECTOR), 5000 + REGISTRATION_SETTLE_MS);
+      assert.equal(registration.countsFromMs(STORE), 5000, 'a promotion that does not know it is recorded');
+    }
+  });
+
+  test('counts the evidence of the holder of the duty at once: the holder has connected to it', () => {
+    const registration = new Registration(daemon('d1'));
+    const holder = { kind: 'daemon', isHolder: true } as const;
+    assert.equal(registration.countsFromMs(holder), Number.NEGATIVE_INFINITY);
   });
 
-  test('counts as known at once at the address of an earlier process, but not at another address', () => {
-    const same = new Registration(daemon('d1'));
-    same.applyInitialRecords(new Map([['d1', daemon('d1')]]), 4000);
-    assert.equal(same.countsFromMs, 4000, 'orders reach it already');
-    same.markRegistered(5000);
-    assert.equal(same.countsFromMs, 4000);
-    const moved = new Registration(daemon('d1', 'elsewhere'));
-    moved.applyInitialRecords(new Map([['d1', daemon('d1')]]), 4000);
-    assert.equal(moved.countsFromMs, Number.POSITIVE_INFINITY);
-    moved.markRegistered(5000);
-    assert.equal(moved.countsFromMs, 5000 + REGISTRATION_SETTLE_MS);
+  test('counts nothing the sooner at the address of an earlier process, which may have ended before an order', () => {
+    for (const host of [undefined, 'elsewhere']) {
+      const registration = new Registration(daemon('d1', host));
+      registration.applyInitialRecords(new Map([['d1', daemon('d1')]]));
+      assert.equal(registration.isAtFormerAddress, host === undefined);
+      assert.equal(registration.countsFromMs(MEMBERS), Number.POSITIVE_INFINITY);
+      registration.markRegistered(5000);
+      assert.equal(registration.countsFromMs(MEMBERS), 5000 + REGISTRATION_SETTLE_MS);
+    }
   });
 
   test('right after the registry was read holds no evidence from before the pauses, if those were in time', () => {
     const readAtMs = 1000;
     const registration = new Registration(daemon('new'));
-    registration.applyInitialRecords(new Map(), 0);
+    registration.applyInitialRecords(new Map());
     registration.markRegistered(readAtMs + 1);
-    const evidence = new LeadershipEvidence(() => registration.countsFromMs);
+    const evidence = new LeadershipEvidence((source) => registration.countsFromMs(source));
     evidence.observeLeader({ memberId: 'a', term: 3 });
     const lastPauseMs = readAtMs + REGISTRATION_SETTLE_MS;
     for (let askedAtMs = readAtMs; askedAtMs <= lastPauseMs; askedAtMs += 10)
--- a/src/cluster/registration.ts
+++ b/src/cluster/registration.ts
@@ -1,11 +1,11 @@
 /**
- * Determines from when on this daemon may count witness answers as evidence: not before every daemon that may
- * promote knows of it. Pure.
+ * Determines from when on this daemon may count answers as evidence: not before every daemon that may promote
+ * knows of it. Pure.
  *
  * @packageDocumentation
  */
 import type { DaemonRecord } from './daemon-record.js';
-import { REGISTRATION_SETTLE_MS } from '../leadership/leadership-evidence.js';
+import { REGISTRATION_SETTLE_MS, type EvidenceSource } from '../leadership/leadership-evidence.js';
 
 /** Known gaps in the daemon records of the store. */
 export interface RegistryGaps {
@@ -19,15 +19,33 @@
 
 /** State of a daemon's own record in the store. */
 export class Registration {
-  #countsFromMs = Number.POSITIVE_INFINITY;
+  #registeredAtMs = Number.POSITIVE_INFINITY;
   #hasPredecessor = true;
   #isAtFormerAddress = false;
 
   constructor(private readonly self: DaemonRecord) {}
 
-  /** Monotonic time from which witness answers count as evidence, in milliseconds. */
-  get countsFromMs(): number {
-    return this.#countsFromMs;
+  /** When the store had accepted the record of this process, in monotonic milliseconds. */
+  get registeredAtMs(): number {
+    return this.#registeredAtMs;
+  }
+
+  /**
+   * Monotonic time from which evidence from a source is valid, in milliseconds. A promotion reads the register of
+   * daemons after its record in the store, so a later read of the store shows the record. The holder of the
+   * duty answers only daemons that it knows.
+   */
+  countsFromMs(source: EvidenceSource): number {
+    switch (source.kind) {
+      case 'store':
+        return this.#registeredAtMs;
+      case 'members':
+        return this.#registeredAtMs + REGISTRATION_SETTLE_MS;
+      case 'daemon':
+        return source.isHolder ? Number.NEGATIVE_INFINITY : this.#registeredAtMs + REGISTRATION_SETTLE_MS;
+      case 'duty':
+        return Number.NEGATIVE_INFINITY;
+    }
   }
 
   /**
@@ -48,26 +66,23 @@
 
   /**
    * Takes the records that the store held before this process registered. Orders sent to an earlier process
-   * at the same address reach this one, so evidence counts at once, without waiting for its own record.
+   * at the same address before this one listened have reached nobody, so nothing counts the sooner for it.
    *
    * @param gaps - known gaps in the records
    */
   applyInitialRecords(
     registered: ReadonlyMap<string, DaemonRecord>,
-    nowMs: number,
     { unreadable, isIncomplete: isBehind }: RegistryGaps = NO_GAPS,
   ): void {
     const { name } = this.self;
     const earlier = registered.get(name);
     this.#hasPredecessor = earlier !== undefined || unreadable.has(name) || isBehind;
     this.#isAtFormerAddress = earlier !== undefined && hasSameAddress(earlier, this.self);
-    if (this.#isAtFormerAddress) this.#countsFromMs = nowMs;
   }
 
   /** The store has accepted this daemon's record. */
   markRegistered(nowMs: number): void {
-    if (Number.isFinite(this.#countsFromMs)) return;
-    this.#countsFromMs = nowMs + REGISTRATION_SETTLE_MS;
+    this.#registeredAtMs = Math.min(this.#registeredAtMs, nowMs);
   }
 }
 
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -156,6 +156,11 @@
     return { takenAtMs: this.#actsFromMs, untilMs: this.#untilMs };
   }
 
+  /** A condition that the store fulfils as long as no other daemon has taken the duty; `null` without it. */
+  get condition(): { readonly key: string; readonly revision: Revision } | null {
+    return this.isHolder ? { key: DUTY_KEY, revision: this.#dutyRevision } : null;
+  }
+
   /**
    * True while the store may lack records of running daemons, because it was restored from a backup and they
    * may not have registered again.
--- a/src/coordination/entry-faults.ts
+++ b/src/coordination/entry-faults.ts
@@ -8,7 +8,8 @@
 import type { EntryFault, FaultKind } from './stored-json.js';
 
 /** What an entry would have contained, had it been readable. */
-export type EntryKind = 'member' | 'configuration' | 'registration' | 'lease' | 'duty' | 'fence' | 'item';
+export type EntryKind =
+  'member' | 'configuration' | 'registration' | 'lease' | 'duty' | 'fence' | 'replaced_term' | 'item';
 
 /** An entry that was ignored because it cannot be read. */
 export interface UnreadableEntry {
--- a/src/coordination/foreign-keys.test.ts
+++ b/src/coordination/foreign-keys.test.ts
@@ -90,9 +90,9 @@
   test('that cannot be read shows that there was an earlier process, which may have acknowledged commits', () => {
     const { registered, unreadable } = readDaemons(itemsOf([['sorrelladder/daemons/d1', json(null)]]));
     const registration = new Registration(RECORD);
-    registration.applyInitialRecords(registered, 0, { unreadable, isIncomplete: false });
+    registration.applyInitialRecords(registered, { unreadable, isIncomplete: false });
     assert.equal(registration.hasPredecessor, true);
-    assert.equal(registration.countsFromMs, Number.POSITIVE_INFINITY);
+    assert.equal(registration.countsFromMs({ kind: 'members' }), Number.POSITIVE_INFINITY);
   });
 
   test('of this daemon is written again if another client overwrote it with an unreadable value', async () => {
--- a/src/leadership/group-supervisor.test.ts
+++ b/src/leadership/group-supervisor.test.ts
@@ -9,6 +9,7 @@
 import type { HolderOrder, OrderOutcome } from '../cluster/peer-mesh.js';
 import type { MemberRequest, MemberStatus } from '../relay/member-link.js';
 import { MemberGroup, type Member } from '../topology/member-group.js';
+import { FakeReplacedTerms } from '../../test/support/replaced-terms.js';
 import { GroupSupervisor } from './group-supervisor.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
 
@@ -50,6 +51,7 @@
       order: (order, _timeoutMs, recipients) => this.#order(order, recipients),
       connectedDaemonCount: () => 2,
       usesGateways: () => false,
+      replacedTerms: new FakeReplacedTerms(),
       leaderPromoted: () => undefined,
       log: (event) => void this.steps.push(event),
       now: () => performance.now(),
@@ -162,6 +164,7 @@
     order: () => Promise.resolve(new Map()),
     connectedDaemonCount: () => 6,
     usesGateways: () => usesGateways,
+    replacedTerms: new FakeReplacedTerms(),
     leaderPromoted: () => undefined,
     log: (event) => void steps.push(event),
     now: () => performance.now(),
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -26,6 +26,7 @@
 import type { ControlAnswer, MemberControl } from './member-control.js';
 import { OpenCalls } from './open-calls.js';
 import { DUTY_RESERVE_MS, Promotion, type PromotionPorts } from './promotion.js';
+import type { ReplacedTerms } from './replaced-terms.js';
 import { ReplicaPauses } from './replica-pauses.js';
 import { StepDowns } from './step-downs.js';
 
@@ -62,6 +63,8 @@
    * True when those daemons are gateways, which share their connections to the member with all other daemons.
    */
   usesGateways(memberId: string): boolean;
+  /** The record in the store of the terms that may have been replaced. */
+  readonly replacedTerms: Pick<ReplacedTerms, 'write'>;
   /** A member has become the leader through a promotion by this daemon. */
   leaderPromoted(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -407,12 +410,12 @@
   }
 
   /**
-   * True when evidence of the leader takes the answers of all members and they have not been had for long: one
-   * that does not answer would keep a healthy leader unused for as long.
+   * True when the store has no record by which the leader is the present one, and the answers of all members
+   * have not been had for long: one that does not answer would keep a healthy leader unused for as long.
    */
   #isUnresolved(nowMs: number): boolean {
     const isLeaderlessForLong = this.group.leaderlessMs(nowMs) > UNRESOLVED_LIMIT_MS;
-    return isLeaderlessForLong && this.group.evidence.needsEveryMember(nowMs);
+    return isLeaderlessForLong && this.group.evidence.mayBeGathered(nowMs);
   }
 
   /** Resumes replicas that were left paused by an abandoned promotion. */
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -1,31 +1,29 @@
 /**
  * Evidence that a member leads its group. Pure: the caller passes monotonic times.
  *
- * A promotion pauses every replica of the group before it makes one of them the leader. A replica that
- * reports, queried at time *s*, that it follows term *t* and is not paused therefore proves that no member
- * had been promoted over the leader of *t* at *s*. Such an answer is valid until *s* + {@link EVIDENCE_VALIDITY_MS}.
- * After its pauses, a promotion waits that long for every daemon that has not confirmed that it revoked its
- * evidence.
+ * Evidence is the word of somebody without whom no promotion succeeds:
  *
- * A promotion does not wait for a daemon that has confirmed, and may succeed without replicas that it does not
- * reach. Such a replica, which is not paused, proves nothing to that daemon until the holder of the duty has
- * abandoned the promotion; nor does the evidence of another daemon, which may rest on that replica. Without word
- * from the holder, the daemon needs the answers of all members: the successor is paused until it leads.
+ * - the store: a promotion records there that the term may be replaced before it does anything else;
+ * - the holder of the promotion duty, which alone calls the platform;
+ * - all members but the leader: the successor is paused from before evidence is waited out until it leads.
  *
- * The holder of the promotion duty needs no witness for a leader that it has confirmed while holding the
- * duty, by a witness or by its own promotion: no other daemon can promote while its lease is valid.
+ * One replica that is not paused proves nothing: the promotion may not reach it, a restart or the platform's act
+ * may have ended its pause, and it follows the old term until it hears from the new leader.
+ *
+ * Evidence asked for at time *s* is valid until *s* + {@link EVIDENCE_VALIDITY_MS}. A promotion waits that long
+ * after its pauses for every daemon that has not confirmed that it revoked its evidence.
  *
  * @packageDocumentation
  */
 
-/** Validity of an answer of a witness, from the time at which the witness was queried, in milliseconds. */
+/** Validity of evidence, from the time at which it was asked for, in milliseconds. */
 export const EVIDENCE_VALIDITY_MS = 1600;
 
 /** Age of evidence at which a daemon that supplies others with evidence renews it, in milliseconds. */
 export const HOLDER_RENEWAL_MS = 500;
 
 /**
- * Time after the duty was acquired from which a witness confirms a leader for as long as the duty is held, in
+ * Time after the duty was acquired from which the members confirm a leader for as long as the duty is held, in
  * milliseconds: before that, a call of the former holder may still take effect.
  */
 export const DUTY_SETTLE_MS = 1500;
@@ -34,14 +32,15 @@
 export const EVIDENCE_REQUEST_INTERVAL_MS = 400;
 
 /**
- * Age of evidence at which a daemon that was not supplied in time queries a witness itself, in milliseconds.
+ * Age of evidence at which a daemon that was not supplied in time asks the store or the members itself, in
+ * milliseconds: both may be asked, one after the other, before the evidence expires.
  */
-export const OWN_RENEWAL_MS = 1200;
+export const OWN_RENEWAL_MS = 1000;
 
 /**
- * Time after the registration of a daemon from which the answers of witnesses are valid for it, in
- * milliseconds. A promotion reads the register of daemons when it begins, and pauses the witnesses within
- * less than this time, so it knows all daemons that may hold evidence.
+ * Time after the registration of a daemon from which the answers of members are valid for it, in milliseconds. A
+ * promotion reads the register of daemons when it begins, and pauses the members within less than this time, so
+ * it knows all daemons that may hold evidence.
  */
 export const REGISTRATION_SETTLE_MS = 1000;
 
@@ -49,9 +48,9 @@
  * Time for which a daemon has to have known the incarnation of a member before its answers are valid, in
  * milliseconds; also the time from a sign that another process answers for it. The last check of a promotion
  * for members that have started is at most 1.3 s before it calls the platform (as long as its duty is
- * trusted), and it checks every 0.1 s after the call; the platform acts 0.3 s after the call or later. A member that started after the last check, and is not paused, would be
- * evidence for the old leader at a daemon that the holder does not reach: 1.6 s of reads and commits at a
- * leader that has been replaced.
+ * trusted), and it checks every 0.1 s after the call; the platform acts 0.3 s after the call or later. A
+ * successor that started after the last check, and is not paused, would be evidence for the old leader at a
+ * daemon that the holder does not reach: 1.6 s of reads and commits at a leader that has been replaced.
  */
 export const WITNESS_KNOWN_MS = 2000;
 
@@ -75,16 +74,11 @@
 export type CommitStatus = 'proven' | 'unproven' | 'replaced';
 
 /**
- * What evidence rests on: the answer of a member, the answers of every member but the leader, the evidence of
- * another daemon, or the promotion duty that this daemon holds.
+ * Who has given the evidence: the store, by its record of replaced terms; every member but the leader; another
+ * daemon, which has it from one of these; or this daemon, which holds the promotion duty.
  */
 export type EvidenceSource =
-  | {
-      readonly kind: 'member';
-      readonly memberId: string;
-      /** How long the connection had been open when the member was asked, in milliseconds, if known. */
-      readonly linkMs?: number;
-    }
+  | { readonly kind: 'store' }
   | { readonly kind: 'members' }
   | {
       readonly kind: 'daemon';
@@ -93,29 +87,22 @@
     }
   | { readonly kind: 'duty' };
 
+const MEMBERS: EvidenceSource = { kind: 'members' };
+
 /** A short form of the source of evidence, for the log. */
 export function formatEvidenceSource(source: EvidenceSource): string {
-  switch (source.kind) {
-    case 'member':
-      return source.memberId;
-    case 'members':
-    case 'daemon':
-    case 'duty':
-      return source.kind;
-  }
+  return source.kind;
 }
 
 /**
- * True when evidence from this source shows that no promotion has succeeded without this daemon's knowledge. A
- * daemon other than the holder may have taken it from one replica, without having been sent the revocation.
+ * True when evidence from this source, asked for after a revocation has expired, shows how the promotion ended
+ * for which it was revoked.
  */
-function knowsOutcome(source: EvidenceSource | null): boolean {
-  switch (source?.kind) {
-    case undefined:
-    case 'member':
-      return false;
+function knowsOutcome(source: EvidenceSource): boolean {
+  switch (source.kind) {
     case 'daemon':
       return source.isHolder;
+    case 'store':
     case 'members':
     case 'duty':
       return true;
@@ -144,10 +131,12 @@
   #isConfirmed = false;
 
   /**
-   * @param countsFromMs - time from which the answers of witnesses are valid: before it, a promotion may not
-   *   know this daemon
+   * @param countsFromMs - time from which evidence from a source is valid: before it, a promotion may not know
+   *   this daemon
    */
-  constructor(private readonly countsFromMs: () => number = () => Number.NEGATIVE_INFINITY) {}
+  constructor(
+    private readonly countsFromMs: (source: EvidenceSource) => number = () => Number.NEGATIVE_INFINITY,
+  ) {}
 
   /** The last known leader, with or without evidence that is still valid. */
   get leader(): Leader | null {
@@ -225,18 +214,16 @@
   }
 
   /**
-   * Records that a witness, queried at `askedAtMs`, follows `term` and is paused for `pausedForTerm` (0: not
-   * paused).
+   * Records that a source, asked at `askedAtMs`, has given `term` as the latest one.
    *
-   * @param source - the witness (`null`: a single unnamed one), or how its answer came to this daemon; with
-   * `members`, `term` and `pausedForTerm` are those of every member but the leader
+   * @param pausedForTerm - with `members`, the highest term for which one of them is paused; 0 if none is
    * @returns true when that is evidence for the leader
    */
   recordWitness(
     term: number,
     pausedForTerm: number,
     askedAtMs: number,
-    source: EvidenceSource | null = null,
+    source: EvidenceSource = MEMBERS,
   ): boolean {
     const leader = this.#leader;
     if (term > this.#minimumTerm) this.#minimumTerm = term;
@@ -244,22 +231,27 @@
       if (leader !== null && leader.term < term) this.clearLeader();
       return false;
     }
-    if (pausedForTerm > term || askedAtMs < this.countsFromMs()) return false;
-    if (term <= this.#revokedUpToTerm && askedAtMs < this.#revokedUntilMs) return false;
+    if (pausedForTerm > term || !this.counts(source, askedAtMs)) return false;
+    if (this.#isRevoked(term, askedAtMs)) return false;
     const mayBeReplaced = this.#isOpenPromotion(term) || this.#hasEnded(term, askedAtMs);
     if (mayBeReplaced && !knowsOutcome(source)) return false;
     this.#extend(askedAtMs + EVIDENCE_VALIDITY_MS, source);
     return true;
   }
 
-  /**
-   * True when evidence of the known leader takes the answers of all other members: this daemon has revoked it
-   * for a promotion that may have succeeded without its knowledge, or knew of a later term before.
-   */
-  needsEveryMember(nowMs: number): boolean {
-    if (this.#leader === null || nowMs < this.#revokedUntilMs) return false;
-    const { term } = this.#leader;
-    return this.#isOpenPromotion(term) || this.#hasEnded(term, nowMs);
+  /** True when evidence of the known leader may be had: there is one, and no revocation prevents it. */
+  mayBeGathered(nowMs: number): boolean {
+    return this.#leader !== null && !this.#isRevoked(this.#leader.term, nowMs);
+  }
+
+  /** True when evidence from a source that is asked at this time is valid for this daemon. */
+  counts(source: EvidenceSource, atMs: number): boolean {
+    return atMs >= this.countsFromMs(source);
+  }
+
+  /** True while a revocation prevents evidence of the term. */
+  #isRevoked(term: number, atMs: number): boolean {
+    return term <= this.#revokedUpToTerm && atMs < this.#revokedUntilMs;
   }
 
   /** True when the term had ended before this record of the group began. */
--- a/src/leadership/leadership-watcher.test.ts
+++ b/src/leadership/leadership-watcher.test.ts
@@ -1,5 +1,5 @@
 /**
- * Which replicas are valid witnesses for a daemon.
+ * Which answers of replicas are valid for a daemon that the store does not answer.
  *
  * Guards against reads of old data and the loss of an acknowledged commit: the holder of the duty did not
  * reach a daemon and waited for its evidence to expire; then a replica started, unpaused, before the platform
@@ -11,6 +11,7 @@
  */
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
+import { FakeReplacedTerms } from '../../test/support/replaced-terms.js';
 import { delay } from '../common/signal.js';
 import type { MemberConnections } from '../gateway/member-connections.js';
 import { Member, MemberGroup } from '../topology/member-group.js';
@@ -49,8 +50,8 @@
   };
   const watcher = new LeadershipWatcher(
     group,
-    'a',
     { ask } as unknown as MemberControl,
+    new FakeReplacedTerms(),
     { evidenceChanged: () => undefined, statusLost: () => undefined },
     () => null,
     () => true,
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps the evidence of one daemon for the leader of one group fresh: finds out which member leads, then
- * queries the replicas in turn.
+ * Keeps the evidence of one daemon for the leader of one group fresh: finds out which member leads, then asks
+ * the store whether its term may have been replaced, and all other members if the store does not tell.
  *
  * @packageDocumentation
  */
@@ -16,6 +16,7 @@
   WITNESS_KNOWN_MS,
 } from './leadership-evidence.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
+import type { ReplacedTerms } from './replaced-terms.js';
 
 /** Timeout of a status request, in milliseconds. */
 const STATUS_TIMEOUT_MS = 250;
@@ -26,9 +27,6 @@
 /** Time between checks whether this daemon has to query the members itself, in milliseconds. */
 const SHARED_EVIDENCE_CHECK_MS = 100;
 
-/** Time for which a confirmed leader needs no new answer of a witness, in milliseconds. */
-const RECONFIRM_INTERVAL_MS = 5000;
-
 /** The promotion duty while this daemon holds it; monotonic times in milliseconds. */
 export interface HeldDuty {
   readonly takenAtMs: number;
@@ -51,16 +49,15 @@
   #isStopped = false;
   #failedRounds = 0;
   #hadEvidence = false;
-  #witnessRotation = 0;
-  #confirmedAtMs = Number.NEGATIVE_INFINITY;
+  #rotation = 0;
 
   constructor(
     private readonly group: MemberGroup,
-    private readonly zone: string,
     private readonly control: MemberControl,
+    private readonly replacedTerms: Pick<ReplacedTerms, 'read' | 'write'>,
     private readonly listener: LeadershipListener,
     private readonly heldDuty: () => HeldDuty | null,
-    /** False while other daemons query the members on behalf of this one. */
+    /** False while other daemons ask the store and the members on behalf of this one. */
     private readonly mayQueryMembers: () => boolean,
     /** True while other daemons depend on the evidence of this one, though it does not hold the duty. */
     private readonly suppliesEvidence: () => boolean,
@@ -87,11 +84,10 @@
   }
 
   /**
-   * Called on the holder of the duty when it has verified the leader: its evidence is renewed without
-   * witnesses while the duty is held.
+   * Called on the holder of the duty when it has verified the leader: its evidence is renewed by the duty alone
+   * while that is held.
    */
   confirm(): void {
-    this.#confirmedAtMs = this.now();
     this.group.evidence.confirm();
   }
 
@@ -114,45 +110,68 @@
 
   async #gatherEvidence(): Promise<boolean> {
     if (this.#renewUnderDuty()) return true;
-    if (this.group.evidence.leader === null) {
-      if (await this.#findLeader()) return true;
-      if (this.group.evidence.leader === null) return false;
-    }
-    if (this.#mayAskEveryMember()) return this.#askEveryMember();
-    for (const witness of this.#witnesses()) {
-      if (await this.#askWitness(witness)) return true;
-      if (this.#isStopped || this.group.evidence.leader === null) return false;
-    }
-    return false;
+    if (this.group.evidence.leader === null && !(await this.#findLeader())) return false;
+    if (!this.group.evidence.mayBeGathered(this.now())) return false;
+    if (await this.#askStore()) return true;
+    return this.#mayMembersCount() && (await this.#askEveryMember());
   }
 
-  /** Renews the evidence by the held duty alone, without a witness; false when that is not possible. */
+  /** Renews the evidence by the held duty alone; false when that is not possible. */
   #renewUnderDuty(): boolean {
     const duty = this.heldDuty();
     const { evidence } = this.group;
-    const now = this.now();
-    if (duty === null || !evidence.isConfirmed || now - this.#confirmedAtMs > RECONFIRM_INTERVAL_MS)
-      return false;
-    evidence.renewUnderDuty(duty.untilMs, now);
+    if (duty === null || !evidence.isConfirmed) return false;
+    evidence.renewUnderDuty(duty.untilMs, this.now());
     if (this.#renewalDueInMs() <= 0) return false;
     this.group.changed.notify();
     return true;
   }
 
   /**
-   * Queries the members that claim leadership in the directory, or all members if there are none and in every
-   * fourth round, and a witness at the same time: its answer is valid once the leader is known. True when
-   * there is evidence.
+   * Queries the members that claim leadership in the directory and one other, which may follow a later term; all
+   * members if there is no claimant and in every fourth round. True when a leader is known.
    */
   async #findLeader(): Promise<boolean> {
     const members = [...this.group.members.values()];
     const claimants = members.filter((member) => member.entry.saysPrimary);
     const isClaimed = claimants.length > 0 && this.#failedRounds % 4 !== 3;
-    const [witness] = this.#witnesses().filter((member) => !claimants.includes(member));
-    const queried = isClaimed ? [...claimants, ...(witness === undefined ? [] : [witness])] : members;
+    const queried = isClaimed ? [...claimants, ...this.#nextOther(claimants)] : members;
     const answers = await Promise.all(queried.map((member) => this.#askStatus(member)));
-    queried.forEach((member, index) => this.#observeLeader(member, answers[index]));
-    return queried.some((member, index) => this.#recordWitness(member, answers[index]));
+    queried.forEach((member, index) => {
+      this.#observeLeader(member, answers[index]);
+      this.#observeTerm(member, answers[index]);
+    });
+    return this.group.evidence.leader !== null;
+  }
+
+  /** One of the members that are not claimants, each in turn. */
+  #nextOther(claimants: readonly Member[]): readonly Member[] {
+    const others = [...this.group.members.values()].filter((member) => !claimants.includes(member));
+    this.#rotation += 1;
+    const other = others[this.#rotation % others.length];
+    return other === undefined ? [] : [other];
+  }
+
+  /** Asks the store whether the leader may have been replaced; true when its answer is evidence for the leader. */
+  async #askStore(): Promise<boolean> {
+    const reading = await this.replacedTerms.read();
+    const { evidence } = this.group;
+    const { leader } = evidence;
+    const replacedTerm = reading?.terms.get(this.group.name);
+    if (reading === null || leader === null || replacedTerm === undefined || replacedTerm >= leader.term)
+      return false;
+    if (!evidence.recordWitness(leader.term, 0, reading.askedAtMs, { kind: 'store' })) return false;
+    const duty = this.heldDuty();
+    // A former holder cannot write any more, so the record holds for as long as the duty is held.
+    if (duty !== null && reading.askedAtMs >= duty.takenAtMs) this.#confirmUnderDuty();
+    this.group.changed.notify();
+    return true;
+  }
+
+  /** No promotion by a former holder can take effect any more. */
+  #confirmUnderDuty(): void {
+    this.confirm();
+    this.group.evidence.liftRevocation();
   }
 
   #observeLeader(member: Member, answer: ControlAnswer | undefined): void {
@@ -163,30 +182,6 @@
     if (this.group.recordLeader({ memberId, term }, received)) this.group.changed.notify();
   }
 
-  /**
-   * Members other than the leader: those in the same zone first, then the others in rotation. A member whose
-   * answer would not be valid yet is not queried: where members and daemons start together, such queries
-   * raised the number from 314 to 745 for 8 daemons in 50 s.
-   */
-  #witnesses(): readonly Member[] {
-    const leaderId = this.group.evidence.leader?.memberId;
-    const now = this.now();
-    const others = [...this.group.members.values()].filter(
-      (member) => member.entry.memberId !== leaderId && this.#mayBeWitness(member, now),
-    );
-    this.#witnessRotation += 1;
-    const inZone = others.filter(({ entry }) => entry.zone === this.zone);
-    const elsewhere = others.filter(({ entry }) => entry.zone !== this.zone);
-    const start = elsewhere.length === 0 ? 0 : this.#witnessRotation % elsewhere.length;
-    return [...inZone, ...elsewhere.slice(start), ...elsewhere.slice(0, start)];
-  }
-
-  async #askWitness(witness: Member): Promise<boolean> {
-    const answer = await this.#askStatus(witness);
-    this.#observeLeader(witness, answer);
-    return this.#recordWitness(witness, answer);
-  }
-
   /** Queries the status of a member, and records signs that its process has been replaced. */
   async #askStatus(member: Member): Promise<ControlAnswer> {
     const answer = await this.control.ask(member, { kind: 'status' }, STATUS_TIMEOUT_MS, true);
@@ -197,17 +192,41 @@
     return answer;
   }
 
-  /** True when all members but the leader may be asked for evidence, and no answer of one alone suffices. */
-  #mayAskEveryMember(): boolean {
+  #observeTerm(member: Member, answer: ControlAnswer | undefined): void {
+    if (!member.hasEnded && answer?.kind === 'answered') this.group.evidence.observeTerm(answer.status.term);
+  }
+
+  /**
+   * True when the answers of all members but the leader can be evidence. While a call to the platform may take
+   * effect, they may be out of date at once.
+   */
+  #mayMembersCount(): boolean {
     const { evidence, calls } = this.group;
     const now = this.now();
-    return evidence.needsEveryMember(now) && calls.open(now) === null;
+    if (!evidence.mayBeGathered(now) || calls.open(now) !== null) return false;
+    return evidence.counts({ kind: 'members' }, now);
   }
 
-  /** Queries all members but the leader at the same time; true when their answers are evidence for it. */
-  async #askEveryMember(): Promise<boolean> {
+  /**
+   * The members but the leader, listed or not, that may still run and that a promotion may have named. The holder
+   * of the duty names members itself; a former one can have named those that were known when this one took over.
+   */
+  #possibleSuccessors(): readonly Member[] {
     const leaderId = this.group.evidence.leader?.memberId;
-    const members = this.#runningMembers().filter(({ entry }) => entry.memberId !== leaderId);
+    const knownUntilMs = this.heldDuty()?.takenAtMs ?? Number.POSITIVE_INFINITY;
+    return this.#runningMembers().filter(
+      ({ entry, knownSinceMs }) => entry.memberId !== leaderId && knownSinceMs <= knownUntilMs,
+    );
+  }
+
+  /**
+   * Queries all members but the leader at the same time; true when their answers are evidence for it. None is
+   * queried while the answer of one would not be valid yet: a status request takes a slot of the member.
+   */
+  async #askEveryMember(): Promise<boolean> {
+    const members = this.#possibleSuccessors();
+    const now = this.now();
+    if (!members.every((member) => this.#mayBeWitness(member, now))) return false;
     const answers = await Promise.all(members.map((member) => this.#askStatus(member)));
     members.forEach((member, index) => this.#observeLeader(member, answers[index]));
     return this.#recordEveryMember(members, answers);
@@ -229,47 +248,37 @@
       return this.#isWitness(member, answer) ? [answer] : [];
     });
     const [first, ...others] = followers;
-    const isComplete = followers.length === members.length && this.#mayAskEveryMember();
-    if (first === undefined || !isComplete) return false;
+    const isComplete = followers.length === members.length;
+    if (first === undefined || !isComplete || !this.#mayMembersCount()) return false;
     if (others.some(({ status }) => status.term !== first.status.term)) return false;
     const pausedForTerm = Math.max(...followers.map(({ status }) => status.pausedForTerm));
     const askedAtMs = Math.min(...followers.map((follower) => follower.askedAtMs));
-    const source = { kind: 'members' } as const;
-    if (!evidence.recordWitness(first.status.term, pausedForTerm, askedAtMs, source)) return false;
-    for (const { status } of followers) this.#recordFollower(status, askedAtMs);
+    if (!evidence.recordWitness(first.status.term, pausedForTerm, askedAtMs, { kind: 'members' }))
+      return false;
+    for (const { status } of followers) this.#recordFollower(status);
+    if (this.#isDutySettled(askedAtMs)) this.#confirmByMembers(first.status.term);
+    this.group.changed.notify();
     return true;
   }
 
-  /** True when the answer is evidence for the leader. */
-  #recordWitness(member: Member, answer: ControlAnswer | undefined): boolean {
-    if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return false;
-    const { status, askedAtMs, linkMs } = answer;
-    const { evidence } = this.group;
-    if (!this.#isWitness(member, answer)) {
-      evidence.observeTerm(status.term);
-      return false;
-    }
-    const { memberId } = member.entry;
-    const source = { kind: 'member', memberId, ...(linkMs === undefined ? {} : { linkMs }) } as const;
-    const isEvidence = evidence.recordWitness(status.term, status.pausedForTerm, askedAtMs, source);
-    if (isEvidence) this.#recordFollower(status, askedAtMs);
-    return isEvidence;
+  /** Records what a replica has answered that is part of the evidence for the leader. */
+  #recordFollower({ received }: MemberStatus): void {
+    const { leader } = this.group.evidence;
+    if (leader === null) return;
+    // The leader holds whatever a replica has received in the term.
+    this.group.recordLeader(leader, null);
+    this.group.recordReplicaPosition(received);
   }
 
-  /** Records what a replica has answered whose answer is evidence for the leader. */
-  #recordFollower(status: MemberStatus, askedAtMs: number): void {
-    const { evidence } = this.group;
-    // The leader holds whatever a replica has received in the term.
-    if (evidence.leader !== null) {
-      this.group.recordLeader(evidence.leader, null);
-      this.group.recordReplicaPosition(status.received);
-    }
-    if (this.#isDutySettled(askedAtMs)) {
-      this.confirm();
-      // No promotion by an earlier holder can take effect any more.
-      evidence.liftRevocation();
-    }
-    this.group.changed.notify();
+  /** Confirms the leader of a term for which the store has no valid record, and writes one. */
+  #confirmByMembers(term: number): void {
+    this.#confirmUnderDuty();
+    const { evidence, name } = this.group;
+    void this.replacedTerms.write(
+      name,
+      term - 1,
+      () => evidence.isConfirmed && evidence.leader?.term === term,
+    );
   }
 
   /** True when no promotion by an earlier holder can take effect at this time or later. */
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -51,10 +51,10 @@
   test('names the source that it rests on, and when it was revoked', () => {
     const group = ledGroup();
     const { evidence } = group;
-    evidence.recordWitness(1, 0, 1000, { kind: 'member', memberId: 'b' });
+    evidence.recordWitness(1, 0, 1000, { kind: 'store' });
     evidence.recordWitness(1, 0, 900, { kind: 'daemon', isHolder: false });
     const latest = group.describeLeadership(1100);
-    assert.equal(latest.evidenceFrom, 'b');
+    assert.equal(latest.evidenceFrom, 'store');
     assert.equal(latest.sinceRevokedMs, null);
     evidence.seal(1, 1200);
     evidence.recordWitness(1, 0, 1200 + REVOCATION_MS, { kind: 'daemon', isHolder: true });
@@ -73,9 +73,22 @@
     assert.ok(!evidence.recordWitness(3, 0, 1000));
     countsFromMs = 1500;
     assert.ok(!evidence.recordWitness(3, 0, 1499));
+    assert.ok(!evidence.counts({ kind: 'members' }, 1499));
     assert.ok(evidence.recordWitness(3, 0, 1500));
   });
 
+  test('may be gathered once a leader is known and no revocation of its term prevents it', () => {
+    const evidence = new LeadershipEvidence();
+    assert.ok(!evidence.mayBeGathered(1000));
+    evidence.observeLeader({ memberId: 'a', term: 3 });
+    assert.ok(evidence.mayBeGathered(1000));
+    evidence.revoke(3, 1000);
+    assert.ok(!evidence.mayBeGathered(1000 + REVOCATION_MS - 1));
+    assert.ok(evidence.mayBeGathered(1000 + REVOCATION_MS));
+    evidence.observeLeader({ memberId: 'b', term: 4 });
+    assert.ok(evidence.mayBeGathered(1001));
+  });
+
   test('is not gathered for a revoked term for a while, not even from the answer to an older query', () => {
     const evidence = ledBy('a', 3);
     evidence.recordWitness(3, 0, 1000);
@@ -83,7 +96,11 @@
     assert.equal(evidence.current(1101), null);
     assert.ok(!evidence.recordWitness(3, 0, 1099));
     assert.ok(!evidence.recordWitness(3, 0, 1100 + REVOCATION_MS - 1));
-    assert.ok(!evidence.recordWitness(3, 0, 1100 + REVOCATION_MS), 'one witness does not know how it ended');
+    const relayed = { kind: 'daemon', isHolder: false } as const;
+    assert.ok(
+      !evidence.recordWitness(3, 0, 1100 + REVOCATION_MS, relayed),
+      'it may be older than the promotion',
+    );
     assert.ok(!evidence.recordWitness(3, 0, 1100 + REVOCATION_MS - 1, { kind: 'members' }));
     assert.ok(evidence.recordWitness(3, 0, 1100 + REVOCATION_MS, { kind: 'members' }));
     evidence.revoke(3, 3000);
--- a/src/leadership/promotion-orders.ts
+++ b/src/leadership/promotion-orders.ts
@@ -26,6 +26,11 @@
  * for less than the whole wait.
  */
 export const REVOCATION_RENEWAL_MS = 700;
+/**
+ * Interval at which daemons that have not answered a revoke order are asked again during the wait for their
+ * evidence, in milliseconds: one that has been replaced by its next process is back within half a second.
+ */
+const UNANSWERED_RETRY_MS = 150;
 
 /** An order to daemons to drop their evidence of a leader. */
 type RevocationOrder = Extract<HolderOrder, { kind: 'revoke' | 'seal' }>;
@@ -53,7 +58,8 @@
 
 /** The orders of one promotion. */
 export class PromotionOrders {
-  readonly #startedAtMs: number;
+  /** When the register of daemons was read for the first order. */
+  #startedAtMs = Number.POSITIVE_INFINITY;
   /** When the answers to the revoke order were in. */
   #revokedAtMs = Number.NEGATIVE_INFINITY;
   #hasUnansweredDaemon = false;
@@ -65,9 +71,7 @@
     private readonly group: MemberGroup,
     private readonly options: GroupSupervisorOptions,
     private readonly term: number,
-  ) {
-    this.#startedAtMs = options.now();
-  }
+  ) {}
 
   /** True when a daemon did not confirm an order: it may hold evidence until that expires. */
   get hasUnansweredDaemon(): boolean {
@@ -76,27 +80,52 @@
 
   /** Revokes the evidence of the leader at this daemon and all others. */
   revoke(): Promise<Outcomes> {
+    this.#startedAtMs = Math.min(this.#startedAtMs, this.options.now());
     this.group.evidence.revoke(this.term, this.options.now());
     return this.options.order(this.#order('revoke'), ORDER_TIMEOUT_MS);
   }
 
   /**
-   * Waits for the answers to the revoke order, and until the evidence of daemons that did not answer has
-   * expired.
+   * Waits for the answers to the revoke order, and until the daemons that did not answer have done so or their
+   * evidence has expired.
    *
-   * @param pausedAtMs - since when the replicas give no evidence
+   * @param pausedAtMs - since when the members give no evidence
    */
   async awaitRevocation(revoking: Promise<Outcomes>, pausedAtMs: number): Promise<Outcomes> {
     const first = await revoking;
-    this.#revokedAtMs = this.options.now();
     const outcomes = new Map([...first, ...(await this.#revokeStartedSince(first))]);
+    await this.#awaitAnswers(outcomes, pausedAtMs + EVIDENCE_VALIDITY_MS);
+    this.#revokedAtMs = this.options.now();
     this.#hasUnansweredDaemon = hasUnanswered(outcomes);
     await this.awaitExpiry(pausedAtMs);
     return outcomes;
   }
 
+  /** Asks the daemons that have not answered again until they have, and adds their answers to the outcomes. */
+  async #awaitAnswers(outcomes: Map<string, OrderOutcome>, untilMs: number): Promise<void> {
+    const { now } = this.options;
+    let renewedAtMs = now();
+    while (hasUnanswered(outcomes) && now() < untilMs) {
+      await delay(Math.min(untilMs - now(), UNANSWERED_RETRY_MS));
+      if (now() - renewedAtMs > REVOCATION_RENEWAL_MS) {
+        renewedAtMs = now();
+        void this.revoke();
+      }
+      const asking = this.#askAgain(outcomes);
+      await Promise.race([asking, delay(Math.max(0, untilMs - now()))]);
+    }
+  }
+
+  async #askAgain(outcomes: Map<string, OrderOutcome>): Promise<void> {
+    const unanswered = [...outcomes].filter(([, { kind }]) => kind === 'silent').map(([name]) => name);
+    const answers = await this.options.order(this.#order('revoke'), ORDER_TIMEOUT_MS, {
+      only: new Set(unanswered),
+    });
+    for (const [name, outcome] of answers) if (outcome.kind !== 'silent') outcomes.set(name, outcome);
+  }
+
   /**
-   * Waits until evidence from replicas that were paused at the given time has expired, if a daemon may hold
+   * Waits until evidence from members that were paused at the given time has expired, if a daemon may hold
    * it that did not answer or that has registered since the promotion began.
    */
   async awaitExpiry(pausedAtMs: number): Promise<void> {
@@ -182,8 +211,8 @@
 
   /**
    * Repeats the revoke order to daemons whose process was not running before the pauses: one that has started
-   * since may have obtained evidence from a replica that was not paused yet. Status answers that it gets from
-   * now on do not count as evidence.
+   * since may have obtained evidence from members that were not paused yet. Answers that it gets from now on do
+   * not count as evidence.
    */
   async #revokeStartedSince(outcomes: Outcomes): Promise<Outcomes> {
     const gone = [...outcomes].filter(([, { kind }]) => kind === 'gone').map(([name]) => name);
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -2,11 +2,12 @@
  * One promotion: replaces the leader of a group by a member that is proven, immediately before the platform
  * is called, to hold every acknowledged commit.
  *
- * 1. Revoke: every daemon drops its evidence of the old leader, and the replicas are paused. The evidence of
+ * 1. Record: the store is told that the term may be replaced. From then on it is evidence for no daemon.
+ * 2. Revoke: every daemon drops its evidence of the old leader, and the replicas are paused. The evidence of
  *    daemons that do not answer is waited out.
- * 2. Seal: every daemon reports what it has acknowledged, and acknowledges nothing of the old term after that
+ * 3. Seal: every daemon reports what it has acknowledged, and acknowledges nothing of the old term after that
  *    reply.
- * 3. Final check: all replicas listed by then are asked again. Their pauses must still hold; the successor is
+ * 4. Final check: all replicas listed by then are asked again. Their pauses must still hold; the successor is
  *    chosen by the positions that they report.
  *
  * Replies and member lists from before the seal prove nothing: as long as a daemon still acknowledged commits
@@ -87,6 +88,7 @@
    * The incarnation that led the last term in which commits may have been acknowledged; `null` while unknown.
    */
   #lastLeader: Incarnation | null = null;
+  #hasCalled = false;
 
   /** @param leader - the member to be replaced; `null` when every member may succeed */
   constructor(
@@ -131,6 +133,7 @@
       reason: this.reason,
       others: others.map(({ entry }) => formatIncarnation(entry)).join(','),
     });
+    if (!(await options.replacedTerms.write(group.name, this.#term))) return this.#endUnrecorded();
     const { pauses, outcomes } = await this.#revokeAndPause(others);
     const sealed = await this.#orders.seal(outcomes);
     this.#determineLastLeader(sealed.replies);
@@ -287,6 +290,7 @@
     const call = (timeoutMs: number): Promise<boolean> | null => {
       const fence = this.#isSuperseded() ? null : this.ports.fence(DUTY_RESERVE_MS);
       if (fence === null) return null;
+      this.#hasCalled = true;
       this.#orders.recordCall(memberId, fence);
       this.#orders.renewSeal();
       options.log('promotion_call', {
@@ -376,6 +380,13 @@
     return { kind: 'led', leader };
   }
 
+  /** Ends the promotion before it has changed anything: the store did not accept the record in time. */
+  #endUnrecorded(): PromotionOutcome {
+    const { options, group } = this.ports;
+    options.log('promotion_given_up', { group: group.name, reason: 'the store has not recorded it' });
+    return { kind: 'given_up' };
+  }
+
   async #giveUp(check: FinalCheck, successor: PausedReplica | null = null): Promise<PromotionOutcome> {
     const { options, group } = this.ports;
     this.#pauses.end();
@@ -395,9 +406,13 @@
    * does not follow the later leader would be evidence for the replaced one.
    */
   async #rollBack(): Promise<void> {
+    const { options, group } = this.ports;
     if (this.ports.fence(0) === null) return;
     await this.#pauses.resumeAllBut(null);
-    if (!this.#isSuperseded()) this.#orders.allow();
+    if (this.#isSuperseded()) return;
+    this.#orders.allow();
+    // A call that came to nothing as far as is known leaves the record: all members have to answer then.
+    if (!this.#hasCalled) void options.replacedTerms.write(group.name, this.#term - 1);
   }
 
   /** Demotes the former leader and logs the position up to which it had received the log. */
--- a/src/leadership/restarted-witness.test.ts
+++ b/src/leadership/restarted-witness.test.ts
@@ -10,6 +10,7 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { FakeLink } from '../../test/support/fake-link.js';
+import { FakeReplacedTerms } from '../../test/support/replaced-terms.js';
 import { delay } from '../common/signal.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import { MemberFactory, type MemberFactoryPorts } from '../relay/member-factory.js';
@@ -85,8 +86,8 @@
     this.group.recordLeader({ memberId: 'leader', term: TERM }, null);
     this.#watcher = new LeadershipWatcher(
       this.group,
-      'a',
       { ask: () => this.#ask() } as unknown as MemberControl,
+      new FakeReplacedTerms(),
       { evidenceChanged: () => undefined, statusLost: (_member, { loss }) => void this.losses.push(loss) },
       () => this.duty,
       () => true,
@@ -162,12 +163,12 @@
     assert.equal(await scene.gathersEvidence(), true);
   });
 
-  test('is a witness over a connection that has been open for as long, which the log tells', async () => {
+  test('is a witness over a connection that has been open for as long', async () => {
     const scene = new WitnessScene();
     scene.answer = PAUSED;
     scene.linkMs = WITNESS_KNOWN_MS;
     assert.equal(await scene.gathersEvidence(() => (scene.answer = FOLLOWS)), true);
-    assert.equal(scene.group.describeLeadership(performance.now()).evidenceLinkMs, WITNESS_KNOWN_MS);
+    assert.equal(scene.group.describeLeadership(performance.now()).evidenceFrom, 'members');
   });
 
   test('is a witness for the holder of the duty, since no other promotion is under way', async () => {
--- a/src/leadership/unresolved-promotion.test.ts
+++ b/src/leadership/unresolved-promotion.test.ts
@@ -10,12 +10,18 @@
 import assert from 'node:assert/strict';
 import { describe, test, type TestContext } from 'node:test';
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import { FakeReplacedTerms } from '../../test/support/replaced-terms.js';
 import { delay } from '../common/signal.js';
 import type { MemberConnections } from '../gateway/member-connections.js';
 import type { MemberStatus } from '../relay/member-link.js';
 import { Member, MemberGroup } from '../topology/member-group.js';
 import { EvidenceSharing } from './evidence-sharing.js';
-import { DUTY_SETTLE_MS, REVOCATION_MS, WITNESS_KNOWN_MS } from './leadership-evidence.js';
+import {
+  DUTY_SETTLE_MS,
+  EVIDENCE_VALIDITY_MS,
+  REVOCATION_MS,
+  WITNESS_KNOWN_MS,
+} from './leadership-evidence.js';
 import { LeadershipWatcher, type HeldDuty } from './leadership-watcher.js';
 import type { ControlAnswer, MemberControl } from './member-control.js';
 
@@ -42,6 +48,8 @@
 class SealedDaemon {
   readonly group = new MemberGroup('g');
   readonly #watcher: LeadershipWatcher;
+  /** The records in the store, which does not answer at first. */
+  readonly replacedTerms = new FakeReplacedTerms();
   /** The promotion duty, if the daemon holds it. */
   duty: HeldDuty | null = null;
   /** Status of each replica; one without status does not answer. */
@@ -59,8 +67,8 @@
     const control = { ask: ({ entry }: Member) => Promise.resolve(this.#answer(entry.memberId)) };
     this.#watcher = new LeadershipWatcher(
       this.group,
-      'a',
       control as unknown as MemberControl,
+      this.replacedTerms,
       { evidenceChanged: () => undefined, statusLost: () => undefined },
       () => this.duty,
       () => true,
@@ -70,9 +78,9 @@
   }
 
   /** The leader for which the daemon has evidence after some rounds of queries. */
-  async provenLeader(): Promise<string | null> {
+  async provenLeader(afterMs = ROUNDS_MS): Promise<string | null> {
     const running = this.#watcher.run();
-    await delay(ROUNDS_MS);
+    await delay(afterMs);
     this.#watcher.stop();
     await running;
     return this.group.evidence.current(performance.now())?.memberId ?? null;
@@ -134,18 +142,49 @@
     assert.equal(daemon.group.describeLeadership(performance.now()).evidenceFrom, 'members');
   });
 
-  test('has evidence from one replica once the holder has abandoned the promotion', async () => {
+  test('has no evidence from one replica though the holder has abandoned the promotion: there may be another', async () => {
     const daemon = new SealedDaemon();
     daemon.group.evidence.liftRevocation();
     daemon.statuses.delete('successor');
-    assert.equal(await daemon.provenLeader(), 'leader');
+    assert.equal(await daemon.provenLeader(), null);
   });
 
-  test('needs one replica again once it holds the duty and all have answered', async () => {
+  test('needs no member any more once it holds the duty and all have answered, and records that', async () => {
     const daemon = new SealedDaemon();
     daemon.duty = { takenAtMs: performance.now() - DUTY_SETTLE_MS - 1, untilMs: Number.POSITIVE_INFINITY };
+    setTimeout(() => daemon.statuses.clear(), ROUNDS_MS);
+    assert.equal(await daemon.provenLeader(EVIDENCE_VALIDITY_MS + 2 * ROUNDS_MS), 'leader');
+    assert.ok(daemon.group.evidence.isConfirmed);
+    assert.deepEqual(daemon.replacedTerms.written, [TERM - 1]);
+    assert.equal(daemon.group.describeLeadership(performance.now()).evidenceFrom, 'duty');
+  });
+
+  test('has evidence from the store if it has recorded only earlier terms, though a member does not answer', async () => {
+    const daemon = new SealedDaemon();
+    daemon.replacedTerms.terms = new Map([['g', TERM - 1]]);
+    daemon.statuses.delete('successor');
+    assert.equal(await daemon.provenLeader(), 'leader');
+    assert.equal(daemon.group.describeLeadership(performance.now()).evidenceFrom, 'store');
+    assert.equal(daemon.group.evidence.isConfirmed, false);
+  });
+
+  test('has no evidence from the store if that has recorded the term, or no term of the group', async () => {
+    for (const terms of [new Map([['g', TERM]]), new Map([['other', TERM - 1]])]) {
+      const daemon = new SealedDaemon();
+      daemon.replacedTerms.terms = terms;
+      daemon.statuses.delete('successor');
+      assert.equal(await daemon.provenLeader(), null);
+    }
+  });
+
+  test('confirms the leader by the store alone once it holds the duty', async () => {
+    const daemon = new SealedDaemon();
+    daemon.replacedTerms.terms = new Map([['g', TERM - 1]]);
+    daemon.duty = { takenAtMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+    daemon.statuses.clear();
     assert.equal(await daemon.provenLeader(), 'leader');
-    assert.equal(daemon.group.evidence.needsEveryMember(performance.now()), false);
+    assert.ok(daemon.group.evidence.isConfirmed);
+    assert.equal(daemon.group.evidence.revokedUpToTerm, null);
   });
 
   test('needs all replicas though it holds the duty, since the promotion may have ended before', async () => {
@@ -155,21 +194,21 @@
     assert.equal(await daemon.provenLeader(), null);
   });
 
-  test('has evidence from one replica after evidence of the holder', async (context) => {
+  test('has evidence from the holder of the duty, which ends the revocation', async (context) => {
     const daemon = new SealedDaemon();
     await askOtherDaemons(context, daemon.group, true);
     const { evidence } = daemon.group;
     assert.equal(evidence.current(performance.now())?.memberId, 'leader');
-    assert.equal(evidence.needsEveryMember(performance.now()), false);
+    assert.equal(evidence.revokedUpToTerm, null);
   });
 
   // A collector that was not sent the seal order handed on the answer of the replica that was out of reach.
-  test('has no evidence from that of a collector, which may rest on one replica', async (context) => {
+  test('has no evidence from that of a collector, which may be older than the promotion', async (context) => {
     const daemon = new SealedDaemon();
     await askOtherDaemons(context, daemon.group, false);
     const { evidence } = daemon.group;
     assert.equal(evidence.current(performance.now()), null);
-    assert.equal(evidence.needsEveryMember(performance.now()), true);
+    assert.equal(evidence.revokedUpToTerm, TERM);
   });
 
   test('has evidence from that of a collector once the holder has abandoned the promotion', async (context) => {
--- a/src/relay/order-handler.test.ts
+++ b/src/relay/order-handler.test.ts
@@ -42,8 +42,8 @@
     this.groups.sync(new Set(), this.nowMs);
   }
 
-  /** True when an answer, that of a replica unless specified otherwise, is evidence for the leader of the term. */
-  gainsEvidence(term = TERM, source: EvidenceSource = { kind: 'member', memberId: 'r' }): boolean {
+  /** True when an answer, that of another daemon unless specified otherwise, is evidence for the leader of the term. */
+  gainsEvidence(term = TERM, source: EvidenceSource = { kind: 'daemon', isHolder: false }): boolean {
     const group = this.groups.group(GROUP);
     assert.ok(group !== null);
     group.recordLeader({ memberId: 'm', term }, null);
--- a/src/relay/read-runner.ts
+++ b/src/relay/read-runner.ts
@@ -598,10 +598,8 @@
 
 /** The evidence for the leader of a group, for a log line about a read. */
 function describeEvidence(context: RelayContext, group: MemberGroup): Omit<LeadershipSummary, 'leader'> {
-  const { term, evidenceLeftMs, evidenceFrom, evidenceLinkMs, sinceRevokedMs } = group.describeLeadership(
-    context.now(),
-  );
-  return { term, evidenceLeftMs, evidenceFrom, evidenceLinkMs, sinceRevokedMs };
+  const { term, evidenceLeftMs, evidenceFrom, sinceRevokedMs } = group.describeLeadership(context.now());
+  return { term, evidenceLeftMs, evidenceFrom, sinceRevokedMs };
 }
 
 /** The pools in which a request can queue: those of members to which this daemon connects directly. */
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -39,6 +39,7 @@
 import { LeadershipWatcher } from '../leadership/leadership-watcher.js';
 import { LogPositionQuery } from '../leadership/log-position-query.js';
 import { MemberControl } from '../leadership/member-control.js';
+import { ReplacedTerms } from '../leadership/replaced-terms.js';
 import { GroupSupervisors } from '../leadership/group-supervisors.js';
 import { InvalidReports } from '../placement/invalid-reports.js';
 import type { LoadReport } from '../placement/load-report.js';
@@ -158,6 +159,7 @@
   readonly #daemons = new DaemonDirectory();
   readonly #registration: Registration;
   readonly #lostRecords: LostRecords;
+  readonly #replacedTerms: ReplacedTerms;
   #isDutyStarted = false;
   readonly #delegations = new Delegations(() => this.#daemons.live);
   readonly #supervision = new GroupSupervisors({
@@ -221,6 +223,15 @@
       random,
       log: options.log,
     });
+    this.#replacedTerms = new ReplacedTerms({
+      store,
+      localItem: (key) => this.watched.items.get(key),
+      dutyCondition: () => this.#duty.condition,
+      life: self.life,
+      faults: options.faults,
+      log: options.log,
+      now,
+    });
     this.#assignments = new Assignments({
       ownName: self.name,
       daemons: (isYoung) => (isYoung ? this.#daemons.expected(now()) : this.#daemons.live),
@@ -578,7 +589,7 @@
     const { options } = this;
     const group = new MemberGroup(
       name,
-      () => this.#registration.countsFromMs,
+      (source) => this.#registration.countsFromMs(source),
       () => this.#orderHandler.mayHaveAcknowledgedEarlier(name),
     );
     const listener = {
@@ -597,11 +608,12 @@
     };
     const watcher = new LeadershipWatcher(
       group,
-      options.zone,
       this.#control,
+      this.#replacedTerms,
       listener,
       () => this.#duty.held,
-      () => options.now() >= this.#registration.countsFromMs && this.#evidenceSharing.queriesWitnesses(group),
+      () =>
+        options.now() >= this.#registration.registeredAtMs && this.#evidenceSharing.queriesWitnesses(group),
       () => this.#evidenceSharing.suppliesEvidence,
       options.now,
     );
@@ -753,10 +765,7 @@
   #startDuty(registered: ReadonlyMap<string, DaemonRecord>, unreadable: ReadonlySet<string>): void {
     this.#isDutyStarted = true;
     const isBehind = this.#duty.isRegistryIncomplete;
-    this.#registration.applyInitialRecords(registered, this.options.now(), {
-      unreadable,
-      isIncomplete: isBehind,
-    });
+    this.#registration.applyInitialRecords(registered, { unreadable, isIncomplete: isBehind });
     this.#runLoop(this.#duty.run());
   }
 
@@ -834,6 +843,7 @@
       heldFence: (reserveMs) => this.#duty.heldFence(reserveMs),
       order: (order, timeoutMs, recipients) => this.#order(order, timeoutMs, recipients),
       connectedDaemonCount: (memberId) => this.#callerCount(group, memberId),
+      replacedTerms: this.#replacedTerms,
       usesGateways: (memberId) => group.members.get(memberId)?.pool.hasGateways ?? false,
       leaderPromoted: () => {
         const watcher = this.#groups.find(group.name)?.watcher;
--- a/src/topology/member-group.ts
+++ b/src/topology/member-group.ts
@@ -13,6 +13,7 @@
   formatEvidenceSource,
   LeadershipEvidence,
   type CommitStatus,
+  type EvidenceSource,
   type Leader,
 } from '../leadership/leadership-evidence.js';
 import { PositionHistory, type ReadFloor } from '../leadership/position-history.js';
@@ -194,13 +195,8 @@
   readonly term: number;
   /** Remaining validity of the evidence. */
   readonly evidenceLeftMs: number;
-  /** The witness, `daemon` or `duty`; see {@link EvidenceSource}. */
+  /** `store`, `members`, `daemon` or `duty`; see {@link EvidenceSource}. */
   readonly evidenceFrom: string | null;
-  /**
-   * How long the connection to that witness had been open when it was asked; `null` without a single witness, or
-   * if the connection was borrowed.
-   */
-  readonly evidenceLinkMs: number | null;
   /** Time since a promotion last revoked the evidence of this daemon; `null` if none has. */
   readonly sinceRevokedMs: number | null;
 }
@@ -237,13 +233,13 @@
   #lastLeader: { readonly term: number; readonly member: Member } | null = null;
 
   /**
-   * @param countsFromMs - from when on witness answers count as evidence, in monotonic milliseconds
+   * @param countsFromMs - from when on evidence from a source counts, in monotonic milliseconds
    * @param mayHaveLostCommits - true when this daemon may have acknowledged commits of which it has no record
    * any more
    */
   constructor(
     readonly name: string,
-    countsFromMs?: () => number,
+    countsFromMs?: (source: EvidenceSource) => number,
     private readonly mayHaveLostCommits: () => boolean = () => false,
   ) {
     this.evidence = new LeadershipEvidence(countsFromMs);
@@ -406,8 +402,6 @@
       term: leader?.term ?? minimumTerm,
       evidenceLeftMs: Number.isFinite(validUntilMs) ? Math.round(validUntilMs - nowMs) : 0,
       evidenceFrom: source === null ? null : formatEvidenceSource(source),
-      evidenceLinkMs:
-        source?.kind === 'member' && source.linkMs !== undefined ? Math.round(source.linkMs) : null,
       sinceRevokedMs: Number.isFinite(revokedAtMs) ? Math.round(nowMs - revokedAtMs) : null,
     };
   }
--- a/test/model/promotion-model.test.ts
+++ b/test/model/promotion-model.test.ts
@@ -3,15 +3,16 @@
  * other daemon that acknowledges a commit, and of the start of a replica: a restart with its log, a restart
  * without it, or the start of a new replica; with one long pause at any step. In some scenarios the other
  * daemon, the primary and a replica that the holder does not reach are disconnected from all others once the
- * daemon has sealed the term.
+ * daemon has sealed the term. In others, the promotion ends the pause of a replica that does not hear of the new
+ * primary.
  *
  * The decisions are made by the code of the product (evidence, registration, lost incarnations, choice of the
  * successor); members, time and the order of steps are modelled. A violation is valid evidence for a replaced
  * primary, by which a read would miss a commit; a commit acknowledged by a replaced primary; or an
  * acknowledged commit that the new primary does not have.
  *
- * The model assumes that a promotion by the platform takes effect within 400 ms of the call, and that a
- * replica that is not paused then follows the new primary from that moment. After the pauses, the holder
+ * The model assumes that a promotion by the platform takes effect within 400 ms of the call, and that the other
+ * daemon knows every member that may lead. After the pauses, the holder
  * never waits more than a second between two steps; if a step comes later, its process was paused, and its
  * duty has expired. The commit ends an open transaction, so it may be sent at any time before it is received,
  * with or without evidence. The supervisor's first status of a replica reports the log with which it started.
@@ -36,7 +37,6 @@
   LeadershipEvidence,
   REGISTRATION_SETTLE_MS,
   WITNESS_KNOWN_MS,
-  type EvidenceSource,
 } from '../../src/leadership/leadership-evidence.js';
 import { LostIncarnations } from '../../src/leadership/lost-incarnations.js';
 import { hasReached, ZERO_POSITION, type Position } from '../../src/position/position.js';
@@ -59,13 +59,15 @@
   'the acknowledged limit of a daemon that did not seal is unknown',
   'a replica that appears is paused in the final check',
   'a witness has been known for longer than a promotion lasts',
-  'a revoked term needs the answer of every member',
+  'the answer of every member is needed',
+  'the term is recorded in the store',
+  'what a daemon has acknowledged that did not answer is unknown',
 ] as const;
 type Mechanism = (typeof MECHANISMS)[number];
 
-/** Start of a replica during the promotion: a restart (`again`) or a new replica (`new`). */
+/** Start of replicas during the promotion: restarts (`again`) or a new replica (`new`). */
 type ReplicaStart =
-  | { readonly kind: 'again'; readonly replica: 0 | 1; readonly isEmpty: boolean }
+  | { readonly kind: 'again'; readonly replicas: readonly (0 | 1)[]; readonly isEmpty: boolean }
   /** A third replica starts, is listed and receives commits. */
   | { readonly kind: 'new' };
 
@@ -75,6 +77,8 @@
   readonly unansweredOrders: 'none' | 'all' | 'seal';
   /** The other daemon registers during the promotion; otherwise it was registered before. */
   readonly registersDuringPromotion: boolean;
+  /** An earlier process of the other daemon was registered at its address. */
+  readonly isAtFormerAddress: boolean;
   /** The second replica receives no commits. */
   readonly isReplicationStopped: boolean;
   /**
@@ -82,16 +86,21 @@
    * the primary and that replica, which do not learn of a new primary.
    */
   readonly isPartitioned: boolean;
-  /** The replica that the other daemon queries as a witness. */
+  /** Replicas that are not promoted do not hear of the new primary. */
+  readonly isSuccessorUnheard: boolean;
+  /** Whom the other daemon asks for evidence: the store, or the members. */
+  readonly source: 'store' | 'members';
+  /** The replica that the other daemon asks where the answer of one suffices. */
   readonly witness: 0 | 1 | 2;
   readonly replicaStart: ReplicaStart;
 }
 
-type HolderStep = 'revoke' | 'pause first' | 'pause second' | 'seal' | 'look' | 'call' | 'effect';
+type HolderStep = 'record' | 'revoke' | 'pause first' | 'pause second' | 'seal' | 'look' | 'call' | 'effect';
 type DaemonStep = 'register' | 'ask' | 'answer' | 'receive' | 'acknowledge';
 type Step = HolderStep | DaemonStep | 'birth';
 
 const HOLDER_STEPS: readonly HolderStep[] = [
+  'record',
   'revoke',
   'pause first',
   'pause second',
@@ -101,6 +110,7 @@
   'effect',
 ];
 const HOLDER_STEPS_CHECK_BEFORE_SEAL: readonly HolderStep[] = [
+  'record',
   'revoke',
   'pause first',
   'pause second',
@@ -114,6 +124,8 @@
 const STEP_MS = 10;
 const LONG_PAUSES_MS: readonly number[] = [950, 1700];
 const REGISTER_MARGIN_MS = 100;
+/** Time before the run at which a daemon has registered that was known, in milliseconds. */
+const LONG_AGO_MS = 60_000;
 /** Orders are run with this stride, so that similar orders are far apart. */
 const STRIDE = 97;
 const RECORD: DaemonRecord = {
@@ -192,12 +204,13 @@
   readonly #evidence: LeadershipEvidence;
   readonly #lostIncarnations = new LostIncarnations();
   #isRegistered = false;
-  /** What the other daemon queried: one witness, or every replica. */
-  #witnessQuery: {
-    readonly atMs: number;
-    readonly source: EvidenceSource;
-    readonly statuses: readonly WitnessStatus[];
-  } | null = null;
+  /** What the other daemon has been answered, and when it asked. */
+  #query:
+    | { readonly source: 'store'; readonly atMs: number; readonly isRecorded: boolean }
+    | { readonly source: 'members'; readonly atMs: number; readonly statuses: readonly WitnessStatus[] }
+    | null = null;
+  /** The store has recorded that the term may be replaced. */
+  #isRecorded = false;
   /** The other daemon is disconnected from the holder and from all replicas but the second. */
   #isDisconnected = false;
   /** The other daemon was registered when the orders were sent, and receives them. */
@@ -207,6 +220,7 @@
   /** When the holder took its last step. */
   #lastHolderStepMs = 0;
   #hasWaitedForEvidence = false;
+  #hasBegun = false;
   readonly #pausedReplicas: Replica[] = [];
   #candidates: readonly SuccessorCandidate[] = [];
   #missing = 0;
@@ -224,16 +238,13 @@
     private readonly disabled: Mechanism | null,
   ) {
     const settles = disabled !== 'evidence is valid only once the registration has settled';
-    this.#evidence = new LeadershipEvidence(() =>
-      settles ? this.#registration.countsFromMs : Number.NEGATIVE_INFINITY,
+    this.#evidence = new LeadershipEvidence((source) =>
+      settles ? this.#registration.countsFromMs(source) : Number.NEGATIVE_INFINITY,
     );
     this.#evidence.observeLeader({ memberId: 'old', term: OLD_TERM });
-    this.#registration.applyInitialRecords(
-      scenario.registersDuringPromotion ? NO_RECORDS : REGISTERED,
-      this.#now,
-    );
+    this.#registration.applyInitialRecords(scenario.isAtFormerAddress ? REGISTERED : NO_RECORDS);
     this.#replicas = MEMBERS.slice(0, 2).map((member) => new Replica(member, BASE));
-    if (!scenario.registersDuringPromotion) this.#register();
+    if (!scenario.registersDuringPromotion) this.#register(-LONG_AGO_MS);
     const second = this.#replicas[1];
     if (second !== undefined) second.isReplicationStopped = scenario.isReplicationStopped;
   }
@@ -247,8 +258,10 @@
   applyStep(step: Step, afterMs: number): void {
     this.#now += step === 'effect' ? STEP_MS : afterMs;
     switch (step) {
+      case 'record':
+        return this.#record();
       case 'register':
-        return this.#register();
+        return this.#register(this.#now);
       case 'ask':
         return this.#ask();
       case 'answer':
@@ -277,30 +290,30 @@
     }
   }
 
-  #register(): void {
+  #register(atMs: number): void {
     this.#isRegistered = true;
-    this.#registration.markRegistered(this.#now);
+    this.#registration.markRegistered(atMs);
   }
 
   #ask(): void {
+    const atMs = this.#now;
+    if (this.scenario.source === 'store')
+      this.#query = { source: 'store', atMs, isRecorded: this.#isRecorded };
+    else this.#askMembers(atMs);
+  }
+
+  #askMembers(atMs: number): void {
     const replica = this.#replicas[this.scenario.witness];
     if (replica === undefined) return;
-    const isEveryNeeded =
-      this.#evidence.needsEveryMember(this.#now) &&
-      this.disabled !== 'a revoked term needs the answer of every member';
-    const queried = isEveryNeeded ? this.#replicas : [replica];
+    const isOneEnough = this.disabled === 'the answer of every member is needed';
+    const queried = isOneEnough ? [replica] : this.#replicas;
     if (!queried.every((one) => this.#isReachable(one))) return;
-    const isOneEnough = this.disabled === 'a revoked term needs the answer of every member';
-    const source =
-      isEveryNeeded || isOneEnough
-        ? ({ kind: 'members' } as const)
-        : ({ kind: 'member', memberId: replica.member.entry.memberId } as const);
     const statuses = queried.map(({ isPaused, term, startedAtMs }) => ({
       isPaused,
       term,
       isKnown: this.#now >= startedAtMs + WITNESS_KNOWN_MS,
     }));
-    this.#witnessQuery = { atMs: this.#now, source, statuses };
+    this.#query = { source: 'members', atMs, statuses };
   }
 
   /** True when the other daemon reaches a replica. */
@@ -309,18 +322,24 @@
   }
 
   #answer(): void {
-    const query = this.#witnessQuery;
+    const query = this.#query;
     if (query === null) return;
-    const countsFrom =
+    const askedAtMs =
       this.disabled === 'evidence is valid from the time of the query' ? this.#now : query.atMs;
-    for (const { term } of query.statuses) this.#evidence.observeTerm(term);
+    if (query.source === 'members') this.#recordMembers(query.statuses, askedAtMs);
+    else if (!query.isRecorded) this.#evidence.recordWitness(OLD_TERM, 0, askedAtMs, { kind: 'store' });
+    this.#checkEvidence();
+  }
+
+  #recordMembers(statuses: readonly WitnessStatus[], askedAtMs: number): void {
+    for (const { term } of statuses) this.#evidence.observeTerm(term);
     const areKnown =
-      query.statuses.every(({ isKnown }) => isKnown) ||
+      statuses.every(({ isKnown }) => isKnown) ||
       this.disabled === 'a witness has been known for longer than a promotion lasts';
-    const isPaused = query.statuses.some((status) => status.isPaused);
-    const term = Math.max(...query.statuses.map((status) => status.term));
-    if (areKnown) this.#evidence.recordWitness(term, isPaused ? OLD_TERM + 1 : 0, countsFrom, query.source);
-    this.#checkEvidence();
+    if (!areKnown) return;
+    const isPaused = statuses.some((status) => status.isPaused);
+    const term = Math.max(...statuses.map((status) => status.term));
+    this.#evidence.recordWitness(term, isPaused ? OLD_TERM + 1 : 0, askedAtMs, { kind: 'members' });
   }
 
   /** Replicas that follow the leader receive its commit. Without a receiver the leader does not reply. */
@@ -349,18 +368,30 @@
     return this.#isAcknowledged ? ACKNOWLEDGED_COMMIT : ACKNOWLEDGED_BASE;
   }
 
+  #record(): void {
+    if (!this.#begins()) return;
+    if (this.disabled !== 'the term is recorded in the store') this.#isRecorded = true;
+  }
+
   #revoke(): void {
+    if (!this.#begins()) return;
     this.#startedAtMs = this.#now;
-    this.#lastHolderStepMs = this.#now;
     this.#isOrderRecipient = this.#isRegistered;
     if (!this.#isOrderRecipient) return;
-    this.#reportedAcknowledged = UNKNOWN_ACKNOWLEDGED;
+    this.#reportedAcknowledged = this.#unansweredAcknowledged();
     if (this.scenario.unansweredOrders === 'all') return;
     this.#evidence.revoke(OLD_TERM, this.#now);
     this.#reportedAcknowledged = this.#ownAcknowledged();
     if (this.disabled === 'revoked evidence is not renewed') this.#evidence.liftRevocation();
   }
 
+  /** What the other daemon has acknowledged if it does not answer, as far as the holder knows. */
+  #unansweredAcknowledged(): Acknowledged {
+    return this.disabled === 'what a daemon has acknowledged that did not answer is unknown'
+      ? ACKNOWLEDGED_BASE
+      : UNKNOWN_ACKNOWLEDGED;
+  }
+
   /** A pause may take long even while the duty is held. */
   #pause(replica: Replica | undefined): void {
     if (replica === undefined || this.#isMissing(replica)) return;
@@ -390,6 +421,14 @@
     return !this.#isAbandoned;
   }
 
+  /** True in the first step of the holder, and in the second if the duty is still held. */
+  #begins(): boolean {
+    if (this.#hasBegun) return this.#continuesPromotion();
+    this.#hasBegun = true;
+    this.#lastHolderStepMs = this.#now;
+    return true;
+  }
+
   #waitUntil(untilMs: number): void {
     this.#now = Math.max(this.#now, untilMs);
     this.#lastHolderStepMs = this.#now;
@@ -412,7 +451,8 @@
     // Daemons that have registered since the revocation are included, and may have acknowledged any commit.
     if (this.#isRegistered && !this.#isOrderRecipient) {
       this.#isOrderRecipient = true;
-      this.#reportedAcknowledged = UNKNOWN_ACKNOWLEDGED;
+      this.#reportedAcknowledged = this.#unansweredAcknowledged();
+      if (this.scenario.unansweredOrders === 'all') this.#waitUntil(this.#startedAtMs + EVIDENCE_VALIDITY_MS);
     }
     if (
       !this.#isOrderRecipient ||
@@ -488,9 +528,11 @@
     if (this.#isAbandoned || successor === null) return;
     this.#isEffective = true;
     successor.isPrimary = true;
-    successor.isPaused = false;
-    for (const replica of this.#replicas)
-      if (!replica.isPaused && !this.#isMissing(replica)) replica.term = OLD_TERM + 1;
+    for (const replica of this.#replicas) {
+      replica.isPaused = false;
+      const isUnheard = this.scenario.isSuccessorUnheard || this.#isMissing(replica);
+      if (replica === successor || !isUnheard) replica.term = OLD_TERM + 1;
+    }
     const needed = this.#isAcknowledged ? COMMIT : BASE;
     const hasSuccessorRestarted = successor.startedAfter === 'look' && successor.received.index === 0;
     if (!hasReached(successor.received, needed)) this.#recordLoss(hasSuccessorRestarted);
@@ -522,12 +564,14 @@
       this.#replicas.push(replica);
       return;
     }
-    const replica = this.#replicas[replicaStart.replica];
-    if (replica === undefined) return;
-    replica.isPaused = false;
-    replica.startedAfter = startedAfter;
-    replica.startedAtMs = this.#now;
-    if (replicaStart.isEmpty) replica.received = ZERO_POSITION;
+    for (const index of replicaStart.replicas) {
+      const replica = this.#replicas[index];
+      if (replica === undefined) continue;
+      replica.isPaused = false;
+      replica.startedAfter = startedAfter;
+      replica.startedAtMs = this.#now;
+      if (replicaStart.isEmpty) replica.received = ZERO_POSITION;
+    }
   }
 
   #recordViolation(what: string): void {
@@ -584,20 +628,27 @@
 
 const REPLICA_STARTS: readonly ReplicaStart[] = [
   { kind: 'new' },
-  { kind: 'again', replica: 0, isEmpty: false },
-  { kind: 'again', replica: 0, isEmpty: true },
-  { kind: 'again', replica: 1, isEmpty: false },
-  { kind: 'again', replica: 1, isEmpty: true },
+  { kind: 'again', replicas: [0], isEmpty: false },
+  { kind: 'again', replicas: [0], isEmpty: true },
+  { kind: 'again', replicas: [1], isEmpty: false },
+  { kind: 'again', replicas: [1], isEmpty: true },
+  { kind: 'again', replicas: [0, 1], isEmpty: false },
 ];
 
-function scenariosOf(
-  daemon: Pick<Scenario, 'unansweredOrders' | 'registersDuringPromotion' | 'isPartitioned'>,
-  replicationStates: readonly boolean[],
-): readonly Scenario[] {
+type DaemonScenario = Pick<
+  Scenario,
+  'unansweredOrders' | 'registersDuringPromotion' | 'isAtFormerAddress' | 'isPartitioned'
+>;
+
+function scenariosOf(daemon: DaemonScenario, replicationStates: readonly boolean[]): readonly Scenario[] {
   return replicationStates.flatMap((isReplicationStopped) =>
     REPLICA_STARTS.flatMap((replicaStart) => {
-      const witnesses: readonly Scenario['witness'][] = replicaStart.kind === 'new' ? [0, 1, 2] : [0, 1];
-      return witnesses.map((witness) => ({ ...daemon, isReplicationStopped, witness, replicaStart }));
+      const shared = { ...daemon, isReplicationStopped, replicaStart };
+      const witness = replicaStart.kind === 'new' ? 2 : 1;
+      return [
+        { ...shared, source: 'members', witness, isSuccessorUnheard: true },
+        { ...shared, source: 'store', witness, isSuccessorUnheard: false },
+      ];
     }),
   );
 }
@@ -606,23 +657,27 @@
 const KNOWN_DAEMON = (['none', 'all', 'seal'] as const).map((unansweredOrders) => ({
   unansweredOrders,
   registersDuringPromotion: false,
+  isAtFormerAddress: true,
   isPartitioned: false,
 }));
-const PARTITIONED_DAEMON = {
-  unansweredOrders: 'none',
+const PARTITIONED_DAEMON = (['none', 'all'] as const).map((unansweredOrders) => ({
+  unansweredOrders,
   registersDuringPromotion: false,
+  isAtFormerAddress: true,
   isPartitioned: true,
-} as const;
+}));
 const NEW_DAEMON = {
   unansweredOrders: 'none',
   registersDuringPromotion: true,
+  isAtFormerAddress: false,
   isPartitioned: false,
 } as const;
+const SILENT_NEW_DAEMON = { ...NEW_DAEMON, unansweredOrders: 'all' } as const;
+/** A daemon that starts again while a replica is out of the holder's reach. */
+const RESTARTED_DAEMON = { ...NEW_DAEMON, isAtFormerAddress: true, isPartitioned: true } as const;
 
 /**
- * Steps of the other daemon, and the scenarios for them. A daemon that registers during the promotion and
- * does not answer is not covered: it has no more evidence than a registered one that does not answer or,
- * before it is registered, than one that registers and answers. A daemon that queries before it has
+ * Steps of the other daemon, and the scenarios for them. A daemon that queries before it has
  * registered has no evidence at all.
  */
 const DAEMONS: readonly { readonly steps: readonly DaemonStep[]; readonly scenarios: readonly Scenario[] }[] =
@@ -631,12 +686,16 @@
       steps: ['ask', 'answer', 'receive', 'acknowledge'],
       scenarios: [
         ...KNOWN_DAEMON.flatMap((daemon) => scenariosOf(daemon, BOOLEANS)),
-        ...scenariosOf(PARTITIONED_DAEMON, [false]),
+        ...PARTITIONED_DAEMON.flatMap((daemon) => scenariosOf(daemon, [false])),
       ],
     },
     {
       steps: ['register', 'ask', 'answer', 'receive', 'acknowledge'],
-      scenarios: scenariosOf(NEW_DAEMON, BOOLEANS),
+      scenarios: [
+        ...scenariosOf(NEW_DAEMON, BOOLEANS),
+        ...scenariosOf(SILENT_NEW_DAEMON, [false]),
+        ...scenariosOf(RESTARTED_DAEMON, [false]),
+      ],
     },
     {
       steps: ['ask', 'answer', 'register', 'receive', 'acknowledge'],
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -38,9 +38,10 @@
     return { era: this.era.current, number: this.number };
   }
 
-  list(): Promise<{ items: readonly StoredItem[]; revision: Revision }> {
+  list(prefix = ''): Promise<{ items: readonly StoredItem[]; revision: Revision }> {
     this.lists += 1;
-    return Promise.resolve({ items: [...this.items.values()], revision: this.revision });
+    const items = [...this.items.values()].filter(({ key }) => key.startsWith(prefix));
+    return Promise.resolve({ items, revision: this.revision });
   }
 
   read(key: string): Promise<StoredItem | null> {
--- a/test/support/modelled-group.ts
+++ b/test/support/modelled-group.ts
@@ -61,6 +61,8 @@
     return Promise.resolve(true);
   };
   isDutyHeld = true;
+  /** Whether the store accepts records of replaced terms. */
+  isStoreAnswering = true;
   /** Time for which the lease of the duty remains valid, in milliseconds; it does not decrease. */
   dutyValidForMs = Number.POSITIVE_INFINITY;
 
@@ -83,6 +85,12 @@
       order: (order, _timeoutMs, recipients) => this.#deliverOrder(order, recipients),
       connectedDaemonCount: () => 2,
       usesGateways: () => false,
+      replacedTerms: {
+        write: (_group, term) => {
+          this.events.push(`record ${term}`);
+          return Promise.resolve(this.isStoreAnswering);
+        },
+      },
       leaderPromoted: () => undefined,
       log: (event) => void this.events.push(event),
       now: () => performance.now(),
--- /dev/null
+++ b/test/support/replaced-terms.ts
@@ -0,0 +1,24 @@
+/**
+ * Records of replaced terms for tests without a store.
+ *
+ * @packageDocumentation
+ */
+import type { ReplacedTermsReading } from '../../src/leadership/replaced-terms.js';
+
+/** Records that are kept in memory. */
+export class FakeReplacedTerms {
+  /** The recorded terms by group; `null` while the store does not answer. */
+  terms: Map<string, number> | null = null;
+  readonly written: number[] = [];
+
+  read(): Promise<ReplacedTermsReading | null> {
+    const { terms } = this;
+    return Promise.resolve(terms === null ? null : { askedAtMs: performance.now(), terms: new Map(terms) });
+  }
+
+  write(groupName: string, term: number): Promise<boolean> {
+    this.written.push(term);
+    this.terms?.set(groupName, term);
+    return Promise.resolve(true);
+  }
+}
