Rig: the fault proxy passes a reset on as a reset

What callers saw: a daemon behind the proxy that reset a connection appeared to the other side as one that had closed it in order. Cause: the proxy answered a reset with destroy(), which ends the other connection with an end of stream, as the kernel of a killed process does. Change: a reset is delivered by a reset; a connection that is not open yet is given up as before. That lets tests tell the end of a process from a connection that was reset. Evidence: the new test closes a connection from either side in both ways and looks at how the other side sees it; with destroy() it reads an end of stream where ECONNRESET is expected.

--- a/standin/rig/fault-proxy.test.ts
+++ b/standin/rig/fault-proxy.test.ts
@@ -37,6 +37,7 @@
     target = createServer((socket) => {
       accepted.add(socket);
       socket.on('data', (data) => (received += data.toString()));
+      socket.on('error', () => undefined);
       socket.on('close', () => accepted.delete(socket));
     });
     await new Promise<void>((resolve) => target.listen(0, HOST, resolve));
@@ -87,6 +88,26 @@
     });
   }
 
+  /** A daemon tells from the way in which a connection ends whether the process at its other end has ended. */
+  for (const [how, expected] of [
+    ['resetAndDestroy', 'ECONNRESET'],
+    ['destroy', 'end of stream'],
+  ] as const) {
+    test(`passes on how a connection ends (${how}), in both directions`, async () => {
+      for (const closer of ['caller', 'target']) {
+        const caller = await openConnection(port);
+        await waitUntil('the connection', () => accepted.size === 1);
+        const [callee] = accepted;
+        assert.ok(callee !== undefined);
+        const [closed, other] = closer === 'caller' ? [caller, callee] : [callee, caller];
+        const end = endOf(other);
+        closed[how]();
+        assert.equal(await end, expected, `closed by the ${closer}`);
+        await waitUntil('the close of the connection', () => accepted.size === 0);
+      }
+    });
+  }
+
   test('delivers bytes sent during a cut when it heals', async () => {
     const socket = await openConnection(port);
     await waitUntil('the connection', () => accepted.size === 1);
@@ -115,6 +136,14 @@
   });
 }
 
+/** How a connection ends that its other side closes. */
+function endOf(socket: Socket): Promise<string> {
+  return new Promise((resolve) => {
+    socket.on('data', () => undefined).once('end', () => resolve('end of stream'));
+    socket.once('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
+  });
+}
+
 /** Resolves 50 ms after the socket has closed, so that the proxy has seen the close. */
 function waitForClose(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
--- a/standin/rig/fault-proxy.ts
+++ b/standin/rig/fault-proxy.ts
@@ -103,11 +103,17 @@
   #deliver(payload: Payload): void {
     this.#isEndDelivered = typeof payload === 'string';
     if (payload === 'end') this.sink.end();
-    else if (payload === 'reset') this.sink.destroy();
+    else if (payload === 'reset') resetConnection(this.sink);
     else this.sink.write(payload);
   }
 }
 
+/** Resets a connection; one that is not open yet is given up. */
+function resetConnection(socket: Socket): void {
+  if (socket.connecting || socket.pending) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Proxies for all processes of a deployment, run inside the process that drives the test. */
 export class FaultProxy {
   readonly #servers: Server[] = [];
