Message channels tell how the connection ended, and can reset it

A connection that the remote side closes in order, and first, ends by `end_of_stream`; any other end is `broken`. `reset()` closes a connection so that the remote side does not take it for the end of this process, and a channel may be told to reset the connection after a frame that it cannot read. The connections between gateways keep closing in order.

--- a/src/peer/message-channel.ts
+++ b/src/peer/message-channel.ts
@@ -7,13 +7,25 @@
 import type { Socket } from 'node:net';
 import { Packr } from 'msgpackr';
 
+/**
+ * How a connection ended. `end_of_stream`: the remote side closed it in order, and first; `broken`: in any other
+ * way, as by a reset, a time-out, or this side.
+ */
+export type ConnectionEnd = 'end_of_stream' | 'broken';
+
 /** Callbacks of a channel. */
 export interface ChannelListener<Message> {
   message(message: Message): void;
   /** Called once when the connection has ended, for any reason. */
-  closed(): void;
+  closed(end: ConnectionEnd): void;
 }
 
+/**
+ * How a channel closes the connection after a frame that it cannot read. `reset`: as
+ * {@link MessageChannel.reset}; `close`: as {@link MessageChannel.destroy}.
+ */
+export type UnreadableFrameAction = 'reset' | 'close';
+
 const LENGTH_BYTES = 4;
 
 /** Field names are sent once per connection, with the first message of each shape. */
@@ -24,7 +36,7 @@
 /**
  * A connection that carries messages of one type.
  *
- * A frame that exceeds the size limit or cannot be decoded closes the connection.
+ * A frame that exceeds the size limit or cannot be decoded closes or resets the connection.
  */
 export class MessageChannel<Message> {
   /** Monotonic time at which data was last received, in milliseconds. */
@@ -40,6 +52,7 @@
   #outgoing: Buffer[] = [];
   #isFlushScheduled = false;
   #isEnding = false;
+  #end: ConnectionEnd = 'broken';
   #closed = false;
   #resolveEnded: () => void = () => undefined;
   readonly #ended = new Promise<void>((resolve) => (this.#resolveEnded = resolve));
@@ -48,9 +61,13 @@
     private readonly socket: Socket,
     private readonly maxMessageBytes: number,
     private readonly listener: ChannelListener<Message>,
+    private readonly unreadableFrameAction: UnreadableFrameAction = 'close',
   ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.#receive(chunk));
+    socket.on('end', () => {
+      if (!this.#isEnding) this.#end = 'end_of_stream';
+    });
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.#close());
   }
@@ -72,11 +89,19 @@
     setImmediate(() => this.#flush());
   }
 
-  /** Closes the connection without flushing outgoing messages. */
+  /** Closes the connection in order, without flushing outgoing messages. */
   destroy(): void {
     this.socket.destroy();
   }
 
+  /**
+   * Resets the connection, without flushing outgoing messages. The remote side can tell this from the end of this
+   * process, which closes its connections in order.
+   */
+  reset(): void {
+    if (!this.#closed) this.socket.resetAndDestroy();
+  }
+
   /**
    * Flushes outgoing messages, then closes the connection; later sends are ignored. Resolves once the
    * connection has ended: the remote end has then read everything, unless it has failed.
@@ -113,7 +138,7 @@
     if ((this.#unparsed[0]?.length ?? 0) < LENGTH_BYTES) this.#joinUnparsed();
     const length = this.#unparsed[0]?.readUInt32BE(0) ?? 0;
     if (length > this.maxMessageBytes) {
-      this.socket.destroy();
+      this.#rejectFrame();
       return false;
     }
     if (this.#unparsedBytes < LENGTH_BYTES + length) return false;
@@ -134,17 +159,22 @@
     try {
       message = this.#decoder.unpack(body) as Message;
     } catch {
-      this.socket.destroy();
+      this.#rejectFrame();
       return false;
     }
     this.listener.message(message);
     return true;
   }
 
+  #rejectFrame(): void {
+    if (this.unreadableFrameAction === 'reset') this.reset();
+    else this.destroy();
+  }
+
   #close(): void {
     if (this.#closed) return;
     this.#closed = true;
     this.#resolveEnded();
-    this.listener.closed();
+    this.listener.closed(this.#end);
   }
 }
