A daemon has ended when its connection ended in order, not when its host refuses

Cause: a refused connection made a daemon `gone`, so a promotion did not wait for its evidence, counted its commits as bounded, cut the wait for a former holder of the duty short, and let a backup grant a tenant's whole quota. On the former code, an order to an address that refuses gave `gone`.

Change: - Both sides of a connection between daemons tell their name and `life` first. One that ends in order, by the side that has told them, shows the end of that process. A daemon that runs on resets its connections: after an order that timed out, a bad message, a loss of the duty, a daemon that is not listed any more. Builds that tell nothing never count as ended. - Another process of the daemon that answers at the address shows the end of the one before, for ends that nobody saw. - Ends are kept by process (ProcessExits in place of AbsenceTracker), bounded in number and age; the holder tells the others of a new one, and answers to orders carry them as ages (`exits`; `absences` is ignored). - `gone` is a daemon whose recorded process has ended, with no other process at its address; anything else without an answer is `silent`. A process that the register names beside an ended one of the same daemon is sent the order itself. - An answer names the process before (`predecessorLife`). A leader position from after the end of exactly that one bounds what the earlier processes acknowledged; otherwise one from after the present process began. - The holder of the duty looks again at the former holder when an end becomes known or a daemon registers, and asks the leaders once it has taken the duty. - Evidence of the holder is asked only of a daemon that says that it holds the duty. - Probes are gone; dials are left for reconnection. The connection to a daemon that has lost its lease is kept. - Logs: `daemon_ended sign=`, `holder_disconnected end=`, `promotion_candidates ended=`.

Why it holds: the kernel of a process that is killed closes its connections in order, and nothing is acknowledged after that. A reset, a refusal and silence are what a cut network may do as well, and prove nothing now.

That a refusal before the first connection, and the gaps between dials, prove an end was the fault. - ended-daemon.test.ts: the end before the present process bounds, if it was seen; without that, only a position from after that process began does.

--- a/bench/experiment/tenancy-cost.ts
+++ b/bench/experiment/tenancy-cost.ts
@@ -49,7 +49,7 @@
     daemons: () => [daemonRecord('self')],
     findTenant: (name) => registry.findByName(name),
     requestGrant: () => Promise.resolve(null),
-    hasProcessEnded: () => Promise.resolve(false),
+    hasProcessEnded: () => false,
     now: () => performance.now(),
     random: () => 0.5,
   });
--- a/src/cluster/order-delivery.test.ts
+++ b/src/cluster/order-delivery.test.ts
@@ -54,6 +54,34 @@
     assert.deepEqual(sent, ['d1', 'd2', 'elsewhere']);
   });
 
+  /** Guards against STALE: the known process had ended, and the one that has registered since may hold evidence. */
+  test('reaches a process that has registered at the address of an ended one, which does not answer for it', async () => {
+    const next = { ...daemon('d1'), life: 'd1-2' };
+    for (const [ofKnown, ofRegistered] of [
+      ['gone', 'silent'],
+      ['silent', 'gone'],
+    ] as const) {
+      const { ports: given } = ports(() => Promise.resolve([next, daemon('d2')]));
+      const outcomes = await deliverOrder(
+        {
+          ...given,
+          send: (records) =>
+            Promise.resolve(
+              new Map(
+                records.map(({ name, life }) => [
+                  name,
+                  { kind: life === next.life ? ofRegistered : ofKnown },
+                ]),
+              ),
+            ),
+        },
+        REVOKE,
+        200,
+      );
+      assert.equal(outcomes.get('d1')?.kind, 'silent');
+    }
+  });
+
   /**
    * A daemon that registered after the backup from which the store was restored is in no registry. It could
    * acknowledge commits by evidence that the promotion does not know of, if the order counted as answered by
--- a/src/cluster/order-delivery.ts
+++ b/src/cluster/order-delivery.ts
@@ -49,7 +49,18 @@
   const knownOutcomes = ports.send(known, order, timeoutMs);
   if (order.kind !== 'revoke' && order.kind !== 'seal') return knownOutcomes;
   const unknownOutcomes = deliverToUnknownDaemons(ports, known, order, timeoutMs);
-  return new Map([...(await knownOutcomes), ...(await unknownOutcomes)]);
+  return joinOutcomes(await knownOutcomes, await unknownOutcomes);
+}
+
+/**
+ * The registry names the later process of a daemon that both name, unless the store was restored. So its outcome
+ * counts, but the end of the process that it names says nothing of the other one.
+ */
+function joinOutcomes(known: OrderOutcomes, registered: OrderOutcomes): OrderOutcomes {
+  const joined = new Map(known);
+  for (const [name, outcome] of registered)
+    if (outcome.kind !== 'gone' || known.get(name)?.kind !== 'silent') joined.set(name, outcome);
+  return joined;
 }
 
 async function deliverToUnknownDaemons(
@@ -61,7 +72,10 @@
   const reading = ports.readRegistry().catch(() => null);
   const registered = await Promise.race([reading, delay(REGISTRY_TIMEOUT_MS).then(() => null)]);
   if (registered === null) return new Map([[UNREAD_DAEMONS, { kind: 'silent' }]]);
-  const unknown = registered.filter((record) => !known.some((other) => hasSameAddress(record, other)));
+  // Another process than the known one of the same daemon is to answer for itself.
+  const isKnown = (record: DaemonRecord): boolean =>
+    known.some((other) => hasSameAddress(record, other) && record.life === other.life);
+  const unknown = registered.filter((record) => !isKnown(record));
   const outcomes = await ports.send(unknown, order, timeoutMs);
   return ports.isRegistryIncomplete()
     ? new Map([...outcomes, [UNREAD_DAEMONS, { kind: 'silent' }]])
--- a/src/cluster/process-exits.test.ts
+++ b/src/cluster/process-exits.test.ts
@@ -1,56 +1,54 @@
 /**
- * Tracking of daemon processes that have exited, by refused connections.
+ * Daemon processes that are known to have ended.
  *
  * @packageDocumentation
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { toLocalAbsence, AbsenceTracker, predecessorExitMs } from './absence-tracker.js';
+import { EXIT_RETENTION_MS, MAX_REPORTED_EXITS, ProcessExits, readReportedExits } from './process-exits.js';
 
-const ADDRESS = '10.1.0.8:7440';
+const ENDED = { name: 'd1', life: 'a' };
 
-test('refusals in close succession are one absence', () => {
-  const ends = new AbsenceTracker();
-  for (const atMs of [1000, 1300, 1600]) ends.recordRefusal(ADDRESS, atMs);
-  assert.deepEqual(ends.find(ADDRESS), { sinceMs: 1000, lastMs: 1600 });
-  assert.equal(ends.find('10.1.0.9:7440'), null);
+test('an end is that of one process, not of the next one of the same daemon', () => {
+  const exits = new ProcessExits();
+  assert.equal(exits.record(ENDED, 1000), true);
+  assert.equal(exits.endedAtMs('d1', 'a'), 1000);
+  assert.equal(exits.endedAtMs('d1', 'b'), null);
+  assert.equal(exits.endedAtMs('d2', 'a'), null);
 });
 
-test('a process may have run, and acknowledged commits, between two refusals that are far apart', () => {
-  const ends = new AbsenceTracker();
-  ends.recordRefusal(ADDRESS, 1000);
-  ends.recordRefusal(ADDRESS, 1800);
-  assert.deepEqual(ends.find(ADDRESS), { sinceMs: 1800, lastMs: 1800 });
+test('the earliest time by which a process had ended is kept', () => {
+  const exits = new ProcessExits();
+  exits.record(ENDED, 1000);
+  assert.equal(exits.record(ENDED, 900), false);
+  assert.equal(exits.record(ENDED, 1100), false);
+  assert.equal(exits.endedAtMs('d1', 'a'), 900);
 });
 
-test('the earlier process had exited by the first refusal if the current one started soon after the last', () => {
-  const absence = { sinceMs: 1000, lastMs: 1600 };
-  assert.equal(predecessorExitMs(absence, 1900), 1000);
-  assert.equal(predecessorExitMs(absence, 2400), null);
+test('an end is reported as an age, and discarded once it is old', () => {
+  const exits = new ProcessExits();
+  exits.record(ENDED, 1000);
+  assert.deepEqual(exits.report(4000), [{ ...ENDED, ageMs: 3000 }]);
+  exits.discardBefore(1001);
+  assert.deepEqual(exits.report(4000), []);
 });
 
-test('an absence that ended before the cut-off is discarded', () => {
-  const ends = new AbsenceTracker();
-  ends.recordRefusal(ADDRESS, 1000);
-  ends.discardBefore(1001);
-  assert.equal(ends.find(ADDRESS), null);
+test('the ends kept and reported are bounded in number, the latest ones first', () => {
+  const exits = new ProcessExits();
+  const ENDS = 5000;
+  for (let end = 0; end < ENDS; end += 1) exits.record({ name: 'd', life: String(end) }, end);
+  assert.equal(exits.endedAtMs('d', '0'), null);
+  const reported = exits.report(ENDS);
+  assert.equal(reported.length, MAX_REPORTED_EXITS);
+  assert.equal(reported.at(-1)?.life, String(ENDS - 1));
 });
 
-test('an absence that another daemon tells of is joined with one that began soon after it, else the later one is kept', () => {
-  const ends = new AbsenceTracker();
-  ends.recordRefusal(ADDRESS, 5000);
-  ends.merge(ADDRESS, { sinceMs: 3000, lastMs: 4600 });
-  assert.deepEqual(ends.find(ADDRESS), { sinceMs: 3000, lastMs: 5000 });
-  ends.merge(ADDRESS, { sinceMs: 1000, lastMs: 1500 });
-  assert.deepEqual(ends.find(ADDRESS), { sinceMs: 3000, lastMs: 5000 });
-  ends.merge(ADDRESS, { sinceMs: 9000, lastMs: 9500 });
-  assert.deepEqual(ends.find(ADDRESS), { sinceMs: 9000, lastMs: 9500 });
-});
-
-test('an absence is reported as ages, and converted to the shortest interval that the round trip allows', () => {
-  const ends = new AbsenceTracker();
-  ends.merge(ADDRESS, { sinceMs: 1000, lastMs: 3000 });
-  const [reported] = ends.report(4000);
-  assert.deepEqual(reported, { address: ADDRESS, sinceAgoMs: 3000, lastAgoMs: 1000 });
-  assert.deepEqual(toLocalAbsence(reported, 50_000, 50_200), { sinceMs: 47_200, lastMs: 49_000 });
+test('a report of another shape, too old or too long is not used', () => {
+  const exit = { ...ENDED, ageMs: 5 };
+  const ages = [-1, Number.NaN, EXIT_RETENTION_MS, '5', undefined];
+  const bad = [null, 'd1', {}, { ...exit, name: 1 }, ...ages.map((ageMs) => ({ ...exit, ageMs }))];
+  assert.deepEqual(readReportedExits([...bad, exit]), [exit]);
+  assert.deepEqual(readReportedExits(undefined), []);
+  assert.deepEqual(readReportedExits({ length: 1 }), []);
+  assert.equal(readReportedExits(new Array(1000).fill(exit)).length, MAX_REPORTED_EXITS);
 });
--- a/src/cluster/process-exits.ts
+++ b/src/cluster/process-exits.ts
@@ -1,104 +1,106 @@
 /**
- * Tracks since when no daemon process has listened at an address. Pure: times are passed in, in monotonic
- * milliseconds.
+ * The daemon processes that are known to have ended. Pure: times are passed in, in monotonic milliseconds.
  *
- * A daemon process loses its record of acknowledged commits when it exits. All of them precede the exit, so
- * any position that the leader reports later is an upper bound for them. A refused connection proves that no
- * process listens at the address at that moment. Refusals in close succession prove the same for the time
- * between them, because a process acknowledges nothing in its first second.
+ * A daemon process loses its record of acknowledged commits when it ends. All of them precede the end, so any
+ * position that the leader reports later is an upper bound for them. A process is identified by the name of its
+ * daemon and its `life`. An address that refuses connections, or does not answer, shows nothing: a cut network
+ * may do the same.
  *
  * @packageDocumentation
  */
-import { REGISTRATION_SETTLE_MS } from '../leadership/leadership-evidence.js';
 
-export const PROBE_TIMEOUT_MS = 250;
 /**
- * Gap between two refusals below which a process that started and exited unobserved between them cannot have
- * acknowledged anything. The duration of a probe is subtracted.
+ * What an end was concluded from. `end_of_stream`: the process closed a connection in order, which one that runs
+ * on never does; `replaced`: another process of the daemon answers at its address; `reported`: another daemon knows
+ * of it.
  */
-const MAX_REFUSAL_GAP_MS = REGISTRATION_SETTLE_MS - PROBE_TIMEOUT_MS - 50;
+export type ExitSign = 'end_of_stream' | 'replaced' | 'reported';
 
-/** An interval in which no process at an address acknowledged a commit. */
-export interface Absence {
-  /** When the first refusal of the interval was received. */
-  readonly sinceMs: number;
-  /** When the last refusal was received. */
-  readonly lastMs: number;
+/** A process of a daemon. */
+export interface DaemonProcess {
+  readonly name: string;
+  readonly life: string;
 }
 
-/** An absence as one daemon reports it to another; ages, because the daemons' clocks differ. */
-export interface ReportedAbsence {
-  readonly address: string;
-  /** Time since the first and the last refusal, in milliseconds. */
-  readonly sinceAgoMs: number;
-  readonly lastAgoMs: number;
+/** An end as one daemon reports it to another; an age, because the daemons' clocks differ. */
+export interface ReportedExit extends DaemonProcess {
+  /** Time since the process was known to have ended, in milliseconds. */
+  readonly ageMs: number;
 }
 
-/** Keeps the latest absence for each address. */
-export class AbsenceTracker {
-  readonly #absences = new Map<string, Absence>();
+/**
+ * How long an end is kept, in milliseconds: longer than the record of a daemon without a lease counts as one of a
+ * daemon that may run.
+ */
+export const EXIT_RETENTION_MS = 660_000;
+/** Most ends that are kept; the oldest are discarded first. */
+const MAX_EXITS = 1024;
+/** Most ends in one report: some 6 kB. */
+export const MAX_REPORTED_EXITS = 64;
 
-  /** Records that a connection to the address was refused. */
-  recordRefusal(address: string, nowMs: number): void {
-    const known = this.#absences.get(address);
-    const isContinuation = known !== undefined && nowMs - known.lastMs < MAX_REFUSAL_GAP_MS;
-    this.#absences.set(address, { sinceMs: isContinuation ? known.sinceMs : nowMs, lastMs: nowMs });
-  }
+interface Exit extends DaemonProcess {
+  readonly endedAtMs: number;
+}
+
+/** Keeps the ends, by process. */
+export class ProcessExits {
+  /** In the order in which they became known. */
+  readonly #exits = new Map<string, Exit>();
 
   /**
-   * Merges an absence that another daemon has observed. Absences separated by less than the maximum gap are
-   * joined; otherwise the later one is kept.
+   * Records that a process had ended by a time; the earliest time is kept.
+   *
+   * @returns true if the end was not known before
    */
-  merge(address: string, reported: Absence): void {
-    const known = this.#absences.get(address);
-    if (known === undefined) return void this.#absences.set(address, reported);
-    const [earlier, later] = known.sinceMs <= reported.sinceMs ? [known, reported] : [reported, known];
-    const isContinuation = later.sinceMs - earlier.lastMs < MAX_REFUSAL_GAP_MS;
-    const lastMs = Math.max(earlier.lastMs, later.lastMs);
-    this.#absences.set(address, isContinuation ? { sinceMs: earlier.sinceMs, lastMs } : later);
+  record({ name, life }: DaemonProcess, endedAtMs: number): boolean {
+    const key = keyOf(name, life);
+    const known = this.#exits.get(key);
+    const exit = { name, life, endedAtMs: Math.min(endedAtMs, known?.endedAtMs ?? endedAtMs) };
+    this.#exits.set(key, exit);
+    this.#discardExcess();
+    return known === undefined;
+  }
+
+  /** Time by which a process had ended; `null` if it may run. */
+  endedAtMs(name: string, life: string): number | null {
+    return this.#exits.get(keyOf(name, life))?.endedAtMs ?? null;
   }
 
-  /** All known absences, as ages at `nowMs`. */
-  report(nowMs: number): readonly ReportedAbsence[] {
-    return [...this.#absences].map(([address, { sinceMs, lastMs }]) => ({
-      address,
-      sinceAgoMs: nowMs - sinceMs,
-      lastAgoMs: nowMs - lastMs,
-    }));
+  /** The ends that became known last, as ages at `nowMs`. */
+  report(nowMs: number): readonly ReportedExit[] {
+    const latest = [...this.#exits.values()].slice(-MAX_REPORTED_EXITS);
+    return latest.map(({ name, life, endedAtMs }) => ({ name, life, ageMs: nowMs - endedAtMs }));
   }
 
-  /** The latest absence at an address, or `null`. */
-  find(address: string): Absence | null {
-    return this.#absences.get(address) ?? null;
+  /** Discards ends before a time. */
+  discardBefore(ms: number): void {
+    for (const [key, { endedAtMs }] of this.#exits) if (endedAtMs < ms) this.#exits.delete(key);
   }
 
-  /** Discards absences that ended before `sinceMs`. */
-  discardBefore(sinceMs: number): void {
-    for (const [address, { lastMs }] of this.#absences) if (lastMs < sinceMs) this.#absences.delete(address);
+  #discardExcess(): void {
+    for (const key of this.#exits.keys()) {
+      if (this.#exits.size <= MAX_EXITS) return;
+      this.#exits.delete(key);
+    }
   }
 }
 
 /**
- * Converts an absence reported in an answer to this daemon's clock. The time that the answer was under way is
- * unknown, so the result is the shortest interval that fits.
- *
- * @param sentAtMs - when the request was sent
- * @param receivedAtMs - when the answer was received
+ * The ends of a report that can be used; a report with entries of another shape or too many is cut, since it comes
+ * from another process.
  */
-export function toLocalAbsence(
-  { sinceAgoMs, lastAgoMs }: ReportedAbsence,
-  sentAtMs: number,
-  receivedAtMs: number,
-): Absence {
-  const sinceMs = receivedAtMs - sinceAgoMs;
-  return { sinceMs, lastMs: Math.max(sinceMs, sentAtMs - lastAgoMs) };
+export function readReportedExits(reported: unknown): readonly ReportedExit[] {
+  if (!Array.isArray(reported)) return [];
+  return reported.slice(0, MAX_REPORTED_EXITS).filter(isReportedExit);
 }
 
-/**
- * Time by which all earlier processes at an address had exited, or `null` when their exit was not observed.
- *
- * @param beganMs - when the current process was at the address already
- */
-export function predecessorExitMs({ sinceMs, lastMs }: Absence, beganMs: number): number | null {
-  return beganMs - lastMs < MAX_REFUSAL_GAP_MS ? sinceMs : null;
+function isReportedExit(entry: unknown): entry is ReportedExit {
+  if (typeof entry !== 'object' || entry === null) return false;
+  const { name, life, ageMs } = entry as Partial<Record<keyof ReportedExit, unknown>>;
+  if (typeof name !== 'string' || typeof life !== 'string' || typeof ageMs !== 'number') return false;
+  return ageMs >= 0 && ageMs < EXIT_RETENTION_MS;
+}
+
+function keyOf(name: string, life: string): string {
+  return `${name} ${life}`;
 }
--- a/src/coordination/coordination.test.ts
+++ b/src/coordination/coordination.test.ts
@@ -21,7 +21,7 @@
   store: CoordinationStore & LocalCopy,
   name: string,
   clock: { now: number },
-  isEnded = false,
+  isEnded: boolean | (() => boolean) = false,
 ): Holder {
   const events: string[] = [];
   const duty = new Duty(
@@ -33,7 +33,7 @@
       taken: (fence) => events.push(`taken ${fence}`),
       lost: () => events.push('lost'),
     },
-    () => Promise.resolve(isEnded),
+    () => Promise.resolve(typeof isEnded === 'boolean' ? isEnded : isEnded()),
     () => clock.now,
     () => 0.5,
   );
@@ -188,6 +188,29 @@
     assert.equal(second.duty.heldFence(0), 2);
   });
 
+  test('is acted on as soon as the process of the last holder becomes known to have ended', async () => {
+    const store = new MemoryStore();
+    const clock = { now: 0 };
+    let isEnded = false;
+    await running(holder(store, 'd1', clock));
+    const second = holder(store, 'd2', clock, () => isEnded);
+    await second.duty.keysChanged();
+    void second.duty.run();
+    await runPendingCallbacks();
+    store.items.delete(DUTY_KEY);
+    await second.duty.keysChanged();
+    await runPendingCallbacks();
+    // The local copy shows by then that this daemon holds the duty.
+    await second.duty.keysChanged();
+    second.duty.processEnded();
+    await runPendingCallbacks();
+    assert.equal(second.duty.heldFence(0), null);
+    isEnded = true;
+    second.duty.processEnded();
+    await runPendingCallbacks();
+    assert.equal(second.duty.heldFence(0), 2);
+  });
+
   test('is lost by its holder as soon as its local copy shows the deletion', async () => {
     const store = new MemoryStore();
     const clock = { now: 0 };
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -103,6 +103,8 @@
   /** Time of the last request for the duty. */
   #askedAtMs = Number.NEGATIVE_INFINITY;
   readonly #history = new DutyHistory();
+  /** The holder before this one that may still act, as known at the last request for the duty. */
+  #formerHolder: { readonly holder: DutyHolder; readonly actsFromMs: number } | null = null;
   #isStopped = false;
   #isAcquiring = false;
   #isAcquisitionDelayed = false;
@@ -117,7 +119,7 @@
     private readonly self: DaemonRecord,
     private readonly localCopy: () => LocalCopy,
     private readonly listener: DutyListener,
-    /** True if the process of a former holder has certainly ended. */
+    /** True if the process of a former holder is known to have ended. */
     private readonly isEnded: (holder: DutyHolder) => Promise<boolean>,
     private readonly now: () => number,
     private readonly random: () => number,
@@ -325,6 +327,8 @@
     const record = currentRecord(observation);
     const endedLife = record?.state === 'held' ? record.life : this.self.life;
     this.#freeFromMs = this.#history.freeFromMs(endedLife);
+    const { holder, holderActsFromMs } = this.#history;
+    this.#formerHolder = holder === null ? null : { holder, actsFromMs: holderActsFromMs };
     this.#isAcquiring = true;
     try {
       await this.#tryAcquire(observation);
@@ -378,12 +382,17 @@
     else this.#loseDuty('the duty record was deleted or replaced');
   }
 
+  /** To be called when the process of an earlier holder may have become known to have ended. */
+  processEnded(): void {
+    if (this.#fence !== null) void this.#skipWaitIfHolderEnded(this.#fence);
+  }
+
   /** Ends the wait for an earlier holder if its process has ended. */
   async #skipWaitIfHolderEnded(fence: number): Promise<void> {
-    const { holder, holderActsFromMs } = this.#history;
-    if (holder === null || this.now() >= this.#actsFromMs) return;
-    if (!(await this.isEnded(holder)) || this.#fence !== fence) return;
-    this.#actsFromMs = Math.max(this.now(), holderActsFromMs);
+    const former = this.#formerHolder;
+    if (former === null || this.now() >= this.#actsFromMs) return;
+    if (!(await this.isEnded(former.holder)) || this.#fence !== fence) return;
+    this.#actsFromMs = Math.max(this.now(), former.actsFromMs);
   }
 
   /** Marks the duty as released, so that the next holder need not wait for this one. */
--- a/src/leadership/daemon-exits.ts
+++ b/src/leadership/daemon-exits.ts
@@ -8,11 +8,12 @@
  * @packageDocumentation
  */
 import type { DaemonRecord } from '../cluster/daemon-record.js';
+import type { ExitSign } from '../cluster/process-exits.js';
 import { preferredDaemons } from '../cluster/rank-by-capacity.js';
 import type { LogPositionQuery } from './log-position-query.js';
 
-/** Number of daemons that check whether the process of a disconnected duty holder has exited. */
-const HOLDER_EXIT_CHECKERS = 3;
+/** Number of daemons that query the leaders in place of a duty holder that has exited. */
+const HOLDER_EXIT_QUERIERS = 3;
 /**
  * How long the first of them may open connections of its own to members, in milliseconds: as long as it
  * queries the leaders. The holder may have been their only gateway. Members have few connections to spare, so
@@ -27,8 +28,6 @@
   liveDaemons(): readonly DaemonRecord[];
   /** The queries of all groups. */
   logPositionQueries(): readonly LogPositionQuery[];
-  /** Checks whether the process of a daemon has exited, and reports that as {@link DaemonExits.daemonEnded}. */
-  probe(record: DaemonRecord): void;
   /** Called in place of the queries while this daemon holds the duty. */
   daemonEndedUnderDuty(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -47,28 +46,23 @@
   }
 
   /**
-   * The connection from a duty holder has ended. A few daemons check whether its process has exited: the next
-   * holder needs the time since which it is known to be gone.
+   * The process of a daemon has exited. Only duty holders connect to other daemons, so one that does not hold the
+   * duty sees the exits of holders only.
    */
-  holderDisconnected(host: string): void {
-    const holder = this.ports.liveDaemons().find((record) => record.host === host);
-    if (holder === undefined) return;
-    const isChecker = this.#checkersOf(holder.name).some(({ name }) => name === this.ports.ownName);
-    if (isChecker) this.ports.probe(holder);
-  }
-
-  /** The process of a daemon has exited. */
-  daemonEnded(name: string): void {
+  daemonEnded(name: string, sign: ExitSign): void {
     const { ports } = this;
-    ports.log('daemon_ended', { name });
+    ports.log('daemon_ended', { name, sign });
     if (ports.isDutyHolder()) return ports.daemonEndedUnderDuty();
-    if (this.#checkersOf(name)[0]?.name === ports.ownName)
-      this.#mayConnectUntilMs = ports.now() + CONNECT_PERIOD_MS;
+    // The daemon that reports it has seen to the query.
+    if (sign === 'reported') return;
+    const queriers = this.#queriersOf(name);
+    if (!queriers.some((querier) => querier.name === ports.ownName)) return;
+    if (queriers[0]?.name === ports.ownName) this.#mayConnectUntilMs = ports.now() + CONNECT_PERIOD_MS;
     for (const query of ports.logPositionQueries()) void query.daemonEnded();
   }
 
-  #checkersOf(holderName: string): readonly DaemonRecord[] {
+  #queriersOf(holderName: string): readonly DaemonRecord[] {
     const others = this.ports.liveDaemons().filter(({ name }) => name !== holderName);
-    return preferredDaemons(holderName, others, HOLDER_EXIT_CHECKERS);
+    return preferredDaemons(holderName, others, HOLDER_EXIT_QUERIERS);
   }
 }
--- a/src/leadership/ended-daemon.test.ts
+++ b/src/leadership/ended-daemon.test.ts
@@ -34,27 +34,22 @@
     this.model.member('two').state = 'dark';
   }
 
-  get #absence(): { readonly sinceMs: number; readonly lastMs: number } {
-    return { sinceMs: this.endedAtMs, lastMs: this.endedAtMs + DOWN_MS };
-  }
-
-  /** The daemon is still down. */
+  /** The daemon is still down, and its end was seen. */
   stayDown(): void {
-    this.model.orderOutcomes.set('d2', { kind: 'gone', absence: this.#absence });
+    this.model.orderOutcomes.set('d2', { kind: 'gone', endedAtMs: this.endedAtMs });
   }
 
-  /**
-   * The daemon has restarted; its next process began to count `lateMs` after it was last found not running.
-   */
-  restart(lateMs: number): void {
-    const beganMs = this.#absence.lastMs + lateMs;
+  /** The daemon has restarted; the end of the process before the present one was seen, unless told otherwise. */
+  restart({ isEndSeen }: { readonly isEndSeen: boolean }): void {
+    const beganMs = this.endedAtMs + DOWN_MS + STEP_MS;
     const answer = {
       ...UNKNOWN,
       get countedMs(): number {
         return performance.now() - beganMs;
       },
     };
-    this.model.orderOutcomes.set('d2', { kind: 'answered', answer, absence: this.#absence });
+    const seen = isEndSeen ? { endedAtMs: this.endedAtMs } : {};
+    this.model.orderOutcomes.set('d2', { kind: 'answered', answer, ...seen });
   }
 
   /** Another daemon asked the leader for its position `afterMs` after the end. */
@@ -93,36 +88,43 @@
   /** Failed before the fix: no leader within the limit. */
   test('is bounded by what the leader told another daemon after that', async () => {
     const daemon = await daemonEndedBefore();
-    daemon.restart(STEP_MS);
+    daemon.restart({ isEndSeen: true });
     daemon.reportLeaderPosition(STEP_MS);
     assert.ok(await daemon.isLed(), daemon.model.events.join(', '));
   });
 
   test('is not bounded by what the leader told before', async () => {
     const daemon = await daemonEndedBefore();
-    daemon.restart(STEP_MS);
+    daemon.restart({ isEndSeen: true });
     daemon.reportLeaderPosition(-STEP_MS);
     daemon.model.group.recordLeaderPosition(daemon.endedAtMs - STEP_MS, COMMIT);
     assert.equal(await daemon.isLed(), false, daemon.model.events.join(', '));
   });
 
-  /** Another process may have run at its address, and ended, in between. */
-  test('is not bounded when its next process began long after it was last seen not to run', async () => {
+  /** The end that was seen may be that of an earlier process. */
+  test('is not bounded by what the leader told before the present process began, unless the end of the one before it was seen', async () => {
     const daemon = await daemonEndedBefore();
-    daemon.restart(1500);
-    await delay(1500);
+    daemon.restart({ isEndSeen: false });
     daemon.reportLeaderPosition(STEP_MS);
     assert.equal(await daemon.isLed(), false, daemon.model.events.join(', '));
   });
 
-  test('is not bounded if its end was not detected', async () => {
+  test('is bounded by what the leader told after the present process began, though no end was seen', async () => {
     const daemon = await daemonEndedBefore();
-    const outcome: OrderOutcome = { kind: 'gone' };
-    daemon.model.orderOutcomes.set('d2', outcome);
-    daemon.reportLeaderPosition(STEP_MS);
-    assert.equal(await daemon.isLed(), false, daemon.model.events.join(', '));
+    daemon.restart({ isEndSeen: false });
+    daemon.reportLeaderPosition(DOWN_MS + 2 * STEP_MS);
+    assert.ok(await daemon.isLed(), daemon.model.events.join(', '));
   });
 
+  for (const outcome of [{ kind: 'gone' }, { kind: 'silent' }] as const satisfies readonly OrderOutcome[]) {
+    test(`is not bounded if its end was not seen (${outcome.kind})`, async () => {
+      const daemon = await daemonEndedBefore();
+      daemon.model.orderOutcomes.set('d2', outcome);
+      daemon.reportLeaderPosition(STEP_MS);
+      assert.equal(await daemon.isLed(), false, daemon.model.events.join(', '));
+    });
+  }
+
   /**
    * The ended daemon was the only gateway of the leader, so no request reached the leader any more. In the
    * log of seed 5001 with 4 daemons: `no gateway in reach` from the end of the daemon on, and `limit=null`
@@ -136,11 +138,10 @@
     const endedAtMs = performance.now();
     const running = model.supervisor.daemonEnded();
     await delay(DOWN_MS);
-    const absence = { sinceMs: endedAtMs, lastMs: performance.now() };
     await running;
     model.member('old').state = 'ended';
     model.member('two').state = 'dark';
-    model.orderOutcomes.set('d2', { kind: 'gone', absence });
+    model.orderOutcomes.set('d2', { kind: 'gone', endedAtMs });
     await Promise.race([model.runUntil('promotion_ends'), model.waitForEvent('promotion_given_up')]);
     model.supervisor.stop();
     assert.ok(model.events.includes('promotion_ends'), model.events.join(', '));
--- a/src/leadership/order-outcomes.ts
+++ b/src/leadership/order-outcomes.ts
@@ -3,7 +3,6 @@
  *
  * @packageDocumentation
  */
-import { predecessorExitMs, type Absence } from '../cluster/absence-tracker.js';
 import type { OrderOutcome } from '../cluster/peer-mesh.js';
 import { comparePositions, laterPosition, ZERO_POSITION, type Position } from '../position/position.js';
 import type { Acknowledged } from './acknowledged.js';
@@ -19,6 +18,12 @@
   return names.join(',');
 }
 
+/** Names of the daemons whose process is known to have ended. */
+export function namesOfEnded(outcomes: ReadonlyMap<string, OrderOutcome>): string {
+  const names = [...outcomes].filter(([, { kind }]) => kind === 'gone').map(([name]) => name);
+  return names.join(',');
+}
+
 /** What a daemon has acknowledged that did not answer. */
 const UNKNOWN: Acknowledged = { latest: ZERO_POSITION, limit: null };
 
@@ -30,9 +35,9 @@
 
 /**
  * What a daemon has acknowledged, as far as its answer shows. Earlier processes of the daemon acknowledged
- * nothing after the present one began to count, nor after they were found to have ended. So a leader position
- * from after that time is a limit, even if the present process has no limit of its own because it has not
- * seen a leader yet.
+ * nothing after the present one began to accept orders at their address, nor after the last of them was known to
+ * have ended. So a leader position from after that time is a limit, even if the present process has no limit of
+ * its own because it has not seen a leader yet.
  *
  * @param answeredAtMs - time by which the answer had arrived, in monotonic milliseconds
  */
@@ -45,26 +50,22 @@
     case 'silent':
       return UNKNOWN;
     case 'gone': {
-      const { absence } = outcome;
-      return absence === undefined
+      const { endedAtMs } = outcome;
+      return endedAtMs === undefined
         ? UNKNOWN
-        : { latest: ZERO_POSITION, limit: leaderPositionSince(absence.sinceMs) };
+        : { latest: ZERO_POSITION, limit: leaderPositionSince(endedAtMs) };
     }
     case 'answered': {
       const { latest, limit, countedMs } = outcome.answer;
       if (limit !== null || countedMs === undefined) return { latest, limit };
-      const leaderPosition = leaderPositionSince(earlierProcessesEndedMs(outcome, answeredAtMs - countedMs));
+      const beganMs = answeredAtMs - countedMs;
+      const earlierEndedMs = Math.min(beganMs, outcome.endedAtMs ?? beganMs);
+      const leaderPosition = leaderPositionSince(earlierEndedMs);
       return { latest, limit: leaderPosition === null ? null : laterPosition(latest, leaderPosition) };
     }
   }
 }
 
-/** Time by which the earlier processes of a daemon had ended, in monotonic milliseconds. */
-function earlierProcessesEndedMs({ absence }: { readonly absence?: Absence }, countsFromMs: number): number {
-  const ended = absence === undefined ? null : predecessorExitMs(absence, countsFromMs);
-  return ended === null ? countsFromMs : Math.min(ended, countsFromMs);
-}
-
 /**
  * Combines the leader positions known to this daemon with those reported by the daemons that were asked. The
  * lowest position asked for at or after the given time is used.
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -30,7 +30,7 @@
 import type { LeaderLoss } from './leader-loss.js';
 import type { OpenCalls } from './open-calls.js';
 import type { StepDowns } from './step-downs.js';
-import { namesWithoutAnswer } from './order-outcomes.js';
+import { namesOfEnded, namesWithoutAnswer } from './order-outcomes.js';
 import { PromotionOrders } from './promotion-orders.js';
 import { PromotionPauses } from './promotion-pauses.js';
 import { describeMissing } from './missing-incarnation.js';
@@ -145,7 +145,7 @@
     const acknowledged = this.#orders.hasUnansweredDaemon
       ? reported
       : this.ports.stepDowns.bound(this.#term, reported);
-    const successor = this.#choose(check, acknowledged, namesWithoutAnswer(outcomes));
+    const successor = this.#choose(check, acknowledged, outcomes);
     if (successor === null) return this.#giveUp(check);
     if (this.#isLeaderResponsive) {
       // If the leader stepped down and the platform could not be called, the group would be left without a
@@ -257,7 +257,11 @@
     return led !== null && led.bornMs !== null && formatIncarnation(led) === formatIncarnation(entry);
   }
 
-  #choose(check: FinalCheck, acknowledged: Acknowledged, unansweredDaemons: string): PausedReplica | null {
+  #choose(
+    check: FinalCheck,
+    acknowledged: Acknowledged,
+    outcomes: ReadonlyMap<string, OrderOutcome>,
+  ): PausedReplica | null {
     const { options, group } = this.ports;
     const candidates = check.paused.map(toCandidate);
     const input = { candidates, missing: check.missing.length, acknowledged };
@@ -273,7 +277,8 @@
       missing: check.missing.length,
       acknowledged: formatPosition(acknowledged.latest),
       limit: acknowledged.limit === null ? null : formatPosition(acknowledged.limit),
-      unheard: unansweredDaemons,
+      unheard: namesWithoutAnswer(outcomes),
+      ended: namesOfEnded(outcomes),
     });
     const chosen = check.allPausesHold ? chooseSuccessor(input) : null;
     return chosen === null ? null : (check.paused[candidates.indexOf(chosen)] ?? null);
--- a/src/quota/quota-home.ts
+++ b/src/quota/quota-home.ts
@@ -53,11 +53,6 @@
 const INITIAL_FILL_SHARE = 0.4;
 /** Time-out of a forwarded request, in milliseconds: shorter than the time-out of the daemon that sent it. */
 const FORWARD_TIMEOUT_MS = 100;
-/**
- * How long the result of a check whether a home's process has ended is cached, in milliseconds: it may be
- * started again.
- */
-const PROCESS_ENDED_CACHE_MS = 300;
 /** Most buckets in memory; tenants are added and removed with the configuration. */
 const MAX_BUCKETS = 10_000;
 
@@ -75,20 +70,14 @@
   /** True while no departure of a daemon has been observed since this process started. */
   hasJustStarted(): boolean;
   /** True when the process of a daemon is known to have ended. */
-  hasProcessEnded(record: DaemonRecord): Promise<boolean>;
+  hasProcessEnded(record: DaemonRecord): boolean;
   now(): number;
 }
 
-interface ProcessEndedCheck {
-  readonly hasEnded: Promise<boolean>;
-  readonly checkedAtMs: number;
-}
-
 /** Grants operations of tenants, as their home or as the backup of their home. */
 export class QuotaHome {
   readonly #buckets = new Map<string, TokenBucket>();
   readonly #backupBuckets = new Map<string, TokenBucket>();
-  readonly #processEndedChecks = new Map<string, ProcessEndedCheck>();
 
   constructor(private readonly options: QuotaHomeOptions) {}
 
@@ -97,7 +86,7 @@
    * possible.
    */
   async grant(request: GrantRequest): Promise<Grant | null> {
-    const { ownName, homeAndBackup, requestGrant } = this.options;
+    const { ownName, homeAndBackup, requestGrant, hasProcessEnded } = this.options;
     const [home, backup] = homeAndBackup(request.tenantName);
     if (home === undefined) return null;
     if (home.name === ownName) return this.#grantAsHome(request);
@@ -109,7 +98,7 @@
     }
     if (backup?.name !== ownName) return null;
     // Until all daemons know that a home has retired, the backup share would refuse permitted operations.
-    const hasHomeStoppedGranting = request.hasHomeRetired || (await this.#hasProcessEnded(home));
+    const hasHomeStoppedGranting = request.hasHomeRetired || hasProcessEnded(home);
     return this.#grantAsBackup(home, hasHomeStoppedGranting ? 1 : BACKUP_SHARE, request);
   }
 
@@ -122,7 +111,6 @@
     for (const tenantName of [...this.#buckets.keys()])
       if (homeAndBackup(tenantName)[0]?.name !== ownName) this.#buckets.delete(tenantName);
     this.#backupBuckets.clear();
-    this.#processEndedChecks.clear();
   }
 
   #grantAsHome(request: GrantRequest): Grant {
@@ -160,16 +148,6 @@
     const tenant = this.options.findTenant(tenantName);
     return tenant === null ? quota : tenant.quota;
   }
-
-  #hasProcessEnded(home: DaemonRecord): Promise<boolean> {
-    const key = `${home.name} ${home.life}`;
-    const cached = this.#processEndedChecks.get(key);
-    const nowMs = this.options.now();
-    if (cached !== undefined && nowMs - cached.checkedAtMs < PROCESS_ENDED_CACHE_MS) return cached.hasEnded;
-    const hasEnded = this.options.hasProcessEnded(home);
-    this.#processEndedChecks.set(key, { hasEnded, checkedAtMs: nowMs });
-    return hasEnded;
-  }
 }
 
 /** The bucket of a key. A new one held `tokens` at `filledAtMs` and has refilled since. */
--- a/src/quota/quota-service.ts
+++ b/src/quota/quota-service.ts
@@ -23,7 +23,7 @@
   /** Requests a grant from another daemon; `null` when it does not answer in time or is not responsible. */
   requestGrant(record: DaemonRecord, request: GrantRequest, timeoutMs: number): Promise<Grant | null>;
   /** True when the process of a daemon is known to have ended. */
-  hasProcessEnded(record: DaemonRecord): Promise<boolean>;
+  hasProcessEnded(record: DaemonRecord): boolean;
   now(): number;
   /** Uniform random number in [0, 1). */
   random(): number;
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -243,7 +243,7 @@
       asked.push(other.name);
       return new Promise(() => undefined);
     },
-    hasProcessEnded: () => Promise.resolve(false),
+    hasProcessEnded: () => false,
     now: () => 0,
     random: () => 0,
   });
@@ -260,7 +260,7 @@
     daemons: () => views,
     findTenant: () => TENANT,
     requestGrant: () => Promise.resolve(null),
-    hasProcessEnded: () => Promise.resolve(false),
+    hasProcessEnded: () => false,
     now: () => nowMs,
     random: () => 0,
   });
@@ -302,7 +302,7 @@
       bucketsStartMs: () => 0,
       hasJustStarted: () => false,
       requestGrant: () => Promise.resolve(null),
-      hasProcessEnded: () => Promise.resolve(false),
+      hasProcessEnded: () => false,
       now: () => clock.now,
     });
     return new GrantedQuotas({
@@ -389,7 +389,7 @@
       forwarded.push(request);
       return Promise.resolve({ count: request.count, roomInMs: 0 });
     },
-    hasProcessEnded: () => Promise.resolve(false),
+    hasProcessEnded: () => false,
     now: () => 0,
   });
   const quota = { ratePerS: 1, burst: 1 };
@@ -414,7 +414,7 @@
     bucketsStartMs: () => 0,
     hasJustStarted: () => false,
     requestGrant: () => Promise.resolve(null),
-    hasProcessEnded: () => Promise.resolve(false),
+    hasProcessEnded: () => false,
     now: () => 10_000,
   });
   const quota = { ratePerS: 2, burst: 3 };
--- a/src/relay/order-handler.test.ts
+++ b/src/relay/order-handler.test.ts
@@ -28,6 +28,7 @@
     groups: this.groups,
     registration: { hasPredecessor: false, isAtFormerAddress: true },
     listeningSinceMs: () => 0,
+    predecessorLife: () => 'earlier',
     log: () => undefined,
     now: () => this.nowMs,
   });
--- a/src/relay/order-handler.ts
+++ b/src/relay/order-handler.ts
@@ -13,6 +13,8 @@
 export interface OrderHandlerPorts {
   readonly groups: WatchedGroups;
   readonly registration: Pick<Registration, 'hasPredecessor' | 'isAtFormerAddress'>;
+  /** `life` of the process that the store named as this daemon's when this one started; `null` if not known. */
+  predecessorLife(): string | null;
   /** When this process began to accept orders, in monotonic milliseconds. */
   listeningSinceMs(): number;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -104,14 +106,15 @@
   }
 
   /**
-   * For how long this process has recorded the commits that its daemon acknowledges. Given only if the
+   * For how long this process has recorded the commits that its daemon acknowledges, and which one did before. Given only if the
    * previous process used the same address: it must have released the port on which this one accepts orders.
    * Left out for a group that was dropped earlier, since commits still in flight there at that time are
    * recorded nowhere.
    */
-  #countingTime(groupName: string): Pick<OrderAnswer, 'countedMs'> {
-    const { groups, registration, listeningSinceMs, now } = this.ports;
-    const isKnown = registration.isAtFormerAddress && !groups.wasDropped(groupName);
-    return isKnown ? { countedMs: now() - listeningSinceMs() } : {};
+  #countingTime(groupName: string): Pick<OrderAnswer, 'countedMs' | 'predecessorLife'> {
+    const { groups, registration, listeningSinceMs, predecessorLife, now } = this.ports;
+    if (!registration.isAtFormerAddress || groups.wasDropped(groupName)) return {};
+    const life = predecessorLife();
+    return { countedMs: now() - listeningSinceMs(), ...(life === null ? {} : { predecessorLife: life }) };
   }
 }
--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -153,6 +153,8 @@
   readonly #daemonExits: DaemonExits;
   /** When this process began to accept orders, in monotonic milliseconds. */
   #listeningSinceMs = Number.POSITIVE_INFINITY;
+  /** `life` of this daemon's process before this one, by the store; `null` if not known. */
+  #predecessorLife: string | null = null;
   readonly #duty: Duty;
   readonly #context: RelayContext;
   readonly #daemons = new DaemonDirectory();
@@ -209,6 +211,7 @@
       groups: this.#groups,
       registration: this.#registration,
       listeningSinceMs: () => this.#listeningSinceMs,
+      predecessorLife: () => this.#predecessorLife,
       log: options.log,
       now,
     });
@@ -264,19 +267,18 @@
       handleOrder: (order) => this.#orderHandler.apply(order),
       handleSuspicion: (suspicion) => this.#handleSuspicion(suspicion),
       ownEvidence: (knownVersion) => this.#evidenceAnswers.answer(knownVersion),
-      daemonEnded: (name) => this.#daemonExits.daemonEnded(name),
-      probed: (name, state) => options.log('daemon_probed', { name, outcome: state }),
-      holderDisconnected: (host) => {
-        options.log('holder_disconnected', { host });
-        this.#daemonExits.holderDisconnected(host);
+      daemonEnded: ({ name }, sign) => {
+        this.#daemonExits.daemonEnded(name, sign);
+        this.#duty.processEnded();
       },
+      probed: (name, state) => options.log('daemon_probed', { name, outcome: state }),
+      holderDisconnected: (host, end) => options.log('holder_disconnected', { host, end }),
     });
     this.#daemonExits = new DaemonExits({
       ownName: self.name,
       isDutyHolder: () => this.isDutyHolder,
       liveDaemons: () => this.#daemons.live,
       logPositionQueries: () => this.#groups.all.map(({ logPosition }) => logPosition),
-      probe: (record) => this.#runLoop(this.#mesh.probeForEnd(record)),
       daemonEndedUnderDuty: () => this.#supervision.daemonEnded(),
       log: options.log,
       now,
@@ -353,7 +355,7 @@
       daemons: () => this.#daemons.live,
       findTenant: (name) => this.catalog.tenants.findByName(name),
       requestGrant: this.#gatewayClient.requestGrant.bind(this.#gatewayClient),
-      hasProcessEnded: (record) => this.#mesh.isGone(record),
+      hasProcessEnded: (record) => this.#mesh.hasEnded(record),
       now,
       random,
     });
@@ -399,7 +401,7 @@
       self,
       () => this.watched,
       listener,
-      (holder) => this.#hasHolderEnded(holder),
+      (holder) => Promise.resolve(this.#hasHolderEnded(holder)),
       now,
       random,
       () => dutyClaimDelayMs(self.name, this.#daemons.live),
@@ -702,14 +704,13 @@
 
   /**
    * On the duty holder, reopens lost connections to the other daemons, which ask for leadership evidence over
-   * them, and dials those whose lease has expired.
+   * them.
    */
   #reconnectPeers(): void {
     const now = this.options.now();
     if (!this.isDutyHolder || now - this.#peersConnectedAtMs < RECONNECT_INTERVAL_MS) return;
     this.#peersConnectedAtMs = now;
-    this.#mesh.connectAll(this.#daemons.live);
-    this.#mesh.dialUnleased(this.#daemons.unleased(now));
+    this.#connectPeers();
   }
 
   #onMemberFailure(groupName: string, member: Member, reason: string): void {
@@ -753,6 +754,7 @@
   #startDuty(registered: ReadonlyMap<string, DaemonRecord>, unreadable: ReadonlySet<string>): void {
     this.#isDutyStarted = true;
     const isBehind = this.#duty.isRegistryIncomplete;
+    this.#predecessorLife = isBehind ? null : (registered.get(this.options.self.name)?.life ?? null);
     this.#registration.applyInitialRecords(registered, this.options.now(), {
       unreadable,
       isIncomplete: isBehind,
@@ -767,14 +769,18 @@
     this.#gatewayClient.retain(this.#daemons.live);
     this.#isolation.daemonsChanged(this.#daemons.live);
     this.#quotas.daemonsChanged();
-    if (this.isDutyHolder) this.#mesh.connectAll(this.#daemons.live);
+    if (this.isDutyHolder) this.#connectPeers();
+    this.#duty.processEnded();
+  }
+
+  #connectPeers(): void {
+    this.#mesh.connectAll(this.#daemons.live, this.#daemons.unleased(this.options.now()));
   }
 
-  /** True if the process of a former duty holder has certainly exited. */
-  async #hasHolderEnded({ name, life }: DutyHolder): Promise<boolean> {
-    const record = this.#daemons.find(name);
-    if (record === null) return false;
-    return record.life !== life || this.#mesh.isGone(record);
+  /** True if the process of a former duty holder is known to have ended, or a later one has registered. */
+  #hasHolderEnded(holder: DutyHolder): boolean {
+    const record = this.#daemons.find(holder.name);
+    return this.#mesh.hasEnded(holder) || (record !== null && record.life !== holder.life);
   }
 
   /** Zone of the daemon that is asked for the evidence of the duty holder; `null` if it is not known. */
@@ -785,11 +791,13 @@
 
   #onDutyTaken(fence: number): void {
     this.options.log('duty_taken', { fence });
-    this.#mesh.connectAll(this.#daemons.live);
+    this.#connectPeers();
     for (const group of this.groups) {
       group.evidence.clearConfirmation();
       this.#supervision.begin(group);
     }
+    // A daemon may have ended while nobody held the duty, and nobody else have seen it.
+    this.#supervision.daemonEnded();
   }
 
   #onDutyLost(reason: string): void {
--- a/test/support/modelled-quota-fleet.ts
+++ b/test/support/modelled-quota-fleet.ts
@@ -38,8 +38,7 @@
       daemons: () => this.#views.get(record.name) ?? [],
       findTenant: (name) => (name === this.tenant.name ? this.tenant : null),
       requestGrant: (other, request, timeoutMs) => this.#sendGrantRequest(record, other, request, timeoutMs),
-      hasProcessEnded: (other) =>
-        Promise.resolve(this.#down.has(other.name) && !this.#isDisconnected(record, other)),
+      hasProcessEnded: (other) => this.#down.has(other.name) && !this.#isDisconnected(record, other),
       now: () => this.nowMs,
       random: this.random,
     });
