Fault proxy: cuts that reset and refuse connections

Tests had only silent cuts between daemons. refuse() resets the open connections between a zone and others, closes the zone's own listening sockets, and resets connections from it to the others. heal() ends it.

--- a/standin/rig/fault-proxy.test.ts
+++ b/standin/rig/fault-proxy.test.ts
@@ -100,6 +100,52 @@
   });
 });
 
+describe('a fault proxy that refuses connections', () => {
+  const OTHER = 'other';
+  let proxy: FaultProxy;
+  let targets: Server[];
+  let ports: number[];
+
+  beforeEach(async () => {
+    proxy = new FaultProxy();
+    targets = [];
+    ports = [];
+    for (const zone of [TARGET, OTHER]) {
+      const target = createServer((socket) => socket.on('error', () => socket.destroy()));
+      await new Promise<void>((resolve) => target.listen(0, HOST, resolve));
+      const port = await freePort();
+      const targetPort = (target.address() as AddressInfo).port;
+      await proxy.forward({ zone, listenHost: HOST, port, targetHost: HOST, targetPort });
+      targets.push(target);
+      ports.push(port);
+    }
+  });
+
+  afterEach(() => {
+    proxy.close();
+    for (const target of targets) target.close();
+  });
+
+  test('resets open connections, refuses new ones, and accepts them again when it heals', async () => {
+    const [port = 0] = ports;
+    const socket = await openConnection(port);
+    proxy.refuse(TARGET, [CALLER]);
+    assert.equal(await errorCode(socket), 'ECONNRESET');
+    await assert.rejects(openConnection(port), { code: 'ECONNREFUSED' });
+    proxy.heal();
+    (await openConnection(port)).destroy();
+  });
+
+  test('resets connections to other zones and leaves those between others open', async () => {
+    const [port = 0, otherPort = 0] = ports;
+    const kept = await openConnection(port);
+    proxy.refuse(CALLER, [OTHER]);
+    assert.equal(await errorCode(connect({ host: HOST, port: otherPort })), 'ECONNRESET');
+    assert.equal(kept.closed, false);
+    kept.destroy();
+  });
+});
+
 async function freePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
@@ -115,6 +161,10 @@
   });
 }
 
+function errorCode(socket: Socket): Promise<string | undefined> {
+  return new Promise((resolve) => socket.once('error', ({ code }: NodeJS.ErrnoException) => resolve(code)));
+}
+
 /** Resolves 50 ms after the socket has closed, so that the proxy has seen the close. */
 function waitForClose(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
--- a/standin/rig/fault-proxy.ts
+++ b/standin/rig/fault-proxy.ts
@@ -20,6 +20,20 @@
   readonly keepsSource?: boolean;
 }
 
+/** A listening socket of the proxy. */
+interface Listener {
+  readonly route: Route;
+  readonly server: Server;
+}
+
+/** A connection through the proxy. */
+interface Link {
+  readonly fromZone: string;
+  readonly toZone: string;
+  readonly incoming: Socket;
+  readonly outgoing: Socket;
+}
+
 /** Bytes in transit, or the end of the connection. */
 type Payload = Buffer | 'end' | 'reset';
 
@@ -110,7 +124,8 @@
 
 /** Proxies for all processes of a deployment, run inside the process that drives the test. */
 export class FaultProxy {
-  readonly #servers: Server[] = [];
+  readonly #listeners: Listener[] = [];
+  readonly #links = new Set<Link>();
   readonly #sockets = new Set<Socket>();
   /** Flows whose end has not been delivered; a cut holds back the end like the bytes before it. */
   readonly #flows = new Set<Flow>();
@@ -118,6 +133,8 @@
   readonly #pendingConnects = new Set<() => boolean>();
   readonly #zones = new Map<string, string>();
   readonly #cuts = new Set<string>();
+  /** Pairs of zones between which connections are reset. */
+  readonly #refusals = new Set<string>();
   readonly #delays = new Map<string, number>();
   #zoneLatencyMs = 0;
 
@@ -129,11 +146,9 @@
   /** Starts to forward connections to an address. */
   async forward(route: Route): Promise<void> {
     const server = createServer((socket) => this.#accept(socket, route));
-    this.#servers.push(server);
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(route.port, route.listenHost, () => resolve());
-    });
+    const listener = { route, server };
+    this.#listeners.push(listener);
+    await listen(listener);
   }
 
   /** One-way delay between any two zones, in milliseconds. */
@@ -160,9 +175,24 @@
     }
   }
 
-  /** Removes all cuts and all delays set with `setDelay`, and delivers held traffic. */
+  /**
+   * Resets the connections between a zone and the other zones. New ones are refused: at the zone's own addresses,
+   * which refuse all callers, and by a reset at those of the others.
+   */
+  refuse(zone: string, otherZones: readonly string[]): void {
+    for (const other of otherZones) {
+      this.#refusals.add(`${zone}>${other}`);
+      this.#refusals.add(`${other}>${zone}`);
+    }
+    for (const { route, server } of this.#listeners) if (route.zone === zone) server.close();
+    for (const link of [...this.#links]) if (this.#isRefused(link)) resetLink(link);
+  }
+
+  /** Removes all cuts, refusals and delays set with `setDelay`, and delivers held traffic. */
   heal(): void {
     this.#cuts.clear();
+    this.#refusals.clear();
+    for (const listener of this.#listeners) if (!listener.server.listening) void listen(listener);
     this.#delays.clear();
     for (const tryConnect of [...this.#pendingConnects])
       if (tryConnect()) this.#pendingConnects.delete(tryConnect);
@@ -183,13 +213,17 @@
 
   /** Stops immediately and destroys all connections. */
   close(): void {
-    for (const server of this.#servers) server.close();
+    for (const { server } of this.#listeners) server.close();
     for (const socket of this.#sockets) socket.destroy();
   }
 
   #accept(incoming: Socket, route: Route): void {
     const fromZone = this.#zones.get(incoming.remoteAddress ?? '') ?? 'client';
     const outgoing = new Socket();
+    const link = { fromZone, toZone: route.zone, incoming, outgoing };
+    if (this.#isRefused(link)) return void incoming.resetAndDestroy();
+    this.#links.add(link);
+    incoming.once('close', () => this.#links.delete(link));
     const requests = new Flow(this, fromZone, route.zone, outgoing);
     const responses = new Flow(this, route.zone, fromZone, incoming);
     this.#pipe(incoming, outgoing, requests);
@@ -220,6 +254,10 @@
     return true;
   }
 
+  #isRefused({ fromZone, toZone }: Pick<Link, 'fromZone' | 'toZone'>): boolean {
+    return this.#refusals.has(`${fromZone}>${toZone}`);
+  }
+
   #pipe(source: Socket, sink: Socket, flow: Flow): void {
     this.#sockets.add(source);
     this.#flows.add(flow);
@@ -241,3 +279,14 @@
     if (flow.isEndDelivered) this.#flows.delete(flow);
   }
 }
+
+function listen({ route, server }: Listener): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(route.port, route.listenHost, () => resolve());
+  });
+}
+
+function resetLink({ incoming, outgoing }: Link): void {
+  for (const socket of [incoming, outgoing]) socket.resetAndDestroy();
+}
