Test of a process without an identity: its connection ends in order

The test server closed its connections with unread data, which the kernel answers with a reset, so the test did not reach the case in its title: its mutation (an end in order counts without an identity) stayed green. The server now reads and ends in order; the mutation is red.

--- a/src/cluster/peer-mesh.test.ts
+++ b/src/cluster/peer-mesh.test.ts
@@ -89,6 +89,8 @@
 async function startServer(port: number, sockets: Set<Socket>): Promise<Server> {
   const server = createServer((socket) => {
     sockets.add(socket);
+    // A connection that is closed with unread data is reset.
+    socket.resume();
     socket.on('error', () => undefined).on('close', () => sockets.delete(socket));
   });
   openResources.push(server);
@@ -164,7 +166,8 @@
   mesh.connectAll([other]);
   await waitUntil('the connection', () => sockets.size === 1);
   server.close();
-  for (const socket of sockets) socket.destroy();
+  for (const socket of sockets) socket.end();
+  await waitUntil('the end of the connection', () => sockets.size === 0);
   assert.deepEqual(await outcomeOf(mesh, other), { kind: 'silent' });
   assert.deepEqual(endedDaemons, []);
 });
@@ -319,7 +322,7 @@
   await waitUntil('the end', () => endedDaemons.length > 0);
   const sockets = new Set<Socket>();
   const server = await startServer(other.self.port, sockets);
-  server.on('connection', (socket) => socket.destroy());
+  server.on('connection', (socket) => void socket.end());
   assert.equal((await outcomeOf(mesh, other.self)).kind, 'gone');
 });
 
