Prepared statements: a name at a member is a number of the connection

Cause: the name at the member was made out of the shape, so a shape with blanks became name and shape of another statement: PREPARE r_q1 WRITE z READ q1 WRITE z.

Now a connection numbers its statements (p1, p2) and maps the shape to the number; no text of a client stands in a name. The number is taken when the PREPARE is sent, as session values are, and is not given twice on a connection. A borrower numbers those of its loan; its name never reached the member where the statement came with it, since the gateway prepares it on its own connection.

--- a/src/gateway/borrowed-link.ts
+++ b/src/gateway/borrowed-link.ts
@@ -6,7 +6,7 @@
 import { AdmissionError } from '../admission/admission-error.js';
 import type { Leader } from '../leadership/leadership-evidence.js';
 import { LinkLostError, NotSentError, type MemberReply, type MemberRequest } from '../relay/member-link.js';
-import { preparedStatementName } from '../relay/pooled-link.js';
+import { PreparedNames } from '../relay/prepared-names.js';
 import { PoolTimeoutError } from '../relay/link-acquisition.js';
 import type { GatewayPath, LeaderVerdict, SessionLink, SessionValues } from '../relay/session-link.js';
 import type { PreparedStatement, TransactionState } from '../relay/statement.js';
@@ -39,6 +39,8 @@
 /** The borrower's end of one loan. */
 export class BorrowedLink implements SessionLink {
   readonly #pending: PendingRequest[] = [];
+  /** Names within this loan; the gateway sends the names of its own connection to the member. */
+  readonly #names = new PreparedNames();
   readonly #prepared = new Map<string, PreparedStatement>();
   #values: SessionValues = new Map();
   #state: TransactionState = 'idle';
@@ -124,7 +126,7 @@
   }
 
   async prepare(prepared: PreparedStatement): Promise<string> {
-    const name = preparedStatementName(prepared);
+    const name = this.#names.find(prepared) ?? this.#names.add(prepared);
     this.#prepared.set(name, prepared);
     return name;
   }
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -7,6 +7,7 @@
 import type { Position } from '../position/position.js';
 import { isNonEmptyLog } from './leader-identity.js';
 import { LinkLostError, type MemberLink, type MemberReply, type MemberRequest } from './member-link.js';
+import { PreparedNames } from './prepared-names.js';
 import type { LeaderCheck, LeaderVerdict, SessionLink, SessionValues } from './session-link.js';
 import type { PreparedStatement, TransactionState } from './statement.js';
 
@@ -16,18 +17,10 @@
 /** Timeout of the status request by which a process with an empty log is verified, in milliseconds. */
 const STATUS_TIMEOUT_MS = 200;
 
-/**
- * Name of a prepared statement at members. It depends only on the statement's shape, so all sessions share
- * it.
- */
-export function preparedStatementName(prepared: PreparedStatement): string {
-  return `${prepared.isWrite ? 'w' : 'r'}_${prepared.shape}`;
-}
-
 /** A member connection that is set to the state of the session that uses it. */
 export class PooledLink implements SessionLink {
   #values = new Map<string, string>();
-  #prepared = new Set<string>();
+  readonly #prepared = new PreparedNames();
   #state: TransactionState = 'idle';
   #inFlight = 0;
   /** When the connection was opened, in monotonic milliseconds. */
@@ -128,11 +121,11 @@
 
   /** Prepares a statement unless that is already done, and returns its name at the member. */
   async prepare(prepared: PreparedStatement): Promise<string> {
-    const name = preparedStatementName(prepared);
-    if (this.#prepared.has(name)) return name;
+    const known = this.#prepared.find(prepared);
+    if (known !== undefined) return known;
     if (this.#prepared.size >= MAX_PREPARED_NAMES) throw this.#closeWithError('too many prepared names');
+    const name = this.#prepared.add(prepared);
     await this.#sendOrClose({ kind: 'prepare', name, prepared });
-    this.#prepared.add(name);
     return name;
   }
 
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -853,6 +853,14 @@
     testFile: RESTARTED_LEADER,
     testName: 'runs and answers no read',
   },
+  {
+    property: 'prepared names: no text of a client is part of a name at a member',
+    file: 'src/relay/prepared-names.js',
+    search: '`p${this.#lastNumber}`',
+    replacement: '`r_${prepared.shape}`',
+    testFile: 'platform/test/member-lines.property.test.js',
+    testName: 'no bytes of a client change',
+  },
   {
     property: 'reads: the process at the end of a connection is verified once',
     file: 'src/relay/pooled-link.js',
