--- a/src/relay/link-pool.test.ts
+++ b/src/relay/link-pool.test.ts
@@ -11,7 +11,8 @@
 import { LinkPool } from './link-pool.js';
 import type { LinkDemand } from './link-queue.js';
 import { PoolTimeoutError } from './link-acquisition.js';
-import { DialError, LinkLostError, type MemberLink } from './member-link.js';
+import { DialError, LinkLostError, NotSentError, type MemberLink } from './member-link.js';
+import type { PooledLink } from './pooled-link.js';
 
 const ADDRESS = { memberId: 'm', groupName: 'g', host: 'h', port: 1 };
 const NO_VALUES = new Map<string, string>();
@@ -110,6 +111,20 @@
   assert.equal(link.isOpen, false);
 });
 
+test('a connection on which a value or a statement cannot be sent is closed, because it lacks them', async () => {
+  for (const set of [
+    (link: PooledLink) => link.setSessionValues(new Map([['lang', 'ur']])),
+    (link: PooledLink) => link.prepare({ isWrite: false, shape: 'q1' }),
+  ]) {
+    const fake = new FakeLink();
+    const pool = poolOf(1, () => Promise.resolve(fake));
+    const link = await pool.acquire(DEMAND, 1000);
+    fake.send = () => Promise.reject(new NotSentError('a field cannot be sent'));
+    await assert.rejects(set(link), NotSentError);
+    assert.equal(link.isOpen, false);
+  }
+});
+
 test('a member that had too many connections is dialed again for waiting requests', async () => {
   const clock = { now: 0 };
   let attempts = 0;
--- a/src/relay/member-link.ts
+++ b/src/relay/member-link.ts
@@ -85,7 +85,10 @@
   override readonly name: string = 'LinkLostError';
 }
 
-/** The connection was already closed when the request was to be sent: the member never receives it. */
+/**
+ * The request was not sent, because the connection was already closed or because the request has a field that
+ * the protocol does not allow: the member never receives it.
+ */
 export class NotSentError extends LinkLostError {
   override readonly name = 'NotSentError';
 }
@@ -119,7 +122,7 @@
    * Sends a request.
    *
    * @throws {@link LinkLostError} if the connection ends before the reply; {@link NotSentError} if it had
-   * ended before the call
+   * ended before the call, or the request cannot be sent
    */
   send(request: MemberRequest): Promise<MemberReply>;
   /** Closes the connection; the member rolls back an open transaction. */
--- a/src/relay/pooled-link.ts
+++ b/src/relay/pooled-link.ts
@@ -169,7 +169,10 @@
   }
 
   async #sendOrClose(request: MemberRequest): Promise<void> {
-    const reply = await this.send(request);
+    const reply = await this.send(request).catch((error: unknown) => {
+      this.link.close();
+      throw error;
+    });
     if (!reply.result.isComplete) throw this.#closeWithError(`${request.kind} refused: ${reply.result.code}`);
   }
 
