Loans: a gateway sends only requests of a session, and names statements itself

A gateway passed on any request of a borrower: an EXECUTE without its statement kept the borrower's name, and RESET, SET or PREPARE would have changed a pooled connection behind the back of its record of values and names. No build sends these; callers saw nothing.

Now the gateway ends such a loan as not sent.

--- a/src/gateway/loan.ts
+++ b/src/gateway/loan.ts
@@ -53,6 +53,7 @@
 const GATEWAY_STOPPING = 'the gateway is about to stop';
 const MEMBER_ENDED = 'the member has ended';
 const NOT_A_GATEWAY = 'not a gateway of the member';
+const NOT_LENT = 'not a request of a session';
 
 /** A reply stating that nothing was sent to the member. */
 export function notSentReply(reason: string): MemberReply {
@@ -76,6 +77,29 @@
   return { rows: [], result, state: 'idle', position: ZERO_POSITION };
 }
 
+/**
+ * True if a borrower may have the request sent. Names and session values of a connection are set by its gateway
+ * alone, so a prepared statement has to come with what it does, whatever name the borrower has for it.
+ */
+function isLent({ request, prepared }: LoanRequestMessage): boolean {
+  switch (request.kind) {
+    case 'begin':
+    case 'rollback':
+    case 'statement':
+    case 'status':
+      return true;
+    case 'execute':
+      return prepared !== null;
+    case 'reset':
+    case 'set':
+    case 'prepare':
+    case 'pause':
+    case 'resume':
+    case 'demote':
+      return false;
+  }
+}
+
 /** False if the leader may have been replaced since the borrower sent the request. */
 function mayStillLead(check: LeaderCheck, leader: Leader, receivedAtMs: number): boolean {
   if (check.isReplaced(leader)) return false;
@@ -211,6 +235,10 @@
       this.#reply(notSentReply(`gateway: ${GRANT_OVER}`));
       return;
     }
+    if (!isLent(message)) {
+      this.#endAsLost(NOT_LENT, true);
+      return;
+    }
     const link = this.#link ?? (await this.#acquireLink());
     if (link === null) return;
     const wasIdle = link.state === 'idle';
