--- a/src/observability/deferred-metrics.ts
+++ b/src/observability/deferred-metrics.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import type { PeerBuffer } from '../common/peer-buffer.js';
 import type { RelayMetrics, RelayState } from './relay-metrics.js';
 
 /** Maximum number of calls buffered before the metrics are loaded; further calls are discarded. */
@@ -19,6 +20,7 @@
   | 'happened'
   | 'entryLeftOut'
   | 'itemNotNewer'
+  | 'bufferOverrun'
   | 'admissionDecided'
   | 'waitMeasured'
   | 'retryDecided'
@@ -65,6 +67,10 @@
     this.#record((metrics) => metrics.itemNotNewer());
   }
 
+  bufferOverrun(buffer: PeerBuffer): void {
+    this.#record((metrics) => metrics.bufferOverrun(buffer));
+  }
+
   admissionDecided(decision: string): void {
     this.#record((metrics) => metrics.admissionDecided(decision));
   }
--- a/src/observability/relay-metrics.ts
+++ b/src/observability/relay-metrics.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { PeerBuffer } from '../common/peer-buffer.js';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Bucket boundaries of the latency histograms, in seconds. */
@@ -59,6 +60,11 @@
     'Items of the store that were not taken, since a later one was held',
     [],
   );
+  readonly #overruns = this.#counter(
+    'buffer_overruns_total',
+    'Connections that exceeded a limit, by buffer',
+    ['buffer'],
+  );
   readonly #requestDuration = this.#histogram('request_seconds', 'Time to answer a request', ['statement']);
   readonly #memberResponseTime = this.#histogram('member_answer_seconds', 'Time of a member’s answer', [
     'statement',
@@ -163,6 +169,11 @@
     this.#itemsNotNewer.inc();
   }
 
+  /** Counts a connection whose peer exceeded the limit of a buffer. */
+  bufferOverrun(buffer: PeerBuffer): void {
+    this.#overruns.inc({ buffer });
+  }
+
   /** All metrics in the Prometheus text format. */
   async text(state: RelayState): Promise<string> {
     this.#clientConnections.set(state.clientConnections);
