Session values and prepared names are bounded in bytes

What callers saw: nothing yet. One session could keep 1,000 values and 1,000 prepared names of up to 1 MiB each, and each of them kept the chunk of the connection that it had arrived in.

Change: 64 KiB for a session; for all sessions 8 MiB beyond 2 KiB of each.

--- a/src/relay/relay-daemon.ts
+++ b/src/relay/relay-daemon.ts
@@ -62,7 +62,7 @@
 import type { RelayContext, RelayObserver } from './relay-context.js';
 import type { ShutdownSchedule } from './shutdown-schedule.js';
 import { Readiness } from './readiness.js';
-import { Session } from './session.js';
+import { newSessionBudget, Session } from './session.js';
 import { WatchedGroups, type WatchedGroup } from './watched-groups.js';
 
 /** Dependencies and settings of a relay daemon. */
@@ -155,6 +155,8 @@
   #listeningSinceMs = Number.POSITIVE_INFINITY;
   readonly #duty: Duty;
   readonly #context: RelayContext;
+  /** Session values and prepared names of all sessions. */
+  readonly #sessionBudget = newSessionBudget();
   readonly #daemons = new DaemonDirectory();
   readonly #registration: Registration;
   readonly #lostRecords: LostRecords;
@@ -536,7 +538,7 @@
 
   /** Opens a session on a database, authenticated by an API key if there is one. */
   openSession(database: string, key: KeyDigest | null): Session {
-    return new Session(this.#context, database, key);
+    return new Session(this.#context, database, key, this.#sessionBudget);
   }
 
   /**
--- a/src/relay/session.ts
+++ b/src/relay/session.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import { ByteBudget } from '../common/byte-budget.js';
 import { cutOffRefusal } from '../isolation/isolation.js';
 import { isLeaderOutOfReach, isReadOutOfReach } from '../isolation/reach.js';
 import { authorize, type Caller } from '../tenancy/authorize.js';
@@ -36,6 +37,16 @@
 
 /** Limit on the prepared statements of a session, and likewise on its session values. */
 const MAX_SESSION_NAMES = 1000;
+/** Limit on their size in one session, and on that in all sessions beyond a reserve of each, in bytes. */
+const MAX_SESSION_BYTES = 64 * 1024;
+const ENTRY_OVERHEAD_BYTES = 64;
+const MAX_SHARED_SESSION_BYTES = 8 * 1024 * 1024;
+const RESERVED_SESSION_BYTES = 2 * 1024;
+
+/** The budget for the values and prepared names of all sessions of a daemon. */
+export function newSessionBudget(): ByteBudget {
+  return new ByteBudget(MAX_SHARED_SESSION_BYTES, RESERVED_SESSION_BYTES);
+}
 
 const NO_MEMBERS: ReadonlySet<string> = new Set();
 
@@ -72,6 +83,8 @@
 export class Session {
   readonly #values = new Map<string, string>();
   readonly #prepared = new Map<string, PreparedStatement>();
+  /** Size of the session values and prepared statements, in bytes. */
+  #stateBytes = 0;
   readonly #commits = new SessionCommits();
   #state: TransactionState = 'idle';
   #transaction: Transaction | null = null;
@@ -90,6 +103,7 @@
     private readonly context: RelayContext,
     private readonly database: string,
     private readonly key: KeyDigest | null,
+    private readonly budget = newSessionBudget(),
   ) {}
 
   /** Transaction state as last reported to the client. */
@@ -160,6 +174,8 @@
   close(): void {
     this.#stopIdleTimer();
     this.#endTransaction();
+    this.budget.resize(this.#stateBytes, 0);
+    this.#stateBytes = 0;
   }
 
   #observeEnd(request: ClientRequest, outcome: string): void {
@@ -270,15 +286,13 @@
         this.#authorizeInTransaction();
         return this.#commit(request, statement.payload);
       case 'set':
-        requireCapacity(this.#values, statement.name);
-        this.#values.set(statement.name, statement.value);
+        this.#setValue(statement.name, statement.value);
         return EMPTY_SUCCESS;
       case 'prepare':
-        requireCapacity(this.#prepared, statement.name);
-        this.#prepared.set(statement.name, statement.prepared);
+        this.#setPrepared(statement.name, statement.prepared);
         return EMPTY_SUCCESS;
       case 'deallocate':
-        this.#prepared.delete(statement.name);
+        this.#deletePrepared(statement.name);
         return EMPTY_SUCCESS;
       case 'read':
         return this.#run(request, { kind: 'plain', payload: statement.payload }, false);
@@ -289,6 +303,38 @@
     }
   }
 
+  #setValue(name: string, value: string): void {
+    requireCapacity(this.#values, name);
+    const former = this.#values.get(name);
+    this.#resizeState(entryBytes(name, value) - (former === undefined ? 0 : entryBytes(name, former)));
+    this.#values.set(name, value);
+  }
+
+  #setPrepared(name: string, prepared: PreparedStatement): void {
+    requireCapacity(this.#prepared, name);
+    const former = this.#prepared.get(name);
+    const formerBytes = former === undefined ? 0 : entryBytes(name, former.shape);
+    this.#resizeState(entryBytes(name, prepared.shape) - formerBytes);
+    this.#prepared.set(name, prepared);
+  }
+
+  #deletePrepared(name: string): void {
+    const former = this.#prepared.get(name);
+    if (former === undefined) return;
+    this.#resizeState(-entryBytes(name, former.shape));
+    this.#prepared.delete(name);
+  }
+
+  /** @throws Refusal if the session, or all sessions together, would keep too much */
+  #resizeState(changeBytes: number): void {
+    const bytes = this.#stateBytes + changeBytes;
+    if (changeBytes > 0 && bytes > MAX_SESSION_BYTES)
+      throw new Refusal('too_large', 'not_run', 'too many or too long values and names in this session');
+    if (!this.budget.resize(this.#stateBytes, bytes))
+      throw new Refusal('too_large', 'not_run', 'too many or too long values and names in all sessions');
+    this.#stateBytes = bytes;
+  }
+
   #handleInFailedTransaction(statement: Statement): SessionResult {
     if (statement.kind === 'rollback') {
       this.#state = 'idle';
@@ -529,6 +575,11 @@
     throw new Refusal('too_large', 'not_run', 'too many names in this session');
 }
 
+/** Memory that a session value or prepared statement takes, in bytes. */
+function entryBytes(name: string, content: string): number {
+  return name.length + content.length + ENTRY_OVERHEAD_BYTES;
+}
+
 /** @param isRolledBack - whether an error means that the transaction is rolled back */
 function toResult(reply: MemberReply, isRolledBack: boolean): SessionResult {
   const { result } = reply;
