--- a/src/cluster/order-delivery.test.ts
+++ b/src/cluster/order-delivery.test.ts
@@ -134,10 +134,12 @@
     }
   });
 
-  test('counts the evidence of the holder of the duty at once: the holder has connected to it', () => {
+  test('counts the evidence of the holder of the duty, which knows it, from its registration on', () => {
     const registration = new Registration(daemon('d1'));
     const holder = { kind: 'daemon', isHolder: true } as const;
-    assert.equal(registration.countsFromMs(holder), Number.NEGATIVE_INFINITY);
+    assert.equal(registration.countsFromMs(holder), Number.POSITIVE_INFINITY);
+    registration.markRegistered(5000);
+    assert.equal(registration.countsFromMs(holder), 5000);
   });
 
   test('counts nothing the sooner at the address of an earlier process, which may have ended before an order', () => {
--- a/src/cluster/registration.ts
+++ b/src/cluster/registration.ts
@@ -31,21 +31,14 @@
   }
 
   /**
-   * Monotonic time from which evidence from a source is valid, in milliseconds. A promotion reads the register of
-   * daemons after its record in the store, so a later read of the store shows the record. The holder of the
-   * duty answers only daemons that it knows.
+   * Monotonic time from which evidence from a source is valid, in milliseconds. Before its registration, a process
+   * counts none: it would be unknown after its end. A promotion reads the register of daemons after its record in
+   * the store, so a later read of the store shows the record; and the holder of the duty answers only daemons that
+   * it knows.
    */
   countsFromMs(source: EvidenceSource): number {
-    switch (source.kind) {
-      case 'store':
-        return this.#registeredAtMs;
-      case 'members':
-        return this.#registeredAtMs + REGISTRATION_SETTLE_MS;
-      case 'daemon':
-        return source.isHolder ? Number.NEGATIVE_INFINITY : this.#registeredAtMs + REGISTRATION_SETTLE_MS;
-      case 'duty':
-        return Number.NEGATIVE_INFINITY;
-    }
+    const isSettled = source.kind === 'members' || (source.kind === 'daemon' && !source.isHolder);
+    return isSettled ? this.#registeredAtMs + REGISTRATION_SETTLE_MS : this.#registeredAtMs;
   }
 
   /**
