A holder confirms a leader though all members are known only since it holds the duty

Now it asks the others too, and one that follows the leader suffices where none can have been named before.

--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -207,26 +207,29 @@
     return evidence.counts({ kind: 'members' }, now);
   }
 
+  /** The members but the leader, listed or not, that may still run. */
+  #otherMembers(): readonly Member[] {
+    const leaderId = this.group.evidence.leader?.memberId;
+    return this.#runningMembers().filter(({ entry }) => entry.memberId !== leaderId);
+  }
+
   /**
-   * The members but the leader, listed or not, that may still run and that a promotion may have named. The holder
-   * of the duty names members itself; a former one can have named those that were known when this one took over.
+   * True for a member that a promotion may have named. The holder of the duty names members itself; a former one
+   * can have named those that were known when this one took over.
    */
-  #possibleSuccessors(): readonly Member[] {
-    const leaderId = this.group.evidence.leader?.memberId;
-    const knownUntilMs = this.heldDuty()?.takenAtMs ?? Number.POSITIVE_INFINITY;
-    return this.#runningMembers().filter(
-      ({ entry, knownSinceMs }) => entry.memberId !== leaderId && knownSinceMs <= knownUntilMs,
-    );
+  #mayBeSuccessor({ knownSinceMs }: Member): boolean {
+    return knownSinceMs <= (this.heldDuty()?.takenAtMs ?? Number.POSITIVE_INFINITY);
   }
 
   /**
    * Queries all members but the leader at the same time; true when their answers are evidence for it. None is
-   * queried while the answer of one would not be valid yet: a status request takes a slot of the member.
+   * queried while the answer of one that counts would not be valid yet: a status request takes a slot.
    */
   async #askEveryMember(): Promise<boolean> {
-    const members = this.#possibleSuccessors();
     const now = this.now();
-    if (!members.every((member) => this.#mayBeWitness(member, now))) return false;
+    const others = this.#otherMembers();
+    const members = others.filter((member) => this.#mayBeWitness(member, now));
+    if (others.some((member) => this.#mayBeSuccessor(member) && !members.includes(member))) return false;
     const answers = await Promise.all(members.map((member) => this.#askStatus(member)));
     members.forEach((member, index) => this.#observeLeader(member, answers[index]));
     return this.#recordEveryMember(members, answers);
@@ -238,24 +241,28 @@
     return [...members.values(), ...former.values()].filter((member) => !member.hasEnded);
   }
 
-  /** True when every member has answered that it follows the leader and is not paused. */
+  /** True when every member that counts has answered that it follows the leader and is not paused. */
   #recordEveryMember(members: readonly Member[], answers: readonly ControlAnswer[]): boolean {
     const { evidence } = this.group;
-    const followers = members.flatMap((member, index) => {
+    const followers = new Map<Member, Answered>();
+    members.forEach((member, index) => {
       const answer = answers[index];
-      if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return [];
+      if (member.hasEnded || answer?.kind !== 'answered' || answer.status.isPrimary) return;
       evidence.observeTerm(answer.status.term);
-      return this.#isWitness(member, answer) ? [answer] : [];
+      if (this.#isWitness(member, answer)) followers.set(member, answer);
     });
-    const [first, ...others] = followers;
-    const isComplete = followers.length === members.length;
+    const isComplete = this.#otherMembers().every(
+      (member) => followers.has(member) || !this.#mayBeSuccessor(member),
+    );
+    const [first, ...rest] = followers.values();
     if (first === undefined || !isComplete || !this.#mayMembersCount()) return false;
-    if (others.some(({ status }) => status.term !== first.status.term)) return false;
-    const pausedForTerm = Math.max(...followers.map(({ status }) => status.pausedForTerm));
-    const askedAtMs = Math.min(...followers.map((follower) => follower.askedAtMs));
+    if (rest.some(({ status }) => status.term !== first.status.term)) return false;
+    const all = [first, ...rest];
+    const pausedForTerm = Math.max(...all.map(({ status }) => status.pausedForTerm));
+    const askedAtMs = Math.min(...all.map((follower) => follower.askedAtMs));
     if (!evidence.recordWitness(first.status.term, pausedForTerm, askedAtMs, { kind: 'members' }))
       return false;
-    for (const { status } of followers) this.#recordFollower(status);
+    for (const { status } of all) this.#recordFollower(status);
     if (this.#isDutySettled(askedAtMs)) this.#confirmByMembers(first.status.term);
     this.group.changed.notify();
     return true;
--- a/src/leadership/promotion-record.test.ts
+++ b/src/leadership/promotion-record.test.ts
@@ -56,13 +56,15 @@
 describe('a daemon that does not answer the revoke order', () => {
   /** Time from the revoke order to the seal order, in milliseconds. */
   async function waitMs(model: ModelledGroup): Promise<number> {
-    const running = model.runUntil('seal');
-    await model.waitForEvent('revoke');
-    const revokedAtMs = performance.now();
-    await model.waitForEvent('seal');
-    const waitedMs = performance.now() - revokedAtMs;
-    await running;
-    return waitedMs;
+    const firstAtMs = new Map<string, number>();
+    const { events } = model;
+    const push = events.push.bind(events);
+    events.push = (event) => {
+      if (!firstAtMs.has(event)) firstAtMs.set(event, performance.now());
+      return push(event);
+    };
+    await model.runUntil('seal');
+    return (firstAtMs.get('seal') ?? NaN) - (firstAtMs.get('revoke') ?? NaN);
   }
 
   test('is waited for until its evidence has expired', async () => {
--- a/src/leadership/unresolved-promotion.test.ts
+++ b/src/leadership/unresolved-promotion.test.ts
@@ -177,6 +177,19 @@
     }
   });
 
+  test('does not need members that have become known since it holds the duty, but one that follows the leader', async () => {
+    const daemon = new SealedDaemon();
+    daemon.duty = { takenAtMs: performance.now() - 2 * WITNESS_KNOWN_MS, untilMs: Number.POSITIVE_INFINITY };
+    for (const member of daemon.group.members.values())
+      member.knownSinceMs = performance.now() - WITNESS_KNOWN_MS - ROUNDS_MS;
+    daemon.statuses.delete('successor');
+    assert.equal(await daemon.provenLeader(), 'leader');
+    const alone = new SealedDaemon();
+    alone.duty = daemon.duty;
+    for (const member of alone.group.members.values()) member.knownSinceMs = performance.now();
+    assert.equal(await alone.provenLeader(), null);
+  });
+
   test('confirms the leader by the store alone once it holds the duty', async () => {
     const daemon = new SealedDaemon();
     daemon.replacedTerms.terms = new Map([['g', TERM - 1]]);
