Model of a group: a promotion ends the pauses of all members

The protocol says that a pause holds until RESUME, a promote or the restart of the replica. The model kept the pauses of the members that were not named.

--- a/test/support/modelled-group.ts
+++ b/test/support/modelled-group.ts
@@ -140,11 +140,11 @@
     return receivers.length > 0;
   }
 
-  /** Makes a member the leader of the next term, as the platform does. */
+  /** Makes a member the leader of the next term, as the platform does: the pauses of all members end. */
   makeLeader(memberId: string): void {
     const member = this.member(memberId);
     member.isPrimary = true;
-    member.pausedForTerm = 0;
+    for (const each of this.#members.values()) each.pausedForTerm = 0;
     member.term = Math.max(...[...this.#members.values()].map(({ term }) => term)) + 1;
     this.events.push(`leads ${memberId}`);
   }
