Fault proxy: cuts that refuse or reset, and daemons that may end behind it

Cuts between processes of a test deployment could only be silent, and the proxy between daemons accepted connections for daemons that do not run. So no test could mix cuts with ends of daemons, and none met a daemon that runs behind a refusal.

Cause: one address of the proxy serves all callers, and its listening socket accepts before the proxy can tell whose call it is. Each daemon now dials ports that the proxy keeps for it; the proxy closes the listening socket while a cut refuses this caller, or while no process listens on the target. The end of a stream is passed on as one, and a reset as a reset (it became an end before). A cut is an object, so that overlapping ones are restored on their own.

The first suite of fault-proxy.test.ts now has a handler of errors on the sockets of its target, which see resets; what it asserts is unchanged.

--- a/standin/rig/fault-proxy.test.ts
+++ b/standin/rig/fault-proxy.test.ts
@@ -36,6 +36,7 @@
     received = '';
     target = createServer((socket) => {
       accepted.add(socket);
+      socket.on('error', () => socket.destroy());
       socket.on('data', (data) => (received += data.toString()));
       socket.on('close', () => accepted.delete(socket));
     });
@@ -100,6 +101,105 @@
   });
 });
 
+describe('a fault proxy with an address for each caller', () => {
+  const OTHER = 'other';
+  let proxy: FaultProxy;
+  let target: Server;
+  const accepted: Socket[] = [];
+  let isTargetListening = true;
+  let ports: { readonly caller: number; readonly other: number };
+
+  beforeEach(async () => {
+    isTargetListening = true;
+    accepted.length = 0;
+    target = createServer((socket) => {
+      accepted.push(socket);
+      socket.on('error', () => socket.destroy());
+    });
+    await new Promise<void>((resolve) => target.listen(0, HOST, resolve));
+    proxy = new FaultProxy();
+    const route = {
+      zone: TARGET,
+      listenHost: HOST,
+      targetHost: HOST,
+      targetPort: (target.address() as AddressInfo).port,
+      isTargetListening: () => isTargetListening,
+    };
+    ports = { caller: await freePort(), other: await freePort() };
+    await proxy.forward({ ...route, fromZone: CALLER, port: ports.caller });
+    await proxy.forward({ ...route, fromZone: OTHER, port: ports.other });
+  });
+
+  afterEach(() => {
+    proxy.close();
+    target.close();
+    for (const socket of accepted) socket.destroy();
+  });
+
+  for (const kind of ['reset', 'refuse'] as const)
+    test(`refuses the caller behind a cut (${kind}) and no other one, until it is restored`, async () => {
+      const cut = proxy.isolate(CALLER, [TARGET], kind);
+      await assert.rejects(openConnection(ports.caller), { code: 'ECONNREFUSED' });
+      (await openConnection(ports.other)).destroy();
+      await proxy.restore(cut);
+      (await openConnection(ports.caller)).destroy();
+    });
+
+  test('resets both ends of an open connection at a cut that resets', async () => {
+    const socket = await openConnection(ports.caller);
+    await waitUntil('the connection', () => accepted.length === 1);
+    const ends = Promise.all([endOf(socket), endOf(accepted[0])]);
+    proxy.isolate(CALLER, [TARGET], 'reset');
+    assert.deepEqual(await ends, ['ECONNRESET', 'ECONNRESET']);
+  });
+
+  test('holds an open connection at a cut that refuses, until the last cut of its link is restored', async () => {
+    const socket = await openConnection(ports.caller);
+    await waitUntil('the connection', () => accepted.length === 1);
+    let received = '';
+    accepted[0]?.on('data', (data) => (received += data.toString()));
+    const cuts = [proxy.isolate(CALLER, [TARGET], 'refuse'), proxy.isolate(TARGET, [CALLER])];
+    socket.write('asked');
+    for (const cut of cuts) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      assert.equal(received, '');
+      await proxy.restore(cut);
+    }
+    await waitUntil('the bytes sent during the cut', () => received === 'asked');
+    socket.destroy();
+  });
+
+  for (const [how, end] of [
+    ['end', (socket: Socket) => socket.end()],
+    ['ECONNRESET', (socket: Socket) => socket.resetAndDestroy()],
+  ] as const)
+    test(`passes on how the target closes a connection (${how})`, async () => {
+      const socket = await openConnection(ports.caller);
+      await waitUntil('the connection', () => accepted.length === 1);
+      const seen = endOf(socket);
+      if (accepted[0] !== undefined) end(accepted[0]);
+      assert.equal(await seen, how);
+    });
+
+  test('refuses connections while no process listens on the target', async () => {
+    isTargetListening = false;
+    await proxy.updateListeners();
+    await assert.rejects(openConnection(ports.caller), { code: 'ECONNREFUSED' });
+    isTargetListening = true;
+    await proxy.updateListeners();
+    (await openConnection(ports.caller)).destroy();
+  });
+});
+
+/** How a connection ends: `end` for the end of the stream, or the code of its error. */
+function endOf(socket: Socket | undefined): Promise<string> {
+  return new Promise((resolve) => {
+    socket?.once('end', () => resolve('end'));
+    socket?.once('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
+    socket?.resume();
+  });
+}
+
 async function freePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
