Evidence: a record is never lowered over a call of an earlier promotion

A promotion records the term after the one found if that is its own or later, restores only what it found, and after its success records the term before the new leader's. Members that have become known since the duty was taken are exempt only while the store has no record at all, that is while nobody has called; a holder that finds a record confirms by the members only once no earlier call can act (5 s, was 1.5 s). The era of a reading is that of the answer.

--- a/src/cluster/delegates.ts
+++ b/src/cluster/delegates.ts
@@ -7,7 +7,7 @@
 import { preferredDaemons } from './rank-by-capacity.js';
 import type { DaemonRecord } from './daemon-record.js';
 
-/** Delegated tasks: `witnesses` asks witnesses for evidence, `store` follows changes in the store. */
+/** Delegated tasks: `witnesses` asks the store and the members for evidence, `store` follows changes in the store. */
 export type DelegatedWork = 'witnesses' | 'store';
 
 /** Fleet size up to which every daemon does the task itself. */
--- a/src/cluster/registration.ts
+++ b/src/cluster/registration.ts
@@ -32,7 +32,7 @@
 
   /**
    * Monotonic time from which evidence from a source is valid, in milliseconds. Before its registration, a process
-   * counts none: it would be unknown after its end. A promotion reads the register of daemons after its record in
+   * counts none: a promotion would not know of it. A promotion reads the register of daemons after its record in
    * the store, so a later read of the store shows the record; and the holder of the duty answers only daemons that
    * it knows.
    */
@@ -58,18 +58,17 @@
   }
 
   /**
-   * Takes the records that the store held before this process registered. Orders sent to an earlier process
-   * at the same address before this one listened have reached nobody, so nothing counts the sooner for it.
+   * Takes the records that the store held before this process registered.
    *
    * @param gaps - known gaps in the records
    */
   applyInitialRecords(
     registered: ReadonlyMap<string, DaemonRecord>,
-    { unreadable, isIncomplete: isBehind }: RegistryGaps = NO_GAPS,
+    { unreadable, isIncomplete }: RegistryGaps = NO_GAPS,
   ): void {
     const { name } = this.self;
     const earlier = registered.get(name);
-    this.#hasPredecessor = earlier !== undefined || unreadable.has(name) || isBehind;
+    this.#hasPredecessor = earlier !== undefined || unreadable.has(name) || isIncomplete;
     this.#isAtFormerAddress = earlier !== undefined && hasSameAddress(earlier, this.self);
   }
 
--- a/src/leadership/evidence-exchange.ts
+++ b/src/leadership/evidence-exchange.ts
@@ -17,7 +17,7 @@
    * The log position that the leader has reported, as far as the daemon knew it when it listed the leaders.
    */
   readonly held: Position | null;
-  /** Time since the witness was queried, in milliseconds. */
+  /** Time since the source of the evidence was asked, in milliseconds. */
   readonly ageMs: number;
 }
 
--- a/src/leadership/evidence-sharing.ts
+++ b/src/leadership/evidence-sharing.ts
@@ -1,5 +1,5 @@
 /**
- * Obtains leadership evidence from other daemons, so that only few daemons query the witnesses.
+ * Obtains leadership evidence from other daemons, so that only few daemons ask the store and the members.
  *
  * The holder of the promotion duty is asked first. While it does not answer, a large fleet asks a few
  * collectors, which are the same for all daemons and alone query the members: the slots and connections of
--- a/src/leadership/group-supervisor.ts
+++ b/src/leadership/group-supervisor.ts
@@ -64,7 +64,7 @@
    */
   usesGateways(memberId: string): boolean;
   /** The record in the store of the terms that may have been replaced. */
-  readonly replacedTerms: Pick<ReplacedTerms, 'write'>;
+  readonly replacedTerms: Pick<ReplacedTerms, 'raise' | 'set'>;
   /** A member has become the leader through a promotion by this daemon. */
   leaderPromoted(): void;
   log(event: string, details: Readonly<Record<string, unknown>>): void;
@@ -410,8 +410,8 @@
   }
 
   /**
-   * True when the store has no record by which the leader is the present one, and the answers of all members
-   * have not been had for long: one that does not answer would keep a healthy leader unused for as long.
+   * True when a leader is known and no revocation prevents evidence of it, but neither the store nor all other
+   * members have given any for long: a member that does not answer would keep a healthy leader unused.
    */
   #isUnresolved(nowMs: number): boolean {
     const isLeaderlessForLong = this.group.leaderlessMs(nowMs) > UNRESOLVED_LIMIT_MS;
--- a/src/leadership/leadership-evidence.ts
+++ b/src/leadership/leadership-evidence.ts
@@ -26,7 +26,7 @@
  * Time after the duty was acquired from which the members confirm a leader for as long as the duty is held, in
  * milliseconds: before that, a call of the former holder may still take effect.
  */
-export const DUTY_SETTLE_MS = 1500;
+export const DUTY_SETTLE_MS = 5000;
 
 /** Time between two requests to the holder of the duty for its evidence, in milliseconds. */
 export const EVIDENCE_REQUEST_INTERVAL_MS = 400;
@@ -45,12 +45,9 @@
 export const REGISTRATION_SETTLE_MS = 1000;
 
 /**
- * Time for which a daemon has to have known the incarnation of a member before its answers are valid, in
- * milliseconds; also the time from a sign that another process answers for it. The last check of a promotion
- * for members that have started is at most 1.3 s before it calls the platform (as long as its duty is
- * trusted), and it checks every 0.1 s after the call; the platform acts 0.3 s after the call or later. A
- * successor that started after the last check, and is not paused, would be evidence for the old leader at a
- * daemon that the holder does not reach: 1.6 s of reads and commits at a leader that has been replaced.
+ * Time for which a daemon has to have known a member's incarnation, and have had no sign of a restart, before its
+ * answer is valid, in milliseconds: longer than a promotion takes from its final check until the platform has
+ * acted. A member that starts in between is not paused.
  */
 export const WITNESS_KNOWN_MS = 2000;
 
@@ -184,7 +181,7 @@
   }
 
   /**
-   * Renews the evidence of a confirmed leader without a witness: no other daemon can promote before
+   * Renews the evidence of a confirmed leader by the duty alone: no other daemon can promote before
    * `untilMs`.
    */
   renewUnderDuty(untilMs: number, nowMs: number): void {
@@ -264,7 +261,7 @@
     return this.#mayBeReplaced && term <= this.#revokedUpToTerm;
   }
 
-  #extend(untilMs: number, source: EvidenceSource | null): void {
+  #extend(untilMs: number, source: EvidenceSource): void {
     if (untilMs <= this.#validUntilMs) return;
     this.#validUntilMs = untilMs;
     this.#source = source;
@@ -287,7 +284,7 @@
 
   /**
    * Revokes the evidence because a promotion over `term` is about to begin, and prevents new evidence for
-   * {@link REVOCATION_MS}, after that evidence from a single witness until
+   * {@link REVOCATION_MS}, and after that evidence relayed by a daemon that does not hold the duty until
    * {@link LeadershipEvidence.liftRevocation}. Commits under way are still acknowledged until the revoked
    * evidence would have expired, unless the term is sealed.
    */
--- a/src/leadership/leadership-watcher.ts
+++ b/src/leadership/leadership-watcher.ts
@@ -54,7 +54,7 @@
   constructor(
     private readonly group: MemberGroup,
     private readonly control: MemberControl,
-    private readonly replacedTerms: Pick<ReplacedTerms, 'read' | 'write'>,
+    private readonly replacedTerms: Pick<ReplacedTerms, 'read' | 'set'>,
     private readonly listener: LeadershipListener,
     private readonly heldDuty: () => HeldDuty | null,
     /** False while other daemons ask the store and the members on behalf of this one. */
@@ -112,8 +112,9 @@
     if (this.#renewUnderDuty()) return true;
     if (this.group.evidence.leader === null && !(await this.#findLeader())) return false;
     if (!this.group.evidence.mayBeGathered(this.now())) return false;
-    if (await this.#askStore()) return true;
-    return this.#mayMembersCount() && (await this.#askEveryMember());
+    const record = await this.#askStore();
+    if (record === 'evidence') return true;
+    return this.#mayMembersCount() && (await this.#askEveryMember(record === 'absent'));
   }
 
   /** Renews the evidence by the held duty alone; false when that is not possible. */
@@ -152,20 +153,24 @@
     return other === undefined ? [] : [other];
   }
 
-  /** Asks the store whether the leader may have been replaced; true when its answer is evidence for the leader. */
-  async #askStore(): Promise<boolean> {
+  /**
+   * Asks the store whether the leader may have been replaced. `evidence`: its answer is evidence for the leader;
+   * `absent`: it has no record for the group; `none`: it does not answer, or shows nothing.
+   */
+  async #askStore(): Promise<'evidence' | 'absent' | 'none'> {
     const reading = await this.replacedTerms.read();
     const { evidence } = this.group;
     const { leader } = evidence;
-    const replacedTerm = reading?.terms.get(this.group.name);
-    if (reading === null || leader === null || replacedTerm === undefined || replacedTerm >= leader.term)
-      return false;
-    if (!evidence.recordWitness(leader.term, 0, reading.askedAtMs, { kind: 'store' })) return false;
+    if (reading === null || leader === null) return 'none';
+    const replacedTerm = reading.terms.get(this.group.name);
+    if (replacedTerm === undefined) return 'absent';
+    if (replacedTerm >= leader.term) return 'none';
+    if (!evidence.recordWitness(leader.term, 0, reading.askedAtMs, { kind: 'store' })) return 'none';
     const duty = this.heldDuty();
     // A former holder cannot write any more, so the record holds for as long as the duty is held.
     if (duty !== null && reading.askedAtMs >= duty.takenAtMs) this.#confirmUnderDuty();
     this.group.changed.notify();
-    return true;
+    return 'evidence';
   }
 
   /** No promotion by a former holder can take effect any more. */
@@ -214,25 +219,27 @@
   }
 
   /**
-   * True for a member that a promotion may have named. The holder of the duty names members itself; a former one
-   * can have named those that were known when this one took over.
+   * True for a member that a promotion may have named. Without a record in the store, the holder of the duty has
+   * named none, and a former one can have named those that were known when this one took over.
    */
-  #mayBeSuccessor({ knownSinceMs }: Member): boolean {
-    return knownSinceMs <= (this.heldDuty()?.takenAtMs ?? Number.POSITIVE_INFINITY);
+  #mayBeSuccessor({ knownSinceMs }: Member, isRecordAbsent: boolean): boolean {
+    const knownUntilMs = isRecordAbsent ? this.heldDuty()?.takenAtMs : undefined;
+    return knownSinceMs <= (knownUntilMs ?? Number.POSITIVE_INFINITY);
   }
 
   /**
    * Queries all members but the leader at the same time; true when their answers are evidence for it. None is
    * queried while the answer of one that counts would not be valid yet: a status request takes a slot.
    */
-  async #askEveryMember(): Promise<boolean> {
+  async #askEveryMember(isRecordAbsent: boolean): Promise<boolean> {
     const now = this.now();
     const others = this.#otherMembers();
     const members = others.filter((member) => this.#mayBeWitness(member, now));
-    if (others.some((member) => this.#mayBeSuccessor(member) && !members.includes(member))) return false;
+    if (others.some((member) => this.#mayBeSuccessor(member, isRecordAbsent) && !members.includes(member)))
+      return false;
     const answers = await Promise.all(members.map((member) => this.#askStatus(member)));
     members.forEach((member, index) => this.#observeLeader(member, answers[index]));
-    return this.#recordEveryMember(members, answers);
+    return this.#recordEveryMember(members, answers, isRecordAbsent);
   }
 
   /** The listed members, and those that are not listed any more but may still run. */
@@ -242,7 +249,11 @@
   }
 
   /** True when every member that counts has answered that it follows the leader and is not paused. */
-  #recordEveryMember(members: readonly Member[], answers: readonly ControlAnswer[]): boolean {
+  #recordEveryMember(
+    members: readonly Member[],
+    answers: readonly ControlAnswer[],
+    isRecordAbsent: boolean,
+  ): boolean {
     const { evidence } = this.group;
     const followers = new Map<Member, Answered>();
     members.forEach((member, index) => {
@@ -252,7 +263,7 @@
       if (this.#isWitness(member, answer)) followers.set(member, answer);
     });
     const isComplete = this.#otherMembers().every(
-      (member) => followers.has(member) || !this.#mayBeSuccessor(member),
+      (member) => followers.has(member) || !this.#mayBeSuccessor(member, isRecordAbsent),
     );
     const [first, ...rest] = followers.values();
     if (first === undefined || !isComplete || !this.#mayMembersCount()) return false;
@@ -263,7 +274,7 @@
     if (!evidence.recordWitness(first.status.term, pausedForTerm, askedAtMs, { kind: 'members' }))
       return false;
     for (const { status } of all) this.#recordFollower(status);
-    if (this.#isDutySettled(askedAtMs)) this.#confirmByMembers(first.status.term);
+    if (this.#mayConfirm(askedAtMs, isRecordAbsent)) this.#confirmByMembers(first.status.term);
     this.group.changed.notify();
     return true;
   }
@@ -281,11 +292,16 @@
   #confirmByMembers(term: number): void {
     this.#confirmUnderDuty();
     const { evidence, name } = this.group;
-    void this.replacedTerms.write(
-      name,
-      term - 1,
-      () => evidence.isConfirmed && evidence.leader?.term === term,
-    );
+    void this.replacedTerms.set(name, term - 1, () => evidence.isConfirmed && evidence.leader?.term === term);
+  }
+
+  /**
+   * True when the answers of the members confirm the leader for as long as the duty is held. Without a record in the
+   * store, no earlier holder has called the platform.
+   */
+  #mayConfirm(askedAtMs: number, isRecordAbsent: boolean): boolean {
+    const duty = this.heldDuty();
+    return (isRecordAbsent && duty !== null && askedAtMs >= duty.takenAtMs) || this.#isDutySettled(askedAtMs);
   }
 
   /** True when no promotion by an earlier holder can take effect at this time or later. */
--- a/src/leadership/promotion-orders.ts
+++ b/src/leadership/promotion-orders.ts
@@ -27,8 +27,8 @@
  */
 export const REVOCATION_RENEWAL_MS = 700;
 /**
- * Interval at which daemons that have not answered a revoke order are asked again during the wait for their
- * evidence, in milliseconds: one that has been replaced by its next process is back within half a second.
+ * Interval at which daemons that have not answered a revoke order are asked again, in milliseconds: far shorter
+ * than the validity of the evidence that is otherwise waited out.
  */
 const UNANSWERED_RETRY_MS = 150;
 
@@ -58,7 +58,7 @@
 
 /** The orders of one promotion. */
 export class PromotionOrders {
-  /** When the register of daemons was read for the first order. */
+  /** When the first order was sent, before the register of daemons was read. */
   #startedAtMs = Number.POSITIVE_INFINITY;
   /** When the answers to the revoke order were in. */
   #revokedAtMs = Number.NEGATIVE_INFINITY;
--- a/src/leadership/promotion-record.test.ts
+++ b/src/leadership/promotion-record.test.ts
@@ -25,6 +25,7 @@
   test('is recorded in the store before any daemon is asked to revoke its evidence', async () => {
     const model = groupWithoutLeader();
     await model.runUntil('promotion_ends');
+    assert.ok(model.events.includes(RECORDED), model.events.join(', '));
     assert.ok(model.events.indexOf(RECORDED) < model.events.indexOf('revoke'), model.events.join(', '));
     assert.equal(model.events.includes(LOWERED), false);
   });
@@ -45,6 +46,25 @@
     assert.ok(model.events.includes('promotion_given_up'));
   });
 
+  // The member that the first call named leads, out of reach of the holder.
+  test('that is given up without a call leaves the record of an earlier one, whose call may have succeeded', async () => {
+    const model = groupWithoutLeader();
+    model.handlePromotion = (memberId) => {
+      model.makeLeader(memberId);
+      model.member(memberId).state = 'dark';
+      model.orderOutcomes.set('d2', { kind: 'silent' });
+      return Promise.resolve(true);
+    };
+    const running = model.supervisor.run();
+    await model.waitForEvent('allow');
+    model.events.length = 0;
+    model.supervisor.suspect();
+    await model.waitForEvent('allow');
+    model.supervisor.stop();
+    await running;
+    assert.ok((model.recordedTerm ?? 0) >= FIRST_TERM, model.events.join(', '));
+  });
+
   test('that is given up after a call leaves the record: the platform may still execute the call', async () => {
     const model = groupWithoutLeader();
     model.handlePromotion = () => Promise.resolve(false);
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -2,7 +2,7 @@
  * One promotion: replaces the leader of a group by a member that is proven, immediately before the platform
  * is called, to hold every acknowledged commit.
  *
- * 1. Record: the store is told that the term may be replaced. From then on it is evidence for no daemon.
+ * 1. Record: the store is told that the term may be replaced, and gives no evidence of it from then on.
  * 2. Revoke: every daemon drops its evidence of the old leader, and the replicas are paused. The evidence of
  *    daemons that do not answer is waited out.
  * 3. Seal: every daemon reports what it has acknowledged, and acknowledges nothing of the old term after that
@@ -30,6 +30,7 @@
 import { findLeaderOfTerm, type LastLeader } from './last-leader.js';
 import type { LeaderLoss } from './leader-loss.js';
 import type { OpenCalls } from './open-calls.js';
+import type { RaisedTerm } from './replaced-terms.js';
 import type { StepDowns } from './step-downs.js';
 import { namesOfEnded, namesWithoutAnswer } from './order-outcomes.js';
 import { PromotionOrders } from './promotion-orders.js';
@@ -89,6 +90,8 @@
    */
   #lastLeader: Incarnation | null = null;
   #hasCalled = false;
+  /** The record of this promotion in the store. */
+  #raised: RaisedTerm | null = null;
 
   /** @param leader - the member to be replaced; `null` when every member may succeed */
   constructor(
@@ -133,7 +136,8 @@
       reason: this.reason,
       others: others.map(({ entry }) => formatIncarnation(entry)).join(','),
     });
-    if (!(await options.replacedTerms.write(group.name, this.#term))) return this.#endUnrecorded();
+    this.#raised = await options.replacedTerms.raise(group.name, this.#term);
+    if (this.#raised === null) return this.#endUnrecorded();
     const { pauses, outcomes } = await this.#revokeAndPause(others);
     const sealed = await this.#orders.seal(outcomes);
     this.#determineLastLeader(sealed.replies);
@@ -366,6 +370,8 @@
   #announce({ entry: { memberId } }: Member, { term, received }: MemberStatus): void {
     const { options, group, openCalls } = this.ports;
     group.recordLeader({ memberId, term }, received);
+    // A member that leads a term between the two, unseen, has no evidence from the store.
+    if (this.#raised?.term !== term - 1) void options.replacedTerms.set(group.name, term - 1);
     options.leaderPromoted();
     const mayBeReplaced = openCalls.untilMs > options.now();
     this.#orders.announce({ memberId, term, held: received, mayBeReplaced });
@@ -416,8 +422,9 @@
     await this.#pauses.resumeAllBut(null);
     if (this.#isSuperseded()) return;
     this.#orders.allow();
-    // A call that came to nothing as far as is known leaves the record: all members have to answer then.
-    if (!this.#hasCalled) void options.replacedTerms.write(group.name, this.#term - 1);
+    // After a call the record stays: the platform may still replace the leader. So does that of an earlier call.
+    const found = this.#raised?.found ?? null;
+    if (!this.#hasCalled && found !== null) void options.replacedTerms.set(group.name, found);
   }
 
   /** Demotes the former leader and logs the position up to which it had received the log. */
--- a/src/leadership/replaced-terms.test.ts
+++ b/src/leadership/replaced-terms.test.ts
@@ -62,27 +62,34 @@
   test('holds the term that was written last, though the local copy is out of date', async () => {
     const scene = new Scene();
     assert.equal(await scene.recorded(), undefined);
-    assert.ok(await scene.terms.write(GROUP, 4));
-    assert.ok(await scene.terms.write(GROUP, 3));
+    assert.ok(await scene.terms.set(GROUP, 4));
+    assert.ok(await scene.terms.set(GROUP, 3));
     assert.equal(await scene.recorded(), 3);
   });
 
+  test('of a promotion is later than one found for the same term, whose leader may have been replaced unseen', async () => {
+    const scene = new Scene();
+    assert.deepEqual(await scene.terms.raise(GROUP, 3), { term: 3, found: null });
+    assert.deepEqual(await scene.terms.raise(GROUP, 3), { term: 4, found: 3 });
+    assert.deepEqual(await scene.terms.raise(GROUP, 7), { term: 7, found: 4 });
+  });
+
   test('cannot be written once another daemon has taken the duty', async () => {
     const scene = new Scene();
-    assert.ok(await scene.terms.write(GROUP, 3));
+    assert.ok(await scene.terms.set(GROUP, 3));
     await scene.store.transact({
       conditions: [],
       puts: [{ key: DUTY_KEY, value: Buffer.from('{}'), leaseId: 0 }],
       removes: [],
     });
-    assert.equal(await scene.terms.write(GROUP, 4), false);
+    assert.equal(await scene.terms.set(GROUP, 4), false);
     assert.equal(await scene.recorded(), 3);
   });
 
   test('counts as written if its answer is lost and a read shows it', async () => {
     const scene = new Scene();
     scene.store.lostAnswers = 1;
-    assert.ok(await scene.terms.write(GROUP, 3));
+    assert.ok(await scene.terms.set(GROUP, 3));
     assert.equal(await scene.recorded(), 3);
   });
 
@@ -90,17 +97,17 @@
     const scene = new Scene();
     scene.store.isDown = true;
     scene.store.holdsWrites = true;
-    assert.equal(await scene.terms.write(GROUP, 3), false);
+    assert.equal(await scene.terms.set(GROUP, 3), false);
   });
 
   // A call without an answer may be executed seconds later.
   test('is not lowered by a write that the store executes late', async () => {
     const scene = new Scene();
-    assert.ok(await scene.terms.write(GROUP, 4));
+    assert.ok(await scene.terms.set(GROUP, 4));
     scene.store.holdsWrites = true;
-    assert.equal(await scene.terms.write(GROUP, 3), false);
+    assert.equal(await scene.terms.set(GROUP, 3), false);
     scene.store.holdsWrites = false;
-    assert.ok(await scene.terms.write(GROUP, 4));
+    assert.ok(await scene.terms.set(GROUP, 4));
     for (const execute of scene.store.heldWrites) assert.equal((await execute()).kind, 'conflict');
     assert.equal(await scene.recorded(), 4);
   });
@@ -108,18 +115,18 @@
   test('is not lowered by a write that is due after the term is replaced', async () => {
     const scene = new Scene();
     let isCurrent = true;
-    const raising = scene.terms.write(GROUP, 4).then(() => (isCurrent = false));
-    assert.equal(await scene.terms.write(GROUP, 3, () => isCurrent), false);
+    const raising = scene.terms.set(GROUP, 4).then(() => (isCurrent = false));
+    assert.equal(await scene.terms.set(GROUP, 3, () => isCurrent), false);
     await raising;
     assert.equal(await scene.recorded(), 4);
   });
 
   test('shows nothing if it was written in an earlier era of the store, or cannot be read', async () => {
     const scene = new Scene();
-    assert.ok(await scene.terms.write(GROUP, 3));
+    assert.ok(await scene.terms.set(GROUP, 3));
     scene.store.era.observe(1);
     assert.equal(await scene.recorded(), undefined);
-    assert.ok(await scene.terms.write(GROUP, 3));
+    assert.ok(await scene.terms.set(GROUP, 3));
     assert.equal(await scene.recorded(), 3);
     const item = scene.store.items.get(KEY);
     assert.ok(item !== undefined && !isSameRevision(item.revision, NO_REVISION));
--- a/src/leadership/replaced-terms.ts
+++ b/src/leadership/replaced-terms.ts
@@ -29,13 +29,13 @@
 /** Keys of the records, followed by the name of the group. */
 const REPLACED_PREFIX = `${COORDINATION_PREFIX}replaced/`;
 
-/** Time limit of a read, in milliseconds: evidence that is due must be had from the members in time. */
+/** Time limit of a read, in milliseconds: leaves time to ask the members before the evidence expires. */
 const READ_TIMEOUT_MS = 300;
 /** Time after a read without an answer in which the store is not asked again, in milliseconds. */
 const READ_PAUSE_MS = 1000;
 /** Time limit of each call for a write, in milliseconds; an answer may be lost. */
 const WRITE_TIMEOUT_MS = 400;
-/** Number of attempts to write a record, whose revision may be known too late. */
+/** Number of attempts to write a record: this daemon's copy of the revision may be out of date. */
 const MAX_WRITE_ATTEMPTS = 3;
 
 const recordSchema = z.object({
@@ -61,6 +61,14 @@
   readonly terms: ReadonlyMap<string, number>;
 }
 
+/** A record that was written. */
+export interface RaisedTerm {
+  /** The recorded term. */
+  readonly term: number;
+  /** The term that was recorded before; `null` if there was no valid record. */
+  readonly found: number | null;
+}
+
 /** A condition under which the store accepts a write. */
 type StoreCondition = StoreTransaction['conditions'][number];
 
@@ -84,7 +92,7 @@
   #pausedUntilMs = Number.NEGATIVE_INFINITY;
   #writeCount = 0;
   /** The last write for each group, which the next one follows: it may lower what another has just raised. */
-  readonly #lastWrites = new Map<string, Promise<boolean>>();
+  readonly #lastWrites = new Map<string, Promise<RaisedTerm | null>>();
 
   constructor(private readonly ports: ReplacedTermsPorts) {}
 
@@ -99,15 +107,29 @@
   }
 
   /**
-   * Records that leaders of terms up to `term` may be replaced, and those of later terms not. Writes for one group
-   * are made one after the other.
+   * Records that the leader of `term` may be replaced. If that term has been recorded before, its leader may have
+   * been replaced by one of the next term, which is recorded too.
+   *
+   * @returns the record, once the store has accepted it; `null` if it may not have
+   */
+  raise(groupName: string, term: number): Promise<RaisedTerm | null> {
+    return this.#enqueue(groupName, (found) => (found !== null && found >= term ? found + 1 : term));
+  }
+
+  /**
+   * Records that leaders of terms up to `term` may be replaced, and those of later terms not.
    *
    * @param isCurrent - whether that still holds when the write is due
    * @returns true once the store has accepted it; otherwise it may have, or may still do so
    */
-  write(groupName: string, term: number, isCurrent: () => boolean = () => true): Promise<boolean> {
-    const previous = this.#lastWrites.get(groupName) ?? Promise.resolve(true);
-    const writing = previous.then(() => isCurrent() && this.#write(groupName, term));
+  async set(groupName: string, term: number, isCurrent: () => boolean = () => true): Promise<boolean> {
+    return (await this.#enqueue(groupName, () => (isCurrent() ? term : null))) !== null;
+  }
+
+  /** Makes the writes for one group one after the other. */
+  #enqueue(groupName: string, choose: (found: number | null) => number | null): Promise<RaisedTerm | null> {
+    const previous = this.#lastWrites.get(groupName) ?? Promise.resolve(null);
+    const writing = previous.then(() => this.#write(groupName, choose));
     this.#lastWrites.set(groupName, writing);
     return writing;
   }
@@ -126,35 +148,48 @@
 
   async #list(askedAtMs: number): Promise<ReplacedTermsReading> {
     const { store, faults } = this.ports;
-    const era = store.era.current;
-    const { items } = await store.list(REPLACED_PREFIX);
+    const { items, revision } = await store.list(REPLACED_PREFIX);
     const terms = new Map<string, number>();
     for (const item of items) {
       const record = valueOrReport('replaced_term', item, readRecord(item.value), faults);
-      if (record?.era === era) terms.set(item.key.slice(REPLACED_PREFIX.length), record.term);
+      if (record?.era === revision.era) terms.set(item.key.slice(REPLACED_PREFIX.length), record.term);
     }
     return { askedAtMs, terms };
   }
 
   /**
-   * Always writes, even if the store has the same term already: a call that was not answered may still lower it,
+   * Always writes, even if the store has the same term already: a call that was not answered may still change it,
    * and is refused once the revision has changed.
    */
-  async #write(groupName: string, term: number): Promise<boolean> {
+  async #write(
+    groupName: string,
+    choose: (found: number | null) => number | null,
+  ): Promise<RaisedTerm | null> {
     const { store, localItem, life, log } = this.ports;
     const key = REPLACED_PREFIX + groupName;
     this.#writeCount += 1;
-    const record = { term, era: store.era.current, writeId: `${life}.${this.#writeCount}` };
+    const writeId = `${life}.${this.#writeCount}`;
     let known = localItem(key) ?? null;
     for (let attempt = 0; attempt < MAX_WRITE_ATTEMPTS; attempt += 1) {
-      if (await this.#writeOver(key, known?.revision ?? NO_REVISION, record)) return true;
+      const found = this.#currentTerm(known);
+      const term = choose(found);
+      if (term === null) return null;
+      const record = { term, era: store.era.current, writeId };
+      if (await this.#writeOver(key, known?.revision ?? NO_REVISION, record)) return { term, found };
       const item = await store.read(key, WRITE_TIMEOUT_MS).catch(ignoreStoreError);
       if (item === false) continue;
-      if (item !== null && isSameWrite(item, record)) return true;
+      if (item !== null && isSameWrite(item, record)) return { term, found };
       known = item;
     }
-    log('replaced_term_not_recorded', { group: groupName, term });
-    return false;
+    log('replaced_term_not_recorded', { group: groupName });
+    return null;
+  }
+
+  /** The term of a record of the present era; `null` if there is none. */
+  #currentTerm(item: StoredItem | null): number | null {
+    const reading = item === null ? null : readRecord(item.value);
+    const isCurrent = reading?.kind === 'read' && reading.value.era === this.ports.store.era.current;
+    return isCurrent ? reading.value.term : null;
   }
 
   /** Writes the record over a revision; false if the store has refused it or has not answered in time. */
--- a/src/leadership/unresolved-promotion.test.ts
+++ b/src/leadership/unresolved-promotion.test.ts
@@ -177,14 +177,27 @@
     }
   });
 
-  test('does not need members that have become known since it holds the duty, but one that follows the leader', async () => {
+  test('needs a member that has become known since it holds the duty if the term is recorded: it may have named it', async () => {
     const daemon = new SealedDaemon();
+    daemon.duty = { takenAtMs: performance.now() - 2 * DUTY_SETTLE_MS, untilMs: Number.POSITIVE_INFINITY };
+    daemon.replacedTerms.terms = new Map([['g', TERM]]);
+    const successor = daemon.group.members.get('successor');
+    assert.ok(successor !== undefined);
+    successor.knownSinceMs = performance.now() - WITNESS_KNOWN_MS - ROUNDS_MS;
+    daemon.statuses.delete('successor');
+    assert.equal(await daemon.provenLeader(), null);
+  });
+
+  test('needs no member that has become known since it holds the duty without any record, but one that follows', async () => {
+    const daemon = new SealedDaemon();
+    daemon.replacedTerms.terms = new Map();
     daemon.duty = { takenAtMs: performance.now() - 2 * WITNESS_KNOWN_MS, untilMs: Number.POSITIVE_INFINITY };
     for (const member of daemon.group.members.values())
       member.knownSinceMs = performance.now() - WITNESS_KNOWN_MS - ROUNDS_MS;
     daemon.statuses.delete('successor');
     assert.equal(await daemon.provenLeader(), 'leader');
     const alone = new SealedDaemon();
+    alone.replacedTerms.terms = new Map();
     alone.duty = daemon.duty;
     for (const member of alone.group.members.values()) member.knownSinceMs = performance.now();
     assert.equal(await alone.provenLeader(), null);
--- a/test/mutation/mutations.ts
+++ b/test/mutation/mutations.ts
@@ -33,6 +33,8 @@
 const FINAL_CHECK = 'src/leadership/promotion-final-check.test.js';
 const PROMOTION_AFTER_RESTARTS = 'src/leadership/promotion-after-restarts.test.js';
 const EARLIER_DUTY_HOLDER = 'src/leadership/earlier-duty-holder.test.js';
+const PROMOTION_RECORD = 'src/leadership/promotion-record.test.js';
+const REPLACED_TERMS = 'src/leadership/replaced-terms.test.js';
 const UNRESOLVED_PROMOTION = 'src/leadership/unresolved-promotion.test.js';
 const RESTARTED_WITNESS = 'src/leadership/restarted-witness.test.js';
 const PROMOTION_MODEL = 'test/model/promotion-model.test.js';
@@ -758,8 +760,7 @@
   {
     property: 'promotions after restarts: a restarted daemon is bounded by later leader positions',
     file: 'src/leadership/order-outcomes.js',
-    search:
-      'const leaderPosition = leaderPositionSince(earlierProcessesEndedMs(outcome, answeredAtMs - countedMs));',
+    search: 'const leaderPosition = leaderPositionSince(earlierEndedMs);',
     replacement: 'const leaderPosition = null;',
     testFile: PROMOTION_AFTER_RESTARTS,
     testName: 'though a replica is silent',
@@ -767,7 +768,7 @@
   {
     property: 'promotions after restarts: a restarted daemon is not bounded by earlier leader positions',
     file: 'src/leadership/order-outcomes.js',
-    search: 'leaderPositionSince(earlierProcessesEndedMs(outcome, answeredAtMs - countedMs))',
+    search: 'leaderPositionSince(earlierEndedMs)',
     replacement: 'leaderPositionSince(0)',
     testFile: PROMOTION_AFTER_RESTARTS,
     testName: 'is not bounded by what the leader said before',
@@ -1329,9 +1330,9 @@
     testName: 'leaves no evidence for the replaced primary',
   },
   {
-    property: 'evidence: of a revoked term takes the answers of all other members',
+    property: 'evidence: of members takes the answers of all that may be promoted',
     file: 'src/leadership/leadership-watcher.js',
-    search: 'followers.length === members.length',
+    search: 'followers.has(member) || !this.#mayBeSuccessor(member, isRecordAbsent)',
     replacement: 'true',
     testFile: UNRESOLVED_PROMOTION,
     testName: 'which may lead, does not answer',
@@ -1347,7 +1348,7 @@
   {
     property: 'evidence: none of a revoked term while the platform may execute a call',
     file: 'src/leadership/leadership-watcher.js',
-    search: '&& calls.open(now) === null',
+    search: '|| calls.open(now) !== null',
     replacement: '',
     testFile: UNRESOLVED_PROMOTION,
     testName: 'while the platform may still execute a call',
@@ -1358,7 +1359,7 @@
     search: '?.evidence.liftRevocation()',
     replacement: '',
     testFile: UNRESOLVED_PROMOTION,
-    testName: 'after evidence of the holder',
+    testName: 'which ends the revocation',
   },
   {
     property: 'promotions: a daemon that knows of a later term shows that an earlier promotion has succeeded',
@@ -1371,8 +1372,8 @@
   {
     property: 'promotions: the revocation of a superseded term is not lifted',
     file: 'src/leadership/promotion.js',
-    search: 'if (!this.#isSuperseded())',
-    replacement: 'if (true)',
+    search: 'if (this.#isSuperseded())\n            return;',
+    replacement: '',
     testFile: EARLIER_DUTY_HOLDER,
     testName: 'is not undone',
   },
@@ -1385,12 +1386,76 @@
     testName: 'has no evidence from that of a collector',
   },
   {
-    property: 'evidence: a holder that has heard all members needs one of them after that',
+    property: 'evidence: a holder that has heard all members needs none of them after that',
     file: 'src/leadership/leadership-watcher.js',
-    search: 'evidence.liftRevocation();',
-    replacement: '',
+    search: 'this.#confirmByMembers(first.status.term);',
+    replacement: '{}',
     testFile: UNRESOLVED_PROMOTION,
-    testName: 'needs one replica again once it holds the duty',
+    testName: 'needs no member any more once it holds the duty',
+  },
+  {
+    property: 'evidence: the store gives none for a term that it has recorded',
+    file: 'src/leadership/leadership-watcher.js',
+    search: 'replacedTerm >= leader.term',
+    replacement: 'false',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'if that has recorded the term',
+  },
+  {
+    property: 'evidence: an absent record of the store shows nothing',
+    file: 'src/leadership/leadership-watcher.js',
+    search: "return 'absent';",
+    replacement: '{}',
+    testFile: UNRESOLVED_PROMOTION,
+    testName: 'if that has recorded the term',
+  },
+  {
+    property: 'promotions: the term is recorded before anything is revoked',
+    file: 'src/leadership/promotion.js',
+    search: 'await options.replacedTerms.raise(group.name, this.#term)',
+    replacement: '{ term: this.#term, found: null }',
+    testFile: PROMOTION_RECORD,
+    testName: 'is recorded in the store before',
+  },
+  {
+    property: 'promotions: the record stays after a call to the platform',
+    file: 'src/leadership/promotion.js',
+    search: 'if (!this.#hasCalled && found !== null)',
+    replacement: 'if (found !== null)',
+    testFile: PROMOTION_RECORD,
+    testName: 'leaves the record',
+  },
+  {
+    property: 'promotions: a daemon that answers during the wait ends it',
+    file: 'src/leadership/promotion-orders.js',
+    search: 'outcomes.set(name, outcome);',
+    replacement: '{}',
+    testFile: PROMOTION_RECORD,
+    testName: 'no longer once it has answered',
+  },
+  {
+    property: 'replaced terms: only the holder of the duty can write a record',
+    file: 'src/leadership/replaced-terms.js',
+    search: 'conditions: [{ key, revision }, duty]',
+    replacement: 'conditions: [{ key, revision }]',
+    testFile: REPLACED_TERMS,
+    testName: 'once another daemon has taken the duty',
+  },
+  {
+    property: 'replaced terms: a record of an earlier era shows nothing',
+    file: 'src/leadership/replaced-terms.js',
+    search: 'record?.era === revision.era',
+    replacement: 'record !== null',
+    testFile: REPLACED_TERMS,
+    testName: 'earlier era of the store',
+  },
+  {
+    property: 'replaced terms: writes for one group follow each other',
+    file: 'src/leadership/replaced-terms.js',
+    search: 'previous.then(',
+    replacement: 'Promise.resolve().then(',
+    testFile: REPLACED_TERMS,
+    testName: 'that is due after the term is replaced',
   },
   {
     property: 'settings of the platform: an enforced bound of revocations is required',
--- a/test/support/modelled-group.ts
+++ b/test/support/modelled-group.ts
@@ -61,6 +61,8 @@
     return Promise.resolve(true);
   };
   isDutyHeld = true;
+  /** The term recorded in the store; `null` without a record. */
+  recordedTerm: number | null = FIRST_TERM - 1;
   /** Whether the store accepts records of replaced terms. */
   isStoreAnswering = true;
   /** Time for which the lease of the duty remains valid, in milliseconds; it does not decrease. */
@@ -86,9 +88,15 @@
       connectedDaemonCount: () => 2,
       usesGateways: () => false,
       replacedTerms: {
-        write: (_group, term) => {
-          this.events.push(`record ${term}`);
-          return Promise.resolve(this.isStoreAnswering);
+        raise: (_group, term) => {
+          if (!this.isStoreAnswering) return Promise.resolve(null);
+          const found = this.recordedTerm;
+          this.#record(found !== null && found >= term ? found + 1 : term);
+          return Promise.resolve({ term: this.recordedTerm ?? term, found });
+        },
+        set: (_group, term) => {
+          this.#record(term);
+          return Promise.resolve(true);
         },
       },
       leaderPromoted: () => undefined,
@@ -97,6 +105,11 @@
     });
   }
 
+  #record(term: number): void {
+    this.recordedTerm = term;
+    this.events.push(`record ${term}`);
+  }
+
   /** Starts a member and lists it. */
   add(memberId: string, port: number): GroupMember {
     const member = new GroupMember(memberId, port);
--- a/test/support/replaced-terms.ts
+++ b/test/support/replaced-terms.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { ReplacedTermsReading } from '../../src/leadership/replaced-terms.js';
+import type { RaisedTerm, ReplacedTermsReading } from '../../src/leadership/replaced-terms.js';
 
 /** Records that are kept in memory. */
 export class FakeReplacedTerms {
@@ -16,7 +16,13 @@
     return Promise.resolve(terms === null ? null : { askedAtMs: performance.now(), terms: new Map(terms) });
   }
 
-  write(groupName: string, term: number): Promise<boolean> {
+  raise(groupName: string, term: number): Promise<RaisedTerm> {
+    const found = this.terms?.get(groupName) ?? null;
+    this.terms?.set(groupName, term);
+    return Promise.resolve({ term, found });
+  }
+
+  set(groupName: string, term: number): Promise<boolean> {
     this.written.push(term);
     this.terms?.set(groupName, term);
     return Promise.resolve(true);
