--- a/src/leadership/promotion-loss.test.ts
+++ b/src/leadership/promotion-loss.test.ts
@@ -229,3 +229,41 @@
     assert.ok(!model.member('old').isPrimary);
   });
 });
+
+describe('a former replica that refuses the connections of the holder, and runs', () => {
+  /** Longest time for a promotion beside a daemon that does not answer, in milliseconds. */
+  const PROMOTION_MS = 5000;
+  /** Time in which the position of the leader is recorded after the refusal, in milliseconds. */
+  const RECORDING_MS = 1500;
+
+  // A cut of the network may refuse, too; the end of the member was recorded with the position of then.
+  test('keeps another one from the lead that lacks what it alone has received since', async () => {
+    const model = new ModelledGroup(['old', 'other', 'leaving']);
+    const old = model.member('old');
+    const renew = (): void => {
+      if (old.state === 'running') model.group.evidence.recordWitness(FIRST_TERM, 0, performance.now());
+    };
+    renew();
+    const renewal = setInterval(renew, DETECTION_MS / 2);
+    const running = model.supervisor.run();
+    model.delist('leaving');
+    model.member('leaving').state = 'ended';
+    model.supervisor.suspect();
+    await model.waitForEvent('members_ended');
+    await delay(RECORDING_MS);
+    const commit = { term: FIRST_TERM, index: 2 };
+    old.received = commit;
+    model.member('leaving').received = commit;
+    model.orderOutcomes.set('d2', { kind: 'silent' });
+    old.state = 'dark';
+    const untilMs = performance.now() + PROMOTION_MS;
+    while (performance.now() < untilMs && !model.events.includes('promote other')) {
+      model.supervisor.suspect();
+      await delay(DETECTION_MS);
+    }
+    clearInterval(renewal);
+    model.supervisor.stop();
+    await running;
+    assert.ok(!model.events.includes('promote other'), model.events.join(', '));
+  });
+});
