--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -513,7 +513,7 @@
     this.#server.close();
   }
 
-  /** Whoever listened at an address before the process that answers there now has ended. */
+  /** A process that listened at an address before the one that answers there now has ended. */
   #recordAnsweringProcess(record: DaemonRecord, process: DaemonProcess): void {
     const { name } = record;
     if (process.name !== name) return;
